Add design, shared types, ports and their HTTP adapters

Cause: the packages need one agreed set of interfaces before they can be written side by side. Ruled out: keep-alive connections in the adapters; one connection per exchange bounds the damage of a silently dropped connection to one timeout.

--- /dev/null
+++ b/packages/ports/httpinstancelist.cpp
@@ -0,0 +1,71 @@
+#include "ports/httpinstancelist.h"
+
+#include "ports/httpclient.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Catkin
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+auto decodeRole(const std::string &text, InstanceRole &role) -> bool
+{
+    if (text == "entry") {
+        role = InstanceRole::Entry;
+    } else if (text == "executor") {
+        role = InstanceRole::Executor;
+    } else if (text == "worker") {
+        role = InstanceRole::Worker;
+    } else {
+        return false;
+    }
+    return true;
+}
+
+auto decodeList(const std::string &text) -> Result<std::vector<ListedInstance>>
+{
+    const auto body = json::parse(text, nullptr, false);
+    try {
+        auto list = std::vector<ListedInstance>{};
+        for (const auto &it : body.at("instances")) {
+            auto entry = ListedInstance{};
+            // A role added by a later platform release is not ours to use.
+            if (!decodeRole(it.at("role").get<std::string>(), entry.role)) {
+                continue;
+            }
+            entry.id = it.at("id").get<std::string>();
+            entry.domain = FailureDomainId{it.at("domain").get<std::string>()};
+            entry.region = RegionId{it.at("region").get<std::string>()};
+            entry.rack = RackId{it.value("rack", std::string{})};
+            entry.address = it.at("address").get<std::string>();
+            entry.peerAddress = it.value("peer_address", std::string{});
+            entry.leaving = it.at("state").get<std::string>() == "leaving";
+            list.push_back(std::move(entry));
+        }
+        return list;
+    } catch (const json::exception &e) {
+        return failure(ErrorCode::Protocol, std::string("instance list: ") + e.what());
+    }
+}
+
+}
+
+auto makeHttpInstanceList(const std::string &address, Millis timeout) -> InstanceListPort
+{
+    return {.fetch = [address, timeout]() -> Result<std::vector<ListedInstance>> {
+        auto reply = httpExchange({.address = address, .method = "GET", .path = "/v1/instances", .timeout = timeout});
+        if (!reply) {
+            return failure(ErrorCode::Unavailable, "instance list: " + reply.error().message);
+        }
+        if (reply.value().status != 200) {
+            return failure(ErrorCode::Unavailable, "instance list: status " + std::to_string(reply.value().status));
+        }
+        return decodeList(reply.value().body);
+    }};
+}
+
+}
--- /dev/null
+++ b/packages/ports/httpworker.cpp
@@ -0,0 +1,185 @@
+#include "ports/httpworker.h"
+
+#include "ports/httpclient.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <string_view>
+
+namespace Catkin
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr auto opNames = std::array<const char *, 8>{"claim", "reserve", "start", "renew", "checkpoint", "throttle", "stop", "release"};
+constexpr auto stateNames = std::array<std::string_view, 4>{"reserved", "running", "checkpointing", "ended"};
+constexpr auto exitNames = std::array<std::string_view, 5>{"", "ok", "failed", "stopped", "lapsed"};
+
+template<typename Enum, std::size_t N>
+auto fromName(const std::array<std::string_view, N> &names, const std::string &text, Enum &value) -> bool
+{
+    for (auto i = std::size_t{0}; i < N; ++i) {
+        if (names[i] == text) {
+            value = static_cast<Enum>(i);
+            return true;
+        }
+    }
+    return false;
+}
+
+auto encodeOrder(const WorkerOrder &order) -> json
+{
+    auto out = json{{"op", opNames[static_cast<std::size_t>(order.op)]}};
+    if (order.op == OrderOp::Claim) {
+        return out;
+    }
+    out["lease"] = order.lease.str();
+    if (order.op == OrderOp::Reserve) {
+        out["job"] = order.job.str();
+        out["attempt"] = order.attempt;
+        out["member"] = order.member;
+        out["slots"] = order.slots;
+        out["payload"] = order.payload;
+    }
+    if (order.op == OrderOp::Reserve || order.op == OrderOp::Start || order.op == OrderOp::Renew) {
+        out["ttl_ms"] = order.ttl.count();
+    }
+    if (order.op == OrderOp::Throttle) {
+        out["percent"] = order.percent;
+    }
+    return out;
+}
+
+auto encodeGeneration(const Generation &generation) -> json
+{
+    return {{"counter", generation.counter}, {"holder", generation.holder}};
+}
+
+auto decodeGeneration(const json &in) -> Generation
+{
+    return {.counter = in.at("counter").get<std::int64_t>(), .holder = in.at("holder").get<std::string>()};
+}
+
+auto decodeLease(const json &in) -> WorkerLease
+{
+    auto lease = WorkerLease{
+        .lease = LeaseId{in.at("lease").get<std::string>()},
+        .job = JobId{in.at("job").get<std::string>()},
+        .attempt = in.at("attempt").get<int>(),
+        .member = in.at("member").get<int>(),
+        .holder = in.value("holder", std::string{}),
+        .slots = in.at("slots").get<std::vector<int>>(),
+        .remaining = Millis{in.at("remaining_ms").get<std::int64_t>()},
+        .started = in.at("started").get<bool>(),
+    };
+    if (!fromName(stateNames, in.at("state").get<std::string>(), lease.state)) {
+        throw json::other_error::create(501, "unknown lease state", nullptr);
+    }
+    const auto &exit = in.at("exit");
+    if (!exit.is_null() && !fromName(exitNames, exit.get<std::string>(), lease.exit)) {
+        throw json::other_error::create(501, "unknown lease exit", nullptr);
+    }
+    if (in.contains("checkpoint") && !in["checkpoint"].is_null()) {
+        lease.checkpoint = in["checkpoint"].get<std::string>();
+    }
+    return lease;
+}
+
+auto decodeStatus(const json &in) -> WorkerStatus
+{
+    auto status = WorkerStatus{
+        .worker = WorkerId{in.at("worker").get<std::string>()},
+        .boot = in.at("boot").get<std::string>(),
+        .rack = RackId{in.at("rack").get<std::string>()},
+        .domain = FailureDomainId{in.at("domain").get<std::string>()},
+        .slots = in.at("slots").get<int>(),
+        .leaving = in.value("leaving", false),
+        .generation = decodeGeneration(in.at("generation")),
+        .leases = {},
+        .usage = {},
+    };
+    for (const auto &it : in.at("leases")) {
+        status.leases.push_back(decodeLease(it));
+    }
+    for (const auto &it : in.value("usage", json::array())) {
+        status.usage.push_back({
+            .lease = LeaseId{it.at("lease").get<std::string>()},
+            .busyPercent = it.at("busy_percent").get<int>(),
+            .age = Millis{it.at("age_ms").get<std::int64_t>()},
+        });
+    }
+    return status;
+}
+
+auto fetchStatus(const std::string &address, Millis timeout) -> Result<WorkerStatus>
+{
+    auto reply = httpExchange({.address = address, .method = "GET", .path = "/v1/status", .connectTimeout = timeout, .timeout = timeout});
+    if (!reply) {
+        return failure(ErrorCode::Unavailable, "worker status: " + reply.error().message);
+    }
+    if (reply.value().status != 200) {
+        return failure(ErrorCode::Unavailable, "worker status: status " + std::to_string(reply.value().status));
+    }
+    try {
+        return decodeStatus(json::parse(reply.value().body));
+    } catch (const json::exception &e) {
+        return failure(ErrorCode::Protocol, std::string("worker status: ") + e.what());
+    }
+}
+
+auto decodeReply(const std::string &text, std::size_t expected) -> Result<OrdersReply>
+{
+    try {
+        const auto body = json::parse(text);
+        auto out = OrdersReply{.results = {}, .status = decodeStatus(body.at("status"))};
+        for (const auto &it : body.at("results")) {
+            out.results.push_back({.ok = it.at("ok").get<bool>(), .error = it.value("error", std::string{})});
+        }
+        if (out.results.size() != expected) {
+            return failure(ErrorCode::Unknown, "worker orders: the answer has another number of results than orders were sent");
+        }
+        return out;
+    } catch (const json::exception &e) {
+        return failure(ErrorCode::Unknown, std::string("worker orders: ") + e.what());
+    }
+}
+
+auto sendOrders(const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis timeout) -> Result<OrdersReply>
+{
+    auto body = json{{"generation", encodeGeneration(generation)}, {"orders", json::array()}};
+    for (const auto &it : orders) {
+        body["orders"].push_back(encodeOrder(it));
+    }
+    auto reply = httpExchange({
+        .address = address,
+        .method = "POST",
+        .path = "/v1/orders",
+        .body = body.dump(-1, ' ', false, json::error_handler_t::replace),
+        .connectTimeout = timeout,
+        .timeout = timeout,
+    });
+    if (!reply) {
+        const auto notSent = reply.error().code == ErrorCode::NotSent;
+        return failure(notSent ? ErrorCode::NotSent : ErrorCode::Unknown, "worker orders: " + reply.error().message);
+    }
+    if (reply.value().status == 409) {
+        return failure(ErrorCode::StaleGeneration, "worker orders: a newer planner owns the worker: " + reply.value().body);
+    }
+    if (reply.value().status != 200) {
+        return failure(ErrorCode::Unknown, "worker orders: status " + std::to_string(reply.value().status));
+    }
+    return decodeReply(reply.value().body, orders.size());
+}
+
+}
+
+auto makeHttpWorker() -> WorkerPort
+{
+    return {.status = fetchStatus, .orders = sendOrders};
+}
+
+}
--- /dev/null
+++ b/packages/ports/instancelistport.h
@@ -0,0 +1,40 @@
+#pragma once
+
+/// Port to the platform's instance list, which lags behind the truth.
+///
+/// @code
+///   for (const auto &entry : list.fetch().value()) { ... }
+/// @endcode
+
+#include "util/ids.h"
+#include "util/outcome.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Catkin
+{
+
+enum class InstanceRole { Entry, Executor, Worker };
+
+/// One line of the instance list.
+struct ListedInstance
+{
+    std::string id;
+    InstanceRole role = InstanceRole::Entry;
+    FailureDomainId domain;
+    RegionId region;
+    RackId rack; ///< empty for instances outside racks
+    std::string address; ///< "ip:port" of the HTTP interface
+    std::string peerAddress; ///< "ip:port" for peers; entry instances only
+    bool leaving = false;
+};
+
+/// Function to reach the list; may block up to its timeout and may be called from any thread.
+struct InstanceListPort
+{
+    std::function<Result<std::vector<ListedInstance>>()> fetch;
+};
+
+}
--- /dev/null
+++ b/packages/util/clock.cpp
@@ -0,0 +1,44 @@
+#include "util/clock.h"
+
+namespace Catkin
+{
+
+namespace
+{
+/// An arbitrary but realistic epoch, so that tests never see times near zero by accident.
+constexpr auto manualEpoch = WallTime{Millis{1'700'000'000'000}};
+constexpr auto manualStart = MonoTime{Seconds{1000}};
+}
+
+auto systemClock() -> Clock
+{
+    return {
+        .mono = [] { return std::chrono::time_point_cast<Micros>(std::chrono::steady_clock::now()); },
+        .wall = [] { return std::chrono::time_point_cast<Millis>(std::chrono::system_clock::now()); },
+    };
+}
+
+ManualClock::ManualClock()
+    : m_mono(manualStart)
+{
+}
+
+auto ManualClock::clock() const -> Clock
+{
+    return {
+        .mono = [this] { return m_mono; },
+        .wall = [this] { return manualEpoch + std::chrono::duration_cast<Millis>(m_mono - manualStart); },
+    };
+}
+
+auto ManualClock::advance(Micros step) -> void
+{
+    m_mono += step;
+}
+
+auto ManualClock::now() const -> MonoTime
+{
+    return m_mono;
+}
+
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Builds, checks format and lint, and runs every test.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/setup.sh
+scripts/lint.sh
+ctest --test-dir build --output-on-failure --timeout 600
