Replace the FIFO scheduler by the request path's decisions

Cause: the first version served one FIFO queue without limits, fairness or health, and exists only so that the daemon can be written against it. Ruled out: a scan of the queue for passed deadlines; a tree ordered by drop time costs a logarithm per request instead.

--- /dev/null
+++ b/packages/policy/executorhealth.cpp
@@ -0,0 +1,70 @@
+#include "policy/executorhealth.h"
+
+#include <algorithm>
+
+namespace Catkin
+{
+
+auto healthPolled(ExecutorHealth &health, const std::optional<HealthSample> &sample, MonoTime now) -> void
+{
+    if (!sample) {
+        ++health.missed;
+        return;
+    }
+    health.missed = 0;
+    health.lastGood = now;
+    health.sampleLeaving = sample->leaving;
+}
+
+auto healthAttempt(ExecutorHealth &health, const ExecutorHealthOptions &options, bool failed, MonoTime now) -> bool
+{
+    if (!failed) {
+        health.failures = 0;
+        health.quarantined = false;
+        health.probing = false;
+        health.probePause = Millis{0};
+        return false;
+    }
+    ++health.failures;
+    health.lastFailure = now;
+    return health.quarantined || health.failures >= options.failuresForQuarantine;
+}
+
+auto mayQuarantine(const ExecutorHealthOptions &options, int known, int quarantined) -> bool
+{
+    return known > 1 && quarantined < std::max(1, static_cast<int>(options.quarantinedShare * known));
+}
+
+auto quarantine(ExecutorHealth &health, const ExecutorHealthOptions &options, MonoTime now) -> void
+{
+    health.quarantined = true;
+    health.probing = false;
+    health.probePause = std::clamp(health.probePause * 2, options.probeAfter, options.probeAtMost);
+    health.probeAt = now + health.probePause;
+}
+
+auto probeDue(const ExecutorHealth &health, MonoTime now) -> bool
+{
+    return health.quarantined && !health.probing && now >= health.probeAt;
+}
+
+auto lastResort(const ExecutorHealth &health, const ExecutorHealthOptions &options, MonoTime now) -> bool
+{
+    return health.listed && !health.listLeaving && !health.sampleLeaving && health.lastGood && now - *health.lastGood < options.staleAfter
+           && health.missed < options.missedForDown;
+}
+
+auto healthState(const ExecutorHealth &health, const ExecutorHealthOptions &options, MonoTime now) -> ExecutorState
+{
+    if (!health.listed || !health.lastGood || health.missed >= options.missedForDown) {
+        return ExecutorState::Down;
+    }
+    if (health.listLeaving || health.sampleLeaving) {
+        return ExecutorState::Leaving;
+    }
+    // After failures one attempt at a time tells whether the executor works again.
+    const auto failing = health.failures >= options.failuresForSuspect && now - health.lastFailure < options.pollPeriod;
+    return failing || now - *health.lastGood >= options.staleAfter ? ExecutorState::Suspect : ExecutorState::Usable;
+}
+
+}
--- /dev/null
+++ b/packages/policy/executorlimit.h
@@ -0,0 +1,47 @@
+#pragma once
+
+/// Adaptive number of requests that one instance keeps in flight at one executor.
+///
+/// The limit stays between 1 and the executor's slots. The own share (slots / fresh instances) is used without
+/// asking; slots beyond it are borrowed by trying: one more per round of attempts, taken back on a refusal.
+/// @code
+///   auto limit = Catkin::ExecutorLimit{};
+///   Catkin::limitForShare(limit, slots, fresh);          // whenever one of them changes
+///   if (inFlight < Catkin::limitNow(limit)) { ... }
+///   Catkin::limitAfterAnswer(limit, options, wasFull, late, now);
+///   Catkin::limitAfterRefusal(limit, options, now);
+/// @endcode
+
+#include "policy/requesttypes.h"
+
+namespace Catkin
+{
+
+struct ExecutorLimit
+{
+    int slots = 1;
+    double share = 1; ///< own part of the slots
+    double value = 1; ///< between 1 and the slots; the whole part counts
+    MonoTime decreased; ///< last decrease
+    MonoTime growAfter; ///< no increase before
+    Millis pause{0}; ///< between a refusal and the next increase; doubles with each refusal
+};
+
+/// Sets slots and share. A share that grows is used at once; one that shrinks takes borrowed slots back at once, since
+/// their owner has arrived.
+auto limitForShare(ExecutorLimit &limit, int slots, int fresh) -> void;
+
+/// @return how many requests may be in flight.
+auto limitNow(const ExecutorLimit &limit) -> int;
+
+/// @param wasFull whether the limit was used up when the attempt started or ended; an unused limit does not grow
+/// @param late whether the answer took much longer than expected
+auto limitAfterAnswer(ExecutorLimit &limit, const ExecutorLimitOptions &options, bool wasFull, bool late, MonoTime now) -> void;
+
+/// The executor refused, failed or did not answer.
+auto limitAfterRefusal(ExecutorLimit &limit, const ExecutorLimitOptions &options, MonoTime now) -> void;
+
+/// @return whether an answer counts as late.
+auto isLate(const ExecutorLimitOptions &options, Micros elapsed, Micros expected) -> bool;
+
+}
--- /dev/null
+++ b/packages/policy/executortable.cpp
@@ -0,0 +1,228 @@
+#include "policy/executortable.h"
+
+#include <algorithm>
+
+namespace Catkin
+{
+
+ExecutorTable::ExecutorTable(const RequestSchedulerOptions &options)
+    : m_options(options)
+{
+}
+
+auto ExecutorTable::listed(const std::vector<ListedExecutor> &executors, MonoTime now) -> void
+{
+    static_cast<void>(now);
+    for (auto &it : m_executors) {
+        it->health.listed = false;
+    }
+    for (const auto &entry : executors) {
+        auto *&known = m_byId[entry.id];
+        if (known == nullptr) {
+            m_executors.push_back(std::make_unique<KnownExecutor>());
+            known = m_executors.back().get();
+            known->limit.slots = m_options.slots;
+        }
+        if (known->listed.address != entry.address) {
+            // Another process: what the old one did says nothing about it.
+            known->health = {};
+        }
+        known->listed = entry;
+        known->reach = reachOf(entry, m_options.domain, m_options.region);
+        known->health.listed = true;
+        known->health.listLeaving = entry.leaving;
+        updateShare(*known, known->limit.slots);
+    }
+    forgetGone();
+    m_capacityAt.reset();
+}
+
+auto ExecutorTable::updateShare(KnownExecutor &executor, int slots) const -> void
+{
+    // Nothing of an executor in another region is the instance's own; it starts with one request and tries for more.
+    limitForShare(executor.limit, slots, executor.reach == Reach::OtherRegion ? slots : m_fresh);
+}
+
+auto ExecutorTable::forgetGone() -> void
+{
+    std::erase_if(m_executors, [this](const auto &it) {
+        if (it->health.listed || it->inFlight > 0) {
+            return false;
+        }
+        m_byId.erase(it->listed.id);
+        return true;
+    });
+}
+
+auto ExecutorTable::polled(const ExecutorId &id, const std::optional<HealthSample> &sample, MonoTime now) -> void
+{
+    const auto it = m_byId.find(id);
+    if (it == m_byId.end()) {
+        return;
+    }
+    auto &executor = *it->second;
+    healthPolled(executor.health, sample, now);
+    if (sample && sample->slots > 0) {
+        updateShare(executor, sample->slots);
+    }
+    m_capacityAt.reset();
+}
+
+auto ExecutorTable::freshInstances(int fresh) -> void
+{
+    m_fresh = std::max(1, fresh);
+    for (auto &it : m_executors) {
+        updateShare(*it, it->limit.slots);
+    }
+    m_capacityAt.reset();
+}
+
+auto ExecutorTable::peerReported(const InstanceId &peer, const std::vector<ExecutorLoad> &loads) -> void
+{
+    auto &reported = m_reported[peer];
+    for (const auto &id : reported) {
+        if (const auto it = m_byId.find(id); it != m_byId.end()) {
+            auto &executor = *it->second;
+            executor.peersInFlight -= executor.peers[peer];
+            executor.peers.erase(peer);
+        }
+    }
+    reported.clear();
+    for (const auto &load : loads) {
+        const auto it = m_byId.find(load.executor);
+        if (it != m_byId.end() && load.inFlight > 0 && !it->second->peers.contains(peer)) {
+            it->second->peers[peer] = load.inFlight;
+            it->second->peersInFlight += load.inFlight;
+            reported.push_back(load.executor);
+        }
+    }
+    if (reported.empty()) {
+        m_reported.erase(peer);
+    }
+}
+
+auto ExecutorTable::choose(const ExecutorWish &wish, Random &random, MonoTime now) -> KnownExecutor *
+{
+    m_candidates.clear();
+    auto usable = 0;
+    for (const auto &it : m_executors) {
+        const auto state = healthState(it->health, m_options.health, now);
+        auto candidate = RouteCandidate{it->reach, false, it->inFlight, limitNow(it->limit), it->peersInFlight, it->limit.slots};
+        if (it->health.quarantined) {
+            if (wish.mayProbe && state == ExecutorState::Usable && it->reach >= wish.nearest && it->reach <= wish.farthest && probeDue(it->health, now)) {
+                return it.get();
+            }
+        } else {
+            candidate.usable = state == ExecutorState::Usable;
+        }
+        if (it->health.failures >= m_options.health.failuresForSuspect) {
+            candidate.limit = 1;
+        } else if (!wish.mayBorrow) {
+            candidate.limit = std::min(candidate.limit, std::max(1, static_cast<int>(it->limit.share)));
+        }
+        usable += candidate.usable && it->reach >= wish.nearest && it->reach <= wish.farthest ? 1 : 0;
+        m_candidates.push_back(candidate);
+    }
+    if (usable == 0) {
+        for (auto i = std::size_t{0}; i < m_executors.size(); ++i) {
+            m_candidates[i].usable = !m_executors[i]->health.quarantined && lastResort(m_executors[i]->health, m_options.health, now);
+        }
+    }
+    const auto choice = chooseExecutor(m_candidates, wish.nearest, wish.farthest, random);
+    return choice ? m_executors[*choice].get() : nullptr;
+}
+
+auto ExecutorTable::started(KnownExecutor &executor, MonoTime now) -> void
+{
+    ++executor.inFlight;
+    if (probeDue(executor.health, now)) {
+        executor.health.probing = true;
+    }
+}
+
+auto ExecutorTable::ended(KnownExecutor &executor, AttemptOutcome outcome, Micros elapsed, Micros expected, MonoTime now) -> void
+{
+    const auto wasFull = executor.inFlight >= limitNow(executor.limit);
+    --executor.inFlight;
+    if (outcome == AttemptOutcome::Answered) {
+        limitAfterAnswer(executor.limit, m_options.limit, wasFull, isLate(m_options.limit, elapsed, expected), now);
+    } else {
+        limitAfterRefusal(executor.limit, m_options.limit, now);
+    }
+    if (outcome == AttemptOutcome::Refused) {
+        executor.health.probing = false;
+    } else {
+        const auto before = executor.health.quarantined;
+        const auto failed = outcome != AttemptOutcome::Answered;
+        if (healthAttempt(executor.health, m_options.health, failed, now)
+            && (before ? executor.health.probing : mayQuarantine(m_options.health, static_cast<int>(m_executors.size()), quarantined()))) {
+            quarantine(executor.health, m_options.health, now);
+        }
+        if (failed || before) {
+            m_capacityAt.reset();
+        }
+    }
+    if (!executor.health.listed) {
+        forgetGone();
+    }
+}
+
+auto ExecutorTable::quarantined() const -> int
+{
+    return static_cast<int>(std::count_if(m_executors.begin(), m_executors.end(), [](const auto &it) { return it->health.quarantined; }));
+}
+
+auto ExecutorTable::capacity(bool otherRegions, MonoTime now) -> ExecutorCapacity
+{
+    if (!m_capacityAt || now - *m_capacityAt >= Millis{1}) {
+        refreshCapacity(now);
+    }
+    return m_capacity.at(otherRegions ? 1 : 0);
+}
+
+auto ExecutorTable::refreshCapacity(MonoTime now) -> void
+{
+    m_capacity = {};
+    for (const auto lastResortOnly : {false, true}) {
+        const auto wanted = std::array{!lastResortOnly || m_capacity[0].usable == 0, !lastResortOnly || m_capacity[1].usable == 0};
+        for (const auto &it : m_executors) {
+            const auto place = it->reach == Reach::OtherRegion ? std::size_t{1} : std::size_t{0};
+            const auto usable
+                = lastResortOnly ? lastResort(it->health, m_options.health, now) : healthState(it->health, m_options.health, now) == ExecutorState::Usable;
+            if (wanted.at(place) && usable && !it->health.quarantined) {
+                m_capacity.at(place).slots += limitNow(it->limit);
+                ++m_capacity.at(place).usable;
+            }
+        }
+    }
+    m_capacityAt = now;
+}
+
+auto ExecutorTable::loads() const -> std::vector<ExecutorLoad>
+{
+    auto loads = std::vector<ExecutorLoad>{};
+    for (const auto &it : m_executors) {
+        if (it->inFlight > 0) {
+            loads.push_back({it->listed.id, it->inFlight});
+        }
+    }
+    return loads;
+}
+
+auto ExecutorTable::views(MonoTime now) const -> std::vector<ExecutorView>
+{
+    auto views = std::vector<ExecutorView>{};
+    for (const auto &it : m_executors) {
+        views.push_back({it->listed.id,
+                         healthState(it->health, m_options.health, now),
+                         it->health.quarantined,
+                         it->inFlight,
+                         it->peersInFlight,
+                         it->limit.slots,
+                         it->limit.value,
+                         it->limit.share});
+    }
+    return views;
+}
+
+}
--- /dev/null
+++ b/packages/policy/executortable.h
@@ -0,0 +1,95 @@
+#pragma once
+
+/// The executors as one entry instance knows them: list, health, limits and loads.
+///
+/// @code
+///   auto table = Catkin::ExecutorTable{options};
+///   table.listed(list, now);
+///   table.polled(id, sample, now);
+///   if (auto *executor = table.choose({.farthest = Catkin::Reach::SameRegion}, random, now)) {
+///       table.started(*executor);
+///       table.ended(*executor, outcome, elapsed, expected, now);
+///   }
+/// @endcode
+
+#include "policy/executorhealth.h"
+#include "policy/executorlimit.h"
+#include "policy/routing.h"
+
+#include <array>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace Catkin
+{
+
+struct KnownExecutor
+{
+    ListedExecutor listed;
+    Reach reach = Reach::OwnDomain;
+    ExecutorHealth health;
+    ExecutorLimit limit;
+    int inFlight = 0;
+    std::unordered_map<InstanceId, int> peers; ///< in flight by peer
+    int peersInFlight = 0;
+};
+
+struct ExecutorWish
+{
+    Reach nearest = Reach::OwnDomain;
+    Reach farthest = Reach::SameRegion;
+    bool mayProbe = false; ///< an idempotent request, which may be sent to a quarantined executor as its probe
+    bool mayBorrow = true; ///< whether slots beyond the own share may be tried
+};
+
+/// What the executors within a reach can do.
+struct ExecutorCapacity
+{
+    double slots = 0; ///< sum of the own limits
+    int usable = 0;
+};
+
+/// Not thread-safe. Executors that left the list stay until their attempts have ended.
+class ExecutorTable
+{
+public:
+    explicit ExecutorTable(const RequestSchedulerOptions &options);
+
+    auto listed(const std::vector<ListedExecutor> &executors, MonoTime now) -> void;
+    auto polled(const ExecutorId &id, const std::optional<HealthSample> &sample, MonoTime now) -> void;
+    /// @param fresh entry instances of the own region, which share its executors
+    auto freshInstances(int fresh) -> void;
+    auto peerReported(const InstanceId &peer, const std::vector<ExecutorLoad> &loads) -> void;
+
+    /// @return an executor with room, or null.
+    auto choose(const ExecutorWish &wish, Random &random, MonoTime now) -> KnownExecutor *;
+    auto started(KnownExecutor &executor, MonoTime now) -> void;
+    /// @param elapsed from sending to the end of the attempt
+    /// @param expected usual executor time of such a request
+    auto ended(KnownExecutor &executor, AttemptOutcome outcome, Micros elapsed, Micros expected, MonoTime now) -> void;
+
+    /// @return own capacity within the region, or beyond it. Recomputed at most once per millisecond of @p now and
+    ///         after changes of health.
+    auto capacity(bool otherRegions, MonoTime now) -> ExecutorCapacity;
+
+    [[nodiscard]] auto loads() const -> std::vector<ExecutorLoad>;
+    [[nodiscard]] auto views(MonoTime now) const -> std::vector<ExecutorView>;
+
+private:
+    [[nodiscard]] auto quarantined() const -> int;
+    auto forgetGone() -> void;
+    auto updateShare(KnownExecutor &executor, int slots) const -> void;
+    auto refreshCapacity(MonoTime now) -> void;
+
+    RequestSchedulerOptions m_options;
+    int m_fresh = 1;
+    std::vector<std::unique_ptr<KnownExecutor>> m_executors;
+    std::unordered_map<ExecutorId, KnownExecutor *> m_byId;
+    std::unordered_map<InstanceId, std::vector<ExecutorId>> m_reported;
+    std::vector<RouteCandidate> m_candidates; ///< reused by choose()
+    std::array<ExecutorCapacity, 2> m_capacity; ///< own region, other regions
+    std::optional<MonoTime> m_capacityAt;
+};
+
+}
--- a/packages/policy/requestscheduler.h
+++ b/packages/policy/requestscheduler.h
@@ -128,7 +128,7 @@
     /// Cancels one request. Cost: logarithmic in the number of queued requests.
     auto cancel(RequestNumber number, MonoTime now) -> CancelResult;
 
-    /// Cancels every request of a caller. Cost: proportional to the requests cancelled.
+    /// Cancels every request of a caller. Cost: proportional to that caller's requests in progress.
     auto cancelCaller(const WorkspaceId &workspace, const CallerId &caller, MonoTime now) -> std::vector<CancelledRequest>;
 
     /// Takes over an accepted configuration. Queued requests of removed workspaces and kinds keep their place.
@@ -137,11 +137,13 @@
     /// Takes over the executors of the instance list; those absent get no new work, their attempts in flight go on.
     auto executorsChanged(const std::vector<ListedExecutor> &executors, MonoTime now) -> void;
 
-    /// Reports a health poll; due every RequestSchedulerOptions::health.pollPeriod for each listed executor.
+    /// Reports a health poll; an executor gets work only after its first good poll and for at most
+    /// RequestSchedulerOptions::health.staleAfter after its last one. Due every RequestSchedulerOptions::health.pollPeriod for each listed executor.
     /// @param sample the answer, or nothing when the poll failed
     auto executorPolled(const ExecutorId &executor, const std::optional<HealthSample> &sample, MonoTime now) -> void;
 
-    /// @param fresh number of entry instances with fresh heartbeats, this one included; values below 1 count as 1.
+    /// @param fresh number of entry instances of the own region with fresh heartbeats, this one included; values below 1
+    ///        count as 1. Instances of other regions rarely use the same executors; busy refusals limit them.
     auto peersChanged(int fresh, MonoTime now) -> void;
 
     /// Takes over the in-flight counts in a peer's heartbeat; an empty list forgets the peer.
--- a/packages/policy/requesttypes.h
+++ b/packages/policy/requesttypes.h
@@ -131,6 +131,8 @@
     double lateFactor = 3; ///< an answer is late when it took this many times the expected cost …
     Millis lateAtLeast{50}; ///< … plus this
     Millis decreasePause{100}; ///< at most one decrease in this time, so that one burst of refusals counts once
+    Millis growPauseAtLeast{200}; ///< first pause between a refusal and the next increase, doubled by each refusal
+    Millis growPauseAtMost{5000};
 };
 
 struct RetryOptions
@@ -163,6 +165,8 @@
     Micros firstCost{20'000}; ///< assumed cost of a caller's kind before the first measurement
     double costWeight = 0.1; ///< weight of a new measurement in the moving average
     Micros urgentBurst{1'000'000}; ///< urgent service that a workspace may save up
+    Micros debt{2'000'000}; ///< most that late cost corrections may hold back, or favour, a child
+    int idleCallers = 4096; ///< callers remembered without requests
 };
 
 /// Own place and tuning of a RequestScheduler.
