Give types that share a name with another package names of their own

Cause: the packages were written side by side, and several types of the same name met in namespace Catkin. Change: renamed by a mechanical substitution; no behaviour changes.

--- a/packages/policy/requestscheduler.cpp
+++ b/packages/policy/requestscheduler.cpp
@@ -76,7 +76,7 @@
         , table(options)
         , retries(options.retry)
     {
-        link.configure(LinkClass::Requests, options.link);
+        link.configure(LinkTrafficClass::Requests, options.link);
     }
     ~Impl()
     {
@@ -112,7 +112,7 @@
     auto dispatch(Entry &entry, KnownExecutor &executor, MonoTime now) -> RequestDispatch;
     auto idle(MonoTime now) -> RequestIdle;
     auto admitSpill(const NewRequest &request, AdmissionQuestion question, MonoTime now) -> bool;
-    auto cancel(Entry &entry) -> CancelResult;
+    auto cancel(Entry &entry) -> RequestCancelResult;
 
     RequestSchedulerOptions options;
     Random random;
@@ -182,7 +182,7 @@
     if (capacity.usable == 0) {
         return false;
     }
-    const auto paidAt = link.allowedAt(LinkClass::Requests, Bytes{request.bytes.value + spillBytes}, now);
+    const auto paidAt = link.allowedAt(LinkTrafficClass::Requests, Bytes{request.bytes.value + spillBytes}, now);
     if (!paidAt || *paidAt > dropTime(question)) {
         return false;
     }
@@ -264,7 +264,7 @@
 auto RequestScheduler::Impl::chooseRemote(const Entry &entry, MonoTime now) -> KnownExecutor *
 {
     auto *executor = table.choose({Reach::OtherRegion, Reach::OtherRegion, entry.idempotent, retries.level() >= 0.5}, random, now);
-    if (executor != nullptr && !link.take(LinkClass::Requests, entry.request.bytes, now)) {
+    if (executor != nullptr && !link.take(LinkTrafficClass::Requests, entry.request.bytes, now)) {
         ++figures.linkDenied;
         return nullptr;
     }
@@ -304,7 +304,7 @@
         wakeAt = std::min(wakeAt, byRetry.begin()->retryAt);
     }
     if (const auto *item = spill.front(); item != nullptr) {
-        const auto paidAt = link.allowedAt(LinkClass::Requests, static_cast<const Entry *>(item)->request.bytes, now);
+        const auto paidAt = link.allowedAt(LinkTrafficClass::Requests, static_cast<const Entry *>(item)->request.bytes, now);
         wakeAt = paidAt && *paidAt > now ? std::min(wakeAt, *paidAt) : wakeAt;
     }
     return {wakeAt};
@@ -345,7 +345,7 @@
     return d.idle(now);
 }
 
-auto RequestScheduler::completed(RequestNumber number, AttemptOutcome outcome, Micros cost, MonoTime now) -> RequestAfter
+auto RequestScheduler::completed(RequestNumber number, DispatchOutcome outcome, Micros cost, MonoTime now) -> RequestAfter
 {
     auto &d = *m_impl;
     const auto it = d.entries.find(number.value);
@@ -353,14 +353,14 @@
         return RequestFinished{};
     }
     auto &entry = *it->second;
-    const auto answered = outcome == AttemptOutcome::Answered;
-    const auto notRun = outcome == AttemptOutcome::Refused || outcome == AttemptOutcome::NotSent;
+    const auto answered = outcome == DispatchOutcome::Answered;
+    const auto notRun = outcome == DispatchOutcome::Refused || outcome == DispatchOutcome::NotSent;
     // Without a cost reported by the executor, cost is the elapsed time, and the attempt cannot be told to be late.
     d.table.ended(*entry.executor, outcome, now - entry.sentAt, std::max(cost, entry.expected), now);
     entry.executor = nullptr;
     d.queueOf(entry).settle(entry, notRun ? Micros{0} : cost, now);
     d.figures.answered += answered ? 1 : 0;
-    d.figures.executorRefusals += outcome == AttemptOutcome::Refused ? 1 : 0;
+    d.figures.executorRefusals += outcome == DispatchOutcome::Refused ? 1 : 0;
     if (answered) {
         d.erase(entry);
         return RequestFinished{true};
@@ -388,22 +388,22 @@
     return RequestNotRun{{reason, retryAfter(d.options.admission, Micros{d.options.retry.backoffAtMost} / 4)}};
 }
 
-auto RequestScheduler::Impl::cancel(Entry &entry) -> CancelResult
+auto RequestScheduler::Impl::cancel(Entry &entry) -> RequestCancelResult
 {
     if (entry.executor != nullptr) {
         entry.cancelled = true;
-        return CancelResult::InFlight;
+        return RequestCancelResult::InFlight;
     }
-    const auto result = entry.mayHaveRun ? CancelResult::MayHaveRun : CancelResult::NotRun;
+    const auto result = entry.mayHaveRun ? RequestCancelResult::MayHaveRun : RequestCancelResult::NotRun;
     erase(entry);
     return result;
 }
 
-auto RequestScheduler::cancel(RequestNumber number, MonoTime now) -> CancelResult
+auto RequestScheduler::cancel(RequestNumber number, MonoTime now) -> RequestCancelResult
 {
     static_cast<void>(now);
     const auto it = m_impl->entries.find(number.value);
-    return it == m_impl->entries.end() ? CancelResult::NotFound : m_impl->cancel(*it->second);
+    return it == m_impl->entries.end() ? RequestCancelResult::NotFound : m_impl->cancel(*it->second);
 }
 
 auto RequestScheduler::cancelCaller(const WorkspaceId &workspace, const CallerId &caller, MonoTime now) -> std::vector<CancelledRequest>
@@ -459,13 +459,13 @@
     m_impl->table.freshInstances(fresh);
 }
 
-auto RequestScheduler::peerReported(const InstanceId &peer, const std::vector<ExecutorLoad> &loads, MonoTime now) -> void
+auto RequestScheduler::peerReported(const InstanceId &peer, const std::vector<InFlightLoad> &loads, MonoTime now) -> void
 {
     static_cast<void>(now);
     m_impl->table.peerReported(peer, loads);
 }
 
-auto RequestScheduler::ownLoads() const -> std::vector<ExecutorLoad>
+auto RequestScheduler::ownLoads() const -> std::vector<InFlightLoad>
 {
     return m_impl->table.loads();
 }
--- a/packages/policy/testing/requestscheduler_test.cpp
+++ b/packages/policy/testing/requestscheduler_test.cpp
@@ -19,7 +19,7 @@
     REQUIRE(std::holds_alternative<RequestDispatch>(step));
     CHECK(std::get<RequestDispatch>(step).address == "127.0.0.1:9000");
     CHECK(std::holds_alternative<RequestIdle>(scheduler.next(now)));
-    const auto after = scheduler.completed(queued.number, AttemptOutcome::Answered, Micros{500}, now + Millis{1});
+    const auto after = scheduler.completed(queued.number, DispatchOutcome::Answered, Micros{500}, now + Millis{1});
     REQUIRE(std::holds_alternative<RequestFinished>(after));
     CHECK(std::get<RequestFinished>(after).answered);
     CHECK(scheduler.figures().inFlight == 0);
