Give types that share a name with another package names of their own

Cause: the packages were written side by side, and several types of the same name met in namespace Catkin. Change: renamed by a mechanical substitution; no behaviour changes.

--- a/packages/policy/scheduler.cpp
+++ b/packages/policy/scheduler.cpp
@@ -17,7 +17,7 @@
 
 struct Entry
 {
-    JobSpec spec;
+    ScheduledJob spec;
     MonoTime since;
     std::vector<MemberPlacement> members;
 };
@@ -32,7 +32,7 @@
     std::map<JobId, Entry> running;
     std::vector<Entry> waiting;
 
-    auto place(const JobSpec &spec) -> std::optional<std::vector<MemberPlacement>>
+    auto place(const ScheduledJob &spec) -> std::optional<std::vector<MemberPlacement>>
     {
         auto groups = std::map<std::string, std::vector<Node *>>{};
         for (auto &[id, node] : workers) {
@@ -94,7 +94,7 @@
     return affected;
 }
 
-auto Scheduler::submit(const JobSpec &spec, MonoTime now) -> Result<void>
+auto Scheduler::submit(const ScheduledJob &spec, MonoTime now) -> Result<void>
 {
     if (spec.tasks < 1 || spec.tasks > maxGangTasks || spec.slotsPerTask < 1 || spec.slotsPerTask > maxWorkerSlots) {
         return failure(ErrorCode::InvalidInput, "a job has 1 to 64 tasks of 1 to 32 slots");
@@ -103,7 +103,7 @@
     return success();
 }
 
-auto Scheduler::resubmit(const JobSpec &spec, MonoTime since) -> void
+auto Scheduler::resubmit(const ScheduledJob &spec, MonoTime since) -> void
 {
     const auto known = std::any_of(m_state->waiting.begin(), m_state->waiting.end(), [&](const auto &entry) { return entry.spec.job == spec.job; });
     if (!known && !m_state->running.contains(spec.job)) {
@@ -111,16 +111,16 @@
     }
 }
 
-auto Scheduler::cancel(const JobId &job) -> CancelResult
+auto Scheduler::cancel(const JobId &job) -> JobCancelResult
 {
     if (m_state->running.contains(job)) {
-        return CancelResult::Running;
+        return JobCancelResult::Running;
     }
     const auto erased = std::erase_if(m_state->waiting, [&](const auto &entry) { return entry.spec.job == job; });
-    return erased > 0 ? CancelResult::Removed : CancelResult::Unknown;
+    return erased > 0 ? JobCancelResult::Removed : JobCancelResult::Unknown;
 }
 
-auto Scheduler::adopt(const JobSpec &spec, const std::vector<MemberPlacement> &members, MonoTime startedAt) -> Result<void>
+auto Scheduler::adopt(const ScheduledJob &spec, const std::vector<MemberPlacement> &members, MonoTime startedAt) -> Result<void>
 {
     for (const auto &member : members) {
         const auto it = m_state->workers.find(member.worker);
--- a/packages/policy/testing/scheduler_test.cpp
+++ b/packages/policy/testing/scheduler_test.cpp
@@ -17,7 +17,7 @@
     auto decisions = scheduler.decide(now);
     REQUIRE(decisions.starts.size() == 1);
     CHECK(decisions.starts[0].members.size() == 2);
-    CHECK(scheduler.cancel(JobId{"a"}) == CancelResult::Running);
+    CHECK(scheduler.cancel(JobId{"a"}) == JobCancelResult::Running);
     scheduler.jobEnded(JobId{"a"}, JobEnd::Succeeded, now);
     decisions = scheduler.decide(now);
     REQUIRE(decisions.starts.size() == 1);
