Add configuration document, log records and the folds of the three streams

The daemon needs the document, the records and the folds before it can be written. Every fold has to give the same result on every instance, including one that starts in the middle of a stream. A duplicate accept of a job whose first accept is no longer retained would also restart the job.

--- /dev/null
+++ b/packages/state/configfold.cpp
@@ -0,0 +1,181 @@
+#include "state/configfold.h"
+
+#include <utility>
+
+namespace Catkin
+{
+
+ConfigFold::ConfigFold(ConfigFoldOptions options)
+    : m_options(options)
+    , m_certain(ConfigState{})
+{
+}
+
+auto ConfigFold::restart(LogOffset first) -> void
+{
+    m_start = first;
+    m_next = first;
+    m_pending.clear();
+    if (const auto known = std::exchange(m_certain, std::nullopt)) {
+        // A version once accepted stays in force, but it no longer tells which base is current.
+        offer(*known);
+    }
+    if (first.value == 0) {
+        m_certain = ConfigState{};
+    }
+}
+
+auto ConfigFold::apply(LogOffset offset, WallTime time, const ConfigRecord &record) -> void
+{
+    if (offset < m_next) {
+        return;
+    }
+    m_next = offset + LogOffset{1};
+    if (const auto *change = std::get_if<ConfigChange>(&record)) {
+        applyChange(offset, time, *change);
+    } else {
+        applySnapshot(time, std::get<ConfigSnapshot>(record));
+    }
+}
+
+auto ConfigFold::apply(LogOffset offset, WallTime time, std::string_view text) -> void
+{
+    if (offset < m_next) {
+        return;
+    }
+    auto record = decodeConfigRecord(text);
+    if (!record) {
+        ++m_undecodable;
+        m_next = offset + LogOffset{1};
+        return;
+    }
+    apply(offset, time, record.value());
+}
+
+auto ConfigFold::offer(const ConfigState &state) -> bool
+{
+    const auto *known = current();
+    if (state.version.value <= 0 || (known != nullptr && state.version <= known->version)) {
+        return false;
+    }
+    m_offered = state;
+    return true;
+}
+
+auto ConfigFold::current() const -> const ConfigState *
+{
+    if (m_offered && (!m_certain || m_offered->version > m_certain->version)) {
+        return &*m_offered;
+    }
+    return m_certain && m_certain->version.value > 0 ? &*m_certain : nullptr;
+}
+
+auto ConfigFold::certain() const -> const ConfigState *
+{
+    return m_certain ? &*m_certain : nullptr;
+}
+
+auto ConfigFold::result(const std::string &id) const -> ChangeResult
+{
+    const auto it = m_results.find(id);
+    return it == m_results.end() ? ChangeResult{} : it->second;
+}
+
+auto ConfigFold::makeSnapshot() const -> std::optional<ConfigSnapshot>
+{
+    if (!m_certain || m_certain->version.value == 0) {
+        return std::nullopt;
+    }
+    return ConfigSnapshot{
+        .version = m_certain->version,
+        .id = m_certain->id,
+        .author = m_certain->author,
+        .document = m_certain->document,
+        .through = m_next,
+    };
+}
+
+auto ConfigFold::next() const -> LogOffset
+{
+    return m_next;
+}
+
+auto ConfigFold::heldSince() const -> WallTime
+{
+    return m_heldSince;
+}
+
+auto ConfigFold::undecodable() const -> std::uint64_t
+{
+    return m_undecodable;
+}
+
+auto ConfigFold::applyChange(LogOffset offset, WallTime time, const ConfigChange &change) -> void
+{
+    if (!m_certain) {
+        m_pending.push_back({offset, time, change});
+        if (m_pending.size() > m_options.maxPendingChanges) {
+            // Without the dropped change, only snapshots built after it can be completed.
+            m_start = m_pending.front().offset + LogOffset{1};
+            m_pending.pop_front();
+        }
+        return;
+    }
+    if (change.base != m_certain->version || change.version != change.base + ConfigVersion{1}) {
+        remember(change.id, {ChangeOutcome::Rejected, m_certain->version});
+        return;
+    }
+    m_certain = ConfigState{change.version, change.id, change.author, change.document};
+    m_heldSince = time;
+    if (m_offered && m_offered->version <= m_certain->version) {
+        m_offered.reset();
+    }
+    remember(change.id, {ChangeOutcome::Accepted, change.version});
+}
+
+auto ConfigFold::applySnapshot(WallTime time, const ConfigSnapshot &snapshot) -> void
+{
+    const auto state = ConfigState{snapshot.version, snapshot.id, snapshot.author, snapshot.document};
+    remember(snapshot.id, {ChangeOutcome::Accepted, snapshot.version});
+    if (m_certain) {
+        if (snapshot.version > m_certain->version) {
+            m_certain = state;
+        }
+        if (snapshot.version == m_certain->version) {
+            m_heldSince = time;
+        }
+    } else if (snapshot.through >= m_start) {
+        m_certain = state;
+        m_heldSince = time;
+        const auto pending = std::exchange(m_pending, {});
+        for (const auto &it : pending) {
+            if (it.offset >= snapshot.through) {
+                applyChange(it.offset, it.time, it.change);
+            }
+        }
+    } else {
+        offer(state);
+    }
+    if (m_certain && m_offered && m_offered->version <= m_certain->version) {
+        m_offered.reset();
+    }
+}
+
+auto ConfigFold::remember(const std::string &id, ChangeResult result) -> void
+{
+    const auto [it, added] = m_results.try_emplace(id, result);
+    if (!added) {
+        // The append of a change may be repeated after a lost response; only the first copy can be accepted.
+        if (it->second.outcome != ChangeOutcome::Accepted) {
+            it->second = result;
+        }
+        return;
+    }
+    m_resultOrder.push_back(id);
+    if (m_resultOrder.size() > m_options.maxResults) {
+        m_results.erase(m_resultOrder.front());
+        m_resultOrder.pop_front();
+    }
+}
+
+}
--- /dev/null
+++ b/packages/state/records.h
@@ -0,0 +1,233 @@
+#pragma once
+
+/// The records of the three log streams and their JSON form; docs/log-records.md lists every field.
+///
+/// @code
+///   log.append("jobs", {Catkin::encodeRecord(Catkin::JobRecord{Catkin::JobCancel{.job = id, .by = "operator"}})});
+///   auto record = Catkin::decodeJobRecord(text);      // ErrorCode::Protocol for anything else
+/// @endcode
+
+#include "state/document.h"
+#include "util/ids.h"
+#include "util/outcome.h"
+#include "util/units.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace Catkin
+{
+
+/// How far an instance had read the stream when it built a record.
+///
+/// A reader that starts in the middle of a stream needs it to know which records the builder had not seen.
+struct FoldPosition
+{
+    LogOffset through; ///< every record below this offset had been folded
+    WallTime asOf; ///< builder's wall clock when its last read of the stream returned
+
+    auto operator==(const FoldPosition &) const -> bool = default;
+};
+
+/// A proposed configuration; it takes effect if and only if @c base is the current version.
+struct ConfigChange
+{
+    ConfigVersion version; ///< always base + 1
+    ConfigVersion base;
+    std::string id; ///< unique; the author finds the result of its append by it
+    std::string author;
+    std::string document; ///< canonical JSON text
+
+    auto operator==(const ConfigChange &) const -> bool = default;
+};
+
+/// The configuration in force, appended again before the log drops the change.
+struct ConfigSnapshot
+{
+    ConfigVersion version;
+    std::string id; ///< of the change that created the version
+    std::string author; ///< of that change
+    std::string document;
+    LogOffset through; ///< every record below this offset had been folded
+
+    auto operator==(const ConfigSnapshot &) const -> bool = default;
+};
+
+using ConfigRecord = std::variant<ConfigChange, ConfigSnapshot>;
+
+/// Where the tasks of a gang have to be: in one worker, in one rack, or anywhere in the failure domain.
+enum class JobAdjacency { Worker, Rack, Any };
+
+/// Everything that the caller states about a job.
+struct JobSpec
+{
+    JobId id;
+    WorkspaceId workspace;
+    CallerId caller;
+    KindId kind;
+    IdempotencyKey key;
+    FailureDomainId domain; ///< home failure domain
+    int tasks = 1;
+    SlotCount slotsPerTask{1};
+    JobAdjacency adjacency = JobAdjacency::Any;
+    WorkUrgency urgency = WorkUrgency::Normal;
+    Seconds declared{0}; ///< run time as declared; zero: not declared
+    bool checkpointable = false;
+    bool restartable = false; ///< may run more than once
+    std::string payload;
+
+    auto operator==(const JobSpec &) const -> bool = default;
+};
+
+enum class JobState { Queued, Starting, Running, Stopping, Succeeded, Failed, Cancelled, Parked, Unknown };
+
+/// How an attempt ended. Requeue returns the job to the queue; every other result is final.
+enum class JobResult { Succeeded, Failed, Cancelled, Parked, Unknown, Requeue };
+
+/// The folded state of one job.
+struct Job
+{
+    JobSpec spec;
+    JobState state = JobState::Queued;
+    int attempt = 0; ///< number of the last valid attempt; 0 before the first
+    InstanceId holder; ///< planner that made the attempt
+    std::int64_t generation = 0; ///< generation counter of that planner
+    bool cancelRequested = false;
+    std::int64_t revision = 0; ///< number of records that took effect
+    WallTime accepted; ///< log time of the accept record
+    WallTime changed; ///< log time of the last record that took effect
+    std::string detail; ///< reason of the last result, for people
+    std::string checkpoint; ///< id of the last checkpoint, if any
+
+    auto operator==(const Job &) const -> bool = default;
+};
+
+struct JobAccept
+{
+    JobSpec spec;
+    FoldPosition position;
+
+    auto operator==(const JobAccept &) const -> bool = default;
+};
+
+struct JobAttempt
+{
+    JobId job;
+    int attempt = 0;
+    InstanceId holder;
+    std::int64_t generation = 0;
+
+    auto operator==(const JobAttempt &) const -> bool = default;
+};
+
+struct JobStarted
+{
+    JobId job;
+    int attempt = 0;
+
+    auto operator==(const JobStarted &) const -> bool = default;
+};
+
+struct JobFinish
+{
+    JobId job;
+    int attempt = 0;
+    JobResult result = JobResult::Unknown;
+    bool ran = true; ///< false when it is proven that no task of the attempt did any user work
+    std::string detail;
+    std::string checkpoint;
+
+    auto operator==(const JobFinish &) const -> bool = default;
+};
+
+struct JobCancel
+{
+    JobId job;
+    std::string by;
+    std::string reason;
+
+    auto operator==(const JobCancel &) const -> bool = default;
+};
+
+/// The whole folded state of a job, appended again before the log drops the records behind it.
+struct JobCarry
+{
+    Job job;
+    FoldPosition position;
+
+    auto operator==(const JobCarry &) const -> bool = default;
+};
+
+using JobRecord = std::variant<JobAccept, JobAttempt, JobStarted, JobFinish, JobCancel, JobCarry>;
+
+/// The identity of a non-idempotent request; firstSent is a part of it.
+struct RequestKey
+{
+    WorkspaceId workspace;
+    IdempotencyKey key;
+    WallTime firstSent; ///< stated by the caller
+
+    auto operator<=>(const RequestKey &) const = default;
+};
+
+struct IntentRecord
+{
+    RequestKey key;
+    RequestId attempt; ///< unique
+    InstanceId instance;
+
+    auto operator==(const IntentRecord &) const -> bool = default;
+};
+
+/// Takes an intent back; valid only from the instance that made it, and only if no byte has been sent.
+struct VoidRecord
+{
+    RequestKey key;
+    RequestId attempt;
+    InstanceId instance;
+
+    auto operator==(const VoidRecord &) const -> bool = default;
+};
+
+enum class RequestResult { Answer, Unknown };
+
+struct DoneRecord
+{
+    RequestKey key;
+    RequestId attempt;
+    InstanceId instance;
+    RequestResult result = RequestResult::Unknown;
+    bool hasAnswer = false; ///< false when the answer is longer than maxLoggedAnswerBytes
+    std::string answer;
+
+    auto operator==(const DoneRecord &) const -> bool = default;
+};
+
+using RequestRecord = std::variant<IntentRecord, VoidRecord, DoneRecord>;
+
+/// Longest answer that goes into a done record, in bytes.
+constexpr auto maxLoggedAnswerBytes = std::size_t{2048};
+
+auto encodeRecord(const ConfigRecord &record) -> std::string;
+auto encodeRecord(const JobRecord &record) -> std::string;
+auto encodeRecord(const RequestRecord &record) -> std::string;
+
+/// @return the record; ErrorCode::Protocol when @p text is not a known record of the stream.
+auto decodeConfigRecord(std::string_view text) -> Result<ConfigRecord>;
+/// @return the record; ErrorCode::Protocol when @p text is not a known record of the stream.
+auto decodeJobRecord(std::string_view text) -> Result<JobRecord>;
+/// @return the record; ErrorCode::Protocol when @p text is not a known record of the stream.
+auto decodeRequestRecord(std::string_view text) -> Result<RequestRecord>;
+
+/// @return the lower-case name of @p state, as callers see it.
+auto jobStateName(JobState state) -> const char *;
+
+/// @return whether @p state is final.
+auto isTerminal(JobState state) -> bool;
+
+/// @return the id of the job that @p workspace submits under @p key; equal on every instance, so that a retry finds the same job.
+auto makeJobId(const WorkspaceId &workspace, const IdempotencyKey &key) -> JobId;
+
+}
