Add the daemon's metrics

Cause: operators need counts, states and latencies of every instance, and the objectives need good and total counts.

Ruled out: passing label lists from the callers of the interface, because a wrong label is then found only at run time; unbounded label values, because 250 workspaces times kinds times buckets exceed the memory of an instance.

Change: one typed function per event behind a private prometheus-cpp registry. Combinations above a bound share the label value "other", so sums stay right.

--- /dev/null
+++ b/packages/daemon/metrics.h
@@ -0,0 +1,121 @@
+#pragma once
+
+/// The daemon's metrics, in the Prometheus text format. docs/metrics.md lists every metric.
+///
+/// @code
+///   auto metrics = Catkin::Metrics{{}};
+///   metrics.requestFinished(workspace, kind, Catkin::RequestResult::Answer, latency);
+///   response.set_content(metrics.text(), Catkin::Metrics::contentType);
+/// @endcode
+///
+/// All functions are thread-safe. Give only names from the configuration as workspace and kind, never names that
+/// a caller sent unchecked: the number of series of a metric is bounded, and further names share the series "other".
+
+#include "util/ids.h"
+#include "util/units.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace Catkin
+{
+
+enum class RequestResult { Answer, NotRun, OutcomeUnknown };
+enum class RefusalReason { Deadline, QueueFull, CallerLimit, BadInput, Unauthorized, LogUnavailable, NotReady, Draining, LinkBudget };
+enum class ExecutorResult { Answer, NotRun, Error, Discarded };
+enum class AttemptMechanism { Intent, Ticket };
+enum class JobEvent { Accepted, Started, Succeeded, Failed, Cancelled, Parked, Unknown, Requeued };
+enum class OrderResult { Ok, Refused, Stale, Failed };
+enum class LogStream { Config, Jobs, Requests };
+enum class AppendResult { Ok, NotSent, Unknown };
+enum class LinkClass { Control, Payload };
+enum class LinkDirection { Sent, Received };
+enum class ConfigResult { Accepted, Rejected, Conflict, Unknown };
+enum class JobUrgency { Urgent, Normal, Batch };
+enum class BackendState { Usable, Lost, Quarantined, Leaving };
+enum class SlotState { Total, Free, Reclaimable, Leased, Lost };
+
+struct MetricsOptions
+{
+    /// Most series of one counter or gauge.
+    std::size_t maxSeries = 2048;
+    /// Most series of one histogram; lower, because each has 11 to 15 buckets.
+    std::size_t maxHistogramSeries = 256;
+};
+
+class Metrics
+{
+public:
+    static constexpr auto contentType = "text/plain; version=0.0.4";
+
+    explicit Metrics(const MetricsOptions &options);
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics(Metrics &&) = delete;
+    auto operator=(const Metrics &) -> Metrics & = delete;
+    auto operator=(Metrics &&) -> Metrics & = delete;
+
+    /// @name Requests
+    /// @{
+    auto requestFinished(const WorkspaceId &workspace, const KindId &kind, RequestResult result, Micros latency) -> void;
+    auto requestRefused(RefusalReason reason) -> void;
+    auto requestDequeued(const KindId &kind, Micros waited) -> void;
+    auto retry(bool sent) -> void; ///< @param sent whether the retry budget allowed it
+    auto attemptStarted(AttemptMechanism mechanism) -> void;
+    auto executorCall(const KindId &kind, ExecutorResult result, Micros latency) -> void;
+    auto setQueue(const WorkspaceId &workspace, std::size_t length) -> void;
+    auto setQueueBytes(Bytes bytes) -> void;
+    auto setExecutors(BackendState state, std::size_t count) -> void;
+    /// @}
+
+    /// @name Jobs
+    /// @{
+    auto jobEvent(const WorkspaceId &workspace, JobEvent event) -> void;
+    auto jobStarted(JobUrgency urgency, Micros waited) -> void; ///< @param waited from acceptance until the whole gang ran
+    auto jobPreempted(const WorkspaceId &workspace) -> void;
+    auto gangStarted(Micros took) -> void; ///< @param took from the first reservation until the whole gang ran
+    auto reclaimed(Micros took) -> void; ///< @param took from the decision until the slots were free
+    auto placementDecided(Micros took) -> void;
+    auto workerOrder(OrderResult result) -> void;
+    auto setJobs(const WorkspaceId &workspace, std::size_t waiting, std::size_t running) -> void;
+    auto setWorkers(BackendState state, std::size_t count) -> void;
+    auto setSlots(SlotState state, SlotCount slots) -> void;
+    auto setLargestFreeBlock(SlotCount slots) -> void;
+    auto setPlanner(bool active) -> void;
+    /// @}
+
+    /// @name Platform log and configuration
+    /// @{
+    auto logAppended(LogStream stream, AppendResult result, Micros latency) -> void;
+    auto logRead(LogStream stream, std::size_t records) -> void;
+    auto setLogAvailable(LogStream stream, bool available) -> void;
+    auto configChanged(ConfigResult result) -> void;
+    auto setConfig(ConfigVersion version, Seconds age) -> void; ///< @param age time since the log or a peer confirmed the version
+    /// @}
+
+    /// @name Peers, link and process
+    /// @{
+    auto linkTraffic(LinkClass linkClass, LinkDirection direction, Bytes bytes) -> void;
+    auto linkRefused(LinkClass linkClass) -> void;
+    auto peerReconnected() -> void;
+    auto setFreshPeers(std::size_t count) -> void;
+    auto setReady(bool ready) -> void;
+    auto setDraining(bool draining) -> void;
+    /// @}
+
+    /// @name Service-level objectives
+    /// @{
+    auto sloObserved(const WorkspaceId &workspace, const KindId &kind, bool good) -> void;
+    auto setSloTarget(const WorkspaceId &workspace, const KindId &kind, double targetPercent) -> void;
+    /// @}
+
+    /// @return all metrics in the Prometheus text format.
+    [[nodiscard]] auto text() const -> std::string;
+
+private:
+    struct Families;
+    std::unique_ptr<Families> m_families;
+};
+
+}
