--- /dev/null
+++ b/packages/policy/decide.cpp
@@ -0,0 +1,496 @@
+#include "policy/schedulerstate.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace Catkin
+{
+
+namespace
+{
+
+/// Borrowers of one workspace that one decision tries to bring under its guarantee.
+constexpr auto coverAttempts = 8;
+
+/// Jobs that one pass passes over in a workspace for each one that it tries to place.
+constexpr auto seenPerCandidate = 16;
+
+/// What decides whether a gang finds free slots; jobs with equal shape fail together within one pass.
+using Shape = std::tuple<int, int, Adjacency, bool>;
+
+auto shapeOf(const JobSpec &spec) -> Shape
+{
+    return {spec.tasks, spec.slotsPerTask, spec.adjacency, spec.reclaimable()};
+}
+
+}
+
+auto Scheduler::State::withinQuota(const WaitingJob &job) const -> bool
+{
+    const auto &workspace = workspaces[job.workspace];
+    return !workspace.rule.quotaSlots || workspace.held + job.spec.slots() <= *workspace.rule.quotaSlots;
+}
+
+auto Scheduler::State::withinUrgentShare(const WaitingJob &job) const -> bool
+{
+    const auto &workspace = workspaces[job.workspace];
+    const auto entitlement = std::max<std::int64_t>(workspace.guaranteed, capacity * workspace.rule.weight / totalWeight);
+    return job.spec.urgency == Urgency::Urgent && (workspace.urgent + job.spec.slots()) * std::int64_t{100} <= entitlement * workspace.rule.urgentSharePercent;
+}
+
+auto Scheduler::State::blockedFor(const WaitingJob &job, MonoTime now, bool ignoreReservations) const -> std::vector<SlotMask>
+{
+    auto blocked = std::vector<SlotMask>{};
+    const auto upper = reservations.empty() ? std::nullopt : runTimes.upper(job.spec.workspace, job.spec.kind);
+    for (const auto &reservation : reservations) {
+        const auto endsBefore = upper && now + *upper <= reservation.readyAt;
+        const auto givesWay = ignoreReservations && job.spec.reclaimable() && now + options.backfillAtLeast <= reservation.readyAt;
+        if (reservation.job != job.spec.job && !endsBefore && !givesWay) {
+            blockReservation(topology, reservation, blocked);
+        }
+    }
+    for (const auto &worker : job.avoid) {
+        if (const auto index = topology.workerIndex(worker)) {
+            blocked.resize(topology.workers().size());
+            blocked[*index] = ~SlotMask{0};
+        }
+    }
+    return blocked;
+}
+
+auto Scheduler::State::tryFree(const WaitingJob &job, MonoTime now) const -> std::optional<Placement>
+{
+    const auto gang = gangOf(job.spec, job.workspace);
+    auto placement = placeFree(topology, gang, blockedFor(job, now, false));
+    if (!placement && !reservations.empty() && job.spec.reclaimable()) {
+        placement = placeFree(topology, gang, blockedFor(job, now, true));
+    }
+    return placement;
+}
+
+auto Scheduler::State::tryCovered(const WaitingJob &job, MonoTime now) -> std::optional<Placement>
+{
+    auto placement = placeCovered(topology, gangOf(job.spec, job.workspace));
+    if (placement && !placement->displaced.empty() && job.spec.reclaimable()) {
+        // Borrowing free slots costs nobody any work, and the guarantee stays unused.
+        if (auto free = tryFree(job, now)) {
+            return free;
+        }
+    }
+    return placement;
+}
+
+auto Scheduler::State::displace(int allocation, const JobId &beneficiary, MonoTime now, Decisions &decisions) -> void
+{
+    const auto id = topology.allocation(allocation).job;
+    auto &job = running.at(id);
+    if (job.phase == Phase::Stopping) {
+        return;
+    }
+    if (job.phase == Phase::Placed) {
+        requeue(leave(id, now));
+        return;
+    }
+    account(allocation, -1);
+    topology.setHold(allocation, Hold::Stopping);
+    account(allocation, 1);
+    job.phase = Phase::Stopping;
+    decisions.preemptions.push_back({id, beneficiary});
+}
+
+auto Scheduler::State::enter(WaitingJob &waiting, const Placement &placement, MonoTime now, Decisions &decisions) -> void
+{
+    const auto job = waiting;
+    const auto &id = job.spec.job;
+    queue.remove(id);
+    impossible.erase(id);
+    dropReservation(id);
+    for (const auto allocation : placement.displaced) {
+        displace(allocation, id, now, decisions);
+    }
+    const auto allocation = enterPlacement(topology, gangOf(job.spec, job.workspace), placement, id, now);
+    topology.setExpectedEnd(allocation, now, now + runTimes.typical(job.spec.workspace, job.spec.kind));
+    auto entry = RunningJob{.spec = job.spec, .workspace = job.workspace, .since = job.since, .sequence = job.sequence, .allocation = allocation};
+    for (const auto &member : placement.members) {
+        entry.members.push_back({topology.workers()[member.worker].info.worker, member.mask});
+    }
+    queue.hold(job.workspace, job.spec, job.spec.slots(), now);
+    account(allocation, 1);
+    if (placement.displaced.empty()) {
+        entry.phase = Phase::Handed;
+        decisions.starts.push_back({id, entry.members, placement.covered});
+    } else {
+        placed.push_back(id);
+    }
+    running[id] = std::move(entry);
+}
+
+auto Scheduler::State::startPlaced(MonoTime now, Decisions &decisions) -> void
+{
+    for (const auto &id : std::vector<JobId>{placed}) {
+        auto &job = running.at(id);
+        const auto &allocation = topology.allocation(job.allocation);
+        const auto gone = std::any_of(allocation.blocks.begin(), allocation.blocks.end(), [this](const auto &block) {
+            return block.worker < 0 || !topology.workers()[block.worker].info.usable;
+        });
+        if (gone) {
+            requeue(leave(id, now));
+            continue;
+        }
+        const auto waits = std::any_of(allocation.blocks.begin(), allocation.blocks.end(), [&](const auto &block) {
+            const auto &uses = topology.workers()[block.worker].uses;
+            return std::any_of(uses.begin(), uses.end(), [&](const auto &use) { return use.owner != job.allocation && (use.mask & block.mask) != 0; });
+        });
+        if (waits) {
+            continue;
+        }
+        job.phase = Phase::Handed;
+        decisions.starts.push_back({id, job.members, allocation.hold == Hold::Covered});
+        topology.setExpectedEnd(job.allocation, now, now + runTimes.typical(job.spec.workspace, job.spec.kind));
+        std::erase(placed, id);
+    }
+}
+
+auto Scheduler::State::startCovered(MonoTime now, Decisions &decisions) -> void
+{
+    for (auto index = 0; index < static_cast<int>(workspaces.size()); ++index) {
+        if (workspaces[index].guaranteed == 0 || queue.waitingIn(index) == 0) {
+            continue;
+        }
+        // The urgent jobs of the workspace come first, as far as its urgent share reaches.
+        for (const auto urgentOnly : {true, false}) {
+            auto failed = std::set<Shape>{};
+            auto cursor = queue.cursor(index, now);
+            auto left = options.candidatesPerWorkspace;
+            auto seen = left * seenPerCandidate;
+            while (auto *job = left > 0 && seen-- > 0 ? cursor.next() : nullptr) {
+                const auto urgent = job->spec.urgency == Urgency::Urgent && withinUrgentShare(*job);
+                if ((urgentOnly && !urgent) || impossible.contains(job->spec.job)) {
+                    continue;
+                }
+                if (!withinQuota(*job)) {
+                    job->reason = WaitReason::Quota;
+                    continue;
+                }
+                if (failed.contains(shapeOf(job->spec))) {
+                    continue;
+                }
+                --left;
+                auto placement = tryCovered(*job, now);
+                if (!placement && urgentOnly) {
+                    placement = coverInstead(*job);
+                }
+                if (!placement) {
+                    job->reason = WaitReason::GuaranteeInUse;
+                    failed.insert(shapeOf(job->spec));
+                    continue;
+                }
+                cursor.charge(job->spec.slots());
+                enter(*job, *placement, now, decisions);
+            }
+        }
+    }
+}
+
+auto Scheduler::State::coverInstead(const WaitingJob &job) -> std::optional<Placement>
+{
+    auto demoted = std::vector<int>{};
+    auto candidates = std::vector<std::tuple<Urgency, MonoTime, int>>{};
+    for (auto region : topology.regionsOf(job.workspace)) {
+        for (const auto &block : topology.region(region).blocks) {
+            for (const auto &use : topology.workers()[block.worker].uses) {
+                const auto &owner = topology.allocation(use.owner);
+                if (owner.hold == Hold::Covered && owner.workspace == job.workspace && owner.reclaimable && owner.urgency < job.spec.urgency) {
+                    candidates.emplace_back(owner.urgency, MonoTime{} - owner.since.time_since_epoch(), use.owner);
+                }
+            }
+        }
+    }
+    // The least urgent first, among them the one that started last and so loses least.
+    std::sort(candidates.begin(), candidates.end());
+    candidates.erase(std::unique(candidates.begin(), candidates.end()), candidates.end());
+    auto placement = std::optional<Placement>{};
+    for (const auto &[urgency, age, allocation] : candidates) {
+        account(allocation, -1);
+        topology.setHold(allocation, Hold::Reclaimable);
+        account(allocation, 1);
+        demoted.push_back(allocation);
+        placement = placeCovered(topology, gangOf(job.spec, job.workspace));
+        if (placement) {
+            workspaces[job.workspace].mayCover = true;
+            return placement;
+        }
+    }
+    for (auto allocation : demoted) {
+        account(allocation, -1);
+        coverInPlace(topology, allocation);
+        account(allocation, 1);
+    }
+    return std::nullopt;
+}
+
+auto Scheduler::State::startUrgent(MonoTime now, Decisions &decisions) -> void
+{
+    auto order = std::vector<std::pair<double, int>>{};
+    for (auto index = 0; index < static_cast<int>(workspaces.size()); ++index) {
+        if (queue.waitingIn(index) > 0 && workspaces[index].rule.urgentSharePercent > 0) {
+            order.emplace_back(static_cast<double>(workspaces[index].urgent) / workspaces[index].rule.weight, index);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    auto failed = std::set<Shape>{};
+    for (const auto &[use, index] : order) {
+        auto cursor = queue.cursor(index, now);
+        auto left = options.candidatesPerWorkspace;
+        auto seen = left * seenPerCandidate;
+        while (auto *job = left > 0 && seen-- > 0 ? cursor.next() : nullptr) {
+            if (job->spec.urgency != Urgency::Urgent || failed.contains(shapeOf(job->spec)) || !withinQuota(*job) || !withinUrgentShare(*job)
+                || impossible.contains(job->spec.job)) {
+                continue;
+            }
+            --left;
+            auto placement = tryFree(*job, now);
+            if (!placement) {
+                // Urgent work within its share also uses reserved slots.
+                placement = placePreempting(topology, gangOf(job->spec, index), {});
+            }
+            if (!placement) {
+                failed.insert(shapeOf(job->spec));
+                continue;
+            }
+            cursor.charge(job->spec.slots());
+            enter(*job, *placement, now, decisions);
+        }
+    }
+}
+
+auto Scheduler::State::startReserved(MonoTime now, Decisions &decisions) -> void
+{
+    for (const auto &id : [this] {
+             auto ids = std::vector<JobId>{};
+             for (const auto &reservation : reservations) {
+                 ids.push_back(reservation.job);
+             }
+             return ids;
+         }()) {
+        auto *job = queue.find(id);
+        if (job == nullptr || impossible.contains(id)) {
+            dropReservation(id);
+            continue;
+        }
+        if (!withinQuota(*job)) {
+            job->reason = WaitReason::Quota;
+            dropReservation(id);
+            continue;
+        }
+        const auto gang = gangOf(job->spec, job->workspace);
+        auto placement = placeFree(topology, gang, blockedFor(*job, now, false));
+        auto &reservation = *std::find_if(reservations.begin(), reservations.end(), [&](const auto &r) { return r.job == id; });
+        if (!placement && !reservation.blocks.empty()) {
+            placement = takeReservation(topology, gang, reservation);
+        }
+        if (placement) {
+            enter(*job, *placement, now, decisions);
+            continue;
+        }
+        if (reservation.blocks.empty() || now >= reservation.chosen + options.reservationRefresh) {
+            auto chosen = chooseReservation(topology, gang, blockedFor(*job, now, false), reservation.created, now);
+            if (!chosen) {
+                reservation.blocks.clear();
+                reservation.chosen = now;
+                continue;
+            }
+            chosen->job = id;
+            reservation = std::move(*chosen);
+        }
+    }
+}
+
+auto Scheduler::State::reserve(WaitingJob &job, MonoTime now) -> void
+{
+    const auto most = std::max(1, static_cast<int>(topology.racks().size()) / std::max(1, options.racksPerReservation));
+    const auto large = job.spec.slots() >= topology.workerSlots();
+    if (static_cast<int>(reservations.size()) >= most || now < job.since + (large ? options.reserveAfter : options.reserveSmallAfter)) {
+        return;
+    }
+    if (std::any_of(reservations.begin(), reservations.end(), [&](const auto &r) { return r.job == job.spec.job; })) {
+        return;
+    }
+    if (auto chosen = chooseReservation(topology, gangOf(job.spec, job.workspace), blockedFor(job, now, false), now, now)) {
+        chosen->job = job.spec.job;
+        reservations.push_back(std::move(*chosen));
+    }
+}
+
+auto Scheduler::State::startBorrowers(MonoTime now, Decisions &decisions) -> void
+{
+    using Rank = std::pair<double, int>;
+    const auto rankOf = [this](int index) { return Rank{static_cast<double>(workspaces[index].borrowed) / workspaces[index].rule.weight, index}; };
+    auto order = std::set<Rank>{};
+    struct Walk
+    {
+        JobQueue::Cursor cursor;
+        int left = 0;
+        int seen = 0;
+    };
+    auto walks = std::map<int, Walk>{};
+    for (auto index = 0; index < static_cast<int>(workspaces.size()); ++index) {
+        if (queue.waitingIn(index) > 0) {
+            order.insert(rankOf(index));
+            walks.emplace(index, Walk{queue.cursor(index, now), options.candidatesPerWorkspace, options.candidatesPerWorkspace * seenPerCandidate});
+        }
+    }
+    auto failed = std::set<Shape>{};
+    while (!order.empty()) {
+        // The workspace that borrows least for its weight is asked for one job that fits.
+        const auto index = order.begin()->second;
+        order.erase(order.begin());
+        auto &[cursor, left, seen] = walks.at(index);
+        while (auto *job = left > 0 && seen-- > 0 ? cursor.next() : nullptr) {
+            if (impossible.contains(job->spec.job)) {
+                continue;
+            }
+            if (!withinQuota(*job)) {
+                job->reason = WaitReason::Quota;
+                continue;
+            }
+            // A job that avoids workers or has short run times can differ from others of its shape.
+            const auto known = failed.contains(shapeOf(job->spec));
+            if (known && (reservations.empty() || !runTimes.upper(job->spec.workspace, job->spec.kind))) {
+                job->reason = job->reason == WaitReason::New ? WaitReason::NoPlace : job->reason;
+                reserve(*job, now);
+                continue;
+            }
+            --left;
+            auto placement = tryFree(*job, now);
+            if (!placement) {
+                if (job->avoid.empty()) {
+                    failed.insert(shapeOf(job->spec));
+                }
+                job->reason = reportedUsable.empty() ? WaitReason::NoWorkers : job->reason == WaitReason::GuaranteeInUse ? job->reason : WaitReason::NoPlace;
+                reserve(*job, now);
+                continue;
+            }
+            cursor.charge(job->spec.slots());
+            enter(*job, *placement, now, decisions);
+            order.insert(rankOf(index));
+            break;
+        }
+    }
+}
+
+auto Scheduler::State::coverBorrowers() -> void
+{
+    auto candidates = std::map<int, std::vector<std::tuple<MonoTime, std::uint64_t, int>>>{};
+    if (std::none_of(workspaces.begin(), workspaces.end(), [](const auto &workspace) { return workspace.mayCover; })) {
+        return;
+    }
+    for (const auto &[id, job] : running) {
+        const auto hold = topology.allocation(job.allocation).hold;
+        if (workspaces[job.workspace].mayCover && hold != Hold::Covered && hold != Hold::Stopping && job.phase == Phase::Handed) {
+            candidates[job.workspace].emplace_back(job.since, job.sequence, job.allocation);
+        }
+    }
+    for (auto index = 0; index < static_cast<int>(workspaces.size()); ++index) {
+        if (!workspaces[index].mayCover) {
+            continue;
+        }
+        workspaces[index].mayCover = false;
+        auto &list = candidates[index];
+        std::sort(list.begin(), list.end());
+        for (auto i = 0; i < std::min<int>(coverAttempts, static_cast<int>(list.size())); ++i) {
+            const auto allocation = std::get<2>(list[i]);
+            account(allocation, -1);
+            coverInPlace(topology, allocation);
+            account(allocation, 1);
+        }
+    }
+}
+
+auto Scheduler::State::parkImpossible(MonoTime now, Decisions &decisions) -> void
+{
+    if (fleetChanged) {
+        fleetChanged = false;
+        for (auto it = parked.begin(); it != parked.end();) {
+            if (!it->second.blamed && !neverRuns(it->second.job.spec, it->second.job.workspace)) {
+                queue.add(it->second.job);
+                it = parked.erase(it);
+            } else {
+                ++it;
+            }
+        }
+        // Every waiting job is checked again, one check for each shape.
+        for (const auto *job : queue.all()) {
+            impossible.emplace(job->spec.job, MonoTime::max());
+        }
+    }
+    if (impossible.empty()) {
+        return;
+    }
+    auto verdicts = std::map<std::pair<int, Shape>, std::optional<std::string>>{};
+    for (auto it = impossible.begin(); it != impossible.end();) {
+        auto *job = queue.find(it->first);
+        if (job == nullptr) {
+            it = impossible.erase(it);
+            continue;
+        }
+        const auto [verdict, added] = verdicts.try_emplace({job->workspace, shapeOf(job->spec)});
+        if (added) {
+            verdict->second = neverRuns(job->spec, job->workspace);
+        }
+        if (!verdict->second) {
+            it = impossible.erase(it);
+            continue;
+        }
+        it->second = std::min(it->second, now);
+        if (now < it->second + options.parkAfter) {
+            ++it;
+            continue;
+        }
+        decisions.parked.push_back({it->first, *verdict->second});
+        parked[it->first] = {*job, *verdict->second, false};
+        dropReservation(it->first);
+        queue.remove(it->first);
+        it = impossible.erase(it);
+    }
+}
+
+auto Scheduler::decide(MonoTime now) -> Decisions
+{
+    auto &state = *m_state;
+    auto decisions = Decisions{};
+    for (const auto &worker : state.quarantine.released(now)) {
+        state.setUsable(worker);
+    }
+    decisions.parked = std::exchange(state.newlyParked, {});
+    state.parkImpossible(now, decisions);
+    if (state.dirty || now >= state.wakeAt) {
+        state.dirty = false;
+        state.startPlaced(now, decisions);
+        state.startCovered(now, decisions);
+        state.startUrgent(now, decisions);
+        state.startReserved(now, decisions);
+        state.startBorrowers(now, decisions);
+        state.coverBorrowers();
+    }
+    state.wakeAt = MonoTime::max();
+    for (const auto &reservation : state.reservations) {
+        state.wakeAt = std::min(state.wakeAt, reservation.chosen + state.options.reservationRefresh);
+    }
+    for (const auto &[job, since] : state.impossible) {
+        state.wakeAt = std::min(state.wakeAt, since + state.options.parkAfter);
+    }
+    if (const auto release = state.quarantine.nextRelease()) {
+        state.wakeAt = std::min(state.wakeAt, *release);
+    }
+    if (state.dirty) {
+        state.wakeAt = now; // a job that was placed for preemption returned to the queue
+    }
+    if (state.wakeAt != MonoTime::max()) {
+        decisions.wakeAt = state.wakeAt;
+    }
+    return decisions;
+}
+
+}
--- /dev/null
+++ b/packages/policy/reservation.cpp
@@ -0,0 +1,118 @@
+#include "policy/reservation.h"
+
+#include <algorithm>
+
+namespace Catkin
+{
+
+namespace
+{
+
+/// Time that a preempted gang needs to checkpoint and stop.
+constexpr auto stopTime = Seconds{3};
+
+auto givesWay(const Allocation &allocation, MonoTime created) -> bool
+{
+    return allocation.hold == Hold::Stopping || (allocation.hold == Hold::Reclaimable && allocation.since >= created);
+}
+
+auto expectedEnd(const Allocation &allocation, MonoTime created, MonoTime now) -> MonoTime
+{
+    if (givesWay(allocation, created)) {
+        return now + stopTime;
+    }
+    // A job that outlasts its estimate is expected to take a quarter longer than it has taken so far.
+    const auto overdue = now + (now - allocation.since) / 4 + stopTime;
+    return std::max(allocation.expectedEnd, overdue);
+}
+
+struct TimedBlock
+{
+    MonoTime ready;
+    SlotBlock block;
+};
+
+}
+
+auto chooseReservation(const Topology &topology, const GangRequest &gang, BlockedSlots blocked, MonoTime created, MonoTime now) -> std::optional<Reservation>
+{
+    const auto level = levelOf(gang.slotsPerTask);
+    const auto size = 1 << level;
+    auto best = std::optional<Reservation>{};
+    auto timed = std::vector<TimedBlock>{};
+    const auto addWorker = [&](int index) {
+        const auto &worker = topology.workers()[index];
+        if (!worker.info.usable) {
+            return;
+        }
+        auto ready = std::array<MonoTime, maxWorkerSlots>{};
+        ready.fill(now);
+        for (const auto &use : worker.uses) {
+            const auto end = expectedEnd(topology.allocation(use.owner), created, now);
+            for (auto left = use.mask; left != 0; left &= left - 1) {
+                auto &slot = ready[std::countr_zero(left)];
+                slot = std::max(slot, end);
+            }
+        }
+        const auto kept = index < static_cast<int>(blocked.size()) ? blocked[index] : SlotMask{0};
+        const auto usable = worker.all & ~kept & (gang.reclaimable ? ~SlotMask{0} : ~worker.pinned);
+        for (auto left = blockStarts(usable)[level]; left != 0; left &= left - 1) {
+            const auto first = std::countr_zero(left);
+            timed.push_back({*std::max_element(ready.begin() + first, ready.begin() + first + size), {index, blockMask(first, gang.slotsPerTask)}});
+        }
+    };
+    const auto closeGroup = [&] {
+        const auto tasks = static_cast<std::size_t>(gang.tasks);
+        if (timed.size() >= tasks) {
+            std::nth_element(timed.begin(), timed.begin() + (gang.tasks - 1), timed.end(), [](const auto &a, const auto &b) {
+                return std::tuple{a.ready, a.block.worker, a.block.mask} < std::tuple{b.ready, b.block.worker, b.block.mask};
+            });
+            const auto readyAt = timed[tasks - 1].ready;
+            if (!best || readyAt < best->readyAt) {
+                best = Reservation{.created = created, .chosen = now, .readyAt = readyAt};
+                for (auto i = std::size_t{0}; i < tasks; ++i) {
+                    best->blocks.push_back(timed[i].block);
+                }
+            }
+        }
+        timed.clear();
+    };
+    for (const auto &rack : topology.racks()) {
+        for (auto index : rack.workers) {
+            addWorker(index);
+            if (gang.adjacency == Adjacency::Worker) {
+                closeGroup();
+            }
+        }
+        if (gang.adjacency == Adjacency::Rack) {
+            closeGroup();
+        }
+    }
+    if (gang.adjacency == Adjacency::Any) {
+        closeGroup();
+    }
+    return best;
+}
+
+auto takeReservation(const Topology &topology, const GangRequest &gang, const Reservation &reservation) -> std::optional<Placement>
+{
+    for (const auto &block : reservation.blocks) {
+        const auto &worker = topology.workers()[block.worker];
+        for (const auto &use : worker.uses) {
+            if ((use.mask & block.mask) != 0 && !givesWay(topology.allocation(use.owner), reservation.created)) {
+                return std::nullopt;
+            }
+        }
+    }
+    return placeAt(topology, gang, reservation.blocks);
+}
+
+auto blockReservation(const Topology &topology, const Reservation &reservation, std::vector<SlotMask> &blocked) -> void
+{
+    blocked.resize(std::max(blocked.size(), topology.workers().size()));
+    for (const auto &block : reservation.blocks) {
+        blocked[block.worker] |= block.mask;
+    }
+}
+
+}
--- a/packages/policy/scheduler.cpp
+++ b/packages/policy/scheduler.cpp
@@ -1,75 +1,145 @@
-#include "policy/scheduler.h"
+#include "policy/schedulerstate.h"
 
 #include <algorithm>
-#include <map>
 
 namespace Catkin
 {
 
-namespace
+Scheduler::Scheduler(const SchedulerOptions &options)
+    : m_state(std::make_unique<State>(options))
 {
+}
+
+Scheduler::~Scheduler() = default;
+Scheduler::Scheduler(Scheduler &&) noexcept = default;
+auto Scheduler::operator=(Scheduler &&) noexcept -> Scheduler & = default;
 
-struct Node
+auto Scheduler::State::indexOf(const WorkspaceId &workspace) -> int
 {
-    WorkerInfo info;
-    SlotMask used = 0;
-};
+    const auto [it, added] = workspaceIndex.emplace(workspace, static_cast<int>(workspaces.size()));
+    if (added) {
+        workspaces.emplace_back();
+        workspaces.back().rule.name = workspace;
+    }
+    return it->second;
+}
 
-struct Entry
+auto Scheduler::State::gangOf(const JobSpec &spec, int workspace) const -> GangRequest
 {
-    JobSpec spec;
-    MonoTime since;
-    std::vector<MemberPlacement> members;
-};
+    return {.workspace = workspace,
+            .tasks = spec.tasks,
+            .slotsPerTask = spec.slotsPerTask,
+            .adjacency = spec.adjacency,
+            .urgency = spec.urgency,
+            .reclaimable = spec.reclaimable()};
+}
 
+auto Scheduler::State::neverRuns(const JobSpec &spec, int workspace) -> std::optional<std::string>
+{
+    const auto &quota = workspaces[workspace].rule.quotaSlots;
+    if (quota && spec.slots() > *quota) {
+        return "the job needs " + std::to_string(spec.slots()) + " slots, and the workspace's quota is " + std::to_string(*quota);
+    }
+    if (reportedUsable.empty()) {
+        return std::nullopt;
+    }
+    return neverFits(idle, gangOf(spec, workspace));
 }
 
-/// First version: strict submission order, first fit without preemption.
-struct Scheduler::State
+auto Scheduler::State::account(int allocation, int sign) -> void
 {
-    SchedulerConfig config;
-    std::map<WorkerId, Node> workers;
-    std::map<JobId, Entry> running;
-    std::vector<Entry> waiting;
+    const auto &entry = topology.allocation(allocation);
+    auto &workspace = workspaces[entry.workspace];
+    // Counted by the job's whole size, also after some members' workers were lost, so that both signs match.
+    auto slots = 0;
+    for (const auto &block : entry.blocks) {
+        slots += std::popcount(block.mask);
+    }
+    workspace.held += sign * slots;
+    workspace.borrowed += entry.hold == Hold::Covered ? 0 : sign * slots;
+    workspace.urgent += entry.urgency == Urgency::Urgent ? sign * slots : 0;
+}
 
-    auto place(const JobSpec &spec) -> std::optional<std::vector<MemberPlacement>>
-    {
-        auto groups = std::map<std::string, std::vector<Node *>>{};
-        for (auto &[id, node] : workers) {
-            const auto key = spec.adjacency == Adjacency::Worker ? id.str() : spec.adjacency == Adjacency::Rack ? node.info.rack.str() : std::string{};
-            groups[key].push_back(&node);
-        }
-        const auto block = 1 << levelOf(spec.slotsPerTask);
-        const auto mask = static_cast<SlotMask>((std::uint64_t{1} << spec.slotsPerTask) - 1);
-        for (auto &[key, nodes] : groups) {
-            auto members = std::vector<MemberPlacement>{};
-            for (auto *node : nodes) {
-                for (auto first = 0; node->info.usable && first + block <= node->info.slots && static_cast<int>(members.size()) < spec.tasks; first += block) {
-                    if ((node->used & (mask << first)) == 0) {
-                        members.push_back({node->info.worker, mask << first});
-                    }
-                }
-            }
-            if (static_cast<int>(members.size()) == spec.tasks) {
-                return members;
-            }
-        }
-        return std::nullopt;
+auto Scheduler::State::recount() -> void
+{
+    for (auto &workspace : workspaces) {
+        workspace.held = 0;
+        workspace.borrowed = 0;
+        workspace.urgent = 0;
+    }
+    for (const auto &[id, job] : running) {
+        account(job.allocation, 1);
     }
-};
+}
 
-Scheduler::Scheduler(const SchedulerOptions & /*options*/)
-    : m_state(std::make_unique<State>())
+auto Scheduler::State::leave(const JobId &id, MonoTime now) -> RunningJob
 {
+    auto node = running.extract(id);
+    auto job = std::move(node.mapped());
+    account(job.allocation, -1);
+    const auto wasCovered = topology.allocation(job.allocation).hold == Hold::Covered;
+    workspaces[job.workspace].mayCover = workspaces[job.workspace].mayCover || wasCovered;
+    topology.release(job.allocation);
+    std::erase(placed, id);
+    queue.hold(job.workspace, job.spec, -job.spec.slots(), now);
+    dirty = true;
+    return job;
 }
 
-Scheduler::~Scheduler() = default;
-Scheduler::Scheduler(Scheduler &&) noexcept = default;
-auto Scheduler::operator=(Scheduler &&) noexcept -> Scheduler & = default;
+auto Scheduler::State::requeue(const RunningJob &job) -> void
+{
+    queue.add({.spec = job.spec, .workspace = job.workspace, .since = job.since, .sequence = job.sequence, .avoid = quarantine.failedOn(job.spec.job)});
+    fleetChanged = fleetChanged || !impossible.empty();
+    dirty = true;
+}
+
+auto Scheduler::State::setUsable(const WorkerId &worker) -> void
+{
+    const auto index = topology.workerIndex(worker);
+    if (!index) {
+        return;
+    }
+    auto info = topology.workers()[*index].info;
+    info.usable = reportedUsable[worker] && !quarantine.contains(worker);
+    topology.updateWorker(info);
+    dirty = true;
+}
+
+auto Scheduler::State::dropReservation(const JobId &job) -> void
+{
+    if (std::erase_if(reservations, [&](const auto &reservation) { return reservation.job == job; }) > 0) {
+        dirty = true;
+    }
+}
 
 auto Scheduler::configure(const SchedulerConfig &config) -> void
 {
-    m_state->config = config;
+    auto &state = *m_state;
+    for (auto &workspace : state.workspaces) {
+        // Workspaces that disappeared keep their running jobs, without a guarantee or a quota.
+        workspace.rule = {.name = workspace.rule.name};
+    }
+    state.totalWeight = 0;
+    for (const auto &rule : config.workspaces) {
+        auto &workspace = state.workspaces[state.indexOf(rule.name)];
+        workspace.rule = rule;
+        workspace.rule.weight = std::max(1, rule.weight);
+        state.totalWeight += workspace.rule.weight;
+    }
+    state.totalWeight = std::max(1, state.totalWeight);
+    for (auto i = 0; i < static_cast<int>(state.workspaces.size()); ++i) {
+        auto &workspace = state.workspaces[i];
+        workspace.guaranteed = 0;
+        for (const auto &guarantee : workspace.rule.guarantees) {
+            workspace.guaranteed += guarantee.slots * guarantee.count;
+        }
+        workspace.mayCover = workspace.guaranteed > 0;
+        state.topology.setGuarantees(i, workspace.rule.guarantees);
+        state.idle.setGuarantees(i, workspace.rule.guarantees);
+    }
+    state.recount();
+    state.dirty = true;
+    state.fleetChanged = true;
 }
 
 auto Scheduler::updateWorker(const WorkerInfo &worker, MonoTime /*now*/) -> Result<void>
@@ -78,19 +148,68 @@
         return failure(ErrorCode::InvalidInput,
                        "worker " + worker.worker.str() + " has " + std::to_string(worker.slots) + " slots, not a power of two up to 32");
     }
-    m_state->workers[worker.worker].info = worker;
+    auto &state = *m_state;
+    const auto known = state.topology.workerIndex(worker.worker);
+    auto effective = worker;
+    effective.usable = worker.usable && !state.quarantine.contains(worker.worker);
+    if (known) {
+        const auto &old = state.topology.workers()[*known].info;
+        if (old.rack == worker.rack && old.slots == worker.slots && old.usable == effective.usable) {
+            state.reportedUsable[worker.worker] = worker.usable;
+            return success();
+        }
+    }
+    const auto largest = state.topology.workerSlots();
+    state.reportedUsable[worker.worker] = worker.usable;
+    state.topology.updateWorker(effective);
+    if (const auto before = state.idle.workerIndex(worker.worker)) {
+        const auto &old = state.idle.workers()[*before].info;
+        state.capacity -= old.slots;
+        state.fleetChanged = state.fleetChanged || old.slots != worker.slots || old.rack != worker.rack;
+    } else {
+        state.fleetChanged = true;
+    }
+    effective.usable = true;
+    state.idle.updateWorker(effective);
+    state.capacity += worker.slots;
+    if (state.topology.workerSlots() != largest) {
+        // The topology has withdrawn every cover, because shapes of whole workers changed their meaning.
+        for (auto &workspace : state.workspaces) {
+            workspace.mayCover = workspace.guaranteed > 0;
+        }
+        state.recount();
+    }
+    state.dirty = true;
     return success();
 }
 
 auto Scheduler::workerLost(const WorkerId &worker) -> std::vector<JobId>
 {
+    auto &state = *m_state;
     auto affected = std::vector<JobId>{};
-    for (const auto &[job, entry] : m_state->running) {
-        if (std::any_of(entry.members.begin(), entry.members.end(), [&](const auto &member) { return member.worker == worker; })) {
-            affected.push_back(job);
+    const auto index = state.topology.workerIndex(worker);
+    if (!index) {
+        return affected;
+    }
+    for (auto &reservation : state.reservations) {
+        if (std::any_of(reservation.blocks.begin(), reservation.blocks.end(), [&](const auto &block) { return block.worker == *index; })) {
+            reservation.blocks.clear(); // chosen again by the next decision
+        }
+    }
+    for (const auto allocation : state.topology.removeWorker(*index)) {
+        const auto &id = state.topology.allocation(allocation).job;
+        // A job that was not handed out yet has nothing to stop; the next decision places it again.
+        if (state.running.at(id).phase != Phase::Placed) {
+            affected.push_back(id);
         }
     }
-    m_state->workers.erase(worker);
+    const auto idle = *state.idle.workerIndex(worker);
+    state.capacity -= state.idle.workers()[idle].info.slots;
+    state.idle.removeWorker(idle);
+    state.reportedUsable.erase(worker);
+    state.quarantine.forgetWorker(worker);
+    state.dirty = true;
+    state.fleetChanged = true;
     return affected;
 }
 
@@ -99,96 +218,180 @@
     if (spec.tasks < 1 || spec.tasks > maxGangTasks || spec.slotsPerTask < 1 || spec.slotsPerTask > maxWorkerSlots) {
         return failure(ErrorCode::InvalidInput, "a job has 1 to 64 tasks of 1 to 32 slots");
     }
+    if (auto reason = m_state->neverRuns(spec, m_state->indexOf(spec.workspace))) {
+        return failure(ErrorCode::Limit, *reason);
+    }
     resubmit(spec, now);
     return success();
 }
 
 auto Scheduler::resubmit(const JobSpec &spec, MonoTime since) -> void
 {
-    const auto known = std::any_of(m_state->waiting.begin(), m_state->waiting.end(), [&](const auto &entry) { return entry.spec.job == spec.job; });
-    if (!known && !m_state->running.contains(spec.job)) {
-        m_state->waiting.push_back({spec, since, {}});
+    auto &state = *m_state;
+    if (state.running.contains(spec.job) || state.parked.contains(spec.job)) {
+        return;
+    }
+    const auto workspace = state.indexOf(spec.workspace);
+    if (state.queue.add({.spec = spec, .workspace = workspace, .since = since, .sequence = state.sequence}) != nullptr) {
+        ++state.sequence;
+        state.impossible.emplace(spec.job, MonoTime::max()); // not checked yet
+        state.dirty = true;
     }
 }
 
 auto Scheduler::cancel(const JobId &job) -> CancelResult
 {
-    if (m_state->running.contains(job)) {
-        return CancelResult::Running;
+    auto &state = *m_state;
+    if (const auto it = state.running.find(job); it != state.running.end()) {
+        if (it->second.phase != Phase::Placed) {
+            return CancelResult::Running;
+        }
+        // Jobs preempted for it keep stopping; their slots go to whoever is next.
+        state.leave(job, it->second.since);
+        return CancelResult::Removed;
+    }
+    if (state.parked.erase(job) > 0) {
+        return CancelResult::Removed;
     }
-    const auto erased = std::erase_if(m_state->waiting, [&](const auto &entry) { return entry.spec.job == job; });
-    return erased > 0 ? CancelResult::Removed : CancelResult::Unknown;
+    if (state.queue.find(job) == nullptr) {
+        return CancelResult::Unknown;
+    }
+    state.queue.remove(job);
+    state.impossible.erase(job);
+    state.dropReservation(job);
+    state.quarantine.forgetJob(job);
+    return CancelResult::Removed;
 }
 
 auto Scheduler::adopt(const JobSpec &spec, const std::vector<MemberPlacement> &members, MonoTime startedAt) -> Result<void>
 {
+    auto &state = *m_state;
+    auto blocks = std::vector<SlotBlock>{};
+    auto before = std::vector<JobId>{}; // placed by this scheduler, not handed out: they make room
     for (const auto &member : members) {
-        const auto it = m_state->workers.find(member.worker);
-        if (it == m_state->workers.end()) {
+        const auto index = state.topology.workerIndex(member.worker);
+        if (!index) {
             return failure(ErrorCode::NotFound, "worker " + member.worker.str() + " is not known");
         }
-        if ((it->second.used & member.slots) != 0) {
-            return failure(ErrorCode::Conflict, "slots of worker " + member.worker.str() + " belong to another job");
+        for (const auto &use : state.topology.workers()[*index].uses) {
+            const auto &owner = state.topology.allocation(use.owner).job;
+            if ((use.mask & member.slots) == 0 || owner == spec.job) {
+                continue;
+            }
+            if (state.running.at(owner).phase != Phase::Placed) {
+                return failure(ErrorCode::Conflict, "slots of worker " + member.worker.str() + " belong to job " + owner.str());
+            }
+            before.push_back(owner);
         }
+        blocks.push_back({*index, member.slots});
     }
-    std::erase_if(m_state->waiting, [&](const auto &entry) { return entry.spec.job == spec.job; });
-    for (const auto &member : members) {
-        m_state->workers[member.worker].used |= member.slots;
+    if (const auto it = state.running.find(spec.job); it != state.running.end()) {
+        if (it->second.phase != Phase::Placed) {
+            return it->second.members == members ? Result<void>{success()}
+                                                 : Result<void>{failure(ErrorCode::Conflict, "job " + spec.job.str() + " already holds other slots")};
+        }
+        state.leave(spec.job, startedAt);
+    }
+    for (const auto &owner : before) {
+        if (state.running.contains(owner)) {
+            state.requeue(state.leave(owner, startedAt));
+        }
     }
-    m_state->running[spec.job] = {spec, startedAt, members};
+    state.queue.remove(spec.job);
+    state.impossible.erase(spec.job);
+    state.parked.erase(spec.job);
+    state.dropReservation(spec.job);
+    const auto workspace = state.indexOf(spec.workspace);
+    const auto allocation = state.topology.allocate({.job = spec.job,
+                                                     .workspace = workspace,
+                                                     .urgency = spec.urgency,
+                                                     .reclaimable = spec.reclaimable(),
+                                                     .hold = spec.reclaimable() ? Hold::Reclaimable : Hold::Fixed,
+                                                     .since = startedAt,
+                                                     .expectedEnd = startedAt + state.runTimes.typical(spec.workspace, spec.kind),
+                                                     .blocks = std::move(blocks)});
+    coverInPlace(state.topology, allocation);
+    state.running[spec.job] = {.spec = spec,
+                               .workspace = workspace,
+                               .since = startedAt,
+                               .sequence = state.sequence++,
+                               .phase = Phase::Handed,
+                               .allocation = allocation,
+                               .started = true,
+                               .members = members};
+    state.account(allocation, 1);
+    state.queue.hold(workspace, spec, spec.slots(), startedAt);
+    state.dirty = true;
     return success();
 }
 
-auto Scheduler::jobStarted(const JobId & /*job*/, MonoTime /*now*/) -> void
+auto Scheduler::jobStarted(const JobId &job, MonoTime now) -> void
 {
+    auto &state = *m_state;
+    const auto it = state.running.find(job);
+    if (it == state.running.end() || it->second.started) {
+        return;
+    }
+    it->second.started = true;
+    state.topology.setExpectedEnd(it->second.allocation, now, now + state.runTimes.typical(it->second.spec.workspace, it->second.spec.kind));
 }
 
-auto Scheduler::jobEnded(const JobId &job, JobEnd end, MonoTime /*now*/, const std::optional<WorkerId> & /*failedOn*/) -> void
+auto Scheduler::jobEnded(const JobId &id, JobEnd end, MonoTime now, const std::optional<WorkerId> &failedOn) -> void
 {
-    const auto it = m_state->running.find(job);
-    if (it == m_state->running.end()) {
+    auto &state = *m_state;
+    const auto found = state.running.find(id);
+    if (found == state.running.end()) {
         return;
     }
-    for (const auto &member : it->second.members) {
-        if (const auto node = m_state->workers.find(member.worker); node != m_state->workers.end()) {
-            node->second.used &= ~member.slots;
+    const auto began = state.topology.allocation(found->second.allocation).since;
+    const auto job = state.leave(id, now);
+    if (end == JobEnd::Succeeded) {
+        if (job.started) {
+            state.runTimes.observe(job.spec.workspace, job.spec.kind, now - began);
         }
-    }
-    auto entry = std::move(it->second);
-    m_state->running.erase(it);
-    if (end == JobEnd::Requeue || end == JobEnd::FailedRetry) {
-        entry.members.clear();
-        const auto place
-            = std::upper_bound(m_state->waiting.begin(), m_state->waiting.end(), entry, [](const auto &a, const auto &b) { return a.since < b.since; });
-        m_state->waiting.insert(place, std::move(entry));
-    }
-}
-
-auto Scheduler::decide(MonoTime /*now*/) -> Decisions
-{
-    auto decisions = Decisions{};
-    while (!m_state->waiting.empty()) {
-        auto &entry = m_state->waiting.front();
-        auto members = m_state->place(entry.spec);
-        if (!members) {
-            break;
+        auto workers = std::vector<WorkerId>{};
+        for (const auto &member : job.members) {
+            workers.push_back(member.worker);
         }
-        for (const auto &member : *members) {
-            m_state->workers[member.worker].used |= member.slots;
+        state.quarantine.succeeded(id, workers, now);
+        return;
+    }
+    const auto blames = failedOn && (end == JobEnd::Failed || end == JobEnd::FailedRetry || end == JobEnd::Requeue) && state.topology.workerIndex(*failedOn);
+    auto verdict = FailureVerdict{};
+    if (blames) {
+        verdict = state.quarantine.failed(id, *failedOn, static_cast<int>(state.reportedUsable.size()), now);
+        if (verdict.workerQuarantined) {
+            state.setUsable(*failedOn);
         }
-        decisions.starts.push_back({entry.spec.job, *members, false});
-        entry.members = std::move(*members);
-        m_state->running[entry.spec.job] = std::move(entry);
-        m_state->waiting.erase(m_state->waiting.begin());
     }
-    return decisions;
+    if (end == JobEnd::FailedRetry && verdict.jobBlamed) {
+        const auto count = state.quarantine.failedOn(id).size();
+        state.parked[id] = {{.spec = job.spec, .workspace = job.workspace, .since = job.since, .sequence = job.sequence},
+                            "the job failed on " + std::to_string(count) + " workers where other jobs succeed",
+                            true};
+        state.newlyParked.push_back({id, state.parked[id].reason});
+    } else if (end == JobEnd::FailedRetry || end == JobEnd::Requeue) {
+        state.requeue(job);
+    } else {
+        state.quarantine.forgetJob(id);
+    }
 }
 
 auto Scheduler::queue() const -> std::vector<QueuedJob>
 {
     auto jobs = std::vector<QueuedJob>{};
-    for (const auto &entry : m_state->waiting) {
-        jobs.push_back({entry.spec.job, entry.spec.workspace, entry.spec.slots(), entry.since, "waits for free slots", false, false});
+    const auto &state = *m_state;
+    for (const auto *job : state.queue.all()) {
+        const auto reserved = std::any_of(state.reservations.begin(), state.reservations.end(), [&](const auto &r) { return r.job == job->spec.job; });
+        const auto reason = reserved ? WaitReason::Reserved : job->reason;
+        jobs.push_back({job->spec.job, job->spec.workspace, job->spec.slots(), job->since, waitReasonText(reason), false, reserved});
+    }
+    for (const auto &id : state.placed) {
+        const auto &job = state.running.at(id);
+        jobs.push_back({id, job.spec.workspace, job.spec.slots(), job.since, "waits for preempted jobs to stop", false, true});
+    }
+    for (const auto &[id, parked] : state.parked) {
+        jobs.push_back({id, parked.job.spec.workspace, parked.job.spec.slots(), parked.job.since, parked.reason, true, false});
     }
     return jobs;
 }
@@ -201,14 +404,31 @@
 
 auto Scheduler::stats() const -> SchedulerStats
 {
+    const auto &state = *m_state;
     auto stats = SchedulerStats{};
-    stats.workers = static_cast<int>(m_state->workers.size());
-    stats.queuedJobs = static_cast<int>(m_state->waiting.size());
-    stats.runningJobs = static_cast<int>(m_state->running.size());
-    for (const auto &[id, node] : m_state->workers) {
-        stats.usableSlots += node.info.usable ? node.info.slots : 0;
-        stats.freeSlots += node.info.usable ? node.info.slots - std::popcount(node.used) : 0;
+    auto wholeFree = 0;
+    for (const auto &rack : state.topology.racks()) {
+        for (auto index : rack.workers) {
+            const auto &worker = state.topology.workers()[index];
+            ++stats.workers;
+            stats.usableSlots += worker.info.usable ? worker.info.slots : 0;
+            stats.freeSlots += std::popcount(worker.free);
+            wholeFree += worker.free == worker.all ? worker.info.slots : 0;
+        }
+    }
+    for (const auto &[id, job] : state.running) {
+        const auto &allocation = state.topology.allocation(job.allocation);
+        auto &sum = allocation.hold == Hold::Covered ? stats.coveredSlots : allocation.hold == Hold::Fixed ? stats.fixedSlots : stats.borrowedSlots;
+        sum += allocation.slots();
+    }
+    stats.queuedJobs = static_cast<int>(state.queue.size() + state.placed.size());
+    stats.runningJobs = static_cast<int>(state.running.size() - state.placed.size());
+    stats.quarantinedWorkers = state.quarantine.size();
+    const auto slack = state.topology.slack();
+    for (auto level = 0; level < shapeLevels; ++level) {
+        stats.guaranteeDeficit = std::max(stats.guaranteeDeficit, -slack[level] * (1 << level));
     }
+    stats.fragmentation = stats.freeSlots > 0 ? 1.0 - static_cast<double>(wholeFree) / stats.freeSlots : 0.0;
     return stats;
 }
 
--- a/packages/policy/scheduler.h
+++ b/packages/policy/scheduler.h
@@ -20,7 +20,9 @@
 /// are kept for it.
 
 #include "policy/jobspec.h"
+#include "policy/quarantine.h"
 #include "policy/shapes.h"
+#include "policy/topology.h"
 #include "util/outcome.h"
 
 #include <memory>
@@ -31,15 +33,6 @@
 namespace Catkin
 {
 
-/// A worker as the planner currently sees it.
-struct WorkerInfo
-{
-    WorkerId worker;
-    RackId rack;
-    int slots = 0; ///< a power of two, at most maxWorkerSlots
-    bool usable = true; ///< false while leaving or unreachable: running tasks keep their slots, nothing new starts
-};
-
 /// What one workspace may use in this failure domain.
 struct WorkspaceRule
 {
@@ -63,6 +56,8 @@
     Seconds reservationRefresh{30}; ///< how often the place of a reservation is chosen again
     Seconds parkAfter{60}; ///< a job that the fleet can no longer hold is parked after this time
     int racksPerReservation = 8; ///< one reservation at a time for each this many racks, at least one
+    Seconds backfillAtLeast{60}; ///< a reclaimable job uses a reserved place only if that is not needed for this long
+    QuarantineOptions quarantine;
     int candidatesPerWorkspace = 64; ///< most queued jobs of one workspace that one decision considers
 };
 
--- a/packages/policy/shapes.cpp
+++ b/packages/policy/shapes.cpp
@@ -93,7 +93,7 @@
 
 auto levelOf(int value) -> int
 {
-    return value <= 1 ? 0 : std::bit_width(static_cast<unsigned>(value - 1));
+    return value <= 1 ? 0 : static_cast<int>(std::bit_width(static_cast<unsigned>(value - 1)));
 }
 
 auto shapeLevel(int slots, int workerSlots) -> int
--- /dev/null
+++ b/packages/policy/testing/placement_test.cpp
@@ -0,0 +1,246 @@
+#include "policy/placement.h"
+#include "util/random.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace Catkin;
+
+namespace
+{
+
+struct Shape
+{
+    int workspace;
+    int level;
+};
+
+/// Exhaustive search for disjoint places of all shapes such that covered work lies inside its workspace's shapes and
+/// nothing that cannot be reclaimed lies inside another one's.
+struct WitnessSearch
+{
+    const Topology &topology;
+    std::vector<Shape> shapes;
+    std::map<int, std::map<int, SlotMask>> covered; ///< by workspace and worker
+    std::map<int, SlotMask> fixed; ///< by worker
+    std::map<int, SlotMask> taken;
+    std::map<int, std::map<int, SlotMask>> own;
+
+    auto place(int workspace, const std::vector<SlotBlock> &blocks, std::size_t next) -> bool
+    {
+        for (const auto &block : blocks) {
+            if ((taken[block.worker] & block.mask) != 0 || (fixed[block.worker] & block.mask) != 0) {
+                return false;
+            }
+            for (auto &[other, masks] : covered) {
+                if (other != workspace && (masks[block.worker] & block.mask) != 0) {
+                    return false;
+                }
+            }
+        }
+        for (const auto &block : blocks) {
+            taken[block.worker] |= block.mask;
+            own[workspace][block.worker] |= block.mask;
+        }
+        const auto found = search(next);
+        for (const auto &block : blocks) {
+            taken[block.worker] &= ~block.mask;
+            own[workspace][block.worker] &= ~block.mask;
+        }
+        return found;
+    }
+
+    auto search(std::size_t next) -> bool
+    {
+        if (next == shapes.size()) {
+            return std::all_of(covered.begin(), covered.end(), [this](auto &entry) {
+                return std::all_of(
+                    entry.second.begin(), entry.second.end(), [&](const auto &part) { return (part.second & ~own[entry.first][part.first]) == 0; });
+            });
+        }
+        const auto [workspace, level] = shapes[next];
+        for (const auto &rack : topology.racks()) {
+            if (level > topology.workerLevel()) {
+                const auto count = 1 << (level - topology.workerLevel());
+                for (auto choice = 0U; choice < 1U << rack.workers.size(); ++choice) {
+                    auto blocks = std::vector<SlotBlock>{};
+                    for (auto i = 0U; i < rack.workers.size(); ++i) {
+                        if ((choice >> i & 1U) != 0) {
+                            blocks.push_back({rack.workers[i], topology.workers()[rack.workers[i]].all});
+                        }
+                    }
+                    if (std::popcount(choice) == count && place(workspace, blocks, next + 1)) {
+                        return true;
+                    }
+                }
+                continue;
+            }
+            for (auto worker : rack.workers) {
+                for (auto first = 0; first < topology.workers()[worker].info.slots; first += 1 << level) {
+                    if (place(workspace, {{worker, blockMask(first, 1 << level)}}, next + 1)) {
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+};
+
+auto everyShapeCanBeFormed(const Topology &topology, const std::vector<Shape> &shapes, const std::vector<int> &live) -> bool
+{
+    auto search = WitnessSearch{.topology = topology, .shapes = shapes};
+    for (auto index : live) {
+        const auto &allocation = topology.allocation(index);
+        for (const auto &block : allocation.blocks) {
+            if (allocation.hold == Hold::Covered) {
+                search.covered[allocation.workspace][block.worker] |= block.mask;
+            } else if (allocation.hold == Hold::Fixed) {
+                search.fixed[block.worker] |= block.mask;
+            }
+        }
+    }
+    return search.search(0);
+}
+
+auto isProper(const Topology &topology, const GangRequest &gang, const Placement &placement) -> bool
+{
+    auto seen = std::map<int, SlotMask>{};
+    auto racks = std::vector<int>{};
+    for (const auto &member : placement.members) {
+        const auto first = std::countr_zero(member.mask);
+        if (member.mask != blockMask(first, gang.slotsPerTask) || first % (1 << levelOf(gang.slotsPerTask)) != 0 || (seen[member.worker] & member.mask) != 0
+            || (member.mask & ~topology.workers()[member.worker].all) != 0) {
+            return false;
+        }
+        seen[member.worker] |= member.mask;
+        racks.push_back(topology.workers()[member.worker].rack);
+    }
+    const auto sameRack = std::equal(racks.begin() + 1, racks.end(), racks.begin());
+    return static_cast<int>(placement.members.size()) == gang.tasks && (gang.adjacency != Adjacency::Rack || sameRack)
+           && (gang.adjacency != Adjacency::Worker || seen.size() == 1);
+}
+
+}
+
+TEST_CASE("whatever starts and ends, every guarantee can still be formed, and an unused one can be used")
+{
+    // Guards against placements that make a guarantee unformable (G1), checked against an exhaustive search for places.
+    auto random = Random{7};
+    auto counts = std::map<std::string, int>{};
+    for (auto round = 0; round < 150; ++round) {
+        auto topology = Topology{};
+        for (auto w = 0; w < 4; ++w) {
+            topology.updateWorker({.worker = WorkerId{"w" + std::to_string(w)}, .rack = RackId{w < 2 ? "a" : "b"}, .slots = 4});
+        }
+        const auto sets = std::vector<std::vector<std::vector<Guarantee>>>{
+            {{{8, 1}}, {{2, 2}}}, {{{4, 1}, {1, 2}}, {{2, 1}}}, {{{4, 2}}, {{4, 1}}}, {{{8, 1}, {2, 1}}, {}}, {{{1, 3}}, {{8, 1}}}};
+        const auto &guarantees = sets[round % sets.size()];
+        auto shapes = std::vector<Shape>{};
+        for (auto workspace = 0; workspace < 2; ++workspace) {
+            topology.setGuarantees(workspace, guarantees[workspace]);
+            for (const auto &guarantee : guarantees[workspace]) {
+                shapes.insert(shapes.end(), guarantee.count, {workspace, levelOf(guarantee.slots)});
+            }
+        }
+        std::stable_sort(shapes.begin(), shapes.end(), [](const auto &a, const auto &b) { return a.level > b.level; });
+        auto live = std::vector<int>{};
+        const auto enter = [&](const GangRequest &gang, const std::optional<Placement> &placement, const char *what) {
+            REQUIRE(isProper(topology, gang, *placement));
+            for (auto displaced : placement->displaced) {
+                REQUIRE(topology.allocation(displaced).hold == Hold::Reclaimable);
+                std::erase(live, displaced);
+                topology.release(displaced);
+            }
+            live.push_back(enterPlacement(topology, gang, *placement, JobId{"j"}, MonoTime{}));
+            ++counts[what];
+        };
+        for (auto step = 0; step < 60; ++step) {
+            const auto act = uniform(random, 10);
+            if (act < 4 && !live.empty()) {
+                const auto chosen = uniform(random, static_cast<std::uint32_t>(live.size()));
+                topology.release(live[chosen]);
+                live.erase(live.begin() + chosen);
+            } else if (act == 4 && !live.empty()) {
+                const auto chosen = live[uniform(random, static_cast<std::uint32_t>(live.size()))];
+                if (topology.allocation(chosen).hold == Hold::Reclaimable || topology.allocation(chosen).hold == Hold::Fixed) {
+                    counts["covered in place"] += coverInPlace(topology, chosen) ? 1 : 0;
+                } else if (topology.allocation(chosen).reclaimable) {
+                    topology.setHold(chosen, Hold::Reclaimable);
+                }
+            } else {
+                auto gang = GangRequest{.workspace = static_cast<int>(uniform(random, 3)),
+                                        .tasks = 1 + static_cast<int>(uniform(random, 4)),
+                                        .slotsPerTask = 1 + static_cast<int>(uniform(random, 4)),
+                                        .adjacency = static_cast<Adjacency>(uniform(random, 3)),
+                                        .urgency = static_cast<Urgency>(uniform(random, 3)),
+                                        .reclaimable = uniform(random, 2) == 0};
+                if (auto placement = placeCovered(topology, gang)) {
+                    enter(gang, placement, "covered");
+                } else if (auto free = placeFree(topology, gang, {})) {
+                    enter(gang, free, gang.reclaimable ? "borrowed" : "fixed");
+                } else if (gang.urgency == Urgency::Urgent) {
+                    if (auto preempting = placePreempting(topology, gang, {})) {
+                        enter(gang, preempting, "preempting");
+                    }
+                }
+            }
+            REQUIRE_FALSE(topology.inDeficit());
+            REQUIRE(everyShapeCanBeFormed(topology, shapes, live));
+        }
+        // Every unused shape of every workspace is used now, one job for each.
+        for (auto workspace = 0; workspace < 2; ++workspace) {
+            for (auto level = shapeLevels - 1; level >= 0; --level) {
+                while (topology.unusedShapes(workspace)[level] > 0) {
+                    const auto inWorker = level <= topology.workerLevel();
+                    const auto gang = GangRequest{.workspace = workspace,
+                                                  .tasks = inWorker ? 1 : 1 << (level - topology.workerLevel()),
+                                                  .slotsPerTask = inWorker ? 1 << level : topology.workerSlots(),
+                                                  .adjacency = inWorker ? Adjacency::Worker : Adjacency::Rack};
+                    const auto before = topology.unusedShapes(workspace)[level];
+                    const auto placement = placeCovered(topology, gang);
+                    REQUIRE(placement);
+                    enter(gang, placement, "filled");
+                    if (topology.unusedShapes(workspace)[level] == before) {
+                        continue; // it used room in a shape that is in use already
+                    }
+                }
+            }
+        }
+    }
+    for (const auto *what : {"covered", "borrowed", "fixed", "preempting", "covered in place", "filled"}) {
+        CHECK_MESSAGE(counts[what] > 20, what, ": ", counts[what]);
+    }
+}
+
+TEST_CASE("jobs that can never run are refused with the reason")
+{
+    auto topology = Topology{};
+    for (auto w = 0; w < 4; ++w) {
+        topology.updateWorker({.worker = WorkerId{"w" + std::to_string(w)}, .rack = RackId{w < 2 ? "a" : "b"}, .slots = 8});
+    }
+    topology.setGuarantees(0, std::vector<Guarantee>{{16, 1}});
+    struct Case
+    {
+        GangRequest gang;
+        const char *reason;
+    };
+    const auto cases = std::vector<Case>{
+        {{.slotsPerTask = 16}, "a task needs 16 slots, and the largest worker has 8"},
+        {{.tasks = 3, .slotsPerTask = 4, .adjacency = Adjacency::Worker, .reclaimable = true}, "no worker holds 3 tasks of 4 slots"},
+        {{.tasks = 5, .slotsPerTask = 4, .adjacency = Adjacency::Rack, .reclaimable = true}, "no rack holds 5 tasks of 4 slots"},
+        {{.tasks = 5, .slotsPerTask = 8, .reclaimable = true}, "the failure domain does not hold 5 tasks of 8 slots"},
+        {{.workspace = 1, .tasks = 3, .slotsPerTask = 8}, "the job can be neither stopped"},
+        {{.workspace = 0, .tasks = 2, .slotsPerTask = 8}, nullptr},
+        {{.workspace = 1, .tasks = 3, .slotsPerTask = 8, .reclaimable = true}, nullptr},
+    };
+    for (const auto &entry : cases) {
+        const auto reason = neverFits(topology, entry.gang);
+        CHECK(reason.has_value() == (entry.reason != nullptr));
+        if (reason && entry.reason != nullptr) {
+            CHECK_MESSAGE(reason->starts_with(entry.reason), *reason);
+        }
+    }
+}
--- /dev/null
+++ b/packages/policy/topology.h
@@ -0,0 +1,232 @@
+#pragma once
+
+/// The workers of one failure domain, what holds their slots, and how many guaranteed shapes can still be formed.
+///
+/// Guarantees are kept with regions. While a job runs inside its workspace's guarantee, the shape that it uses is a
+/// region: fixed blocks of slots that hold nothing but covered work of that workspace, borrowers that can be reclaimed,
+/// and free slots. A shape that no job uses has no place; slack() counts for each block size how many more blocks the
+/// free and reclaimable slots outside regions form than the unused shapes need. While no entry is negative, all unused
+/// shapes can be formed at once, and ending any job keeps it so: the blocks of a region that loses its last job are
+/// a place for the shape that becomes unused.
+/// @code
+///   auto topology = Catkin::Topology{};
+///   const auto w = topology.updateWorker({.worker = WorkerId{"w-1"}, .rack = RackId{"r-1"}, .slots = 8});
+///   topology.setGuarantees(0, guarantees);             // workspace 0
+///   const auto a = topology.allocate({.workspace = 0, .hold = Hold::Reclaimable, .blocks = {{w, 0b1111}}});
+///   topology.release(a);
+/// @endcode
+
+#include "policy/jobspec.h"
+#include "policy/shapes.h"
+
+#include <optional>
+#include <span>
+#include <unordered_map>
+
+namespace Catkin
+{
+
+/// A worker as the planner currently sees it.
+struct WorkerInfo
+{
+    WorkerId worker;
+    RackId rack;
+    int slots = 0; ///< a power of two, at most maxWorkerSlots
+    bool usable = true; ///< false while leaving or unreachable: running tasks keep their slots, nothing new starts
+};
+
+/// Slots of one worker, by the worker's index in the topology.
+struct SlotBlock
+{
+    int worker = 0;
+    SlotMask mask = 0;
+
+    auto operator==(const SlotBlock &other) const -> bool = default;
+};
+
+/// How an allocation holds its slots.
+enum class Hold {
+    Covered, ///< inside its workspace's guarantee
+    Reclaimable, ///< borrowed; may be stopped
+    Fixed, ///< borrowed or adopted; may not be stopped
+    Stopping, ///< told to stop; its slots count as reclaimable and are waited for
+};
+
+/// The slots of one gang.
+struct Allocation
+{
+    JobId job;
+    int workspace = 0;
+    Urgency urgency = Urgency::Normal;
+    bool reclaimable = false; ///< whether the job may be stopped at all
+    Hold hold = Hold::Fixed;
+    MonoTime since; ///< when it was placed or started
+    MonoTime expectedEnd = MonoTime::max(); ///< from observed run times
+    std::vector<SlotBlock> blocks; ///< one for each member; blocks on removed workers have worker -1
+    std::vector<int> regions; ///< regions that a covered allocation uses
+
+    /// @return the number of slots held on known workers.
+    [[nodiscard]] auto slots() const -> int;
+};
+
+/// A shape in use.
+struct Region
+{
+    int workspace = 0;
+    int level = 0;
+    int users = 0; ///< covered allocations inside
+    std::vector<SlotBlock> blocks;
+};
+
+/// Number of aligned blocks of 1, 2, 4, … 32 slots in a mask.
+using BlockCounts = std::array<std::uint8_t, 6>;
+
+/// @return for each level the first slots of the aligned blocks of that size that lie wholly in @p mask.
+auto blockStarts(SlotMask mask) -> std::array<SlotMask, 6>;
+
+/// @return the mask of @p slots slots from @p first on.
+inline auto blockMask(int first, int slots) -> SlotMask
+{
+    return static_cast<SlotMask>(((std::uint64_t{1} << slots) - 1) << first);
+}
+
+/// See the file comment. Not thread-safe.
+class Topology
+{
+public:
+    struct Use
+    {
+        int owner = 0; ///< index of the allocation or region
+        SlotMask mask = 0;
+    };
+
+    struct Worker
+    {
+        WorkerInfo info;
+        int rack = 0;
+        bool present = false;
+        std::vector<Use> uses;
+        std::vector<Use> pins;
+        SlotMask all = 0;
+        SlotMask free = 0; ///< nothing holds them; 0 when not usable
+        SlotMask soft = 0; ///< held only by reclaimable and stopping allocations; 0 when not usable
+        SlotMask softUrgent = 0; ///< the part of soft that urgent borrowers hold
+        SlotMask stopping = 0; ///< the part of soft that stopping allocations alone hold
+        SlotMask pinned = 0; ///< inside regions
+        SlotMask available = 0; ///< (free | soft) & ~pinned
+        BlockCounts blocks{}; ///< of available
+    };
+
+    struct Rack
+    {
+        RackId id;
+        std::vector<int> workers;
+        int whole = 0; ///< largest workers whose slots are all available
+    };
+
+    /// Adds a worker or changes a known one; the number of slots must have been checked.
+    /// @return the worker's index, valid until removeWorker().
+    auto updateWorker(const WorkerInfo &info) -> int;
+    /// Removes a worker with whatever ran there.
+    /// @return the allocations that had a block there, ascending.
+    auto removeWorker(int worker) -> std::vector<int>;
+    [[nodiscard]] auto workerIndex(const WorkerId &worker) const -> std::optional<int>;
+
+    /// Replaces the guarantees of a workspace. When fewer shapes remain than regions are in use, the allocations of
+    /// the surplus regions lose their cover.
+    auto setGuarantees(int workspace, std::span<const Guarantee> guarantees) -> void;
+
+    /// Enters an allocation; its regions must exist (see pin()).
+    /// @return its index, valid until release().
+    auto allocate(Allocation allocation) -> int;
+    /// Removes an allocation; regions that it used last become unused shapes again.
+    auto release(int allocation) -> void;
+    /// Changes how an allocation holds its slots; @p regions only for Hold::Covered.
+    auto setHold(int allocation, Hold hold, std::vector<int> regions = {}) -> void;
+    auto setExpectedEnd(int allocation, MonoTime start, MonoTime end) -> void;
+
+    /// Turns one unused shape of @p workspace into a region.
+    /// @return its index, valid until its last user leaves or unpin() is called.
+    auto pin(int workspace, int level, std::vector<SlotBlock> blocks) -> int;
+    /// Turns a region without users back into an unused shape.
+    auto unpin(int region) -> void;
+
+    /// @return for each size, formable blocks minus blocks needed by unused shapes.
+    [[nodiscard]] auto slack() const -> LevelCounts;
+    /// @return the formable blocks that disappear when @p taken (disjoint blocks) can no longer be reclaimed.
+    [[nodiscard]] auto lossOf(std::span<const SlotBlock> taken) const -> LevelCounts;
+    /// @param loss formable blocks that disappear
+    /// @param pinned level of a shape that gets its place at the same time, or -1
+    /// @return whether no size becomes short of blocks, or shorter than it already is.
+    [[nodiscard]] auto admissible(const LevelCounts &loss, int pinned = -1) const -> bool;
+    /// @return whether the unused shapes cannot all be formed, which only lost workers or adopted jobs can cause.
+    [[nodiscard]] auto inDeficit() const -> bool;
+
+    [[nodiscard]] auto workers() const -> const std::vector<Worker> &
+    {
+        return m_workers;
+    }
+    [[nodiscard]] auto racks() const -> const std::vector<Rack> &
+    {
+        return m_racks;
+    }
+    [[nodiscard]] auto allocation(int index) const -> const Allocation &
+    {
+        return m_allocations[index];
+    }
+    [[nodiscard]] auto region(int index) const -> const Region &
+    {
+        return m_regions[index];
+    }
+    /// @return the regions of a workspace, ascending.
+    [[nodiscard]] auto regionsOf(int workspace) const -> const std::vector<int> &;
+    /// @return for each level the number of unused shapes of a workspace.
+    [[nodiscard]] auto unusedShapes(int workspace) const -> const LevelCounts &;
+    /// @return the slots of the largest known workers, at least 1.
+    [[nodiscard]] auto workerSlots() const -> int
+    {
+        return m_workerSlots;
+    }
+    [[nodiscard]] auto workerLevel() const -> int
+    {
+        return levelOf(m_workerSlots);
+    }
+    /// @return the free slots of usable workers.
+    [[nodiscard]] auto freeSlots() const -> int
+    {
+        return m_freeSlots;
+    }
+
+private:
+    struct WorkspaceShapes
+    {
+        std::vector<Guarantee> guarantees;
+        LevelCounts unused{};
+        std::vector<int> regions;
+    };
+
+    auto refresh(int worker) -> void;
+    auto countRack(int rack, int sign) -> void;
+    auto shapesOf(int workspace) -> WorkspaceShapes &;
+    auto recountShapes(int workspace) -> void;
+    auto rebuild(int workerSlots) -> void;
+    auto leaveRegions(Allocation &allocation) -> void;
+    auto addDemand(int level, int count) -> void;
+
+    std::vector<Worker> m_workers;
+    std::vector<int> m_freeWorkers;
+    std::unordered_map<WorkerId, int> m_workerIndex;
+    std::vector<Rack> m_racks;
+    std::unordered_map<RackId, int> m_rackIndex;
+    std::vector<Allocation> m_allocations;
+    std::vector<int> m_freeAllocations;
+    std::vector<Region> m_regions;
+    std::vector<int> m_freeRegions;
+    std::vector<WorkspaceShapes> m_shapes;
+    LevelCounts m_formable{};
+    LevelCounts m_demand{};
+    int m_workerSlots = 1;
+    int m_freeSlots = 0;
+};
+
+}
