--- a/packages/policy/decide.cpp
+++ b/packages/policy/decide.cpp
@@ -65,6 +65,9 @@
     auto placement = placeFree(topology, gang, blockedFor(job, now, false));
     if (!placement && !reservations.empty() && job.spec.reclaimable()) {
         placement = placeFree(topology, gang, blockedFor(job, now, true));
+        if (placement) {
+            placement->backfill = true;
+        }
     }
     return placement;
 }
@@ -88,8 +91,9 @@
     if (job.phase == Phase::Stopping) {
         return;
     }
-    if (job.phase == Phase::Placed) {
-        requeue(leave(id, now));
+    const auto justStarted = std::erase_if(decisions.starts, [&](const auto &start) { return start.job == id; }) > 0;
+    if (job.phase == Phase::Placed || justStarted) {
+        requeue(leave(id, now)); // nobody has been told to start it
         return;
     }
     account(allocation, -1);
@@ -295,7 +299,7 @@
             continue;
         }
         if (reservation.blocks.empty() || now >= reservation.chosen + options.reservationRefresh) {
-            auto chosen = chooseReservation(topology, gang, blockedFor(*job, now, false), reservation.created, now);
+            auto chosen = chooseReservation(topology, gang, blockedFor(*job, now, false), now);
             if (!chosen) {
                 reservation.blocks.clear();
                 reservation.chosen = now;
@@ -317,7 +321,7 @@
     if (std::any_of(reservations.begin(), reservations.end(), [&](const auto &r) { return r.job == job.spec.job; })) {
         return;
     }
-    if (auto chosen = chooseReservation(topology, gangOf(job.spec, job.workspace), blockedFor(job, now, false), now, now)) {
+    if (auto chosen = chooseReservation(topology, gangOf(job.spec, job.workspace), blockedFor(job, now, false), now)) {
         chosen->job = job.spec.job;
         reservations.push_back(std::move(*chosen));
     }
--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -292,6 +292,7 @@
                               .workspace = gang.workspace,
                               .urgency = gang.urgency,
                               .reclaimable = gang.reclaimable,
+                              .backfill = placement.backfill,
                               .hold = hold,
                               .since = now,
                               .blocks = placement.members,
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -42,6 +42,7 @@
 {
     std::vector<SlotBlock> members;
     bool covered = false;
+    bool backfill = false; ///< in slots reserved for another job, which may reclaim them
     std::vector<int> regions; ///< existing regions used; covered only
     std::vector<NewRegion> newRegions; ///< covered only
     std::vector<int> displaced; ///< allocations to preempt, and stopping ones to wait for; ascending
--- a/packages/policy/reservation.cpp
+++ b/packages/policy/reservation.cpp
@@ -11,14 +11,14 @@
 /// Time that a preempted gang needs to checkpoint and stop.
 constexpr auto stopTime = Seconds{3};
 
-auto givesWay(const Allocation &allocation, MonoTime created) -> bool
+auto givesWay(const Allocation &allocation) -> bool
 {
-    return allocation.hold == Hold::Stopping || (allocation.hold == Hold::Reclaimable && allocation.since >= created);
+    return allocation.hold == Hold::Stopping || (allocation.hold == Hold::Reclaimable && allocation.backfill);
 }
 
-auto expectedEnd(const Allocation &allocation, MonoTime created, MonoTime now) -> MonoTime
+auto expectedEnd(const Allocation &allocation, MonoTime now) -> MonoTime
 {
-    if (givesWay(allocation, created)) {
+    if (givesWay(allocation)) {
         return now + stopTime;
     }
     // A job that outlasts its estimate is expected to take a quarter longer than it has taken so far.
@@ -34,7 +34,7 @@
 
 }
 
-auto chooseReservation(const Topology &topology, const GangRequest &gang, BlockedSlots blocked, MonoTime created, MonoTime now) -> std::optional<Reservation>
+auto chooseReservation(const Topology &topology, const GangRequest &gang, BlockedSlots blocked, MonoTime now) -> std::optional<Reservation>
 {
     const auto level = levelOf(gang.slotsPerTask);
     const auto size = 1 << level;
@@ -48,7 +48,7 @@
         auto ready = std::array<MonoTime, maxWorkerSlots>{};
         ready.fill(now);
         for (const auto &use : worker.uses) {
-            const auto end = expectedEnd(topology.allocation(use.owner), created, now);
+            const auto end = expectedEnd(topology.allocation(use.owner), now);
             for (auto left = use.mask; left != 0; left &= left - 1) {
                 auto &slot = ready[std::countr_zero(left)];
                 slot = std::max(slot, end);
@@ -69,7 +69,7 @@
             });
             const auto readyAt = timed[tasks - 1].ready;
             if (!best || readyAt < best->readyAt) {
-                best = Reservation{.created = created, .chosen = now, .readyAt = readyAt};
+                best = Reservation{.chosen = now, .readyAt = readyAt};
                 for (auto i = std::size_t{0}; i < tasks; ++i) {
                     best->blocks.push_back(timed[i].block);
                 }
@@ -99,7 +99,7 @@
     for (const auto &block : reservation.blocks) {
         const auto &worker = topology.workers()[block.worker];
         for (const auto &use : worker.uses) {
-            if ((use.mask & block.mask) != 0 && !givesWay(topology.allocation(use.owner), reservation.created)) {
+            if ((use.mask & block.mask) != 0 && !givesWay(topology.allocation(use.owner))) {
                 return std::nullopt;
             }
         }
--- a/packages/policy/reservation.h
+++ b/packages/policy/reservation.h
@@ -3,7 +3,7 @@
 /// Reservations: the place kept for a large waiting job, and who may use it meanwhile.
 ///
 /// @code
-///   auto reservation = Catkin::chooseReservation(topology, gang, blocked, created, now);
+///   auto reservation = Catkin::chooseReservation(topology, gang, blocked, now);
 ///   // others may use the place only if they end before reservation->readyAt, or can be reclaimed
 ///   if (auto place = Catkin::takeReservation(topology, gang, *reservation)) { ... }
 /// @endcode
@@ -16,7 +16,6 @@
 struct Reservation
 {
     JobId job;
-    MonoTime created; ///< borrowers that started later in the place give way to the job
     MonoTime chosen; ///< when the place was chosen
     MonoTime readyAt; ///< when the jobs in the place are expected to have ended
     std::vector<SlotBlock> blocks; ///< one for each task
@@ -24,11 +23,10 @@
 
 /// Chooses the place in which the whole gang can start first, judged by the expected ends of what runs there.
 /// @param blocked slots kept for other reservations
-/// @param created when the job got its reservation
 /// @return nothing when no usable place exists.
-auto chooseReservation(const Topology &topology, const GangRequest &gang, BlockedSlots blocked, MonoTime created, MonoTime now) -> std::optional<Reservation>;
+auto chooseReservation(const Topology &topology, const GangRequest &gang, BlockedSlots blocked, MonoTime now) -> std::optional<Reservation>;
 
-/// @return the placement when nothing is left in the place but borrowers that started after the reservation, or nothing.
+/// @return the placement when nothing is left in the place but backfilled borrowers, or nothing.
 auto takeReservation(const Topology &topology, const GangRequest &gang, const Reservation &reservation) -> std::optional<Placement>;
 
 /// Marks the slots of a reservation, whole task blocks included, in @p blocked.
--- a/packages/policy/topology.h
+++ b/packages/policy/topology.h
@@ -59,6 +59,7 @@
     int workspace = 0;
     Urgency urgency = Urgency::Normal;
     bool reclaimable = false; ///< whether the job may be stopped at all
+    bool backfill = false; ///< runs in a place reserved for another job and gives way to it
     Hold hold = Hold::Fixed;
     MonoTime since; ///< when it was placed or started
     MonoTime expectedEnd = MonoTime::max(); ///< from observed run times
