Give types that share a name with another package names of their own

Cause: the packages were written side by side, and several types of the same name met in namespace Catkin. Change: renamed by a mechanical substitution; no behaviour changes.

--- a/packages/policy/decide.cpp
+++ b/packages/policy/decide.cpp
@@ -19,7 +19,7 @@
 /// What decides whether a gang finds free slots; jobs with equal shape fail together within one pass.
 using Shape = std::tuple<int, int, Adjacency, bool>;
 
-auto shapeOf(const JobSpec &spec) -> Shape
+auto shapeOf(const ScheduledJob &spec) -> Shape
 {
     return {spec.tasks, spec.slotsPerTask, spec.adjacency, spec.reclaimable()};
 }
--- a/packages/policy/schedulerstate.h
+++ b/packages/policy/schedulerstate.h
@@ -23,7 +23,7 @@
 /// A job that holds slots.
 struct RunningJob
 {
-    JobSpec spec;
+    ScheduledJob spec;
     int workspace = 0;
     MonoTime since;
     std::uint64_t sequence = 0;
@@ -83,8 +83,8 @@
     bool fleetChanged = true;
 
     auto indexOf(const WorkspaceId &workspace) -> int;
-    [[nodiscard]] auto gangOf(const JobSpec &spec, int workspace) const -> GangRequest;
-    auto neverRuns(const JobSpec &spec, int workspace) -> std::optional<std::string>;
+    [[nodiscard]] auto gangOf(const ScheduledJob &spec, int workspace) const -> GangRequest;
+    auto neverRuns(const ScheduledJob &spec, int workspace) -> std::optional<std::string>;
     auto account(int allocation, int sign) -> void;
     auto recount() -> void;
     auto enter(WaitingJob &job, const Placement &placement, MonoTime now, Decisions &decisions) -> void;
