--- /dev/null
+++ b/packages/daemon/daemon.cpp
@@ -0,0 +1,634 @@
+#include "daemon/daemon.h"
+
+#include "daemon/callerapi.h"
+#include "daemon/configservice.h"
+#include "daemon/executorpoller.h"
+#include "daemon/fleet.h"
+#include "daemon/httplistener.h"
+#include "daemon/intentservice.h"
+#include "daemon/jobservice.h"
+#include "daemon/logwriter.h"
+#include "daemon/metrics.h"
+#include "daemon/operatorapi.h"
+#include "daemon/plannerservice.h"
+#include "daemon/requestservice.h"
+#include "daemon/ticketservice.h"
+#include "daemon/workpool.h"
+#include "ports/httpexecutor.h"
+#include "ports/httpinstancelist.h"
+#include "ports/httplog.h"
+#include "ports/httpworker.h"
+#include "util/digest.h"
+#include "util/logging.h"
+#include "util/rendezvous.h"
+#include "wire/peermesh.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace Catkin
+{
+
+namespace
+{
+
+constexpr auto maxQueuedWork = std::size_t{4096};
+constexpr auto housekeepingPeriod = Millis{100};
+constexpr auto carryPeriod = Millis{5'000};
+/// Jobs appended again per carry round: with 5 s between rounds at most 10 records a second.
+constexpr auto carryLimit = std::size_t{50};
+constexpr auto flushWait = Millis{5'000};
+constexpr auto forwardMargin = Millis{500};
+
+auto logTailOptions(const Settings &settings) -> LogTailOptions
+{
+    // Instances that start together spread their first reads over this time.
+    constexpr auto startSpread = std::uint64_t{200};
+    return {.startDelay = Millis{static_cast<std::int64_t>(xxh64(settings.instance.str()) % startSpread)}};
+}
+
+auto toRegistryResult(RequestVerdict verdict) -> MetricRequestResult
+{
+    switch (verdict) {
+    case RequestVerdict::Answer:
+        return MetricRequestResult::Answer;
+    case RequestVerdict::NotRun:
+        return MetricRequestResult::NotRun;
+    case RequestVerdict::OutcomeUnknown:
+        break;
+    }
+    return MetricRequestResult::OutcomeUnknown;
+}
+
+auto toTicketResult(const RequestReply &reply) -> TicketResult
+{
+    return {
+        .verdict = reply.verdict,
+        .request = reply.request,
+        .answer = reply.answer,
+        .reason = reply.reason,
+        .retryAfter = reply.retryAfter,
+        .configVersion = reply.configVersion,
+        .status = reply.status,
+    };
+}
+
+auto fromTicketResult(const TicketResult &result) -> RequestReply
+{
+    return {
+        .verdict = result.verdict,
+        .status = result.status,
+        .request = result.request,
+        .answer = result.answer,
+        .reason = result.reason,
+        .retryAfter = result.retryAfter,
+        .configVersion = result.configVersion,
+    };
+}
+
+auto toJobStatus(const JobId &id, const std::optional<Job> &job) -> JobStatus
+{
+    if (!job) {
+        return {.job = id};
+    }
+    return {.job = id, .known = true, .state = jobStateName(job->state), .reason = job->detail, .attempt = job->attempt};
+}
+
+}
+
+struct Daemon::Impl
+{
+    Impl(const Settings &given, const Clock &time);
+    ~Impl();
+
+    auto meshOptions() const -> PeerMeshOptions;
+    auto meshHandlers() -> PeerMeshHandlers;
+    auto requestOptions() const -> RequestServiceOptions;
+    auto plannerContext() -> PlannerContext;
+    auto callerContext() -> CallerContext;
+    auto operatorContext() -> OperatorContext;
+
+    auto configChanged(const ActiveConfig &active) -> void;
+    auto fleetChanged(const FleetView &view) -> void;
+    auto heartbeat(const Heartbeat &beat) -> void;
+    auto localStatus() const -> LocalStatus;
+    auto serveForwarded(const TicketForward &forward, const Responder<TicketResult> &respond) -> void;
+    auto forwardTicket(const Ticket &ticket, const RequestCall &call) -> RequestReply;
+    auto noticeJob(const Job &job) -> void;
+    auto isPlanner(const FailureDomainId &domain, const RegionId &region) const -> bool;
+    auto readiness() const -> std::string;
+    auto housekeeping() -> void;
+    auto carryRecords() -> void;
+    auto offerConfig() -> void;
+    auto metricsText() -> std::string;
+    auto requestFinished(const RequestCall &call, const RequestReply &reply, Millis latency) -> void;
+
+    Settings settings;
+    Clock clock;
+    Incarnation incarnation;
+    std::atomic<bool> assembled{false};
+    std::atomic<bool> draining{false}; ///< not ready any more; still serving
+    std::atomic<bool> closing{false}; ///< refusing new work
+    std::atomic<bool> drainRequested{false};
+    std::atomic<std::uint64_t> unauthorizedCalls{0};
+    Metrics metrics;
+    LogPort log;
+    ExecutorPort executorPort;
+    LogWriter writer;
+    WorkPool pool;
+    PeerMesh mesh;
+    mutable std::mutex membershipMutex;
+    std::shared_ptr<const Membership> membership; ///< refreshed by housekeeping()
+    ConfigService config;
+    IntentService intents;
+    RequestService requests;
+    std::unique_ptr<PlannerService> planners;
+    JobService jobs;
+    TicketService tickets;
+    ExecutorPoller poller;
+    std::unique_ptr<Fleet> fleet;
+    HttpListener callers;
+    HttpListener operators;
+    std::mutex stopMutex;
+    std::condition_variable stopChanged;
+    bool stopping = false;
+    std::thread housekeeper;
+};
+
+Daemon::Impl::Impl(const Settings &given, const Clock &time)
+    : settings(given)
+    , clock(time)
+    , incarnation{time.wall().time_since_epoch().count()}
+    , metrics(MetricsOptions{})
+    , log(makeHttpLog({.address = given.platform.log, .timeout = given.platform.timeout}))
+    , executorPort(makeHttpExecutor({.maxAnswerBytes = static_cast<std::size_t>(given.limits.answerBody.value)}))
+    , writer(log, time, {})
+    , pool(static_cast<std::size_t>(given.limits.dispatchThreads), maxQueuedWork)
+    , mesh(meshOptions(), meshHandlers(), time)
+    , membership(std::make_shared<const Membership>(mesh.membership()))
+    , config(log, writer, time, {.instance = given.instance, .tail = logTailOptions(given)}, [this](const ActiveConfig &active) { configChanged(active); })
+    , intents(log,
+              writer,
+              time,
+              {.instance = given.instance, .fold = {.window = std::chrono::duration_cast<Seconds>(given.requests.keyWindow)}, .tail = logTailOptions(given)},
+              [this](const InstanceId &peer, const AttemptQuery &query, Millis timeout) { return mesh.queryAttempt(peer, query, timeout); })
+    , requests(executorPort,
+               config,
+               intents,
+               time,
+               requestOptions(),
+               [this](const RequestCall &call, const RequestReply &reply, Millis latency) { requestFinished(call, reply, latency); })
+    , jobs(log,
+           writer,
+           time,
+           {.tail = logTailOptions(given)},
+           [this] {
+               if (assembled) {
+                   planners->jobsChanged();
+               }
+           })
+    , tickets({.instance = given.instance, .incarnation = incarnation, .key = given.peers.key, .window = given.requests.keyWindow}, time)
+    , poller(executorPort,
+             time,
+             {.period = given.poll.executors},
+             [this](const ExecutorId &id, const std::optional<HealthSample> &sample) { requests.executorPolled(id, sample); })
+    , callers({
+          .address = given.listeners.callers,
+          .threads = given.limits.callerThreads,
+          .backlog = given.limits.callerBacklog,
+          .maxBody = static_cast<std::size_t>(given.limits.requestBody.value),
+          .keepAlive = given.limits.keepAlive,
+      })
+    , operators({
+          .address = given.listeners.operators,
+          .threads = given.limits.operatorThreads,
+          .backlog = given.limits.operatorBacklog,
+          .maxBody = static_cast<std::size_t>(given.limits.documentBody.value),
+          .keepAlive = given.limits.keepAlive,
+      })
+{
+    planners = std::make_unique<PlannerService>(plannerContext(),
+                                                [this](const FailureDomainId &domain, const RegionId &region) { return isPlanner(domain, region); });
+    fleet = std::make_unique<Fleet>(makeHttpInstanceList(given.platform.instances, given.platform.timeout),
+                                    time,
+                                    given.poll.instances,
+                                    [this](const FleetView &view) { fleetChanged(view); });
+    assembled = true;
+    if (const auto active = config.active()) {
+        configChanged(*active);
+    }
+    planners->jobsChanged();
+    fleetChanged(*fleet->view());
+    addCallerRoutes(callers, callerContext());
+    addOperatorRoutes(operators, operatorContext());
+    housekeeper = std::thread([this] { housekeeping(); });
+}
+
+Daemon::Impl::~Impl()
+{
+    {
+        const auto lock = std::lock_guard{stopMutex};
+        stopping = true;
+    }
+    stopChanged.notify_all();
+    housekeeper.join();
+    callers.stop();
+    operators.stop();
+    mesh.stop();
+    // Callbacks of the remaining threads check this before they use what is destroyed first.
+    assembled = false;
+    fleet.reset();
+    pool.stop();
+    planners.reset();
+}
+
+auto Daemon::Impl::meshOptions() const -> PeerMeshOptions
+{
+    return {
+        .self = settings.instance,
+        .domain = settings.domain,
+        .region = settings.region,
+        .incarnation = incarnation,
+        .listenAddress = settings.listeners.peers,
+        .advertisedAddress = {},
+        .key = settings.peers.key,
+        .periodInRegion = settings.peers.heartbeat,
+        .periodAcross = settings.peers.remoteHeartbeat,
+    };
+}
+
+auto Daemon::Impl::meshHandlers() -> PeerMeshHandlers
+{
+    auto handlers = PeerMeshHandlers{};
+    handlers.localStatus = [this] { return localStatus(); };
+    handlers.heartbeat = [this](const Heartbeat &beat, HeartbeatEffect) { heartbeat(beat); };
+    handlers.configOffer = [this](const InstanceId &, const ConfigOffer &offer) {
+        config.offer({.version = offer.version, .id = offer.id, .author = offer.author, .document = offer.document});
+    };
+    handlers.attemptQuery = [this](const InstanceId &, const AttemptQuery &query, const Responder<AttemptOutcome> &respond) {
+        respond(intents.outcome(RequestId{query.attempt}));
+    };
+    handlers.ticketForward = [this](const InstanceId &, const TicketForward &forward, const Responder<TicketResult> &respond) {
+        if (!pool.post([this, forward, respond] { serveForwarded(forward, respond); })) {
+            respond(failure(ErrorCode::Limit, "the work pool is full"));
+        }
+    };
+    handlers.jobNotice = [this](const InstanceId &, const JobNotice &) {
+        if (assembled) {
+            planners->jobsChanged();
+        }
+    };
+    handlers.jobCancel = [this](const InstanceId &from, const JobCancelRequest &cancel, const Responder<JobStatus> &respond) {
+        const auto job = jobs.cancel(cancel.job, from.str(), cancel.reason);
+        respond(job ? toJobStatus(cancel.job, job.value()) : JobStatus{.job = cancel.job});
+    };
+    handlers.jobStatusQuery = [this](const InstanceId &, const JobStatusQuery &query, const Responder<JobStatus> &respond) {
+        respond(toJobStatus(query.job, jobs.find(query.job)));
+    };
+    return handlers;
+}
+
+auto Daemon::Impl::requestOptions() const -> RequestServiceOptions
+{
+    auto options = RequestServiceOptions{.instance = settings.instance, .keyWindow = settings.requests.keyWindow};
+    options.scheduler.domain = settings.domain;
+    options.scheduler.region = settings.region;
+    options.scheduler.health.pollPeriod = settings.poll.executors;
+    options.scheduler.link.bytesPerSecond = settings.link.payloadPerSecond.value;
+    options.scheduler.link.burst = settings.link.payloadPerSecond.value * settings.link.burst.count() / 1000;
+    // Instances that start alike must not choose alike.
+    options.seed = xxh64(settings.instance.str()) ^ static_cast<std::uint64_t>(incarnation.value);
+    return options;
+}
+
+auto Daemon::Impl::plannerContext() -> PlannerContext
+{
+    auto context = PlannerContext{.workers = makeHttpWorker(), .jobs = &jobs, .pool = &pool, .clock = clock};
+    context.options.instance = settings.instance;
+    context.options.pollPeriod = settings.poll.workers;
+    context.options.gangs.probationTtl = settings.leases.probation;
+    context.options.gangs.runTtl = settings.leases.run;
+    context.options.gangs.renewPeriod = settings.leases.renew;
+    return context;
+}
+
+auto Daemon::Impl::callerContext() -> CallerContext
+{
+    return {
+        .config = &config,
+        .requests = &requests,
+        .jobs = &jobs,
+        .tickets = &tickets,
+        .fleet = fleet.get(),
+        .clock = clock,
+        .domain = settings.domain,
+        .draining = &closing,
+        .forwardTicket = [this](const Ticket &ticket, const RequestCall &call) { return forwardTicket(ticket, call); },
+        .noticeJob = [this](const Job &job) { noticeJob(job); },
+        .unauthorized = [this] { ++unauthorizedCalls; },
+    };
+}
+
+auto Daemon::Impl::operatorContext() -> OperatorContext
+{
+    return {
+        .instance = settings.instance,
+        .domain = settings.domain,
+        .tokenHash = settings.operators.tokenSha256,
+        .config = &config,
+        .requests = &requests,
+        .jobs = &jobs,
+        .planners = planners.get(),
+        .fleet = fleet.get(),
+        .mesh = &mesh,
+        .clock = clock,
+        .metrics = [this] { return metricsText(); },
+        .readiness = [this] { return readiness(); },
+        .drain = [this] { drainRequested = true; },
+        .slo = [] { return std::string{"{\"objectives\":[]}\n"}; },
+        .unauthorized = [this] { ++unauthorizedCalls; },
+    };
+}
+
+auto Daemon::Impl::configChanged(const ActiveConfig &active) -> void
+{
+    if (!assembled) {
+        return;
+    }
+    requests.configChanged(active);
+    planners->configChanged(std::make_shared<const ActiveConfig>(active));
+    mesh.announce();
+}
+
+auto Daemon::Impl::fleetChanged(const FleetView &view) -> void
+{
+    if (!assembled) {
+        return;
+    }
+    requests.executorsChanged(view.executors);
+    poller.setExecutors(view.executors);
+    planners->workersChanged(view.workers);
+    auto known = std::vector<KnownInstance>{};
+    for (const auto &it : view.entries) {
+        if (!it.peerAddress.empty()) {
+            known.push_back({.id = InstanceId{it.id}, .domain = it.domain, .region = it.region, .address = it.peerAddress, .leaving = it.leaving});
+        }
+    }
+    mesh.setKnown(KnownSource::InstanceList, known);
+}
+
+auto Daemon::Impl::localStatus() const -> LocalStatus
+{
+    auto status = LocalStatus{.draining = draining};
+    if (!assembled) {
+        status.draining = true;
+        return status;
+    }
+    // Until the jobs have been read, another instance is the better planner.
+    status.draining = draining || !jobs.caughtUp();
+    if (const auto active = config.active()) {
+        status.configVersion = active->state.version;
+    }
+    for (const auto &it : requests.ownLoads()) {
+        status.executors.push_back({.executor = it.executor, .inFlight = it.inFlight});
+    }
+    for (const auto &it : planners->planned()) {
+        status.planners.push_back({.domain = it.domain, .generation = it.generation.counter, .holder = it.generation.holder});
+    }
+    return status;
+}
+
+auto Daemon::Impl::heartbeat(const Heartbeat &beat) -> void
+{
+    if (!assembled) {
+        return;
+    }
+    auto loads = std::vector<InFlightLoad>{};
+    for (const auto &it : beat.executors) {
+        loads.push_back({.executor = it.executor, .inFlight = it.inFlight});
+    }
+    requests.peerReported(beat.instance, loads);
+    const auto active = config.active();
+    if (active && beat.configVersion < active->state.version) {
+        const auto &state = active->state;
+        (void)mesh.sendConfigOffer(
+            beat.instance,
+            {.version = state.version, .base = state.version - ConfigVersion{1}, .id = state.id, .author = state.author, .document = state.document});
+    }
+}
+
+auto Daemon::Impl::serveForwarded(const TicketForward &forward, const Responder<TicketResult> &respond) -> void
+{
+    const auto ticket = tickets.parse(forward.key.str());
+    if (!ticket || !tickets.owns(*ticket)) {
+        respond(TicketResult{.verdict = RequestVerdict::OutcomeUnknown, .reason = "the issuing process of the ticket has ended", .status = 504});
+        return;
+    }
+    const auto call = RequestCall{
+        .workspace = forward.workspace,
+        .caller = forward.caller,
+        .kind = forward.kind,
+        .key = forward.key,
+        .firstSent = std::nullopt,
+        .attempt = forward.attempt,
+        .deadline = forward.deadline,
+        .payload = forward.payload,
+    };
+    respond(toTicketResult(tickets.serve(*ticket, call, [&] { return requests.handleOwned(call); })));
+}
+
+auto Daemon::Impl::forwardTicket(const Ticket &ticket, const RequestCall &call) -> RequestReply
+{
+    const auto active = config.active();
+    const auto *kind = active ? findKind(active->document, call.kind) : nullptr;
+    if (kind == nullptr) {
+        return {.verdict = RequestVerdict::OutcomeUnknown,
+                .status = 504,
+                .reason = "kind '" + call.kind.str() + "' is not configured; an earlier attempt may have run"};
+    }
+    const auto deadline = std::min(call.deadline.value_or(kind->deadline), kind->deadline);
+    const auto forward = TicketForward{
+        .workspace = call.workspace,
+        .caller = call.caller,
+        .kind = call.kind,
+        .key = call.key,
+        .firstSent = {},
+        .attempt = call.attempt,
+        .deadline = deadline,
+        .payload = call.payload,
+    };
+    const auto result = mesh.forwardTicket(ticket.instance, forward, deadline + forwardMargin);
+    if (result) {
+        return fromTicketResult(result.value());
+    }
+    // Whether the owner ran an earlier attempt cannot be known here; for a first attempt that was not sent it can.
+    if (call.attempt == 1 && (result.error().code == ErrorCode::NotSent || result.error().code == ErrorCode::Limit)) {
+        return {.verdict = RequestVerdict::NotRun, .status = 503, .reason = "the issuing instance of the ticket cannot be reached", .retryAfter = Millis{1000}};
+    }
+    return {.verdict = RequestVerdict::OutcomeUnknown, .status = 504, .reason = "the issuing instance of the ticket cannot be reached"};
+}
+
+auto Daemon::Impl::noticeJob(const Job &job) -> void
+{
+    auto planner = InstanceId{};
+    {
+        const auto lock = std::lock_guard{membershipMutex};
+        planner = membership->planner(job.spec.domain, clock.mono());
+    }
+    if (planner == settings.instance) {
+        planners->jobsChanged();
+        return;
+    }
+    if (job.cancelRequested) {
+        const auto cancel = JobCancelRequest{.job = job.spec.id, .domain = job.spec.domain, .reason = "cancelled"};
+        mesh.cancelJob(planner, cancel, Millis{2'000}, [](const Result<JobStatus> &) {});
+        return;
+    }
+    (void)mesh.sendJobNotice(planner, {.job = job.spec.id, .domain = job.spec.domain, .offset = {}});
+}
+
+auto Daemon::Impl::isPlanner(const FailureDomainId &domain, const RegionId &region) const -> bool
+{
+    const auto lock = std::lock_guard{membershipMutex};
+    const auto now = clock.mono();
+    return membership->settled(now) && membership->planner(domain, region, now) == settings.instance;
+}
+
+auto Daemon::Impl::readiness() const -> std::string
+{
+    if (draining) {
+        return "draining";
+    }
+    if (!config.active()) {
+        return "no configuration is known";
+    }
+    return {};
+}
+
+auto Daemon::Impl::carryRecords() -> void
+{
+    auto candidates = std::vector<std::string>{};
+    {
+        const auto lock = std::lock_guard{membershipMutex};
+        for (const auto &it : membership->instances(clock.mono())) {
+            if (it.self || it.state == InstanceState::Fresh) {
+                candidates.push_back(it.id.str());
+            }
+        }
+    }
+    const auto owner = rendezvousOwner("carry", candidates);
+    if (owner && candidates[*owner] == settings.instance.str()) {
+        const auto posted = pool.post([this] {
+            config.carry(settings.requests.logRetention, clock.wall());
+            jobs.carry(settings.requests.logRetention, clock.wall(), carryLimit);
+        });
+        (void)posted; // a full pool only delays the next round
+    }
+}
+
+auto Daemon::Impl::housekeeping() -> void
+{
+    auto nextCarry = clock.mono() + carryPeriod;
+    while (true) {
+        {
+            auto fresh = std::make_shared<const Membership>(mesh.membership());
+            const auto lock = std::lock_guard{membershipMutex};
+            membership = std::move(fresh);
+        }
+        auto count = std::size_t{1};
+        {
+            const auto lock = std::lock_guard{membershipMutex};
+            count = membership->freshCount(clock.mono());
+        }
+        requests.peersChanged(static_cast<int>(count));
+        if (clock.mono() >= nextCarry) {
+            nextCarry = clock.mono() + carryPeriod;
+            carryRecords();
+        }
+        auto lock = std::unique_lock{stopMutex};
+        if (stopChanged.wait_for(lock, housekeepingPeriod, [&] { return stopping; })) {
+            return;
+        }
+    }
+}
+
+auto Daemon::Impl::requestFinished(const RequestCall &call, const RequestReply &reply, Millis latency) -> void
+{
+    metrics.requestFinished(call.workspace, call.kind, toRegistryResult(reply.verdict), latency);
+}
+
+auto Daemon::Impl::metricsText() -> std::string
+{
+    metrics.setReady(readiness().empty());
+    metrics.setDraining(draining);
+    return metrics.text();
+}
+
+Daemon::Daemon(const Settings &settings, const Clock &clock)
+    : m_impl(std::make_unique<Impl>(settings, clock))
+{
+}
+
+Daemon::~Daemon() = default;
+
+auto Daemon::start() -> Result<DaemonPorts>
+{
+    auto ports = DaemonPorts{};
+    if (auto started = m_impl->mesh.start(); !started) {
+        return started.error();
+    }
+    ports.peers = m_impl->mesh.port();
+    auto operators = m_impl->operators.start();
+    if (!operators) {
+        return operators.error();
+    }
+    ports.operators = operators.value();
+    auto callers = m_impl->callers.start();
+    if (!callers) {
+        return callers.error();
+    }
+    ports.callers = callers.value();
+    return ports;
+}
+
+auto Daemon::drainRequested() const -> bool
+{
+    return m_impl->drainRequested;
+}
+
+auto Daemon::drain() -> std::size_t
+{
+    auto &impl = *m_impl;
+    impl.draining = true;
+    impl.mesh.announce();
+    logEvent(LogLevel::Info, 1003, "draining: not ready, serving for " + std::to_string(impl.settings.drain.notice.count()) + " ms more");
+    impl.callers.closeAfterResponse();
+    std::this_thread::sleep_for(impl.settings.drain.notice);
+    impl.closing = true;
+    // The listener's stop waits for open connections without a limit, so it runs beside the clock.
+    auto stopped = std::atomic<bool>{false};
+    auto stopper = std::thread([&] {
+        impl.callers.stop();
+        stopped = true;
+    });
+    const auto deadline = impl.clock.mono() + impl.settings.drain.time;
+    while (!stopped && impl.clock.mono() < deadline) {
+        std::this_thread::sleep_for(Millis{20});
+    }
+    const auto cut = stopped ? std::size_t{0} : impl.requests.inProgress();
+    const auto pending = impl.writer.flush(flushWait);
+    logEvent(cut + pending == 0 ? LogLevel::Info : LogLevel::Warn,
+             1004,
+             "drained: " + std::to_string(cut) + " requests cut, " + std::to_string(pending) + " log records lost");
+    if (!stopped) {
+        stopper.detach();
+        std::_Exit(1); // The connections that did not end in time would keep the process alive.
+    }
+    stopper.join();
+    return cut;
+}
+
+}
--- /dev/null
+++ b/packages/daemon/domainplanner.cpp
@@ -0,0 +1,605 @@
+#include "daemon/domainplanner.h"
+
+#include "util/logging.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Catkin
+{
+
+namespace
+{
+
+/// The planner looks at its gangs at least this often.
+constexpr auto stepPeriod = Millis{50};
+
+auto toScheduled(const JobSpec &spec) -> ScheduledJob
+{
+    constexpr auto adjacency = std::array{Adjacency::Worker, Adjacency::Rack, Adjacency::Any};
+    constexpr auto urgency = std::array{Urgency::Urgent, Urgency::Normal, Urgency::Batch};
+    return {
+        .job = spec.id,
+        .workspace = spec.workspace,
+        .caller = spec.caller,
+        .kind = spec.kind,
+        .tasks = spec.tasks,
+        .slotsPerTask = static_cast<int>(spec.slotsPerTask.value),
+        .adjacency = adjacency[static_cast<std::size_t>(spec.adjacency)],
+        .urgency = urgency[static_cast<std::size_t>(spec.urgency)],
+        .checkpointable = spec.checkpointable,
+        .restartable = spec.restartable,
+    };
+}
+
+}
+
+DomainPlanner::DomainPlanner(FailureDomainId domain, PlannerContext context)
+    : m_domain(std::move(domain))
+    , m_context(std::move(context))
+    , m_scheduler(m_context.options.scheduler)
+    , m_gangs(m_context.options.gangs)
+    , m_since(m_context.clock.mono())
+    , m_claimAfter(m_since)
+{
+}
+
+auto DomainPlanner::post(std::function<void()> call) -> void
+{
+    {
+        const auto lock = std::lock_guard{m_inboxMutex};
+        m_inbox.push_back(std::move(call));
+    }
+    m_context.wake();
+}
+
+auto DomainPlanner::runInbox() -> void
+{
+    auto calls = std::deque<std::function<void()>>{};
+    {
+        const auto lock = std::lock_guard{m_inboxMutex};
+        calls.swap(m_inbox);
+    }
+    for (auto &it : calls) {
+        it();
+    }
+}
+
+auto DomainPlanner::setWorkers(const std::vector<ListedInstance> &workers) -> void
+{
+    const auto now = m_context.clock.mono();
+    auto listed = std::set<WorkerId>{};
+    for (const auto &it : workers) {
+        const auto id = WorkerId{it.id};
+        listed.insert(id);
+        m_workers[id].listed = it;
+        syncWorker(id, now);
+    }
+    for (auto it = m_workers.begin(); it != m_workers.end();) {
+        const auto gone = !listed.contains(it->first) && m_gangs.unreachable(it->first) && !m_gangs.busy(it->first);
+        // The scheduler keeps the slots of gangs that are still ending.
+        if (gone) {
+            (void)m_scheduler.workerLost(it->first);
+            it = m_workers.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+auto DomainPlanner::setConfig(const ActiveConfig &config) -> void
+{
+    auto view = SchedulerConfig{};
+    for (const auto &it : config.document.workspaces) {
+        auto rule = WorkspaceRule{.name = it.name, .weight = it.weight, .urgentSharePercent = it.urgentSharePercent};
+        if (it.quotaSlots) {
+            rule.quotaSlots = static_cast<int>(it.quotaSlots->value);
+        }
+        for (const auto &guarantee : it.guarantees) {
+            if (guarantee.domain == m_domain) {
+                rule.guarantees.push_back({.slots = static_cast<int>(guarantee.slots.value), .count = guarantee.count});
+            }
+        }
+        view.workspaces.push_back(std::move(rule));
+    }
+    m_scheduler.configure(view);
+}
+
+auto DomainPlanner::jobsChanged() -> void
+{
+    m_jobsChanged = true;
+}
+
+auto DomainPlanner::generation() const -> const Generation &
+{
+    return m_generation;
+}
+
+auto DomainPlanner::claimed() const -> bool
+{
+    return m_claimed;
+}
+
+auto DomainPlanner::syncWorker(const WorkerId &id, MonoTime now) -> void
+{
+    const auto &worker = m_workers.at(id);
+    if (!worker.status) {
+        return;
+    }
+    const auto leaving = worker.status->leaving || worker.listed.leaving;
+    const auto updated = m_scheduler.updateWorker(
+        {
+            .worker = id,
+            .rack = worker.status->rack,
+            .slots = worker.status->slots,
+            .usable = !leaving && !m_gangs.unreachable(id),
+        },
+        now);
+    if (!updated) {
+        logEvent(LogLevel::Error, 2402, "worker " + id.str() + ": " + updated.error().message);
+    }
+}
+
+auto DomainPlanner::noteStatus(const WorkerId &id, const WorkerStatus &status) -> void
+{
+    auto &worker = m_workers.at(id);
+    worker.heard = true;
+    worker.status = status;
+    if (m_claimed && status.generation > m_generation) {
+        noteStale(m_context.clock.mono());
+    }
+    syncWorker(id, m_context.clock.mono());
+}
+
+auto DomainPlanner::noteStale(MonoTime now) -> void
+{
+    // Whoever claimed the worker may be the rightful planner; the pause lets heartbeats settle who that is, and the
+    // planner service drops this object if it is not this instance.
+    if (m_claimed) {
+        logEvent(LogLevel::Warn, 2403, "another planner has claimed a worker of " + m_domain.str() + "; claiming again after a pause");
+        m_claimed = false;
+        m_claimAfter = now + m_context.options.staleBackoff;
+    }
+}
+
+auto DomainPlanner::claim(MonoTime now) -> void
+{
+    if (m_claimed || now < m_claimAfter) {
+        return;
+    }
+    const auto heardAll = std::all_of(m_workers.begin(), m_workers.end(), [](const auto &it) { return it.second.heard; });
+    if (m_workers.empty() || (!heardAll && now - m_since < m_context.options.claimWait)) {
+        return;
+    }
+    auto highest = std::int64_t{0};
+    for (const auto &[id, it] : m_workers) {
+        if (it.status) {
+            highest = std::max(highest, it.status->generation.counter);
+        }
+    }
+    m_generation = {.counter = highest + 1, .holder = m_context.options.instance.str()};
+    m_claimed = true;
+    logEvent(LogLevel::Info, 2401, "planning " + m_domain.str() + " with generation " + std::to_string(m_generation.counter));
+    // An explicit claim fences the earlier planner also on workers that get no order for a while.
+    for (const auto &[id, it] : m_workers) {
+        if (it.status && !m_gangs.busy(id)) {
+            m_gangs.pollStarted(id);
+            sendOrders(id, {WorkerOrder{.op = OrderOp::Claim}});
+        }
+    }
+}
+
+auto DomainPlanner::findGangs() const -> std::map<JobId, Found>
+{
+    auto out = std::map<JobId, Found>{};
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker.status) {
+            continue;
+        }
+        for (const auto &lease : worker.status->leases) {
+            auto &found = out[lease.job];
+            if (lease.attempt > found.attempt) {
+                found = {.attempt = lease.attempt};
+            }
+            if (lease.attempt == found.attempt) {
+                found.members[lease.member] = {.worker = id, .slots = lease.slots};
+                found.live = found.live || lease.state != LeaseState::Ended;
+            }
+        }
+    }
+    return out;
+}
+
+auto DomainPlanner::settleLost(const Job &job) -> void
+{
+    // No worker holds a lease of the attempt any more, and whether its tasks did their work is not known.
+    const auto result = job.cancelRequested ? JobResult::Cancelled : job.spec.restartable ? JobResult::Requeue : JobResult::Unknown;
+    m_context.jobs->record(JobRecord{JobFinish{
+        .job = job.spec.id,
+        .attempt = job.attempt,
+        .result = result,
+        .detail = "the attempt was lost together with its planner",
+        .checkpoint = job.checkpoint,
+    }});
+    m_jobsChanged = true;
+}
+
+auto DomainPlanner::adoptJob(const Job &job, const Found *found, bool complete, MonoTime now) -> void
+{
+    const auto id = job.spec.id;
+    const auto current = found != nullptr && found->attempt >= job.attempt && (found->live || found->attempt == job.attempt);
+    const auto active = job.state == JobState::Starting || job.state == JobState::Running || job.state == JobState::Stopping;
+    if (!current || (!found->live && !active)) {
+        if (!active) {
+            return;
+        }
+        if (complete) {
+            settleLost(job);
+        } else {
+            m_unsettled.insert(id);
+        }
+        return;
+    }
+    const auto whole = static_cast<int>(found->members.size()) == job.spec.tasks;
+    if (!whole && !complete) {
+        m_unsettled.insert(id);
+        return;
+    }
+    auto spec = GangSpec{.job = id, .attempt = found->attempt, .members = {}, .checkpointable = job.spec.checkpointable, .payload = job.spec.payload};
+    auto placement = std::vector<MemberPlacement>{};
+    for (const auto &[index, member] : found->members) {
+        spec.members.push_back(member);
+        spec.indexes.push_back(index);
+        placement.push_back({.worker = member.worker, .slots = slotMask(member.slots)});
+    }
+    const auto adopted = m_scheduler.adopt(toScheduled(job.spec), placement, now);
+    if (!adopted) {
+        logEvent(LogLevel::Error, 2404, "job " + id.str() + " cannot be adopted: " + adopted.error().message);
+    }
+    m_lastAttempt[id] = found->attempt;
+    m_gangs.adopt(std::move(spec), now);
+    if (!whole) {
+        m_gangs.stop(id, false, "the gang was incomplete at takeover", now);
+    }
+}
+
+auto DomainPlanner::endStrays(const std::map<JobId, Found> &found) -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        if (!worker.status) {
+            continue;
+        }
+        for (const auto &lease : worker.status->leases) {
+            const auto known = m_gangs.contains(lease.job) && found.contains(lease.job) && found.at(lease.job).attempt == lease.attempt;
+            if (lease.state == LeaseState::Ended || known || m_unsettled.contains(lease.job)) {
+                continue;
+            }
+            worker.strays.push_back({.op = OrderOp::Stop, .lease = lease.lease});
+            worker.strays.push_back({.op = OrderOp::Release, .lease = lease.lease});
+            logEvent(LogLevel::Warn, 2405, "ending lease " + lease.lease.str() + " of no known gang on " + id.str());
+        }
+    }
+}
+
+auto DomainPlanner::adoptGangs(MonoTime now) -> void
+{
+    if (!m_claimed || (m_adopted && m_unsettled.empty())) {
+        return;
+    }
+    const auto reachedAll = std::all_of(m_workers.begin(), m_workers.end(), [](const auto &it) { return it.second.status.has_value(); });
+    const auto found = findGangs();
+    if (!m_adopted) {
+        m_adopted = true;
+        for (const auto &job : m_context.jobs->liveIn(m_domain)) {
+            const auto it = found.find(job.spec.id);
+            adoptJob(job, it == found.end() ? nullptr : &it->second, reachedAll, now);
+        }
+        endStrays(found);
+        m_jobsChanged = true;
+        return;
+    }
+    const auto waited = now - m_since;
+    const auto leasesOver = waited >= m_context.options.gangs.runTtl + m_context.options.gangs.runTtl / 10;
+    const auto unsettled = std::exchange(m_unsettled, {});
+    for (const auto &id : unsettled) {
+        const auto job = m_context.jobs->find(id);
+        if (!job || isTerminal(job->state)) {
+            continue;
+        }
+        const auto it = found.find(id);
+        const auto partlyFound = it != found.end() && it->second.live;
+        const auto complete = reachedAll || leasesOver || (partlyFound && waited >= m_context.options.adoptWait);
+        adoptJob(*job, it == found.end() ? nullptr : &it->second, complete, now);
+        m_jobsChanged = true;
+    }
+}
+
+auto DomainPlanner::syncJob(const Job &job, MonoTime now) -> void
+{
+    const auto &id = job.spec.id;
+    if (isTerminal(job.state) || m_unsettled.contains(id)) {
+        return;
+    }
+    if (m_gangs.contains(id)) {
+        if (job.cancelRequested) {
+            m_gangs.stop(id, false, "cancelled", now);
+        }
+        return;
+    }
+    if (job.cancelRequested) {
+        if (m_scheduler.cancel(id) != JobCancelResult::Running) {
+            m_context.jobs->record(
+                JobRecord{JobFinish{.job = id, .attempt = job.attempt, .result = JobResult::Cancelled, .ran = job.attempt > 0, .detail = "cancelled"}});
+        }
+        return;
+    }
+    if (job.state == JobState::Queued) {
+        const auto waited = std::max(Millis{0}, m_context.clock.wall() - job.accepted);
+        m_scheduler.resubmit(toScheduled(job.spec), now - waited);
+    }
+}
+
+auto DomainPlanner::syncJobs(MonoTime now) -> void
+{
+    if (!std::exchange(m_jobsChanged, false)) {
+        return;
+    }
+    for (const auto &it : m_context.jobs->liveIn(m_domain)) {
+        syncJob(it, now);
+    }
+}
+
+auto DomainPlanner::startGang(const Start &start, MonoTime now) -> void
+{
+    const auto job = m_context.jobs->find(start.job);
+    if (!job || isTerminal(job->state) || job->cancelRequested) {
+        m_scheduler.jobEnded(start.job, JobEnd::Cancelled, now);
+        m_jobsChanged = true;
+        return;
+    }
+    const auto attempt = std::max(job->attempt, m_lastAttempt[start.job]) + 1;
+    // A job that must not run twice gets its number from the log alone.
+    const auto number = job->spec.restartable ? attempt : job->attempt + 1;
+    m_lastAttempt[start.job] = number;
+    auto spec = GangSpec{
+        .job = start.job,
+        .attempt = number,
+        .members = {},
+        .needsAttemptRecord = !job->spec.restartable,
+        .checkpointable = job->spec.checkpointable,
+        .payload = job->spec.payload,
+    };
+    for (const auto &it : start.members) {
+        spec.members.push_back({.worker = it.worker, .slots = slotList(it.slots)});
+    }
+    if (job->spec.restartable) {
+        m_context.jobs->record(
+            JobRecord{JobAttempt{.job = start.job, .attempt = number, .holder = m_context.options.instance, .generation = m_generation.counter}});
+    }
+    m_gangs.start(std::move(spec), now);
+}
+
+auto DomainPlanner::decide(MonoTime now) -> std::optional<MonoTime>
+{
+    const auto decisions = m_scheduler.decide(now);
+    for (const auto &it : decisions.starts) {
+        startGang(it, now);
+    }
+    for (const auto &it : decisions.preemptions) {
+        logEvent(LogLevel::Info, 2406, "job " + it.job.str() + " gives way to " + it.beneficiary.str());
+        m_gangs.stop(it.job, true, "preempted by " + it.beneficiary.str(), now);
+    }
+    for (const auto &it : decisions.parked) {
+        const auto job = m_context.jobs->find(it.job);
+        m_context.jobs->record(JobRecord{
+            JobFinish{.job = it.job, .attempt = job ? job->attempt : 0, .result = JobResult::Parked, .ran = job && job->attempt > 0, .detail = it.reason}});
+    }
+    return decisions.wakeAt;
+}
+
+auto DomainPlanner::confirmAttempt(const GangEvent &event) -> void
+{
+    const auto attempt = JobAttempt{.job = event.job, .attempt = event.attempt, .holder = m_context.options.instance, .generation = m_generation.counter};
+    const auto posted = m_context.pool->post([self = weak_from_this(), attempt, jobs = m_context.jobs, wait = m_context.options.attemptWait] {
+        const auto won = jobs->recordAttempt(attempt, wait);
+        if (const auto planner = self.lock()) {
+            planner->post([planner, attempt, won] { planner->m_gangs.attemptDecided(attempt.job, attempt.attempt, won, planner->m_context.clock.mono()); });
+        }
+    });
+    if (!posted) {
+        m_gangs.attemptDecided(event.job, event.attempt, false, m_context.clock.mono());
+    }
+}
+
+auto DomainPlanner::finishJob(const Job &job, const GangEvent &event, JobResult result, bool ran) -> void
+{
+    m_context.jobs->record(JobRecord{JobFinish{
+        .job = event.job,
+        .attempt = event.attempt,
+        .result = result,
+        .ran = ran,
+        .detail = event.reason,
+        .checkpoint = event.checkpointed ? GangTable::leaseId(event.job, event.attempt, 0).str() : job.checkpoint,
+    }});
+}
+
+auto DomainPlanner::handleEnd(const GangEvent &event, MonoTime now) -> void
+{
+    m_jobsChanged = true;
+    const auto job = m_context.jobs->find(event.job);
+    logEvent(
+        LogLevel::Info, 2407, "job " + event.job.str() + " attempt " + std::to_string(event.attempt) + " " + outcomeName(event.outcome) + " " + event.reason);
+    if (!job) {
+        m_scheduler.jobEnded(event.job, JobEnd::Cancelled, now);
+        return;
+    }
+    const auto cancelled = job->cancelRequested;
+    switch (event.outcome) {
+    case GangOutcome::Succeeded:
+        m_scheduler.jobEnded(event.job, JobEnd::Succeeded, now);
+        finishJob(*job, event, JobResult::Succeeded, true);
+        return;
+    case GangOutcome::Failed:
+        m_scheduler.jobEnded(event.job, cancelled ? JobEnd::Cancelled : job->spec.restartable ? JobEnd::FailedRetry : JobEnd::Failed, now, event.blamed);
+        finishJob(*job, event, cancelled ? JobResult::Cancelled : job->spec.restartable ? JobResult::Requeue : JobResult::Failed, true);
+        return;
+    case GangOutcome::Stopped:
+    case GangOutcome::Lost: {
+        const auto again = event.outcome == GangOutcome::Stopped || job->spec.restartable;
+        const auto mayRunAgain = again && (job->spec.restartable || job->spec.checkpointable);
+        m_scheduler.jobEnded(event.job, cancelled ? JobEnd::Cancelled : mayRunAgain ? JobEnd::Requeue : JobEnd::Lost, now);
+        finishJob(*job, event, cancelled ? JobResult::Cancelled : mayRunAgain ? JobResult::Requeue : JobResult::Unknown, true);
+        return;
+    }
+    case GangOutcome::Aborted:
+        m_scheduler.jobEnded(event.job, cancelled ? JobEnd::Cancelled : JobEnd::Requeue, now, event.blamed);
+        finishJob(*job, event, cancelled ? JobResult::Cancelled : JobResult::Requeue, false);
+        return;
+    }
+}
+
+auto DomainPlanner::handleEvent(const GangEvent &event, MonoTime now) -> void
+{
+    switch (event.type) {
+    case GangEventType::NeedAttempt:
+        confirmAttempt(event);
+        return;
+    case GangEventType::Started:
+        m_scheduler.jobStarted(event.job, now);
+        m_context.jobs->record(JobRecord{JobStarted{.job = event.job, .attempt = event.attempt}});
+        return;
+    case GangEventType::Ended:
+        handleEnd(event, now);
+        return;
+    }
+}
+
+auto DomainPlanner::sendOrders(const WorkerId &id, std::vector<WorkerOrder> orders) -> void
+{
+    const auto timeout = m_context.options.gangs.orderTimeout;
+    const auto call
+        = [self = weak_from_this(), id, orders, timeout, generation = m_generation, workers = m_context.workers, address = m_workers.at(id).listed.address] {
+              const auto reply = workers.orders(address, generation, orders, timeout);
+              if (const auto planner = self.lock()) {
+                  planner->post([planner, id, orders, reply] { planner->ordersDone(id, orders, reply); });
+              }
+          };
+    if (!m_context.pool->post(call)) {
+        ordersDone(id, orders, failure(ErrorCode::NotSent, "the work pool is full"));
+    }
+}
+
+auto DomainPlanner::ordersDone(const WorkerId &id, const std::vector<WorkerOrder> &orders, const Result<OrdersReply> &reply) -> void
+{
+    const auto now = m_context.clock.mono();
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end()) {
+        m_gangs.ordersDone(id, orders, failure(ErrorCode::Unavailable, "the worker has left"), now);
+        return;
+    }
+    it->second.heard = true;
+    m_gangs.ordersDone(id, orders, reply, now);
+    if (!reply) {
+        if (reply.error().code == ErrorCode::StaleGeneration) {
+            noteStale(now);
+        }
+        syncWorker(id, now);
+        return;
+    }
+    noteStatus(id, reply.value().status);
+}
+
+auto DomainPlanner::poll(const WorkerId &id, MonoTime now) -> void
+{
+    auto &worker = m_workers.at(id);
+    worker.lastPoll = now;
+    m_gangs.pollStarted(id);
+    if (!worker.strays.empty() && m_claimed) {
+        sendOrders(id, std::exchange(worker.strays, {}));
+        return;
+    }
+    const auto timeout = m_context.options.gangs.orderTimeout;
+    const auto posted = m_context.pool->post([self = weak_from_this(), id, timeout, workers = m_context.workers, address = worker.listed.address] {
+        const auto status = workers.status(address, timeout);
+        if (const auto planner = self.lock()) {
+            planner->post([planner, id, status] { planner->pollDone(id, status); });
+        }
+    });
+    if (!posted) {
+        pollDone(id, failure(ErrorCode::NotSent, "the work pool is full"));
+    }
+}
+
+auto DomainPlanner::pollDone(const WorkerId &id, const Result<WorkerStatus> &status) -> void
+{
+    const auto now = m_context.clock.mono();
+    m_gangs.statusDone(id, status, now);
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end()) {
+        return;
+    }
+    it->second.heard = true;
+    if (status) {
+        noteStatus(id, status.value());
+    } else {
+        syncWorker(id, now);
+    }
+}
+
+auto DomainPlanner::step() -> MonoTime
+{
+    runInbox();
+    const auto now = m_context.clock.mono();
+    claim(now);
+    adoptGangs(now);
+    auto wakeAt = std::optional<MonoTime>{};
+    if (m_claimed) {
+        syncJobs(now);
+        wakeAt = decide(now);
+        auto gangs = m_gangs.tick(now);
+        for (const auto &it : gangs.events) {
+            handleEvent(it, now);
+        }
+        for (auto &[id, orders] : gangs.orders) {
+            if (m_workers.contains(id)) {
+                m_workers.at(id).lastPoll = now; // the reply carries the status
+                sendOrders(id, std::move(orders));
+            } else {
+                m_gangs.ordersDone(id, orders, failure(ErrorCode::Unavailable, "the worker has left"), now);
+            }
+        }
+    }
+    for (const auto &[id, it] : m_workers) {
+        if (!m_gangs.busy(id) && now - it.lastPoll >= m_context.options.pollPeriod) {
+            poll(id, now);
+        }
+    }
+    return std::min(wakeAt.value_or(now + stepPeriod), now + stepPeriod);
+}
+
+auto DomainPlanner::view() const -> PlannerView
+{
+    auto out = PlannerView{
+        .domain = m_domain,
+        .claimed = m_claimed,
+        .generation = m_generation,
+        .stats = m_scheduler.stats(),
+        .queue = m_scheduler.queue(),
+        .workers = {},
+        .gangs = m_gangs.size(),
+    };
+    for (const auto &[id, it] : m_workers) {
+        auto worker = WorkerView{.worker = id, .rack = it.listed.rack, .reachable = it.status.has_value() && !m_gangs.unreachable(id)};
+        if (it.status) {
+            worker.slots = it.status->slots;
+            worker.leaving = it.status->leaving || it.listed.leaving;
+            worker.generation = it.status->generation;
+            worker.leases = it.status->leases;
+            worker.usage = it.status->usage;
+        }
+        out.workers.push_back(std::move(worker));
+    }
+    return out;
+}
+
+}
--- /dev/null
+++ b/packages/daemon/domainplanner.h
@@ -0,0 +1,165 @@
+#pragma once
+
+/// Plans the jobs of one failure domain while this instance is its planner.
+///
+/// Decisions come from policy/scheduler.h and policy/gangs.h; this class carries them out. All members but post() belong
+/// to the planner thread; network calls run on the work pool and return their results through post().
+/// @code
+///   auto planner = Catkin::DomainPlanner{domain, context};
+///   planner.setWorkers(workers);
+///   auto due = planner.step();            // again at due, or after a notification
+/// @endcode
+///
+/// A new planner first reads the status of every worker, claims a generation above the highest that it finds, and adopts
+/// the gangs that run. Nothing is started or ended before that.
+
+#include "daemon/configservice.h"
+#include "daemon/fleet.h"
+#include "daemon/jobservice.h"
+#include "daemon/workpool.h"
+#include "policy/gangs.h"
+#include "policy/scheduler.h"
+#include "ports/workerport.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Catkin
+{
+
+struct PlannerOptions
+{
+    InstanceId instance;
+    SchedulerOptions scheduler;
+    GangOptions gangs;
+    Millis pollPeriod{500}; ///< between status polls of one worker
+    Millis claimWait{2'000}; ///< longest wait for the first status of unreachable workers before claiming
+    Millis adoptWait{30'000}; ///< longest wait for unreachable workers before an incomplete gang is ended
+    Millis attemptWait{3'000}; ///< longest wait for the log to confirm an attempt
+    Millis staleBackoff{1'000}; ///< pause before claiming again after another planner has claimed a worker
+};
+
+/// What a planner needs; everything outlives it.
+struct PlannerContext
+{
+    WorkerPort workers;
+    JobService *jobs = nullptr;
+    WorkPool *pool = nullptr;
+    Clock clock;
+    PlannerOptions options;
+    std::function<void()> wake; ///< wakes the planner thread
+};
+
+/// A worker as operators see it.
+struct WorkerView
+{
+    WorkerId worker;
+    RackId rack;
+    int slots = 0;
+    bool reachable = false;
+    bool leaving = false;
+    Generation generation;
+    std::vector<WorkerLease> leases;
+    std::vector<LeaseUsage> usage;
+};
+
+/// A planner as operators see it.
+struct PlannerView
+{
+    FailureDomainId domain;
+    bool claimed = false;
+    Generation generation;
+    SchedulerStats stats;
+    std::vector<QueuedJob> queue;
+    std::vector<WorkerView> workers;
+    std::size_t gangs = 0;
+};
+
+class DomainPlanner : public std::enable_shared_from_this<DomainPlanner>
+{
+public:
+    DomainPlanner(FailureDomainId domain, PlannerContext context);
+
+    /// Sets the workers that the instance list names for this failure domain.
+    auto setWorkers(const std::vector<ListedInstance> &workers) -> void;
+    auto setConfig(const ActiveConfig &config) -> void;
+    /// Jobs may have changed.
+    auto jobsChanged() -> void;
+
+    /// Advances everything.
+    /// @return when to call again even if nothing happens.
+    auto step() -> MonoTime;
+
+    /// Queues a call for the planner thread; any thread may call this.
+    auto post(std::function<void()> call) -> void;
+
+    [[nodiscard]] auto view() const -> PlannerView;
+    [[nodiscard]] auto generation() const -> const Generation &;
+    [[nodiscard]] auto claimed() const -> bool;
+
+private:
+    struct Worker
+    {
+        ListedInstance listed;
+        std::optional<WorkerStatus> status;
+        bool heard = false; ///< at least one exchange has ended, with or without success
+        MonoTime lastPoll{};
+        std::vector<WorkerOrder> strays; ///< orders that end leases of no known gang
+    };
+
+    /// Members of one attempt as found on the workers.
+    struct Found
+    {
+        int attempt = 0;
+        std::map<int, GangMember> members;
+        bool live = false; ///< some member's lease has not ended
+    };
+
+    auto runInbox() -> void;
+    auto claim(MonoTime now) -> void;
+    auto adoptGangs(MonoTime now) -> void;
+    auto findGangs() const -> std::map<JobId, Found>;
+    auto adoptJob(const Job &job, const Found *found, bool complete, MonoTime now) -> void;
+    auto settleLost(const Job &job) -> void;
+    auto endStrays(const std::map<JobId, Found> &found) -> void;
+    auto syncJobs(MonoTime now) -> void;
+    auto syncJob(const Job &job, MonoTime now) -> void;
+    auto syncWorker(const WorkerId &id, MonoTime now) -> void;
+    auto decide(MonoTime now) -> std::optional<MonoTime>;
+    auto startGang(const Start &start, MonoTime now) -> void;
+    auto handleEvent(const GangEvent &event, MonoTime now) -> void;
+    auto handleEnd(const GangEvent &event, MonoTime now) -> void;
+    auto finishJob(const Job &job, const GangEvent &event, JobResult result, bool ran) -> void;
+    auto confirmAttempt(const GangEvent &event) -> void;
+    auto sendOrders(const WorkerId &id, std::vector<WorkerOrder> orders) -> void;
+    auto ordersDone(const WorkerId &id, const std::vector<WorkerOrder> &orders, const Result<OrdersReply> &reply) -> void;
+    auto poll(const WorkerId &id, MonoTime now) -> void;
+    auto pollDone(const WorkerId &id, const Result<WorkerStatus> &status) -> void;
+    auto noteStatus(const WorkerId &id, const WorkerStatus &status) -> void;
+    auto noteStale(MonoTime now) -> void;
+
+    FailureDomainId m_domain;
+    PlannerContext m_context;
+    Scheduler m_scheduler;
+    GangTable m_gangs;
+    std::map<WorkerId, Worker> m_workers;
+    Generation m_generation;
+    bool m_claimed = false;
+    bool m_adopted = false;
+    bool m_jobsChanged = true;
+    MonoTime m_since;
+    MonoTime m_claimAfter; ///< no claim before this time
+    std::map<JobId, int> m_lastAttempt; ///< highest attempt number used here
+    std::set<JobId> m_unsettled; ///< jobs of an earlier planner whose members have not been found yet
+    std::mutex m_inboxMutex;
+    std::deque<std::function<void()>> m_inbox;
+};
+
+}
--- /dev/null
+++ b/packages/daemon/httplistener.cpp
@@ -0,0 +1,261 @@
+#include "daemon/httplistener.h"
+
+#include "ports/httpclient.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+
+namespace Catkin
+{
+
+namespace
+{
+
+/// Threads that only answer 503; a connection cannot be refused after it was accepted without reading its request.
+constexpr auto overflowThreads = 2;
+
+thread_local auto isOverflowThread = false;
+
+/// Serves connections on a fixed number of threads; those beyond the waiting places go to the overflow threads.
+class BoundedQueue : public httplib::TaskQueue
+{
+public:
+    BoundedQueue(int threads, int backlog, std::atomic<std::uint64_t> &overflowed)
+        : m_backlog(static_cast<std::size_t>(backlog))
+        , m_overflowed(overflowed)
+    {
+        for (auto i = 0; i < threads; ++i) {
+            m_threads.emplace_back([this] { run(m_tasks); });
+        }
+        for (auto i = 0; i < overflowThreads; ++i) {
+            m_threads.emplace_back([this] {
+                isOverflowThread = true;
+                run(m_overflow);
+            });
+        }
+    }
+
+    auto enqueue(std::function<void()> task) -> void override
+    {
+        {
+            const auto lock = std::lock_guard{m_mutex};
+            if (m_tasks.size() < m_backlog) {
+                m_tasks.push_back(std::move(task));
+            } else {
+                ++m_overflowed;
+                m_overflow.push_back(std::move(task));
+            }
+        }
+        m_changed.notify_all();
+    }
+
+    auto shutdown() -> void override
+    {
+        {
+            const auto lock = std::lock_guard{m_mutex};
+            m_stopping = true;
+        }
+        m_changed.notify_all();
+        for (auto &it : m_threads) {
+            it.join();
+        }
+    }
+
+private:
+    auto run(std::deque<std::function<void()>> &tasks) -> void
+    {
+        while (true) {
+            auto task = std::function<void()>{};
+            {
+                auto lock = std::unique_lock{m_mutex};
+                m_changed.wait(lock, [&] { return m_stopping || !tasks.empty(); });
+                if (tasks.empty()) {
+                    return;
+                }
+                task = std::move(tasks.front());
+                tasks.pop_front();
+            }
+            task();
+        }
+    }
+
+    std::size_t m_backlog;
+    std::atomic<std::uint64_t> &m_overflowed;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<std::function<void()>> m_tasks;
+    std::deque<std::function<void()>> m_overflow;
+    bool m_stopping = false;
+    std::vector<std::thread> m_threads;
+};
+
+/// The library listens with a backlog of 5, which a burst of new connections exceeds.
+class Server : public httplib::Server
+{
+public:
+    auto widenBacklog() -> void
+    {
+        constexpr auto backlog = 512;
+        ::listen(svr_sock_, backlog);
+    }
+};
+
+auto lowerCase(std::string text) -> std::string
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+auto toRequest(const httplib::Request &in) -> HttpRequest
+{
+    auto out = HttpRequest{.method = in.method, .path = in.path, .params = in.params, .body = in.body};
+    for (auto i = std::size_t{1}; i < in.matches.size(); ++i) {
+        out.matches.push_back(in.matches[i].str());
+    }
+    for (const auto &[name, value] : in.headers) {
+        out.headers[lowerCase(name)] = value;
+    }
+    return out;
+}
+
+}
+
+auto HttpRequest::header(const std::string &name) const -> std::string
+{
+    const auto it = headers.find(name);
+    return it == headers.end() ? std::string{} : it->second;
+}
+
+auto HttpRequest::param(const std::string &name) const -> std::string
+{
+    const auto it = params.find(name);
+    return it == params.end() ? std::string{} : it->second;
+}
+
+struct HttpListener::Impl
+{
+    HttpListenerOptions options;
+    Server server;
+    std::thread thread;
+    std::atomic<bool> closing{false};
+    std::atomic<std::uint64_t> overflowed{0};
+
+    auto write(const HttpResponse &in, httplib::Response &out) const -> void
+    {
+        out.status = in.status;
+        for (const auto &[name, value] : in.headers) {
+            out.set_header(name, value);
+        }
+        if (closing) {
+            out.set_header("Connection", "close");
+        }
+        out.set_content(in.body, in.contentType);
+    }
+};
+
+HttpListener::HttpListener(const HttpListenerOptions &options)
+    : m_impl(std::make_unique<Impl>())
+{
+    m_impl->options = options;
+    auto &server = m_impl->server;
+    server.new_task_queue = [impl = m_impl.get()] { return new BoundedQueue(impl->options.threads, impl->options.backlog, impl->overflowed); };
+    server.set_payload_max_length(options.maxBody);
+    server.set_keep_alive_timeout(std::max<time_t>(1, std::chrono::duration_cast<Seconds>(options.keepAlive).count()));
+    server.set_keep_alive_max_count(100'000);
+    server.set_read_timeout(options.readTimeout);
+    server.set_write_timeout(options.readTimeout);
+    server.set_tcp_nodelay(true);
+    server.set_pre_routing_handler([](const httplib::Request &, httplib::Response &response) {
+        if (!isOverflowThread) {
+            return httplib::Server::HandlerResponse::Unhandled;
+        }
+        response.status = 503;
+        response.set_header("Connection", "close");
+        response.set_header("Retry-After", "1");
+        response.set_content(R"({"result":"not_run","reason":"too many connections","retry_after_ms":1000})", "application/json");
+        return httplib::Server::HandlerResponse::Handled;
+    });
+    server.set_error_handler([](const httplib::Request &, httplib::Response &response) {
+        if (!response.body.empty()) {
+            return;
+        }
+        const auto *reason = response.status == 404 ? "no such path or method" : response.status == 413 ? "the body is too long" : "malformed request";
+        response.set_content(std::string(R"({"result":"not_run","reason":")") + reason + "\"}", "application/json");
+    });
+    server.set_exception_handler([](const httplib::Request &, httplib::Response &response, const std::exception_ptr &) {
+        response.status = 500;
+        response.set_content(R"({"result":"outcome_unknown","reason":"internal error"})", "application/json");
+    });
+}
+
+HttpListener::~HttpListener()
+{
+    stop();
+}
+
+auto HttpListener::route(const std::string &method, const std::string &pattern, Handler handler) -> void
+{
+    auto call = [impl = m_impl.get(), handler = std::move(handler)](const httplib::Request &request, httplib::Response &response) {
+        impl->write(handler(toRequest(request)), response);
+    };
+    if (method == "GET") {
+        m_impl->server.Get(pattern, std::move(call));
+    } else if (method == "POST") {
+        m_impl->server.Post(pattern, std::move(call));
+    } else if (method == "PUT") {
+        m_impl->server.Put(pattern, std::move(call));
+    } else if (method == "DELETE") {
+        m_impl->server.Delete(pattern, std::move(call));
+    }
+}
+
+auto HttpListener::start() -> Result<int>
+{
+    auto parts = splitAddress(m_impl->options.address);
+    if (!parts) {
+        return parts.error();
+    }
+    const auto [host, wanted] = parts.value();
+    auto port = wanted;
+    if (wanted == 0) {
+        port = m_impl->server.bind_to_any_port(host);
+    } else if (!m_impl->server.bind_to_port(host, wanted)) {
+        port = -1;
+    }
+    if (port <= 0) {
+        return failure(ErrorCode::Unavailable, "cannot listen on " + m_impl->options.address);
+    }
+    m_impl->server.widenBacklog();
+    m_impl->thread = std::thread([impl = m_impl.get()] { impl->server.listen_after_bind(); });
+    // A stop before the accept loop runs would be lost.
+    while (!m_impl->server.is_running()) {
+        std::this_thread::sleep_for(Millis{1});
+    }
+    return port;
+}
+
+auto HttpListener::closeAfterResponse() -> void
+{
+    m_impl->closing = true;
+}
+
+auto HttpListener::stop() -> void
+{
+    if (m_impl->thread.joinable()) {
+        m_impl->server.stop();
+        m_impl->thread.join();
+    }
+}
+
+auto HttpListener::overflowed() const -> std::uint64_t
+{
+    return m_impl->overflowed;
+}
+
+}
--- /dev/null
+++ b/packages/daemon/httplistener.h
@@ -0,0 +1,90 @@
+#pragma once
+
+/// An HTTP listener with bounded threads, bodies and waiting connections.
+///
+/// @code
+///   auto listener = Catkin::HttpListener{{.address = "127.0.0.1:0", .threads = 64}};
+///   listener.route("GET", "/healthz", [](const Catkin::HttpRequest &) { return Catkin::HttpResponse{.body = "ok\n", .contentType = "text/plain"}; });
+///   auto port = listener.start();
+///   listener.stop();                       // finishes the requests that have arrived
+/// @endcode
+
+#include "util/outcome.h"
+#include "util/units.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Catkin
+{
+
+struct HttpListenerOptions
+{
+    std::string address; ///< "ip:port"; port 0 lets the operating system choose
+    int threads = 16; ///< one serves one open connection
+    int backlog = 64; ///< connections that wait for a thread; further ones are answered with 503
+    std::size_t maxBody = std::size_t{1} << 20U;
+    Millis keepAlive{5'000}; ///< an idle connection is closed after this time
+    Millis readTimeout{5'000}; ///< between two pieces of a request
+};
+
+struct HttpRequest
+{
+    std::string method;
+    std::string path;
+    std::vector<std::string> matches; ///< groups of the route's pattern
+    std::multimap<std::string, std::string> params; ///< query and form fields
+    std::map<std::string, std::string> headers; ///< names in lower case
+    std::string body;
+
+    /// @return the header, or an empty text.
+    [[nodiscard]] auto header(const std::string &name) const -> std::string;
+    /// @return the first parameter of this name, or an empty text.
+    [[nodiscard]] auto param(const std::string &name) const -> std::string;
+};
+
+struct HttpResponse
+{
+    int status = 200;
+    std::string body;
+    std::string contentType = "application/json";
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+
+class HttpListener
+{
+public:
+    using Handler = std::function<HttpResponse(const HttpRequest &)>;
+
+    explicit HttpListener(const HttpListenerOptions &options);
+    ~HttpListener();
+    HttpListener(const HttpListener &) = delete;
+    auto operator=(const HttpListener &) -> HttpListener & = delete;
+
+    /// Adds a route; only before start().
+    /// @param pattern regular expression that matches the whole path
+    auto route(const std::string &method, const std::string &pattern, Handler handler) -> void;
+
+    /// Listens in a thread of its own.
+    /// @return the port; ErrorCode::InvalidInput for a malformed address, ErrorCode::Unavailable when it cannot be bound.
+    auto start() -> Result<int>;
+
+    /// From now on every response closes its connection.
+    auto closeAfterResponse() -> void;
+
+    /// Accepts no more connections and waits for the ones that are open.
+    auto stop() -> void;
+
+    /// @return connections answered with 503 because every thread and waiting place was taken.
+    [[nodiscard]] auto overflowed() const -> std::uint64_t;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+}
--- a/packages/policy/gangs.cpp
+++ b/packages/policy/gangs.cpp
@@ -46,7 +46,7 @@
         gang.members.push_back({
             .worker = spec.members[i].worker,
             .slots = spec.members[i].slots,
-            .lease = leaseId(spec.job, spec.attempt, static_cast<int>(i)),
+            .lease = leaseId(spec.job, spec.attempt, spec.indexes.empty() ? static_cast<int>(i) : spec.indexes[i]),
             .mayHoldUntil = now,
         });
         auto &jobs = m_jobsOnWorker[spec.members[i].worker];
@@ -188,8 +188,14 @@
     observe(reply.value().status, now);
 }
 
+auto GangTable::pollStarted(const WorkerId &worker) -> void
+{
+    m_links[worker].busy = true;
+}
+
 auto GangTable::statusDone(const WorkerId &worker, const Result<WorkerStatus> &status, MonoTime now) -> void
 {
+    m_links[worker].busy = false;
     if (!status) {
         noteFailure(worker, now);
         return;
--- a/packages/policy/gangs.h
+++ b/packages/policy/gangs.h
@@ -52,6 +52,7 @@
     JobId job;
     int attempt = 1;
     std::vector<GangMember> members;
+    std::vector<int> indexes{}; ///< member numbers, when an adopted gang is incomplete; empty: 0, 1, 2 …
     bool needsAttemptRecord = false; ///< an at-most-once job starts only after its attempt has won in the log
     bool checkpointable = false;
     std::string payload;
@@ -116,7 +117,10 @@
     /// Reports a batch that tick() returned. A failed exchange counts towards the worker being unreachable.
     auto ordersDone(const WorkerId &worker, const std::vector<WorkerOrder> &orders, const Result<OrdersReply> &reply, MonoTime now) -> void;
 
-    /// Reports a status poll, made while no batch of this worker is under way.
+    /// Announces a status poll, so that no batch is sent to the worker until statusDone().
+    auto pollStarted(const WorkerId &worker) -> void;
+
+    /// Reports the status poll announced by pollStarted().
     auto statusDone(const WorkerId &worker, const Result<WorkerStatus> &status, MonoTime now) -> void;
 
     /// Advances every gang.
--- a/packages/ports/executorport.h
+++ b/packages/ports/executorport.h
@@ -4,7 +4,7 @@
 ///
 /// @code
 ///   auto answer = executors.execute("127.0.0.1:9000", call);
-///   if (!answer && answer.error().code == Catkin::ErrorCode::NotSent) { ... }   // certainly did not run
+///   if (!answer && Catkin::certainlyNotRun(answer.error())) { ... }
 /// @endcode
 
 #include "util/ids.h"
@@ -34,6 +34,12 @@
     Millis cost; ///< executor time as reported by the executor; zero when it did not say
 };
 
+/// @return whether @p error of ExecutorPort::execute proves that the request did not and will not run.
+inline auto certainlyNotRun(const Error &error) -> bool
+{
+    return error.code == ErrorCode::NotSent || error.code == ErrorCode::Limit;
+}
+
 struct ExecutorHealth
 {
     int slots = 0;
@@ -46,8 +52,9 @@
 /// Functions to reach an executor by "ip:port"; each blocks up to its deadline and may be called from any thread.
 struct ExecutorPort
 {
-    /// @return the answer; ErrorCode::NotSent when the request certainly did not and will not run (no connection,
-    /// or the executor refused it before any work); ErrorCode::Unknown, Timeout or Protocol when it may have run.
+    /// @return the answer; ErrorCode::NotSent when no connection could be made and ErrorCode::Limit when the executor
+    /// refused the request before any work: in both cases it certainly did not and will not run; ErrorCode::Unknown,
+    /// Timeout or Protocol when it may have run.
     std::function<Result<ExecutorAnswer>(const std::string &address, const ExecutorCall &call)> execute;
 
     /// @return the executor's load; ErrorCode::Unavailable when it did not answer in time.
--- a/packages/ports/httpexecutor.cpp
+++ b/packages/ports/httpexecutor.cpp
@@ -57,10 +57,12 @@
         .maxBody = options.maxAnswerBytes,
     });
     if (!reply) {
-        return reply.error();
+        // A refused length is found after the executor has worked, unlike a refusal by the executor itself.
+        const auto tooLong = reply.error().code == ErrorCode::Limit;
+        return tooLong ? failure(ErrorCode::Protocol, reply.error().message) : reply.error();
     }
     if (reply.value().status == 503 && header(reply.value(), "x-not-run") == "true") {
-        return failure(ErrorCode::NotSent, "the executor refused the request before any work");
+        return failure(ErrorCode::Limit, "the executor refused the request before any work");
     }
     if (reply.value().status != 200) {
         return failure(ErrorCode::Unknown, "the executor answered with status " + std::to_string(reply.value().status));
--- a/packages/ports/httpinstancelist.cpp
+++ b/packages/ports/httpinstancelist.cpp
@@ -12,6 +12,9 @@
 
 using nlohmann::json;
 
+/// For platforms that do not list the number of slots.
+constexpr auto defaultWorkerSlots = 8;
+
 auto decodeRole(const std::string &text, InstanceRole &role) -> bool
 {
     if (text == "entry") {
@@ -41,6 +44,7 @@
             entry.domain = FailureDomainId{it.at("domain").get<std::string>()};
             entry.region = RegionId{it.at("region").get<std::string>()};
             entry.rack = RackId{it.value("rack", std::string{})};
+            entry.slots = it.value("slots", entry.role == InstanceRole::Worker ? defaultWorkerSlots : 0);
             entry.address = it.at("address").get<std::string>();
             entry.peerAddress = it.value("peer_address", std::string{});
             entry.leaving = it.at("state").get<std::string>() == "leaving";
--- a/packages/ports/instancelistport.h
+++ b/packages/ports/instancelistport.h
@@ -26,6 +26,7 @@
     FailureDomainId domain;
     RegionId region;
     RackId rack; ///< empty for instances outside racks
+    int slots = 0; ///< workers only
     std::string address; ///< "ip:port" of the HTTP interface
     std::string peerAddress; ///< "ip:port" for peers; entry instances only
     bool leaving = false;
