Check the HTTP adapters against faulty peers and correct them

- A total deadline held for the body only: a peer that trickled its header, or never took the request, held the caller for as long as it liked, and a header without end filled the memory.
The exchange now runs over a stream with one deadline and one size limit.
A thread that stops the client from outside was ruled out: it needs a thread for each exchange.
- The connection time came on top of the deadline.
- A closed connection was reported as a timeout.
- Invalid UTF-8 was stored as replacement characters; it is refused now.
- An executor's answer without Content-Length, a worker's results for other orders, and numbers out of range were accepted.
- The port 0 and an IPv6 address without brackets were accepted.
- A state of an instance other than "live" and "leaving" counted as live.

--- a/packages/ports/httpclient.cpp
+++ b/packages/ports/httpclient.cpp
@@ -1,12 +1,15 @@
 #include "ports/httpclient.h"
 
+#include "ports/deadlinestream.h"
+
 #include <arpa/inet.h>
-#include <httplib.h>
 
 #include <algorithm>
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <chrono>
+#include <functional>
 
 namespace Catkin
 {
@@ -16,27 +19,65 @@
 
 constexpr auto maxPort = 65535;
 
-auto isIpAddress(const std::string &text) -> bool
+/// Bytes of a reply beside its body: header, and the framing of chunks.
+constexpr auto maxOverhead = std::size_t{64} << 10U;
+
+auto isAddress(int family, const std::string &text) -> bool
 {
     auto buf = std::array<unsigned char, sizeof(in6_addr)>{};
-    return inet_pton(AF_INET, text.c_str(), buf.data()) == 1 || inet_pton(AF_INET6, text.c_str(), buf.data()) == 1;
+    return inet_pton(family, text.c_str(), buf.data()) == 1;
 }
 
-auto toError(httplib::Error error, bool tooLong) -> Error
+/// Client whose exchange as a whole keeps one deadline and one size limit.
+class DeadlineClient : public httplib::ClientImpl
+{
+public:
+    DeadlineClient(const std::string &host, int port, std::chrono::steady_clock::time_point deadline, std::size_t maxBytes)
+        : httplib::ClientImpl(host, port)
+        , m_deadline(deadline)
+        , m_maxBytes(maxBytes)
+    {
+    }
+
+    [[nodiscard]] auto timedOut() const -> bool
+    {
+        return m_timedOut;
+    }
+
+    [[nodiscard]] auto tooLong() const -> bool
+    {
+        return m_tooLong;
+    }
+
+private:
+    auto process_socket(const Socket &socket, std::function<bool(httplib::Stream &)> callback) -> bool override
+    {
+        auto stream = DeadlineStream{socket.sock, m_deadline, m_maxBytes};
+        const auto ok = callback(stream);
+        m_timedOut = stream.timedOut();
+        m_tooLong = stream.tooLong();
+        return ok;
+    }
+
+    std::chrono::steady_clock::time_point m_deadline;
+    std::size_t m_maxBytes;
+    bool m_timedOut = false;
+    bool m_tooLong = false;
+};
+
+auto toError(httplib::Error error, bool tooLong, bool timedOut) -> Error
 {
     const auto text = httplib::to_string(error);
-    switch (error) {
-    case httplib::Error::Connection:
-    case httplib::Error::BindIPAddress:
-    case httplib::Error::ConnectionTimeout:
+    if (error == httplib::Error::Connection || error == httplib::Error::BindIPAddress || error == httplib::Error::ConnectionTimeout) {
         return failure(ErrorCode::NotSent, "no connection: " + text);
-    case httplib::Error::Canceled:
-        return tooLong ? failure(ErrorCode::Limit, "the answer is longer than accepted") : failure(ErrorCode::Timeout, "no complete answer in time");
-    case httplib::Error::Read:
-        return failure(ErrorCode::Timeout, "no complete answer in time: " + text);
-    default:
-        return failure(ErrorCode::Unknown, "the exchange broke off: " + text);
     }
+    if (tooLong) {
+        return failure(ErrorCode::Limit, "the answer is longer than accepted");
+    }
+    if (timedOut) {
+        return failure(ErrorCode::Timeout, "no complete answer in time");
+    }
+    return failure(ErrorCode::Unknown, "the exchange broke off: " + text);
 }
 
 auto lowerCase(std::string text) -> std::string
@@ -54,31 +95,41 @@
         return failure(ErrorCode::InvalidInput, "address '" + address + "' is not of the form ip:port");
     }
     auto host = address.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    const auto bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (bracketed) {
         host = host.substr(1, host.size() - 2);
     }
     auto port = 0;
     const auto *const end = address.data() + address.size();
     const auto [ptr, ec] = std::from_chars(address.data() + colon + 1, end, port);
-    if (ec != std::errc{} || ptr != end || port < 0 || port > maxPort) {
+    if (ec != std::errc{} || ptr != end || port < 1 || port > maxPort) {
         return failure(ErrorCode::InvalidInput, "address '" + address + "' has no valid port");
     }
-    if (!isIpAddress(host)) {
+    if (!isAddress(bracketed ? AF_INET6 : AF_INET, host)) {
         return failure(ErrorCode::InvalidInput, "address '" + address + "' does not start with an IP number");
     }
     return std::make_pair(host, port);
 }
 
+auto hadNoEffect(const Error &error) -> bool
+{
+    return error.code == ErrorCode::NotSent || error.code == ErrorCode::InvalidInput;
+}
+
 auto httpExchange(const HttpCall &call) -> Result<HttpReply>
 {
     auto parts = splitAddress(call.address);
     if (!parts) {
         return parts.error();
     }
-    auto client = httplib::Client(parts.value().first, parts.value().second);
-    client.set_connection_timeout(call.connectTimeout);
-    client.set_read_timeout(call.timeout);
-    client.set_write_timeout(call.timeout);
+    if (call.timeout.count() <= 0) {
+        return failure(ErrorCode::NotSent, "no time left for the exchange");
+    }
+    const auto deadline = std::chrono::steady_clock::now() + call.timeout;
+    auto client = DeadlineClient{parts.value().first, parts.value().second, deadline, call.maxBody + maxOverhead};
+    client.set_connection_timeout(std::clamp(call.connectTimeout, Millis{1}, call.timeout));
+    // Digests and lengths count for the bytes as sent, and a compressed body could be of any length.
+    client.set_decompress(false);
     client.set_tcp_nodelay(true);
 
     auto request = httplib::Request{};
@@ -92,26 +143,24 @@
         request.set_header(name, value);
     }
 
-    // The read timeout restarts with every byte, so a peer that trickles its answer is cut off by this total deadline.
-    const auto deadline = std::chrono::steady_clock::now() + call.connectTimeout + call.timeout;
     auto reply = HttpReply{};
     auto tooLong = false;
     request.content_receiver = [&](const char *data, size_t n, uint64_t, uint64_t) {
         tooLong = reply.body.size() + n > call.maxBody;
-        if (tooLong || std::chrono::steady_clock::now() > deadline) {
-            return false;
+        if (!tooLong) {
+            reply.body.append(data, n);
         }
-        reply.body.append(data, n);
-        return true;
+        return !tooLong;
     };
 
     auto result = client.send(request);
     if (!result) {
-        return toError(result.error(), tooLong);
+        return toError(result.error(), tooLong || client.tooLong(), client.timedOut());
     }
     reply.status = result->status;
     for (const auto &[name, value] : result->headers) {
-        reply.headers[lowerCase(name)] = value;
+        auto &known = reply.headers[lowerCase(name)];
+        known += known.empty() ? value : ", " + value;
     }
     return reply;
 }
--- a/packages/ports/httpclient.h
+++ b/packages/ports/httpclient.h
@@ -28,25 +28,29 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
     std::string contentType = "application/json";
-    Millis connectTimeout{500};
-    Millis timeout{2000}; ///< for the whole answer after the connection stands
+    Millis connectTimeout{500}; ///< for the connection alone, within @c timeout
+    Millis timeout{2000}; ///< for the whole exchange, however slowly the peer sends or receives
     std::size_t maxBody = std::size_t{4} << 20U; ///< longest answer accepted, in bytes
 };
 
 struct HttpReply
 {
     int status = 0;
-    std::map<std::string, std::string> headers; ///< names in lower case
+    std::map<std::string, std::string> headers; ///< names in lower case; the values of a repeated header are joined by ", "
     std::string body;
 };
 
-/// @return the reply whatever its status; ErrorCode::NotSent when no connection could be made,
-/// ErrorCode::InvalidInput for a malformed address, ErrorCode::Limit for an answer above maxBody,
-/// ErrorCode::Timeout or Unknown when the exchange broke off later.
+/// @return the whole reply whatever its status; redirects are not followed and bodies not decompressed. Without an effect:
+/// ErrorCode::NotSent when there was no time or no connection could be made, ErrorCode::InvalidInput for a malformed address.
+/// Possibly with one: ErrorCode::Limit for an answer above maxBody, ErrorCode::Timeout when the time ran out,
+/// ErrorCode::Unknown when the peer closed the connection early or broke HTTP.
 auto httpExchange(const HttpCall &call) -> Result<HttpReply>;
 
+/// @return whether a failed exchange certainly had no effect on the peer.
+auto hadNoEffect(const Error &error) -> bool;
+
 /// Splits "ip:port".
-/// @return the two parts; ErrorCode::InvalidInput unless the first is an IPv4 or bracketed IPv6 address and the second a port.
+/// @return the two parts; ErrorCode::InvalidInput unless the first is an IPv4 or bracketed IPv6 address and the second a port from 1.
 auto splitAddress(const std::string &address) -> Result<std::pair<std::string, int>>;
 
 }
--- a/packages/ports/httpexecutor.cpp
+++ b/packages/ports/httpexecutor.cpp
@@ -1,10 +1,12 @@
 #include "ports/httpexecutor.h"
 
 #include "ports/httpclient.h"
+#include "ports/jsonfields.h"
 #include "util/digest.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace Catkin
@@ -25,12 +27,15 @@
 {
     auto n = std::int64_t{0};
     std::from_chars(text.data(), text.data() + text.size(), n);
-    return Millis{n};
+    return Millis{std::max(n, std::int64_t{0})};
 }
 
 /// An answer counts only if it names this attempt and is complete: answers may be late, crossed or truncated.
 auto checkAnswer(const ExecutorCall &call, HttpReply &reply) -> Result<ExecutorAnswer>
 {
+    if (header(reply, "content-length") != std::to_string(reply.body.size())) {
+        return failure(ErrorCode::Protocol, "the answer does not state its length");
+    }
     if (header(reply, "x-request-id") != call.request.str()) {
         return failure(ErrorCode::Protocol, "the answer belongs to another request");
     }
@@ -57,7 +62,11 @@
         .maxBody = options.maxAnswerBytes,
     });
     if (!reply) {
-        return reply.error();
+        const auto &error = reply.error();
+        if (hadNoEffect(error)) {
+            return failure(ErrorCode::NotSent, error.message);
+        }
+        return error.code == ErrorCode::Limit ? failure(ErrorCode::Protocol, error.message) : error;
     }
     if (reply.value().status == 503 && header(reply.value(), "x-not-run") == "true") {
         return failure(ErrorCode::NotSent, "the executor refused the request before any work");
@@ -77,10 +86,10 @@
     const auto body = json::parse(reply.value().body, nullptr, false);
     try {
         return ExecutorHealth{
-            .slots = body.at("slots").get<int>(),
-            .busy = body.at("busy").get<int>(),
-            .connections = body.value("connections", 0),
-            .maxConnections = body.value("max_connections", 0),
+            .slots = intField<int>(body, "slots", 1),
+            .busy = intField<int>(body, "busy"),
+            .connections = body.contains("connections") ? intField<int>(body, "connections") : 0,
+            .maxConnections = body.contains("max_connections") ? intField<int>(body, "max_connections") : 0,
             .leaving = body.value("leaving", false),
         };
     } catch (const json::exception &e) {
--- a/packages/ports/httpinstancelist.cpp
+++ b/packages/ports/httpinstancelist.cpp
@@ -43,7 +43,8 @@
             entry.rack = RackId{it.value("rack", std::string{})};
             entry.address = it.at("address").get<std::string>();
             entry.peerAddress = it.value("peer_address", std::string{});
-            entry.leaving = it.at("state").get<std::string>() == "leaving";
+            // A state added by a later platform release gets no new work.
+            entry.leaving = it.at("state").get<std::string>() != "live";
             list.push_back(std::move(entry));
         }
         return list;
--- a/packages/ports/httpworker.cpp
+++ b/packages/ports/httpworker.cpp
@@ -1,6 +1,7 @@
 #include "ports/httpworker.h"
 
 #include "ports/httpclient.h"
+#include "ports/jsonfields.h"
 
 #include <nlohmann/json.hpp>
 
@@ -15,6 +16,7 @@
 
 using nlohmann::json;
 
+constexpr auto maxSlots = 32;
 constexpr auto opNames = std::array<const char *, 8>{"claim", "reserve", "start", "renew", "checkpoint", "throttle", "stop", "release"};
 constexpr auto stateNames = std::array<std::string_view, 4>{"reserved", "running", "checkpointing", "ended"};
 constexpr auto exitNames = std::array<std::string_view, 5>{"", "ok", "failed", "stopped", "lapsed"};
@@ -61,7 +63,7 @@
 
 auto decodeGeneration(const json &in) -> Generation
 {
-    return {.counter = in.at("counter").get<std::int64_t>(), .holder = in.at("holder").get<std::string>()};
+    return {.counter = intField(in, "counter"), .holder = in.at("holder").get<std::string>()};
 }
 
 auto decodeLease(const json &in) -> WorkerLease
@@ -69,11 +71,11 @@
     auto lease = WorkerLease{
         .lease = LeaseId{in.at("lease").get<std::string>()},
         .job = JobId{in.at("job").get<std::string>()},
-        .attempt = in.at("attempt").get<int>(),
-        .member = in.at("member").get<int>(),
+        .attempt = intField<int>(in, "attempt"),
+        .member = intField<int>(in, "member"),
         .holder = in.value("holder", std::string{}),
         .slots = in.at("slots").get<std::vector<int>>(),
-        .remaining = Millis{in.at("remaining_ms").get<std::int64_t>()},
+        .remaining = Millis{intField(in, "remaining_ms")},
         .started = in.at("started").get<bool>(),
     };
     if (!fromName(stateNames, in.at("state").get<std::string>(), lease.state)) {
@@ -96,7 +98,7 @@
         .boot = in.at("boot").get<std::string>(),
         .rack = RackId{in.at("rack").get<std::string>()},
         .domain = FailureDomainId{in.at("domain").get<std::string>()},
-        .slots = in.at("slots").get<int>(),
+        .slots = intField<int>(in, "slots", 1, maxSlots),
         .leaving = in.value("leaving", false),
         .generation = decodeGeneration(in.at("generation")),
         .leases = {},
@@ -108,8 +110,8 @@
     for (const auto &it : in.value("usage", json::array())) {
         status.usage.push_back({
             .lease = LeaseId{it.at("lease").get<std::string>()},
-            .busyPercent = it.at("busy_percent").get<int>(),
-            .age = Millis{it.at("age_ms").get<std::int64_t>()},
+            .busyPercent = intField<int>(it, "busy_percent"),
+            .age = Millis{intField(it, "age_ms")},
         });
     }
     return status;
@@ -131,17 +133,28 @@
     }
 }
 
-auto decodeReply(const std::string &text, std::size_t expected) -> Result<OrdersReply>
+/// @return whether a result names the order; a worker that mixes up answers must not confirm a start.
+auto isResultOf(const json &result, const WorkerOrder &order) -> bool
+{
+    const auto op = result.at("op").get<std::string>();
+    return op == opNames[static_cast<std::size_t>(order.op)] && (order.op == OrderOp::Claim || result.at("lease").get<std::string>() == order.lease.str());
+}
+
+auto decodeReply(const std::string &text, const std::vector<WorkerOrder> &orders) -> Result<OrdersReply>
 {
     try {
         const auto body = json::parse(text);
         auto out = OrdersReply{.results = {}, .status = decodeStatus(body.at("status"))};
-        for (const auto &it : body.at("results")) {
-            out.results.push_back({.ok = it.at("ok").get<bool>(), .error = it.value("error", std::string{})});
-        }
-        if (out.results.size() != expected) {
+        const auto &results = body.at("results");
+        if (!results.is_array() || results.size() != orders.size()) {
             return failure(ErrorCode::Unknown, "worker orders: the answer has another number of results than orders were sent");
         }
+        for (auto i = std::size_t{0}; i < orders.size(); ++i) {
+            if (!isResultOf(results[i], orders[i])) {
+                return failure(ErrorCode::Unknown, "worker orders: a result belongs to another order");
+            }
+            out.results.push_back({.ok = results[i].at("ok").get<bool>(), .error = results[i].value("error", std::string{})});
+        }
         return out;
     } catch (const json::exception &e) {
         return failure(ErrorCode::Unknown, std::string("worker orders: ") + e.what());
@@ -154,17 +167,22 @@
     for (const auto &it : orders) {
         body["orders"].push_back(encodeOrder(it));
     }
+    auto text = std::string{};
+    try {
+        text = body.dump();
+    } catch (const json::type_error &e) {
+        return failure(ErrorCode::InvalidInput, std::string("worker orders: an order is not UTF-8: ") + e.what());
+    }
     auto reply = httpExchange({
         .address = address,
         .method = "POST",
         .path = "/v1/orders",
-        .body = body.dump(-1, ' ', false, json::error_handler_t::replace),
+        .body = std::move(text),
         .connectTimeout = timeout,
         .timeout = timeout,
     });
     if (!reply) {
-        const auto notSent = reply.error().code == ErrorCode::NotSent;
-        return failure(notSent ? ErrorCode::NotSent : ErrorCode::Unknown, "worker orders: " + reply.error().message);
+        return failure(hadNoEffect(reply.error()) ? ErrorCode::NotSent : ErrorCode::Unknown, "worker orders: " + reply.error().message);
     }
     if (reply.value().status == 409) {
         return failure(ErrorCode::StaleGeneration, "worker orders: a newer planner owns the worker: " + reply.value().body);
@@ -172,7 +190,7 @@
     if (reply.value().status != 200) {
         return failure(ErrorCode::Unknown, "worker orders: status " + std::to_string(reply.value().status));
     }
-    return decodeReply(reply.value().body, orders.size());
+    return decodeReply(reply.value().body, orders);
 }
 
 }
--- a/packages/ports/instancelistport.h
+++ b/packages/ports/instancelistport.h
@@ -28,12 +28,14 @@
     RackId rack; ///< empty for instances outside racks
     std::string address; ///< "ip:port" of the HTTP interface
     std::string peerAddress; ///< "ip:port" for peers; entry instances only
-    bool leaving = false;
+    bool leaving = false; ///< true for any state but "live"
 };
 
 /// Function to reach the list; may block up to its timeout and may be called from any thread.
 struct InstanceListPort
 {
+    /// @return the list, without roles that this release does not know; ErrorCode::Unavailable without a complete answer,
+    /// ErrorCode::Protocol when a line of it is malformed.
     std::function<Result<std::vector<ListedInstance>>()> fetch;
 };
 
--- a/packages/ports/logport.h
+++ b/packages/ports/logport.h
@@ -38,10 +38,12 @@
 {
     /// Appends records in one atomic group.
     /// @return the offset of the first; ErrorCode::NotSent when the log certainly holds none of them,
-    /// ErrorCode::Unknown when it may hold all of them.
+    /// ErrorCode::InvalidInput likewise because a record is not UTF-8, ErrorCode::Unknown when it may hold all of them.
     std::function<Result<LogOffset>(const std::string &stream, const std::vector<std::string> &records)> append;
 
     /// Reads from an offset, waiting up to @c wait for a record to appear.
+    /// @return the records from the offset on, or from the first retained one when that is higher, at most @c limit;
+    /// ErrorCode::Unavailable without a complete answer, ErrorCode::Protocol when the answer is not such a page.
     std::function<Result<LogPage>(const std::string &stream, LogOffset from, int limit, Millis wait)> read;
 };
 
--- a/packages/ports/workerport.h
+++ b/packages/ports/workerport.h
@@ -98,11 +98,13 @@
 /// Functions to reach a worker by "ip:port"; each blocks up to its timeout and may be called from any thread.
 struct WorkerPort
 {
+    /// @return the worker's status; ErrorCode::Unavailable without a complete answer, ErrorCode::Protocol for a malformed one.
     std::function<Result<WorkerStatus>(const std::string &address, Millis timeout)> status;
 
     /// Orders are idempotent by lease and operation, so they may be sent again after a lost answer.
     /// @return the result of each order; ErrorCode::StaleGeneration when a newer planner owns the worker;
-    /// ErrorCode::NotSent or Unknown when the answer did not arrive.
+    /// ErrorCode::NotSent when the orders certainly had no effect, ErrorCode::InvalidInput likewise because one is not UTF-8,
+    /// ErrorCode::Unknown when no answer arrived that belongs to them.
     std::function<Result<OrdersReply>(const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis timeout)> orders;
 };
 
--- a/testing/harness/childprocess.cpp
+++ b/testing/harness/childprocess.cpp
@@ -17,8 +17,6 @@
 #include <cstring>
 #include <string_view>
 
-extern char **environ;
-
 namespace Catkin
 {
 
--- a/testing/standins/faultserver.cpp
+++ b/testing/standins/faultserver.cpp
@@ -231,6 +231,7 @@
     }
     if (isOn(faults, "refuse")) {
         m_refuse(req, res);
+        res.status = isOn(faults, "status") ? faults["status"].get<int>() : res.status;
         return;
     }
     handler(req, res);
