--- a/testing/standins/simulatedworker.cpp
+++ b/testing/standins/simulatedworker.cpp
@@ -77,6 +77,10 @@
                       {"slots", lease.slots},
                       {"holder", lease.holder},
                       {"time_ms", static_cast<std::int64_t>(std::llround(atMs))}};
+    const auto fields = json::parse(lease.payload, nullptr, false);
+    if (fields.is_object() && fields.contains("key")) {
+        entry["key"] = fields["key"];
+    }
     if (lease.ended) {
         entry["exit"] = lease.exit;
         entry["started"] = lease.started;
