--- a/packages/ports/httpexecutor.cpp
+++ b/packages/ports/httpexecutor.cpp
@@ -36,6 +36,9 @@
     if (header(reply, "content-length") != std::to_string(reply.body.size())) {
         return failure(ErrorCode::Protocol, "the answer does not state its length");
     }
+    if (!header(reply, "content-encoding").empty()) {
+        return failure(ErrorCode::Protocol, "the answer is encoded");
+    }
     if (header(reply, "x-request-id") != call.request.str()) {
         return failure(ErrorCode::Protocol, "the answer belongs to another request");
     }
--- a/packages/ports/testing/httpexecutor_test.cpp
+++ b/packages/ports/testing/httpexecutor_test.cpp
@@ -105,6 +105,7 @@
     };
     for (const auto &it : std::vector<Case>{
              {head + "Content-Length: 2\r\n\r\nok", std::nullopt},
+             {head + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok", ErrorCode::Protocol},
              {head + "\r\nok", ErrorCode::Protocol},
              {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", ErrorCode::Protocol},
              {head + "X-Request-Id: b\r\nContent-Length: 2\r\n\r\nok", ErrorCode::Protocol},
--- a/testing/standins/faultserver.h
+++ b/testing/standins/faultserver.h
@@ -9,7 +9,7 @@
 ///   return server.run({.port = 0});
 /// @endcode
 ///
-/// `POST /control` takes a JSON object; docs/interfaces.md lists the switches. `GET /control/history` returns the
+/// `POST /control` takes a JSON object; docs/standins.md lists the switches. `GET /control/history` returns the
 /// recorded events. Faults apply to service routes only, so a faulty stand-in can always be repaired.
 
 #include <httplib.h>
