--- a/packages/ports/httpinstancelist.cpp
+++ b/packages/ports/httpinstancelist.cpp
@@ -47,7 +47,8 @@
             entry.slots = it.value("slots", entry.role == InstanceRole::Worker ? defaultWorkerSlots : 0);
             entry.address = it.at("address").get<std::string>();
             entry.peerAddress = it.value("peer_address", std::string{});
-            entry.leaving = it.at("state").get<std::string>() == "leaving";
+            // A state added by a later platform release gets no new work.
+            entry.leaving = it.at("state").get<std::string>() != "live";
             list.push_back(std::move(entry));
         }
         return list;
