--- /dev/null
+++ b/testing/system/deployment.cpp
@@ -0,0 +1,357 @@
+#include "system/deployment.h"
+
+#include "harness/poll.h"
+#include "history/reader.h"
+#include "util/digest.h"
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace Catkin
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr auto callerToken = "caller-token-of-the-test";
+constexpr auto operatorToken = "operator-token-of-the-test";
+constexpr auto peerKey = "0123456789abcdef0123456789abcdef";
+constexpr auto startTimeout = Millis{20'000};
+
+template<typename T>
+auto take(Result<T> result, const std::string &what) -> T
+{
+    if (!result) {
+        throw std::runtime_error(what + ": " + result.error().message);
+    }
+    return std::move(result).value();
+}
+
+auto toResult(const std::string &name) -> CallResult
+{
+    if (name == "answer") {
+        return CallResult::Answer;
+    }
+    return name == "not_run" ? CallResult::NotRun : CallResult::OutcomeUnknown;
+}
+
+auto exchange(const std::string &address, const std::string &token, const std::string &method, const std::string &path, const std::string &body, Millis timeout)
+    -> Result<HttpReply>
+{
+    return httpExchange(
+        {.address = address, .method = method, .path = path, .headers = {{"Authorization", std::string("Bearer ") + token}}, .body = body, .timeout = timeout});
+}
+
+}
+
+auto barilocheShape() -> DeploymentShape
+{
+    return {
+        .domains
+        = {{.name = "cerro-catedral", .region = "patagonia-norte"}, {.name = "las-lenas", .region = "cuyo", .entries = 1, .executors = 1, .workers = 2}},
+        .workspace = "patrulla",
+    };
+}
+
+auto revisionesShape() -> DeploymentShape
+{
+    return {
+        .domains = {{.name = "oviedo", .region = "cantabrico"}, {.name = "burgos", .region = "meseta", .entries = 1, .executors = 1, .workers = 2}},
+        .workspace = "centralita",
+    };
+}
+
+Deployment::Deployment(DeploymentShape shape)
+    : m_shape(std::move(shape))
+    , m_folder(std::filesystem::temp_directory_path() / ("catkinworks-test-" + randomHex(8)))
+{
+    std::filesystem::create_directories(m_folder);
+}
+
+Deployment::~Deployment()
+{
+    m_entries.clear();
+    m_executors.clear();
+    m_workers.clear();
+    m_platformRelay.reset();
+    m_platform.reset();
+    if (std::getenv("CATKIN_KEEP_LOGS") == nullptr) {
+        auto ec = std::error_code{};
+        std::filesystem::remove_all(m_folder, ec);
+    }
+}
+
+auto Deployment::start() -> void
+{
+    m_platform = take(startStandin("platform_standin", {"--threads", "128"}), "platform");
+    m_platformRelay = std::make_unique<Relay>(m_platform->port());
+    for (const auto &domain : m_shape.domains) {
+        for (auto i = 0; i < domain.executors; ++i) {
+            auto process = take(startStandin("executor_standin", {"--busy-ms", std::to_string(m_shape.executorBusyMs), "--threads", "72"}), "executor");
+            m_executors.push_back({.id = domain.name + "-ex-" + std::to_string(i), .domain = domain.name, .process = std::move(process)});
+        }
+        for (auto i = 0; i < domain.workers; ++i) {
+            const auto id = domain.name + "-w-" + std::to_string(i);
+            const auto rack = domain.name + "-r-" + std::to_string(i / domain.workersPerRack);
+            auto process
+                = take(startStandin("worker_standin", {"--id", id, "--rack", rack, "--domain", domain.name, "--slots", std::to_string(m_shape.slots)}), id);
+            m_workers.push_back({.id = id, .domain = domain.name, .process = std::move(process)});
+            m_racks.emplace_back(id, rack);
+        }
+        for (auto i = 0; i < domain.entries; ++i) {
+            m_entries.push_back({.id = domain.name + "-e-" + std::to_string(i), .domain = domain.name, .region = domain.region, .process = nullptr});
+        }
+    }
+    registerAll();
+    for (auto i = std::size_t{0}; i < m_entries.size(); ++i) {
+        startEntry(i);
+    }
+    const auto body = json{{"base", 0}, {"document", document()}}.dump();
+    const auto applied = eventually([&] {
+        const auto reply = operate(0, "PUT", "/v1/config", body);
+        return reply && (reply.value().status == 200 || reply.value().status == 409);
+    });
+    if (!applied) {
+        throw std::runtime_error("the configuration was not accepted");
+    }
+    for (auto i = std::size_t{0}; i < m_entries.size(); ++i) {
+        if (!waitReady(i)) {
+            throw std::runtime_error(m_entries[i].id + " did not become ready");
+        }
+    }
+    // A request that is answered shows that the executors have been polled.
+    if (!eventually([&] { return request(0, {.kind = "plan", .payload = R"({"key":"probe"})"}).result == CallResult::Answer; })) {
+        throw std::runtime_error("no request was answered");
+    }
+}
+
+auto Deployment::registerAll() -> void
+{
+    auto list = json::array();
+    const auto regionOf = [&](const std::string &domain) {
+        for (const auto &it : m_shape.domains) {
+            if (it.name == domain) {
+                return it.region;
+            }
+        }
+        return std::string{};
+    };
+    for (const auto &it : m_executors) {
+        list.push_back({{"id", it.id},
+                        {"role", "executor"},
+                        {"domain", it.domain},
+                        {"region", regionOf(it.domain)},
+                        {"address", it.process->address()},
+                        {"state", "live"}});
+    }
+    for (auto i = std::size_t{0}; i < m_workers.size(); ++i) {
+        const auto &it = m_workers[i];
+        list.push_back({{"id", it.id},
+                        {"role", "worker"},
+                        {"domain", it.domain},
+                        {"region", regionOf(it.domain)},
+                        {"rack", m_racks[i].second},
+                        {"slots", m_shape.slots},
+                        {"address", it.process->address()},
+                        {"state", "live"}});
+    }
+    for (const auto &it : m_entries) {
+        if (it.process) {
+            list.push_back({{"id", it.id},
+                            {"role", "entry"},
+                            {"domain", it.domain},
+                            {"region", it.region},
+                            {"address", it.callers},
+                            {"peer_address", it.peers},
+                            {"state", "live"}});
+        }
+    }
+    if (const auto done = control(*m_platform, json{{"register", list}}.dump()); !done) {
+        throw std::runtime_error("register: " + done.error().message);
+    }
+}
+
+auto Deployment::writeSettings(const EntryProcess &entry) -> std::string
+{
+    const auto path = m_folder + "/" + entry.id + ".toml";
+    auto out = std::ofstream{path};
+    out << "[instance]\nid = \"" << entry.id << "\"\ndomain = \"" << entry.domain << "\"\nregion = \"" << entry.region << "\"\n"
+        << "[listeners]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
+        << "[platform]\nlog = \"" << m_platformRelay->address() << "\"\ninstances = \"" << m_platformRelay->address() << "\"\ntimeout = \"1s\"\n"
+        << "[peers]\nkey = \"" << peerKey << "\"\n"
+        << "[operators]\ntoken_sha256 = \"" << sha256Hex(operatorToken) << "\"\n"
+        << "[leases]\n"
+        << m_shape.leases << "[drain]\nnotice = \"300ms\"\ntime = \"20s\"\n";
+    return path;
+}
+
+auto Deployment::startEntry(std::size_t index) -> void
+{
+    auto &entry = m_entries.at(index);
+    entry.errorFile = m_folder + "/" + entry.id + ".log";
+    entry.process = take(ChildProcess::start({binaryPath("catkinworksd"), "--settings", writeSettings(entry)}, entry.errorFile), entry.id);
+    const auto line = take(entry.process->readLine(startTimeout), entry.id);
+    auto callers = 0;
+    auto operators = 0;
+    auto peers = 0;
+    if (std::sscanf(line.c_str(), "listening callers=%d operators=%d peers=%d", &callers, &operators, &peers) != 3) {
+        throw std::runtime_error(entry.id + " printed: " + line);
+    }
+    entry.callers = "127.0.0.1:" + std::to_string(callers);
+    entry.operators = "127.0.0.1:" + std::to_string(operators);
+    entry.peers = "127.0.0.1:" + std::to_string(peers);
+    registerAll();
+}
+
+auto Deployment::waitReady(std::size_t index) -> bool
+{
+    return eventually([&] {
+        const auto reply = operate(index, "GET", "/readyz");
+        return reply && reply.value().status == 200;
+    });
+}
+
+auto Deployment::entry(std::size_t index) -> EntryProcess &
+{
+    return m_entries.at(index);
+}
+
+auto Deployment::entryCount() const -> std::size_t
+{
+    return m_entries.size();
+}
+
+auto Deployment::executor(std::size_t index) -> ServerProcess &
+{
+    return m_executors.at(index);
+}
+
+auto Deployment::executorCount() const -> std::size_t
+{
+    return m_executors.size();
+}
+
+auto Deployment::worker(std::size_t index) -> ServerProcess &
+{
+    return m_workers.at(index);
+}
+
+auto Deployment::workerCount() const -> std::size_t
+{
+    return m_workers.size();
+}
+
+auto Deployment::platform() -> ChildProcess &
+{
+    return *m_platform;
+}
+
+auto Deployment::platformRelay() -> Relay &
+{
+    return *m_platformRelay;
+}
+
+auto Deployment::document() const -> json
+{
+    const auto kind = [](const char *name, const char *mode, bool idempotent) {
+        auto out = json{{"name", name}, {"mode", mode}, {"idempotent", idempotent}, {"weight", 1}, {"urgency", "normal"}, {"max_payload_bytes", 65536}};
+        if (out["mode"] == "request") {
+            out["deadline_ms"] = 4000;
+            out["cross_region"] = false;
+        }
+        return out;
+    };
+    return {
+        {"format", 1},
+        {"workspaces",
+         json::array({{{"name", m_shape.workspace},
+                       {"weight", 10},
+                       {"tokens", json::array({sha256Hex(callerToken)})},
+                       {"urgent_share_percent", 50},
+                       {"guarantees", json::array({{{"domain", m_shape.domains.front().name}, {"slots", m_shape.slots}, {"count", 1}}})}}})},
+        {"services", json::array({{{"name", "service"}, {"workspace", m_shape.workspace}, {"kinds", {"plan", "book", "simulate", "mold"}}}})},
+        {"kinds", json::array({kind("plan", "request", true), kind("book", "request", false), kind("simulate", "job", true), kind("mold", "job", false)})},
+        {"objectives", json::array({{{"workspace", m_shape.workspace}, {"kind", "plan"}, {"latency_ms", 1000}, {"target_percent", 99.0}}})},
+        {"tolerate", {{"workers", 1}, {"racks", 0}}},
+        {"operators", json::array()},
+    };
+}
+
+auto Deployment::caller(std::size_t index, const std::string &method, const std::string &path, const std::string &body, Millis timeout) -> Result<HttpReply>
+{
+    return exchange(m_entries.at(index).callers, callerToken, method, path, body, timeout);
+}
+
+auto Deployment::operate(std::size_t index, const std::string &method, const std::string &path, const std::string &body) -> Result<HttpReply>
+{
+    return exchange(m_entries.at(index).operators, operatorToken, method, path, body, Millis{8'000});
+}
+
+auto Deployment::request(std::size_t index, const RequestParams &params) -> Call
+{
+    auto body = json{{"kind", params.kind}, {"caller", params.caller}, {"payload", params.payload}};
+    if (!params.key.empty()) {
+        body["key"] = params.key;
+    }
+    if (params.firstSentMs > 0) {
+        body["first_sent_ms"] = params.firstSentMs;
+    }
+    if (params.attempt > 0) {
+        body["attempt"] = params.attempt;
+    }
+    if (params.deadlineMs > 0) {
+        body["deadline_ms"] = params.deadlineMs;
+    }
+    auto call = Call{.key = params.key, .idempotent = params.kind == "plan", .payload = params.payload, .sentMs = historyNowMs()};
+    const auto reply = caller(index, "POST", "/v1/requests", body.dump(), Millis{8'000});
+    if (!reply) {
+        return call;
+    }
+    const auto answer = json::parse(reply.value().body, nullptr, false);
+    if (!answer.is_object() || !answer.contains("result")) {
+        return call;
+    }
+    call.result = toResult(answer["result"].get<std::string>());
+    call.answer = answer.value("answer", std::string{});
+    return call;
+}
+
+auto Deployment::submit(std::size_t index, const json &job) -> std::optional<std::string>
+{
+    const auto reply = caller(index, "POST", "/v1/jobs", job.dump(), Millis{8'000});
+    if (!reply || reply.value().status >= 300) {
+        return std::nullopt;
+    }
+    return json::parse(reply.value().body).at("job").get<std::string>();
+}
+
+auto Deployment::jobState(std::size_t index, const std::string &job) -> std::string
+{
+    const auto reply = caller(index, "GET", "/v1/jobs/" + job, {}, Millis{3'000});
+    if (!reply || reply.value().status != 200) {
+        return {};
+    }
+    return json::parse(reply.value().body).at("state").get<std::string>();
+}
+
+auto Deployment::collect(History &history) -> void
+{
+    for (const auto &it : m_executors) {
+        if (const auto text = fetchHistory(*it.process); text) {
+            readExecutor(it.id, text.value(), historyNowMs(), history);
+        }
+    }
+    for (const auto &it : m_workers) {
+        if (const auto text = fetchHistory(*it.process); text) {
+            readWorker(it.id, text.value(), historyNowMs(), history);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/testing/system/deployment.h
@@ -0,0 +1,137 @@
+#pragma once
+
+/// A deployment on this machine: the platform, backend servers and entry instances as separate processes.
+///
+/// @code
+///   auto site = Catkin::Deployment{Catkin::barilocheShape()};
+///   site.start();
+///   site.applyConfig(site.document());
+///   auto reply = site.call(0, {.kind = "plan", .payload = "{}"});
+///   site.entry(1).process->signal(SIGKILL);
+/// @endcode
+/// Every member function throws std::runtime_error when the deployment itself cannot be set up.
+
+#include "harness/childprocess.h"
+#include "harness/relay.h"
+#include "history/history.h"
+#include "ports/httpclient.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Catkin
+{
+
+struct DomainShape
+{
+    std::string name;
+    std::string region;
+    int entries = 2;
+    int executors = 2;
+    int workers = 4;
+    int workersPerRack = 4;
+};
+
+struct DeploymentShape
+{
+    std::vector<DomainShape> domains;
+    std::string workspace; ///< whose token the calls bear
+    int slots = 8;
+    int executorBusyMs = 20;
+    std::string leases = "probation = \"1500ms\"\nrun = \"6s\"\nrenew = \"1s\"\n"; ///< the settings' section [leases]
+};
+
+/// The shapes of the two deployments in docs/design.md, scaled down.
+auto barilocheShape() -> DeploymentShape;
+auto revisionesShape() -> DeploymentShape;
+
+struct EntryProcess
+{
+    std::string id;
+    std::string domain;
+    std::string region;
+    std::unique_ptr<ChildProcess> process;
+    std::string callers; ///< "ip:port"
+    std::string operators;
+    std::string peers;
+    std::string errorFile;
+};
+
+struct ServerProcess
+{
+    std::string id;
+    std::string domain;
+    std::unique_ptr<ChildProcess> process;
+};
+
+struct RequestParams
+{
+    std::string kind;
+    std::string key;
+    std::int64_t firstSentMs = 0;
+    int attempt = 0;
+    std::int64_t deadlineMs = 0;
+    std::string caller = "caller-1";
+    std::string payload;
+};
+
+class Deployment
+{
+public:
+    explicit Deployment(DeploymentShape shape);
+    ~Deployment();
+    Deployment(const Deployment &) = delete;
+    auto operator=(const Deployment &) -> Deployment & = delete;
+
+    /// Starts everything, applies document() and waits until every instance is ready.
+    auto start() -> void;
+
+    auto startEntry(std::size_t index) -> void;
+    auto waitReady(std::size_t index) -> bool;
+    auto entry(std::size_t index) -> EntryProcess &;
+    [[nodiscard]] auto entryCount() const -> std::size_t;
+    auto executor(std::size_t index) -> ServerProcess &;
+    [[nodiscard]] auto executorCount() const -> std::size_t;
+    auto worker(std::size_t index) -> ServerProcess &;
+    [[nodiscard]] auto workerCount() const -> std::size_t;
+    auto platform() -> ChildProcess &;
+    /// The way from the entry instances to the platform, for outages that leave the platform's own state alone.
+    auto platformRelay() -> Relay &;
+
+    /// @return a document with one workspace, kinds `plan`, `book`, `simulate` and `mold`, and a guarantee.
+    [[nodiscard]] auto document() const -> nlohmann::json;
+
+    /// Sends an HTTP call with the workspace's token to an entry instance.
+    auto caller(std::size_t index, const std::string &method, const std::string &path, const std::string &body, Millis timeout) -> Result<HttpReply>;
+    /// Sends an HTTP call with the operator's token.
+    auto operate(std::size_t index, const std::string &method, const std::string &path, const std::string &body = {}) -> Result<HttpReply>;
+
+    /// Sends a request and classifies the result; a lost connection is CallResult::ConnectionLost.
+    auto request(std::size_t index, const RequestParams &params) -> Call;
+    /// Submits a job.
+    /// @return its id, or nothing when it was not accepted.
+    auto submit(std::size_t index, const nlohmann::json &job) -> std::optional<std::string>;
+    /// @return the state of a job as an instance reports it; empty when it does not answer.
+    auto jobState(std::size_t index, const std::string &job) -> std::string;
+
+    /// Adds what the backend servers recorded.
+    auto collect(History &history) -> void;
+
+private:
+    auto registerAll() -> void;
+    auto writeSettings(const EntryProcess &entry) -> std::string;
+
+    DeploymentShape m_shape;
+    std::string m_folder;
+    std::unique_ptr<ChildProcess> m_platform;
+    std::unique_ptr<Relay> m_platformRelay;
+    std::vector<EntryProcess> m_entries;
+    std::vector<ServerProcess> m_executors;
+    std::vector<ServerProcess> m_workers;
+    std::vector<std::pair<std::string, std::string>> m_racks; ///< worker id and rack
+};
+
+}
