--- /dev/null
+++ b/packages/state/carry.cpp
@@ -0,0 +1,91 @@
+#include "state/carry.h"
+
+#include "util/digest.h"
+#include "util/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Catkin
+{
+
+namespace
+{
+
+constexpr auto snapshotName = "config";
+
+}
+
+auto carryDuty(std::string_view name, WallTime heldSince, WallTime now, const CarryOptions &options) -> CarryDuty
+{
+    const auto eighth = std::max(Millis{1}, Millis{options.retention} / 8);
+    const auto spread = Millis{static_cast<std::int64_t>(xxh64(name) % static_cast<std::uint64_t>(eighth.count()))};
+    const auto age = now - heldSince;
+    if (age >= 3 * eighth) {
+        return CarryDuty::EveryInstance;
+    }
+    return age >= 2 * eighth + spread ? CarryDuty::SelectedInstance : CarryDuty::NotDue;
+}
+
+Carrier::Carrier(InstanceId self, CarryOptions options)
+    : m_self(std::move(self))
+    , m_options(options)
+{
+}
+
+auto Carrier::jobs(const JobFold &fold, std::span<const std::string> fresh, WallTime now) -> std::vector<JobCarry>
+{
+    if (m_lastCall && now > *m_lastCall) {
+        constexpr auto millisPerSecond = 1000.0;
+        const auto elapsed = static_cast<double>((now - *m_lastCall).count()) / millisPerSecond;
+        // At most one second's worth is saved up, so that a pause is not followed by a burst.
+        m_credit = std::min(std::max(1.0, m_options.recordsPerSecond), m_credit + elapsed * m_options.recordsPerSecond);
+    }
+    m_lastCall = now;
+    std::erase_if(m_handedOut, [&](const auto &it) { return it.second + m_options.resendAfter <= now; });
+
+    auto due = std::vector<std::pair<WallTime, const Job *>>{};
+    fold.visit([&](const Job &job, WallTime heldSince) {
+        const auto &id = job.spec.id.str();
+        if (!m_handedOut.contains(id) && isMine(id, heldSince, fresh, now)) {
+            due.emplace_back(heldSince, &job);
+        }
+    });
+    std::sort(due.begin(), due.end(), [](const auto &a, const auto &b) {
+        return std::pair{a.first, a.second->spec.id} < std::pair{b.first, b.second->spec.id};
+    });
+
+    auto records = std::vector<JobCarry>{};
+    for (const auto &it : due) {
+        if (m_credit < 1) {
+            break;
+        }
+        m_credit -= 1;
+        m_handedOut.emplace(it.second->spec.id.str(), now);
+        records.push_back({.job = *it.second, .position = fold.position()});
+    }
+    return records;
+}
+
+auto Carrier::snapshot(const ConfigFold &fold, std::span<const std::string> fresh, WallTime now) -> std::optional<ConfigSnapshot>
+{
+    std::erase_if(m_handedOut, [&](const auto &it) { return it.second + m_options.resendAfter <= now; });
+    auto snapshot = fold.makeSnapshot();
+    if (!snapshot || m_handedOut.contains(snapshotName) || !isMine(snapshotName, fold.heldSince(), fresh, now)) {
+        return std::nullopt;
+    }
+    m_handedOut.emplace(snapshotName, now);
+    return snapshot;
+}
+
+auto Carrier::isMine(const std::string &name, WallTime heldSince, std::span<const std::string> fresh, WallTime now) const -> bool
+{
+    const auto duty = carryDuty(name, heldSince, now, m_options);
+    if (duty == CarryDuty::SelectedInstance) {
+        const auto owner = rendezvousOwner("carry/" + name, fresh);
+        return owner && fresh[*owner] == m_self.str();
+    }
+    return duty == CarryDuty::EveryInstance;
+}
+
+}
--- a/packages/state/configfold.cpp
+++ b/packages/state/configfold.cpp
@@ -81,6 +81,21 @@
     return it == m_results.end() ? ChangeResult{} : it->second;
 }
 
+auto ConfigFold::makeChange(const std::string &id, const std::string &author, const std::string &document) const -> std::optional<ConfigChange>
+{
+    if (!m_certain) {
+        return std::nullopt;
+    }
+    return ConfigChange{
+        .version = m_certain->version + ConfigVersion{1},
+        .base = m_certain->version,
+        .id = id,
+        .author = author,
+        .document = document,
+        .through = m_next,
+    };
+}
+
 auto ConfigFold::makeSnapshot() const -> std::optional<ConfigSnapshot>
 {
     if (!m_certain || m_certain->version.value == 0) {
@@ -112,6 +127,11 @@
 
 auto ConfigFold::applyChange(LogOffset offset, WallTime time, const ConfigChange &change) -> void
 {
+    const auto wellFormed = change.version == change.base + ConfigVersion{1};
+    if (!m_certain && change.through >= m_start && wellFormed) {
+        // Only the number of the base is known, but this change or an earlier one on the same base is accepted below.
+        settle(change.through, time, ConfigState{.version = change.base});
+    }
     if (!m_certain) {
         m_pending.push_back({offset, time, change});
         if (m_pending.size() > m_options.maxPendingChanges) {
@@ -121,7 +141,7 @@
         }
         return;
     }
-    if (change.base != m_certain->version || change.version != change.base + ConfigVersion{1}) {
+    if (change.base != m_certain->version || !wellFormed) {
         remember(change.id, {ChangeOutcome::Rejected, m_certain->version});
         return;
     }
@@ -145,14 +165,7 @@
             m_heldSince = time;
         }
     } else if (snapshot.through >= m_start) {
-        m_certain = state;
-        m_heldSince = time;
-        const auto pending = std::exchange(m_pending, {});
-        for (const auto &it : pending) {
-            if (it.offset >= snapshot.through) {
-                applyChange(it.offset, it.time, it.change);
-            }
-        }
+        settle(snapshot.through, time, state);
     } else {
         offer(state);
     }
@@ -161,6 +174,18 @@
     }
 }
 
+auto ConfigFold::settle(LogOffset through, WallTime time, const ConfigState &state) -> void
+{
+    m_certain = state;
+    m_heldSince = time;
+    const auto pending = std::exchange(m_pending, {});
+    for (const auto &it : pending) {
+        if (it.offset >= through) {
+            applyChange(it.offset, it.time, it.change);
+        }
+    }
+}
+
 auto ConfigFold::remember(const std::string &id, ChangeResult result) -> void
 {
     const auto [it, added] = m_results.try_emplace(id, result);
--- a/packages/state/configfold.h
+++ b/packages/state/configfold.h
@@ -12,9 +12,10 @@
 /// @endcode
 ///
 /// A reader that starts in the middle of the stream does not know which base is current. It keeps the changes that it
-/// reads until a snapshot whose builder had read at least up to the reader's own start; replaying the changes that the
-/// builder had not seen then gives the same version as on every other instance. Until then, and while the log is
-/// unreachable, offers from peers and snapshots that are too old for this supply the version in force.
+/// reads until a snapshot or change whose builder had read at least up to the reader's own start: this tells the version
+/// at the builder's position, and replaying the changes since then gives the same version as on every other instance.
+/// Until then, and while the log is unreachable, offers from peers and snapshots that are too old for this supply the
+/// version in force.
 
 #include "state/records.h"
 
@@ -83,6 +84,11 @@
     /// @return what became of the change with @p id; Pending when it has not been read, or too long ago.
     [[nodiscard]] auto result(const std::string &id) const -> ChangeResult;
 
+    /// @return the record that proposes @p document on the certain version, or nothing while that is not known.
+    /// @param id unique id, by which result() reports what became of it
+    /// @param document canonical JSON text
+    [[nodiscard]] auto makeChange(const std::string &id, const std::string &author, const std::string &document) const -> std::optional<ConfigChange>;
+
     /// @return the record that carries the certain version, or nothing when there is none (or only version 0).
     [[nodiscard]] auto makeSnapshot() const -> std::optional<ConfigSnapshot>;
 
@@ -105,6 +111,8 @@
 
     auto applyChange(LogOffset offset, WallTime time, const ConfigChange &change) -> void;
     auto applySnapshot(WallTime time, const ConfigSnapshot &snapshot) -> void;
+    /// Takes @p state as the version at @p through and replays the changes since then.
+    auto settle(LogOffset through, WallTime time, const ConfigState &state) -> void;
     auto remember(const std::string &id, ChangeResult result) -> void;
 
     ConfigFoldOptions m_options;
--- a/packages/state/jobfold.cpp
+++ b/packages/state/jobfold.cpp
@@ -125,7 +125,7 @@
     m_now = std::max(m_now, time);
     expire();
     if (const auto *accept = std::get_if<JobAccept>(&record)) {
-        applyAccept(*accept, m_now);
+        applyAccept(offset, m_now, *accept);
     } else if (const auto *carry = std::get_if<JobCarry>(&record)) {
         applyCarry(*carry, m_now);
     } else if (const auto *attempt = std::get_if<JobAttempt>(&record)) {
@@ -216,7 +216,7 @@
     return m_counts;
 }
 
-auto JobFold::applyAccept(const JobAccept &accept, WallTime time) -> void
+auto JobFold::applyAccept(LogOffset offset, WallTime time, const JobAccept &accept) -> void
 {
     if (isStale(accept.position, time)) {
         ++m_counts.stale;
@@ -227,12 +227,21 @@
         return;
     }
     if (accept.position.through < m_start) {
-        // An earlier accept may lie before the start of this reader; a carry record will tell.
-        ++m_counts.unknownJob;
+        // An earlier accept may lie before the start of this reader; a later accept or carry record will tell.
+        keepOrphan(offset, time, accept.spec.id, accept);
         return;
     }
+    // The builder knew that the job did not exist at its position. An accept since then, which this reader could not judge,
+    // was the first one.
+    auto orphans = takeOrphans(accept.spec.id);
+    const auto first = std::find_if(
+        orphans.begin(), orphans.end(), [&](const Orphan &it) { return it.offset >= accept.position.through && std::holds_alternative<JobAccept>(it.record); });
+    const auto found = first != orphans.end();
+    const auto &spec = found ? std::get<JobAccept>(first->record).spec : accept.spec;
+    const auto accepted = found ? first->time : time;
+    orphans.erase(orphans.begin(), found ? first + 1 : first);
     ++m_counts.applied;
-    insert(Job{.spec = accept.spec, .revision = 1, .accepted = time, .changed = time}, time);
+    insert(Job{.spec = spec, .revision = 1, .accepted = accepted, .changed = accepted}, accepted, orphans);
 }
 
 auto JobFold::applyCarry(const JobCarry &carry, WallTime time) -> void
@@ -248,7 +257,7 @@
             // Happens only if this reader skipped a record of the job that it could not decode.
             job = carry.job;
             heldSince = time;
-            finishedAt(job);
+            noteIfTerminal(job);
             ++m_counts.applied;
             return;
         }
@@ -262,29 +271,17 @@
         ++m_counts.unknownJob;
         return;
     }
-    auto &job = insert(carry.job, time).job;
+    auto orphans = takeOrphans(carry.job.spec.id);
+    std::erase_if(orphans, [&](const Orphan &it) { return it.offset < carry.position.through; });
     ++m_counts.applied;
-    const auto orphans = m_orphans.extract(job.spec.id);
-    if (!orphans.empty()) {
-        const auto wasTerminal = isTerminal(job.state);
-        for (const auto &it : orphans.mapped()) {
-            if (it.offset >= carry.position.through) {
-                applyToJob(job, it.record, it.time);
-            }
-        }
-        if (!wasTerminal) {
-            finishedAt(job);
-        }
-    }
+    insert(carry.job, time, orphans);
 }
 
 auto JobFold::applyChange(LogOffset offset, WallTime time, const JobId &id, const JobRecord &record) -> void
 {
     const auto known = m_jobs.find(id);
     if (known == m_jobs.end()) {
-        m_orphans[id].push_back({offset, time, record});
-        m_orphanTimes.emplace(time, id);
-        ++m_counts.unknownJob;
+        keepOrphan(offset, time, id, record);
         return;
     }
     auto &job = known->second.job;
@@ -293,7 +290,7 @@
         return;
     }
     ++m_counts.applied;
-    finishedAt(job);
+    noteIfTerminal(job);
 }
 
 auto JobFold::isStale(const FoldPosition &position, WallTime time) const -> bool
@@ -302,15 +299,30 @@
     return lag > m_options.maxRecordLag || -lag > m_options.maxRecordLag;
 }
 
-auto JobFold::insert(Job job, WallTime time) -> Entry &
+auto JobFold::keepOrphan(LogOffset offset, WallTime time, const JobId &id, const JobRecord &record) -> void
 {
+    m_orphans[id].push_back({offset, time, record});
+    m_orphanTimes.emplace(time, id);
+    ++m_counts.unknownJob;
+}
+
+auto JobFold::takeOrphans(const JobId &id) -> std::vector<Orphan>
+{
+    auto node = m_orphans.extract(id);
+    return node.empty() ? std::vector<Orphan>{} : std::move(node.mapped());
+}
+
+auto JobFold::insert(Job job, WallTime heldSince, const std::vector<Orphan> &later) -> void
+{
+    for (const auto &it : later) {
+        applyToJob(job, it.record, it.time);
+    }
     const auto id = job.spec.id;
-    auto &entry = m_jobs.insert_or_assign(id, Entry{std::move(job), time}).first->second;
-    finishedAt(entry.job);
-    return entry;
+    const auto &entry = m_jobs.insert_or_assign(id, Entry{std::move(job), heldSince}).first->second;
+    noteIfTerminal(entry.job);
 }
 
-auto JobFold::finishedAt(const Job &job) -> void
+auto JobFold::noteIfTerminal(const Job &job) -> void
 {
     if (isTerminal(job.state)) {
         m_terminal.emplace(job.changed, job.spec.id);
--- a/packages/state/jobfold.h
+++ b/packages/state/jobfold.h
@@ -119,12 +119,15 @@
         JobRecord record;
     };
 
-    auto applyAccept(const JobAccept &accept, WallTime time) -> void;
+    auto applyAccept(LogOffset offset, WallTime time, const JobAccept &accept) -> void;
     auto applyCarry(const JobCarry &carry, WallTime time) -> void;
     auto applyChange(LogOffset offset, WallTime time, const JobId &id, const JobRecord &record) -> void;
     auto isStale(const FoldPosition &position, WallTime time) const -> bool;
-    auto insert(Job job, WallTime time) -> Entry &;
-    auto finishedAt(const Job &job) -> void;
+    auto keepOrphan(LogOffset offset, WallTime time, const JobId &id, const JobRecord &record) -> void;
+    auto takeOrphans(const JobId &id) -> std::vector<Orphan>;
+    /// Adds a job after replaying the records that followed the given state.
+    auto insert(Job job, WallTime heldSince, const std::vector<Orphan> &later) -> void;
+    auto noteIfTerminal(const Job &job) -> void;
     auto expire() -> void;
 
     JobFoldOptions m_options;
--- a/packages/state/records.cpp
+++ b/packages/state/records.cpp
@@ -123,6 +123,7 @@
         {"id", record.id},
         {"author", record.author},
         {"document", documentJson(record.document)},
+        {"through", record.through.value},
     };
 }
 
@@ -248,6 +249,7 @@
         .id = reader.id("id"),
         .author = reader.text("author"),
         .document = reader.objectText("document"),
+        .through = {reader.integer("through")},
     };
 }
 
--- a/packages/state/records.h
+++ b/packages/state/records.h
@@ -39,6 +39,7 @@
     std::string id; ///< unique; the author finds the result of its append by it
     std::string author;
     std::string document; ///< canonical JSON text
+    LogOffset through; ///< every record below this offset had been folded when base was current
 
     auto operator==(const ConfigChange &) const -> bool = default;
 };
--- /dev/null
+++ b/packages/state/testing/jobfold_test.cpp
@@ -0,0 +1,224 @@
+#include "state/carry.h"
+#include "state/jobfold.h"
+#include "state/testing/simulatedlog.h"
+
+#include <doctest/doctest.h>
+
+using namespace Catkin;
+
+namespace
+{
+
+constexpr auto options = JobFoldOptions{.terminalRetention = Seconds{3600}, .maxRecordLag = Seconds{600}};
+
+/// An instance that reads the stream with some delay and appends records built from what it has read.
+struct Builder
+{
+    InstanceId id;
+    JobFold fold{options};
+    Carrier carrier;
+    Seconds clockError;
+
+    explicit Builder(const std::string &name, Seconds error = Seconds{0})
+        : id(name)
+        , carrier(InstanceId{name}, {.retention = Seconds{8 * 3600}, .recordsPerSecond = 1})
+        , clockError(error)
+    {
+    }
+
+    auto read(const SimulatedLog &log, LogOffset to) -> void
+    {
+        readLog(fold, log, to);
+        fold.noteRead(fold.next(), log.now + clockError);
+    }
+};
+
+auto specOf(std::uint32_t number) -> JobSpec
+{
+    auto spec = JobSpec{.id = JobId{"j-" + std::to_string(number)}, .workspace = WorkspaceId{"w"}, .caller = CallerId{"c"}, .kind = KindId{"k"}};
+    spec.restartable = number % 2 == 0;
+    spec.payload = "p" + std::to_string(number);
+    return spec;
+}
+
+auto randomChange(Random &random, const Job &job, const InstanceId &self) -> JobRecord
+{
+    const auto &id = job.spec.id;
+    constexpr auto results = std::array{JobResult::Succeeded, JobResult::Failed, JobResult::Parked, JobResult::Unknown, JobResult::Requeue, JobResult::Requeue};
+    switch (uniform(random, 8)) {
+    case 0:
+        return JobCancel{id, self.str(), {}};
+    case 1:
+    case 2:
+        return JobFinish{id, job.attempt, results[uniform(random, results.size())], uniform(random, 2) == 0, "detail", {}};
+    case 3:
+        return JobStarted{id, std::max(1, job.attempt)};
+    default:
+        return JobAttempt{id, job.attempt + 1 + static_cast<int>(uniform(random, 8) == 0), self, uniform(random, 3)};
+    }
+}
+
+/// Checks what every record may do to a job, whatever the records were.
+auto checkStep(const std::map<JobId, Job> &before, const Job &after) -> void
+{
+    const auto it = before.find(after.spec.id);
+    if (it == before.end() || it->second == after) {
+        return;
+    }
+    const auto &old = it->second;
+    REQUIRE_FALSE(isTerminal(old.state));
+    REQUIRE(after.revision == old.revision + 1);
+    REQUIRE(after.attempt >= old.attempt);
+    if (!after.spec.restartable && after.attempt != old.attempt) {
+        // A second attempt may begin only after it was proven that the first one did no work.
+        REQUIRE(old.state == JobState::Queued);
+        REQUIRE(after.attempt == old.attempt + 1);
+    }
+    if (!after.spec.restartable && after.state == JobState::Queued) {
+        REQUIRE(old.state == JobState::Starting);
+    }
+}
+
+auto snapshotOf(const JobFold &fold) -> std::map<JobId, Job>
+{
+    auto all = std::map<JobId, Job>{};
+    fold.visit([&](const Job &job, WallTime) { all.emplace(job.spec.id, job); });
+    return all;
+}
+
+}
+
+// Guards against instances that disagree about a job after reading from different offsets, which could start it twice.
+TEST_CASE("readers from every retained offset agree, with delayed, repeated and lost records")
+{
+    auto carried = std::size_t{0};
+    auto compared = std::size_t{0};
+    for (auto seed = 1U; seed <= seedCount(); ++seed) {
+        CAPTURE(seed);
+        auto random = Random{seed};
+        auto log = SimulatedLog{};
+        auto builders = std::vector<Builder>{Builder{"i-1"}, Builder{"i-2", Seconds{100}}, Builder{"i-3", Seconds{-100}}};
+        const auto names = std::vector<std::string>{"i-1", "i-2", "i-3"};
+        auto whole = JobFold{options};
+        auto nextId = 0U;
+        for (auto step = 0; step < 1500; ++step) {
+            log.advance(Millis{uniform(random, 120'000)});
+            auto &self = builders[uniform(random, 3)];
+            if (uniform(random, 50) == 0) {
+                self = Builder{self.id.str(), self.clockError};
+                self.fold.restart(log.first());
+                self.read(log, log.end());
+            } else if (uniform(random, 3) != 0) {
+                // A pause of this instance shows as a position behind the end.
+                self.read(log, {std::max(self.fold.next().value, log.end().value - uniform(random, 4))});
+            }
+            // One in ten appends is held up for so long that it must not count any more.
+            const auto longest = Seconds{uniform(random, 10) == 0 ? 6000 : 30};
+            const auto jobs = self.fold.list({.liveOnly = true}, JobId{}, 100);
+            if (jobs.empty() || uniform(random, 6) == 0) {
+                const auto number = uniform(random, 2) == 0 ? nextId++ : uniform(random, nextId + 1);
+                if (self.fold.find(specOf(number).id) == nullptr) {
+                    log.appendLater(random, encodeRecord(JobRecord{JobAccept{specOf(number), self.fold.position()}}), longest);
+                }
+            } else if (uniform(random, 3) == 0) {
+                log.appendLater(random, encodeRecord(randomChange(random, *jobs[uniform(random, static_cast<std::uint32_t>(jobs.size()))], self.id)), longest);
+            } else if (uniform(random, 20) == 0) {
+                log.append(uniform(random, 2) == 0 ? "{\"type\":\"later\"}" : "\xff{");
+            }
+            for (const auto &it : self.carrier.jobs(self.fold, names, log.now)) {
+                ++carried;
+                log.appendLater(random, encodeRecord(JobRecord{it}), longest);
+            }
+            while (whole.next() < log.end()) {
+                const auto before = snapshotOf(whole);
+                const auto &record = log.records[static_cast<std::size_t>(whole.next().value)];
+                whole.apply(record.offset, record.time, record.data);
+                whole.visit([&](const Job &job, WallTime) { checkStep(before, job); });
+            }
+            if (step % 100 == 99) {
+                const auto from = LogOffset{uniform(random, static_cast<std::uint32_t>(log.first().value) + 1)};
+                for (const auto start : {from, log.first()}) {
+                    const auto reader = foldFrom<JobFold>(log, start, options);
+                    CAPTURE(start.value);
+                    CAPTURE(log.end().value);
+                    REQUIRE(snapshotOf(reader) == snapshotOf(whole));
+                    compared += reader.size();
+                }
+            }
+        }
+    }
+    CHECK(carried > 100);
+    CHECK(compared > 100);
+}
+
+TEST_CASE("rules of one job")
+{
+    const auto id = JobId{"j"};
+    const auto a1 = JobAttempt{id, 1, InstanceId{"i-1"}, 4};
+    const auto a2 = JobAttempt{id, 2, InstanceId{"i-2"}, 5};
+    const auto a4 = JobAttempt{id, 4, InstanceId{"i-2"}, 5};
+    const auto started = JobStarted{id, 1};
+    const auto cancel = JobCancel{id, "ana", "enough"};
+    const auto finish = [&](int attempt, JobResult result, bool ran = true) { return JobRecord{JobFinish{id, attempt, result, ran, {}, {}}}; };
+    struct Case
+    {
+        const char *failure;
+        bool restartable;
+        std::vector<JobRecord> records;
+        JobState state;
+        int attempt;
+    };
+    const auto cases = std::vector<Case>{
+        {"two planners both win attempt 1", false, {a1, JobAttempt{id, 1, InstanceId{"i-9"}, 9}}, JobState::Starting, 1},
+        {"an at-most-once job starts again while it may run", false, {a1, a2}, JobState::Starting, 1},
+        {"an attempt number is skipped", false, {a4}, JobState::Queued, 0},
+        {"an attempt made while the log was down is lost", true, {a1, a4}, JobState::Starting, 4},
+        {"an at-most-once job that ran is queued again", false, {a1, finish(1, JobResult::Requeue)}, JobState::Starting, 1},
+        {"a job recorded as started is claimed not to have run", false, {a1, started, finish(1, JobResult::Requeue, false)}, JobState::Running, 1},
+        {"a job that provably did not run cannot be tried again", false, {a1, finish(1, JobResult::Requeue, false), a2}, JobState::Starting, 2},
+        {"a restartable job is not queued again after a lost worker", true, {a1, started, finish(1, JobResult::Requeue)}, JobState::Queued, 1},
+        {"a late result of an old attempt ends the job", true, {a1, a2, finish(1, JobResult::Failed)}, JobState::Starting, 2},
+        {"a job succeeds that never started", false, {finish(0, JobResult::Succeeded)}, JobState::Queued, 0},
+        {"a job that can never run cannot be parked", false, {finish(0, JobResult::Parked)}, JobState::Parked, 0},
+        {"a cancelled queued job starts", false, {cancel, a1}, JobState::Cancelled, 0},
+        {"a cancelled running job is queued again", true, {a1, cancel, finish(1, JobResult::Requeue)}, JobState::Cancelled, 1},
+        {"a success before the stop arrived is lost", true, {a1, cancel, finish(1, JobResult::Succeeded)}, JobState::Succeeded, 1},
+        {"a terminal state changes", false, {a1, finish(1, JobResult::Succeeded), cancel, finish(1, JobResult::Failed)}, JobState::Succeeded, 1},
+    };
+    for (const auto &it : cases) {
+        CAPTURE(std::string(it.failure));
+        auto job = Job{.spec = {.id = id}};
+        job.spec.restartable = it.restartable;
+        for (const auto &record : it.records) {
+            applyToJob(job, record, {});
+        }
+        CHECK(std::string(jobStateName(job.state)) == jobStateName(it.state));
+        CHECK(job.attempt == it.attempt);
+    }
+}
+
+TEST_CASE("listing is filtered and paged, ended jobs are dropped, and only the winner's attempt is valid")
+{
+    auto fold = JobFold{options};
+    const auto start = WallTime{Millis{1'000'000}};
+    fold.noteRead({0}, start);
+    for (auto i = 0; i < 10; ++i) {
+        auto spec = specOf(static_cast<std::uint32_t>(i));
+        spec.workspace = WorkspaceId{i < 4 ? "a" : "b"};
+        fold.apply({i}, start, JobRecord{JobAccept{spec, {.through = {0}, .asOf = start}}});
+    }
+    CHECK(fold.list({.workspace = WorkspaceId{"b"}}, JobId{}, 100).size() == 6);
+    const auto page = fold.list({.state = JobState::Queued}, JobId{"j-2"}, 3);
+    REQUIRE(page.size() == 3);
+    CHECK(page[0]->spec.id == JobId{"j-3"});
+    fold.apply({10}, start, JobRecord{JobAttempt{JobId{"j-1"}, 1, InstanceId{"i-1"}, 7}});
+    CHECK(fold.isAttempt(JobId{"j-1"}, 1, InstanceId{"i-1"}, 7));
+    CHECK_FALSE(fold.isAttempt(JobId{"j-1"}, 1, InstanceId{"i-1"}, 8));
+    CHECK_FALSE(fold.isAttempt(JobId{"j-1"}, 1, InstanceId{"i-2"}, 7));
+    fold.apply({11}, start, JobRecord{JobCancel{JobId{"j-2"}, "ana", {}}});
+    fold.apply({12}, start + Seconds{3600}, "nothing");
+    CHECK(fold.find(JobId{"j-2"}) != nullptr);
+    fold.apply({13}, start + Seconds{3601}, "nothing");
+    CHECK(fold.find(JobId{"j-2"}) == nullptr);
+    CHECK(fold.counts().undecodable == 2);
+}
