--- a/packages/state/fieldreader.cpp
+++ b/packages/state/fieldreader.cpp
@@ -269,8 +269,11 @@
         return value;
     } catch (const json::parse_error &e) {
         errors.push_back({"", "is not valid JSON near byte " + std::to_string(e.byte)});
-        return {json::value_t::discarded};
+    } catch (const json::exception &) {
+        // A number such as 1e400 is correct JSON, but no number that can be represented.
+        errors.push_back({"", "has a number that is too large"});
     }
+    return {json::value_t::discarded};
 }
 
 }
--- a/packages/state/testing/intentfold_test.cpp
+++ b/packages/state/testing/intentfold_test.cpp
@@ -174,7 +174,7 @@
     bounded.maxAnswerBytes = 1000;
     auto fold = IntentFold{bounded};
     const auto start = WallTime{Millis{1'700'000'000'000}};
-    for (auto i = 0; i < 1000; ++i) {
+    for (auto i = std::int64_t{0}; i < 1000; ++i) {
         const auto now = start + Seconds{i};
         const auto key = RequestKey{WorkspaceId{"w"}, IdempotencyKey{"k"}, now};
         fold.apply({2 * i}, now, RequestRecord{IntentRecord{key, RequestId{"a"}, InstanceId{"i"}}});
--- /dev/null
+++ b/packages/state/testing/slo_test.cpp
@@ -0,0 +1,122 @@
+#include "state/carry.h"
+#include "state/slo.h"
+#include "util/random.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+#include <vector>
+
+using namespace Catkin;
+using std::chrono::minutes;
+
+TEST_CASE("window counts agree with a list of all events")
+{
+    auto random = Random{3};
+    auto tracker = SloTracker{99'000};
+    auto events = std::vector<std::pair<MonoTime, bool>>{};
+    auto now = MonoTime{minutes{1}};
+    for (auto i = 0; i < 2000; ++i) {
+        now += Millis{uniform(random, uniform(random, 300) == 0 ? 40'000'000 : 30'000)};
+        events.emplace_back(now, uniform(random, 4) != 0);
+        tracker.record(events.back().second, now);
+        for (const auto window : {minutes{1}, minutes{5}, minutes{60}, minutes{360}}) {
+            auto expected = SloCounts{};
+            for (const auto &[time, good] : events) {
+                if (std::chrono::floor<minutes>(now) - std::chrono::floor<minutes>(time) < window) {
+                    ++(good ? expected.good : expected.bad);
+                }
+            }
+            REQUIRE(tracker.counts(window, now) == expected);
+        }
+    }
+}
+
+TEST_CASE("alerts need a high burn rate over a long and a short window")
+{
+    struct Case
+    {
+        const char *failure;
+        int badPercentLongAgo; ///< from 60 to 5 minutes ago
+        int badPercentNow; ///< in the last 5 minutes
+        SloAlert alert;
+    };
+    const auto cases = std::vector<Case>{
+        {"normal operation raises an alert", 0, 0, SloAlert::None},
+        {"a total failure pages nobody", 100, 100, SloAlert::Page},
+        {"a disturbance that is over still pages", 30, 0, SloAlert::Ticket},
+        {"a slow burn pages", 8, 8, SloAlert::Ticket},
+        {"a short disturbance pages", 0, 20, SloAlert::None},
+    };
+    for (const auto &it : cases) {
+        CAPTURE(std::string(it.failure));
+        auto tracker = SloTracker{99'000};
+        const auto end = MonoTime{minutes{1000}};
+        for (auto minute = 59; minute >= 0; --minute) {
+            const auto bad = minute < 5 ? it.badPercentNow : it.badPercentLongAgo;
+            for (auto i = 0; i < 100; ++i) {
+                tracker.record(i >= bad, end - minutes{minute});
+            }
+        }
+        CHECK(alertName(tracker.alert(end)) == std::string(alertName(it.alert)));
+    }
+    auto quiet = SloTracker{99'000};
+    quiet.record(false, MonoTime{minutes{9}});
+    CHECK(quiet.alert(MonoTime{minutes{9}}) == SloAlert::None);
+    CHECK(quiet.budgetLeft(MonoTime{minutes{9}}) == doctest::Approx(1 - 100.0));
+}
+
+TEST_CASE("a new configuration keeps the counts of unchanged objectives only")
+{
+    auto table = SloTable{};
+    const auto a = ObjectiveConfig{WorkspaceId{"a"}, KindId{"k"}, Millis{100}, 99'000};
+    auto b = ObjectiveConfig{WorkspaceId{"b"}, KindId{"k"}, Millis{100}, 99'000};
+    table.configure({a, b});
+    const auto now = MonoTime{minutes{7}};
+    table.observe(a.workspace, a.kind, Millis{100}, true, now);
+    table.observe(a.workspace, a.kind, Millis{101}, true, now);
+    table.observe(a.workspace, a.kind, Millis{1}, false, now);
+    table.observe(b.workspace, b.kind, Millis{1}, true, now);
+    b.latency = Millis{50};
+    table.configure({a, b});
+    const auto report = table.report(now);
+    REQUIRE(report.size() == 2);
+    CHECK(report[0].counts == SloCounts{1, 2});
+    CHECK(report[1].counts == SloCounts{0, 0});
+}
+
+// Guards against records that nobody carries before half of the retention has passed, and against bursts of them.
+TEST_CASE("every job is carried in time, also when the selected instance does nothing, and the rate is limited")
+{
+    constexpr auto retention = Seconds{80'000};
+    const auto names = std::vector<std::string>{"i-1", "i-2"};
+    auto fold = JobFold{};
+    auto now = WallTime{Millis{1'700'000'000'000}};
+    const auto accepted = now;
+    fold.noteRead({0}, now);
+    for (auto i = 0; i < 300; ++i) {
+        const auto id = "j-" + std::to_string(i);
+        fold.apply({i}, now, JobRecord{JobAccept{{.id = JobId{id}}, {{0}, now}}});
+    }
+    auto carrier = Carrier{InstanceId{"i-1"}, {.retention = retention, .recordsPerSecond = 0.5}};
+    auto offset = fold.next();
+    auto carried = std::set<JobId>{};
+    for (; now < accepted + retention / 2; now += Seconds{10}) {
+        fold.noteRead(offset, now);
+        const auto records = carrier.jobs(fold, names, now);
+        REQUIRE(records.size() <= 5);
+        for (const auto &it : records) {
+            REQUIRE(carried.insert(it.job.spec.id).second);
+            fold.apply(offset, now, JobRecord{it});
+            ++offset;
+        }
+        if (now < accepted + retention / 4) {
+            REQUIRE(carried.empty());
+        }
+        // Until three eighths, the other instance's half is left to it.
+        if (now < accepted + 3 * retention / 8) {
+            REQUIRE(carried.size() < 200);
+        }
+    }
+    CHECK(carried.size() == 300);
+}
