Document the configuration document and the log records

Operators need the range and default of every field, and the fold rules have to be readable without the code. A test parses every example on both pages.

--- a/packages/state/testing/document_test.cpp
+++ b/packages/state/testing/document_test.cpp
@@ -1,4 +1,5 @@
 #include "state/document.h"
+#include "state/records.h"
 
 #include <doctest/doctest.h>
 
@@ -24,6 +25,19 @@
     return readFile(std::string(CATKIN_SOURCE_DIR) + "/examples/" + name);
 }
 
+/// @return the JSON examples of a page.
+auto examplesOf(const std::string &page) -> std::vector<std::string>
+{
+    const auto text = readFile(std::string(CATKIN_SOURCE_DIR) + "/docs/" + page);
+    const auto opening = std::string("```json\n");
+    auto found = std::vector<std::string>{};
+    for (auto at = text.find(opening); at != std::string::npos; at = text.find(opening, at)) {
+        at += opening.size();
+        found.push_back(text.substr(at, text.find("```", at) - at));
+    }
+    return found;
+}
+
 auto replaced(std::string text, const std::string &from, const std::string &to) -> std::string
 {
     const auto at = text.find(from);
@@ -150,3 +164,19 @@
         CHECK(parseDocument(bad).errors.size() <= 2);
     }
 }
+
+TEST_CASE("the examples in the documentation are valid")
+{
+    const auto documents = examplesOf("configuration-document.md");
+    CHECK(documents.size() == 2);
+    for (const auto &it : documents) {
+        CAPTURE(formatErrors(parseDocument(it).errors));
+        CHECK(parseDocument(it).errors.empty());
+    }
+    const auto records = examplesOf("log-records.md");
+    CHECK(records.size() == 11);
+    for (const auto &it : records) {
+        CAPTURE(it);
+        CHECK((decodeConfigRecord(it) || decodeJobRecord(it) || decodeRequestRecord(it)));
+    }
+}
