Give types that share a name with another package names of their own

Cause: the packages were written side by side, and several types of the same name met in namespace Catkin. Change: renamed by a mechanical substitution; no behaviour changes.

--- a/testing/fuzz/statefuzzcorpus.cpp
+++ b/testing/fuzz/statefuzzcorpus.cpp
@@ -28,7 +28,7 @@
         encodeRecord(JobRecord{JobAttempt{spec.id, 1, InstanceId{"i-1"}, 1}}),
         encodeRecord(JobRecord{JobStarted{spec.id, 1}}),
         encodeRecord(JobRecord{JobFinish{spec.id, 1, JobResult::Succeeded, true, "", ""}}),
-        encodeRecord(JobRecord{JobCancel{spec.id, "ana", ""}}),
+        encodeRecord(JobRecord{JobCancelRequest{spec.id, "ana", ""}}),
         encodeRecord(JobRecord{JobCarry{Job{.spec = spec, .revision = 1}, {{0}, now}}}),
         encodeRecord(RequestRecord{IntentRecord{key, RequestId{"a-1"}, InstanceId{"i-1"}}}),
         encodeRecord(RequestRecord{VoidRecord{key, RequestId{"a-1"}, InstanceId{"i-1"}}}),
