--- a/bench/figuretable.cpp
+++ b/bench/figuretable.cpp
@@ -17,6 +17,15 @@
     it->values.push_back(value);
 }
 
+auto FigureTable::merge(const FigureTable &other) -> void
+{
+    for (const auto &row : other.m_rows) {
+        for (const auto value : row.values) {
+            add(row.name, value, row.target);
+        }
+    }
+}
+
 auto FigureTable::summary(const Row &row) -> Summary
 {
     auto values = row.values;
--- a/bench/figuretable.h
+++ b/bench/figuretable.h
@@ -29,6 +29,8 @@
 {
 public:
     auto add(const FigureName &name, double value, const FigureTarget &target) -> void;
+    /// Adds all values of another table.
+    auto merge(const FigureTable &other) -> void;
     /// Prints median, lowest and highest value of each figure, and whether every seed met the target.
     auto print() const -> void;
     /// @return whether the file was written.
--- a/bench/request_figures.cpp
+++ b/bench/request_figures.cpp
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <future>
 
 using namespace Catkin;
 
@@ -116,7 +117,7 @@
 
 auto policyName(SimPolicy policy) -> const char *
 {
-    return policy == SimPolicy::Fair ? "fair" : "fifo";
+    return policy == SimPolicy::Fair ? "fair" : policy == SimPolicy::Fifo ? "fifo" : "fifo, own share";
 }
 
 /// One caller asks for 100 times what all others together ask for.
@@ -125,7 +126,8 @@
     auto streams = usual(d, 0.3, d.kinds.size());
     auto heavy = stream(d, d.workspaces[0], 1, 30, 1);
     heavy.callerPrefix = "heavy-";
-    for (const auto policy : {SimPolicy::Fair, SimPolicy::Fifo}) {
+    heavy.fromStart = false;
+    for (const auto policy : {SimPolicy::Fair, SimPolicy::Fifo, SimPolicy::FifoShare}) {
         const auto alone = simulate(d.setting, streams, policy, seed);
         auto all = streams;
         all.push_back(heavy);
@@ -147,11 +149,12 @@
 {
     const auto name = std::string{kind == 0 ? "least" : "most"} + " urgent kind at 10x";
     const auto others = usual(d, 0.4, kind);
-    for (const auto policy : {SimPolicy::Fair, SimPolicy::Fifo}) {
+    for (const auto policy : {SimPolicy::Fair, SimPolicy::Fifo, SimPolicy::FifoShare}) {
         const auto alone = simulate(d.setting, others, policy, seed);
         auto all = others;
         for (const auto &workspace : d.workspaces) {
             all.push_back(stream(d, workspace, kind, 10.0 / static_cast<double>(d.workspaces.size()), 25));
+            all.back().fromStart = false;
         }
         const auto loaded = simulate(d.setting, all, policy, seed);
         const auto together = compare(alone, loaded, others);
@@ -187,7 +190,7 @@
         }
         streams.push_back(it);
     }
-    for (const auto policy : {SimPolicy::Fair, SimPolicy::Fifo}) {
+    for (const auto policy : {SimPolicy::Fair, SimPolicy::Fifo, SimPolicy::FifoShare}) {
         const auto result = simulate(d.setting, streams, policy, seed);
         auto total = 0.0;
         for (const auto &it : result.streams) {
@@ -207,6 +210,25 @@
     }
 }
 
+auto allScenarios(const Deployment &d, std::uint64_t seed) -> FigureTable
+{
+    auto table = FigureTable{};
+    auto everyone = std::vector<int>{};
+    for (const auto n : d.setting.instancesPerDomain) {
+        for (auto i = 0; i < n; ++i) {
+            everyone.push_back(static_cast<int>(everyone.size()));
+        }
+    }
+    heavyCaller(table, d, seed);
+    floodedKind(table, d, 0, seed);
+    floodedKind(table, d, d.kinds.size() - 1, seed);
+    shares(table, d, "shares, even load", {}, true, seed);
+    shares(table, d, "shares, uneven load", {}, false, seed);
+    shares(table, d, "shares, 2 instances cut off", {0, 1}, false, seed);
+    shares(table, d, "shares, all cut off", everyone, false, seed);
+    return table;
+}
+
 }
 
 auto main(int argc, char **argv) -> int
@@ -227,18 +249,15 @@
     for (const auto bariloche : {true, false}) {
         auto d = deployment(bariloche);
         d.setting.length = Seconds{seconds};
-        auto everyone = std::vector<int>{};
-        for (auto i = 0; i < (bariloche ? 8 : 7); ++i) {
-            everyone.push_back(i);
-        }
-        for (auto seed = std::uint64_t{1}; seed <= static_cast<std::uint64_t>(seeds); ++seed) {
-            heavyCaller(table, d, seed);
-            floodedKind(table, d, 0, seed);
-            floodedKind(table, d, d.kinds.size() - 1, seed);
-            shares(table, d, "shares, even load", {}, true, seed);
-            shares(table, d, "shares, uneven load", {}, false, seed);
-            shares(table, d, "shares, 2 instances cut off", {0, 1}, false, seed);
-            shares(table, d, "shares, all cut off", everyone, false, seed);
+        // Seeds are independent; at most four run at once.
+        for (auto first = 1; first <= seeds; first += 4) {
+            auto runs = std::vector<std::future<FigureTable>>{};
+            for (auto seed = first; seed <= std::min(seeds, first + 3); ++seed) {
+                runs.push_back(std::async(std::launch::async, allScenarios, d, static_cast<std::uint64_t>(seed)));
+            }
+            for (auto &run : runs) {
+                table.merge(run.get());
+            }
         }
     }
     table.print();
--- a/bench/requestsimulation.cpp
+++ b/bench/requestsimulation.cpp
@@ -195,6 +195,13 @@
         }
     }
     m_busy.resize(m_executors.size());
+    auto fifoLimit = [&](int region) {
+        auto instances = 0;
+        for (auto domain = std::size_t{0}; domain < domains; ++domain) {
+            instances += regionOf(domain) == region ? setting.instancesPerDomain[domain] : 0;
+        }
+        return policy == SimPolicy::FifoShare ? (setting.slots + instances - 1) / instances : setting.slots;
+    };
     for (auto domain = std::size_t{0}; domain < domains; ++domain) {
         for (auto i = 0; i < setting.instancesPerDomain[domain]; ++i) {
             auto &instance = m_instances.emplace_back();
@@ -207,13 +214,14 @@
             }
             if (policy == SimPolicy::Fair) {
                 auto options = setting.options;
+                options.instance = InstanceId{"i-" + std::to_string(m_instances.size())};
                 options.domain = FailureDomainId{domainName(domain)};
                 options.region = RegionId{regionName(instance.region)};
                 instance.fair = std::make_unique<RequestScheduler>(options, seed * 100 + m_instances.size());
                 instance.fair->configChanged(setting.config, m_now);
                 instance.fair->executorsChanged(m_executors, m_now);
             } else {
-                instance.fifo = std::make_unique<FifoScheduler>(local, setting.slots);
+                instance.fifo = std::make_unique<FifoScheduler>(local, fifoLimit(regionOf(domain)));
             }
             m_capacity.push_back(static_cast<double>(local.size()));
         }
@@ -223,10 +231,15 @@
     }
     for (auto i = std::size_t{0}; i < m_instances.size(); ++i) {
         const auto region = m_instances[i].region;
-        const auto seen = std::count_if(m_instances.begin(), m_instances.end(), [&](const auto &it) { return it.region == region && !it.cutOff; });
+        auto seen = std::vector<InstanceId>{};
+        for (auto n = std::size_t{0}; n < m_instances.size(); ++n) {
+            if (m_instances[n].region == region && !m_instances[n].cutOff && !m_instances[i].cutOff) {
+                seen.emplace_back("i-" + std::to_string(n + 1));
+            }
+        }
         m_capacity[i] /= static_cast<double>(std::count_if(m_instances.begin(), m_instances.end(), [&](const auto &it) { return it.region == region; }));
         if (m_instances[i].fair) {
-            m_instances[i].fair->peersChanged(m_instances[i].cutOff ? 1 : static_cast<int>(seen), m_now);
+            m_instances[i].fair->peersChanged(seen, m_now);
         }
         add({.at = m_now, .type = EventType::Poll, .who = static_cast<int>(i)});
     }
@@ -239,7 +252,8 @@
 auto Simulation::scheduleArrival(std::size_t stream) -> void
 {
     const auto pause = std::exponential_distribution<double>{m_streams[stream].perSecond}(m_random[stream]);
-    const auto at = m_now + Micros{static_cast<std::int64_t>(pause * 1e6) + 1};
+    const auto from = m_streams[stream].fromStart ? m_now : std::max(m_now, m_start);
+    const auto at = from + Micros{static_cast<std::int64_t>(pause * 1e6) + 1};
     if (at < m_end) {
         add({.at = at, .type = EventType::Arrival, .who = static_cast<int>(stream)});
     }
--- a/bench/requestsimulation.h
+++ b/bench/requestsimulation.h
@@ -17,7 +17,8 @@
 
 enum class SimPolicy {
     Fair, ///< RequestScheduler
-    Fifo, ///< one FIFO queue per instance, fixed limits, immediate retries
+    Fifo, ///< one FIFO queue per instance, limit fixed at all slots of each executor, immediate retries
+    FifoShare, ///< the same with the limit fixed at the slots divided by the instances of the region, rounded up
 };
 
 /// Poisson arrivals of one kind from some callers of one workspace.
@@ -30,7 +31,7 @@
     double perSecond = 1;
     Millis cost{50}; ///< mean service time; log-normal with sigma 0.5
     Millis deadline{1000};
-    bool measured = true;
+    bool fromStart = true; ///< otherwise it begins at the end of the warm-up, when the measurement begins
     std::vector<double> instanceWeights; ///< how arrivals spread over the instances; empty for by capacity
 };
 
--- a/packages/policy/executorlimit.cpp
+++ b/packages/policy/executorlimit.cpp
@@ -1,18 +1,40 @@
 #include "policy/executorlimit.h"
 
+#include "util/rendezvous.h"
+
 #include <algorithm>
+#include <vector>
 
 namespace Catkin
 {
 
-auto limitForShare(ExecutorLimit &limit, int slots, int fresh) -> void
+auto limitForShare(ExecutorLimit &limit, int slots, int share) -> void
 {
-    const auto share = std::max(1.0, static_cast<double>(slots) / std::max(1, fresh));
-    if (slots != limit.slots || share != limit.share) {
-        limit.value = std::clamp(share, 1.0, static_cast<double>(std::max(1, slots)));
+    const auto bounded = std::clamp(share, 1, std::max(1, slots));
+    if (slots != limit.slots || bounded != limit.share) {
+        limit.value = bounded;
     }
     limit.slots = std::max(1, slots);
-    limit.share = share;
+    limit.share = bounded;
+}
+
+auto ownShare(const ExecutorId &id, int slots, const InstanceId &self, std::span<const std::string> fresh) -> int
+{
+    const auto instances = std::max(1, static_cast<int>(fresh.size()));
+    const auto whole = slots / instances;
+    auto rest = slots % instances;
+    auto candidates = std::vector<std::string>{fresh.begin(), fresh.end()};
+    for (; rest > 0 && !self.empty(); --rest) {
+        const auto owner = rendezvousOwner(id.str(), candidates);
+        if (!owner) {
+            break;
+        }
+        if (candidates[*owner] == self.str()) {
+            return std::max(1, whole + 1);
+        }
+        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(*owner));
+    }
+    return std::max(1, whole);
 }
 
 auto limitNow(const ExecutorLimit &limit) -> int
@@ -32,7 +54,11 @@
     const auto before = limitNow(limit);
     limit.value = std::min(limit.value + options.increase / limit.value, static_cast<double>(limit.slots));
     if (limitNow(limit) > before) {
-        limit.pause /= 2; // one more slot was granted since the last refusal
+        // More slots are tried at once while they are granted; the pause shrinks only after a time without refusals.
+        if (now - limit.growAfter > limit.pause) {
+            limit.pause /= 2;
+            limit.growAfter = now;
+        }
     }
 }
 
@@ -42,12 +68,11 @@
         return;
     }
     // A refused attempt to borrow costs what was borrowed, not the own share.
-    const auto floor = limit.value > limit.share ? limit.share : 1.0;
+    const auto floor = limit.value > limit.share ? static_cast<double>(limit.share) : 1.0;
     limit.value = std::max(floor, limit.value * options.decrease);
     limit.decreased = now;
     limit.pause = std::clamp(limit.pause * 2, options.growPauseAtLeast, options.growPauseAtMost);
-    // Below the share the slots are the instance's own, and it asks for them again soon.
-    limit.growAfter = now + (limit.value < limit.share ? options.growPauseAtLeast : limit.pause);
+    limit.growAfter = now + limit.pause;
 }
 
 auto isLate(const ExecutorLimitOptions &options, Micros elapsed, Micros expected) -> bool
--- a/packages/policy/executorlimit.h
+++ b/packages/policy/executorlimit.h
@@ -3,10 +3,10 @@
 /// Adaptive number of requests that one instance keeps in flight at one executor.
 ///
 /// The limit stays between 1 and the executor's slots. The own share (slots / fresh instances) is used without
-/// asking; slots beyond it are borrowed by trying: one more per round of attempts, taken back on a refusal.
+/// asking; slots beyond it are borrowed by trying: one more per round of attempts, given back on a refusal.
 /// @code
 ///   auto limit = Catkin::ExecutorLimit{};
-///   Catkin::limitForShare(limit, slots, fresh);          // whenever one of them changes
+///   Catkin::limitForShare(limit, slots, share);          // whenever one of them changes
 ///   if (inFlight < Catkin::limitNow(limit)) { ... }
 ///   Catkin::limitAfterAnswer(limit, options, wasFull, late, now);
 ///   Catkin::limitAfterRefusal(limit, options, now);
@@ -14,13 +14,15 @@
 
 #include "policy/requesttypes.h"
 
+#include <span>
+
 namespace Catkin
 {
 
 struct ExecutorLimit
 {
     int slots = 1;
-    double share = 1; ///< own part of the slots
+    int share = 1; ///< own part of the slots
     double value = 1; ///< between 1 and the slots; the whole part counts
     MonoTime decreased; ///< last decrease
     MonoTime growAfter; ///< no increase before
@@ -29,7 +31,14 @@
 
 /// Sets slots and share. A share that grows is used at once; one that shrinks takes borrowed slots back at once, since
 /// their owner has arrived.
-auto limitForShare(ExecutorLimit &limit, int slots, int fresh) -> void;
+auto limitForShare(ExecutorLimit &limit, int slots, int share) -> void;
+
+/// @param id of the executor
+/// @param self own id; empty when the peers' names are not known, which leaves the remainder to borrowing
+/// @param fresh ids of the fresh instances of the region, including @p self
+/// @return own part of the slots, at least 1. Instances that see the same peers divide the slots exactly: the remainder
+///         of the division goes to the instances with the highest rendezvous hashes for this executor.
+auto ownShare(const ExecutorId &id, int slots, const InstanceId &self, std::span<const std::string> fresh) -> int;
 
 /// @return how many requests may be in flight.
 auto limitNow(const ExecutorLimit &limit) -> int;
--- a/packages/policy/executortable.cpp
+++ b/packages/policy/executortable.cpp
@@ -40,7 +40,8 @@
 auto ExecutorTable::updateShare(KnownExecutor &executor, int slots) const -> void
 {
     // Nothing of an executor in another region is the instance's own; it starts with one request and tries for more.
-    limitForShare(executor.limit, slots, executor.reach == Reach::OtherRegion ? slots : m_fresh);
+    const auto share = executor.reach == Reach::OtherRegion ? 1 : ownShare(executor.listed.id, slots, m_options.instance, m_fresh);
+    limitForShare(executor.limit, slots, share);
 }
 
 auto ExecutorTable::forgetGone() -> void
@@ -63,14 +64,15 @@
     auto &executor = *it->second;
     healthPolled(executor.health, sample, now);
     if (sample && sample->slots > 0) {
+        executor.othersBusy = std::max(0, sample->busy - executor.inFlight);
         updateShare(executor, sample->slots);
     }
     m_capacityAt.reset();
 }
 
-auto ExecutorTable::freshInstances(int fresh) -> void
+auto ExecutorTable::freshInstances(std::vector<std::string> fresh) -> void
 {
-    m_fresh = std::max(1, fresh);
+    m_fresh = std::move(fresh);
     for (auto &it : m_executors) {
         updateShare(*it, it->limit.slots);
     }
@@ -105,6 +107,7 @@
 {
     m_candidates.clear();
     auto usable = 0;
+    auto free = 0;
     for (const auto &it : m_executors) {
         const auto state = healthState(it->health, m_options.health, now);
         auto candidate = RouteCandidate{it->reach, false, it->inFlight, limitNow(it->limit), it->peersInFlight, it->limit.slots};
@@ -117,12 +120,23 @@
         }
         if (it->health.failures >= m_options.health.failuresForSuspect) {
             candidate.limit = 1;
-        } else if (!wish.mayBorrow) {
-            candidate.limit = std::min(candidate.limit, std::max(1, static_cast<int>(it->limit.share)));
+        } else if (now < it->fullUntil) {
+            candidate.limit = 0;
+        } else {
+            // Borrows only slots that are free as far as is known; the own share is used in any case.
+            // What a flood leaves free here it must not borrow from the peers, who leave it free for the same reason.
+            const auto unused = wish.mayBorrow ? it->limit.slots - std::max(it->peersInFlight, it->othersBusy) - (wish.leaveFree > 0 ? 1 : 0) : 0;
+            candidate.limit = std::min(candidate.limit, std::max(it->limit.share, unused));
+        }
+        if (candidate.usable && it->reach >= wish.nearest && it->reach <= wish.farthest) {
+            ++usable;
+            free += std::max(0, candidate.limit - candidate.inFlight);
         }
-        usable += candidate.usable && it->reach >= wish.nearest && it->reach <= wish.farthest ? 1 : 0;
         m_candidates.push_back(candidate);
     }
+    if (usable > 0 && free <= wish.leaveFree) {
+        return nullptr;
+    }
     if (usable == 0) {
         for (auto i = std::size_t{0}; i < m_executors.size(); ++i) {
             m_candidates[i].usable = !m_executors[i]->health.quarantined && lastResort(m_executors[i]->health, m_options.health, now);
@@ -151,7 +165,12 @@
     }
     if (outcome == AttemptOutcome::Refused) {
         executor.health.probing = false;
+        // All slots were in use: one of them becomes free after about the usual cost divided by their number.
+        const auto pause = std::clamp(expected / executor.limit.slots * (1 << std::min(executor.refusals, 5)), Micros{Millis{2}}, Micros{Millis{200}});
+        executor.fullUntil = now + pause;
+        ++executor.refusals;
     } else {
+        executor.refusals = 0;
         const auto before = executor.health.quarantined;
         const auto failed = outcome != AttemptOutcome::Answered;
         if (healthAttempt(executor.health, m_options.health, failed, now)
@@ -220,7 +239,7 @@
                          it->peersInFlight,
                          it->limit.slots,
                          it->limit.value,
-                         it->limit.share});
+                         static_cast<double>(it->limit.share)});
     }
     return views;
 }
--- a/packages/policy/executortable.h
+++ b/packages/policy/executortable.h
@@ -33,6 +33,9 @@
     int inFlight = 0;
     std::unordered_map<InstanceId, int> peers; ///< in flight by peer
     int peersInFlight = 0;
+    int othersBusy = 0; ///< slots that others used at the last poll
+    MonoTime fullUntil; ///< refused lately: not tried before
+    int refusals = 0; ///< in a row; each doubles the pause before the next try
 };
 
 struct ExecutorWish
@@ -41,6 +44,7 @@
     Reach farthest = Reach::SameRegion;
     bool mayProbe = false; ///< an idempotent request, which may be sent to a quarantined executor as its probe
     bool mayBorrow = true; ///< whether slots beyond the own share may be tried
+    int leaveFree = 0; ///< chooses only when more than this many own slots are free within reach
 };
 
 /// What the executors within a reach can do.
@@ -58,8 +62,8 @@
 
     auto listed(const std::vector<ListedExecutor> &executors, MonoTime now) -> void;
     auto polled(const ExecutorId &id, const std::optional<HealthSample> &sample, MonoTime now) -> void;
-    /// @param fresh entry instances of the own region, which share its executors
-    auto freshInstances(int fresh) -> void;
+    /// @param fresh names of the entry instances of the own region, which share its executors
+    auto freshInstances(std::vector<std::string> fresh) -> void;
     auto peerReported(const InstanceId &peer, const std::vector<ExecutorLoad> &loads) -> void;
 
     /// @return an executor with room, or null.
@@ -83,7 +87,7 @@
     auto refreshCapacity(MonoTime now) -> void;
 
     RequestSchedulerOptions m_options;
-    int m_fresh = 1;
+    std::vector<std::string> m_fresh;
     std::vector<std::unique_ptr<KnownExecutor>> m_executors;
     std::unordered_map<ExecutorId, KnownExecutor *> m_byId;
     std::unordered_map<InstanceId, std::vector<ExecutorId>> m_reported;
--- a/packages/policy/fairqueue.cpp
+++ b/packages/policy/fairqueue.cpp
@@ -1,13 +1,8 @@
-#include "policy/fairqueue.h"
-
-#include <boost/intrusive/list.hpp>
-#include <boost/intrusive/set.hpp>
+#include "policy/fairnode.h"
 
 #include <algorithm>
 #include <cmath>
 #include <string>
-#include <string_view>
-#include <unordered_map>
 
 namespace Catkin
 {
@@ -15,12 +10,6 @@
 namespace
 {
 
-namespace bi = boost::intrusive;
-
-struct ByStart;
-struct ByStartUrgent;
-struct InIdle;
-
 /// Service rates are measured in windows of this length; shorter ones are noisy, longer ones lag behind a flood.
 constexpr auto rateWindow = Millis{250};
 
@@ -29,94 +18,11 @@
     return static_cast<double>(cost.count());
 }
 
-struct TextHash
-{
-    using is_transparent = void;
-    auto operator()(std::string_view text) const -> std::size_t
-    {
-        return std::hash<std::string_view>{}(text);
-    }
-};
-
-}
-
-/// One workspace, kind or caller, or the root above the workspaces.
-struct FairNode : bi::set_base_hook<bi::tag<ByStart>>, bi::set_base_hook<bi::tag<ByStartUrgent>>, bi::list_base_hook<bi::tag<InIdle>>
-{
-    struct StartKey
-    {
-        using type = std::pair<double, std::uint64_t>;
-        auto operator()(const FairNode &node) const -> type
-        {
-            return {node.start, node.order};
-        }
-    };
-    struct Active;
-
-    FairNode();
-    ~FairNode();
-    FairNode(const FairNode &) = delete;
-    auto operator=(const FairNode &) -> FairNode & = delete;
-    FairNode(FairNode &&) = delete;
-    auto operator=(FairNode &&) -> FairNode & = delete;
-
-    [[nodiscard]] auto busy() const -> bool
-    {
-        return queued + inService > 0;
-    }
-
-    FairNode *parent = nullptr;
-    std::string name;
-    double weight = 1;
-    double start = 0; ///< start tag while queued
-    double finish = 0; ///< finish tag of the last charge
-    double virtualTime = 0; ///< of the children
-    double busyWeight = 0; ///< of the children with items queued or in service
-    int busyChildren = 0;
-    std::uint64_t order = 0; ///< equal tags are served in the order in which they were set
-    int queued = 0;
-    int inService = 0;
-    Micros backlog{0}; ///< expected cost of the queued items
-    bool configured = true;
-
-    // Workspaces.
-    double urgentShare = 0;
-    double urgentCredit = 0;
-    // Kinds.
-    bool urgent = false;
-    bool crossRegion = false;
-    double windowCost = 0;
-    double rate = 0; ///< measured service, in slots
-    MonoTime windowStart;
-    // Kinds and callers.
-    double averageCost = 0; ///< zero before the first measurement
-
-    std::unique_ptr<Active> active; ///< children with queued items
-    std::unordered_map<std::string, std::unique_ptr<FairNode>, TextHash, std::equal_to<>> children;
-    bi::list<FairItem> items; ///< of a caller
-};
-
-struct FairNode::Active
-{
-    bi::set<FairNode, bi::base_hook<bi::set_base_hook<bi::tag<ByStart>>>, bi::key_of_value<FairNode::StartKey>> byStart;
-    bi::set<FairNode, bi::base_hook<bi::set_base_hook<bi::tag<ByStartUrgent>>>, bi::key_of_value<FairNode::StartKey>> urgent;
-};
-
-FairNode::FairNode()
-    : active(std::make_unique<Active>())
-{
-}
-
-FairNode::~FairNode()
-{
-    active->byStart.clear();
-    active->urgent.clear();
-    items.clear();
 }
 
 struct FairQueue::Idle
 {
-    bi::list<FairNode, bi::base_hook<bi::list_base_hook<bi::tag<InIdle>>>> nodes;
+    bi::list<FairNode, bi::base_hook<bi::list_base_hook<bi::tag<FairIdle>>>> nodes;
 };
 
 namespace
@@ -149,7 +55,7 @@
 
 auto isActive(const FairNode &node) -> bool
 {
-    return static_cast<const bi::set_base_hook<bi::tag<ByStart>> &>(node).is_linked();
+    return static_cast<const bi::set_base_hook<bi::tag<FairByStart>> &>(node).is_linked();
 }
 
 auto child(FairNode &parent, const std::string &name) -> FairNode &
@@ -170,6 +76,18 @@
     return &kind.active->byStart.begin()->items.front();
 }
 
+/// @return the part of @p slots that a kind may claim beside the workspaces and kinds that have requests now.
+auto shareOf(const FairNode &kind, double slots) -> double
+{
+    auto part = [](const FairNode &node) {
+        const auto others = node.parent->busyWeight - (node.busy() ? node.weight : 0);
+        return node.weight / (node.weight + std::max(0.0, others));
+    };
+    const auto workspaceSlots = slots * part(*kind.parent);
+    const auto share = workspaceSlots * part(kind);
+    return kind.urgent ? std::max(share, workspaceSlots * kind.parent->urgentShare) : share;
+}
+
 /// @return whether the workspace serves its urgent kinds first now.
 auto urgentFirst(const FairNode &workspace) -> bool
 {
@@ -278,7 +196,7 @@
             it->parent->busyChildren += before ? -1 : 1;
         }
     }
-    auto &idleHook = static_cast<bi::list_base_hook<bi::tag<InIdle>> &>(node);
+    auto &idleHook = static_cast<bi::list_base_hook<bi::tag<FairIdle>> &>(node);
     if (node.busy() && idleHook.is_linked()) {
         m_idle->nodes.erase(m_idle->nodes.iterator_to(node));
     } else if (!node.busy() && !idleHook.is_linked()) {
@@ -342,6 +260,33 @@
     return nullptr;
 }
 
+auto FairQueue::overShare(const FairItem &item, double slots) const -> bool
+{
+    const auto &caller = *item.caller;
+    const auto &kind = *caller.parent;
+    const auto share = std::max(1.0, shareOf(kind, slots));
+    return kind.inService + 1 > share && caller.inService + 1 > std::max(1.0, share / std::max(1, kind.busyChildren));
+}
+
+auto FairQueue::frontBelowShare(double slots) const -> FairItem *
+{
+    auto left = m_options.lookAhead;
+    for (auto &workspace : m_root->active->byStart) {
+        for (auto &kind : workspace.active->byStart) {
+            for (auto &caller : kind.active->byStart) {
+                auto *item = &caller.items.front();
+                if (!overShare(*item, slots)) {
+                    return item;
+                }
+                if (--left <= 0) {
+                    return nullptr;
+                }
+            }
+        }
+    }
+    return nullptr;
+}
+
 auto FairQueue::charge(FairNode &node, double cost) -> void
 {
     auto &parent = *node.parent;
@@ -390,9 +335,10 @@
 {
     auto &caller = *item.caller;
     auto &kind = *caller.parent;
+    auto &workspace = *kind.parent;
     const auto cost = asDouble(measured);
     const auto correction = cost - asDouble(item.expected);
-    for (auto *it = &caller; it->parent != nullptr; it = it->parent) {
+    for (auto *it : {&caller, &kind, &workspace}) {
         // Bounded, because many late corrections of work done on otherwise idle capacity would shut a child out.
         const auto reach = asDouble(m_options.debt) / it->weight;
         const auto time = it->parent->virtualTime;
@@ -402,9 +348,9 @@
             place(*it, corrected(it->start), it->order);
         }
     }
-    if (kind.urgent && kind.parent->urgentShare > 0) {
-        kind.parent->urgentCredit = std::min(kind.parent->urgentCredit - std::max(0.0, correction) * (1 - kind.parent->urgentShare), //
-                                             asDouble(m_options.urgentBurst));
+    if (kind.urgent && workspace.urgentShare > 0) {
+        workspace.urgentCredit = std::min(workspace.urgentCredit - std::max(0.0, correction) * (1 - workspace.urgentShare), //
+                                          asDouble(m_options.urgentBurst));
     }
     if (measured > Micros{0}) {
         for (auto *it : {&caller, &kind}) {
@@ -426,19 +372,10 @@
 auto FairQueue::expectedWait(const FairNode &caller, double slots, MonoTime now) const -> Micros
 {
     const auto &kind = *caller.parent;
-    const auto &workspace = *kind.parent;
     if (kind.queued == 0 || slots <= 0) {
         return Micros{0};
     }
-    auto part = [](const FairNode &node) {
-        const auto others = node.parent->busyWeight - (node.busy() ? node.weight : 0);
-        return node.weight / (node.weight + std::max(0.0, others));
-    };
-    const auto workspaceSlots = slots * part(workspace);
-    auto kindSlots = workspaceSlots * part(kind);
-    if (kind.urgent) {
-        kindSlots = std::max(kindSlots, workspaceSlots * workspace.urgentShare);
-    }
+    auto kindSlots = shareOf(kind, slots);
     // Others often leave part of their share unused; what the kind got in the last window shows it.
     if (now - kind.windowStart < 2 * rateWindow) {
         kindSlots = std::max(kindSlots, std::min(kind.rate, slots));
--- a/packages/policy/fairqueue.h
+++ b/packages/policy/fairqueue.h
@@ -70,6 +70,12 @@
     /// @return the item to serve next among the kinds that may cross regions, or null. Cost: linear in the kinds with
     ///         queued items.
     [[nodiscard]] auto crossRegionFront() const -> FairItem *;
+    /// @return whether both the item's kind in its workspace and its caller in that kind have their shares of @p slots in
+    ///         service.
+    [[nodiscard]] auto overShare(const FairItem &item, double slots) const -> bool;
+    /// @return the first item, in serving order, that is not over its share, or null. Looks at the first
+    ///         FairQueueOptions::lookAhead callers; those below their share have low start tags.
+    [[nodiscard]] auto frontBelowShare(double slots) const -> FairItem *;
     /// Takes an item that is first in its caller's queue into service and charges its expected cost.
     auto take(FairItem &item) -> void;
     /// Removes a queued item, at no charge.
--- a/packages/policy/requestscheduler.cpp
+++ b/packages/policy/requestscheduler.cpp
@@ -1,137 +1,10 @@
-#include "policy/requestscheduler.h"
-
-#include "policy/admission.h"
-#include "policy/executortable.h"
-#include "policy/linkbudget.h"
-#include "policy/retrybudget.h"
-
-#include <boost/intrusive/list.hpp>
-#include <boost/intrusive/set.hpp>
+#include "policy/requestschedulerimpl.h"
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace Catkin
 {
 
-namespace
-{
-
-namespace bi = boost::intrusive;
-
-struct ByDrop;
-struct ByRetry;
-struct ByCaller;
-
-/// Longest idle time while requests are queued: executors also become usable through the passing of time (probes,
-/// recovery of suspects), and this bounds how late that is noticed.
-constexpr auto idleAtMost = Millis{100};
-
-/// A request in progress: queued, in flight or waiting for a retry.
-struct Entry : FairItem, bi::set_base_hook<bi::tag<ByDrop>>, bi::set_base_hook<bi::tag<ByRetry>>, bi::list_base_hook<bi::tag<ByCaller>>
-{
-    NewRequest request;
-    std::int64_t number = 0;
-    KnownExecutor *executor = nullptr; ///< set while in flight
-    MonoTime since; ///< accepted
-    MonoTime sentAt;
-    MonoTime dropAt; ///< not started after this
-    MonoTime retryAt;
-    int attempts = 0;
-    bool idempotent = false;
-    bool spilled = false; ///< queued for executors of other regions
-    bool mayHaveRun = false;
-    bool cancelled = false;
-};
-
-struct DropKey
-{
-    using type = std::pair<std::int64_t, std::int64_t>;
-    auto operator()(const Entry &entry) const -> type
-    {
-        return {entry.dropAt.time_since_epoch().count(), entry.number};
-    }
-};
-
-struct RetryKey
-{
-    using type = std::pair<std::int64_t, std::int64_t>;
-    auto operator()(const Entry &entry) const -> type
-    {
-        return {entry.retryAt.time_since_epoch().count(), entry.number};
-    }
-};
-
-using CallerRequests = bi::list<Entry, bi::base_hook<bi::list_base_hook<bi::tag<ByCaller>>>>;
-
-}
-
-struct RequestScheduler::Impl
-{
-    Impl(RequestSchedulerOptions theOptions, std::uint64_t seed)
-        : options(std::move(theOptions))
-        , random(seed)
-        , local(options.queue)
-        , spill(options.queue)
-        , table(options)
-        , retries(options.retry)
-    {
-        link.configure(LinkClass::Requests, options.link);
-    }
-    ~Impl()
-    {
-        byDrop.clear();
-        byRetry.clear();
-        for (auto &[workspace, list] : callers) {
-            for (auto &[caller, requests] : list) {
-                requests.clear();
-            }
-        }
-        for (auto &[number, entry] : entries) {
-            // Unlinks the item from its queue, which is destroyed before the entries.
-            if (entry->queued) {
-                queueOf(*entry).remove(*entry);
-            }
-        }
-    }
-    Impl(const Impl &) = delete;
-    auto operator=(const Impl &) -> Impl & = delete;
-    Impl(Impl &&) = delete;
-    auto operator=(Impl &&) -> Impl & = delete;
-
-    auto queueOf(const Entry &entry) -> FairQueue &
-    {
-        return entry.spilled ? spill : local;
-    }
-    auto push(Entry &entry, bool first) -> void;
-    auto unqueue(Entry &entry) -> void;
-    auto erase(Entry &entry) -> void;
-    auto dropDue(MonoTime now) -> std::optional<RequestDropped>;
-    auto chooseLocal(const Entry &entry, MonoTime now) -> KnownExecutor *;
-    auto chooseRemote(const Entry &entry, MonoTime now) -> KnownExecutor *;
-    auto dispatch(Entry &entry, KnownExecutor &executor, MonoTime now) -> RequestDispatch;
-    auto idle(MonoTime now) -> RequestIdle;
-    auto admitSpill(const NewRequest &request, AdmissionQuestion question, MonoTime now) -> bool;
-    auto cancel(Entry &entry) -> CancelResult;
-
-    RequestSchedulerOptions options;
-    Random random;
-    std::unordered_map<WorkspaceId, RequestWorkspace> workspaces;
-    std::unordered_map<KindId, RequestKind> kinds;
-    FairQueue local; ///< for the executors of the own region
-    FairQueue spill; ///< for those of other regions, because the own ones could not meet the deadline
-    std::int64_t spillBytes = 0;
-    ExecutorTable table;
-    RetryBudget retries;
-    LinkBudget link;
-    std::unordered_map<std::int64_t, std::unique_ptr<Entry>> entries;
-    bi::set<Entry, bi::base_hook<bi::set_base_hook<bi::tag<ByDrop>>>, bi::key_of_value<DropKey>> byDrop; ///< not in flight
-    bi::set<Entry, bi::base_hook<bi::set_base_hook<bi::tag<ByRetry>>>, bi::key_of_value<RetryKey>> byRetry;
-    std::unordered_map<WorkspaceId, std::unordered_map<CallerId, CallerRequests>> callers;
-    RequestFigures figures;
-    std::int64_t lastNumber = 0;
-};
-
 RequestScheduler::RequestScheduler(RequestSchedulerOptions options, std::uint64_t seed)
     : m_impl(std::make_unique<Impl>(std::move(options), seed))
 {
@@ -140,28 +13,28 @@
 auto RequestScheduler::operator=(RequestScheduler &&) noexcept -> RequestScheduler & = default;
 RequestScheduler::~RequestScheduler() = default;
 
-auto RequestScheduler::Impl::push(Entry &entry, bool first) -> void
+auto RequestScheduler::Impl::push(RequestEntry &entry, bool first) -> void
 {
     auto &queue = queueOf(entry);
     queue.push(queue.caller(entry.request.workspace, entry.request.kind, entry.request.caller), entry, first);
     spillBytes += entry.spilled ? entry.request.bytes.value : 0;
 }
 
-auto RequestScheduler::Impl::unqueue(Entry &entry) -> void
+auto RequestScheduler::Impl::unqueue(RequestEntry &entry) -> void
 {
     queueOf(entry).remove(entry);
     spillBytes -= entry.spilled ? entry.request.bytes.value : 0;
 }
 
-auto RequestScheduler::Impl::erase(Entry &entry) -> void
+auto RequestScheduler::Impl::erase(RequestEntry &entry) -> void
 {
     if (entry.queued) {
         unqueue(entry);
     }
-    if (entry.bi::set_base_hook<bi::tag<ByDrop>>::is_linked()) {
+    if (entry.bi::set_base_hook<bi::tag<RequestByDrop>>::is_linked()) {
         byDrop.erase(byDrop.iterator_to(entry));
     }
-    if (entry.bi::set_base_hook<bi::tag<ByRetry>>::is_linked()) {
+    if (entry.bi::set_base_hook<bi::tag<RequestByRetry>>::is_linked()) {
         byRetry.erase(byRetry.iterator_to(entry));
     }
     const auto workspace = callers.find(entry.request.workspace);
@@ -227,7 +100,7 @@
             return refuse(*refusal);
         }
     }
-    auto owned = std::make_unique<Entry>();
+    auto owned = std::make_unique<RequestEntry>();
     auto &entry = *owned;
     entry.request = request;
     entry.number = ++d.lastNumber;
@@ -243,108 +116,6 @@
     return {RequestNumber{entry.number}, {}};
 }
 
-auto RequestScheduler::Impl::dropDue(MonoTime now) -> std::optional<RequestDropped>
-{
-    if (byDrop.empty() || byDrop.begin()->dropAt > now) {
-        return {};
-    }
-    auto &entry = *byDrop.begin();
-    const auto dropped = RequestDropped{RequestNumber{entry.number}, entry.mayHaveRun, {RefusalReason::DeadlinePassed, options.admission.retryAtLeast}};
-    ++figures.dropped;
-    erase(entry);
-    return dropped;
-}
-
-auto RequestScheduler::Impl::chooseLocal(const Entry &entry, MonoTime now) -> KnownExecutor *
-{
-    // A refused attempt to borrow costs a retry; half of the budget is kept for other failures.
-    return table.choose({Reach::OwnDomain, Reach::SameRegion, entry.idempotent, retries.level() >= 0.5}, random, now);
-}
-
-auto RequestScheduler::Impl::chooseRemote(const Entry &entry, MonoTime now) -> KnownExecutor *
-{
-    auto *executor = table.choose({Reach::OtherRegion, Reach::OtherRegion, entry.idempotent, retries.level() >= 0.5}, random, now);
-    if (executor != nullptr && !link.take(LinkClass::Requests, entry.request.bytes, now)) {
-        ++figures.linkDenied;
-        return nullptr;
-    }
-    return executor;
-}
-
-auto RequestScheduler::Impl::dispatch(Entry &entry, KnownExecutor &executor, MonoTime now) -> RequestDispatch
-{
-    byDrop.erase(byDrop.iterator_to(entry));
-    queueOf(entry).take(entry);
-    spillBytes -= entry.spilled ? entry.request.bytes.value : 0;
-    if (++entry.attempts == 1) {
-        retries.firstAttempt();
-    }
-    entry.executor = &executor;
-    entry.sentAt = now;
-    table.started(executor, now);
-    ++figures.dispatched;
-    const auto other = executor.reach == Reach::OtherRegion;
-    figures.otherRegion += other ? 1 : 0;
-    figures.otherRegionBytes += other ? entry.request.bytes.value : 0;
-    return {RequestNumber{entry.number},
-            executor.listed.id,
-            executor.listed.address,
-            other,
-            entry.attempts,
-            std::chrono::duration_cast<Millis>(entry.request.deadline - now)};
-}
-
-auto RequestScheduler::Impl::idle(MonoTime now) -> RequestIdle
-{
-    if (byDrop.empty()) {
-        return {};
-    }
-    auto wakeAt = std::min(byDrop.begin()->dropAt, now + idleAtMost);
-    if (!byRetry.empty()) {
-        wakeAt = std::min(wakeAt, byRetry.begin()->retryAt);
-    }
-    if (const auto *item = spill.front(); item != nullptr) {
-        const auto paidAt = link.allowedAt(LinkClass::Requests, static_cast<const Entry *>(item)->request.bytes, now);
-        wakeAt = paidAt && *paidAt > now ? std::min(wakeAt, *paidAt) : wakeAt;
-    }
-    return {wakeAt};
-}
-
-auto RequestScheduler::next(MonoTime now) -> RequestStep
-{
-    auto &d = *m_impl;
-    if (auto dropped = d.dropDue(now)) {
-        return *dropped;
-    }
-    while (!d.byRetry.empty() && d.byRetry.begin()->retryAt <= now) {
-        auto &entry = *d.byRetry.begin();
-        d.byRetry.erase(d.byRetry.begin());
-        d.push(entry, true);
-    }
-    if (auto *item = d.local.front(); item != nullptr) {
-        auto &entry = *static_cast<Entry *>(item);
-        if (auto *executor = d.chooseLocal(entry, now)) {
-            return d.dispatch(entry, *executor, now);
-        }
-        if (d.table.capacity(false, now).usable == 0 && d.table.capacity(true, now).usable > 0) {
-            if (auto *other = static_cast<Entry *>(d.local.crossRegionFront())) {
-                if (auto *executor = d.chooseRemote(*other, now)) {
-                    return d.dispatch(*other, *executor, now);
-                }
-            }
-        }
-    }
-    if (auto *item = d.spill.front(); item != nullptr) {
-        auto &entry = *static_cast<Entry *>(item);
-        auto *executor = d.local.empty() ? d.chooseLocal(entry, now) : nullptr;
-        executor = executor != nullptr ? executor : d.chooseRemote(entry, now);
-        if (executor != nullptr) {
-            return d.dispatch(entry, *executor, now);
-        }
-    }
-    return d.idle(now);
-}
-
 auto RequestScheduler::completed(RequestNumber number, AttemptOutcome outcome, Micros cost, MonoTime now) -> RequestAfter
 {
     auto &d = *m_impl;
@@ -366,19 +137,20 @@
         return RequestFinished{true};
     }
     entry.mayHaveRun = entry.mayHaveRun || !notRun;
-    const auto repeatable = !entry.mayHaveRun || entry.idempotent;
-    if (repeatable && !entry.cancelled && entry.attempts < d.options.retry.attempts) {
-        const auto at = now + retryDelay(d.options.retry, entry.attempts, d.random);
-        const auto inTime = at < entry.dropAt;
-        if (inTime && d.retries.take()) {
-            entry.retryAt = at;
-            d.byRetry.insert(entry);
-            d.byDrop.insert(entry);
-            ++d.figures.retries;
-            return RequestRetry{at};
-        }
-        d.figures.retriesDenied += inTime ? 1 : 0;
-    }
+    // After a first refusal another executor is tried at once: the one that refused is left alone for a while.
+    const auto at = notRun && entry.attempts == 1 ? now : now + retryDelay(d.options.retry, entry.attempts, d.random);
+    const auto repeatable = (!entry.mayHaveRun || entry.idempotent) && !entry.cancelled && at < entry.dropAt;
+    // A refused attempt cost the executor nothing, so the request waits for the budget instead of being given up.
+    const auto paid = repeatable && !notRun && entry.attempts < d.options.retry.attempts && d.retries.take();
+    if (paid || (repeatable && notRun)) {
+        entry.retryAt = at;
+        entry.owesRetry = !paid;
+        d.byRetry.insert(entry);
+        d.byDrop.insert(entry);
+        d.figures.retries += paid ? 1 : 0;
+        return RequestRetry{at};
+    }
+    d.figures.retriesDenied += repeatable ? 1 : 0;
     const auto ended = entry.mayHaveRun;
     const auto reason = entry.cancelled ? RefusalReason::Cancelled : now >= entry.dropAt ? RefusalReason::DeadlinePassed : RefusalReason::RetryBudget;
     d.erase(entry);
@@ -388,7 +160,7 @@
     return RequestNotRun{{reason, retryAfter(d.options.admission, Micros{d.options.retry.backoffAtMost} / 4)}};
 }
 
-auto RequestScheduler::Impl::cancel(Entry &entry) -> CancelResult
+auto RequestScheduler::Impl::cancel(RequestEntry &entry) -> CancelResult
 {
     if (entry.executor != nullptr) {
         entry.cancelled = true;
@@ -416,7 +188,7 @@
     if (list == d.callers.end() || requests == list->second.end()) {
         return cancelled;
     }
-    auto found = std::vector<Entry *>{};
+    auto found = std::vector<RequestEntry *>{};
     for (auto &entry : requests->second) {
         found.push_back(&entry);
     }
@@ -456,7 +228,19 @@
 auto RequestScheduler::peersChanged(int fresh, MonoTime now) -> void
 {
     static_cast<void>(now);
-    m_impl->table.freshInstances(fresh);
+    m_impl->table.freshInstances(std::vector<std::string>(static_cast<std::size_t>(std::max(1, fresh))));
+}
+
+auto RequestScheduler::peersChanged(const std::vector<InstanceId> &fresh, MonoTime now) -> void
+{
+    static_cast<void>(now);
+    auto names = std::vector<std::string>{m_impl->options.instance.str()};
+    for (const auto &it : fresh) {
+        if (it != m_impl->options.instance) {
+            names.push_back(it.str());
+        }
+    }
+    m_impl->table.freshInstances(std::move(names));
 }
 
 auto RequestScheduler::peerReported(const InstanceId &peer, const std::vector<ExecutorLoad> &loads, MonoTime now) -> void
@@ -484,7 +268,7 @@
     for (const auto *queue : {&m_impl->local, &m_impl->spill}) {
         queue->forEachCaller([&](const RequestQueueView &view, const FairItem *first) {
             views.push_back(view);
-            views.back().oldestWait = first != nullptr ? std::chrono::duration_cast<Millis>(now - static_cast<const Entry *>(first)->since) : Millis{0};
+            views.back().oldestWait = first != nullptr ? std::chrono::duration_cast<Millis>(now - static_cast<const RequestEntry *>(first)->since) : Millis{0};
         });
     }
     return views;
--- a/packages/policy/requestscheduler.h
+++ b/packages/policy/requestscheduler.h
@@ -146,6 +146,10 @@
     ///        count as 1. Instances of other regions rarely use the same executors; busy refusals limit them.
     auto peersChanged(int fresh, MonoTime now) -> void;
 
+    /// The same with names, which divides slots without a remainder when all instances see the same peers.
+    /// @param fresh entry instances of the own region with fresh heartbeats; the own one is added when it is missing
+    auto peersChanged(const std::vector<InstanceId> &fresh, MonoTime now) -> void;
+
     /// Takes over the in-flight counts in a peer's heartbeat; an empty list forgets the peer.
     auto peerReported(const InstanceId &peer, const std::vector<ExecutorLoad> &loads, MonoTime now) -> void;
 
--- a/packages/policy/requesttypes.h
+++ b/packages/policy/requesttypes.h
@@ -138,7 +138,7 @@
 struct RetryOptions
 {
     double share = 0.1; ///< retries per first attempt
-    double burst = 10; ///< retries allowed at once after a quiet time
+    double burst = 50; ///< retries allowed at once after a quiet time
     int attempts = 3; ///< most attempts of one request
     Millis backoff{20}; ///< before the first retry, doubled for each further one, with full jitter
     Millis backoffAtMost{2000};
@@ -166,12 +166,15 @@
     double costWeight = 0.1; ///< weight of a new measurement in the moving average
     Micros urgentBurst{1'000'000}; ///< urgent service that a workspace may save up
     Micros debt{2'000'000}; ///< most that late cost corrections may hold back, or favour, a child
+    double reservedPart = 0.05; ///< slots left free by kinds that have their share, so that others need not wait for one
+    int lookAhead = 16; ///< callers looked at for one below its share
     int idleCallers = 4096; ///< callers remembered without requests
 };
 
 /// Own place and tuning of a RequestScheduler.
 struct RequestSchedulerOptions
 {
+    InstanceId instance; ///< own id
     FailureDomainId domain;
     RegionId region;
     int slots = 8; ///< assumed slots of an executor before its first health answer
--- a/packages/policy/testing/requestscheduler_test.cpp
+++ b/packages/policy/testing/requestscheduler_test.cpp
@@ -1,26 +1,270 @@
 #include "policy/requestscheduler.h"
+#include "util/random.h"
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <set>
+#include <string>
+
 using namespace Catkin;
 
-// Guards against a request that is accepted, dispatched and answered but still counted as in progress.
-TEST_CASE("a request is queued, dispatched and finished")
-{
-    auto scheduler = RequestScheduler{{.domain = FailureDomainId{"oviedo"}, .region = RegionId{"cantabrico"}}, 1};
-    const auto now = MonoTime{Seconds{100}};
-    scheduler.configChanged({{{.id = WorkspaceId{"gas"}}}, {{.id = KindId{"route"}, .idempotent = true}}}, now);
-    scheduler.executorsChanged({{ExecutorId{"e-1"}, "127.0.0.1:9000", FailureDomainId{"oviedo"}, RegionId{"cantabrico"}}}, now);
-    scheduler.executorPolled(ExecutorId{"e-1"}, HealthSample{.slots = 8}, now);
-    CHECK(scheduler.enqueue({WorkspaceId{"ski"}, CallerId{"c"}, KindId{"route"}, now + Seconds{1}}, now).refusal->reason == RefusalReason::UnknownWorkspace);
-    const auto queued = scheduler.enqueue({WorkspaceId{"gas"}, CallerId{"c"}, KindId{"route"}, now + Seconds{1}}, now);
-    REQUIRE_FALSE(queued.refusal);
-    const auto step = scheduler.next(now);
-    REQUIRE(std::holds_alternative<RequestDispatch>(step));
-    CHECK(std::get<RequestDispatch>(step).address == "127.0.0.1:9000");
-    CHECK(std::holds_alternative<RequestIdle>(scheduler.next(now)));
-    const auto after = scheduler.completed(queued.number, AttemptOutcome::Answered, Micros{500}, now + Millis{1});
-    REQUIRE(std::holds_alternative<RequestFinished>(after));
-    CHECK(std::get<RequestFinished>(after).answered);
-    CHECK(scheduler.figures().inFlight == 0);
+namespace
+{
+
+constexpr auto start = MonoTime{Seconds{1000}};
+
+auto config() -> RequestConfig
+{
+    return {{{.id = WorkspaceId{"gas"}, .urgentShare = 0.3}, {.id = WorkspaceId{"ski"}, .weight = 2, .callersLimit = 10}},
+            {{.id = KindId{"plan"}, .idempotent = true, .crossRegion = true},
+             {.id = KindId{"book"}, .urgency = RequestUrgency::Urgent},
+             {.id = KindId{"check"}, .idempotent = true}}};
+}
+
+auto executors(int local, int remote) -> std::vector<ListedExecutor>
+{
+    auto list = std::vector<ListedExecutor>{};
+    for (auto i = 0; i < local + remote; ++i) {
+        const auto name = std::to_string(i);
+        list.push_back(
+            {ExecutorId{"e-" + name}, "a-" + name, FailureDomainId{i % 2 == 0 ? "oviedo" : "bilbao"}, RegionId{i < local ? "cantabrico" : "meseta"}});
+    }
+    return list;
+}
+
+auto scheduler(int local, int remote, std::uint64_t seed, RequestSchedulerOptions options = {}) -> RequestScheduler
+{
+    options.instance = InstanceId{"i-1"};
+    options.domain = FailureDomainId{"oviedo"};
+    options.region = RegionId{"cantabrico"};
+    auto result = RequestScheduler{options, seed};
+    result.configChanged(config(), start);
+    result.executorsChanged(executors(local, remote), start);
+    for (const auto &it : executors(local, remote)) {
+        result.executorPolled(it.id, HealthSample{8, 0, false}, start);
+    }
+    return result;
+}
+
+auto request(const char *kind, MonoTime now, const char *caller = "c", Millis deadline = Millis{1000}) -> NewRequest
+{
+    return {WorkspaceId{"gas"}, CallerId{caller}, KindId{kind}, now + deadline, Bytes{1000}};
+}
+
+}
+
+// Guards G4 and G5 under random faults: every accepted request ends exactly once; "not run" is never said of one that
+// may have run; work that is not idempotent is not sent again once it may have run; limits and budgets hold.
+TEST_CASE("random faults: each request ends once and truthfully")
+{
+    struct Life
+    {
+        bool idempotent = false;
+        bool mayHaveRun = false;
+        bool inFlight = false;
+        bool ended = false;
+        std::string executor;
+    };
+    for (auto seed = std::uint64_t{1}; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        auto random = Random{seed};
+        const auto options = RequestSchedulerOptions{.retry = {.burst = 5}};
+        auto s = scheduler(6, 2, seed, options);
+        auto lives = std::map<std::int64_t, Life>{};
+        auto load = std::map<std::string, int>{};
+        auto now = start;
+        auto poll = start;
+        auto first = 0;
+        auto attempts = 0;
+        auto end = [&](RequestNumber number, bool saysNotRun) {
+            auto &life = lives.at(number.value);
+            REQUIRE_FALSE(life.ended);
+            REQUIRE_FALSE((saysNotRun && life.mayHaveRun));
+            life.ended = true;
+        };
+        auto complete = [&](std::int64_t number, AttemptOutcome outcome) {
+            auto &life = lives.at(number);
+            life.inFlight = false;
+            --load[life.executor];
+            life.mayHaveRun = life.mayHaveRun || outcome == AttemptOutcome::Failed || outcome == AttemptOutcome::TimedOut;
+            const auto after = s.completed({number}, outcome, Micros{uniform(random, 90000)}, now);
+            if (const auto *finished = std::get_if<RequestFinished>(&after)) {
+                CHECK(finished->answered == (outcome == AttemptOutcome::Answered));
+                CHECK((finished->answered || life.mayHaveRun));
+                end({number}, false);
+            } else if (std::holds_alternative<RequestNotRun>(after)) {
+                end({number}, true);
+            } else {
+                CHECK((life.idempotent || !life.mayHaveRun));
+            }
+        };
+        auto drain = [&] {
+            for (;;) {
+                auto step = s.next(now);
+                if (auto *dispatch = std::get_if<RequestDispatch>(&step)) {
+                    auto &life = lives.at(dispatch->number.value);
+                    REQUIRE_FALSE((life.ended || life.inFlight));
+                    REQUIRE((life.idempotent || !life.mayHaveRun));
+                    life.inFlight = true;
+                    life.executor = dispatch->executor.str();
+                    REQUIRE(++load[life.executor] <= 8);
+                    first += dispatch->attempt == 1 ? 1 : 0;
+                    ++attempts;
+                    REQUIRE(attempts - first <= options.retry.share * first + options.retry.burst + 1e-6);
+                } else if (auto *dropped = std::get_if<RequestDropped>(&step)) {
+                    CHECK(dropped->mayHaveRun == lives.at(dropped->number.value).mayHaveRun);
+                    end(dropped->number, !dropped->mayHaveRun);
+                } else {
+                    return;
+                }
+            }
+        };
+        for (auto i = 0; i < 4000; ++i) {
+            now += Micros{uniform(random, 4000)};
+            if (now >= poll) {
+                for (const auto &it : executors(6, 2)) {
+                    const auto good = uniform(random, 10) > 0;
+                    s.executorPolled(it.id, good ? std::optional{HealthSample{8, load[it.id.str()], false}} : std::nullopt, now);
+                }
+                s.peersChanged(1 + static_cast<int>(uniform(random, 3)), now);
+                poll = now + Seconds{1};
+            }
+            const auto action = uniform(random, 20);
+            if (action < 9) {
+                constexpr const char *kinds[] = {"plan", "book", "check"};
+                constexpr const char *callers[] = {"c-1", "c-2", "c-3"};
+                const auto *kind = kinds[uniform(random, 3)];
+                const auto queued = s.enqueue(request(kind, now, callers[uniform(random, 3)], Millis{20 + uniform(random, 500)}), now);
+                if (!queued.refusal) {
+                    lives[queued.number.value].idempotent = std::string{kind} != "book";
+                }
+            } else if (action < 18) {
+                for (auto &[number, life] : lives) {
+                    if (life.inFlight && uniform(random, 4) == 0) {
+                        constexpr AttemptOutcome outcomes[]
+                            = {AttemptOutcome::Refused, AttemptOutcome::NotSent, AttemptOutcome::Failed, AttemptOutcome::TimedOut};
+                        complete(number, uniform(random, 3) > 0 ? AttemptOutcome::Answered : outcomes[uniform(random, 4)]);
+                        break;
+                    }
+                }
+            } else if (action == 18 && !lives.empty()) {
+                const auto number = 1 + uniform(random, static_cast<std::uint32_t>(lives.size()));
+                const auto result = s.cancel({number}, now);
+                const auto &life = lives.at(number);
+                CHECK((result == CancelResult::NotFound) == life.ended);
+                CHECK((result == CancelResult::InFlight) == (life.inFlight && !life.ended));
+                if (result == CancelResult::NotRun || result == CancelResult::MayHaveRun) {
+                    end({number}, result == CancelResult::NotRun);
+                }
+            } else if (uniform(random, 20) == 0) {
+                for (const auto &it : s.cancelCaller(WorkspaceId{"gas"}, CallerId{"c-1"}, now)) {
+                    if (it.result != CancelResult::InFlight) {
+                        end(it.number, it.result == CancelResult::NotRun);
+                    }
+                }
+            } else if (uniform(random, 10) == 0) {
+                s.executorsChanged(executors(2 + static_cast<int>(uniform(random, 5)), 2), now);
+            }
+            drain();
+        }
+        for (auto i = 0; i < 20; ++i) {
+            now += Seconds{1};
+            for (auto &[number, life] : lives) {
+                if (life.inFlight) {
+                    complete(number, AttemptOutcome::Answered);
+                }
+            }
+            drain();
+        }
+        for (const auto &[number, life] : lives) {
+            CHECK(life.ended);
+        }
+        CHECK(s.figures().queued == 0);
+        CHECK(s.figures().inFlight == 0);
+        CHECK(s.ownLoads().empty());
+        CHECK(lives.size() > 500);
+    }
+}
+
+// Guards against refusals without a reason, or with a retry time that cannot help.
+TEST_CASE("refusals at once")
+{
+    auto s = scheduler(1, 0, 1);
+    auto unknown = request("plan", start);
+    unknown.workspace = WorkspaceId{"nobody"};
+    CHECK(s.enqueue(unknown, start).refusal->reason == RefusalReason::UnknownWorkspace);
+    CHECK(s.enqueue(request("mold", start), start).refusal->reason == RefusalReason::UnknownKind);
+    auto limited = request("plan", start);
+    limited.workspace = WorkspaceId{"ski"};
+    for (auto i = 0; i < 10; ++i) {
+        CHECK_FALSE(s.enqueue(limited, start).refusal);
+    }
+    CHECK(s.enqueue(limited, start).refusal->reason == RefusalReason::CallerLimit);
+    auto refusal = std::optional<RequestRefusal>{};
+    for (auto i = 0; i < 10000 && !refusal; ++i) {
+        refusal = s.enqueue(request("check", start), start).refusal;
+    }
+    REQUIRE(refusal);
+    CHECK(refusal->reason == RefusalReason::ExpectedWait);
+    CHECK(refusal->retryAfter > Millis{0});
+    CHECK_FALSE(s.enqueue(request("check", start, "other"), start).refusal); // a flood does not lock others out
+    auto empty = scheduler(0, 0, 1);
+    CHECK(empty.enqueue(request("plan", start), start).refusal->reason == RefusalReason::NoExecutor);
+}
+
+// Guards the paid link: requests cross regions only if their kind allows it, the own region cannot serve them and the
+// byte budget covers them.
+TEST_CASE("requests cross regions within the byte budget only")
+{
+    struct Case
+    {
+        const char *kind;
+        int local;
+        int remote;
+        std::int64_t burst;
+        int dispatched;
+        std::int64_t otherRegion;
+    };
+    for (const auto &it :
+         {Case{"plan", 1, 1, 100000, 1, 0}, Case{"plan", 0, 1, 100000, 1, 1}, Case{"check", 0, 1, 100000, 0, 0}, Case{"plan", 0, 1, 500, 0, 0}}) {
+        CAPTURE(it.kind);
+        auto s = scheduler(it.local, it.remote, 1, {.link = {.bytesPerSecond = 100, .burst = it.burst}});
+        s.enqueue(request(it.kind, start), start);
+        while (!std::holds_alternative<RequestIdle>(s.next(start))) { }
+        CHECK(s.figures().dispatched == it.dispatched);
+        CHECK(s.figures().otherRegion == it.otherRegion);
+        CHECK(s.figures().otherRegionBytes == it.otherRegion * 1000);
+    }
+}
+
+// Guards against an executor that fails everything at once and so looks the least loaded.
+TEST_CASE("an executor that fails everything is quarantined and probed")
+{
+    auto s = scheduler(10, 0, 3);
+    auto now = start;
+    auto toBad = 0;
+    for (auto i = 0; i < 20000; ++i) {
+        now += Millis{1};
+        if (i % 1000 == 0) {
+            for (const auto &it : executors(10, 0)) {
+                s.executorPolled(it.id, HealthSample{8, 0, false}, now);
+            }
+        }
+        s.enqueue(request("check", now, "c", Millis{5000}), now);
+        for (;;) {
+            const auto step = s.next(now);
+            const auto *dispatch = std::get_if<RequestDispatch>(&step);
+            if (dispatch == nullptr) {
+                break;
+            }
+            const auto bad = dispatch->executor == ExecutorId{"e-0"} && i < 15000;
+            toBad += bad ? 1 : 0;
+            s.completed(dispatch->number, bad ? AttemptOutcome::Failed : AttemptOutcome::Answered, Micros{500}, now);
+        }
+    }
+    CHECK(toBad < 15); // five failures, then probes with doubling pauses
+    for (const auto &it : s.executors(now)) {
+        CHECK_FALSE(it.quarantined); // recovered by a probe
+    }
 }
