--- a/packages/policy/decide.cpp
+++ b/packages/policy/decide.cpp
@@ -45,7 +45,9 @@
     const auto upper = reservations.empty() ? std::nullopt : runTimes.upper(job.spec.workspace, job.spec.kind);
     for (const auto &reservation : reservations) {
         const auto endsBefore = upper && now + *upper <= reservation.readyAt;
-        const auto givesWay = ignoreReservations && job.spec.reclaimable() && now + options.backfillAtLeast <= reservation.readyAt;
+        // A job that keeps its progress may use whatever time there is; others should be likely to end before.
+        const auto useful = job.spec.checkpointable ? Micros{options.backfillAtLeast} : runTimes.typical(job.spec.workspace, job.spec.kind);
+        const auto givesWay = ignoreReservations && job.spec.reclaimable() && now + useful <= reservation.readyAt;
         if (reservation.job != job.spec.job && !endsBefore && !givesWay) {
             blockReservation(topology, reservation, blocked);
         }
@@ -75,8 +77,15 @@
 auto Scheduler::State::tryCovered(const WaitingJob &job, MonoTime now) -> std::optional<Placement>
 {
     auto placement = placeCovered(topology, gangOf(job.spec, job.workspace));
-    if (placement && !placement->displaced.empty() && job.spec.reclaimable()) {
-        // Borrowing free slots costs nobody any work, and the guarantee stays unused.
+    if (!placement) {
+        return coverInstead(job);
+    }
+    // Borrowing free slots costs nobody any work, and the guarantee stays unused. A job that cannot be stopped and
+    // needs only a part of a shape would withhold that shape from the jobs that need it whole.
+    const auto opens = std::any_of(placement->newRegions.begin(), placement->newRegions.end(), [&](const auto &region) {
+        return region.level > gangLevel(gangOf(job.spec, job.workspace), topology.workerSlots());
+    });
+    if (job.spec.reclaimable() ? !placement->displaced.empty() : opens) {
         if (auto free = tryFree(job, now)) {
             return free;
         }
@@ -182,9 +191,6 @@
                 }
                 --left;
                 auto placement = tryCovered(*job, now);
-                if (!placement && urgentOnly) {
-                    placement = coverInstead(*job);
-                }
                 if (!placement) {
                     job->reason = WaitReason::GuaranteeInUse;
                     failed.insert(shapeOf(job->spec));
@@ -199,13 +205,18 @@
 
 auto Scheduler::State::coverInstead(const WaitingJob &job) -> std::optional<Placement>
 {
+    const auto level = gangLevel(gangOf(job.spec, job.workspace), topology.workerSlots());
     auto demoted = std::vector<int>{};
     auto candidates = std::vector<std::tuple<Urgency, MonoTime, int>>{};
     for (auto region : topology.regionsOf(job.workspace)) {
         for (const auto &block : topology.region(region).blocks) {
             for (const auto &use : topology.workers()[block.worker].uses) {
                 const auto &owner = topology.allocation(use.owner);
-                if (owner.hold == Hold::Covered && owner.workspace == job.workspace && owner.reclaimable && owner.urgency < job.spec.urgency) {
+                if (owner.hold != Hold::Covered || owner.workspace != job.workspace || !owner.reclaimable) {
+                    continue;
+                }
+                const auto partial = owner.level < level && topology.region(region).level >= level && owner.urgency <= job.spec.urgency;
+                if (partial || (owner.urgency < job.spec.urgency && withinUrgentShare(job))) {
                     candidates.emplace_back(owner.urgency, MonoTime{} - owner.since.time_since_epoch(), use.owner);
                 }
             }
@@ -292,7 +303,16 @@
         auto placement = placeFree(topology, gang, blockedFor(*job, now, false));
         auto &reservation = *std::find_if(reservations.begin(), reservations.end(), [&](const auto &r) { return r.job == id; });
         if (!placement && !reservation.blocks.empty()) {
-            placement = takeReservation(topology, gang, reservation);
+            // What is moved out of the place has to fit into free slots that are not reserved.
+            auto reserved = std::vector<SlotMask>{};
+            for (const auto &other : reservations) {
+                blockReservation(topology, other, reserved);
+            }
+            auto spare = 0;
+            for (auto index = std::size_t{0}; index < topology.workers().size(); ++index) {
+                spare += std::popcount(topology.workers()[index].free & ~reserved[index]);
+            }
+            placement = takeReservation(topology, gang, reservation, spare);
         }
         if (placement) {
             enter(*job, *placement, now, decisions);
--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -162,17 +162,23 @@
     if (static_cast<int>(priced.size()) < gang.tasks) {
         return std::nullopt;
     }
-    std::stable_sort(priced.begin(), priced.end(), [](const auto &a, const auto &b) { return std::pair{a.price, a.key} < std::pair{b.price, b.key}; });
+    const auto cheaper = [](const PricedBlock &a, const PricedBlock &b) {
+        return std::tuple{a.price, a.key, a.block.worker, a.block.mask} < std::tuple{b.price, b.key, b.block.worker, b.block.mask};
+    };
     auto fill = Fill{};
     auto displaced = std::vector<int>{};
     const auto isDisplaced = [&](int owner) { return std::find(displaced.begin(), displaced.end(), owner) != displaced.end(); };
     const auto isTaken = [&](const SlotBlock &block) {
         return std::any_of(fill.members.begin(), fill.members.end(), [&](const auto &m) { return m.worker == block.worker && (m.mask & block.mask) != 0; });
     };
-    for (const auto &candidate : priced) {
-        if (static_cast<int>(fill.members.size()) == gang.tasks) {
-            break;
+    auto sorted = std::size_t{0};
+    for (auto i = std::size_t{0}; i < priced.size() && static_cast<int>(fill.members.size()) < gang.tasks; ++i) {
+        if (i == sorted) {
+            // Mostly the cheapest few blocks are enough, so only a part is sorted at a time.
+            sorted = std::min(priced.size(), std::max(std::size_t{256}, sorted * 4));
+            std::partial_sort(priced.begin() + static_cast<std::ptrdiff_t>(i), priced.begin() + static_cast<std::ptrdiff_t>(sorted), priced.end(), cheaper);
         }
+        const auto &candidate = priced[i];
         if (isTaken(candidate.block)) {
             continue;
         }
@@ -292,6 +298,8 @@
                               .workspace = gang.workspace,
                               .urgency = gang.urgency,
                               .reclaimable = gang.reclaimable,
+                              .level = gangLevel(gang, topology.workerSlots()),
+                              .movable = gang.movable,
                               .backfill = placement.backfill,
                               .hold = hold,
                               .since = now,
--- a/packages/policy/placement.h
+++ b/packages/policy/placement.h
@@ -28,6 +28,7 @@
     Adjacency adjacency = Adjacency::Any;
     Urgency urgency = Urgency::Normal;
     bool reclaimable = false;
+    bool movable = false; ///< keeps its progress when it is stopped
 };
 
 /// A shape of a guarantee that gets its place together with the gang.
--- a/packages/policy/reservation.cpp
+++ b/packages/policy/reservation.cpp
@@ -16,9 +16,16 @@
     return allocation.hold == Hold::Stopping || (allocation.hold == Hold::Reclaimable && allocation.backfill);
 }
 
-auto expectedEnd(const Allocation &allocation, MonoTime now) -> MonoTime
+/// Moving a smaller gang that keeps its progress costs it a few seconds; waiting for its end can take hours.
+auto canMove(const Allocation &allocation, const GangRequest &gang) -> bool
 {
-    if (givesWay(allocation)) {
+    return allocation.hold == Hold::Reclaimable && allocation.movable && allocation.urgency <= gang.urgency
+           && allocation.slots() < gang.tasks * gang.slotsPerTask;
+}
+
+auto expectedEnd(const Allocation &allocation, const GangRequest &gang, MonoTime now) -> MonoTime
+{
+    if (givesWay(allocation) || canMove(allocation, gang)) {
         return now + stopTime;
     }
     // A job that outlasts its estimate is expected to take a quarter longer than it has taken so far.
@@ -48,7 +55,7 @@
         auto ready = std::array<MonoTime, maxWorkerSlots>{};
         ready.fill(now);
         for (const auto &use : worker.uses) {
-            const auto end = expectedEnd(topology.allocation(use.owner), now);
+            const auto end = expectedEnd(topology.allocation(use.owner), gang, now);
             for (auto left = use.mask; left != 0; left &= left - 1) {
                 auto &slot = ready[std::countr_zero(left)];
                 slot = std::max(slot, end);
@@ -94,14 +101,21 @@
     return best;
 }
 
-auto takeReservation(const Topology &topology, const GangRequest &gang, const Reservation &reservation) -> std::optional<Placement>
+auto takeReservation(const Topology &topology, const GangRequest &gang, const Reservation &reservation, int spareSlots) -> std::optional<Placement>
 {
+    auto moved = std::vector<int>{};
     for (const auto &block : reservation.blocks) {
         const auto &worker = topology.workers()[block.worker];
         for (const auto &use : worker.uses) {
-            if ((use.mask & block.mask) != 0 && !givesWay(topology.allocation(use.owner))) {
+            const auto &owner = topology.allocation(use.owner);
+            if ((use.mask & block.mask) == 0 || givesWay(owner) || std::find(moved.begin(), moved.end(), use.owner) != moved.end()) {
+                continue;
+            }
+            spareSlots -= owner.slots();
+            if (!canMove(owner, gang) || spareSlots < 0) {
                 return std::nullopt;
             }
+            moved.push_back(use.owner);
         }
     }
     return placeAt(topology, gang, reservation.blocks);
--- a/packages/policy/reservation.h
+++ b/packages/policy/reservation.h
@@ -26,8 +26,9 @@
 /// @return nothing when no usable place exists.
 auto chooseReservation(const Topology &topology, const GangRequest &gang, BlockedSlots blocked, MonoTime now) -> std::optional<Reservation>;
 
-/// @return the placement when nothing is left in the place but backfilled borrowers, or nothing.
-auto takeReservation(const Topology &topology, const GangRequest &gang, const Reservation &reservation) -> std::optional<Placement>;
+/// @return the placement when nothing is left in the place but backfilled borrowers, and
+/// smaller borrowers that keep their progress and find room in @p spareSlots free slots elsewhere; or nothing.
+auto takeReservation(const Topology &topology, const GangRequest &gang, const Reservation &reservation, int spareSlots) -> std::optional<Placement>;
 
 /// Marks the slots of a reservation, whole task blocks included, in @p blocked.
 auto blockReservation(const Topology &topology, const Reservation &reservation, std::vector<SlotMask> &blocked) -> void;
--- a/packages/policy/scheduler.cpp
+++ b/packages/policy/scheduler.cpp
@@ -31,7 +31,8 @@
             .slotsPerTask = spec.slotsPerTask,
             .adjacency = spec.adjacency,
             .urgency = spec.urgency,
-            .reclaimable = spec.reclaimable()};
+            .reclaimable = spec.reclaimable(),
+            .movable = spec.checkpointable};
 }
 
 auto Scheduler::State::neverRuns(const JobSpec &spec, int workspace) -> std::optional<std::string>
@@ -221,7 +222,11 @@
     if (auto reason = m_state->neverRuns(spec, m_state->indexOf(spec.workspace))) {
         return failure(ErrorCode::Limit, *reason);
     }
+    const auto checked = !m_state->impossible.contains(spec.job);
     resubmit(spec, now);
+    if (checked) {
+        m_state->impossible.erase(spec.job); // checked above
+    }
     return success();
 }
 
@@ -306,6 +311,8 @@
                                                      .workspace = workspace,
                                                      .urgency = spec.urgency,
                                                      .reclaimable = spec.reclaimable(),
+                                                     .level = gangLevel(state.gangOf(spec, workspace), state.topology.workerSlots()),
+                                                     .movable = spec.checkpointable,
                                                      .hold = spec.reclaimable() ? Hold::Reclaimable : Hold::Fixed,
                                                      .since = startedAt,
                                                      .expectedEnd = startedAt + state.runTimes.typical(spec.workspace, spec.kind),
--- a/packages/policy/scheduler.h
+++ b/packages/policy/scheduler.h
@@ -55,7 +55,7 @@
     Seconds reserveSmallAfter{600}; ///< any blocked job gets a reservation after this wait
     Seconds reservationRefresh{30}; ///< how often the place of a reservation is chosen again
     Seconds parkAfter{60}; ///< a job that the fleet can no longer hold is parked after this time
-    int racksPerReservation = 8; ///< one reservation at a time for each this many racks, at least one
+    int racksPerReservation = 3; ///< one reservation at a time for each this many racks, at least one
     Seconds backfillAtLeast{60}; ///< a reclaimable job uses a reserved place only if that is not needed for this long
     QuarantineOptions quarantine;
     int candidatesPerWorkspace = 64; ///< most queued jobs of one workspace that one decision considers
--- a/packages/policy/topology.h
+++ b/packages/policy/topology.h
@@ -59,6 +59,8 @@
     int workspace = 0;
     Urgency urgency = Urgency::Normal;
     bool reclaimable = false; ///< whether the job may be stopped at all
+    int level = 0; ///< of the smallest single shape that holds the gang
+    bool movable = false; ///< reclaimable without losing work, so it can be moved to make room
     bool backfill = false; ///< runs in a place reserved for another job and gives way to it
     Hold hold = Hold::Fixed;
     MonoTime since; ///< when it was placed or started
