--- a/bench/placement_benchmark.cpp
+++ b/bench/placement_benchmark.cpp
@@ -21,6 +21,7 @@
 
 constexpr auto today = Size{50, 8, 380, 4};
 constexpr auto target = Size{760, 32, 19000, 250};
+constexpr auto full = Size{760, 32, 24320, 250};
 
 /// Fills a fleet with gangs of mixed sizes, most of them borrowers that can be reclaimed; workspace 0 uses nothing.
 auto makeTopology(const Size &size, int workers) -> Topology
@@ -55,7 +56,7 @@
 
 auto sizeOf(const benchmark::State &state) -> const Size &
 {
-    return state.range(0) == 0 ? today : target;
+    return state.range(0) == 0 ? today : state.range(0) == 1 ? target : full;
 }
 
 auto workersOf(const benchmark::State &state) -> int
@@ -166,22 +167,26 @@
 }
 
 BENCHMARK(placeFreeGang)
-    ->ArgNames({"target", "workers", "reclaimable"})
+    ->ArgNames({"size", "workers", "reclaimable"})
     ->Args({0, 50, 1})
     ->Args({1, 190, 1})
     ->Args({1, 380, 1})
     ->Args({1, 760, 1})
     ->Args({1, 760, 0})
+    ->Args({2, 760, 1})
+    ->Args({2, 760, 0})
     ->Unit(benchmark::kMicrosecond);
 BENCHMARK(placeCoveredGang)
-    ->ArgNames({"target", "workers", "rack"})
+    ->ArgNames({"size", "workers", "rack"})
     ->Args({0, 50, 1})
     ->Args({1, 190, 1})
     ->Args({1, 380, 1})
     ->Args({1, 760, 1})
     ->Args({1, 760, 0})
+    ->Args({2, 760, 1})
+    ->Args({2, 760, 0})
     ->Unit(benchmark::kMicrosecond);
-BENCHMARK(placeUrgentGang)->ArgNames({"target", "workers"})->Args({0, 50})->Args({1, 760})->Unit(benchmark::kMicrosecond);
-BENCHMARK(decideCycle)->ArgNames({"target", "waiting"})->Args({0, 0})->Args({0, 100})->Args({1, 0})->Args({1, 1000})->Unit(benchmark::kMicrosecond);
+BENCHMARK(placeUrgentGang)->ArgNames({"size", "workers"})->Args({0, 50})->Args({1, 760})->Args({2, 760})->Unit(benchmark::kMicrosecond);
+BENCHMARK(decideCycle)->ArgNames({"size", "waiting"})->Args({0, 0})->Args({0, 100})->Args({1, 0})->Args({1, 1000})->Unit(benchmark::kMicrosecond);
 
 BENCHMARK_MAIN();
--- a/packages/policy/decide.cpp
+++ b/packages/policy/decide.cpp
@@ -7,25 +7,6 @@
 namespace Catkin
 {
 
-namespace
-{
-
-/// Borrowers of one workspace that one decision tries to bring under its guarantee.
-constexpr auto coverAttempts = 8;
-
-/// Jobs that one pass passes over in a workspace for each one that it tries to place.
-constexpr auto seenPerCandidate = 16;
-
-/// What decides whether a gang finds free slots; jobs with equal shape fail together within one pass.
-using Shape = std::tuple<int, int, Adjacency, bool>;
-
-auto shapeOf(const JobSpec &spec) -> Shape
-{
-    return {spec.tasks, spec.slotsPerTask, spec.adjacency, spec.reclaimable()};
-}
-
-}
-
 auto Scheduler::State::withinQuota(const WaitingJob &job) const -> bool
 {
     const auto &workspace = workspaces[job.workspace];
@@ -74,25 +55,6 @@
     return placement;
 }
 
-auto Scheduler::State::tryCovered(const WaitingJob &job, MonoTime now) -> std::optional<Placement>
-{
-    auto placement = placeCovered(topology, gangOf(job.spec, job.workspace));
-    if (!placement) {
-        return coverInstead(job);
-    }
-    // Borrowing free slots costs nobody any work, and the guarantee stays unused. A job that cannot be stopped and
-    // needs only a part of a shape would withhold that shape from the jobs that need it whole.
-    const auto opens = std::any_of(placement->newRegions.begin(), placement->newRegions.end(), [&](const auto &region) {
-        return region.level > gangLevel(gangOf(job.spec, job.workspace), topology.workerSlots());
-    });
-    if (job.spec.reclaimable() ? !placement->displaced.empty() : opens) {
-        if (auto free = tryFree(job, now)) {
-            return free;
-        }
-    }
-    return placement;
-}
-
 auto Scheduler::State::displace(int allocation, const JobId &beneficiary, MonoTime now, Decisions &decisions) -> void
 {
     const auto id = topology.allocation(allocation).job;
@@ -165,86 +127,6 @@
     }
 }
 
-auto Scheduler::State::startCovered(MonoTime now, Decisions &decisions) -> void
-{
-    for (auto index = 0; index < static_cast<int>(workspaces.size()); ++index) {
-        if (workspaces[index].guaranteed == 0 || queue.waitingIn(index) == 0) {
-            continue;
-        }
-        // The urgent jobs of the workspace come first, as far as its urgent share reaches.
-        for (const auto urgentOnly : {true, false}) {
-            auto failed = std::set<Shape>{};
-            auto cursor = queue.cursor(index, now);
-            auto left = options.candidatesPerWorkspace;
-            auto seen = left * seenPerCandidate;
-            while (auto *job = left > 0 && seen-- > 0 ? cursor.next() : nullptr) {
-                const auto urgent = job->spec.urgency == Urgency::Urgent && withinUrgentShare(*job);
-                if ((urgentOnly && !urgent) || impossible.contains(job->spec.job)) {
-                    continue;
-                }
-                if (!withinQuota(*job)) {
-                    job->reason = WaitReason::Quota;
-                    continue;
-                }
-                if (failed.contains(shapeOf(job->spec))) {
-                    continue;
-                }
-                --left;
-                auto placement = tryCovered(*job, now);
-                if (!placement) {
-                    job->reason = WaitReason::GuaranteeInUse;
-                    failed.insert(shapeOf(job->spec));
-                    continue;
-                }
-                cursor.charge(job->spec.slots());
-                enter(*job, *placement, now, decisions);
-            }
-        }
-    }
-}
-
-auto Scheduler::State::coverInstead(const WaitingJob &job) -> std::optional<Placement>
-{
-    const auto level = gangLevel(gangOf(job.spec, job.workspace), topology.workerSlots());
-    auto demoted = std::vector<int>{};
-    auto candidates = std::vector<std::tuple<Urgency, MonoTime, int>>{};
-    for (auto region : topology.regionsOf(job.workspace)) {
-        for (const auto &block : topology.region(region).blocks) {
-            for (const auto &use : topology.workers()[block.worker].uses) {
-                const auto &owner = topology.allocation(use.owner);
-                if (owner.hold != Hold::Covered || owner.workspace != job.workspace || !owner.reclaimable) {
-                    continue;
-                }
-                const auto partial = owner.level < level && topology.region(region).level >= level && owner.urgency <= job.spec.urgency;
-                if (partial || (owner.urgency < job.spec.urgency && withinUrgentShare(job))) {
-                    candidates.emplace_back(owner.urgency, MonoTime{} - owner.since.time_since_epoch(), use.owner);
-                }
-            }
-        }
-    }
-    // The least urgent first, among them the one that started last and so loses least.
-    std::sort(candidates.begin(), candidates.end());
-    candidates.erase(std::unique(candidates.begin(), candidates.end()), candidates.end());
-    auto placement = std::optional<Placement>{};
-    for (const auto &[urgency, age, allocation] : candidates) {
-        account(allocation, -1);
-        topology.setHold(allocation, Hold::Reclaimable);
-        account(allocation, 1);
-        demoted.push_back(allocation);
-        placement = placeCovered(topology, gangOf(job.spec, job.workspace));
-        if (placement) {
-            workspaces[job.workspace].mayCover = true;
-            return placement;
-        }
-    }
-    for (auto allocation : demoted) {
-        account(allocation, -1);
-        coverInPlace(topology, allocation);
-        account(allocation, 1);
-    }
-    return std::nullopt;
-}
-
 auto Scheduler::State::startUrgent(MonoTime now, Decisions &decisions) -> void
 {
     auto order = std::vector<std::pair<double, int>>{};
@@ -404,34 +286,6 @@
     }
 }
 
-auto Scheduler::State::coverBorrowers() -> void
-{
-    auto candidates = std::map<int, std::vector<std::tuple<MonoTime, std::uint64_t, int>>>{};
-    if (std::none_of(workspaces.begin(), workspaces.end(), [](const auto &workspace) { return workspace.mayCover; })) {
-        return;
-    }
-    for (const auto &[id, job] : running) {
-        const auto hold = topology.allocation(job.allocation).hold;
-        if (workspaces[job.workspace].mayCover && hold != Hold::Covered && hold != Hold::Stopping && job.phase == Phase::Handed) {
-            candidates[job.workspace].emplace_back(job.since, job.sequence, job.allocation);
-        }
-    }
-    for (auto index = 0; index < static_cast<int>(workspaces.size()); ++index) {
-        if (!workspaces[index].mayCover) {
-            continue;
-        }
-        workspaces[index].mayCover = false;
-        auto &list = candidates[index];
-        std::sort(list.begin(), list.end());
-        for (auto i = 0; i < std::min<int>(coverAttempts, static_cast<int>(list.size())); ++i) {
-            const auto allocation = std::get<2>(list[i]);
-            account(allocation, -1);
-            coverInPlace(topology, allocation);
-            account(allocation, 1);
-        }
-    }
-}
-
 auto Scheduler::State::parkImpossible(MonoTime now, Decisions &decisions) -> void
 {
     if (fleetChanged) {
--- a/packages/policy/schedulerstate.h
+++ b/packages/policy/schedulerstate.h
@@ -14,6 +14,17 @@
 namespace Catkin
 {
 
+/// What decides whether a gang finds free slots; jobs with equal shape fail together within one pass.
+using Shape = std::tuple<int, int, Adjacency, bool>;
+
+inline auto shapeOf(const JobSpec &spec) -> Shape
+{
+    return {spec.tasks, spec.slotsPerTask, spec.adjacency, spec.reclaimable()};
+}
+
+/// Jobs that one pass passes over in a workspace for each one that it tries to place.
+inline constexpr auto seenPerCandidate = 16;
+
 enum class Phase {
     Placed, ///< has slots, waits for preempted jobs to end
     Handed, ///< returned as a start
