--- a/packages/policy/schedulerstate.h
+++ b/packages/policy/schedulerstate.h
@@ -14,6 +14,17 @@
 namespace Catkin
 {
 
+/// What decides whether a gang finds free slots; jobs with equal shape fail together within one pass.
+using Shape = std::tuple<int, int, Adjacency, bool>;
+
+inline auto shapeOf(const ScheduledJob &spec) -> Shape
+{
+    return {spec.tasks, spec.slotsPerTask, spec.adjacency, spec.reclaimable()};
+}
+
+/// Jobs that one pass passes over in a workspace for each one that it tries to place.
+inline constexpr auto seenPerCandidate = 16;
+
 enum class Phase {
     Placed, ///< has slots, waits for preempted jobs to end
     Handed, ///< returned as a start
@@ -110,7 +121,8 @@
     [[nodiscard]] auto blockedFor(const WaitingJob &job, MonoTime now, bool ignoreReservations) const -> std::vector<SlotMask>;
     auto tryFree(const WaitingJob &job, MonoTime now) const -> std::optional<Placement>;
     auto tryCovered(const WaitingJob &job, MonoTime now) -> std::optional<Placement>;
-    /// Makes an urgent job covered in place of less urgent covered jobs of the same workspace, which become borrowers.
+    /// Makes a job covered in place of covered jobs of the same workspace that are less urgent or use only a part of a
+    /// shape that this job needs whole; those become borrowers.
     auto coverInstead(const WaitingJob &job) -> std::optional<Placement>;
     auto reserve(WaitingJob &job, MonoTime now) -> void;
 };
