Let listeners use port 0 again

Cause: the address check refuses port 0 since connecting to it is an error, and every listener with a port chosen by the operating system was rejected. Change: splitAddress() knows whether an address is connected to or listened on.

--- a/packages/daemon/httplistener.cpp
+++ b/packages/daemon/httplistener.cpp
@@ -217,7 +217,7 @@
 
 auto HttpListener::start() -> Result<int>
 {
-    auto parts = splitAddress(m_impl->options.address);
+    auto parts = splitAddress(m_impl->options.address, AddressUse::Listen);
     if (!parts) {
         return parts.error();
     }
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -148,11 +148,9 @@
 
     auto checkAddress(const std::string &key, const std::string &value, bool portZeroAllowed) -> void
     {
-        const auto parts = splitAddress(value);
+        const auto parts = splitAddress(value, portZeroAllowed ? AddressUse::Listen : AddressUse::Connect);
         if (!parts) {
             error(key, parts.error().message);
-        } else if (parts.value().second == 0 && !portZeroAllowed) {
-            error(key, "address '" + value + "' needs a port above 0");
         }
     }
 
--- a/packages/ports/httpclient.cpp
+++ b/packages/ports/httpclient.cpp
@@ -88,7 +88,7 @@
 
 }
 
-auto splitAddress(const std::string &address) -> Result<std::pair<std::string, int>>
+auto splitAddress(const std::string &address, AddressUse use) -> Result<std::pair<std::string, int>>
 {
     const auto colon = address.rfind(':');
     if (colon == std::string::npos) {
@@ -102,7 +102,7 @@
     auto port = 0;
     const auto *const end = address.data() + address.size();
     const auto [ptr, ec] = std::from_chars(address.data() + colon + 1, end, port);
-    if (ec != std::errc{} || ptr != end || port < 1 || port > maxPort) {
+    if (ec != std::errc{} || ptr != end || port < (use == AddressUse::Listen ? 0 : 1) || port > maxPort) {
         return failure(ErrorCode::InvalidInput, "address '" + address + "' has no valid port");
     }
     if (!isAddress(bracketed ? AF_INET6 : AF_INET, host)) {
--- a/packages/ports/httpclient.h
+++ b/packages/ports/httpclient.h
@@ -49,8 +49,11 @@
 /// @return whether a failed exchange certainly had no effect on the peer.
 auto hadNoEffect(const Error &error) -> bool;
 
+/// What an address is for: only a listener may leave the choice of the port to the operating system.
+enum class AddressUse { Connect, Listen };
+
 /// Splits "ip:port".
 /// @return the two parts; ErrorCode::InvalidInput unless the first is an IPv4 or bracketed IPv6 address and the second a port from 1.
-auto splitAddress(const std::string &address) -> Result<std::pair<std::string, int>>;
+auto splitAddress(const std::string &address, AddressUse use = AddressUse::Connect) -> Result<std::pair<std::string, int>>;
 
 }
