Name log records apart from the types of other packages; test late readers

The policy, wire and daemon packages define JobSpec, JobCancel, RequestResult and RequestOutcome in the same namespace, so one source could not include them together with the records. Records of the jobs stream now end in Record, the caller's description is JobDescription and a done record holds a LoggedOutcome.

A table of scenarios now covers each rule for late readers directly.

--- a/packages/state/carry.cpp
+++ b/packages/state/carry.cpp
@@ -33,7 +33,7 @@
 {
 }
 
-auto Carrier::jobs(const JobFold &fold, std::span<const std::string> fresh, WallTime now) -> std::vector<JobCarry>
+auto Carrier::jobs(const JobFold &fold, std::span<const std::string> fresh, WallTime now) -> std::vector<JobCarryRecord>
 {
     if (m_lastCall && now > *m_lastCall) {
         constexpr auto millisPerSecond = 1000.0;
@@ -55,7 +55,7 @@
         return std::pair{a.first, a.second->spec.id} < std::pair{b.first, b.second->spec.id};
     });
 
-    auto records = std::vector<JobCarry>{};
+    auto records = std::vector<JobCarryRecord>{};
     for (const auto &it : due) {
         if (m_credit < 1) {
             break;
--- a/packages/state/carry.h
+++ b/packages/state/carry.h
@@ -49,7 +49,7 @@
     /// @param fresh ids of the instances with fresh heartbeats, this one included
     /// @param now wall-clock time
     /// @return records to append now, those held the longest first, within the rate limit.
-    auto jobs(const JobFold &fold, std::span<const std::string> fresh, WallTime now) -> std::vector<JobCarry>;
+    auto jobs(const JobFold &fold, std::span<const std::string> fresh, WallTime now) -> std::vector<JobCarryRecord>;
 
     /// @return the snapshot to append now, if any.
     auto snapshot(const ConfigFold &fold, std::span<const std::string> fresh, WallTime now) -> std::optional<ConfigSnapshot>;
--- a/packages/state/intentfold.h
+++ b/packages/state/intentfold.h
@@ -60,7 +60,7 @@
     KeyState state = KeyState::NotCovered;
     RequestId attempt; ///< Owned, Done: the owner
     InstanceId instance; ///< Owned, Done: the owner's instance
-    RequestResult result = RequestResult::Unknown; ///< Done only
+    LoggedOutcome result = LoggedOutcome::Unknown; ///< Done only
     std::shared_ptr<const std::string> answer; ///< Done only; null when the answer was too long or has been dropped
 };
 
@@ -129,7 +129,7 @@
     {
         std::vector<Attempt> attempts; ///< not voided, in log order; the first one owns the key
         bool done = false;
-        RequestResult result = RequestResult::Unknown;
+        LoggedOutcome result = LoggedOutcome::Unknown;
         std::shared_ptr<const std::string> answer;
     };
 
--- a/packages/state/jobfold.cpp
+++ b/packages/state/jobfold.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-auto applyAttempt(Job &job, const JobAttempt &record) -> bool
+auto applyAttempt(Job &job, const JobAttemptRecord &record) -> bool
 {
     const auto valid = job.spec.restartable ? record.attempt > job.attempt : job.state == JobState::Queued && record.attempt == job.attempt + 1;
     if (!valid) {
@@ -40,7 +40,7 @@
     return JobState::Unknown;
 }
 
-auto applyFinish(Job &job, const JobFinish &record) -> bool
+auto applyFinish(Job &job, const JobFinishRecord &record) -> bool
 {
     if (record.attempt != job.attempt) {
         return false;
@@ -64,7 +64,7 @@
     return true;
 }
 
-auto applyCancel(Job &job, const JobCancel &record) -> bool
+auto applyCancel(Job &job, const JobCancelRecord &record) -> bool
 {
     if (job.cancelRequested) {
         return false;
@@ -83,14 +83,14 @@
         return false;
     }
     auto changed = false;
-    if (const auto *attempt = std::get_if<JobAttempt>(&record)) {
+    if (const auto *attempt = std::get_if<JobAttemptRecord>(&record)) {
         changed = applyAttempt(job, *attempt);
-    } else if (const auto *started = std::get_if<JobStarted>(&record)) {
+    } else if (const auto *started = std::get_if<JobStartedRecord>(&record)) {
         changed = started->attempt == job.attempt && job.state == JobState::Starting;
         job.state = changed ? JobState::Running : job.state;
-    } else if (const auto *finish = std::get_if<JobFinish>(&record)) {
+    } else if (const auto *finish = std::get_if<JobFinishRecord>(&record)) {
         changed = applyFinish(job, *finish);
-    } else if (const auto *cancel = std::get_if<JobCancel>(&record)) {
+    } else if (const auto *cancel = std::get_if<JobCancelRecord>(&record)) {
         changed = applyCancel(job, *cancel);
     }
     if (changed) {
@@ -124,17 +124,17 @@
     m_next = offset + LogOffset{1};
     m_now = std::max(m_now, time);
     expire();
-    if (const auto *accept = std::get_if<JobAccept>(&record)) {
+    if (const auto *accept = std::get_if<JobAcceptRecord>(&record)) {
         applyAccept(offset, m_now, *accept);
-    } else if (const auto *carry = std::get_if<JobCarry>(&record)) {
+    } else if (const auto *carry = std::get_if<JobCarryRecord>(&record)) {
         applyCarry(*carry, m_now);
-    } else if (const auto *attempt = std::get_if<JobAttempt>(&record)) {
+    } else if (const auto *attempt = std::get_if<JobAttemptRecord>(&record)) {
         applyChange(offset, m_now, attempt->job, record);
-    } else if (const auto *started = std::get_if<JobStarted>(&record)) {
+    } else if (const auto *started = std::get_if<JobStartedRecord>(&record)) {
         applyChange(offset, m_now, started->job, record);
-    } else if (const auto *finish = std::get_if<JobFinish>(&record)) {
+    } else if (const auto *finish = std::get_if<JobFinishRecord>(&record)) {
         applyChange(offset, m_now, finish->job, record);
-    } else if (const auto *cancel = std::get_if<JobCancel>(&record)) {
+    } else if (const auto *cancel = std::get_if<JobCancelRecord>(&record)) {
         applyChange(offset, m_now, cancel->job, record);
     }
     expire();
@@ -216,7 +216,7 @@
     return m_counts;
 }
 
-auto JobFold::applyAccept(LogOffset offset, WallTime time, const JobAccept &accept) -> void
+auto JobFold::applyAccept(LogOffset offset, WallTime time, const JobAcceptRecord &accept) -> void
 {
     if (isStale(accept.position, time)) {
         ++m_counts.stale;
@@ -234,17 +234,18 @@
     // The builder knew that the job did not exist at its position. An accept since then, which this reader could not judge,
     // was the first one.
     auto orphans = takeOrphans(accept.spec.id);
-    const auto first = std::find_if(
-        orphans.begin(), orphans.end(), [&](const Orphan &it) { return it.offset >= accept.position.through && std::holds_alternative<JobAccept>(it.record); });
+    const auto first = std::find_if(orphans.begin(), orphans.end(), [&](const Orphan &it) {
+        return it.offset >= accept.position.through && std::holds_alternative<JobAcceptRecord>(it.record);
+    });
     const auto found = first != orphans.end();
-    const auto &spec = found ? std::get<JobAccept>(first->record).spec : accept.spec;
+    const auto &spec = found ? std::get<JobAcceptRecord>(first->record).spec : accept.spec;
     const auto accepted = found ? first->time : time;
     orphans.erase(orphans.begin(), found ? first + 1 : first);
     ++m_counts.applied;
     insert(Job{.spec = spec, .revision = 1, .accepted = accepted, .changed = accepted}, accepted, orphans);
 }
 
-auto JobFold::applyCarry(const JobCarry &carry, WallTime time) -> void
+auto JobFold::applyCarry(const JobCarryRecord &carry, WallTime time) -> void
 {
     if (isStale(carry.position, time)) {
         ++m_counts.stale;
--- a/packages/state/jobfold.h
+++ b/packages/state/jobfold.h
@@ -119,8 +119,8 @@
         JobRecord record;
     };
 
-    auto applyAccept(LogOffset offset, WallTime time, const JobAccept &accept) -> void;
-    auto applyCarry(const JobCarry &carry, WallTime time) -> void;
+    auto applyAccept(LogOffset offset, WallTime time, const JobAcceptRecord &accept) -> void;
+    auto applyCarry(const JobCarryRecord &carry, WallTime time) -> void;
     auto applyChange(LogOffset offset, WallTime time, const JobId &id, const JobRecord &record) -> void;
     auto isStale(const FoldPosition &position, WallTime time) const -> bool;
     auto keepOrphan(LogOffset offset, WallTime time, const JobId &id, const JobRecord &record) -> void;
--- a/packages/state/records.cpp
+++ b/packages/state/records.cpp
@@ -40,7 +40,7 @@
 
 constexpr auto adjacencyNames = Names<JobAdjacency, 3>{{{JobAdjacency::Worker, "worker"}, {JobAdjacency::Rack, "rack"}, {JobAdjacency::Any, "any"}}};
 constexpr auto urgencyNames = Names<WorkUrgency, 3>{{{WorkUrgency::Urgent, "urgent"}, {WorkUrgency::Normal, "normal"}, {WorkUrgency::Batch, "batch"}}};
-constexpr auto requestResultNames = Names<RequestResult, 2>{{{RequestResult::Answer, "answer"}, {RequestResult::Unknown, "unknown"}}};
+constexpr auto requestResultNames = Names<LoggedOutcome, 2>{{{LoggedOutcome::Answer, "answer"}, {LoggedOutcome::Unknown, "unknown"}}};
 
 /// Ids and reasons are UTF-8 by the time they get here; a faulty one must not stop the process.
 auto toText(const json &object) -> std::string
@@ -59,7 +59,7 @@
     return document.is_object() ? document : json::object();
 }
 
-auto encodeSpec(const JobSpec &spec) -> json
+auto encodeSpec(const JobDescription &spec) -> json
 {
     auto object = json{
         {"id", spec.id.str()},
@@ -80,10 +80,10 @@
     return object;
 }
 
-auto decodeSpec(RecordReader &outer) -> JobSpec
+auto decodeSpec(RecordReader &outer) -> JobDescription
 {
     auto reader = RecordReader{outer.object("spec")};
-    auto spec = JobSpec{
+    auto spec = JobDescription{
         .id = JobId{reader.id("id")},
         .workspace = WorkspaceId{reader.id("workspace")},
         .caller = CallerId{reader.text("caller")},
@@ -139,24 +139,24 @@
     };
 }
 
-auto toJson(const JobAccept &record) -> json
+auto toJson(const JobAcceptRecord &record) -> json
 {
     auto object = json{{"type", "accept"}, {"spec", encodeSpec(record.spec)}};
     putPosition(object, record.position);
     return object;
 }
 
-auto toJson(const JobAttempt &record) -> json
+auto toJson(const JobAttemptRecord &record) -> json
 {
     return {{"type", "attempt"}, {"job", record.job.str()}, {"attempt", record.attempt}, {"holder", record.holder.str()}, {"generation", record.generation}};
 }
 
-auto toJson(const JobStarted &record) -> json
+auto toJson(const JobStartedRecord &record) -> json
 {
     return {{"type", "started"}, {"job", record.job.str()}, {"attempt", record.attempt}};
 }
 
-auto toJson(const JobFinish &record) -> json
+auto toJson(const JobFinishRecord &record) -> json
 {
     return {
         {"type", "finish"},
@@ -169,12 +169,12 @@
     };
 }
 
-auto toJson(const JobCancel &record) -> json
+auto toJson(const JobCancelRecord &record) -> json
 {
     return {{"type", "cancel"}, {"job", record.job.str()}, {"by", record.by}, {"reason", record.reason}};
 }
 
-auto toJson(const JobCarry &record) -> json
+auto toJson(const JobCarryRecord &record) -> json
 {
     const auto &job = record.job;
     auto object = json{
@@ -253,7 +253,7 @@
     };
 }
 
-auto readCarry(RecordReader &reader) -> JobCarry
+auto readCarry(RecordReader &reader) -> JobCarryRecord
 {
     auto job = Job{
         .spec = decodeSpec(reader),
@@ -275,21 +275,21 @@
 {
     if (type == "accept") {
         auto spec = decodeSpec(reader);
-        return JobAccept{.spec = std::move(spec), .position = readPosition(reader)};
+        return JobAcceptRecord{.spec = std::move(spec), .position = readPosition(reader)};
     }
     if (type == "carry") {
         return readCarry(reader);
     }
     const auto job = JobId{reader.id("job")};
     if (type == "attempt") {
-        return JobAttempt{
+        return JobAttemptRecord{
             .job = job, .attempt = reader.count("attempt", 1), .holder = InstanceId{reader.id("holder")}, .generation = reader.integer("generation")};
     }
     if (type == "started") {
-        return JobStarted{.job = job, .attempt = reader.count("attempt", 1)};
+        return JobStartedRecord{.job = job, .attempt = reader.count("attempt", 1)};
     }
     if (type == "finish") {
-        return JobFinish{
+        return JobFinishRecord{
             .job = job,
             .attempt = reader.count("attempt"),
             .result = reader.choice("result", resultNames),
@@ -298,7 +298,7 @@
             .checkpoint = reader.optionalText("checkpoint"),
         };
     }
-    return JobCancel{.job = job, .by = reader.text("by"), .reason = reader.optionalText("reason")};
+    return JobCancelRecord{.job = job, .by = reader.text("by"), .reason = reader.optionalText("reason")};
 }
 
 auto readRequest(RecordReader &reader, const json &object, const std::string &type) -> RequestRecord
--- a/packages/state/records.h
+++ b/packages/state/records.h
@@ -3,7 +3,7 @@
 /// The records of the three log streams and their JSON form; docs/log-records.md lists every field.
 ///
 /// @code
-///   log.append("jobs", {Catkin::encodeRecord(Catkin::JobRecord{Catkin::JobCancel{.job = id, .by = "operator"}})});
+///   log.append("jobs", {Catkin::encodeRecord(Catkin::JobRecord{Catkin::JobCancelRecord{.job = id, .by = "operator"}})});
 ///   auto record = Catkin::decodeJobRecord(text);      // ErrorCode::Protocol for anything else
 /// @endcode
 
@@ -62,7 +62,7 @@
 enum class JobAdjacency { Worker, Rack, Any };
 
 /// Everything that the caller states about a job.
-struct JobSpec
+struct JobDescription
 {
     JobId id;
     WorkspaceId workspace;
@@ -79,7 +79,7 @@
     bool restartable = false; ///< may run more than once
     std::string payload;
 
-    auto operator==(const JobSpec &) const -> bool = default;
+    auto operator==(const JobDescription &) const -> bool = default;
 };
 
 enum class JobState { Queued, Starting, Running, Stopping, Succeeded, Failed, Cancelled, Parked, Unknown };
@@ -90,7 +90,7 @@
 /// The folded state of one job.
 struct Job
 {
-    JobSpec spec;
+    JobDescription spec;
     JobState state = JobState::Queued;
     int attempt = 0; ///< number of the last valid attempt; 0 before the first
     InstanceId holder; ///< planner that made the attempt
@@ -105,33 +105,33 @@
     auto operator==(const Job &) const -> bool = default;
 };
 
-struct JobAccept
+struct JobAcceptRecord
 {
-    JobSpec spec;
+    JobDescription spec;
     FoldPosition position;
 
-    auto operator==(const JobAccept &) const -> bool = default;
+    auto operator==(const JobAcceptRecord &) const -> bool = default;
 };
 
-struct JobAttempt
+struct JobAttemptRecord
 {
     JobId job;
     int attempt = 0;
     InstanceId holder;
     std::int64_t generation = 0;
 
-    auto operator==(const JobAttempt &) const -> bool = default;
+    auto operator==(const JobAttemptRecord &) const -> bool = default;
 };
 
-struct JobStarted
+struct JobStartedRecord
 {
     JobId job;
     int attempt = 0;
 
-    auto operator==(const JobStarted &) const -> bool = default;
+    auto operator==(const JobStartedRecord &) const -> bool = default;
 };
 
-struct JobFinish
+struct JobFinishRecord
 {
     JobId job;
     int attempt = 0;
@@ -140,28 +140,28 @@
     std::string detail;
     std::string checkpoint;
 
-    auto operator==(const JobFinish &) const -> bool = default;
+    auto operator==(const JobFinishRecord &) const -> bool = default;
 };
 
-struct JobCancel
+struct JobCancelRecord
 {
     JobId job;
     std::string by;
     std::string reason;
 
-    auto operator==(const JobCancel &) const -> bool = default;
+    auto operator==(const JobCancelRecord &) const -> bool = default;
 };
 
 /// The whole folded state of a job, appended again before the log drops the records behind it.
-struct JobCarry
+struct JobCarryRecord
 {
     Job job;
     FoldPosition position;
 
-    auto operator==(const JobCarry &) const -> bool = default;
+    auto operator==(const JobCarryRecord &) const -> bool = default;
 };
 
-using JobRecord = std::variant<JobAccept, JobAttempt, JobStarted, JobFinish, JobCancel, JobCarry>;
+using JobRecord = std::variant<JobAcceptRecord, JobAttemptRecord, JobStartedRecord, JobFinishRecord, JobCancelRecord, JobCarryRecord>;
 
 /// The identity of a non-idempotent request; firstSent is a part of it.
 struct RequestKey
@@ -192,14 +192,14 @@
     auto operator==(const VoidRecord &) const -> bool = default;
 };
 
-enum class RequestResult { Answer, Unknown };
+enum class LoggedOutcome { Answer, Unknown };
 
 struct DoneRecord
 {
     RequestKey key;
     RequestId attempt;
     InstanceId instance;
-    RequestResult result = RequestResult::Unknown;
+    LoggedOutcome result = LoggedOutcome::Unknown;
     bool hasAnswer = false; ///< false when the answer is longer than maxLoggedAnswerBytes
     std::string answer;
 
--- a/packages/state/testing/intentfold_test.cpp
+++ b/packages/state/testing/intentfold_test.cpp
@@ -88,7 +88,7 @@
                 auto finished = false;
                 if (it.dispatched && uniform(random, 4) == 0) {
                     log.appendLater(random,
-                                    encodeRecord(RequestRecord{DoneRecord{it.key, it.id, self.id, RequestResult::Answer, true, "answer " + it.id.str()}}),
+                                    encodeRecord(RequestRecord{DoneRecord{it.key, it.id, self.id, LoggedOutcome::Answer, true, "answer " + it.id.str()}}),
                                     Seconds{20});
                     finished = true;
                 } else if (!it.dispatched && it.appended && status.state == KeyState::Owned && status.attempt == it.id && uniform(random, 3) != 0) {
@@ -127,7 +127,7 @@
     const auto key = RequestKey{WorkspaceId{"w"}, IdempotencyKey{"k"}, now};
     const auto intent = [&](const char *id, const char *instance) { return RequestRecord{IntentRecord{key, RequestId{id}, InstanceId{instance}}}; };
     const auto voided = [&](const char *id, const char *instance) { return RequestRecord{VoidRecord{key, RequestId{id}, InstanceId{instance}}}; };
-    const auto done = [&](const char *id) { return RequestRecord{DoneRecord{key, RequestId{id}, InstanceId{"i"}, RequestResult::Answer, true, "yes"}}; };
+    const auto done = [&](const char *id) { return RequestRecord{DoneRecord{key, RequestId{id}, InstanceId{"i"}, LoggedOutcome::Answer, true, "yes"}}; };
     struct Case
     {
         const char *failure;
@@ -178,7 +178,7 @@
         const auto now = start + Seconds{i};
         const auto key = RequestKey{WorkspaceId{"w"}, IdempotencyKey{"k"}, now};
         fold.apply({2 * i}, now, RequestRecord{IntentRecord{key, RequestId{"a"}, InstanceId{"i"}}});
-        fold.apply({2 * i + 1}, now, RequestRecord{DoneRecord{key, RequestId{"a"}, InstanceId{"i"}, RequestResult::Answer, true, std::string(100, 'x')}});
+        fold.apply({2 * i + 1}, now, RequestRecord{DoneRecord{key, RequestId{"a"}, InstanceId{"i"}, LoggedOutcome::Answer, true, std::string(100, 'x')}});
         REQUIRE(fold.size() <= 50);
     }
     const auto status = [&](int second) { return fold.lookup({WorkspaceId{"w"}, IdempotencyKey{"k"}, start + Seconds{second}}); };
--- a/packages/state/testing/jobfold_test.cpp
+++ b/packages/state/testing/jobfold_test.cpp
@@ -33,9 +33,9 @@
     }
 };
 
-auto specOf(std::uint32_t number) -> JobSpec
+auto specOf(std::uint32_t number) -> JobDescription
 {
-    auto spec = JobSpec{.id = JobId{"j-" + std::to_string(number)}, .workspace = WorkspaceId{"w"}, .caller = CallerId{"c"}, .kind = KindId{"k"}};
+    auto spec = JobDescription{.id = JobId{"j-" + std::to_string(number)}, .workspace = WorkspaceId{"w"}, .caller = CallerId{"c"}, .kind = KindId{"k"}};
     spec.restartable = number % 2 == 0;
     spec.payload = "p" + std::to_string(number);
     return spec;
@@ -47,14 +47,14 @@
     constexpr auto results = std::array{JobResult::Succeeded, JobResult::Failed, JobResult::Parked, JobResult::Unknown, JobResult::Requeue, JobResult::Requeue};
     switch (uniform(random, 8)) {
     case 0:
-        return JobCancel{id, self.str(), {}};
+        return JobCancelRecord{id, self.str(), {}};
     case 1:
     case 2:
-        return JobFinish{id, job.attempt, results[uniform(random, results.size())], uniform(random, 2) == 0, "detail", {}};
+        return JobFinishRecord{id, job.attempt, results[uniform(random, results.size())], uniform(random, 2) == 0, "detail", {}};
     case 3:
-        return JobStarted{id, std::max(1, job.attempt)};
+        return JobStartedRecord{id, std::max(1, job.attempt)};
     default:
-        return JobAttempt{id, job.attempt + 1 + static_cast<int>(uniform(random, 8) == 0), self, uniform(random, 3)};
+        return JobAttemptRecord{id, job.attempt + 1 + static_cast<int>(uniform(random, 8) == 0), self, uniform(random, 3)};
     }
 }
 
@@ -118,7 +118,7 @@
             if (jobs.empty() || uniform(random, 6) == 0) {
                 const auto number = uniform(random, 2) == 0 ? nextId++ : uniform(random, nextId + 1);
                 if (self.fold.find(specOf(number).id) == nullptr) {
-                    log.appendLater(random, encodeRecord(JobRecord{JobAccept{specOf(number), self.fold.position()}}), longest);
+                    log.appendLater(random, encodeRecord(JobRecord{JobAcceptRecord{specOf(number), self.fold.position()}}), longest);
                 }
             } else if (uniform(random, 3) == 0) {
                 log.appendLater(random, encodeRecord(randomChange(random, *jobs[uniform(random, static_cast<std::uint32_t>(jobs.size()))], self.id)), longest);
@@ -151,15 +151,63 @@
     CHECK(compared > 100);
 }
 
+// One scenario for every way in which a reader that starts late could come to another state than one that read everything.
+TEST_CASE("a late reader neither trusts records that it cannot judge nor misses those between building and appending")
+{
+    const auto start = WallTime{Millis{1'700'000'000'000}};
+    const auto spec = specOf(1);
+    const auto id = spec.id;
+    const auto accept = [&](std::int64_t through, Seconds age = Seconds{0}) { return JobRecord{JobAcceptRecord{spec, {{through}, start - age}}}; };
+    const auto attempt = [&](const char *holder) { return JobRecord{JobAttemptRecord{id, 1, InstanceId{holder}, 1}}; };
+    auto queued = Job{.spec = spec, .revision = 1, .accepted = start, .changed = start};
+    auto starting = queued;
+    applyToJob(starting, attempt("i-1"), start);
+    const auto carry = [&](const Job &job, std::int64_t through, Seconds age = Seconds{0}) { return JobRecord{JobCarryRecord{job, {{through}, start - age}}}; };
+    struct Case
+    {
+        const char *failure;
+        std::vector<JobRecord> records;
+        std::int64_t from; ///< where the late reader starts
+        bool known; ///< whether the late reader knows the job in the end
+    };
+    const auto late = Seconds{601};
+    const auto cases = std::vector<Case>{
+        {"a repeated accept makes the job queued again", {accept(0), attempt("i-1"), accept(0), attempt("i-2")}, 2, false},
+        {"a carry settles it only if built after the start", {accept(0), attempt("i-1"), accept(0), attempt("i-2"), carry(starting, 1)}, 2, false},
+        {"a carry after the start is not taken", {accept(0), attempt("i-1"), accept(0), attempt("i-2"), carry(starting, 2)}, 2, true},
+        {"an attempt after building the carry is missed", {accept(0), accept(0), attempt("i-1"), attempt("i-2"), carry(queued, 1)}, 1, true},
+        {"an attempt before the carry's position counts twice", {accept(0), attempt("i-1"), carry(starting, 2), attempt("i-2")}, 1, true},
+        {"a record that was held up for too long is used", {accept(0, late), carry(starting, 1, late)}, 1, false},
+        {"an accept after the start is not the first one", {attempt("i-9"), accept(0), accept(1), attempt("i-1")}, 1, true},
+    };
+    for (const auto &it : cases) {
+        CAPTURE(std::string(it.failure));
+        auto whole = JobFold{options};
+        auto reader = JobFold{options};
+        reader.restart({it.from});
+        for (auto i = std::size_t{0}; i < it.records.size(); ++i) {
+            whole.apply({static_cast<std::int64_t>(i)}, start, it.records[i]);
+            reader.apply({static_cast<std::int64_t>(i)}, start, it.records[i]);
+        }
+        CHECK((reader.find(id) != nullptr) == it.known);
+        if (it.known) {
+            REQUIRE(whole.find(id) != nullptr);
+            CHECK(*reader.find(id) == *whole.find(id));
+        } else {
+            CHECK_FALSE(reader.isAttempt(id, 1, InstanceId{"i-2"}, 1));
+        }
+    }
+}
+
 TEST_CASE("rules of one job")
 {
     const auto id = JobId{"j"};
-    const auto a1 = JobAttempt{id, 1, InstanceId{"i-1"}, 4};
-    const auto a2 = JobAttempt{id, 2, InstanceId{"i-2"}, 5};
-    const auto a4 = JobAttempt{id, 4, InstanceId{"i-2"}, 5};
-    const auto started = JobStarted{id, 1};
-    const auto cancel = JobCancel{id, "ana", "enough"};
-    const auto finish = [&](int attempt, JobResult result, bool ran = true) { return JobRecord{JobFinish{id, attempt, result, ran, {}, {}}}; };
+    const auto a1 = JobAttemptRecord{id, 1, InstanceId{"i-1"}, 4};
+    const auto a2 = JobAttemptRecord{id, 2, InstanceId{"i-2"}, 5};
+    const auto a4 = JobAttemptRecord{id, 4, InstanceId{"i-2"}, 5};
+    const auto started = JobStartedRecord{id, 1};
+    const auto cancel = JobCancelRecord{id, "ana", "enough"};
+    const auto finish = [&](int attempt, JobResult result, bool ran = true) { return JobRecord{JobFinishRecord{id, attempt, result, ran, {}, {}}}; };
     struct Case
     {
         const char *failure;
@@ -169,7 +217,7 @@
         int attempt;
     };
     const auto cases = std::vector<Case>{
-        {"two planners both win attempt 1", false, {a1, JobAttempt{id, 1, InstanceId{"i-9"}, 9}}, JobState::Starting, 1},
+        {"two planners both win attempt 1", false, {a1, JobAttemptRecord{id, 1, InstanceId{"i-9"}, 9}}, JobState::Starting, 1},
         {"an at-most-once job starts again while it may run", false, {a1, a2}, JobState::Starting, 1},
         {"an attempt number is skipped", false, {a4}, JobState::Queued, 0},
         {"an attempt made while the log was down is lost", true, {a1, a4}, JobState::Starting, 4},
@@ -205,17 +253,17 @@
     for (auto i = 0; i < 10; ++i) {
         auto spec = specOf(static_cast<std::uint32_t>(i));
         spec.workspace = WorkspaceId{i < 4 ? "a" : "b"};
-        fold.apply({i}, start, JobRecord{JobAccept{spec, {.through = {0}, .asOf = start}}});
+        fold.apply({i}, start, JobRecord{JobAcceptRecord{spec, {.through = {0}, .asOf = start}}});
     }
     CHECK(fold.list({.workspace = WorkspaceId{"b"}}, JobId{}, 100).size() == 6);
     const auto page = fold.list({.state = JobState::Queued}, JobId{"j-2"}, 3);
     REQUIRE(page.size() == 3);
     CHECK(page[0]->spec.id == JobId{"j-3"});
-    fold.apply({10}, start, JobRecord{JobAttempt{JobId{"j-1"}, 1, InstanceId{"i-1"}, 7}});
+    fold.apply({10}, start, JobRecord{JobAttemptRecord{JobId{"j-1"}, 1, InstanceId{"i-1"}, 7}});
     CHECK(fold.isAttempt(JobId{"j-1"}, 1, InstanceId{"i-1"}, 7));
     CHECK_FALSE(fold.isAttempt(JobId{"j-1"}, 1, InstanceId{"i-1"}, 8));
     CHECK_FALSE(fold.isAttempt(JobId{"j-1"}, 1, InstanceId{"i-2"}, 7));
-    fold.apply({11}, start, JobRecord{JobCancel{JobId{"j-2"}, "ana", {}}});
+    fold.apply({11}, start, JobRecord{JobCancelRecord{JobId{"j-2"}, "ana", {}}});
     fold.apply({12}, start + Seconds{3600}, "nothing");
     CHECK(fold.find(JobId{"j-2"}) != nullptr);
     fold.apply({13}, start + Seconds{3601}, "nothing");
--- a/packages/state/testing/records_test.cpp
+++ b/packages/state/testing/records_test.cpp
@@ -9,7 +9,7 @@
 
 const auto now = WallTime{Millis{1'700'000'000'000}};
 
-auto spec() -> JobSpec
+auto spec() -> JobDescription
 {
     return {
         .id = makeJobId(WorkspaceId{"w"}, IdempotencyKey{"k"}),
@@ -63,12 +63,12 @@
         damage(encodeRecord(it), [](const std::string &text) { return decodeConfigRecord(text).has_value(); });
     }
     for (const auto &it : std::vector<JobRecord>{
-             JobAccept{spec(), position},
-             JobAttempt{id, 2, instance, 7},
-             JobStarted{id, 2},
-             JobFinish{id, 2, JobResult::Requeue, false, "worker w-4 was lost", "cp-2"},
-             JobCancel{id, "ana", "no longer needed"},
-             JobCarry{job, position},
+             JobAcceptRecord{spec(), position},
+             JobAttemptRecord{id, 2, instance, 7},
+             JobStartedRecord{id, 2},
+             JobFinishRecord{id, 2, JobResult::Requeue, false, "worker w-4 was lost", "cp-2"},
+             JobCancelRecord{id, "ana", "no longer needed"},
+             JobCarryRecord{job, position},
          }) {
         const auto decoded = decodeJobRecord(encodeRecord(it));
         REQUIRE(decoded);
@@ -79,9 +79,9 @@
     for (const auto &it : std::vector<RequestRecord>{
              IntentRecord{key, attempt, instance},
              VoidRecord{key, attempt, instance},
-             DoneRecord{key, attempt, instance, RequestResult::Answer, true, "\xfe\xff"},
-             DoneRecord{key, attempt, instance, RequestResult::Answer, true, ""},
-             DoneRecord{key, attempt, instance, RequestResult::Unknown, false, ""},
+             DoneRecord{key, attempt, instance, LoggedOutcome::Answer, true, "\xfe\xff"},
+             DoneRecord{key, attempt, instance, LoggedOutcome::Answer, true, ""},
+             DoneRecord{key, attempt, instance, LoggedOutcome::Unknown, false, ""},
          }) {
         const auto decoded = decodeRequestRecord(encodeRecord(it));
         REQUIRE(decoded);
--- a/packages/state/testing/slo_test.cpp
+++ b/packages/state/testing/slo_test.cpp
@@ -96,7 +96,7 @@
     fold.noteRead({0}, now);
     for (auto i = 0; i < 300; ++i) {
         const auto id = "j-" + std::to_string(i);
-        fold.apply({i}, now, JobRecord{JobAccept{{.id = JobId{id}}, {{0}, now}}});
+        fold.apply({i}, now, JobRecord{JobAcceptRecord{{.id = JobId{id}}, {{0}, now}}});
     }
     auto carrier = Carrier{InstanceId{"i-1"}, {.retention = retention, .recordsPerSecond = 0.5}};
     auto offset = fold.next();
--- a/testing/fuzz/statefuzzcorpus.cpp
+++ b/testing/fuzz/statefuzzcorpus.cpp
@@ -19,20 +19,20 @@
 auto records() -> std::vector<std::string>
 {
     const auto now = WallTime{Millis{1'700'000'000'000}};
-    const auto spec = JobSpec{.id = JobId{"j-1"}, .workspace = WorkspaceId{"patrulla"}, .kind = KindId{"mold"}, .restartable = true, .payload = "\xff"};
+    const auto spec = JobDescription{.id = JobId{"j-1"}, .workspace = WorkspaceId{"patrulla"}, .kind = KindId{"mold"}, .restartable = true, .payload = "\xff"};
     const auto key = RequestKey{WorkspaceId{"patrulla"}, IdempotencyKey{"k-1"}, now};
     return {
         encodeRecord(ConfigRecord{ConfigChange{{1}, {0}, "c-1", "ana", "{}", {0}}}),
         encodeRecord(ConfigRecord{ConfigSnapshot{{1}, "c-1", "ana", "{}", {0}}}),
-        encodeRecord(JobRecord{JobAccept{spec, {{0}, now}}}),
-        encodeRecord(JobRecord{JobAttempt{spec.id, 1, InstanceId{"i-1"}, 1}}),
-        encodeRecord(JobRecord{JobStarted{spec.id, 1}}),
-        encodeRecord(JobRecord{JobFinish{spec.id, 1, JobResult::Succeeded, true, "", ""}}),
-        encodeRecord(JobRecord{JobCancel{spec.id, "ana", ""}}),
-        encodeRecord(JobRecord{JobCarry{Job{.spec = spec, .revision = 1}, {{0}, now}}}),
+        encodeRecord(JobRecord{JobAcceptRecord{spec, {{0}, now}}}),
+        encodeRecord(JobRecord{JobAttemptRecord{spec.id, 1, InstanceId{"i-1"}, 1}}),
+        encodeRecord(JobRecord{JobStartedRecord{spec.id, 1}}),
+        encodeRecord(JobRecord{JobFinishRecord{spec.id, 1, JobResult::Succeeded, true, "", ""}}),
+        encodeRecord(JobRecord{JobCancelRecord{spec.id, "ana", ""}}),
+        encodeRecord(JobRecord{JobCarryRecord{Job{.spec = spec, .revision = 1}, {{0}, now}}}),
         encodeRecord(RequestRecord{IntentRecord{key, RequestId{"a-1"}, InstanceId{"i-1"}}}),
         encodeRecord(RequestRecord{VoidRecord{key, RequestId{"a-1"}, InstanceId{"i-1"}}}),
-        encodeRecord(RequestRecord{DoneRecord{key, RequestId{"a-1"}, InstanceId{"i-1"}, RequestResult::Answer, true, "\xfe"}}),
+        encodeRecord(RequestRecord{DoneRecord{key, RequestId{"a-1"}, InstanceId{"i-1"}, LoggedOutcome::Answer, true, "\xfe"}}),
     };
 }
 
