--- a/bench/figuretable.cpp
+++ b/bench/figuretable.cpp
@@ -98,8 +98,8 @@
     for (const auto *row : rows) {
         const auto it = summary(*row);
         auto x = [&](double value) { return left + width * std::clamp(value / row->target.value / reach, 0.0, 1.0); };
-        file << "<text x=\"10\" y=\"" << y + 10 << "\">" << row->name[0] << ", " << row->name[1] << ", " << row->name[3] << " (" << row->target.relation << ' '
-             << row->target.value << "), " << row->name[2] << "</text>\n"
+        file << "<text x=\"10\" y=\"" << y + 10 << "\">" << row->name[0] << ", " << row->name[1] << ", " << row->name[3] << " ("
+             << (row->target.relation == "<=" ? "at most" : "at least") << ' ' << row->target.value << "), " << row->name[2] << "</text>\n"
              << "<rect x=\"" << left << "\" y=\"" << y << "\" height=\"12\" width=\"" << x(it.median) - left << "\" fill=\""
              << (it.verdict == "met" ? "#3a7d44" : "#c0392b") << "\"/>\n"
              << "<line x1=\"" << x(it.lowest) << "\" x2=\"" << x(it.highest) << "\" y1=\"" << y + 6 << "\" y2=\"" << y + 6 << "\" stroke=\"black\"/>\n"
--- a/bench/request_figures.cpp
+++ b/bench/request_figures.cpp
@@ -173,8 +173,15 @@
     }
 }
 
-/// Every workspace asks for more than its share (weights 1, 1, 2, 4), unevenly spread over the instances of one region.
-auto shares(FigureTable &table, Deployment d, const std::string &name, const std::vector<int> &cutOff, bool even, std::uint64_t seed) -> void
+/// How the load of the workspaces spreads over the instances.
+enum class Spread {
+    Even,
+    Uneven, ///< each workspace sends a third of the instances three times as much as another third
+    Concentrated, ///< the workspace with the highest weight uses two instances only
+};
+
+/// Every workspace asks for more than its share (weights 1, 1, 2, 4) on the executors of one region.
+auto shares(FigureTable &table, Deployment d, const std::string &name, const std::vector<int> &cutOff, Spread spread, std::uint64_t seed) -> void
 {
     d.setting.executorsPerDomain = {25, 25, 0};
     const auto instances = d.setting.instancesPerDomain[0] + d.setting.instancesPerDomain[1] + d.setting.instancesPerDomain[2];
@@ -185,8 +192,9 @@
     for (auto i = std::size_t{0}; i < weights.size(); ++i) {
         d.setting.config.workspaces[i].weight = weights[i];
         auto it = stream(d, d.workspaces[i], 1, 1.0, 25);
-        for (auto n = 0; n < instances && !even; ++n) {
-            it.instanceWeights.push_back(1 + (n + static_cast<int>(i)) % 3); // a third of the instances gets three times as much
+        for (auto n = 0; n < instances && spread != Spread::Even; ++n) {
+            const auto concentrated = i + 1 == weights.size() && n >= 2 ? 0.0 : 1.0;
+            it.instanceWeights.push_back(spread == Spread::Uneven ? 1 + (n + static_cast<int>(i)) % 3 : concentrated);
         }
         streams.push_back(it);
     }
@@ -222,10 +230,11 @@
     heavyCaller(table, d, seed);
     floodedKind(table, d, 0, seed);
     floodedKind(table, d, d.kinds.size() - 1, seed);
-    shares(table, d, "shares, even load", {}, true, seed);
-    shares(table, d, "shares, uneven load", {}, false, seed);
-    shares(table, d, "shares, 2 instances cut off", {0, 1}, false, seed);
-    shares(table, d, "shares, all cut off", everyone, false, seed);
+    shares(table, d, "shares, even load", {}, Spread::Even, seed);
+    shares(table, d, "shares, uneven load", {}, Spread::Uneven, seed);
+    shares(table, d, "shares, one workspace on 2 instances", {}, Spread::Concentrated, seed);
+    shares(table, d, "shares, 2 instances cut off", {0, 1}, Spread::Uneven, seed);
+    shares(table, d, "shares, all cut off", everyone, Spread::Uneven, seed);
     return table;
 }
 
