Give types that share a name with another package names of their own

Cause: the packages were written side by side, and several types of the same name met in namespace Catkin. Change: renamed by a mechanical substitution; no behaviour changes.

--- a/bench/requestscheduler_bench.cpp
+++ b/bench/requestscheduler_bench.cpp
@@ -94,7 +94,7 @@
     auto turn = std::size_t{0};
     for (auto _ : state) {
         fixture.enqueue();
-        fixture.scheduler().completed(inFlight[turn], AttemptOutcome::Answered, Micros{20000}, fixture.now());
+        fixture.scheduler().completed(inFlight[turn], DispatchOutcome::Answered, Micros{20000}, fixture.now());
         const auto step = fixture.scheduler().next(fixture.now());
         if (const auto *dispatch = std::get_if<RequestDispatch>(&step)) {
             inFlight[turn] = dispatch->number;
--- a/bench/requestsimulation.cpp
+++ b/bench/requestsimulation.cpp
@@ -68,16 +68,16 @@
         ++request.attempts;
         return RequestDispatch{{number}, m_executors[index].id, "", false, request.attempts};
     }
-    auto completed(RequestNumber number, AttemptOutcome outcome) -> RequestAfter
+    auto completed(RequestNumber number, DispatchOutcome outcome) -> RequestAfter
     {
         auto &request = m_requests.at(number.value);
         --m_inFlight[request.executor];
-        if (outcome == AttemptOutcome::Refused && request.attempts < 3) {
+        if (outcome == DispatchOutcome::Refused && request.attempts < 3) {
             m_queue.push_front(number.value);
             return RequestRetry{};
         }
         m_requests.erase(number.value);
-        return outcome == AttemptOutcome::Answered ? RequestAfter{RequestFinished{true}} : RequestAfter{RequestNotRun{}};
+        return outcome == DispatchOutcome::Answered ? RequestAfter{RequestFinished{true}} : RequestAfter{RequestNotRun{}};
     }
 
 private:
@@ -377,14 +377,14 @@
     } else if (event.type == EventType::Reply) {
         const auto it = instance.requests.find(event.number);
         const auto request = it->second;
-        const auto outcome = event.refused ? AttemptOutcome::Refused : AttemptOutcome::Answered;
+        const auto outcome = event.refused ? DispatchOutcome::Refused : DispatchOutcome::Answered;
         const auto cost = event.refused ? Micros{0} : request.service;
         const auto after = instance.fair ? instance.fair->completed({event.number}, outcome, cost, m_now) : instance.fifo->completed({event.number}, outcome);
         if (!std::holds_alternative<RequestRetry>(after)) {
             instance.requests.erase(it);
         }
         m_result.notRunAfterDispatch += std::holds_alternative<RequestNotRun>(after) ? 1 : 0;
-        if (outcome == AttemptOutcome::Answered && request.counted) {
+        if (outcome == DispatchOutcome::Answered && request.counted) {
             auto &stream = m_result.streams[request.stream];
             stream.latencies.push_back(std::chrono::duration<double, std::milli>(m_now - request.arrived).count());
             stream.inTime += m_now - request.arrived <= m_streams[request.stream].deadline ? 1 : 0;
--- a/packages/policy/executorhealth.cpp
+++ b/packages/policy/executorhealth.cpp
@@ -5,7 +5,7 @@
 namespace Catkin
 {
 
-auto healthPolled(ExecutorHealth &health, const std::optional<HealthSample> &sample, MonoTime now) -> void
+auto healthPolled(ExecutorHealthTracker &health, const std::optional<HealthSample> &sample, MonoTime now) -> void
 {
     if (!sample) {
         ++health.missed;
@@ -16,7 +16,7 @@
     health.sampleLeaving = sample->leaving;
 }
 
-auto healthAttempt(ExecutorHealth &health, const ExecutorHealthOptions &options, bool failed, MonoTime now) -> bool
+auto healthAttempt(ExecutorHealthTracker &health, const ExecutorHealthOptions &options, bool failed, MonoTime now) -> bool
 {
     if (!failed) {
         health.failures = 0;
@@ -35,7 +35,7 @@
     return known > 1 && quarantined < std::max(1, static_cast<int>(options.quarantinedShare * known));
 }
 
-auto quarantine(ExecutorHealth &health, const ExecutorHealthOptions &options, MonoTime now) -> void
+auto quarantine(ExecutorHealthTracker &health, const ExecutorHealthOptions &options, MonoTime now) -> void
 {
     health.quarantined = true;
     health.probing = false;
@@ -43,18 +43,18 @@
     health.probeAt = now + health.probePause;
 }
 
-auto probeDue(const ExecutorHealth &health, MonoTime now) -> bool
+auto probeDue(const ExecutorHealthTracker &health, MonoTime now) -> bool
 {
     return health.quarantined && !health.probing && now >= health.probeAt;
 }
 
-auto lastResort(const ExecutorHealth &health, const ExecutorHealthOptions &options, MonoTime now) -> bool
+auto lastResort(const ExecutorHealthTracker &health, const ExecutorHealthOptions &options, MonoTime now) -> bool
 {
     return health.listed && !health.listLeaving && !health.sampleLeaving && health.lastGood && now - *health.lastGood < options.staleAfter
            && health.missed < options.missedForDown;
 }
 
-auto healthState(const ExecutorHealth &health, const ExecutorHealthOptions &options, MonoTime now) -> ExecutorState
+auto healthState(const ExecutorHealthTracker &health, const ExecutorHealthOptions &options, MonoTime now) -> ExecutorState
 {
     if (!health.listed || !health.lastGood || health.missed >= options.missedForDown) {
         return ExecutorState::Down;
--- a/packages/policy/executorhealth.h
+++ b/packages/policy/executorhealth.h
@@ -18,7 +18,7 @@
 {
 
 /// What is known about one executor.
-struct ExecutorHealth
+struct ExecutorHealthTracker
 {
     bool listed = true;
     bool listLeaving = false;
@@ -34,25 +34,25 @@
 };
 
 /// Reports a poll, or a failed one.
-auto healthPolled(ExecutorHealth &health, const std::optional<HealthSample> &sample, MonoTime now) -> void;
+auto healthPolled(ExecutorHealthTracker &health, const std::optional<HealthSample> &sample, MonoTime now) -> void;
 
 /// Reports an attempt. A refusal before any work is no failure.
 /// @return whether the executor should be quarantined; the caller decides with mayQuarantine().
-auto healthAttempt(ExecutorHealth &health, const ExecutorHealthOptions &options, bool failed, MonoTime now) -> bool;
+auto healthAttempt(ExecutorHealthTracker &health, const ExecutorHealthOptions &options, bool failed, MonoTime now) -> bool;
 
 /// @param known listed executors
 /// @param quarantined those in quarantine already
 auto mayQuarantine(const ExecutorHealthOptions &options, int known, int quarantined) -> bool;
 
 /// Starts the quarantine, or lengthens it after a failed probe.
-auto quarantine(ExecutorHealth &health, const ExecutorHealthOptions &options, MonoTime now) -> void;
+auto quarantine(ExecutorHealthTracker &health, const ExecutorHealthOptions &options, MonoTime now) -> void;
 
 /// @return whether one attempt may be sent to a quarantined executor now to find out whether it recovered.
-auto probeDue(const ExecutorHealth &health, MonoTime now) -> bool;
+auto probeDue(const ExecutorHealthTracker &health, MonoTime now) -> bool;
 
-auto healthState(const ExecutorHealth &health, const ExecutorHealthOptions &options, MonoTime now) -> ExecutorState;
+auto healthState(const ExecutorHealthTracker &health, const ExecutorHealthOptions &options, MonoTime now) -> ExecutorState;
 
 /// @return whether the executor answered a poll recently and does not leave, so that it may be used as a last resort.
-auto lastResort(const ExecutorHealth &health, const ExecutorHealthOptions &options, MonoTime now) -> bool;
+auto lastResort(const ExecutorHealthTracker &health, const ExecutorHealthOptions &options, MonoTime now) -> bool;
 
 }
--- a/packages/policy/executortable.cpp
+++ b/packages/policy/executortable.cpp
@@ -79,7 +79,7 @@
     m_capacityAt.reset();
 }
 
-auto ExecutorTable::peerReported(const InstanceId &peer, const std::vector<ExecutorLoad> &loads) -> void
+auto ExecutorTable::peerReported(const InstanceId &peer, const std::vector<InFlightLoad> &loads) -> void
 {
     auto &reported = m_reported[peer];
     for (const auto &id : reported) {
@@ -154,16 +154,16 @@
     }
 }
 
-auto ExecutorTable::ended(KnownExecutor &executor, AttemptOutcome outcome, Micros elapsed, Micros expected, MonoTime now) -> void
+auto ExecutorTable::ended(KnownExecutor &executor, DispatchOutcome outcome, Micros elapsed, Micros expected, MonoTime now) -> void
 {
     const auto wasFull = executor.inFlight >= limitNow(executor.limit);
     --executor.inFlight;
-    if (outcome == AttemptOutcome::Answered) {
+    if (outcome == DispatchOutcome::Answered) {
         limitAfterAnswer(executor.limit, m_options.limit, wasFull, isLate(m_options.limit, elapsed, expected), now);
     } else {
         limitAfterRefusal(executor.limit, m_options.limit, now);
     }
-    if (outcome == AttemptOutcome::Refused) {
+    if (outcome == DispatchOutcome::Refused) {
         executor.health.probing = false;
         // All slots were in use: one of them becomes free after about the usual cost divided by their number.
         const auto pause = std::clamp(expected / executor.limit.slots * (1 << std::min(executor.refusals, 5)), Micros{Millis{2}}, Micros{Millis{200}});
@@ -172,7 +172,7 @@
     } else {
         executor.refusals = 0;
         const auto before = executor.health.quarantined;
-        const auto failed = outcome != AttemptOutcome::Answered;
+        const auto failed = outcome != DispatchOutcome::Answered;
         if (healthAttempt(executor.health, m_options.health, failed, now)
             && (before ? executor.health.probing : mayQuarantine(m_options.health, static_cast<int>(m_executors.size()), quarantined()))) {
             quarantine(executor.health, m_options.health, now);
@@ -217,9 +217,9 @@
     m_capacityAt = now;
 }
 
-auto ExecutorTable::loads() const -> std::vector<ExecutorLoad>
+auto ExecutorTable::loads() const -> std::vector<InFlightLoad>
 {
-    auto loads = std::vector<ExecutorLoad>{};
+    auto loads = std::vector<InFlightLoad>{};
     for (const auto &it : m_executors) {
         if (it->inFlight > 0) {
             loads.push_back({it->listed.id, it->inFlight});
--- a/packages/policy/executortable.h
+++ b/packages/policy/executortable.h
@@ -28,7 +28,7 @@
 {
     ListedExecutor listed;
     Reach reach = Reach::OwnDomain;
-    ExecutorHealth health;
+    ExecutorHealthTracker health;
     ExecutorLimit limit;
     int inFlight = 0;
     std::unordered_map<InstanceId, int> peers; ///< in flight by peer
@@ -64,20 +64,20 @@
     auto polled(const ExecutorId &id, const std::optional<HealthSample> &sample, MonoTime now) -> void;
     /// @param fresh names of the entry instances of the own region, which share its executors
     auto freshInstances(std::vector<std::string> fresh) -> void;
-    auto peerReported(const InstanceId &peer, const std::vector<ExecutorLoad> &loads) -> void;
+    auto peerReported(const InstanceId &peer, const std::vector<InFlightLoad> &loads) -> void;
 
     /// @return an executor with room, or null.
     auto choose(const ExecutorWish &wish, Random &random, MonoTime now) -> KnownExecutor *;
     auto started(KnownExecutor &executor, MonoTime now) -> void;
     /// @param elapsed from sending to the end of the attempt
     /// @param expected usual executor time of such a request
-    auto ended(KnownExecutor &executor, AttemptOutcome outcome, Micros elapsed, Micros expected, MonoTime now) -> void;
+    auto ended(KnownExecutor &executor, DispatchOutcome outcome, Micros elapsed, Micros expected, MonoTime now) -> void;
 
     /// @return own capacity within the region, or beyond it. Recomputed at most once per millisecond of @p now and
     ///         after changes of health.
     auto capacity(bool otherRegions, MonoTime now) -> ExecutorCapacity;
 
-    [[nodiscard]] auto loads() const -> std::vector<ExecutorLoad>;
+    [[nodiscard]] auto loads() const -> std::vector<InFlightLoad>;
     [[nodiscard]] auto views(MonoTime now) const -> std::vector<ExecutorView>;
 
 private:
--- a/packages/policy/linkbudget.cpp
+++ b/packages/policy/linkbudget.cpp
@@ -6,13 +6,13 @@
 namespace Catkin
 {
 
-auto linkClassName(LinkClass linkClass) -> const char *
+auto linkClassName(LinkTrafficClass linkClass) -> const char *
 {
     constexpr auto names = std::array{"control", "requests", "log"};
     return names.at(static_cast<std::size_t>(linkClass));
 }
 
-auto LinkBudget::configure(LinkClass linkClass, const LinkBudgetOptions &options) -> void
+auto LinkBudget::configure(LinkTrafficClass linkClass, const LinkBudgetOptions &options) -> void
 {
     auto &bucket = m_buckets.at(static_cast<std::size_t>(linkClass));
     bucket.rate = static_cast<double>(std::max<std::int64_t>(0, options.bytesPerSecond)) / 1e6;
@@ -21,7 +21,7 @@
     bucket.limited = true;
 }
 
-auto LinkBudget::refill(LinkClass linkClass, MonoTime now) -> Bucket &
+auto LinkBudget::refill(LinkTrafficClass linkClass, MonoTime now) -> Bucket &
 {
     auto &bucket = m_buckets.at(static_cast<std::size_t>(linkClass));
     if (now > bucket.filled) {
@@ -31,7 +31,7 @@
     return bucket;
 }
 
-auto LinkBudget::take(LinkClass linkClass, Bytes bytes, MonoTime now) -> bool
+auto LinkBudget::take(LinkTrafficClass linkClass, Bytes bytes, MonoTime now) -> bool
 {
     auto &bucket = refill(linkClass, now);
     if (bucket.limited && bucket.tokens < static_cast<double>(bytes.value)) {
@@ -41,14 +41,14 @@
     return true;
 }
 
-auto LinkBudget::charge(LinkClass linkClass, Bytes bytes, MonoTime now) -> void
+auto LinkBudget::charge(LinkTrafficClass linkClass, Bytes bytes, MonoTime now) -> void
 {
     auto &bucket = refill(linkClass, now);
     bucket.tokens -= static_cast<double>(bytes.value);
     bucket.counted += bytes;
 }
 
-auto LinkBudget::allowedAt(LinkClass linkClass, Bytes bytes, MonoTime now) -> std::optional<MonoTime>
+auto LinkBudget::allowedAt(LinkTrafficClass linkClass, Bytes bytes, MonoTime now) -> std::optional<MonoTime>
 {
     const auto &bucket = refill(linkClass, now);
     const auto missing = static_cast<double>(bytes.value) - bucket.tokens;
@@ -61,7 +61,7 @@
     return now + Micros{static_cast<std::int64_t>(std::ceil(missing / bucket.rate))};
 }
 
-auto LinkBudget::counted(LinkClass linkClass) const -> Bytes
+auto LinkBudget::counted(LinkTrafficClass linkClass) const -> Bytes
 {
     return m_buckets.at(static_cast<std::size_t>(linkClass)).counted;
 }
--- a/packages/policy/linkbudget.h
+++ b/packages/policy/linkbudget.h
@@ -3,8 +3,8 @@
 /// Byte budget of the link between regions: one token bucket and one counter per class of traffic.
 ///
 /// @code
-///   if (budget.take(Catkin::LinkClass::Requests, bytes, now)) { ... }   // send
-///   budget.charge(Catkin::LinkClass::Control, bytes, now);              // sent in any case; only counted
+///   if (budget.take(Catkin::LinkTrafficClass::Requests, bytes, now)) { ... }   // send
+///   budget.charge(Catkin::LinkTrafficClass::Control, bytes, now);              // sent in any case; only counted
 /// @endcode
 
 #include "policy/requesttypes.h"
@@ -15,26 +15,26 @@
 namespace Catkin
 {
 
-enum class LinkClass { Control, Requests, Log };
+enum class LinkTrafficClass { Control, Requests, Log };
 constexpr auto linkClasses = std::size_t{3};
 
 /// @return the lower-case name of @p linkClass, used in metrics.
-auto linkClassName(LinkClass linkClass) -> const char *;
+auto linkClassName(LinkTrafficClass linkClass) -> const char *;
 
 /// One instance's part of the link; not thread-safe.
 class LinkBudget
 {
 public:
     /// Sets the bucket of a class, which starts full. A class without a bucket is only counted.
-    auto configure(LinkClass linkClass, const LinkBudgetOptions &options) -> void;
+    auto configure(LinkTrafficClass linkClass, const LinkBudgetOptions &options) -> void;
     /// @return whether the bytes may be sent; they are then paid and counted. More than the burst is never allowed.
-    auto take(LinkClass linkClass, Bytes bytes, MonoTime now) -> bool;
+    auto take(LinkTrafficClass linkClass, Bytes bytes, MonoTime now) -> bool;
     /// Pays and counts bytes that are sent in any case; the bucket may become negative.
-    auto charge(LinkClass linkClass, Bytes bytes, MonoTime now) -> void;
+    auto charge(LinkTrafficClass linkClass, Bytes bytes, MonoTime now) -> void;
     /// @return when take() will allow the bytes, or nothing when it never will.
-    auto allowedAt(LinkClass linkClass, Bytes bytes, MonoTime now) -> std::optional<MonoTime>;
+    auto allowedAt(LinkTrafficClass linkClass, Bytes bytes, MonoTime now) -> std::optional<MonoTime>;
     /// @return bytes paid so far.
-    [[nodiscard]] auto counted(LinkClass linkClass) const -> Bytes;
+    [[nodiscard]] auto counted(LinkTrafficClass linkClass) const -> Bytes;
 
 private:
     struct Bucket
@@ -46,7 +46,7 @@
         MonoTime filled;
         Bytes counted;
     };
-    auto refill(LinkClass linkClass, MonoTime now) -> Bucket &;
+    auto refill(LinkTrafficClass linkClass, MonoTime now) -> Bucket &;
 
     std::array<Bucket, linkClasses> m_buckets;
 };
--- a/packages/policy/requestdispatch.cpp
+++ b/packages/policy/requestdispatch.cpp
@@ -61,7 +61,7 @@
 auto RequestScheduler::Impl::chooseRemote(const RequestEntry &entry, MonoTime now) -> KnownExecutor *
 {
     auto *executor = table.choose({Reach::OtherRegion, Reach::OtherRegion, entry.idempotent, retries.level() >= 0.5}, random, now);
-    if (executor != nullptr && !link.take(LinkClass::Requests, entry.request.bytes, now)) {
+    if (executor != nullptr && !link.take(LinkTrafficClass::Requests, entry.request.bytes, now)) {
         ++figures.linkDenied;
         return nullptr;
     }
@@ -101,7 +101,7 @@
         wakeAt = std::min(wakeAt, byRetry.begin()->retryAt);
     }
     if (const auto *item = spill.front(); item != nullptr) {
-        const auto paidAt = link.allowedAt(LinkClass::Requests, static_cast<const RequestEntry *>(item)->request.bytes, now);
+        const auto paidAt = link.allowedAt(LinkTrafficClass::Requests, static_cast<const RequestEntry *>(item)->request.bytes, now);
         wakeAt = paidAt && *paidAt > now ? std::min(wakeAt, *paidAt) : wakeAt;
     }
     return {wakeAt};
--- a/packages/policy/requestscheduler.cpp
+++ b/packages/policy/requestscheduler.cpp
@@ -55,7 +55,7 @@
     if (capacity.usable == 0) {
         return false;
     }
-    const auto paidAt = link.allowedAt(LinkClass::Requests, Bytes{request.bytes.value + spillBytes}, now);
+    const auto paidAt = link.allowedAt(LinkTrafficClass::Requests, Bytes{request.bytes.value + spillBytes}, now);
     if (!paidAt || *paidAt > dropTime(question)) {
         return false;
     }
@@ -116,7 +116,7 @@
     return {RequestNumber{entry.number}, {}};
 }
 
-auto RequestScheduler::completed(RequestNumber number, AttemptOutcome outcome, Micros cost, MonoTime now) -> RequestAfter
+auto RequestScheduler::completed(RequestNumber number, DispatchOutcome outcome, Micros cost, MonoTime now) -> RequestAfter
 {
     auto &d = *m_impl;
     const auto it = d.entries.find(number.value);
@@ -124,14 +124,14 @@
         return RequestFinished{};
     }
     auto &entry = *it->second;
-    const auto answered = outcome == AttemptOutcome::Answered;
-    const auto notRun = outcome == AttemptOutcome::Refused || outcome == AttemptOutcome::NotSent;
+    const auto answered = outcome == DispatchOutcome::Answered;
+    const auto notRun = outcome == DispatchOutcome::Refused || outcome == DispatchOutcome::NotSent;
     // Without a cost reported by the executor, cost is the elapsed time, and the attempt cannot be told to be late.
     d.table.ended(*entry.executor, outcome, now - entry.sentAt, std::max(cost, entry.expected), now);
     entry.executor = nullptr;
     d.queueOf(entry).settle(entry, notRun ? Micros{0} : cost, now);
     d.figures.answered += answered ? 1 : 0;
-    d.figures.executorRefusals += outcome == AttemptOutcome::Refused ? 1 : 0;
+    d.figures.executorRefusals += outcome == DispatchOutcome::Refused ? 1 : 0;
     if (answered) {
         d.erase(entry);
         return RequestFinished{true};
@@ -160,22 +160,22 @@
     return RequestNotRun{{reason, retryAfter(d.options.admission, Micros{d.options.retry.backoffAtMost} / 4)}};
 }
 
-auto RequestScheduler::Impl::cancel(RequestEntry &entry) -> CancelResult
+auto RequestScheduler::Impl::cancel(RequestEntry &entry) -> RequestCancelResult
 {
     if (entry.executor != nullptr) {
         entry.cancelled = true;
-        return CancelResult::InFlight;
+        return RequestCancelResult::InFlight;
     }
-    const auto result = entry.mayHaveRun ? CancelResult::MayHaveRun : CancelResult::NotRun;
+    const auto result = entry.mayHaveRun ? RequestCancelResult::MayHaveRun : RequestCancelResult::NotRun;
     erase(entry);
     return result;
 }
 
-auto RequestScheduler::cancel(RequestNumber number, MonoTime now) -> CancelResult
+auto RequestScheduler::cancel(RequestNumber number, MonoTime now) -> RequestCancelResult
 {
     static_cast<void>(now);
     const auto it = m_impl->entries.find(number.value);
-    return it == m_impl->entries.end() ? CancelResult::NotFound : m_impl->cancel(*it->second);
+    return it == m_impl->entries.end() ? RequestCancelResult::NotFound : m_impl->cancel(*it->second);
 }
 
 auto RequestScheduler::cancelCaller(const WorkspaceId &workspace, const CallerId &caller, MonoTime now) -> std::vector<CancelledRequest>
@@ -243,13 +243,13 @@
     m_impl->table.freshInstances(std::move(names));
 }
 
-auto RequestScheduler::peerReported(const InstanceId &peer, const std::vector<ExecutorLoad> &loads, MonoTime now) -> void
+auto RequestScheduler::peerReported(const InstanceId &peer, const std::vector<InFlightLoad> &loads, MonoTime now) -> void
 {
     static_cast<void>(now);
     m_impl->table.peerReported(peer, loads);
 }
 
-auto RequestScheduler::ownLoads() const -> std::vector<ExecutorLoad>
+auto RequestScheduler::ownLoads() const -> std::vector<InFlightLoad>
 {
     return m_impl->table.loads();
 }
--- a/packages/policy/requestscheduler.h
+++ b/packages/policy/requestscheduler.h
@@ -15,7 +15,7 @@
 ///       else if (auto *dropped = std::get_if<Catkin::RequestDropped>(&step)) { ... }   // answer, never sent again
 ///       else { wait until std::get<Catkin::RequestIdle>(step).wakeAt or the next event; break; }
 ///   }
-///   auto after = scheduler.completed(queued.number, Catkin::AttemptOutcome::Answered, cost, now);
+///   auto after = scheduler.completed(queued.number, Catkin::DispatchOutcome::Answered, cost, now);
 /// @endcode
 /// Every request that enqueue() accepted ends exactly once: by completed() with anything but RequestRetry, by
 /// RequestDropped from next(), or by a cancel() that found it queued.
@@ -85,7 +85,7 @@
 using RequestAfter = std::variant<RequestFinished, RequestRetry, RequestNotRun>;
 
 /// What cancel() found.
-enum class CancelResult {
+enum class RequestCancelResult {
     NotRun, ///< removed; no attempt ran
     MayHaveRun, ///< removed while it waited for a retry; an earlier attempt may have run
     InFlight, ///< an attempt is at an executor: completed() must still be called and will not retry
@@ -96,7 +96,7 @@
 struct CancelledRequest
 {
     RequestNumber number;
-    CancelResult result = CancelResult::NotRun;
+    RequestCancelResult result = RequestCancelResult::NotRun;
 };
 
 /// Request path of one entry instance; not thread-safe.
@@ -123,10 +123,10 @@
     ///        zero for an attempt that did not run
     /// @param now present time
     /// @return what becomes of the request; RequestFinished{false} for a number that is not in flight.
-    auto completed(RequestNumber number, AttemptOutcome outcome, Micros cost, MonoTime now) -> RequestAfter;
+    auto completed(RequestNumber number, DispatchOutcome outcome, Micros cost, MonoTime now) -> RequestAfter;
 
     /// Cancels one request. Cost: logarithmic in the number of queued requests.
-    auto cancel(RequestNumber number, MonoTime now) -> CancelResult;
+    auto cancel(RequestNumber number, MonoTime now) -> RequestCancelResult;
 
     /// Cancels every request of a caller. Cost: proportional to that caller's requests in progress.
     auto cancelCaller(const WorkspaceId &workspace, const CallerId &caller, MonoTime now) -> std::vector<CancelledRequest>;
@@ -151,10 +151,10 @@
     auto peersChanged(const std::vector<InstanceId> &fresh, MonoTime now) -> void;
 
     /// Takes over the in-flight counts in a peer's heartbeat; an empty list forgets the peer.
-    auto peerReported(const InstanceId &peer, const std::vector<ExecutorLoad> &loads, MonoTime now) -> void;
+    auto peerReported(const InstanceId &peer, const std::vector<InFlightLoad> &loads, MonoTime now) -> void;
 
     /// @return own in-flight requests per executor, for the heartbeat.
-    [[nodiscard]] auto ownLoads() const -> std::vector<ExecutorLoad>;
+    [[nodiscard]] auto ownLoads() const -> std::vector<InFlightLoad>;
 
     /// @return counts for metrics and the operator interface.
     [[nodiscard]] auto figures() const -> RequestFigures;
--- a/packages/policy/requestschedulerimpl.h
+++ b/packages/policy/requestschedulerimpl.h
@@ -78,7 +78,7 @@
         , table(options)
         , retries(options.retry)
     {
-        link.configure(LinkClass::Requests, options.link);
+        link.configure(LinkTrafficClass::Requests, options.link);
     }
     ~Impl()
     {
@@ -115,7 +115,7 @@
     auto dispatch(RequestEntry &entry, KnownExecutor &executor, MonoTime now) -> RequestDispatch;
     auto idle(MonoTime now) -> RequestIdle;
     auto admitSpill(const NewRequest &request, AdmissionQuestion question, MonoTime now) -> bool;
-    auto cancel(RequestEntry &entry) -> CancelResult;
+    auto cancel(RequestEntry &entry) -> RequestCancelResult;
 
     RequestSchedulerOptions options;
     Random random;
--- a/packages/policy/requesttypes.h
+++ b/packages/policy/requesttypes.h
@@ -72,7 +72,7 @@
 };
 
 /// How an attempt at an executor ended.
-enum class AttemptOutcome {
+enum class DispatchOutcome {
     Answered, ///< complete answer, whatever it says
     Refused, ///< the executor refused before any work ("X-Not-Run: true")
     NotSent, ///< no connection; certainly did not run
@@ -99,7 +99,7 @@
 };
 
 /// Requests in flight at one executor.
-struct ExecutorLoad
+struct InFlightLoad
 {
     ExecutorId executor;
     int inFlight = 0;
--- a/packages/policy/testing/requestdecisions_test.cpp
+++ b/packages/policy/testing/requestdecisions_test.cpp
@@ -148,23 +148,23 @@
 TEST_CASE("the link budget holds its rate in every class")
 {
     auto budget = LinkBudget{};
-    budget.configure(LinkClass::Requests, {.bytesPerSecond = 1000, .burst = 5000});
+    budget.configure(LinkTrafficClass::Requests, {.bytesPerSecond = 1000, .burst = 5000});
     auto sent = std::int64_t{0};
     auto now = start;
     for (auto i = 0; i < 10000; ++i) {
         now += Millis{1};
-        budget.charge(LinkClass::Control, Bytes{100000}, now);
-        sent += budget.take(LinkClass::Requests, Bytes{300}, now) ? 300 : 0;
+        budget.charge(LinkTrafficClass::Control, Bytes{100000}, now);
+        sent += budget.take(LinkTrafficClass::Requests, Bytes{300}, now) ? 300 : 0;
     }
     CHECK(sent <= 5000 + 10000);
     CHECK(sent >= 5000 + 10000 - 300);
-    CHECK(budget.counted(LinkClass::Requests) == Bytes{sent});
-    CHECK(budget.counted(LinkClass::Control) == Bytes{1'000'000'000});
-    const auto at = budget.allowedAt(LinkClass::Requests, Bytes{2000}, now);
+    CHECK(budget.counted(LinkTrafficClass::Requests) == Bytes{sent});
+    CHECK(budget.counted(LinkTrafficClass::Control) == Bytes{1'000'000'000});
+    const auto at = budget.allowedAt(LinkTrafficClass::Requests, Bytes{2000}, now);
     REQUIRE(at);
-    CHECK_FALSE(budget.take(LinkClass::Requests, Bytes{2000}, *at - Micros{2}));
-    CHECK(budget.take(LinkClass::Requests, Bytes{2000}, *at));
-    CHECK_FALSE(budget.allowedAt(LinkClass::Requests, Bytes{5001}, now));
+    CHECK_FALSE(budget.take(LinkTrafficClass::Requests, Bytes{2000}, *at - Micros{2}));
+    CHECK(budget.take(LinkTrafficClass::Requests, Bytes{2000}, *at));
+    CHECK_FALSE(budget.allowedAt(LinkTrafficClass::Requests, Bytes{5001}, now));
 }
 
 // Guards G6: no new work 5 s after an executor started to leave, although the list says "live" and polls may fail.
@@ -173,7 +173,7 @@
     const auto options = ExecutorHealthOptions{};
     for (auto seed = std::uint64_t{1}; seed <= 200; ++seed) {
         auto random = Random{seed};
-        auto health = ExecutorHealth{};
+        auto health = ExecutorHealthTracker{};
         const auto leavesAt = start + Millis{uniform(random, 10000)};
         const auto answers = uniform(random, 4); // from none to most of the polls are answered
         auto poll = start;
@@ -194,7 +194,7 @@
 TEST_CASE("health states")
 {
     const auto options = ExecutorHealthOptions{};
-    auto health = ExecutorHealth{};
+    auto health = ExecutorHealthTracker{};
     CHECK(healthState(health, options, start) == ExecutorState::Down); // never polled
     healthPolled(health, HealthSample{8, 0, false}, start);
     CHECK(healthState(health, options, start) == ExecutorState::Usable);
--- a/packages/policy/testing/requestscheduler_test.cpp
+++ b/packages/policy/testing/requestscheduler_test.cpp
@@ -83,14 +83,14 @@
             REQUIRE_FALSE((saysNotRun && life.mayHaveRun));
             life.ended = true;
         };
-        auto complete = [&](std::int64_t number, AttemptOutcome outcome) {
+        auto complete = [&](std::int64_t number, DispatchOutcome outcome) {
             auto &life = lives.at(number);
             life.inFlight = false;
             --load[life.executor];
-            life.mayHaveRun = life.mayHaveRun || outcome == AttemptOutcome::Failed || outcome == AttemptOutcome::TimedOut;
+            life.mayHaveRun = life.mayHaveRun || outcome == DispatchOutcome::Failed || outcome == DispatchOutcome::TimedOut;
             const auto after = s.completed({number}, outcome, Micros{uniform(random, 90000)}, now);
             if (const auto *finished = std::get_if<RequestFinished>(&after)) {
-                CHECK(finished->answered == (outcome == AttemptOutcome::Answered));
+                CHECK(finished->answered == (outcome == DispatchOutcome::Answered));
                 CHECK((finished->answered || life.mayHaveRun));
                 end({number}, false);
             } else if (std::holds_alternative<RequestNotRun>(after)) {
@@ -142,9 +142,9 @@
             } else if (action < 18) {
                 for (auto &[number, life] : lives) {
                     if (life.inFlight && uniform(random, 4) == 0) {
-                        constexpr AttemptOutcome outcomes[]
-                            = {AttemptOutcome::Refused, AttemptOutcome::NotSent, AttemptOutcome::Failed, AttemptOutcome::TimedOut};
-                        complete(number, uniform(random, 3) > 0 ? AttemptOutcome::Answered : outcomes[uniform(random, 4)]);
+                        constexpr DispatchOutcome outcomes[]
+                            = {DispatchOutcome::Refused, DispatchOutcome::NotSent, DispatchOutcome::Failed, DispatchOutcome::TimedOut};
+                        complete(number, uniform(random, 3) > 0 ? DispatchOutcome::Answered : outcomes[uniform(random, 4)]);
                         break;
                     }
                 }
@@ -152,15 +152,15 @@
                 const auto number = 1 + uniform(random, static_cast<std::uint32_t>(lives.size()));
                 const auto result = s.cancel({number}, now);
                 const auto &life = lives.at(number);
-                CHECK((result == CancelResult::NotFound) == life.ended);
-                CHECK((result == CancelResult::InFlight) == (life.inFlight && !life.ended));
-                if (result == CancelResult::NotRun || result == CancelResult::MayHaveRun) {
-                    end({number}, result == CancelResult::NotRun);
+                CHECK((result == RequestCancelResult::NotFound) == life.ended);
+                CHECK((result == RequestCancelResult::InFlight) == (life.inFlight && !life.ended));
+                if (result == RequestCancelResult::NotRun || result == RequestCancelResult::MayHaveRun) {
+                    end({number}, result == RequestCancelResult::NotRun);
                 }
             } else if (uniform(random, 20) == 0) {
                 for (const auto &it : s.cancelCaller(WorkspaceId{"gas"}, CallerId{"c-1"}, now)) {
-                    if (it.result != CancelResult::InFlight) {
-                        end(it.number, it.result == CancelResult::NotRun);
+                    if (it.result != RequestCancelResult::InFlight) {
+                        end(it.number, it.result == RequestCancelResult::NotRun);
                     }
                 }
             } else if (uniform(random, 10) == 0) {
@@ -172,7 +172,7 @@
             now += Seconds{1};
             for (auto &[number, life] : lives) {
                 if (life.inFlight) {
-                    complete(number, AttemptOutcome::Answered);
+                    complete(number, DispatchOutcome::Answered);
                 }
             }
             drain();
@@ -260,7 +260,7 @@
             }
             const auto bad = dispatch->executor == ExecutorId{"e-0"} && i < 15000;
             toBad += bad ? 1 : 0;
-            s.completed(dispatch->number, bad ? AttemptOutcome::Failed : AttemptOutcome::Answered, Micros{500}, now);
+            s.completed(dispatch->number, bad ? DispatchOutcome::Failed : DispatchOutcome::Answered, Micros{500}, now);
         }
     }
     CHECK(toBad < 15); // five failures, then probes with doubling pauses
