Apply the daemon's alert rules in the burn report

Cause: the report used its own rule (the two shortest windows), which would name states that the daemon's alerts don't.

Change: the windows of 5 minutes and 1 hour at 14.4, and of 30 minutes and 6 hours at 6, with at least 20 events, on the sum of all instances.

Conclusion: cli_test passes (20 cases, 336 assertions).

--- a/packages/cli/sloreport.cpp
+++ b/packages/cli/sloreport.cpp
@@ -21,6 +21,22 @@
 
 /// At this rate, 2% of a budget for 30 days are used up in one hour.
 constexpr auto fastBurnRate = 14.4;
+/// At this rate, 5% of a budget for 30 days are used up in six hours.
+constexpr auto slowBurnRate = 6.0;
+/// Fewer events in the long window say too little: one bad event of one is a burn rate of 1000 for an objective of 99.9%.
+constexpr auto minimumEvents = 20;
+
+struct BurnRule
+{
+    Millis shortWindow;
+    Millis longWindow;
+    double rate;
+    SloState state;
+};
+
+/// The same rules as in state/slo.h, applied to the sum over all instances.
+const auto burnRules = std::array{BurnRule{Millis{300000}, Millis{3600000}, fastBurnRate, SloState::FastBurn},
+                                  BurnRule{Millis{1800000}, Millis{21600000}, slowBurnRate, SloState::SlowBurn}};
 constexpr auto percent = 100.0;
 
 auto number(double value, int digits) -> std::string
@@ -36,6 +52,12 @@
     return it == list.end() ? nullptr : &*it;
 }
 
+auto findWindow(const SloObjective &objective, Millis length) -> const SloWindow *
+{
+    const auto it = std::find_if(objective.windows.begin(), objective.windows.end(), [&](const SloWindow &w) { return w.length == length; });
+    return it == objective.windows.end() ? nullptr : &*it;
+}
+
 /// "Since start" has length 0 and sorts as the longest.
 auto isShorter(const SloWindow &a, const SloWindow &b) -> bool
 {
@@ -218,16 +240,21 @@
 
 auto sloState(const SloObjective &objective) -> SloState
 {
-    const auto &windows = objective.windows;
-    if (windows.empty() || burnRate(objective, windows.back()) < 0) {
+    if (objective.windows.empty() || burnRate(objective, objective.windows.back()) < 0) {
         return SloState::NoData;
     }
-    const auto pair = std::min<std::size_t>(2, windows.size());
-    const auto isFast = [&](const SloWindow &window) { return burnRate(objective, window) >= fastBurnRate; };
-    if (std::all_of(windows.begin(), windows.begin() + static_cast<std::ptrdiff_t>(pair), isFast)) {
-        return SloState::FastBurn;
+    for (const auto &rule : burnRules) {
+        const auto *shortWindow = findWindow(objective, rule.shortWindow);
+        const auto *longWindow = findWindow(objective, rule.longWindow);
+        if (shortWindow == nullptr || longWindow == nullptr) {
+            shortWindow = &objective.windows.front();
+            longWindow = &objective.windows.back();
+        }
+        if (longWindow->total >= minimumEvents && burnRate(objective, *shortWindow) >= rule.rate && burnRate(objective, *longWindow) >= rule.rate) {
+            return rule.state;
+        }
     }
-    return burnRate(objective, windows.back()) >= 1 ? SloState::SlowBurn : SloState::Ok;
+    return SloState::Ok;
 }
 
 auto sloStateName(SloState state) -> const char *
@@ -322,11 +349,11 @@
     out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << width << "\" height=\"" << height << "\" font-family=\"sans-serif\" font-size=\"12\">\n"
         << "<title>Burn rate of the error budgets</title>\n<rect width=\"100%\" height=\"100%\" fill=\"#ffffff\"/>\n"
         << "<text x=\"20\" y=\"26\" font-size=\"16\">Burn rate of the error budgets</text>\n";
-    for (const auto &[rate, color] : {std::pair<double, const char *>{1, "#8a6d00"}, {fastBurnRate, "#b00020"}}) {
+    for (const auto &[rate, color] : {std::pair<double, const char *>{1, "#2e7d32"}, {slowBurnRate, "#8a6d00"}, {fastBurnRate, "#b00020"}}) {
         const auto at = number(left + x(rate), 1);
         out << "<line x1=\"" << at << "\" x2=\"" << at << "\" y1=\"" << top - 12 << "\" y2=\"" << height - 20 << "\" stroke=\"" << color
             << "\" stroke-dasharray=\"4 3\"/>\n<text x=\"" << at << "\" y=\"" << top - 18 << "\" text-anchor=\"middle\" fill=\"" << color << "\">"
-            << number(rate, rate < 2 ? 0 : 1) << "</text>\n";
+            << number(rate, rate > slowBurnRate ? 1 : 0) << "</text>\n";
     }
     auto y = top;
     for (const auto &objective : objectives) {
@@ -336,7 +363,7 @@
         y += rowHeight;
         for (const auto &window : objective.windows) {
             const auto rate = burnRate(objective, window);
-            const auto *const color = rate >= fastBurnRate ? "#b00020" : rate >= 1 ? "#d9a400" : "#2e7d32";
+            const auto *const color = rate >= fastBurnRate ? "#b00020" : rate >= slowBurnRate ? "#d9a400" : "#2e7d32";
             out << "<text x=\"" << left - 10 << "\" y=\"" << y + 14 << "\" text-anchor=\"end\">" << windowName(window) << "</text>\n<rect x=\"" << left
                 << "\" y=\"" << y + 4 << "\" width=\"" << number(x(rate), 1) << "\" height=\"" << rowHeight - 8 << "\" fill=\"" << color << "\"/>\n<text x=\""
                 << number(left + x(rate) + 6, 1) << "\" y=\"" << y + 14 << "\">" << rateText(rate) << "</text>\n";
--- a/packages/cli/sloreport.h
+++ b/packages/cli/sloreport.h
@@ -60,7 +60,9 @@
 /// @return the part of the error budget that is left over the longest window, in percent; negative when overspent.
 auto budgetLeftPercent(const SloObjective &objective) -> double;
 
-/// @return FastBurn if the shortest two windows both burn at 14.4 or more, SlowBurn if the longest burns at 1 or more.
+/// @return FastBurn if the windows of 5 minutes and 1 hour both burn at 14.4 or more, SlowBurn if those of 30 minutes and 6 hours
+/// both burn at 6 or more. The shortest and the longest window stand in for a pair that is missing. Fewer than 20 events in the
+/// long window give Ok.
 auto sloState(const SloObjective &objective) -> SloState;
 
 /// @return "ok", "slow burn", "fast burn" or "no data".
