Make catkinctl robust against unexpected replies and payloads

Change: replies of an unexpected form give exit code 1 for commands that only read and 4 for the others; payloads are checked before anything is sent; status 404 of the configuration means base 0.

--- a/packages/cli/client.cpp
+++ b/packages/cli/client.cpp
@@ -71,6 +71,15 @@
     return nlohmann::json::parse(text, nullptr, false);
 }
 
+auto encodeJson(const nlohmann::json &value) -> Result<std::string>
+{
+    try {
+        return value.dump();
+    } catch (const nlohmann::json::type_error &) {
+        return failure(ErrorCode::InvalidInput, "an argument or the payload is not UTF-8 text");
+    }
+}
+
 auto reasonOf(const HttpReply &reply) -> std::string
 {
     const auto body = parseJson(reply.body);
--- a/packages/cli/client.h
+++ b/packages/cli/client.h
@@ -68,6 +68,9 @@
 /// @return the JSON of a reply; a discarded value when it is none.
 auto parseJson(const std::string &text) -> nlohmann::json;
 
+/// @return @p value as text; ErrorCode::InvalidInput when it contains text that is not UTF-8, which JSON cannot carry.
+auto encodeJson(const nlohmann::json &value) -> Result<std::string>;
+
 /// @return the reason that a refusing reply gives, or its status.
 auto reasonOf(const HttpReply &reply) -> std::string;
 
--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -1,5 +1,7 @@
 #include "cli/commands.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace Catkin::Cli
@@ -49,7 +51,12 @@
         printHelp(*env.err);
         return ExitCode::Usage;
     }
-    return it->run(Arguments(args.begin() + 1, args.end()), env);
+    try {
+        return it->run(Arguments(args.begin() + 1, args.end()), env);
+    } catch (const nlohmann::json::exception &e) {
+        *env.err << "catkinctl: the reply has an unexpected form: " << e.what() << '\n';
+        return it->changes ? ExitCode::OutcomeUnknown : ExitCode::Failed;
+    }
 }
 
 }
--- a/packages/cli/commands.h
+++ b/packages/cli/commands.h
@@ -22,6 +22,7 @@
     const char *name;
     const char *summary;
     ExitCode (*run)(const Arguments &args, Environment &env);
+    bool changes = false; ///< whether it has an effect beyond its output
 };
 
 /// Runs one command line.
--- a/packages/cli/configcommands.cpp
+++ b/packages/cli/configcommands.cpp
@@ -18,14 +18,19 @@
 }
 
 /// Sends a call whose reply must be JSON with status 200; reports everything else.
-/// @return the body, or the exit code that was reported.
-auto fetch(CommandLine &line, Environment &env, const std::string &path, ExitCode &code) -> std::optional<json>
+/// @param code set to the exit code that was reported
+/// @param missing what to return for status 404, or null to report it
+/// @return the body, or nothing after a report.
+auto fetch(CommandLine &line, Environment &env, const std::string &path, ExitCode &code, const json *missing = nullptr) -> std::optional<json>
 {
     const auto reply = line.client().call({.path = path});
     if (!reply) {
         code = report(env, line.json(), exitCodeOf(reply.error()) == ExitCode::Unreachable ? ExitCode::Unreachable : ExitCode::Failed, reply.error().message);
         return std::nullopt;
     }
+    if (reply.value().status == 404 && missing != nullptr) {
+        return *missing;
+    }
     auto body = parseJson(reply.value().body);
     if (reply.value().status != 200 || !body.is_object()) {
         code = report(env, line.json(), ExitCode::Failed, reasonOf(reply.value()));
@@ -113,7 +118,8 @@
     auto version = base.getValue();
     if (!base.isSet()) {
         auto code = ExitCode::Ok;
-        const auto current = fetch(line, env, "/v1/config", code);
+        const auto none = json{{"version", 0}};
+        const auto current = fetch(line, env, "/v1/config", code, &none);
         if (!current) {
             return code;
         }
@@ -203,7 +209,7 @@
 
 constexpr Command commands[] = {
     {"validate", "checks a configuration document", validate},
-    {"apply", "applies a configuration document", apply},
+    {"apply", "applies a configuration document", apply, true},
     {"config", "shows the configuration or its versions", config},
     {"workspaces", "lists workspaces", [](const Arguments &a, Environment &e) { return list(a, e, "workspaces", "workspaces", nullptr); }},
     {"guarantees", "lists guaranteed shapes", [](const Arguments &a, Environment &e) { return list(a, e, "guarantees", "workspaces", "guarantees"); }},
--- a/packages/cli/fleetcommands.cpp
+++ b/packages/cli/fleetcommands.cpp
@@ -88,7 +88,7 @@
     {"executors", "lists executors", [](const Arguments &a, Environment &e) { return list(a, e, "executors", false); }},
     {"leases", "lists leases", [](const Arguments &a, Environment &e) { return list(a, e, "leases", false); }},
     {"queues", "lists the queues of every given instance", [](const Arguments &a, Environment &e) { return list(a, e, "queues", true); }},
-    {"drain", "drains one entry instance", drain},
+    {"drain", "drains one entry instance", drain, true},
 };
 
 }
--- a/packages/cli/jobcommands.cpp
+++ b/packages/cli/jobcommands.cpp
@@ -230,7 +230,11 @@
         body["domain"] = domain.getValue();
     }
     const auto hint = "; the key is " + body["key"].get<std::string>();
-    const auto reply = sendJob(body.dump(-1, ' ', false, json::error_handler_t::replace), line, env);
+    const auto encoded = encodeJson(body);
+    if (!encoded) {
+        return line.usageError(encoded.error().message);
+    }
+    const auto reply = sendJob(encoded.value(), line, env);
     if (!reply) {
         return report(env, line.json(), exitCodeOf(reply.error()), reply.error().message + hint);
     }
@@ -252,10 +256,10 @@
 }
 
 constexpr Command commands[] = {
-    {"submit", "submits a job", submit},
+    {"submit", "submits a job", submit, true},
     {"status", "shows a job", status},
     {"wait", "waits until a job ends", wait},
-    {"cancel", "cancels a job", cancel},
+    {"cancel", "cancels a job", cancel, true},
     {"jobs", "lists jobs", jobs},
 };
 
--- a/packages/cli/requestcommands.cpp
+++ b/packages/cli/requestcommands.cpp
@@ -80,6 +80,10 @@
         }
         body = read.value();
     }
+    const auto texts = encodeJson(json::array({workspace.getValue(), caller.getValue(), kind.getValue(), key.getValue(), body}));
+    if (!texts) {
+        return line.usageError(texts.error().message);
+    }
     const auto outcome = sendRequest({.workspace = workspace.getValue(),
                                       .caller = caller.getValue(),
                                       .kind = kind.getValue(),
@@ -95,7 +99,7 @@
     return outcome.code;
 }
 
-constexpr Command commands[] = {{"request", "sends one request and prints the answer", request}};
+constexpr Command commands[] = {{"request", "sends one request and prints the answer", request, true}};
 
 }
 
--- a/packages/cli/testing/commands_test.cpp
+++ b/packages/cli/testing/commands_test.cpp
@@ -68,6 +68,7 @@
         {{"validate", "-"}, {{200, R"({"errors":[]})"}}, 0, "is valid"},
         {{"validate", "-"}, {errors}, 6, "workspaces[0].weight: must be at least 1"},
         {{"apply", "-"}, {configReply, {200, R"({"version":5})"}}, 0, "version 5 is accepted"},
+        {{"apply", "-"}, {{404, "{}"}, {200, R"({"version":1})"}}, 0, "version 1 is accepted"},
         {{"apply", "-"}, {configReply, errors}, 6, "workspaces[0].weight"},
         {{"apply", "-", "--base", "3"}, {{409, R"({"error":"the version is 4"})"}}, 1, "the version is 4"},
         {{"apply", "-"}, {configReply, {.broken = true}}, 4, "the change on base 4"},
@@ -110,6 +111,69 @@
     CHECK(test.run({}) == 2);
 }
 
+TEST_CASE("replies of an unexpected form never count as success of a change, and never end the program")
+{
+    const auto bodies = std::vector<std::string>{"",
+                                                 "x",
+                                                 "[]",
+                                                 "[1]",
+                                                 "3",
+                                                 "null",
+                                                 R"({"version":"x","document":3,"jobs":3,"state":1,"job":1,"errors":[1]})",
+                                                 R"({"document":{"workspaces":[3],"kinds":3,"services":{"a":1}},"objectives":[3],"workers":[[1]]})"};
+    for (const auto &group : {requestCommands(), jobCommands(), configCommands(), fleetCommands(), reportCommands()}) {
+        for (const auto &command : group) {
+            auto args = Arguments{command.name};
+            const auto name = std::string(command.name);
+            if (name == "token-hash") {
+                continue;
+            }
+            if (name == "request" || name == "submit") {
+                args.insert(args.end(), {"-w", "w", "-c", "c", "-k", "k"});
+            } else if (name == "wait") {
+                args.insert(args.end(), {"j", "--limit", "1s"});
+            } else if (name == "status" || name == "cancel") {
+                args.emplace_back("j");
+            } else if (name == "validate" || name == "apply") {
+                args.emplace_back("-");
+            } else if (name == "config") {
+                args.emplace_back("show");
+            }
+            for (const auto &body : bodies) {
+                auto server = FakeServer({{200, body}});
+                auto test = TestEnvironment{};
+                test.in.str("{}");
+                CAPTURE(name);
+                CAPTURE(body);
+                const auto code = test.run(with(args, server.address()));
+                CHECK(code != 2);
+                CHECK_FALSE(((name == "request" || name == "submit") && code == 0));
+            }
+        }
+    }
+}
+
+TEST_CASE("a payload that is not UTF-8 is refused before anything is sent, instead of being changed")
+{
+    auto server = FakeServer({FakeReply{}});
+    for (const auto *name : {"request", "submit"}) {
+        auto test = TestEnvironment{};
+        CHECK(test.run(with({name, "-w", "w", "-c", "c", "-k", "k", "-p", "\xff"}, server.address())) == 2);
+    }
+    CHECK(server.calls().empty());
+}
+
+TEST_CASE("the token file is preferred to the variable, and white space at its end is ignored")
+{
+    auto server = FakeServer({{200, R"({"state":"queued"})"}});
+    auto test = TestEnvironment{};
+    test.variables = {{"CATKIN_TOKEN", "from the variable"}, {"CATKIN_TOKEN_FILE", "/nonexistent/token"}};
+    test.in.str("from the file\n");
+    CHECK(test.run(with({"status", "j"}, server.address(), {"--token-file", "-"})) == 0);
+    CHECK(server.calls().front().authorization == "Bearer from the file");
+    CHECK(test.run(with({"status", "j"}, server.address())) == 2);
+}
+
 TEST_CASE("apply sends the version that it read as the base, so that a concurrent change is not overwritten")
 {
     auto server = FakeServer({configReply, {200, "{}"}});
