Give types that share a name with another package names of their own

Cause: the packages were written side by side, and several types of the same name met in namespace Catkin. Change: renamed by a mechanical substitution; no behaviour changes.

--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -203,13 +203,13 @@
 
 Metrics::~Metrics() = default;
 
-auto Metrics::requestFinished(const WorkspaceId &workspace, const KindId &kind, RequestResult result, Micros latency) -> void
+auto Metrics::requestFinished(const WorkspaceId &workspace, const KindId &kind, MetricRequestResult result, Micros latency) -> void
 {
     m_families->requests.at({workspace.str(), kind.str(), nameOf(requestResults, result)}).Increment();
     m_families->requestSeconds.at({workspace.str(), kind.str()}).Observe(seconds(latency));
 }
 
-auto Metrics::requestRefused(RefusalReason reason) -> void
+auto Metrics::requestRefused(MetricRefusal reason) -> void
 {
     m_families->refusals.at({nameOf(refusalReasons, reason)}).Increment();
 }
@@ -280,7 +280,7 @@
     m_families->placement.at({}).Observe(seconds(took));
 }
 
-auto Metrics::workerOrder(OrderResult result) -> void
+auto Metrics::workerOrder(MetricOrderResult result) -> void
 {
     m_families->orders.at({nameOf(orderResults, result)}).Increment();
 }
@@ -338,12 +338,12 @@
     m_families->configAge.at({}).Set(static_cast<double>(age.count()));
 }
 
-auto Metrics::linkTraffic(LinkClass linkClass, LinkDirection direction, Bytes bytes) -> void
+auto Metrics::linkTraffic(MetricLinkClass linkClass, LinkDirection direction, Bytes bytes) -> void
 {
     m_families->linkBytes.at({nameOf(linkClasses, linkClass), nameOf(directions, direction)}).Increment(static_cast<double>(bytes.value));
 }
 
-auto Metrics::linkRefused(LinkClass linkClass) -> void
+auto Metrics::linkRefused(MetricLinkClass linkClass) -> void
 {
     m_families->linkRefused.at({nameOf(linkClasses, linkClass)}).Increment();
 }
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -4,7 +4,7 @@
 ///
 /// @code
 ///   auto metrics = Catkin::Metrics{{}};
-///   metrics.requestFinished(workspace, kind, Catkin::RequestResult::Answer, latency);
+///   metrics.requestFinished(workspace, kind, Catkin::MetricRequestResult::Answer, latency);
 ///   response.set_content(metrics.text(), Catkin::Metrics::contentType);
 /// @endcode
 ///
@@ -21,15 +21,15 @@
 namespace Catkin
 {
 
-enum class RequestResult { Answer, NotRun, OutcomeUnknown };
-enum class RefusalReason { Deadline, QueueFull, CallerLimit, BadInput, Unauthorized, LogUnavailable, NotReady, Draining, LinkBudget };
+enum class MetricRequestResult { Answer, NotRun, OutcomeUnknown };
+enum class MetricRefusal { Deadline, QueueFull, CallerLimit, BadInput, Unauthorized, LogUnavailable, NotReady, Draining, LinkBudget };
 enum class ExecutorResult { Answer, NotRun, Error, Discarded };
 enum class AttemptMechanism { Intent, Ticket };
 enum class JobEvent { Accepted, Started, Succeeded, Failed, Cancelled, Parked, Unknown, Requeued };
-enum class OrderResult { Ok, Refused, Stale, Failed };
+enum class MetricOrderResult { Ok, Refused, Stale, Failed };
 enum class LogStream { Config, Jobs, Requests };
 enum class AppendResult { Ok, NotSent, Unknown };
-enum class LinkClass { Control, Payload };
+enum class MetricLinkClass { Control, Payload };
 enum class LinkDirection { Sent, Received };
 enum class ConfigResult { Accepted, Rejected, Conflict, Unknown };
 enum class JobUrgency { Urgent, Normal, Batch };
@@ -58,8 +58,8 @@
 
     /// @name Requests
     /// @{
-    auto requestFinished(const WorkspaceId &workspace, const KindId &kind, RequestResult result, Micros latency) -> void;
-    auto requestRefused(RefusalReason reason) -> void;
+    auto requestFinished(const WorkspaceId &workspace, const KindId &kind, MetricRequestResult result, Micros latency) -> void;
+    auto requestRefused(MetricRefusal reason) -> void;
     auto requestDequeued(const KindId &kind, Micros waited) -> void;
     auto retry(bool sent) -> void; ///< @param sent whether the retry budget allowed it
     auto attemptStarted(AttemptMechanism mechanism) -> void;
@@ -77,7 +77,7 @@
     auto gangStarted(Micros took) -> void; ///< @param took from the first reservation until the whole gang ran
     auto reclaimed(Micros took) -> void; ///< @param took from the decision until the slots were free
     auto placementDecided(Micros took) -> void;
-    auto workerOrder(OrderResult result) -> void;
+    auto workerOrder(MetricOrderResult result) -> void;
     auto setJobs(const WorkspaceId &workspace, std::size_t waiting, std::size_t running) -> void;
     auto setWorkers(BackendState state, std::size_t count) -> void;
     auto setSlots(SlotState state, SlotCount slots) -> void;
@@ -96,8 +96,8 @@
 
     /// @name Peers, link and process
     /// @{
-    auto linkTraffic(LinkClass linkClass, LinkDirection direction, Bytes bytes) -> void;
-    auto linkRefused(LinkClass linkClass) -> void;
+    auto linkTraffic(MetricLinkClass linkClass, LinkDirection direction, Bytes bytes) -> void;
+    auto linkRefused(MetricLinkClass linkClass) -> void;
     auto peerReconnected() -> void;
     auto setFreshPeers(std::size_t count) -> void;
     auto setReady(bool ready) -> void;
--- a/packages/daemon/testing/metrics_test.cpp
+++ b/packages/daemon/testing/metrics_test.cpp
@@ -29,8 +29,8 @@
 {
     const auto workspace = WorkspaceId{"w"};
     const auto kind = KindId{"k"};
-    metrics.requestFinished(workspace, kind, RequestResult::OutcomeUnknown, Micros{1});
-    metrics.requestRefused(RefusalReason::LinkBudget);
+    metrics.requestFinished(workspace, kind, MetricRequestResult::OutcomeUnknown, Micros{1});
+    metrics.requestRefused(MetricRefusal::LinkBudget);
     metrics.requestDequeued(kind, Micros{1});
     metrics.retry(false);
     metrics.attemptStarted(AttemptMechanism::Ticket);
@@ -40,7 +40,7 @@
     metrics.jobEvent(workspace, JobEvent::Requeued);
     metrics.jobStarted(JobUrgency::Batch, Micros{1});
     metrics.jobPreempted(workspace);
-    metrics.workerOrder(OrderResult::Failed);
+    metrics.workerOrder(MetricOrderResult::Failed);
     metrics.setJobs(workspace, 1, 1);
     metrics.setWorkers(BackendState::Leaving, 1);
     metrics.setSlots(SlotState::Lost, SlotCount{1});
@@ -48,8 +48,8 @@
     metrics.logRead(LogStream::Requests, 1);
     metrics.setLogAvailable(LogStream::Requests, true);
     metrics.configChanged(ConfigResult::Unknown);
-    metrics.linkTraffic(LinkClass::Payload, LinkDirection::Received, Bytes{1});
-    metrics.linkRefused(LinkClass::Payload);
+    metrics.linkTraffic(MetricLinkClass::Payload, LinkDirection::Received, Bytes{1});
+    metrics.linkRefused(MetricLinkClass::Payload);
     metrics.sloObserved(workspace, kind, true);
     metrics.setSloTarget(workspace, kind, 99);
 }
@@ -59,8 +59,8 @@
 TEST_CASE("counters, gauges and histograms appear in the text format with their labels")
 {
     auto metrics = Metrics{{}};
-    metrics.requestFinished(WorkspaceId{"call-centre"}, KindId{"route"}, RequestResult::OutcomeUnknown, Millis{20});
-    metrics.linkTraffic(LinkClass::Payload, LinkDirection::Sent, Bytes{1500});
+    metrics.requestFinished(WorkspaceId{"call-centre"}, KindId{"route"}, MetricRequestResult::OutcomeUnknown, Millis{20});
+    metrics.linkTraffic(MetricLinkClass::Payload, LinkDirection::Sent, Bytes{1500});
     metrics.setConfig(ConfigVersion{17}, Seconds{2});
     metrics.setSloTarget(WorkspaceId{"call-centre"}, KindId{"route"}, 99.5);
     const auto text = metrics.text();
