--- a/packages/wire/meshlinks.cpp
+++ b/packages/wire/meshlinks.cpp
@@ -107,7 +107,11 @@
         for (const auto lane : {Lane::Control, Lane::Bulk}) {
             const auto key = LinkKey{target.id, lane};
             auto &dial = m_dials[key];
-            if (dial.busy || dial.next > now || m_links.size() >= m_options.maxLinks) {
+            if (dial.busy || dial.next > now) {
+                continue;
+            }
+            if (m_links.size() >= m_options.maxLinks) {
+                scheduleDial(key, now, true); // a dial that stays due would keep the thread from sleeping
                 continue;
             }
             auto fd = connectTcp(target.address);
