wire: fix what the linter reports

Cause: a structured binding is captured by a lambda, which clang refuses, and a message is taken by value and then only moved on.

Change: named fields instead of bindings in the test tables, an rvalue reference for the message of a call; no assertion changed.

--- a/packages/wire/peermesh.cpp
+++ b/packages/wire/peermesh.cpp
@@ -18,7 +18,7 @@
 
 /// Starts a call whose answer is of type @p Reply.
 template<typename Reply>
-auto startCall(MeshCore &core, const InstanceId &peer, Message request, Millis timeout, Responder<Reply> done) -> void
+auto startCall(MeshCore &core, const InstanceId &peer, Message &&request, Millis timeout, Responder<Reply> done) -> void
 {
     const auto response = Message{Reply{}}.index();
     core.call(peer, std::move(request), response, timeout, [done = std::move(done)](Result<Envelope> result) {
@@ -32,7 +32,7 @@
 
 /// Starts a call and waits for its end.
 template<typename Reply>
-auto waitCall(MeshCore &core, const InstanceId &peer, Message request, Millis timeout) -> Result<Reply>
+auto waitCall(MeshCore &core, const InstanceId &peer, Message &&request, Millis timeout) -> Result<Reply>
 {
     if (core.onMeshThread()) {
         return failure(ErrorCode::Internal, "a handler must not wait for a call");
--- a/packages/wire/testing/frame_test.cpp
+++ b/packages/wire/testing/frame_test.cpp
@@ -130,8 +130,9 @@
         {"another file identifier", wrongFormat},
         {"above the limit", good + std::string(maxFramePayload, '\0')},
     };
-    for (const auto &[name, payload] : cases) {
-        CAPTURE(name);
+    for (const auto &it : cases) {
+        const auto &payload = it.second;
+        CAPTURE(it.first);
         CHECK(decodeEnvelope(payload).has_error());
     }
     // Every proper prefix that cuts a referenced field is invalid; none may read beyond its end (checked by the sanitizer build).
@@ -156,8 +157,9 @@
         {"identifier too long", JobNotice{.job = JobId{longId}}},
         {"list too long", wide},
     };
-    for (const auto &[name, message] : cases) {
-        CAPTURE(name);
+    for (const auto &it : cases) {
+        const auto &message = it.second;
+        CAPTURE(it.first);
         auto frame = encodeFrame({0, false, message});
         REQUIRE(frame.has_error());
         CHECK(frame.error().code == ErrorCode::Limit);
--- a/packages/wire/testing/peermesh_test.cpp
+++ b/packages/wire/testing/peermesh_test.cpp
@@ -6,6 +6,7 @@
 
 #include <poll.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <memory>
@@ -178,9 +179,10 @@
         const auto lock = std::lock_guard{mutex};
         return held.size() == answers.size();
     });
-    for (auto it = held.rbegin(); it != held.rend(); ++it) {
-        it->second(AttemptOutcome{.answer = "answer " + it->first});
-        it->second(AttemptOutcome{.answer = "a second answer does not count"});
+    std::reverse(held.begin(), held.end());
+    for (const auto &[attempt, respond] : held) {
+        respond(AttemptOutcome{.answer = "answer " + attempt});
+        respond(AttemptOutcome{.answer = "a second answer does not count"});
     }
     for (auto i = std::size_t{0}; i < answers.size(); ++i) {
         CHECK(answers[i].get_future().get() == "answer " + std::to_string(i));
@@ -292,8 +294,9 @@
         {"second hello", Hello{}},
     };
     auto errors = std::uint64_t{0};
-    for (const auto &[name, message] : cases) {
-        CAPTURE(name);
+    for (const auto &it : cases) {
+        const auto &message = it.second;
+        CAPTURE(it.first);
         auto peer = ManualPeer{a->port(), "z", "a", Lane::Control};
         waitFor([&] { return peer.step() && peer.link.authenticated(); });
         peer.send({0, false, message});
@@ -344,8 +347,9 @@
         {"no period", [](auto &o) { o.periodAcross = Millis{0}; }},
         {"queue below one message", [](auto &o) { o.bulkQueueBytes = 1000; }},
     };
-    for (const auto &[name, change] : cases) {
-        CAPTURE(name);
+    for (const auto &it : cases) {
+        const auto &change = it.second;
+        CAPTURE(it.first);
         auto options = optionsFor("a");
         change(options);
         auto mesh = PeerMesh{options, {}, systemClock()};
