Give types that share a name with another package names of their own

Cause: the packages were written side by side, and several types of the same name met in namespace Catkin. Change: renamed by a mechanical substitution; no behaviour changes.

--- a/packages/wire/bodycodec.h
+++ b/packages/wire/bodycodec.h
@@ -349,12 +349,12 @@
     out = {.job = r.id<JobId>(m.job()), .domain = r.id<FailureDomainId>(m.domain()), .offset = {m.offset()}};
 }
 
-inline auto write(Writer &w, const JobCancel &m) -> Offset<Fb::JobCancel>
+inline auto write(Writer &w, const JobCancelRequest &m) -> Offset<Fb::JobCancel>
 {
     return Fb::CreateJobCancel(w.builder, w.id(m.job), w.id(m.domain), w.text(m.reason));
 }
 
-inline auto read(Reader &r, const Fb::JobCancel &m, JobCancel &out) -> void
+inline auto read(Reader &r, const Fb::JobCancel &m, JobCancelRequest &out) -> void
 {
     out = {.job = r.id<JobId>(m.job()), .domain = r.id<FailureDomainId>(m.domain()), .reason = Reader::text(m.reason())};
 }
--- a/packages/wire/envelope.cpp
+++ b/packages/wire/envelope.cpp
@@ -64,7 +64,7 @@
     case Fb::Body::JobNotice:
         return readBody<JobNotice, Fb::JobNotice>(r, envelope);
     case Fb::Body::JobCancel:
-        return readBody<JobCancel, Fb::JobCancel>(r, envelope);
+        return readBody<JobCancelRequest, Fb::JobCancel>(r, envelope);
     case Fb::Body::JobStatusQuery:
         return readBody<JobStatusQuery, Fb::JobStatusQuery>(r, envelope);
     case Fb::Body::JobStatus:
--- a/packages/wire/meshdispatch.cpp
+++ b/packages/wire/meshdispatch.cpp
@@ -114,7 +114,7 @@
             } else if constexpr (std::is_same_v<M, TicketForward>) {
                 serve<TicketResult>(from, id, message, m_handlers.ticketForward);
                 return success();
-            } else if constexpr (std::is_same_v<M, JobCancel>) {
+            } else if constexpr (std::is_same_v<M, JobCancelRequest>) {
                 serve<JobStatus>(from, id, message, m_handlers.jobCancel);
                 return success();
             } else if constexpr (std::is_same_v<M, JobStatusQuery>) {
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -130,7 +130,7 @@
 };
 
 /// Asks the home planner to end a job at once; answered with JobStatus.
-struct JobCancel
+struct JobCancelRequest
 {
     JobId job;
     FailureDomainId domain;
@@ -213,7 +213,7 @@
                              TicketForward,
                              TicketResult,
                              JobNotice,
-                             JobCancel,
+                             JobCancelRequest,
                              JobStatusQuery,
                              JobStatus,
                              ErrorReply,
--- a/packages/wire/peermesh.cpp
+++ b/packages/wire/peermesh.cpp
@@ -129,7 +129,7 @@
     return waitCall<TicketResult>(*m_core, peer, forward, timeout);
 }
 
-auto PeerMesh::cancelJob(const InstanceId &peer, const JobCancel &cancel, Millis timeout) -> Result<JobStatus>
+auto PeerMesh::cancelJob(const InstanceId &peer, const JobCancelRequest &cancel, Millis timeout) -> Result<JobStatus>
 {
     return waitCall<JobStatus>(*m_core, peer, cancel, timeout);
 }
@@ -149,7 +149,7 @@
     startCall<TicketResult>(*m_core, peer, forward, timeout, std::move(done));
 }
 
-auto PeerMesh::cancelJob(const InstanceId &peer, const JobCancel &cancel, Millis timeout, Responder<JobStatus> done) -> void
+auto PeerMesh::cancelJob(const InstanceId &peer, const JobCancelRequest &cancel, Millis timeout, Responder<JobStatus> done) -> void
 {
     startCall<JobStatus>(*m_core, peer, cancel, timeout, std::move(done));
 }
--- a/packages/wire/peermesh.h
+++ b/packages/wire/peermesh.h
@@ -85,7 +85,7 @@
     std::function<void(const InstanceId &from, const AttemptQuery &, Responder<AttemptOutcome>)> attemptQuery;
     std::function<void(const InstanceId &from, const TicketForward &, Responder<TicketResult>)> ticketForward;
     std::function<void(const InstanceId &from, const JobNotice &)> jobNotice;
-    std::function<void(const InstanceId &from, const JobCancel &, Responder<JobStatus>)> jobCancel;
+    std::function<void(const InstanceId &from, const JobCancelRequest &, Responder<JobStatus>)> jobCancel;
     std::function<void(const InstanceId &from, const JobStatusQuery &, Responder<JobStatus>)> jobStatusQuery;
 };
 
@@ -151,14 +151,14 @@
     /// @return the answer, or an error as described above; ErrorCode::Internal when called by a handler.
     auto queryAttempt(const InstanceId &peer, const AttemptQuery &query, Millis timeout) -> Result<AttemptOutcome>;
     auto forwardTicket(const InstanceId &peer, const TicketForward &forward, Millis timeout) -> Result<TicketResult>;
-    auto cancelJob(const InstanceId &peer, const JobCancel &cancel, Millis timeout) -> Result<JobStatus>;
+    auto cancelJob(const InstanceId &peer, const JobCancelRequest &cancel, Millis timeout) -> Result<JobStatus>;
     auto queryJobStatus(const InstanceId &peer, const JobStatusQuery &query, Millis timeout) -> Result<JobStatus>;
 
     /// The same calls without waiting. @p done is called exactly once, on the mesh thread or, when the message cannot be
     /// queued, by the calling thread before the function returns.
     auto queryAttempt(const InstanceId &peer, const AttemptQuery &query, Millis timeout, Responder<AttemptOutcome> done) -> void;
     auto forwardTicket(const InstanceId &peer, const TicketForward &forward, Millis timeout, Responder<TicketResult> done) -> void;
-    auto cancelJob(const InstanceId &peer, const JobCancel &cancel, Millis timeout, Responder<JobStatus> done) -> void;
+    auto cancelJob(const InstanceId &peer, const JobCancelRequest &cancel, Millis timeout, Responder<JobStatus> done) -> void;
     auto queryJobStatus(const InstanceId &peer, const JobStatusQuery &query, Millis timeout, Responder<JobStatus> done) -> void;
 
 private:
--- a/packages/wire/testing/samples.h
+++ b/packages/wire/testing/samples.h
@@ -27,7 +27,7 @@
         {12, false, TicketForward{WorkspaceId{"boots"}, CallerId{"fitter"}, KindId{"check"}, key, sent, 1, Millis{250}, "scan"}},
         {12, true, TicketResult{RequestVerdict::Answer, RequestId{"r-2"}, "map", "", Millis{5}, {4}, 200}},
         {0, false, JobNotice{JobId{"j-1"}, domain, {99}}},
-        {13, false, JobCancel{JobId{"j-1"}, domain, "operator"}},
+        {13, false, JobCancelRequest{JobId{"j-1"}, domain, "operator"}},
         {14, false, JobStatusQuery{JobId{"j-1"}, domain}},
         {14, true, JobStatus{JobId{"j-1"}, true, "running", "", 2, 64}},
         {15, true, ErrorReply{ErrorCode::Limit, "busy"}},
