Join the daemon with the packages' final interfaces

Cause: the packages' last versions carry renamed records, paced carries, service-level windows and per-region shares. Change: changes are based on the certain version, carries are paced by Carrier, shares count the instances of the own region, /v1/slo reports the windows of both alert rules. A refusal by the log proves 'not run' only for a caller's first attempt.

--- a/packages/daemon/callerapi.cpp
+++ b/packages/daemon/callerapi.cpp
@@ -198,11 +198,11 @@
     return {.body = dump({{"key", key.value().str()}})};
 }
 
-auto readJob(JsonFields &fields, const WorkspaceId &workspace) -> JobSpec
+auto readJob(JsonFields &fields, const WorkspaceId &workspace) -> JobDescription
 {
     const auto adjacency = std::map<std::string, JobAdjacency>{{"worker", JobAdjacency::Worker}, {"rack", JobAdjacency::Rack}, {"any", JobAdjacency::Any}};
     const auto urgency = std::map<std::string, WorkUrgency>{{"urgent", WorkUrgency::Urgent}, {"normal", WorkUrgency::Normal}, {"batch", WorkUrgency::Batch}};
-    auto spec = JobSpec{.workspace = workspace};
+    auto spec = JobDescription{.workspace = workspace};
     spec.caller = CallerId{fields.text("caller", "default", maxNameLength)};
     spec.kind = KindId{fields.requiredText("kind", maxNameLength)};
     spec.key = IdempotencyKey{fields.requiredText("key", maxKeyLength)};
@@ -240,7 +240,7 @@
     return sizes;
 }
 
-auto fits(const JobSpec &spec, const DomainSize &size) -> bool
+auto fits(const JobDescription &spec, const DomainSize &size) -> bool
 {
     const auto slots = spec.slotsPerTask.value * spec.tasks;
     if (spec.slotsPerTask.value > size.largestWorker) {
@@ -259,7 +259,7 @@
 
 /// Chooses the home failure domain: the one named, else this instance's own, else the largest one that can hold the job.
 /// @return an empty text, or why the job can never run on the known fleet.
-auto chooseHome(const CallerContext &context, JobSpec &spec) -> std::string
+auto chooseHome(const CallerContext &context, JobDescription &spec) -> std::string
 {
     const auto sizes = domainSizes(*context.fleet->view());
     const auto named = !spec.domain.empty();
@@ -286,7 +286,7 @@
     return best < 0 ? "no failure domain can ever hold the gang" : std::string{};
 }
 
-auto checkJobKind(const Authorized &who, const JobSpec &spec) -> std::optional<HttpResponse>
+auto checkJobKind(const Authorized &who, const JobDescription &spec) -> std::optional<HttpResponse>
 {
     const auto *kind = findKind(who.config->document, spec.kind);
     if (kind == nullptr || kind->mode != WorkMode::Job) {
--- a/packages/daemon/configservice.cpp
+++ b/packages/daemon/configservice.cpp
@@ -18,6 +18,7 @@
     , m_clock(clock)
     , m_options(std::move(options))
     , m_changed(std::move(changed))
+    , m_carrier(m_options.instance, {.retention = m_options.retention})
     , m_tail(
           log, clock, "config", [this](const LogPage &page, bool restart) { applyPage(page, restart); }, m_options.tail)
 {
@@ -81,13 +82,7 @@
     if (!parsed.errors.empty()) {
         return {.outcome = ApplyOutcome::Invalid, .errors = std::move(parsed.errors), .reason = "the document has errors"};
     }
-    const auto change = ConfigChange{
-        .version = base + ConfigVersion{1},
-        .base = base,
-        .id = m_options.instance.str() + "-" + randomHex(changeIdBytes),
-        .author = author,
-        .document = encodeDocument(parsed.document),
-    };
+    auto change = std::optional<ConfigChange>{};
     {
         const auto lock = std::lock_guard{m_mutex};
         const auto *certain = m_fold.certain();
@@ -98,8 +93,9 @@
             return {
                 .outcome = ApplyOutcome::Conflict, .version = certain->version, .reason = "version " + std::to_string(certain->version.value) + " is in force"};
         }
+        change = m_fold.makeChange(m_options.instance.str() + "-" + randomHex(changeIdBytes), author, encodeDocument(parsed.document));
     }
-    return decide(change, m_writer.append("config", encodeRecord(ConfigRecord{change})));
+    return decide(*change, m_writer.append("config", encodeRecord(ConfigRecord{*change})));
 }
 
 auto ConfigService::decide(const ConfigChange &change, const Result<LogOffset> &appended) -> ApplyResult
@@ -139,14 +135,12 @@
     }
 }
 
-auto ConfigService::carry(Millis retention, WallTime now) -> void
+auto ConfigService::carry(std::span<const std::string> fresh, WallTime now) -> void
 {
     auto record = std::optional<ConfigSnapshot>{};
     {
         const auto lock = std::lock_guard{m_mutex};
-        if (now - m_fold.heldSince() >= retention / 2) {
-            record = m_fold.makeSnapshot();
-        }
+        record = m_carrier.snapshot(m_fold, fresh, now);
     }
     if (record) {
         (void)m_writer.append("config", encodeRecord(ConfigRecord{*record}));
--- a/packages/daemon/configservice.h
+++ b/packages/daemon/configservice.h
@@ -10,6 +10,7 @@
 
 #include "daemon/logtail.h"
 #include "daemon/logwriter.h"
+#include "state/carry.h"
 #include "state/configfold.h"
 #include "state/document.h"
 
@@ -49,6 +50,7 @@
 struct ConfigServiceOptions
 {
     InstanceId instance;
+    Seconds retention{86'400}; ///< how long the log keeps records
     Millis applyTimeout{5'000}; ///< longest wait for the own change to come back from the log
     LogTailOptions tail;
 };
@@ -74,9 +76,9 @@
     /// Takes a version from a peer if it is newer than the one in force.
     auto offer(const ConfigState &state) -> void;
 
-    /// Appends the version in force again when its record grows old; for the instance that is in charge of it.
-    /// @param retention how long the log keeps records
-    auto carry(Millis retention, WallTime now) -> void;
+    /// Appends the version in force again when its record grows old and this instance is to do it.
+    /// @param fresh ids of the instances with fresh heartbeats, this one included
+    auto carry(std::span<const std::string> fresh, WallTime now) -> void;
 
     /// @return whether the log has been read to its end once.
     [[nodiscard]] auto caughtUp() const -> bool;
@@ -95,6 +97,7 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_folded;
     ConfigFold m_fold;
+    Carrier m_carrier;
     std::shared_ptr<const ActiveConfig> m_active;
     LogTail m_tail;
 };
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -18,9 +18,9 @@
 #include "ports/httpinstancelist.h"
 #include "ports/httplog.h"
 #include "ports/httpworker.h"
+#include "state/slo.h"
 #include "util/digest.h"
 #include "util/logging.h"
-#include "util/rendezvous.h"
 #include "wire/peermesh.h"
 
 #include <atomic>
@@ -37,9 +37,7 @@
 
 constexpr auto maxQueuedWork = std::size_t{4096};
 constexpr auto housekeepingPeriod = Millis{100};
-constexpr auto carryPeriod = Millis{5'000};
-/// Jobs appended again per carry round: with 5 s between rounds at most 10 records a second.
-constexpr auto carryLimit = std::size_t{50};
+constexpr auto carryPeriod = Millis{1'000};
 constexpr auto flushWait = Millis{5'000};
 constexpr auto forwardMargin = Millis{500};
 
@@ -50,6 +48,11 @@
     return {.startDelay = Millis{static_cast<std::int64_t>(xxh64(settings.instance.str()) % startSpread)}};
 }
 
+auto retentionOf(const Settings &settings) -> Seconds
+{
+    return std::chrono::duration_cast<Seconds>(settings.requests.logRetention);
+}
+
 auto toRegistryResult(RequestVerdict verdict) -> MetricRequestResult
 {
     switch (verdict) {
@@ -121,8 +124,9 @@
     auto isPlanner(const FailureDomainId &domain, const RegionId &region) const -> bool;
     auto readiness() const -> std::string;
     auto housekeeping() -> void;
+    auto freshInstances(bool ownRegionOnly) const -> std::vector<InstanceId>;
+    auto forgetSilentPeers() -> void;
     auto carryRecords() -> void;
-    auto offerConfig() -> void;
     auto metricsText() -> std::string;
     auto requestFinished(const RequestCall &call, const RequestReply &reply, Millis latency) -> void;
 
@@ -135,6 +139,8 @@
     std::atomic<bool> drainRequested{false};
     std::atomic<std::uint64_t> unauthorizedCalls{0};
     Metrics metrics;
+    std::mutex sloMutex;
+    SloTable slo;
     LogPort log;
     ExecutorPort executorPort;
     LogWriter writer;
@@ -169,7 +175,11 @@
     , pool(static_cast<std::size_t>(given.limits.dispatchThreads), maxQueuedWork)
     , mesh(meshOptions(), meshHandlers(), time)
     , membership(std::make_shared<const Membership>(mesh.membership()))
-    , config(log, writer, time, {.instance = given.instance, .tail = logTailOptions(given)}, [this](const ActiveConfig &active) { configChanged(active); })
+    , config(log,
+             writer,
+             time,
+             {.instance = given.instance, .retention = retentionOf(given), .tail = logTailOptions(given)},
+             [this](const ActiveConfig &active) { configChanged(active); })
     , intents(log,
               writer,
               time,
@@ -294,6 +304,7 @@
 auto Daemon::Impl::requestOptions() const -> RequestServiceOptions
 {
     auto options = RequestServiceOptions{.instance = settings.instance, .keyWindow = settings.requests.keyWindow};
+    options.scheduler.instance = settings.instance;
     options.scheduler.domain = settings.domain;
     options.scheduler.region = settings.region;
     options.scheduler.health.pollPeriod = settings.poll.executors;
@@ -348,7 +359,11 @@
         .metrics = [this] { return metricsText(); },
         .readiness = [this] { return readiness(); },
         .drain = [this] { drainRequested = true; },
-        .slo = [] { return std::string{"{\"objectives\":[]}\n"}; },
+        .slo =
+            [this] {
+                const auto lock = std::lock_guard{sloMutex};
+                return slo.report(clock.mono());
+            },
         .unauthorized = [this] { ++unauthorizedCalls; },
     };
 }
@@ -358,6 +373,10 @@
     if (!assembled) {
         return;
     }
+    {
+        const auto lock = std::lock_guard{sloMutex};
+        slo.configure(active.document.objectives);
+    }
     requests.configChanged(active);
     planners->configChanged(std::make_shared<const ActiveConfig>(active));
     mesh.announce();
@@ -508,24 +527,38 @@
     return {};
 }
 
-auto Daemon::Impl::carryRecords() -> void
+auto Daemon::Impl::freshInstances(bool ownRegionOnly) const -> std::vector<InstanceId>
 {
-    auto candidates = std::vector<std::string>{};
-    {
-        const auto lock = std::lock_guard{membershipMutex};
-        for (const auto &it : membership->instances(clock.mono())) {
-            if (it.self || it.state == InstanceState::Fresh) {
-                candidates.push_back(it.id.str());
-            }
+    const auto lock = std::lock_guard{membershipMutex};
+    auto out = std::vector<InstanceId>{};
+    for (const auto &it : membership->instances(clock.mono())) {
+        const auto near = !ownRegionOnly || it.region == settings.region;
+        if (it.self || (near && it.state == InstanceState::Fresh)) {
+            out.push_back(it.id);
         }
     }
-    const auto owner = rendezvousOwner("carry", candidates);
-    if (owner && candidates[*owner] == settings.instance.str()) {
-        const auto posted = pool.post([this] {
-            config.carry(settings.requests.logRetention, clock.wall());
-            jobs.carry(settings.requests.logRetention, clock.wall(), carryLimit);
-        });
-        (void)posted; // a full pool only delays the next round
+    return out;
+}
+
+auto Daemon::Impl::carryRecords() -> void
+{
+    auto fresh = std::vector<std::string>{};
+    for (const auto &it : freshInstances(false)) {
+        fresh.push_back(it.str());
+    }
+    const auto posted = pool.post([this, fresh] {
+        config.carry(fresh, clock.wall());
+        jobs.carry(fresh, clock.wall());
+    });
+    (void)posted; // a full pool only delays the next round
+}
+
+auto Daemon::Impl::forgetSilentPeers() -> void
+{
+    for (const auto &it : membership->instances(clock.mono())) {
+        if (!it.self && it.state == InstanceState::Silent) {
+            requests.peerReported(it.id, {});
+        }
     }
 }
 
@@ -538,12 +571,9 @@
             const auto lock = std::lock_guard{membershipMutex};
             membership = std::move(fresh);
         }
-        auto count = std::size_t{1};
-        {
-            const auto lock = std::lock_guard{membershipMutex};
-            count = membership->freshCount(clock.mono());
-        }
-        requests.peersChanged(static_cast<int>(count));
+        // Executors are shared with the instances of the own region; a silent peer's load is no longer known.
+        requests.peersChanged(freshInstances(true));
+        forgetSilentPeers();
         if (clock.mono() >= nextCarry) {
             nextCarry = clock.mono() + carryPeriod;
             carryRecords();
@@ -557,7 +587,16 @@
 
 auto Daemon::Impl::requestFinished(const RequestCall &call, const RequestReply &reply, Millis latency) -> void
 {
-    metrics.requestFinished(call.workspace, call.kind, toRegistryResult(reply.verdict), latency);
+    const auto answered = reply.verdict == RequestVerdict::Answer;
+    {
+        const auto lock = std::lock_guard{sloMutex};
+        slo.observe(call.workspace, call.kind, latency, answered, clock.mono());
+    }
+    // Names that the configuration does not know must not become series.
+    const auto active = config.active();
+    if (active && findKind(active->document, call.kind) != nullptr) {
+        metrics.requestFinished(call.workspace, call.kind, toRegistryResult(reply.verdict), latency);
+    }
 }
 
 auto Daemon::Impl::metricsText() -> std::string
--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -14,7 +14,7 @@
 /// The planner looks at its gangs at least this often.
 constexpr auto stepPeriod = Millis{50};
 
-auto toScheduled(const JobSpec &spec) -> ScheduledJob
+auto toScheduled(const JobDescription &spec) -> ScheduledJob
 {
     constexpr auto adjacency = std::array{Adjacency::Worker, Adjacency::Rack, Adjacency::Any};
     constexpr auto urgency = std::array{Urgency::Urgent, Urgency::Normal, Urgency::Batch};
@@ -214,7 +214,7 @@
 {
     // No worker holds a lease of the attempt any more, and whether its tasks did their work is not known.
     const auto result = job.cancelRequested ? JobResult::Cancelled : job.spec.restartable ? JobResult::Requeue : JobResult::Unknown;
-    m_context.jobs->record(JobRecord{JobFinish{
+    m_context.jobs->record(JobRecord{JobFinishRecord{
         .job = job.spec.id,
         .attempt = job.attempt,
         .result = result,
@@ -329,7 +329,7 @@
     if (job.cancelRequested) {
         if (m_scheduler.cancel(id) != JobCancelResult::Running) {
             m_context.jobs->record(
-                JobRecord{JobFinish{.job = id, .attempt = job.attempt, .result = JobResult::Cancelled, .ran = job.attempt > 0, .detail = "cancelled"}});
+                JobRecord{JobFinishRecord{.job = id, .attempt = job.attempt, .result = JobResult::Cancelled, .ran = job.attempt > 0, .detail = "cancelled"}});
         }
         return;
     }
@@ -374,7 +374,7 @@
     }
     if (job->spec.restartable) {
         m_context.jobs->record(
-            JobRecord{JobAttempt{.job = start.job, .attempt = number, .holder = m_context.options.instance, .generation = m_generation.counter}});
+            JobRecord{JobAttemptRecord{.job = start.job, .attempt = number, .holder = m_context.options.instance, .generation = m_generation.counter}});
     }
     m_gangs.start(std::move(spec), now);
 }
@@ -391,15 +391,15 @@
     }
     for (const auto &it : decisions.parked) {
         const auto job = m_context.jobs->find(it.job);
-        m_context.jobs->record(JobRecord{
-            JobFinish{.job = it.job, .attempt = job ? job->attempt : 0, .result = JobResult::Parked, .ran = job && job->attempt > 0, .detail = it.reason}});
+        m_context.jobs->record(JobRecord{JobFinishRecord{
+            .job = it.job, .attempt = job ? job->attempt : 0, .result = JobResult::Parked, .ran = job && job->attempt > 0, .detail = it.reason}});
     }
     return decisions.wakeAt;
 }
 
 auto DomainPlanner::confirmAttempt(const GangEvent &event) -> void
 {
-    const auto attempt = JobAttempt{.job = event.job, .attempt = event.attempt, .holder = m_context.options.instance, .generation = m_generation.counter};
+    const auto attempt = JobAttemptRecord{.job = event.job, .attempt = event.attempt, .holder = m_context.options.instance, .generation = m_generation.counter};
     const auto posted = m_context.pool->post([self = weak_from_this(), attempt, jobs = m_context.jobs, wait = m_context.options.attemptWait] {
         const auto won = jobs->recordAttempt(attempt, wait);
         if (const auto planner = self.lock()) {
@@ -413,7 +413,7 @@
 
 auto DomainPlanner::finishJob(const Job &job, const GangEvent &event, JobResult result, bool ran) -> void
 {
-    m_context.jobs->record(JobRecord{JobFinish{
+    m_context.jobs->record(JobRecord{JobFinishRecord{
         .job = event.job,
         .attempt = event.attempt,
         .result = result,
@@ -466,7 +466,7 @@
         return;
     case GangEventType::Started:
         m_scheduler.jobStarted(event.job, now);
-        m_context.jobs->record(JobRecord{JobStarted{.job = event.job, .attempt = event.attempt}});
+        m_context.jobs->record(JobRecord{JobStartedRecord{.job = event.job, .attempt = event.attempt}});
         return;
     case GangEventType::Ended:
         handleEnd(event, now);
--- a/packages/daemon/intentservice.cpp
+++ b/packages/daemon/intentservice.cpp
@@ -16,9 +16,16 @@
 /// Allowance for the difference between this instance's clock and the log's when an empty log is found.
 constexpr auto clockMargin = Millis{10'000};
 
+/// While the log cannot be read up to now, an earlier attempt may have run without being known here; only a caller
+/// that states its first attempt excludes this.
+auto notStarted(bool firstAttempt, std::string reason) -> Claim
+{
+    return {.kind = firstAttempt ? ClaimKind::NotStarted : ClaimKind::Undecided, .reason = std::move(reason)};
+}
+
 auto fromDone(const KeyStatus &status) -> AttemptOutcome
 {
-    const auto answered = status.result == RequestResult::Answer && status.answer;
+    const auto answered = status.result == LoggedOutcome::Answer && status.answer;
     return {
         .state = AttemptState::Done,
         .verdict = answered ? RequestVerdict::Answer : RequestVerdict::OutcomeUnknown,
@@ -84,7 +91,7 @@
 auto IntentService::claim(const RequestKey &key, bool firstAttempt, MonoTime deadline) -> Claim
 {
     if (!ready()) {
-        return {.kind = firstAttempt ? ClaimKind::NotStarted : ClaimKind::Undecided, .reason = "the platform's log is not available"};
+        return notStarted(firstAttempt, "the platform's log is not available");
     }
     auto status = KeyStatus{};
     {
@@ -93,9 +100,9 @@
     }
     switch (status.state) {
     case KeyState::Free:
-        return appendIntent(key, deadline);
+        return appendIntent(key, firstAttempt, deadline);
     case KeyState::Owned:
-        return awaitOther(key, status, deadline);
+        return awaitOther(key, status, firstAttempt, deadline);
     case KeyState::Done:
         return {.kind = ClaimKind::Settled, .outcome = fromDone(status)};
     case KeyState::Expired:
@@ -103,10 +110,10 @@
     case KeyState::NotCovered:
         break;
     }
-    return {.kind = firstAttempt ? ClaimKind::NotStarted : ClaimKind::Undecided, .reason = "the log has not been read back far enough"};
+    return notStarted(firstAttempt, "the log has not been read back far enough");
 }
 
-auto IntentService::appendIntent(const RequestKey &key, MonoTime deadline) -> Claim
+auto IntentService::appendIntent(const RequestKey &key, bool firstAttempt, MonoTime deadline) -> Claim
 {
     const auto attempt = RequestId{m_options.instance.str() + "-" + randomHex(attemptIdBytes)};
     {
@@ -118,7 +125,7 @@
     if (!appended && appended.error().code != ErrorCode::Unknown) {
         const auto lock = std::lock_guard{m_mutex};
         remember(attempt, {.state = AttemptState::Voided, .request = attempt});
-        return {.kind = ClaimKind::NotStarted, .reason = appended.error().message};
+        return notStarted(firstAttempt, appended.error().message);
     }
     // After a lost answer the key's owner appears in the log, or does not in time.
     auto status = KeyStatus{};
@@ -138,12 +145,12 @@
     }
     voidRecord(key, attempt);
     if (status.state == KeyState::Owned) {
-        return awaitOther(key, status, deadline);
+        return awaitOther(key, status, firstAttempt, deadline);
     }
     if (status.state == KeyState::Done) {
         return {.kind = ClaimKind::Settled, .outcome = fromDone(status)};
     }
-    return {.kind = ClaimKind::NotStarted, .reason = "the log did not confirm the request in time"};
+    return notStarted(firstAttempt, "the log did not confirm the request in time");
 }
 
 auto IntentService::askOwner(const RequestKey &key, const KeyStatus &status, MonoTime deadline) -> AttemptOutcome
@@ -157,7 +164,7 @@
     return answer ? std::move(answer).value() : AttemptOutcome{.state = AttemptState::Open, .reason = answer.error().message};
 }
 
-auto IntentService::awaitOther(const RequestKey &key, const KeyStatus &status, MonoTime deadline) -> Claim
+auto IntentService::awaitOther(const RequestKey &key, const KeyStatus &status, bool firstAttempt, MonoTime deadline) -> Claim
 {
     auto current = status;
     while (m_clock.mono() < deadline) {
@@ -166,7 +173,7 @@
         }
         if (current.state != KeyState::Owned) {
             // The owner has given up before it sent anything, so the key is free again.
-            return current.state == KeyState::Free ? appendIntent(key, deadline) : Claim{.reason = "the outcome is no longer known"};
+            return current.state == KeyState::Free ? appendIntent(key, firstAttempt, deadline) : Claim{.reason = "the outcome is no longer known"};
         }
         auto answer = askOwner(key, current, deadline);
         if (answer.state == AttemptState::Done) {
@@ -207,7 +214,7 @@
         .key = key,
         .attempt = attempt,
         .instance = m_options.instance,
-        .result = answered ? RequestResult::Answer : RequestResult::Unknown,
+        .result = answered ? LoggedOutcome::Answer : LoggedOutcome::Unknown,
         .hasAnswer = logged,
         .answer = logged ? answer : std::string{},
     };
--- a/packages/daemon/intentservice.h
+++ b/packages/daemon/intentservice.h
@@ -30,7 +30,7 @@
 enum class ClaimKind {
     Won, ///< this attempt owns the key: dispatch it
     Settled, ///< an earlier attempt has an outcome, given in Claim::outcome
-    NotStarted, ///< this attempt will never run, and no other attempt of the key is known
+    NotStarted, ///< this attempt will never run, and the caller never made another one
     Undecided, ///< whether another attempt ran is unknown
 };
 
@@ -87,8 +87,8 @@
 
 private:
     auto applyPage(const LogPage &page, bool restart) -> void;
-    auto appendIntent(const RequestKey &key, MonoTime deadline) -> Claim;
-    auto awaitOther(const RequestKey &key, const KeyStatus &status, MonoTime deadline) -> Claim;
+    auto appendIntent(const RequestKey &key, bool firstAttempt, MonoTime deadline) -> Claim;
+    auto awaitOther(const RequestKey &key, const KeyStatus &status, bool firstAttempt, MonoTime deadline) -> Claim;
     auto askOwner(const RequestKey &key, const KeyStatus &status, MonoTime deadline) -> AttemptOutcome;
     auto remember(const RequestId &attempt, AttemptOutcome outcome) -> void;
     auto voidRecord(const RequestKey &key, const RequestId &attempt) -> void;
--- a/packages/daemon/jobservice.cpp
+++ b/packages/daemon/jobservice.cpp
@@ -13,27 +13,27 @@
 {
     struct Visitor
     {
-        auto operator()(const JobAccept &it) const -> JobId
+        auto operator()(const JobAcceptRecord &it) const -> JobId
         {
             return it.spec.id;
         }
-        auto operator()(const JobCarry &it) const -> JobId
+        auto operator()(const JobCarryRecord &it) const -> JobId
         {
             return it.job.spec.id;
         }
-        auto operator()(const JobAttempt &it) const -> JobId
+        auto operator()(const JobAttemptRecord &it) const -> JobId
         {
             return it.job;
         }
-        auto operator()(const JobStarted &it) const -> JobId
+        auto operator()(const JobStartedRecord &it) const -> JobId
         {
             return it.job;
         }
-        auto operator()(const JobFinish &it) const -> JobId
+        auto operator()(const JobFinishRecord &it) const -> JobId
         {
             return it.job;
         }
-        auto operator()(const JobCancel &it) const -> JobId
+        auto operator()(const JobCancelRecord &it) const -> JobId
         {
             return it.job;
         }
@@ -48,6 +48,7 @@
     , m_clock(clock)
     , m_notify(std::move(changed))
     , m_fold(options.fold)
+    , m_carrier(options.instance, {.retention = options.retention})
     , m_tail(
           log, clock, "jobs", [this](const LogPage &page, bool restart) { applyPage(page, restart); }, options.tail)
 {
@@ -109,7 +110,7 @@
     return job == nullptr ? std::nullopt : std::optional{merged(*job)};
 }
 
-auto JobService::submit(const JobSpec &spec, Millis wait) -> SubmitResult
+auto JobService::submit(const JobDescription &spec, Millis wait) -> SubmitResult
 {
     const auto compare = [&](const Job &job) -> SubmitResult {
         if (job.spec == spec) {
@@ -135,7 +136,7 @@
         const auto lock = std::lock_guard{m_mutex};
         position = m_fold.position();
     }
-    const auto appended = m_writer.append("jobs", encodeRecord(JobRecord{JobAccept{.spec = spec, .position = position}}));
+    const auto appended = m_writer.append("jobs", encodeRecord(JobRecord{JobAcceptRecord{.spec = spec, .position = position}}));
     if (!appended && appended.error().code != ErrorCode::Unknown) {
         return {.outcome = SubmitOutcome::NotAccepted, .reason = appended.error().message};
     }
@@ -179,12 +180,12 @@
         return failure(ErrorCode::NotFound, "no job '" + id.str() + "'");
     }
     if (!isTerminal(job->state) && !job->cancelRequested) {
-        record(JobRecord{JobCancel{.job = id, .by = by, .reason = reason}});
+        record(JobRecord{JobCancelRecord{.job = id, .by = by, .reason = reason}});
     }
     return *find(id);
 }
 
-auto JobService::recordAttempt(const JobAttempt &attempt, Millis wait) -> bool
+auto JobService::recordAttempt(const JobAttemptRecord &attempt, Millis wait) -> bool
 {
     const auto appended = m_writer.append("jobs", encodeRecord(JobRecord{attempt}));
     if (!appended && appended.error().code != ErrorCode::Unknown) {
@@ -230,20 +231,15 @@
     return out;
 }
 
-auto JobService::carry(Millis retention, WallTime now, std::size_t limit) -> void
+auto JobService::carry(std::span<const std::string> fresh, WallTime now) -> void
 {
-    auto records = std::vector<std::string>{};
+    auto records = std::vector<JobCarryRecord>{};
     {
         const auto lock = std::lock_guard{m_mutex};
-        const auto position = m_fold.position();
-        m_fold.visit([&](const Job &job, WallTime heldSince) {
-            if (records.size() < limit && now - heldSince >= retention / 2) {
-                records.push_back(encodeRecord(JobRecord{JobCarry{.job = job, .position = position}}));
-            }
-        });
+        records = m_carrier.jobs(m_fold, fresh, now);
     }
-    for (auto &it : records) {
-        (void)m_writer.append("jobs", std::move(it));
+    for (const auto &it : records) {
+        (void)m_writer.append("jobs", encodeRecord(JobRecord{it}));
     }
 }
 
--- a/packages/daemon/jobservice.h
+++ b/packages/daemon/jobservice.h
@@ -10,6 +10,7 @@
 
 #include "daemon/logtail.h"
 #include "daemon/logwriter.h"
+#include "state/carry.h"
 #include "state/jobfold.h"
 
 #include <condition_variable>
@@ -40,6 +41,8 @@
 
 struct JobServiceOptions
 {
+    InstanceId instance;
+    Seconds retention{86'400}; ///< how long the log keeps records
     JobFoldOptions fold;
     LogTailOptions tail;
 };
@@ -52,7 +55,7 @@
 
     /// Appends an accept record and waits until it has been read back.
     /// @param wait longest wait after the append
-    auto submit(const JobSpec &spec, Millis wait) -> SubmitResult;
+    auto submit(const JobDescription &spec, Millis wait) -> SubmitResult;
 
     /// Records a cancellation; it takes effect here at once, also while the log is down.
     /// @return the job; ErrorCode::NotFound, or ErrorCode::Limit when too many records are pending.
@@ -63,7 +66,7 @@
 
     /// Appends an attempt of a job that must not run twice and finds out whether it won.
     /// @return whether it is the attempt on record; false also when the log did not confirm it in time.
-    auto recordAttempt(const JobAttempt &attempt, Millis wait) -> bool;
+    auto recordAttempt(const JobAttemptRecord &attempt, Millis wait) -> bool;
 
     /// @return the job as of now.
     [[nodiscard]] auto find(const JobId &id) const -> std::optional<Job>;
@@ -78,8 +81,9 @@
     /// @return the live jobs whose home is @p domain.
     [[nodiscard]] auto liveIn(const FailureDomainId &domain) const -> std::vector<Job>;
 
-    /// Appends live jobs again whose records grow old, at most @p limit of them; for the instance that is in charge.
-    auto carry(Millis retention, WallTime now, std::size_t limit) -> void;
+    /// Appends live jobs again whose records grow old, as far as this instance is to do it.
+    /// @param fresh ids of the instances with fresh heartbeats, this one included
+    auto carry(std::span<const std::string> fresh, WallTime now) -> void;
 
     [[nodiscard]] auto caughtUp() const -> bool;
     [[nodiscard]] auto age() const -> std::optional<Millis>;
@@ -97,6 +101,7 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_folded;
     JobFold m_fold;
+    Carrier m_carrier;
     std::map<JobId, std::vector<JobRecord>> m_ahead; ///< own records that the log has not shown yet, per job
     LogTail m_tail;
 };
--- a/packages/daemon/operatorapi.cpp
+++ b/packages/daemon/operatorapi.cpp
@@ -62,7 +62,8 @@
 {
     const auto active = context.config->active();
     if (!active) {
-        return {.body = dump({{"version", 0}, {"document", nullptr}, {"log_age_ms", ageOf(context.config->age())}})};
+        return {.status = 404,
+                .body = dump({{"version", 0}, {"document", nullptr}, {"reason", "no configuration is known"}, {"log_age_ms", ageOf(context.config->age())}})};
     }
     return {.body = dump({
                 {"version", active->state.version.value},
@@ -274,6 +275,33 @@
     return {.body = dump({{"requests", requests}, {"planners", planners}})};
 }
 
+auto getSlo(const OperatorContext &context) -> HttpResponse
+{
+    auto list = json::array();
+    for (const auto &it : context.slo()) {
+        auto windows = json::array();
+        for (const auto &window : it.windows) {
+            windows.push_back({
+                {"window_ms", std::chrono::duration_cast<Millis>(window.length).count()},
+                {"good", window.counts.good},
+                {"total", window.counts.good + window.counts.bad},
+            });
+        }
+        list.push_back({
+            {"workspace", it.objective.workspace.str()},
+            {"kind", it.objective.kind.str()},
+            {"latency_ms", it.objective.latency.count()},
+            {"target_percent", it.objective.targetMillipercent / 1000.0},
+            {"burn_rate_short", it.burnShort},
+            {"burn_rate_long", it.burnLong},
+            {"budget_left", it.budgetLeft},
+            {"alert", alertName(it.alert)},
+            {"windows", windows},
+        });
+    }
+    return {.body = dump({{"objectives", list}})};
+}
+
 auto decodeBase64(std::string_view text) -> std::string
 {
     constexpr auto alphabet = std::string_view{"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/"};
@@ -376,7 +404,7 @@
     add("GET", "/v1/leases", getLeases);
     add("GET", "/v1/executors", getExecutors);
     add("GET", "/v1/queues", getQueues);
-    add("GET", "/v1/slo", [](const OperatorContext &it) { return HttpResponse{.body = it.slo()}; });
+    add("GET", "/v1/slo", getSlo);
     add("POST", "/v1/drain", [](const OperatorContext &it) {
         it.drain();
         return HttpResponse{.status = 202, .body = dump({{"result", "draining"}})};
--- a/packages/daemon/operatorapi.h
+++ b/packages/daemon/operatorapi.h
@@ -12,6 +12,7 @@
 #include "daemon/httplistener.h"
 #include "daemon/plannerservice.h"
 #include "daemon/requestservice.h"
+#include "state/slo.h"
 #include "wire/peermesh.h"
 
 #include <functional>
@@ -37,7 +38,7 @@
     std::function<std::string()> metrics; ///< text of GET /metrics
     std::function<std::string()> readiness; ///< empty when ready, else why not
     std::function<void()> drain; ///< starts a graceful shutdown
-    std::function<std::string()> slo; ///< JSON of GET /v1/slo
+    std::function<std::vector<SloStatus>()> slo; ///< state of every objective
     std::function<void()> unauthorized;
 };
 
--- a/packages/daemon/requestservice.cpp
+++ b/packages/daemon/requestservice.cpp
@@ -446,7 +446,7 @@
     pump();
 }
 
-auto RequestService::peersChanged(int fresh) -> void
+auto RequestService::peersChanged(const std::vector<InstanceId> &fresh) -> void
 {
     {
         const auto lock = std::lock_guard{m_mutex};
--- a/packages/daemon/requestservice.h
+++ b/packages/daemon/requestservice.h
@@ -81,7 +81,7 @@
     auto configChanged(const ActiveConfig &config) -> void;
     auto executorsChanged(const std::vector<ListedInstance> &executors) -> void;
     auto executorPolled(const ExecutorId &executor, const std::optional<HealthSample> &sample) -> void;
-    auto peersChanged(int fresh) -> void;
+    auto peersChanged(const std::vector<InstanceId> &fresh) -> void;
     auto peerReported(const InstanceId &peer, const std::vector<InFlightLoad> &loads) -> void;
 
     [[nodiscard]] auto ownLoads() const -> std::vector<InFlightLoad>;
--- a/packages/state/slo.cpp
+++ b/packages/state/slo.cpp
@@ -121,7 +121,11 @@
             .burnLong = entry.tracker.burnRate(m_options.page.longWindow, now),
             .budgetLeft = entry.tracker.budgetLeft(now),
             .alert = entry.tracker.alert(now),
+            .windows = {},
         });
+        for (const auto window : {m_options.page.shortWindow, m_options.ticket.shortWindow, m_options.page.longWindow, m_options.ticket.longWindow}) {
+            all.back().windows.push_back({.length = window, .counts = entry.tracker.counts(window, now)});
+        }
     }
     return all;
 }
--- a/packages/state/slo.h
+++ b/packages/state/slo.h
@@ -87,6 +87,13 @@
     std::vector<Bucket> m_buckets; ///< ring, indexed by minute modulo size
 };
 
+/// The counts of one window.
+struct SloWindow
+{
+    std::chrono::minutes length;
+    SloCounts counts;
+};
+
 /// State of one objective.
 struct SloStatus
 {
@@ -96,6 +103,7 @@
     double burnLong = 0; ///< over the long window of the page rule
     double budgetLeft = 1;
     SloAlert alert = SloAlert::None;
+    std::vector<SloWindow> windows; ///< those of both rules, shortest first; counts of several instances add up
 };
 
 class SloTable
--- a/testing/system/deployment.cpp
+++ b/testing/system/deployment.cpp
@@ -4,6 +4,7 @@
 #include "history/reader.h"
 #include "util/digest.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -125,6 +126,11 @@
             throw std::runtime_error(m_entries[i].id + " did not become ready");
         }
     }
+    for (auto i = std::size_t{0}; i < m_entries.size(); ++i) {
+        if (!waitMesh(i)) {
+            throw std::runtime_error(m_entries[i].id + " does not see its peers");
+        }
+    }
     // A request that is answered shows that the executors have been polled.
     if (!eventually([&] { return request(0, {.kind = "plan", .payload = R"({"key":"probe"})"}).result == CallResult::Answer; })) {
         throw std::runtime_error("no request was answered");
@@ -217,6 +223,20 @@
     });
 }
 
+auto Deployment::waitMesh(std::size_t index) -> bool
+{
+    return eventually([&] {
+        const auto reply = operate(index, "GET", "/v1/instances");
+        if (!reply || reply.value().status != 200) {
+            return false;
+        }
+        const auto body = json::parse(reply.value().body);
+        const auto fresh
+            = std::count_if(body["instances"].begin(), body["instances"].end(), [](const json &it) { return it["self"] == true || it["state"] == "fresh"; });
+        return static_cast<std::size_t>(fresh) == m_entries.size();
+    });
+}
+
 auto Deployment::entry(std::size_t index) -> EntryProcess &
 {
     return m_entries.at(index);
--- a/testing/system/deployment.h
+++ b/testing/system/deployment.h
@@ -91,6 +91,8 @@
 
     auto startEntry(std::size_t index) -> void;
     auto waitReady(std::size_t index) -> bool;
+    /// Waits until the instance has fresh heartbeats of all others.
+    auto waitMesh(std::size_t index) -> bool;
     auto entry(std::size_t index) -> EntryProcess &;
     [[nodiscard]] auto entryCount() const -> std::size_t;
     auto executor(std::size_t index) -> ServerProcess &;
