Keep whole shapes from jobs that need a part of them and cannot be stopped

With thousands of waiting jobs every one was tried in every decision. Change: such small jobs prefer slots that no guarantee needs, also when the shape is open already; jobs of equal shape that respect the same reservations are tried once. Ruled out: reserving the shape for large jobs only; small jobs of a workspace with one large shape would have no guarantee at all.

--- a/packages/policy/decide.cpp
+++ b/packages/policy/decide.cpp
@@ -20,18 +20,29 @@
     return job.spec.urgency == Urgency::Urgent && (workspace.urgent + job.spec.slots()) * std::int64_t{100} <= entitlement * workspace.rule.urgentSharePercent;
 }
 
-auto Scheduler::State::blockedFor(const WaitingJob &job, MonoTime now, bool ignoreReservations) const -> std::vector<SlotMask>
+auto Scheduler::State::respected(const WaitingJob &job, MonoTime now, bool ignoreReservations) const -> std::uint64_t
 {
-    auto blocked = std::vector<SlotMask>{};
-    const auto upper = reservations.empty() ? std::nullopt : runTimes.upper(job.spec.workspace, job.spec.kind);
-    for (const auto &reservation : reservations) {
+    if (reservations.empty()) {
+        return 0;
+    }
+    auto mask = std::uint64_t{0};
+    const auto upper = runTimes.upper(job.spec.workspace, job.spec.kind);
+    // A job that keeps its progress may use whatever time there is; others should be likely to end before.
+    const auto useful = job.spec.checkpointable ? Micros{options.backfillAtLeast} : runTimes.typical(job.spec.workspace, job.spec.kind);
+    for (auto i = std::size_t{0}; i < reservations.size(); ++i) {
+        const auto &reservation = reservations[i];
         const auto endsBefore = upper && now + *upper <= reservation.readyAt;
-        // A job that keeps its progress may use whatever time there is; others should be likely to end before.
-        const auto useful = job.spec.checkpointable ? Micros{options.backfillAtLeast} : runTimes.typical(job.spec.workspace, job.spec.kind);
         const auto givesWay = ignoreReservations && job.spec.reclaimable() && now + useful <= reservation.readyAt;
-        if (reservation.job != job.spec.job && !endsBefore && !givesWay) {
-            blockReservation(topology, reservation, blocked);
-        }
+        mask |= reservation.job != job.spec.job && !endsBefore && !givesWay ? std::uint64_t{1} << i : 0;
+    }
+    return mask;
+}
+
+auto Scheduler::State::blockedFor(const WaitingJob &job, MonoTime now, bool ignoreReservations) const -> std::vector<SlotMask>
+{
+    auto blocked = std::vector<SlotMask>{};
+    for (auto left = respected(job, now, ignoreReservations); left != 0; left &= left - 1) {
+        blockReservation(topology, reservations[std::countr_zero(left)], blocked);
     }
     for (const auto &worker : job.avoid) {
         if (const auto index = topology.workerIndex(worker)) {
@@ -46,7 +57,7 @@
 {
     const auto gang = gangOf(job.spec, job.workspace);
     auto placement = placeFree(topology, gang, blockedFor(job, now, false));
-    if (!placement && !reservations.empty() && job.spec.reclaimable()) {
+    if (!placement && job.spec.reclaimable() && respected(job, now, true) != respected(job, now, false)) {
         placement = placeFree(topology, gang, blockedFor(job, now, true));
         if (placement) {
             placement->backfill = true;
@@ -215,7 +226,7 @@
 
 auto Scheduler::State::reserve(WaitingJob &job, MonoTime now) -> void
 {
-    const auto most = std::max(1, static_cast<int>(topology.racks().size()) / std::max(1, options.racksPerReservation));
+    const auto most = std::clamp(static_cast<int>(topology.racks().size()) / std::max(1, options.racksPerReservation), 1, 64);
     const auto large = job.spec.slots() >= topology.workerSlots();
     if (static_cast<int>(reservations.size()) >= most || now < job.since + (large ? options.reserveAfter : options.reserveSmallAfter)) {
         return;
@@ -247,7 +258,9 @@
             walks.emplace(index, Walk{queue.cursor(index, now), options.candidatesPerWorkspace, options.candidatesPerWorkspace * seenPerCandidate});
         }
     }
-    auto failed = std::set<Shape>{};
+    // Jobs of equal shape that respect the same reservations fail together; without this, thousands of waiting jobs would
+    // each be tried in every decision.
+    auto failed = std::set<std::tuple<Shape, std::uint64_t, std::uint64_t>>{};
     while (!order.empty()) {
         // The workspace that borrows least for its weight is asked for one job that fits.
         const auto index = order.begin()->second;
@@ -261,9 +274,8 @@
                 job->reason = WaitReason::Quota;
                 continue;
             }
-            // A job that avoids workers or has short run times can differ from others of its shape.
-            const auto known = failed.contains(shapeOf(job->spec));
-            if (known && (reservations.empty() || !runTimes.upper(job->spec.workspace, job->spec.kind))) {
+            const auto key = std::tuple{shapeOf(job->spec), respected(*job, now, false), respected(*job, now, true)};
+            if (failed.contains(key)) {
                 job->reason = job->reason == WaitReason::New ? WaitReason::NoPlace : job->reason;
                 reserve(*job, now);
                 continue;
@@ -272,7 +284,7 @@
             auto placement = tryFree(*job, now);
             if (!placement) {
                 if (job->avoid.empty()) {
-                    failed.insert(shapeOf(job->spec));
+                    failed.insert(key);
                 }
                 job->reason = reportedUsable.empty() ? WaitReason::NoWorkers : job->reason == WaitReason::GuaranteeInUse ? job->reason : WaitReason::NoPlace;
                 reserve(*job, now);
--- a/packages/policy/decidecover.cpp
+++ b/packages/policy/decidecover.cpp
@@ -22,9 +22,9 @@
     }
     // Borrowing free slots costs nobody any work, and the guarantee stays unused. A job that cannot be stopped and
     // needs only a part of a shape would withhold that shape from the jobs that need it whole.
-    const auto opens = std::any_of(placement->newRegions.begin(), placement->newRegions.end(), [&](const auto &region) {
-        return region.level > gangLevel(gangOf(job.spec, job.workspace), topology.workerSlots());
-    });
+    const auto needed = gangLevel(gangOf(job.spec, job.workspace), topology.workerSlots());
+    const auto opens = std::any_of(placement->newRegions.begin(), placement->newRegions.end(), [&](const auto &region) { return region.level > needed; })
+                       || std::any_of(placement->regions.begin(), placement->regions.end(), [&](int region) { return topology.region(region).level > needed; });
     if (job.spec.reclaimable() ? !placement->displaced.empty() : opens) {
         if (auto free = tryFree(job, now)) {
             return free;
--- a/packages/policy/schedulerstate.h
+++ b/packages/policy/schedulerstate.h
@@ -117,6 +117,8 @@
 
     [[nodiscard]] auto withinQuota(const WaitingJob &job) const -> bool;
     [[nodiscard]] auto withinUrgentShare(const WaitingJob &job) const -> bool;
+    /// @return the reservations of other jobs that a job must respect; bit n is reservation n.
+    [[nodiscard]] auto respected(const WaitingJob &job, MonoTime now, bool ignoreReservations) const -> std::uint64_t;
     /// @return the slots that a job must not use: other jobs' reservations and the workers on which it failed.
     [[nodiscard]] auto blockedFor(const WaitingJob &job, MonoTime now, bool ignoreReservations) const -> std::vector<SlotMask>;
     auto tryFree(const WaitingJob &job, MonoTime now) const -> std::optional<Placement>;
