Give types that share a name with another package names of their own

Cause: the packages were written side by side, and several types of the same name met in namespace Catkin. Change: renamed by a mechanical substitution; no behaviour changes.

--- a/bench/firstfit.h
+++ b/bench/firstfit.h
@@ -25,7 +25,7 @@
         return success();
     }
 
-    auto submit(const JobSpec &spec, MonoTime /*now*/) -> Result<void>
+    auto submit(const ScheduledJob &spec, MonoTime /*now*/) -> Result<void>
     {
         m_waiting.push_back(spec);
         return success();
@@ -74,7 +74,7 @@
 
     using Blocks = std::vector<std::pair<int, SlotMask>>;
 
-    [[nodiscard]] auto place(const JobSpec &spec) const -> Blocks
+    [[nodiscard]] auto place(const ScheduledJob &spec) const -> Blocks
     {
         const auto block = 1 << levelOf(spec.slotsPerTask);
         auto found = Blocks{};
@@ -99,7 +99,7 @@
     }
 
     std::vector<Worker> m_workers;
-    std::deque<JobSpec> m_waiting;
+    std::deque<ScheduledJob> m_waiting;
     std::map<JobId, Blocks> m_running;
 };
 
--- a/bench/placement_benchmark.cpp
+++ b/bench/placement_benchmark.cpp
@@ -120,12 +120,12 @@
                                      MonoTime{});
     }
     for (auto tasks = 0, n = 0; tasks < size.tasks; ++n) {
-        const auto spec = JobSpec{.job = JobId{"f" + std::to_string(n)},
-                                  .workspace = WorkspaceId{"s" + std::to_string(uniform(random, size.workspaces))},
-                                  .caller = CallerId{std::to_string(uniform(random, 8))},
-                                  .kind = KindId{"k"},
-                                  .tasks = std::min(size.tasks - tasks, 1 << uniform(random, 7)),
-                                  .restartable = true};
+        const auto spec = ScheduledJob{.job = JobId{"f" + std::to_string(n)},
+                                       .workspace = WorkspaceId{"s" + std::to_string(uniform(random, size.workspaces))},
+                                       .caller = CallerId{std::to_string(uniform(random, 8))},
+                                       .kind = KindId{"k"},
+                                       .tasks = std::min(size.tasks - tasks, 1 << uniform(random, 7)),
+                                       .restartable = true};
         tasks += spec.tasks;
         scheduler.resubmit(spec, MonoTime{});
     }
--- a/bench/placement_figures.cpp
+++ b/bench/placement_figures.cpp
@@ -92,7 +92,7 @@
 
 struct Arrival
 {
-    JobSpec spec;
+    ScheduledJob spec;
     double at = 0; ///< seconds
     double seconds = 0; ///< run time
 };
--- a/packages/policy/jobqueue.cpp
+++ b/packages/policy/jobqueue.cpp
@@ -185,7 +185,7 @@
     return workspace < static_cast<int>(m_waiting.size()) ? m_waiting[workspace] : 0;
 }
 
-auto JobQueue::hold(int workspace, const JobSpec &spec, int slots, MonoTime now) -> void
+auto JobQueue::hold(int workspace, const ScheduledJob &spec, int slots, MonoTime now) -> void
 {
     auto &callers = callersOf(workspace);
     auto &caller = callers[spec.caller];
--- a/packages/policy/jobqueue.h
+++ b/packages/policy/jobqueue.h
@@ -45,7 +45,7 @@
 
 struct WaitingJob
 {
-    JobSpec spec;
+    ScheduledJob spec;
     int workspace = 0;
     MonoTime since;
     std::uint64_t sequence = 0; ///< order of submission
@@ -118,7 +118,7 @@
     [[nodiscard]] auto waitingIn(int workspace) const -> int;
 
     /// The caller's held slots of @p spec's kind change by @p slots, negative when a job ends.
-    auto hold(int workspace, const JobSpec &spec, int slots, MonoTime now) -> void;
+    auto hold(int workspace, const ScheduledJob &spec, int slots, MonoTime now) -> void;
 
 private:
     auto callersOf(int workspace) -> Callers &;
--- a/packages/policy/jobspec.h
+++ b/packages/policy/jobspec.h
@@ -3,7 +3,7 @@
 /// What the placement and scheduling decisions need to know about a job.
 ///
 /// @code
-///   auto spec = Catkin::JobSpec{.job = JobId{"j-1"}, .workspace = WorkspaceId{"rental"}, .tasks = 4, .slotsPerTask = 2};
+///   auto spec = Catkin::ScheduledJob{.job = JobId{"j-1"}, .workspace = WorkspaceId{"rental"}, .tasks = 4, .slotsPerTask = 2};
 ///   for (auto slot : Catkin::slotList(member.slots)) { ... }
 /// @endcode
 
@@ -31,7 +31,7 @@
 inline constexpr auto maxGangTasks = 64;
 
 /// A job as far as scheduling is concerned.
-struct JobSpec
+struct ScheduledJob
 {
     JobId job;
     WorkspaceId workspace;
--- a/packages/policy/scheduler.cpp
+++ b/packages/policy/scheduler.cpp
@@ -24,7 +24,7 @@
     return it->second;
 }
 
-auto Scheduler::State::gangOf(const JobSpec &spec, int workspace) const -> GangRequest
+auto Scheduler::State::gangOf(const ScheduledJob &spec, int workspace) const -> GangRequest
 {
     return {.workspace = workspace,
             .tasks = spec.tasks,
@@ -35,7 +35,7 @@
             .movable = spec.checkpointable};
 }
 
-auto Scheduler::State::neverRuns(const JobSpec &spec, int workspace) -> std::optional<std::string>
+auto Scheduler::State::neverRuns(const ScheduledJob &spec, int workspace) -> std::optional<std::string>
 {
     const auto &quota = workspaces[workspace].rule.quotaSlots;
     if (quota && spec.slots() > *quota) {
@@ -214,7 +214,7 @@
     return affected;
 }
 
-auto Scheduler::submit(const JobSpec &spec, MonoTime now) -> Result<void>
+auto Scheduler::submit(const ScheduledJob &spec, MonoTime now) -> Result<void>
 {
     if (spec.tasks < 1 || spec.tasks > maxGangTasks || spec.slotsPerTask < 1 || spec.slotsPerTask > maxWorkerSlots) {
         return failure(ErrorCode::InvalidInput, "a job has 1 to 64 tasks of 1 to 32 slots");
@@ -230,7 +230,7 @@
     return success();
 }
 
-auto Scheduler::resubmit(const JobSpec &spec, MonoTime since) -> void
+auto Scheduler::resubmit(const ScheduledJob &spec, MonoTime since) -> void
 {
     auto &state = *m_state;
     if (state.running.contains(spec.job) || state.parked.contains(spec.job)) {
@@ -244,31 +244,31 @@
     }
 }
 
-auto Scheduler::cancel(const JobId &job) -> CancelResult
+auto Scheduler::cancel(const JobId &job) -> JobCancelResult
 {
     auto &state = *m_state;
     if (const auto it = state.running.find(job); it != state.running.end()) {
         if (it->second.phase != Phase::Placed) {
-            return CancelResult::Running;
+            return JobCancelResult::Running;
         }
         // Jobs preempted for it keep stopping; their slots go to whoever is next.
         state.leave(job, it->second.since);
-        return CancelResult::Removed;
+        return JobCancelResult::Removed;
     }
     if (state.parked.erase(job) > 0) {
-        return CancelResult::Removed;
+        return JobCancelResult::Removed;
     }
     if (state.queue.find(job) == nullptr) {
-        return CancelResult::Unknown;
+        return JobCancelResult::Unknown;
     }
     state.queue.remove(job);
     state.impossible.erase(job);
     state.dropReservation(job);
     state.quarantine.forgetJob(job);
-    return CancelResult::Removed;
+    return JobCancelResult::Removed;
 }
 
-auto Scheduler::adopt(const JobSpec &spec, const std::vector<MemberPlacement> &members, MonoTime startedAt) -> Result<void>
+auto Scheduler::adopt(const ScheduledJob &spec, const std::vector<MemberPlacement> &members, MonoTime startedAt) -> Result<void>
 {
     auto &state = *m_state;
     auto blocks = std::vector<SlotBlock>{};
--- a/packages/policy/scheduler.h
+++ b/packages/policy/scheduler.h
@@ -101,7 +101,7 @@
     Lost, ///< lost with a worker and must not run again
 };
 
-enum class CancelResult {
+enum class JobCancelResult {
     Unknown, ///< no such job here
     Removed, ///< it was queued or parked, or waited for preempted jobs to end; it will not be started
     Running, ///< it has been handed out as a start: stop it and report JobEnd::Cancelled
@@ -158,16 +158,16 @@
     /// Queues a job; submitting a known job again changes nothing.
     /// @return ErrorCode::InvalidInput or ErrorCode::Limit with the reason when the job can never run on the known
     /// fleet under the current quotas. Nothing is refused on capacity while no worker is known.
-    auto submit(const JobSpec &spec, MonoTime now) -> Result<void>;
+    auto submit(const ScheduledJob &spec, MonoTime now) -> Result<void>;
 
     /// Queues a job that was accepted earlier (read from the log); if it can never run, decide() parks it.
-    auto resubmit(const JobSpec &spec, MonoTime since) -> void;
+    auto resubmit(const ScheduledJob &spec, MonoTime since) -> void;
 
-    auto cancel(const JobId &job) -> CancelResult;
+    auto cancel(const JobId &job) -> JobCancelResult;
 
     /// Enters a gang found running on workers. Its place is taken as it is, even when it breaks a guarantee.
     /// @return ErrorCode::NotFound for an unknown worker, ErrorCode::Conflict when slots belong to another job.
-    auto adopt(const JobSpec &spec, const std::vector<MemberPlacement> &members, MonoTime startedAt) -> Result<void>;
+    auto adopt(const ScheduledJob &spec, const std::vector<MemberPlacement> &members, MonoTime startedAt) -> Result<void>;
 
     /// Every member runs; the run time counts from here.
     auto jobStarted(const JobId &job, MonoTime now) -> void;
--- a/packages/policy/schedulerstate.h
+++ b/packages/policy/schedulerstate.h
@@ -17,7 +17,7 @@
 /// What decides whether a gang finds free slots; jobs with equal shape fail together within one pass.
 using Shape = std::tuple<int, int, Adjacency, bool>;
 
-inline auto shapeOf(const JobSpec &spec) -> Shape
+inline auto shapeOf(const ScheduledJob &spec) -> Shape
 {
     return {spec.tasks, spec.slotsPerTask, spec.adjacency, spec.reclaimable()};
 }
@@ -34,7 +34,7 @@
 /// A job that holds slots.
 struct RunningJob
 {
-    JobSpec spec;
+    ScheduledJob spec;
     int workspace = 0;
     MonoTime since;
     std::uint64_t sequence = 0;
@@ -94,8 +94,8 @@
     bool fleetChanged = true;
 
     auto indexOf(const WorkspaceId &workspace) -> int;
-    [[nodiscard]] auto gangOf(const JobSpec &spec, int workspace) const -> GangRequest;
-    auto neverRuns(const JobSpec &spec, int workspace) -> std::optional<std::string>;
+    [[nodiscard]] auto gangOf(const ScheduledJob &spec, int workspace) const -> GangRequest;
+    auto neverRuns(const ScheduledJob &spec, int workspace) -> std::optional<std::string>;
     auto account(int allocation, int sign) -> void;
     auto recount() -> void;
     auto enter(WaitingJob &job, const Placement &placement, MonoTime now, Decisions &decisions) -> void;
--- a/packages/policy/testing/fleetchanges_test.cpp
+++ b/packages/policy/testing/fleetchanges_test.cpp
@@ -23,8 +23,8 @@
         };
         auto present = std::set<int>{};
         auto usable = std::set<int>{};
-        auto held = std::map<JobId, std::pair<JobSpec, std::vector<MemberPlacement>>>{};
-        auto known = std::map<JobId, JobSpec>{};
+        auto held = std::map<JobId, std::pair<ScheduledJob, std::vector<MemberPlacement>>>{};
+        auto known = std::map<JobId, ScheduledJob>{};
         auto now = MonoTime{};
         auto number = 0;
         for (auto step = 0; step < 400; ++step) {
@@ -32,15 +32,15 @@
             const auto act = uniform(random, 12);
             const auto w = static_cast<int>(uniform(random, 9));
             if (act < 4) {
-                const auto spec = JobSpec{.job = JobId{"j" + std::to_string(number++)},
-                                          .workspace = WorkspaceId{"s" + std::to_string(uniform(random, 3))},
-                                          .caller = CallerId{std::to_string(uniform(random, 2))},
-                                          .tasks = 1 + static_cast<int>(uniform(random, 5)),
-                                          .slotsPerTask = 1 + static_cast<int>(uniform(random, 16)),
-                                          .adjacency = static_cast<Adjacency>(uniform(random, 3)),
-                                          .urgency = static_cast<Urgency>(uniform(random, 3)),
-                                          .checkpointable = uniform(random, 2) == 0,
-                                          .restartable = uniform(random, 2) == 0};
+                const auto spec = ScheduledJob{.job = JobId{"j" + std::to_string(number++)},
+                                               .workspace = WorkspaceId{"s" + std::to_string(uniform(random, 3))},
+                                               .caller = CallerId{std::to_string(uniform(random, 2))},
+                                               .tasks = 1 + static_cast<int>(uniform(random, 5)),
+                                               .slotsPerTask = 1 + static_cast<int>(uniform(random, 16)),
+                                               .adjacency = static_cast<Adjacency>(uniform(random, 3)),
+                                               .urgency = static_cast<Urgency>(uniform(random, 3)),
+                                               .checkpointable = uniform(random, 2) == 0,
+                                               .restartable = uniform(random, 2) == 0};
                 if (scheduler.submit(spec, now)) {
                     known[spec.job] = spec;
                 }
--- a/packages/policy/testing/scheduler_test.cpp
+++ b/packages/policy/testing/scheduler_test.cpp
@@ -43,7 +43,7 @@
     }
 }
 
-auto job(const char *id, const char *workspace, int tasks, int slots) -> JobSpec
+auto job(const char *id, const char *workspace, int tasks, int slots) -> ScheduledJob
 {
     return {.job = JobId{id},
             .workspace = WorkspaceId{workspace},
@@ -254,13 +254,13 @@
                                             {.name = WorkspaceId{"s2"}, .quotaSlots = 30}}});
         struct Held
         {
-            JobSpec spec;
+            ScheduledJob spec;
             std::vector<MemberPlacement> members;
             bool covered;
         };
         auto held = std::map<std::string, Held>{};
         auto stopping = std::vector<JobId>{};
-        auto waiting = std::map<std::string, JobSpec>{};
+        auto waiting = std::map<std::string, ScheduledJob>{};
         auto now = 0;
         auto number = 0;
         const auto decide = [&] {
@@ -326,7 +326,7 @@
                 scheduler.jobEnded(id, JobEnd::Succeeded, at(now));
             } else if (act == 8 && !waiting.empty()) {
                 auto it = std::next(waiting.begin(), uniform(random, static_cast<std::uint32_t>(waiting.size())));
-                REQUIRE(scheduler.cancel(JobId{it->first}) == CancelResult::Removed);
+                REQUIRE(scheduler.cancel(JobId{it->first}) == JobCancelResult::Removed);
                 waiting.erase(it);
             } else {
                 finishStopping();
@@ -385,7 +385,7 @@
     CHECK(scheduler.stats().coveredSlots == 4);
     CHECK(scheduler.adopt(job("other", "b", 1, 1), {{WorkerId{"w1"}, 0b10000}}, at(0)).error().code == ErrorCode::Conflict);
     CHECK(scheduler.adopt(job("other", "b", 1, 1), {{WorkerId{"w9"}, 1}}, at(0)).error().code == ErrorCode::NotFound);
-    CHECK(scheduler.cancel(JobId{"r"}) == CancelResult::Running);
+    CHECK(scheduler.cancel(JobId{"r"}) == JobCancelResult::Running);
 }
 
 TEST_CASE("failures are attributed to the job or to the worker, and quarantine is bounded")
