Find the pages that tests read through the source folder

Cause: a compiler cache that shortens __FILE__ made two tests read no page. Change: the build passes the source folder to every test program.

--- a/cmake/CatkinPackage.cmake
+++ b/cmake/CatkinPackage.cmake
@@ -24,6 +24,8 @@
         add_executable(${name}_test ${sources} ${PROJECT_SOURCE_DIR}/testing/doctestmain.cpp)
         target_link_libraries(${name}_test PRIVATE ${name} ${ARG_LIBS})
         target_compile_options(${name}_test PRIVATE -Wall -Wextra -Wno-missing-field-initializers)
+        # Tests that compare pages in docs with the code find them here.
+        target_compile_definitions(${name}_test PRIVATE CATKIN_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
         add_test(NAME ${name} COMMAND ${name}_test)
     endif()
 endfunction()
--- a/packages/daemon/testing/metrics_test.cpp
+++ b/packages/daemon/testing/metrics_test.cpp
@@ -87,7 +87,7 @@
 
 TEST_CASE("docs/metrics.md lists exactly the metrics that the daemon exports")
 {
-    auto in = std::ifstream(std::filesystem::path(__FILE__).parent_path() / "../../../docs/metrics.md");
+    auto in = std::ifstream(std::filesystem::path(CATKIN_SOURCE_DIR) / "docs/metrics.md");
     const auto page = std::string(std::istreambuf_iterator<char>(in), {});
     const auto documented = allMatches(page, "\\| `(catkin_[a-z_]+)`");
     auto metrics = Metrics{{}};
--- a/packages/daemon/testing/settings_test.cpp
+++ b/packages/daemon/testing/settings_test.cpp
@@ -140,7 +140,7 @@
 
 TEST_CASE("the shipped example is valid, because operators start from it")
 {
-    const auto read = loadSettings((std::filesystem::path(__FILE__).parent_path() / "../../../examples/settings.toml").string());
+    const auto read = loadSettings((std::filesystem::path(CATKIN_SOURCE_DIR) / "examples/settings.toml").string());
     CHECK_MESSAGE(read.errors.empty(), format(read));
     CHECK(read.settings.instance == InstanceId{"entry-oviedo-1"});
 }
