--- a/packages/ports/httpclient.cpp
+++ b/packages/ports/httpclient.cpp
@@ -102,9 +102,12 @@
     auto port = 0;
     const auto *const end = address.data() + address.size();
     const auto [ptr, ec] = std::from_chars(address.data() + colon + 1, end, port);
-    if (ec != std::errc{} || ptr != end || port < (use == AddressUse::Listen ? 0 : 1) || port > maxPort) {
+    if (ec != std::errc{} || ptr != end || port < 0 || port > maxPort) {
         return failure(ErrorCode::InvalidInput, "address '" + address + "' has no valid port");
     }
+    if (port == 0 && use == AddressUse::Connect) {
+        return failure(ErrorCode::InvalidInput, "address '" + address + "' needs a port above 0");
+    }
     if (!isAddress(bracketed ? AF_INET6 : AF_INET, host)) {
         return failure(ErrorCode::InvalidInput, "address '" + address + "' does not start with an IP number");
     }
--- a/testing/system/deployment.cpp
+++ b/testing/system/deployment.cpp
@@ -21,6 +21,7 @@
 using nlohmann::json;
 
 constexpr auto callerToken = "caller-token-of-the-test";
+constexpr auto neighbourToken = "neighbour-token-of-the-test";
 constexpr auto operatorToken = "operator-token-of-the-test";
 constexpr auto peerKey = "0123456789abcdef0123456789abcdef";
 constexpr auto startTimeout = Millis{20'000};
@@ -91,7 +92,7 @@
 auto Deployment::start() -> void
 {
     m_platform = take(startStandin("platform_standin", {"--threads", "128"}), "platform");
-    m_platformRelay = std::make_unique<Relay>(m_platform->port());
+    m_platformRelay = std::make_unique<Relay>(m_platform->port(), m_shape.platformDelay);
     for (const auto &domain : m_shape.domains) {
         for (auto i = 0; i < domain.executors; ++i) {
             auto process = take(startStandin("executor_standin", {"--busy-ms", std::to_string(m_shape.executorBusyMs), "--threads", "72"}), "executor");
@@ -287,15 +288,19 @@
         }
         return out;
     };
+    const auto workspace = [](const std::string &name, const char *token) {
+        return json{{"name", name}, {"weight", 10}, {"tokens", json::array({sha256Hex(token)})}, {"urgent_share_percent", 50}, {"guarantees", json::array()}};
+    };
+    const auto service = [](const std::string &name, const std::string &owner) {
+        return json{{"name", name}, {"workspace", owner}, {"kinds", {"plan", "book", "simulate", "mold"}}};
+    };
+    auto owner = workspace(m_shape.workspace, callerToken);
+    const auto slots = m_shape.guaranteeSlots > 0 ? m_shape.guaranteeSlots : m_shape.slots;
+    owner["guarantees"].push_back({{"domain", m_shape.domains.front().name}, {"slots", slots}, {"count", 1}});
     return {
         {"format", 1},
-        {"workspaces",
-         json::array({{{"name", m_shape.workspace},
-                       {"weight", 10},
-                       {"tokens", json::array({sha256Hex(callerToken)})},
-                       {"urgent_share_percent", 50},
-                       {"guarantees", json::array({{{"domain", m_shape.domains.front().name}, {"slots", m_shape.slots}, {"count", 1}}})}}})},
-        {"services", json::array({{{"name", "service"}, {"workspace", m_shape.workspace}, {"kinds", {"plan", "book", "simulate", "mold"}}}})},
+        {"workspaces", json::array({owner, workspace("neighbour", neighbourToken)})},
+        {"services", json::array({service("service", m_shape.workspace), service("other-service", "neighbour")})},
         {"kinds", json::array({kind("plan", "request", true), kind("book", "request", false), kind("simulate", "job", true), kind("mold", "job", false)})},
         {"objectives", json::array({{{"workspace", m_shape.workspace}, {"kind", "plan"}, {"latency_ms", 1000}, {"target_percent", 99.0}}})},
         {"tolerate", {{"workers", 1}, {"racks", 0}}},
@@ -303,9 +308,10 @@
     };
 }
 
-auto Deployment::caller(std::size_t index, const std::string &method, const std::string &path, const std::string &body, Millis timeout) -> Result<HttpReply>
+auto Deployment::caller(std::size_t index, const std::string &method, const std::string &path, const std::string &body, Millis timeout, bool neighbour)
+    -> Result<HttpReply>
 {
-    return exchange(m_entries.at(index).callers, callerToken, method, path, body, timeout);
+    return exchange(m_entries.at(index).callers, neighbour ? neighbourToken : callerToken, method, path, body, timeout);
 }
 
 auto Deployment::operate(std::size_t index, const std::string &method, const std::string &path, const std::string &body) -> Result<HttpReply>
@@ -342,18 +348,18 @@
     return call;
 }
 
-auto Deployment::submit(std::size_t index, const json &job) -> std::optional<std::string>
+auto Deployment::submit(std::size_t index, const json &job, bool neighbour) -> std::optional<std::string>
 {
-    const auto reply = caller(index, "POST", "/v1/jobs", job.dump(), Millis{8'000});
+    const auto reply = caller(index, "POST", "/v1/jobs", job.dump(), Millis{8'000}, neighbour);
     if (!reply || reply.value().status >= 300) {
         return std::nullopt;
     }
     return json::parse(reply.value().body).at("job").get<std::string>();
 }
 
-auto Deployment::jobState(std::size_t index, const std::string &job) -> std::string
+auto Deployment::jobState(std::size_t index, const std::string &job, bool neighbour) -> std::string
 {
-    const auto reply = caller(index, "GET", "/v1/jobs/" + job, {}, Millis{3'000});
+    const auto reply = caller(index, "GET", "/v1/jobs/" + job, {}, Millis{3'000}, neighbour);
     if (!reply || reply.value().status != 200) {
         return {};
     }
--- a/testing/system/deployment.h
+++ b/testing/system/deployment.h
@@ -39,8 +39,10 @@
 {
     std::vector<DomainShape> domains;
     std::string workspace; ///< whose token the calls bear
+    int guaranteeSlots = 0; ///< of its one guaranteed shape; 0: one worker's slots
     int slots = 8;
     int executorBusyMs = 20;
+    Millis platformDelay{0}; ///< one way between the entry instances and the platform
     std::string leases = "probation = \"1500ms\"\nrun = \"6s\"\nrenew = \"1s\"\n"; ///< the settings' section [leases]
 };
 
@@ -103,11 +105,14 @@
     /// The way from the entry instances to the platform, for outages that leave the platform's own state alone.
     auto platformRelay() -> Relay &;
 
-    /// @return a document with one workspace, kinds `plan`, `book`, `simulate` and `mold`, and a guarantee.
+    /// @return a document with one workspace that has a guarantee, a neighbour without one, and kinds
+    /// `plan`, `book`, `simulate` and `mold` for both.
     [[nodiscard]] auto document() const -> nlohmann::json;
 
-    /// Sends an HTTP call with the workspace's token to an entry instance.
-    auto caller(std::size_t index, const std::string &method, const std::string &path, const std::string &body, Millis timeout) -> Result<HttpReply>;
+    /// Sends an HTTP call with a workspace's token to an entry instance.
+    /// @param neighbour whether it is the second workspace's, which has no guarantee
+    auto caller(std::size_t index, const std::string &method, const std::string &path, const std::string &body, Millis timeout, bool neighbour = false)
+        -> Result<HttpReply>;
     /// Sends an HTTP call with the operator's token.
     auto operate(std::size_t index, const std::string &method, const std::string &path, const std::string &body = {}) -> Result<HttpReply>;
 
@@ -115,9 +120,9 @@
     auto request(std::size_t index, const RequestParams &params) -> Call;
     /// Submits a job.
     /// @return its id, or nothing when it was not accepted.
-    auto submit(std::size_t index, const nlohmann::json &job) -> std::optional<std::string>;
+    auto submit(std::size_t index, const nlohmann::json &job, bool neighbour = false) -> std::optional<std::string>;
     /// @return the state of a job as an instance reports it; empty when it does not answer.
-    auto jobState(std::size_t index, const std::string &job) -> std::string;
+    auto jobState(std::size_t index, const std::string &job, bool neighbour = false) -> std::string;
 
     /// Adds what the backend servers recorded.
     auto collect(History &history) -> void;
