Let a quiet stream append a burst at once

Cause: every record waited for the period since the stream's last append, so the second of two bookings in a row waited up to 50 ms for no reason. Ruled out: a shorter period; eight instances would exceed the log's several hundred appends a second. Change: a token bucket with the same mean rate of 20 appends a second and a burst of 10; status polls are limited to 40 a second per planner, because one poll a second of a worker costs 0.023% of a core. Measured, five bookings in a row and then a pause: median 50.0 ms before and 1.5 ms after with the log near, 50.0 ms before and 83.2 ms after with the log 20 ms away (p90 91.9 and 84.1 ms: append and read back take four one-way trips). Without pauses both stay at 50.0 ms, the mean rate.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -509,6 +509,12 @@
     noteStatus(id, reply.value().status);
 }
 
+auto DomainPlanner::pollPeriod() const -> Micros
+{
+    const auto bounded = Micros{Seconds{1}} * static_cast<std::int64_t>(m_workers.size()) / m_context.options.maxPollsPerSecond;
+    return std::max(Micros{m_context.options.pollPeriod}, bounded);
+}
+
 auto DomainPlanner::poll(const WorkerId &id, MonoTime now) -> void
 {
     auto &worker = m_workers.at(id);
@@ -569,8 +575,9 @@
             }
         }
     }
+    const auto period = pollPeriod();
     for (const auto &[id, it] : m_workers) {
-        if (!m_gangs.busy(id) && now - it.lastPoll >= m_context.options.pollPeriod) {
+        if (!m_gangs.busy(id) && now - it.lastPoll >= period) {
             poll(id, now);
         }
     }
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -39,7 +39,8 @@
     InstanceId instance;
     SchedulerOptions scheduler;
     GangOptions gangs;
-    Millis pollPeriod{500}; ///< between status polls of one worker
+    Millis pollPeriod{500}; ///< least time between status polls of one worker
+    int maxPollsPerSecond = 40; ///< over all workers of the failure domain; bounds the planner's processor time
     Millis claimWait{2'000}; ///< longest wait for the first status of unreachable workers before claiming
     Millis adoptWait{30'000}; ///< longest wait for unreachable workers before an incomplete gang is ended
     Millis attemptWait{3'000}; ///< longest wait for the log to confirm an attempt
@@ -141,6 +142,7 @@
     auto sendOrders(const WorkerId &id, std::vector<WorkerOrder> orders) -> void;
     auto ordersDone(const WorkerId &id, const std::vector<WorkerOrder> &orders, const Result<OrdersReply> &reply) -> void;
     auto poll(const WorkerId &id, MonoTime now) -> void;
+    auto pollPeriod() const -> Micros;
     auto pollDone(const WorkerId &id, const Result<WorkerStatus> &status) -> void;
     auto noteStatus(const WorkerId &id, const WorkerStatus &status) -> void;
     auto noteStale(MonoTime now) -> void;
--- a/packages/daemon/logwriter.cpp
+++ b/packages/daemon/logwriter.cpp
@@ -111,6 +111,15 @@
     }
 }
 
+auto LogWriter::pacingDelay(Stream &stream) -> Micros
+{
+    const auto now = m_clock.mono();
+    // A token bucket: unused appends are saved up to the burst, so a lone record does not wait for the period.
+    const auto saved = m_options.minPeriod * m_options.burst;
+    stream.earliest = std::max(stream.earliest, now - saved) + m_options.minPeriod;
+    return std::max(Micros{0}, stream.earliest - now);
+}
+
 auto LogWriter::run(const std::string &name, Stream &stream) -> void
 {
     auto delay = m_options.retryDelay;
@@ -138,7 +147,7 @@
 
         auto lock = std::unique_lock{m_mutex};
         const auto retained = failed && !stream.queue.empty() && !stream.queue.front().done;
-        const auto pause = retained ? delay : m_options.minPeriod;
+        const auto pause = retained ? Micros{delay} : pacingDelay(stream);
         delay = failed ? std::min(delay * 2, m_options.maxRetryDelay) : m_options.retryDelay;
         m_changed.wait_for(lock, pause, [&] { return m_stopping; });
     }
--- a/packages/daemon/logwriter.h
+++ b/packages/daemon/logwriter.h
@@ -27,7 +27,8 @@
 
 struct LogWriterOptions
 {
-    Millis minPeriod{50}; ///< time between two appends of one stream: 20 a second, 160 for 8 instances
+    Millis minPeriod{50}; ///< mean time between two appends of one stream: 20 a second, 160 for 8 instances
+    int burst = 10; ///< appends of one stream that may follow each other at once after a quiet time
     std::size_t maxGroupBytes = std::size_t{256} << 10U;
     std::size_t maxPendingBytes = std::size_t{8} << 20U; ///< records beyond this are refused
     Millis retryDelay{500}; ///< before appendEventually() tries again, doubled up to maxRetryDelay
@@ -75,10 +76,12 @@
         std::deque<Pending> queue;
         std::thread thread;
         std::size_t inFlight = 0;
+        MonoTime earliest{}; ///< by which time the appends so far would have been made at the mean rate
     };
 
     auto enqueue(const std::string &name, Pending pending) -> Result<void>;
     auto run(const std::string &name, Stream &stream) -> void;
+    auto pacingDelay(Stream &stream) -> Micros;
     auto takeGroup(Stream &stream) -> std::vector<Pending>;
     auto finishGroup(Stream &stream, std::vector<Pending> group, const Result<LogOffset> &result) -> void;
 
--- a/testing/system/figures.cpp
+++ b/testing/system/figures.cpp
@@ -90,11 +90,14 @@
     site.start();
     const auto suffix = ", log " + std::to_string(delay.count()) + " ms away";
     constexpr auto count = 200;
-    const auto measure = [&](const std::string &name, const std::function<RequestParams(int)> &make) {
+    const auto measure = [&](const std::string &name, const std::function<RequestParams(int)> &make, int pauseAfter = 0) {
         auto times = std::vector<double>{};
         const auto bytes = site.platformRelay().bytesPassed();
         const auto begun = std::chrono::steady_clock::now();
         for (auto i = 0; i < count; ++i) {
+            if (pauseAfter > 0 && i % pauseAfter == 0) {
+                std::this_thread::sleep_for(Millis{600});
+            }
             const auto params = make(i);
             const auto started = std::chrono::steady_clock::now();
             if (site.request(0, params).result == CallResult::Answer) {
@@ -109,9 +112,13 @@
                     seconds);
     };
     measure("idempotent request", [](int) { return RequestParams{.kind = "plan", .payload = R"({"key":"p"})"}; });
-    measure("booking by intent record", [](int i) {
-        return RequestParams{.kind = "book", .key = "k" + std::to_string(i), .firstSentMs = wallMs(), .attempt = 1, .payload = R"({"key":"b"})"};
-    });
+    const auto plainKey = [](const char *prefix) {
+        return [prefix](int i) {
+            return RequestParams{.kind = "book", .key = prefix + std::to_string(i), .firstSentMs = wallMs(), .attempt = 1, .payload = R"({"key":"b"})"};
+        };
+    };
+    measure("booking by intent record, without pause", plainKey("k"));
+    measure("booking by intent record, five in a row, then a pause", plainKey("p"), 5);
     measure("booking by ticket, ticket included", [&](int) {
         const auto reply = site.caller(0, "POST", "/v1/tickets", "{}", Millis{3'000});
         const auto key = reply ? json::parse(reply.value().body).value("key", std::string{}) : std::string{};
