Feed every metric from the part that knows it

daemon.cpp fed 6 of the 42 metrics; the others stayed absent or at zero, so dashboards and alerts built on them would have shown nothing.

The new pair daemon/telemetry.h/.cpp gathers them. Calls of the log, the executors and the workers are counted by wrapping their ports; counters and views that exist already (request figures, queues, executors, planner views, mesh counters, membership) are read when /metrics is scraped. What neither shows comes through narrow hooks: three fields of RequestReply, and callbacks for recorded job steps, applied configurations, decisions and preemptions. Counters in the scheduler and in each service for the same events were ruled out: they would exist twice. The service-level table moves from daemon.cpp into Telemetry; a job's first start now counts towards its objective, as state/slo.h states. Calls without a valid credential count as refusals.

peer_reconnects_total becomes peer_links_closed_total, because the mesh counts links that end, not links that replace others. The refusal reasons draining and link_budget go, since the callers' interface does not report the first and the budget delays instead of refusing; no_executor and retry_budget come. Series with fixed labels appear from the start.

--- a/packages/daemon/configservice.cpp
+++ b/packages/daemon/configservice.cpp
@@ -77,6 +77,15 @@
 }
 
 auto ConfigService::apply(ConfigVersion base, const std::string &author, const std::string &text, std::span<const DomainFleet> fleet) -> ApplyResult
+{
+    auto result = propose(base, author, text, fleet);
+    if (m_options.applied) {
+        m_options.applied(result.outcome);
+    }
+    return result;
+}
+
+auto ConfigService::propose(ConfigVersion base, const std::string &author, const std::string &text, std::span<const DomainFleet> fleet) -> ApplyResult
 {
     auto parsed = validate(text, fleet);
     if (!parsed.errors.empty()) {
--- a/packages/daemon/configservice.h
+++ b/packages/daemon/configservice.h
@@ -53,6 +53,7 @@
     Seconds retention{86'400}; ///< how long the log keeps records
     Millis applyTimeout{5'000}; ///< longest wait for the own change to come back from the log
     LogTailOptions tail;
+    std::function<void(ApplyOutcome)> applied; ///< called with the result of each apply(); may be empty
 };
 
 class ConfigService
@@ -88,6 +89,7 @@
 private:
     auto applyPage(const LogPage &page, bool restart) -> void;
     auto publish() -> void;
+    auto propose(ConfigVersion base, const std::string &author, const std::string &text, std::span<const DomainFleet> fleet) -> ApplyResult;
     auto decide(const ConfigChange &change, const Result<LogOffset> &appended) -> ApplyResult;
 
     LogWriter &m_writer;
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -8,17 +8,16 @@
 #include "daemon/intentservice.h"
 #include "daemon/jobservice.h"
 #include "daemon/logwriter.h"
-#include "daemon/metrics.h"
 #include "daemon/operatorapi.h"
 #include "daemon/plannerservice.h"
 #include "daemon/requestservice.h"
+#include "daemon/telemetry.h"
 #include "daemon/ticketservice.h"
 #include "daemon/workpool.h"
 #include "ports/httpexecutor.h"
 #include "ports/httpinstancelist.h"
 #include "ports/httplog.h"
 #include "ports/httpworker.h"
-#include "state/slo.h"
 #include "util/digest.h"
 #include "util/logging.h"
 #include "wire/peermesh.h"
@@ -53,19 +52,6 @@
     return std::chrono::duration_cast<Seconds>(settings.requests.logRetention);
 }
 
-auto toRegistryResult(RequestVerdict verdict) -> MetricRequestResult
-{
-    switch (verdict) {
-    case RequestVerdict::Answer:
-        return MetricRequestResult::Answer;
-    case RequestVerdict::NotRun:
-        return MetricRequestResult::NotRun;
-    case RequestVerdict::OutcomeUnknown:
-        break;
-    }
-    return MetricRequestResult::OutcomeUnknown;
-}
-
 auto toTicketResult(const RequestReply &reply) -> TicketResult
 {
     return {
@@ -128,7 +114,6 @@
     auto forgetSilentPeers() -> void;
     auto carryRecords() -> void;
     auto metricsText() -> std::string;
-    auto requestFinished(const RequestCall &call, const RequestReply &reply, Millis latency) -> void;
 
     Settings settings;
     Clock clock;
@@ -137,10 +122,7 @@
     std::atomic<bool> draining{false}; ///< not ready any more; still serving
     std::atomic<bool> closing{false}; ///< refusing new work
     std::atomic<bool> drainRequested{false};
-    std::atomic<std::uint64_t> unauthorizedCalls{0};
-    Metrics metrics;
-    std::mutex sloMutex;
-    SloTable slo;
+    Telemetry telemetry;
     LogPort log;
     ExecutorPort executorPort;
     LogWriter writer;
@@ -168,9 +150,9 @@
     : settings(given)
     , clock(time)
     , incarnation{time.wall().time_since_epoch().count()}
-    , metrics(MetricsOptions{})
-    , log(makeHttpLog({.address = given.platform.log, .timeout = given.platform.timeout}))
-    , executorPort(makeHttpExecutor({.maxAnswerBytes = static_cast<std::size_t>(given.limits.answerBody.value)}))
+    , telemetry(time)
+    , log(telemetry.observed(makeHttpLog({.address = given.platform.log, .timeout = given.platform.timeout})))
+    , executorPort(telemetry.observed(makeHttpExecutor({.maxAnswerBytes = static_cast<std::size_t>(given.limits.answerBody.value)})))
     , writer(log, time, {})
     , pool(static_cast<std::size_t>(given.limits.dispatchThreads), maxQueuedWork)
     , mesh(meshOptions(), meshHandlers(), time)
@@ -178,7 +160,10 @@
     , config(log,
              writer,
              time,
-             {.instance = given.instance, .retention = retentionOf(given), .tail = logTailOptions(given)},
+             {.instance = given.instance,
+              .retention = retentionOf(given),
+              .tail = logTailOptions(given),
+              .applied = [this](ApplyOutcome outcome) { telemetry.configApplied(outcome); }},
              [this](const ActiveConfig &active) { configChanged(active); })
     , intents(log,
               writer,
@@ -190,11 +175,13 @@
                intents,
                time,
                requestOptions(),
-               [this](const RequestCall &call, const RequestReply &reply, Millis latency) { requestFinished(call, reply, latency); })
+               [this](const RequestCall &call, const RequestReply &reply, Millis latency) {
+                   telemetry.requestFinished(call, reply, latency, config.active().get());
+               })
     , jobs(log,
            writer,
            time,
-           {.tail = logTailOptions(given)},
+           {.tail = logTailOptions(given), .recorded = [this](const Job &job, const JobRecord &record) { telemetry.jobRecorded(job, record); }},
            [this] {
                if (assembled) {
                    planners->jobsChanged();
@@ -317,7 +304,9 @@
 
 auto Daemon::Impl::plannerContext() -> PlannerContext
 {
-    auto context = PlannerContext{.workers = makeHttpWorker(), .jobs = &jobs, .pool = &pool, .clock = clock};
+    auto context = PlannerContext{.workers = telemetry.observed(makeHttpWorker()), .jobs = &jobs, .pool = &pool, .clock = clock};
+    context.decided = [this](Micros took) { telemetry.placementDecided(took); };
+    context.preempted = [this](const Job &job) { telemetry.jobPreempted(job); };
     context.options.instance = settings.instance;
     context.options.pollPeriod = settings.poll.workers;
     context.options.gangs.probationTtl = settings.leases.probation;
@@ -339,7 +328,7 @@
         .draining = &closing,
         .forwardTicket = [this](const Ticket &ticket, const RequestCall &call) { return forwardTicket(ticket, call); },
         .noticeJob = [this](const Job &job) { noticeJob(job); },
-        .unauthorized = [this] { ++unauthorizedCalls; },
+        .unauthorized = [this] { telemetry.unauthorized(); },
     };
 }
 
@@ -359,12 +348,8 @@
         .metrics = [this] { return metricsText(); },
         .readiness = [this] { return readiness(); },
         .drain = [this] { drainRequested = true; },
-        .slo =
-            [this] {
-                const auto lock = std::lock_guard{sloMutex};
-                return slo.report(clock.mono());
-            },
-        .unauthorized = [this] { ++unauthorizedCalls; },
+        .slo = [this] { return telemetry.slo(); },
+        .unauthorized = [this] { telemetry.unauthorized(); },
     };
 }
 
@@ -373,10 +358,7 @@
     if (!assembled) {
         return;
     }
-    {
-        const auto lock = std::lock_guard{sloMutex};
-        slo.configure(active.document.objectives);
-    }
+    telemetry.configChanged(active.document);
     requests.configChanged(active);
     planners->configChanged(std::make_shared<const ActiveConfig>(active));
     mesh.announce();
@@ -585,25 +567,17 @@
     }
 }
 
-auto Daemon::Impl::requestFinished(const RequestCall &call, const RequestReply &reply, Millis latency) -> void
-{
-    const auto answered = reply.verdict == RequestVerdict::Answer;
-    {
-        const auto lock = std::lock_guard{sloMutex};
-        slo.observe(call.workspace, call.kind, latency, answered, clock.mono());
-    }
-    // Names that the configuration does not know must not become series.
-    const auto active = config.active();
-    if (active && findKind(active->document, call.kind) != nullptr) {
-        metrics.requestFinished(call.workspace, call.kind, toRegistryResult(reply.verdict), latency);
-    }
-}
-
 auto Daemon::Impl::metricsText() -> std::string
 {
-    metrics.setReady(readiness().empty());
-    metrics.setDraining(draining);
-    return metrics.text();
+    return telemetry.scrape({
+        .requests = &requests,
+        .jobs = &jobs,
+        .config = &config,
+        .planners = planners.get(),
+        .mesh = &mesh,
+        .ready = readiness().empty(),
+        .draining = draining,
+    });
 }
 
 Daemon::Daemon(const Settings &settings, const Clock &clock)
--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -381,12 +381,19 @@
 
 auto DomainPlanner::decide(MonoTime now) -> std::optional<MonoTime>
 {
+    const auto before = m_context.clock.mono();
     const auto decisions = m_scheduler.decide(now);
+    if (m_context.decided && !(decisions.starts.empty() && decisions.preemptions.empty())) {
+        m_context.decided(m_context.clock.mono() - before);
+    }
     for (const auto &it : decisions.starts) {
         startGang(it, now);
     }
     for (const auto &it : decisions.preemptions) {
         logEvent(LogLevel::Info, 2406, "job " + it.job.str() + " gives way to " + it.beneficiary.str());
+        if (const auto job = m_context.preempted ? m_context.jobs->find(it.job) : std::nullopt) {
+            m_context.preempted(*job);
+        }
         m_gangs.stop(it.job, true, "preempted by " + it.beneficiary.str(), now);
     }
     for (const auto &it : decisions.parked) {
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -55,6 +55,8 @@
     Clock clock;
     PlannerOptions options;
     std::function<void()> wake; ///< wakes the planner thread
+    std::function<void(Micros)> decided; ///< duration of a decision that started or stopped jobs; may be empty
+    std::function<void(const Job &)> preempted; ///< a job is stopped for another one; may be empty
 };
 
 /// A worker as operators see it.
--- a/packages/daemon/jobservice.cpp
+++ b/packages/daemon/jobservice.cpp
@@ -47,6 +47,7 @@
     : m_writer(writer)
     , m_clock(clock)
     , m_notify(std::move(changed))
+    , m_recorded(options.recorded)
     , m_fold(options.fold)
     , m_carrier(options.instance, {.retention = options.retention})
     , m_tail(
@@ -136,7 +137,8 @@
         const auto lock = std::lock_guard{m_mutex};
         position = m_fold.position();
     }
-    const auto appended = m_writer.append("jobs", encodeRecord(JobRecord{JobAcceptRecord{.spec = spec, .position = position}}));
+    const auto accept = JobRecord{JobAcceptRecord{.spec = spec, .position = position}};
+    const auto appended = m_writer.append("jobs", encodeRecord(accept));
     if (!appended && appended.error().code != ErrorCode::Unknown) {
         return {.outcome = SubmitOutcome::NotAccepted, .reason = appended.error().message};
     }
@@ -153,10 +155,16 @@
         auto result = compare(*found);
         if (result.outcome == SubmitOutcome::Exists) {
             result.outcome = SubmitOutcome::Accepted;
+            if (m_recorded) {
+                m_recorded(*found, accept);
+            }
         }
         return result;
     }
     if (appended) {
+        if (m_recorded) {
+            m_recorded(Job{.spec = spec}, accept);
+        }
         // The record is in the log; only this instance has not read it back yet.
         return {.outcome = SubmitOutcome::Accepted, .job = Job{.spec = spec}};
     }
@@ -165,6 +173,11 @@
 
 auto JobService::record(const JobRecord &record) -> void
 {
+    if (m_recorded) {
+        if (const auto job = find(jobOf(record))) {
+            m_recorded(*job, record);
+        }
+    }
     {
         const auto lock = std::lock_guard{m_mutex};
         m_ahead[jobOf(record)].push_back(record);
--- a/packages/daemon/jobservice.h
+++ b/packages/daemon/jobservice.h
@@ -45,6 +45,8 @@
     Seconds retention{86'400}; ///< how long the log keeps records
     JobFoldOptions fold;
     LogTailOptions tail;
+    /// Called for each acceptance, start and end that this instance records, with the job as it was before; may be empty.
+    std::function<void(const Job &, const JobRecord &)> recorded;
 };
 
 class JobService
@@ -98,6 +100,7 @@
     LogWriter &m_writer;
     Clock m_clock;
     std::function<void()> m_notify;
+    std::function<void(const Job &, const JobRecord &)> m_recorded;
     mutable std::mutex m_mutex;
     std::condition_variable m_folded;
     JobFold m_fold;
--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -34,7 +34,7 @@
 
 constexpr auto requestResults = std::array{"answer", "not_run", "outcome_unknown"};
 constexpr auto refusalReasons
-    = std::array{"deadline", "queue_full", "caller_limit", "bad_input", "unauthorized", "log_unavailable", "not_ready", "draining", "link_budget"};
+    = std::array{"deadline", "queue_full", "caller_limit", "bad_input", "unauthorized", "log_unavailable", "not_ready", "no_executor", "retry_budget"};
 constexpr auto executorResults = std::array{"answer", "not_run", "error", "discarded"};
 constexpr auto mechanisms = std::array{"intent", "ticket"};
 constexpr auto jobEvents = std::array{"accepted", "started", "succeeded", "failed", "cancelled", "parked", "unknown", "requeued"};
@@ -43,7 +43,7 @@
 constexpr auto appendResults = std::array{"ok", "not_sent", "unknown"};
 constexpr auto linkClasses = std::array{"control", "payload"};
 constexpr auto directions = std::array{"sent", "received"};
-constexpr auto configResults = std::array{"accepted", "rejected", "conflict", "unknown"};
+constexpr auto configResults = std::array{"accepted", "rejected", "conflict", "not_applied", "unknown"};
 constexpr auto urgencies = std::array{"urgent", "normal", "batch"};
 constexpr auto backendStates = std::array{"usable", "lost", "quarantined", "leaving"};
 constexpr auto slotStates = std::array{"total", "free", "reclaimable", "leased", "lost"};
@@ -184,7 +184,7 @@
 
     CounterFamily linkBytes = counter("link_bytes_total", "Bytes exchanged with other regions by class", {"class", "direction"});
     CounterFamily linkRefused = counter("link_refused_total", "Sends to other regions that the byte budget refused", {"class"});
-    CounterFamily reconnects = counter("peer_reconnects_total", "Connections to peers that were opened again");
+    CounterFamily linksClosed = counter("peer_links_closed_total", "Connections to peers that ended after their handshake");
     GaugeFamily freshPeers = gauge("fresh_peers", "Peers with a fresh heartbeat");
     GaugeFamily ready = gauge("ready", "1 while the instance takes requests");
     GaugeFamily draining = gauge("draining", "1 while the instance drains");
@@ -199,6 +199,30 @@
 Metrics::Metrics(const MetricsOptions &options)
     : m_families(std::make_unique<Families>(options))
 {
+    // Series whose labels are all known are shown from the start, so that a rate over them has a first point.
+    auto &families = *m_families;
+    for (const auto *it : refusalReasons) {
+        families.refusals.at({it});
+    }
+    for (const auto *it : mechanisms) {
+        families.attempts.at({it});
+    }
+    for (const auto *it : urgencies) {
+        families.jobWait.at({it});
+    }
+    for (const auto *it : orderResults) {
+        families.orders.at({it});
+    }
+    for (const auto *it : configResults) {
+        families.configChanges.at({it});
+    }
+    for (const auto *stream : streams) {
+        families.appendSeconds.at({stream});
+        families.recordsRead.at({stream});
+        for (const auto *result : appendResults) {
+            families.appends.at({stream, result});
+        }
+    }
 }
 
 Metrics::~Metrics() = default;
@@ -219,9 +243,9 @@
     m_families->queueWait.at({kind.str()}).Observe(seconds(waited));
 }
 
-auto Metrics::retry(bool sent) -> void
+auto Metrics::retry(bool sent, std::uint64_t count) -> void
 {
-    m_families->retries.at({sent ? "sent" : "refused"}).Increment();
+    m_families->retries.at({sent ? "sent" : "refused"}).Increment(static_cast<double>(count));
 }
 
 auto Metrics::attemptStarted(AttemptMechanism mechanism) -> void
@@ -285,6 +309,14 @@
     m_families->orders.at({nameOf(orderResults, result)}).Increment();
 }
 
+auto Metrics::addWorkspace(const WorkspaceId &workspace) -> void
+{
+    m_families->preemptions.at({workspace.str()});
+    for (const auto *it : jobEvents) {
+        m_families->jobs.at({workspace.str(), it});
+    }
+}
+
 auto Metrics::setJobs(const WorkspaceId &workspace, std::size_t waiting, std::size_t running) -> void
 {
     m_families->jobsWaiting.at({workspace.str()}).Set(static_cast<double>(waiting));
@@ -343,14 +375,14 @@
     m_families->linkBytes.at({nameOf(linkClasses, linkClass), nameOf(directions, direction)}).Increment(static_cast<double>(bytes.value));
 }
 
-auto Metrics::linkRefused(MetricLinkClass linkClass) -> void
+auto Metrics::linkRefused(MetricLinkClass linkClass, std::uint64_t count) -> void
 {
-    m_families->linkRefused.at({nameOf(linkClasses, linkClass)}).Increment();
+    m_families->linkRefused.at({nameOf(linkClasses, linkClass)}).Increment(static_cast<double>(count));
 }
 
-auto Metrics::peerReconnected() -> void
+auto Metrics::peerLinksClosed(std::uint64_t count) -> void
 {
-    m_families->reconnects.at({}).Increment();
+    m_families->linksClosed.at({}).Increment(static_cast<double>(count));
 }
 
 auto Metrics::setFreshPeers(std::size_t count) -> void
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -15,6 +15,7 @@
 #include "util/units.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -22,7 +23,7 @@
 {
 
 enum class MetricRequestResult { Answer, NotRun, OutcomeUnknown };
-enum class MetricRefusal { Deadline, QueueFull, CallerLimit, BadInput, Unauthorized, LogUnavailable, NotReady, Draining, LinkBudget };
+enum class MetricRefusal { Deadline, QueueFull, CallerLimit, BadInput, Unauthorized, LogUnavailable, NotReady, NoExecutor, RetryBudget };
 enum class ExecutorResult { Answer, NotRun, Error, Discarded };
 enum class AttemptMechanism { Intent, Ticket };
 enum class JobEvent { Accepted, Started, Succeeded, Failed, Cancelled, Parked, Unknown, Requeued };
@@ -31,7 +32,7 @@
 enum class AppendResult { Ok, NotSent, Unknown };
 enum class MetricLinkClass { Control, Payload };
 enum class LinkDirection { Sent, Received };
-enum class ConfigResult { Accepted, Rejected, Conflict, Unknown };
+enum class ConfigResult { Accepted, Rejected, Conflict, NotApplied, Unknown };
 enum class JobUrgency { Urgent, Normal, Batch };
 enum class BackendState { Usable, Lost, Quarantined, Leaving };
 enum class SlotState { Total, Free, Reclaimable, Leased, Lost };
@@ -61,7 +62,7 @@
     auto requestFinished(const WorkspaceId &workspace, const KindId &kind, MetricRequestResult result, Micros latency) -> void;
     auto requestRefused(MetricRefusal reason) -> void;
     auto requestDequeued(const KindId &kind, Micros waited) -> void;
-    auto retry(bool sent) -> void; ///< @param sent whether the retry budget allowed it
+    auto retry(bool sent, std::uint64_t count = 1) -> void; ///< @param sent whether the retry budget allowed it
     auto attemptStarted(AttemptMechanism mechanism) -> void;
     auto executorCall(const KindId &kind, ExecutorResult result, Micros latency) -> void;
     auto setQueue(const WorkspaceId &workspace, std::size_t length) -> void;
@@ -78,6 +79,8 @@
     auto reclaimed(Micros took) -> void; ///< @param took from the decision until the slots were free
     auto placementDecided(Micros took) -> void;
     auto workerOrder(MetricOrderResult result) -> void;
+    /// Shows the job counters of a workspace from the start, at zero.
+    auto addWorkspace(const WorkspaceId &workspace) -> void;
     auto setJobs(const WorkspaceId &workspace, std::size_t waiting, std::size_t running) -> void;
     auto setWorkers(BackendState state, std::size_t count) -> void;
     auto setSlots(SlotState state, SlotCount slots) -> void;
@@ -97,8 +100,8 @@
     /// @name Peers, link and process
     /// @{
     auto linkTraffic(MetricLinkClass linkClass, LinkDirection direction, Bytes bytes) -> void;
-    auto linkRefused(MetricLinkClass linkClass) -> void;
-    auto peerReconnected() -> void;
+    auto linkRefused(MetricLinkClass linkClass, std::uint64_t count = 1) -> void;
+    auto peerLinksClosed(std::uint64_t count) -> void;
     auto setFreshPeers(std::size_t count) -> void;
     auto setReady(bool ready) -> void;
     auto setDraining(bool draining) -> void;
--- a/packages/daemon/requestservice.cpp
+++ b/packages/daemon/requestservice.cpp
@@ -1,5 +1,6 @@
 #include "daemon/requestservice.h"
 
+#include "daemon/requestreply.h"
 #include "util/digest.h"
 #include "util/logging.h"
 
@@ -14,76 +15,6 @@
 {
 
 constexpr auto requestIdBytes = std::size_t{12};
-constexpr auto statusOk = 200;
-constexpr auto statusBadRequest = 400;
-constexpr auto statusForbidden = 403;
-constexpr auto statusTooLarge = 413;
-constexpr auto statusTooMany = 429;
-constexpr auto statusUnavailable = 503;
-constexpr auto statusUnknown = 504;
-
-auto notRun(int status, std::string reason, Millis retryAfter = Millis{0}) -> RequestReply
-{
-    return {.verdict = RequestVerdict::NotRun, .status = status, .reason = std::move(reason), .retryAfter = retryAfter};
-}
-
-auto unknownOutcome(std::string reason) -> RequestReply
-{
-    return {.verdict = RequestVerdict::OutcomeUnknown, .status = statusUnknown, .reason = std::move(reason)};
-}
-
-auto refusalText(RefusalReason reason) -> const char *
-{
-    switch (reason) {
-    case RefusalReason::UnknownWorkspace:
-        return "the workspace is not configured";
-    case RefusalReason::UnknownKind:
-        return "the kind is not configured";
-    case RefusalReason::CallerLimit:
-        return "the caller has too many requests in progress";
-    case RefusalReason::QueueFull:
-        return "the queue is full";
-    case RefusalReason::ExpectedWait:
-        return "the expected wait exceeds the deadline";
-    case RefusalReason::DeadlinePassed:
-        return "the deadline passed while the request was queued";
-    case RefusalReason::NoExecutor:
-        return "no executor is available";
-    case RefusalReason::RetryBudget:
-        return "the executors refused the request and the retry budget is spent";
-    case RefusalReason::Cancelled:
-        return "the request was cancelled";
-    }
-    return "refused";
-}
-
-auto fromRefusal(const RequestRefusal &refusal, bool mayHaveRun) -> RequestReply
-{
-    if (mayHaveRun) {
-        return unknownOutcome(refusalText(refusal.reason));
-    }
-    const auto limited = refusal.reason == RefusalReason::CallerLimit || refusal.reason == RefusalReason::QueueFull;
-    const auto invalid = refusal.reason == RefusalReason::UnknownKind || refusal.reason == RefusalReason::UnknownWorkspace;
-    const auto status = invalid ? statusBadRequest : limited ? statusTooMany : statusUnavailable;
-    return notRun(status, refusalText(refusal.reason), refusal.retryAfter);
-}
-
-auto fromClaim(const Claim &claim) -> RequestReply
-{
-    switch (claim.kind) {
-    case ClaimKind::NotStarted:
-        return notRun(statusUnavailable, claim.reason, Millis{1000});
-    case ClaimKind::Settled:
-        if (claim.outcome.verdict == RequestVerdict::Answer) {
-            return {.verdict = RequestVerdict::Answer, .status = statusOk, .request = claim.outcome.request, .answer = claim.outcome.answer};
-        }
-        return unknownOutcome(claim.outcome.reason);
-    case ClaimKind::Won:
-    case ClaimKind::Undecided:
-        break;
-    }
-    return unknownOutcome(claim.reason);
-}
 
 auto toOutcome(const Error &error) -> DispatchOutcome
 {
@@ -118,6 +49,10 @@
 struct RequestService::Waiter
 {
     std::condition_variable changed;
+    MonoTime queuedAt{};
+    Bytes bytes;
+    bool queued = true; ///< no attempt is at an executor
+    std::optional<Micros> waited; ///< until the first dispatch
     std::optional<RequestDispatch> dispatch;
     std::optional<RequestDropped> dropped;
 };
@@ -154,7 +89,9 @@
 {
     const auto active = m_config.active();
     if (!active) {
-        return notRun(statusUnavailable, "no configuration is known yet", Millis{1000});
+        auto reply = notRun(statusUnavailable, "no configuration is known yet", Millis{1000});
+        reply.refusal = MetricRefusal::NotReady;
+        return reply;
     }
     const auto *found = findKind(active->document, call.kind);
     if (found == nullptr || found->mode != WorkMode::Request) {
@@ -213,7 +150,11 @@
     if (auto bad = check(call, kind)) {
         return finish(call, std::move(*bad), started);
     }
-    return finish(call, serve(call, kind, {}), started);
+    auto reply = serve(call, kind, {});
+    if (!kind.idempotent && reply.queueWait) {
+        reply.mechanism = AttemptMechanism::Ticket;
+    }
+    return finish(call, std::move(reply), started);
 }
 
 auto RequestService::serveOnce(const RequestCall &call, const KindConfig &kind) -> RequestReply
@@ -236,6 +177,7 @@
         }
         return reply;
     }
+    reply.mechanism = AttemptMechanism::Intent;
     if (reply.verdict == RequestVerdict::NotRun) {
         m_intents.giveUp(key, claim.attempt);
     } else {
@@ -264,6 +206,8 @@
             return fromRefusal(*queued.refusal, false);
         }
         number = queued.number;
+        waiter.queuedAt = now;
+        waiter.bytes = Bytes{static_cast<std::int64_t>(call.payload.size())};
         m_waiters[number] = &waiter;
     }
     pump();
@@ -279,6 +223,7 @@
     {
         const auto lock = std::lock_guard{m_mutex};
         m_waiters.erase(number);
+        reply->queueWait = waiter.waited;
     }
     pump();
     return std::move(*reply);
@@ -311,6 +256,7 @@
         {
             const auto lock = std::lock_guard{m_mutex};
             after = m_scheduler.completed(number, outcome, cost, m_clock.mono());
+            waiter.queued = std::holds_alternative<RequestRetry>(after);
         }
         pump();
         if (const auto *ended = std::get_if<RequestNotRun>(&after)) {
@@ -355,6 +301,10 @@
         if (const auto *dispatch = std::get_if<RequestDispatch>(&step)) {
             auto &waiter = *m_waiters.at(dispatch->number);
             waiter.dispatch = *dispatch;
+            waiter.queued = false;
+            if (!waiter.waited) {
+                waiter.waited = m_clock.mono() - waiter.queuedAt;
+            }
             waiter.changed.notify_all();
         } else if (const auto *dropped = std::get_if<RequestDropped>(&step)) {
             auto &waiter = *m_waiters.at(dropped->number);
@@ -473,6 +423,16 @@
     return m_scheduler.figures();
 }
 
+auto RequestService::queuedBytes() const -> Bytes
+{
+    const auto lock = std::lock_guard{m_mutex};
+    auto sum = std::int64_t{0};
+    for (const auto &[number, it] : m_waiters) {
+        sum += it->queued ? it->bytes.value : 0;
+    }
+    return Bytes{sum};
+}
+
 auto RequestService::queues() const -> std::vector<RequestQueueView>
 {
     const auto lock = std::lock_guard{m_mutex};
--- a/packages/daemon/requestservice.h
+++ b/packages/daemon/requestservice.h
@@ -11,6 +11,7 @@
 #include "daemon/configservice.h"
 #include "daemon/fleet.h"
 #include "daemon/intentservice.h"
+#include "daemon/metrics.h"
 #include "policy/requestscheduler.h"
 #include "ports/executorport.h"
 #include "util/clock.h"
@@ -50,6 +51,12 @@
     std::string reason;
     Millis retryAfter{0};
     ConfigVersion configVersion;
+    /// @name For metrics
+    /// @{
+    std::optional<MetricRefusal> refusal; ///< why nothing ran, when that was decided here
+    std::optional<Micros> queueWait; ///< until the first dispatch
+    std::optional<AttemptMechanism> mechanism; ///< of an attempt of a non-idempotent request that was allowed to start
+    /// @}
 };
 
 struct RequestServiceOptions
@@ -86,6 +93,8 @@
 
     [[nodiscard]] auto ownLoads() const -> std::vector<InFlightLoad>;
     [[nodiscard]] auto figures() const -> RequestFigures;
+    /// @return payload of the requests that wait for an executor.
+    [[nodiscard]] auto queuedBytes() const -> Bytes;
     [[nodiscard]] auto queues() const -> std::vector<RequestQueueView>;
     [[nodiscard]] auto executors() const -> std::vector<ExecutorView>;
     /// @return requests that have not been answered yet.
--- a/packages/daemon/testing/metrics_test.cpp
+++ b/packages/daemon/testing/metrics_test.cpp
@@ -30,7 +30,7 @@
     const auto workspace = WorkspaceId{"w"};
     const auto kind = KindId{"k"};
     metrics.requestFinished(workspace, kind, MetricRequestResult::OutcomeUnknown, Micros{1});
-    metrics.requestRefused(MetricRefusal::LinkBudget);
+    metrics.requestRefused(MetricRefusal::RetryBudget);
     metrics.requestDequeued(kind, Micros{1});
     metrics.retry(false);
     metrics.attemptStarted(AttemptMechanism::Ticket);
