Check the times of preempted and requeued jobs

The system test has no preemption, so nothing showed that a reclaim is measured from the decision until the gang's end, or that a requeued job counts one first start.

--- a/packages/daemon/testing/telemetry_test.cpp
+++ b/packages/daemon/testing/telemetry_test.cpp
@@ -53,3 +53,23 @@
     CHECK(telemetry.metricsText().find("catkin_log_appends_total{result=\"not_sent\",stream=\"jobs\"} 2") != std::string::npos);
     CHECK(telemetry.metricsText().find("catkin_log_appends_total{result=\"unknown\",stream=\"jobs\"} 1") != std::string::npos);
 }
+
+TEST_CASE("a reclaim lasts from the preemption until the end of the gang is recorded, and a requeued job has one first start")
+{
+    auto now = MonoTime{};
+    auto telemetry = Telemetry{Clock{.mono = [&] { return now; }, .wall = [] { return WallTime{}; }}};
+    const auto job = Job{.spec = {.id = JobId{"j"}, .workspace = WorkspaceId{"w"}}};
+    telemetry.jobRecorded(job, JobRecord{JobStartedRecord{.job = job.spec.id, .attempt = 1}});
+    telemetry.jobPreempted(job);
+    now += Millis{1'500};
+    telemetry.jobRecorded(job, JobRecord{JobFinishRecord{.job = job.spec.id, .attempt = 1, .result = JobResult::Requeue}});
+    telemetry.jobRecorded(job, JobRecord{JobStartedRecord{.job = job.spec.id, .attempt = 2}});
+    const auto text = telemetry.metricsText();
+    for (const auto *expected : {"catkin_reclaim_seconds_sum 1.5",
+                                 "catkin_preemptions_total{workspace=\"w\"} 1",
+                                 "catkin_jobs_total{event=\"started\",workspace=\"w\"} 2",
+                                 "catkin_jobs_total{event=\"requeued\",workspace=\"w\"} 1",
+                                 "catkin_job_wait_seconds_count{urgency=\"normal\"} 1"}) {
+        CHECK_MESSAGE(text.find(expected) != std::string::npos, expected << " is missing in\n" << text);
+    }
+}
