--- a/packages/daemon/console.cpp
+++ b/packages/daemon/console.cpp
@@ -19,7 +19,8 @@
 fieldset{border:1px solid #99a;border-radius:4px;margin:.6rem 0;padding:.4rem .8rem .8rem}fieldset fieldset{background:#f4f6f9}
 legend{font-weight:bold}.fields{display:flex;flex-wrap:wrap;gap:.6rem 1rem}.field{display:flex;flex-direction:column;max-width:20rem}
 .field.wide{flex:1 1 34rem;max-width:none}label{font-size:.85rem}input,select,textarea{font:inherit;padding:.2rem .3rem}
-input[type=checkbox]{align-self:flex-start}textarea{font-family:monospace;font-size:.85rem}.hint{color:#555;font-size:.8rem}
+.field input,.field select{align-self:flex-start}h3{font-size:1rem;margin:.8rem 0 .2rem}p.hint{margin:.2rem 0}
+textarea{font-family:monospace;font-size:.85rem}.hint{color:#555;font-size:.8rem}
 .error{color:#a3001b;font-size:.85rem;margin:.1rem 0}.invalid{outline:2px solid #a3001b}.summary,.problem{border:2px solid #a3001b;padding:.4rem 1rem}
 .notice{border:2px solid #2e7d32;padding:.4rem 1rem}.actions{position:fixed;bottom:0;left:0;right:0;background:#e8ecf2;padding:.6rem;text-align:center}
 button{font:inherit;padding:.3rem 1rem;margin:0 .4rem}.remove{font-size:.85rem}
@@ -44,8 +45,8 @@
     {
         const auto title = "Configuration" + (m_model.instance.empty() ? std::string{} : " on " + m_model.instance);
         m_out << "<!DOCTYPE html>\n<html lang=\"en\">\n<head>\n<meta charset=\"utf-8\">\n<meta name=\"viewport\" content=\"width=device-width\">\n<title>"
-              << escapeHtml(title) << "</title>\n<style>" << style << "</style>\n</head>\n<body>\n<h1>" << escapeHtml(title) << "</h1>\n<p>Changes version "
-              << m_model.base << ".</p>\n";
+              << escapeHtml(title) << "</title>\n<style>" << style << "</style>\n</head>\n<body>\n<h1>" << escapeHtml(title)
+              << "</h1>\n<p>This page changes version " << m_model.base << ".</p>\n";
         if (!m_model.notice.empty()) {
             m_out << "<p class=\"" << (m_model.noticeIsProblem ? "problem\" role=\"alert" : "notice\" role=\"status") << "\">" << escapeHtml(m_model.notice)
                   << "</p>\n";
@@ -154,11 +155,12 @@
     {
         static const auto blank = FormRow{};
         const auto &shown = row == nullptr ? blank : *row;
-        const auto name = shown.values.find("name");
+        // Rows without a name are told apart by their first field, such as the failure domain of a guarantee.
+        const auto title = shown.values.find(spec.fields.front().name);
         m_out << "<fieldset id=\"" << path << "\">\n<legend>"
-              << (row == nullptr               ? std::string("New")
-                  : name == shown.values.end() ? std::string(spec.title)
-                                               : escapeHtml(name->second))
+              << (row == nullptr                ? std::string("New")
+                  : title == shown.values.end() ? std::string(spec.title)
+                                                : escapeHtml(title->second))
               << "</legend>\n";
         renderErrors(path);
         m_out << "<div class=\"fields\">\n";
