List the differences after a conflict in the console

After a conflict the page only named the version that won, and applying the page again would have undone the other operator's change without showing it.

compareForms() compares what was typed with the version in force. Rows are matched by their first field, because comparing by row number reports every row behind an added one. The page lists the differences and shows each beside its field; Apply then replaces the version that won, as the page says. A three-way comparison, which would separate the two operators' changes, needs the base document, which an instance no longer holds.

--- a/packages/daemon/console.cpp
+++ b/packages/daemon/console.cpp
@@ -22,7 +22,7 @@
 .field input,.field select{align-self:flex-start}h3{font-size:1rem;margin:.8rem 0 .2rem}p.hint{margin:.2rem 0}
 textarea{font-family:monospace;font-size:.85rem}.hint{color:#555;font-size:.8rem}
 .error{color:#a3001b;font-size:.85rem;margin:.1rem 0}.invalid{outline:2px solid #a3001b}.summary,.problem{border:2px solid #a3001b;padding:.4rem 1rem}
-.notice{border:2px solid #2e7d32;padding:.4rem 1rem}.actions{position:fixed;bottom:0;left:0;right:0;background:#e8ecf2;padding:.6rem;text-align:center}
+.note{color:#7a4a00;font-size:.85rem;margin:.1rem 0}.notice{border:2px solid #2e7d32;padding:.4rem 1rem}.actions{position:fixed;bottom:0;left:0;right:0;background:#e8ecf2;padding:.6rem;text-align:center}
 button{font:inherit;padding:.3rem 1rem;margin:0 .4rem}.remove{font-size:.85rem}
 )";
 
@@ -39,6 +39,9 @@
         for (const auto &error : errors) {
             m_byAnchor.emplace(anchorOf(error.path), error.message);
         }
+        for (const auto &note : model.notes) {
+            m_notes.emplace(anchorOf(note.path), note.message);
+        }
     }
 
     auto render() -> std::string
@@ -51,6 +54,11 @@
             m_out << "<p class=\"" << (m_model.noticeIsProblem ? "problem\" role=\"alert" : "notice\" role=\"status") << "\">" << escapeHtml(m_model.notice)
                   << "</p>\n";
         }
+        if (!m_model.notes.empty()) {
+            m_out << "<ul>\n";
+            renderLinks(m_model.notes);
+            m_out << "</ul>\n";
+        }
         renderSummary();
         m_out << "<form method=\"post\" action=\"" << escapeHtml(m_model.action) << "\" accept-charset=\"utf-8\" autocomplete=\"off\">\n";
         hidden("base", std::to_string(m_model.base));
@@ -117,12 +125,17 @@
         }
         m_out << "<div class=\"summary\" role=\"alert\">\n<p>The document was rejected with " << m_errors.size()
               << (m_errors.size() == 1 ? " error" : " errors") << "; nothing was changed.</p>\n<ul>\n";
-        for (const auto &error : m_errors) {
-            const auto anchor = anchorOf(error.path);
-            const auto text = escapeHtml(error.path.empty() ? error.message : error.path + ": " + error.message);
+        renderLinks(m_errors);
+        m_out << "</ul>\n</div>\n";
+    }
+
+    auto renderLinks(const std::vector<ConsoleError> &list) -> void
+    {
+        for (const auto &it : list) {
+            const auto anchor = anchorOf(it.path);
+            const auto text = escapeHtml(it.path.empty() ? it.message : it.path + ": " + it.message);
             m_out << "<li>" << (anchor.empty() ? text : "<a href=\"#" + escapeHtml(anchor) + "\">" + text + "</a>") << "</li>\n";
         }
-        m_out << "</ul>\n</div>\n";
     }
 
     auto renderErrors(const std::string &anchor) -> void
@@ -131,6 +144,10 @@
         for (auto it = begin; it != end; ++it) {
             m_out << "<p class=\"error\">" << escapeHtml(it->second) << "</p>\n";
         }
+        const auto [firstNote, lastNote] = m_notes.equal_range(anchor);
+        for (auto it = firstNote; it != lastNote; ++it) {
+            m_out << "<p class=\"note\">" << escapeHtml(it->second) << "</p>\n";
+        }
     }
 
     auto hidden(const std::string &name, const std::string &value) -> void
@@ -224,6 +241,7 @@
     const std::vector<ConsoleError> &m_errors;
     std::set<std::string> m_anchors;
     std::multimap<std::string, std::string> m_byAnchor;
+    std::multimap<std::string, std::string> m_notes;
     std::ostringstream m_out;
 };
 
--- a/packages/daemon/console.h
+++ b/packages/daemon/console.h
@@ -46,6 +46,7 @@
     std::string formToken;
     std::string notice; ///< what the last action did; empty for none
     bool noticeIsProblem = false; ///< whether the notice says that something was not done
+    std::vector<ConsoleError> notes = {}; ///< remarks shown beside the fields, listed after the notice
     std::string action = "/console"; ///< where the form is sent
     FormFields fields; ///< of the document; other fields are ignored
 };
@@ -62,6 +63,11 @@
 /// @return the fields without empty and removed rows, with consecutive row numbers; fields outside the document come first.
 auto compactForm(const FormFields &fields) -> FormFields;
 
+/// Says how a form differs from another one. Rows are matched by their first field.
+/// @param label of the other form, such as "version 18"
+/// @return one remark for each field of @p typed, row or list that differs
+auto compareForms(const FormFields &typed, const FormFields &other, const std::string &label) -> std::vector<ConsoleError>;
+
 /// Turns form fields into the configuration document. Text that is no number in a number's place is kept as a string, for the
 /// document's validation to reject; empty fields are left out.
 /// @return JSON text
--- a/packages/daemon/consoleroutes.cpp
+++ b/packages/daemon/consoleroutes.cpp
@@ -79,10 +79,18 @@
 auto conflictPage(const ConsoleContext &context, ConsoleModel model, ConfigVersion version) -> HttpResponse
 {
     const auto active = context.operators.config->active();
-    const auto author = active && active->state.version == version ? " by " + active->state.author : std::string{};
-    model.notice = "Not applied: version " + std::to_string(version.value) + author + " was accepted after this page had read version "
-                   + std::to_string(model.base) + ". What you typed is kept below. Open the console in a second window to see version "
-                   + std::to_string(version.value) + " and copy its changes; Apply on this page replaces all of it.";
+    const auto known = active && active->state.version == version;
+    const auto label = "version " + std::to_string(version.value);
+    model.notice = "Not applied: " + label + (known ? " by " + active->state.author : std::string{}) + " was accepted after this page had read version "
+                   + std::to_string(model.base) + ". What you typed is kept below. Apply on this page replaces all of " + label + ". ";
+    if (known) {
+        model.notice += "These fields differ from it:";
+        if (const auto fields = formFromDocument(active->state.document)) {
+            model.notes = compareForms(model.fields, fields.value(), label);
+        }
+    } else {
+        model.notice += "Open the console in a second window to see it.";
+    }
     model.noticeIsProblem = true;
     model.base = version.value;
     return htmlResponse(409, renderConsole(model, {}));
--- a/packages/daemon/testing/console_test.cpp
+++ b/packages/daemon/testing/console_test.cpp
@@ -151,6 +151,35 @@
     }
 }
 
+TEST_CASE("after a conflict every difference is named at its place, also when rows have moved")
+{
+    auto other = document;
+    other["workspaces"].insert(other["workspaces"].begin(), json{{"name", "added"}, {"weight", 1}});
+    other["workspaces"][1]["weight"] = 9;
+    other["workspaces"][1]["guarantees"][1]["count"] = 5;
+    other["kinds"][0]["cross_region"] = false;
+    other["operators"].clear();
+    other["tolerate"]["racks"] = 1;
+    const auto typed = formFromDocument(document.dump()).value();
+    auto notes = std::vector<std::string>{};
+    const auto differences = compareForms(typed, formFromDocument(other.dump()).value(), "version 9");
+    for (const auto &it : differences) {
+        notes.push_back(it.path + ": " + it.message);
+    }
+    CHECK(notes
+          == std::vector<std::string>{
+              R"(workspaces[0].weight: version 9 has "9")",
+              R"(workspaces[0].guarantees[1].count: version 9 has "5")",
+              R"(workspaces: version 9 also has a row "added")",
+              "kinds[0].cross_region: version 9 has no",
+              "operators[0]: version 9 does not have this row",
+              R"(tolerate.racks: version 9 has "1")",
+          });
+    CHECK(compareForms(typed, submit(page(typed)), "").empty());
+    const auto html = renderConsole({.notes = differences, .fields = typed}, {});
+    CHECK(html.find("<p class=\"note\">version 9 has &quot;5&quot;</p>") != std::string::npos);
+}
+
 TEST_CASE("hostile field names cannot allocate rows or add elements")
 {
     const auto fields = parseFormBody("workspaces[2000000000].name=x&workspaces[-1].name=x&workspaces[0]=x&workspaces[0].guarantees[0].guarantees[0].slots=1"
--- a/testing/system/testing/console_test.cpp
+++ b/testing/system/testing/console_test.cpp
@@ -79,6 +79,7 @@
     const auto conflict = post(site, late, "apply");
     CHECK(conflict.status == 409);
     CHECK(conflict.body.find("version 2 by settings was accepted after this page had read version 1") != std::string::npos);
+    CHECK(conflict.body.find("workspaces[0].guarantees[0].count: version 2 has &quot;2&quot;") != std::string::npos);
     const auto kept = submit(conflict.body);
     CHECK(formValue(kept, "workspaces[0].weight") == "77");
     CHECK(formValue(kept, "base") == "2");
