--- a/packages/daemon/testing/console_test.cpp
+++ b/packages/daemon/testing/console_test.cpp
@@ -1,9 +1,12 @@
 #include "daemon/console.h"
+#include "daemon/testing/pageform.h"
+#include "state/document.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
-#include <regex>
+#include <fstream>
+#include <iterator>
 
 using namespace Catkin;
 using nlohmann::json;
@@ -23,58 +26,6 @@
   "tolerate":{"workers":1,"racks":0},
   "operators":[{"name":"ana","token":"cc"}]})");
 
-auto unescape(std::string text) -> std::string
-{
-    for (const auto &[from, to] : {std::pair{"&lt;", "<"}, {"&gt;", ">"}, {"&quot;", "\""}, {"&#39;", "'"}, {"&amp;", "&"}}) {
-        for (auto at = text.find(from); at != std::string::npos; at = text.find(from, at + 1)) {
-            text.replace(at, std::string(from).size(), to);
-        }
-    }
-    return text;
-}
-
-/// Reads the fields that a browser would send for a page.
-auto submit(const std::string &html) -> FormFields
-{
-    static const auto control = std::regex(R"re(<(input type="(\w+)"[^>]*|textarea[^>]*|select[^>]*)>)re");
-    auto fields = FormFields{};
-    for (auto it = std::sregex_iterator(html.begin(), html.end(), control); it != std::sregex_iterator{}; ++it) {
-        const auto tag = (*it)[1].str();
-        auto match = std::smatch{};
-        if (!std::regex_search(tag, match, std::regex("name=\"([^\"]*)\""))) {
-            continue;
-        }
-        const auto name = match[1].str();
-        const auto rest = html.substr(static_cast<std::size_t>(it->position() + it->length()));
-        if (tag.starts_with("textarea")) {
-            fields.emplace_back(name, unescape(rest.substr(1, rest.find("</textarea>") - 1)));
-        } else if (tag.starts_with("select")) {
-            const auto options = rest.substr(0, rest.find("</select>"));
-            const auto chosen = std::regex_search(options, match, std::regex("<option selected>([^<]*)<"))
-                                || std::regex_search(options, match, std::regex("<option>([^<]*)<"));
-            REQUIRE(chosen);
-            fields.emplace_back(name, unescape(match[1]));
-        } else if ((*it)[2] != "checkbox") {
-            REQUIRE(std::regex_search(tag, match, std::regex("value=\"([^\"]*)\"")));
-            fields.emplace_back(name, unescape(match[1]));
-        } else if (tag.ends_with("checked")) {
-            fields.emplace_back(name, "on");
-        }
-    }
-    return fields;
-}
-
-auto set(FormFields &fields, const std::string &name, const std::string &value) -> void
-{
-    for (auto &[key, old] : fields) {
-        if (key == name) {
-            old = value;
-            return;
-        }
-    }
-    fields.emplace_back(name, value);
-}
-
 auto page(const FormFields &fields, const std::vector<ConsoleError> &errors = {}) -> std::string
 {
     return renderConsole({.base = 4, .formToken = "t", .fields = fields}, errors);
@@ -92,6 +43,25 @@
     CHECK(formValue(sent, "form_token") == "t");
 }
 
+TEST_CASE("the example documents pass through the page without a change of meaning")
+{
+    for (const auto *name : {"bariloche", "revisiones"}) {
+        CAPTURE(name);
+        auto in = std::ifstream(std::string(CATKIN_SOURCE_DIR) + "/examples/" + name + ".json");
+        const auto text = std::string(std::istreambuf_iterator<char>(in), {});
+        const auto before = parseDocument(text);
+        REQUIRE(formatErrors(before.errors) == "");
+        REQUIRE_FALSE(before.document.workspaces.empty());
+        // As written by hand, and in the canonical form that instances hold.
+        for (const auto &shown : {text, encodeDocument(before.document)}) {
+            const auto after = parseDocument(parseForm(compactForm(submit(page(formFromDocument(shown).value())))));
+            CHECK(formatErrors(after.errors) == "");
+            // The canonical form sorts the rows, so an order by hand is compared through it.
+            CHECK(encodeDocument(after.document) == encodeDocument(before.document));
+        }
+    }
+}
+
 TEST_CASE("what was typed comes back unchanged, whatever it is")
 {
     const auto nasty
@@ -181,6 +151,35 @@
     }
 }
 
+TEST_CASE("after a conflict every difference is named at its place, also when rows have moved")
+{
+    auto other = document;
+    other["workspaces"].insert(other["workspaces"].begin(), json{{"name", "added"}, {"weight", 1}});
+    other["workspaces"][1]["weight"] = 9;
+    other["workspaces"][1]["guarantees"][1]["count"] = 5;
+    other["kinds"][0]["cross_region"] = false;
+    other["operators"].clear();
+    other["tolerate"]["racks"] = 1;
+    const auto typed = formFromDocument(document.dump()).value();
+    auto notes = std::vector<std::string>{};
+    const auto differences = compareForms(typed, formFromDocument(other.dump()).value(), "version 9");
+    for (const auto &it : differences) {
+        notes.push_back(it.path + ": " + it.message);
+    }
+    CHECK(notes
+          == std::vector<std::string>{
+              R"(workspaces[0].weight: version 9 has "9")",
+              R"(workspaces[0].guarantees[1].count: version 9 has "5")",
+              R"(workspaces: version 9 also has a row "added")",
+              "kinds[0].cross_region: version 9 has no",
+              "operators[0]: version 9 does not have this row",
+              R"(tolerate.racks: version 9 has "1")",
+          });
+    CHECK(compareForms(typed, submit(page(typed)), "").empty());
+    const auto html = renderConsole({.notes = differences, .fields = typed}, {});
+    CHECK(html.find("<p class=\"note\">version 9 has &quot;5&quot;</p>") != std::string::npos);
+}
+
 TEST_CASE("hostile field names cannot allocate rows or add elements")
 {
     const auto fields = parseFormBody("workspaces[2000000000].name=x&workspaces[-1].name=x&workspaces[0]=x&workspaces[0].guarantees[0].guarantees[0].slots=1"
@@ -201,11 +200,11 @@
 {
     const auto now = WallTime{Millis{1'700'000'000'000}};
     const auto token = makeFormToken("secret", "ana", now);
-    CHECK(checkFormToken("secret", "ana", token, now + Millis{3'600'000}));
-    CHECK_FALSE(checkFormToken("secret", "ana", token, now + Millis{13 * 3'600'000}));
-    CHECK_FALSE(checkFormToken("secret", "ana", token, now - Millis{3'600'000}));
-    CHECK_FALSE(checkFormToken("secret", "eva", token, now));
-    CHECK_FALSE(checkFormToken("other", "ana", token, now));
-    CHECK_FALSE(checkFormToken("secret", "ana", "", now));
-    CHECK_FALSE(checkFormToken("secret", "ana", "9" + token, now));
+    CHECK(checkFormToken("secret", "ana", token, now + Millis{3'600'000}) == FormTokenCheck::Valid);
+    CHECK(checkFormToken("secret", "ana", token, now + Millis{13 * 3'600'000}) == FormTokenCheck::Expired);
+    CHECK(checkFormToken("secret", "ana", token, now - Millis{3'600'000}) == FormTokenCheck::Expired);
+    CHECK(checkFormToken("secret", "eva", token, now) == FormTokenCheck::Invalid);
+    CHECK(checkFormToken("other", "ana", token, now) == FormTokenCheck::Invalid);
+    CHECK(checkFormToken("secret", "ana", "", now) == FormTokenCheck::Invalid);
+    CHECK(checkFormToken("secret", "ana", "9" + token, now) == FormTokenCheck::Invalid);
 }
