Make the interface pages, the daemon and catkinctl agree

Cause: the pages for callers, operators and metrics described fields, statuses and metric names that the daemon never had, and catkinctl showed planners where it should have shown queues. Every documented call and every subcommand was run against the daemon and the stand-ins, with malformed bodies, unknown fields, wrong types, oversized bodies, missing and wrong tokens, a wrong workspace and unknown jobs.

Daemon: failures of POST calls always have the same five fields; a job says why in `reason`, like every other answer; identifiers are checked; a job without `urgency` gets its kind's; malformed query parameters are refused instead of ignored; a repeated key gets its job even when the fleet shrank or another instance chose the failure domain; PUT /v1/config refuses further fields; a body that is not an object gives one error. catkinctl: `jobs` reads every page instead of the first 100 jobs; `workers` and `leases` ask every given instance, because only the planner has rows; `queues` shows waiting jobs and requests; status 422 without a list of errors is exit code 6.

Ruled out: answering 400 for gangs that can never run and for rejected documents, because tests and clients already rely on 422.

The case of settings_test about the address 127.0.0.1:0 fails; it concerns files that this change does not touch.

--- a/packages/cli/configcommands.cpp
+++ b/packages/cli/configcommands.cpp
@@ -96,7 +96,7 @@
         return reportRejected(env, line.json(), body);
     }
     if (exitCodeOf(reply.value()) != ExitCode::Ok) {
-        return report(env, line.json(), ExitCode::Failed, reasonOf(reply.value()));
+        return report(env, line.json(), reply.value().status == 422 ? ExitCode::Rejected : ExitCode::Failed, reasonOf(reply.value()));
     }
     *env.out << (line.json() ? reply.value().body : "the document is valid") << '\n';
     return ExitCode::Ok;
@@ -141,7 +141,7 @@
         return report(env, line.json(), ExitCode::OutcomeUnknown, "outcome unknown, see 'catkinctl config versions': " + reasonOf(reply.value()));
     }
     if (exitCodeOf(reply.value()) != ExitCode::Ok) {
-        return report(env, line.json(), ExitCode::Failed, reasonOf(reply.value()));
+        return report(env, line.json(), reply.value().status == 422 ? ExitCode::Rejected : ExitCode::Failed, reasonOf(reply.value()));
     }
     if (line.json()) {
         *env.out << reply.value().body << '\n';
--- a/packages/cli/fleetcommands.cpp
+++ b/packages/cli/fleetcommands.cpp
@@ -5,6 +5,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <map>
+#include <set>
+#include <string_view>
 
 namespace Catkin::Cli
 {
@@ -23,17 +26,59 @@
     return it == body.end() ? json::array() : *it;
 }
 
+/// Where a list comes from.
+struct Listing
+{
+    const char *name; ///< subcommand and last part of the path
+    bool everywhere; ///< ask every address instead of the first that answers
+    std::vector<const char *> identity; ///< fields that make a row unique across instances; empty: rows of every instance are kept
+};
+
+auto idOfRow(const json &row, const Listing &listing) -> std::string
+{
+    auto id = std::string{};
+    for (const auto *field : listing.identity) {
+        id += (row.is_object() ? row.value(field, json{}).dump(-1, ' ', false, json::error_handler_t::replace) : "") + " ";
+    }
+    return id;
+}
+
+/// The lists of one instance's answer by title.
+auto listsOf(const json &body, const Listing &listing) -> std::map<std::string, json>
+{
+    if (std::string_view(listing.name) != "queues" || !body.is_object()) {
+        return {{listing.name, listOf(body)}};
+    }
+    auto lists = std::map<std::string, json>{{"jobs", json::array()}, {"requests", body.value("requests", json::array())}};
+    const auto planners = body.value("planners", json::array());
+    for (const auto &planner : planners) {
+        if (!planner.is_object()) {
+            continue;
+        }
+        const auto queue = planner.value("queue", json::array());
+        for (auto row : queue) {
+            if (row.is_object()) {
+                row["domain"] = planner.value("domain", json{});
+            }
+            lists["jobs"].push_back(row);
+        }
+    }
+    return lists;
+}
+
 /// Prints what instances know.
-/// @param everywhere ask every address instead of the first that answers
-auto list(const Arguments &args, Environment &env, const std::string &name, bool everywhere) -> ExitCode
+auto list(const Arguments &args, Environment &env, const Listing &listing) -> ExitCode
 {
-    auto line = CommandLine(
-        everywhere ? "Lists the " + name + " of every given instance." : "Lists the " + name + " as one instance knows them.", name, Audience::Operators, env);
+    const auto name = std::string(listing.name);
+    auto line = CommandLine(listing.everywhere ? "Lists the " + name + " of every given instance." : "Lists the " + name + " as one instance knows them.",
+                            name,
+                            Audience::Operators,
+                            env);
     if (const auto exit = line.parse(args)) {
         return *exit;
     }
-    auto rows = json::array();
-    auto answered = false;
+    auto shown = std::map<std::string, json>{};
+    auto seen = std::set<std::string>{};
     auto code = ExitCode::Unreachable;
     for (const auto &address : line.client().addresses()) {
         const auto reply = line.client().callAt(address, {.path = "/v1/" + name});
@@ -43,21 +88,32 @@
             *env.err << "catkinctl: " << address << ": " << (reply ? reasonOf(reply.value()) : reply.error().message) << '\n';
             continue;
         }
-        answered = true;
-        for (auto row : listOf(body)) {
-            if (everywhere && row.is_object()) {
-                row["address"] = address;
+        for (auto &[title, rows] : listsOf(body, listing)) {
+            auto &all = shown.try_emplace(title, json::array()).first->second;
+            for (auto row : rows) {
+                if (!listing.identity.empty() && !seen.insert(idOfRow(row, listing)).second) {
+                    continue;
+                }
+                if (listing.everywhere && listing.identity.empty() && row.is_object()) {
+                    row["address"] = address;
+                }
+                all.push_back(row);
             }
-            rows.push_back(row);
         }
-        if (!everywhere) {
+        if (!listing.everywhere) {
             break;
         }
     }
-    if (!answered) {
+    if (shown.empty()) {
         return report(env, line.json(), code, "no instance answered");
     }
-    *env.out << (line.json() ? json{{name, rows}}.dump(2, ' ', false, json::error_handler_t::replace) + "\n" : renderJsonTable(rows));
+    if (line.json()) {
+        *env.out << json(shown).dump(2, ' ', false, json::error_handler_t::replace) << '\n';
+        return ExitCode::Ok;
+    }
+    for (const auto &[title, rows] : shown) {
+        *env.out << (shown.size() > 1 ? title + ":\n" : "") << renderJsonTable(rows);
+    }
     return ExitCode::Ok;
 }
 
@@ -83,11 +139,31 @@
 }
 
 constexpr Command commands[] = {
-    {"instances", "lists entry instances", [](const Arguments &a, Environment &e) { return list(a, e, "instances", false); }},
-    {"workers", "lists workers", [](const Arguments &a, Environment &e) { return list(a, e, "workers", false); }},
-    {"executors", "lists executors", [](const Arguments &a, Environment &e) { return list(a, e, "executors", false); }},
-    {"leases", "lists leases", [](const Arguments &a, Environment &e) { return list(a, e, "leases", false); }},
-    {"queues", "lists the queues of every given instance", [](const Arguments &a, Environment &e) { return list(a, e, "queues", true); }},
+    {"instances",
+     "lists entry instances",
+     [](const Arguments &a, Environment &e) {
+         return list(a, e, {"instances", false, {}});
+     }},
+    {"workers",
+     "lists the workers of every given planner",
+     [](const Arguments &a, Environment &e) {
+         return list(a, e, {"workers", true, {"domain", "worker"}});
+     }},
+    {"executors",
+     "lists executors",
+     [](const Arguments &a, Environment &e) {
+         return list(a, e, {"executors", false, {}});
+     }},
+    {"leases",
+     "lists the leases of every given planner",
+     [](const Arguments &a, Environment &e) {
+         return list(a, e, {"leases", true, {"worker", "lease"}});
+     }},
+    {"queues",
+     "lists the queues of every given instance",
+     [](const Arguments &a, Environment &e) {
+         return list(a, e, {"queues", true, {}});
+     }},
     {"drain", "drains one entry instance", drain, true},
 };
 
--- a/packages/cli/jobcommands.cpp
+++ b/packages/cli/jobcommands.cpp
@@ -132,18 +132,31 @@
     if (const auto exit = line.parse(args)) {
         return *exit;
     }
-    const auto reply = line.client().call({.path = "/v1/jobs"});
-    if (!reply) {
-        return report(env, line.json(), exitCodeOf(reply.error()), reply.error().message);
-    }
-    auto body = parseJson(reply.value().body);
-    if (exitCodeOf(reply.value()) != ExitCode::Ok || body.is_discarded()) {
-        return report(env, line.json(), ExitCode::Failed, reasonOf(reply.value()));
-    }
-    auto list = body.is_object() ? body.value("jobs", json::array()) : body;
+    auto list = json::array();
+    auto after = std::string{};
+    do {
+        const auto reply = line.client().call({.path = "/v1/jobs?limit=1000" + (after.empty() ? "" : "&after=" + encodeUrl(after))});
+        if (!reply) {
+            return report(env, line.json(), exitCodeOf(reply.error()), reply.error().message);
+        }
+        const auto body = parseJson(reply.value().body);
+        if (exitCodeOf(reply.value()) != ExitCode::Ok || body.is_discarded()) {
+            return report(env, line.json(), ExitCode::Failed, reasonOf(reply.value()));
+        }
+        const auto page = body.is_object() ? body.value("jobs", json::array()) : body;
+        for (const auto &job : page) {
+            list.push_back(job);
+        }
+        // Ids increase from page to page; anything else would ask for the same page for ever.
+        const auto next = body.is_object() ? body.value("next", json{}) : json{};
+        const auto more = next.is_string() && next.get<std::string>() > after;
+        after = more ? next.get<std::string>() : "";
+    } while (!after.empty());
     if (state.isSet()) {
         auto kept = json::array();
-        std::copy_if(list.begin(), list.end(), std::back_inserter(kept), [&](const json &job) { return job.value("state", "") == state.getValue(); });
+        std::copy_if(list.begin(), list.end(), std::back_inserter(kept), [&](const json &job) {
+            return job.is_object() && job.value("state", json{}) == state.getValue();
+        });
         list = kept;
     }
     *env.out << (line.json() ? json{{"jobs", list}}.dump(2, ' ', false, json::error_handler_t::replace) + "\n" : renderJsonTable(list));
@@ -191,7 +204,7 @@
     auto adjacency = Text("", "adjacency", "where the gang's slots must lie together (default any)", false, "any", &adjacencyValues, cmd);
     auto urgencies = std::vector<std::string>{"urgent", "normal", "batch"};
     auto urgencyValues = TCLAP::ValuesConstraint<std::string>(urgencies);
-    auto urgency = Text("u", "urgency", "urgency (default normal)", false, "normal", &urgencyValues, cmd);
+    auto urgency = Text("u", "urgency", "urgency (default: the kind's)", false, "normal", &urgencyValues, cmd);
     auto declared = Text("", "declared", "expected run time (default 1h)", false, "1h", "duration", cmd);
     auto checkpointable = TCLAP::SwitchArg("", "checkpointable", "the job can save its progress when it is stopped", cmd);
     auto restartable = TCLAP::SwitchArg("", "restartable", "the job may be started again from its beginning", cmd);
@@ -221,7 +234,6 @@
                      {"tasks", tasks.getValue()},
                      {"slots_per_task", slots.getValue()},
                      {"adjacency", adjacency.getValue()},
-                     {"urgency", urgency.getValue()},
                      {"declared_seconds", std::chrono::duration_cast<Seconds>(time.value()).count()},
                      {"checkpointable", checkpointable.getValue()},
                      {"restartable", restartable.getValue()},
@@ -229,6 +241,9 @@
     if (domain.isSet()) {
         body["domain"] = domain.getValue();
     }
+    if (urgency.isSet()) {
+        body["urgency"] = urgency.getValue();
+    }
     const auto hint = "; the key is " + body["key"].get<std::string>();
     const auto encoded = encodeJson(body);
     if (!encoded) {
--- a/packages/daemon/callerapi.cpp
+++ b/packages/daemon/callerapi.cpp
@@ -25,17 +25,23 @@
 constexpr auto maxJobPayload = std::size_t{64} << 10U;
 constexpr auto maxWait = Millis{30'000};
 constexpr auto submitWait = Millis{3'000};
-constexpr auto defaultPage = std::size_t{100};
-constexpr auto maxPage = std::size_t{1000};
+constexpr auto defaultPage = std::int64_t{100};
+constexpr auto maxPage = std::int64_t{1000};
 
 auto dump(const json &body) -> std::string
 {
     return body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
+/// A failure before a request got an id; it has the same fields as one after.
+auto failureBody(const char *result, const std::string &reason, Millis retryAfter) -> json
+{
+    return {{"result", result}, {"request_id", ""}, {"reason", reason}, {"retry_after_ms", retryAfter.count()}, {"config_version", 0}};
+}
+
 auto refuse(int status, const std::string &reason, Millis retryAfter = Millis{0}) -> HttpResponse
 {
-    auto response = HttpResponse{.status = status, .body = dump({{"result", "not_run"}, {"reason", reason}, {"retry_after_ms", retryAfter.count()}})};
+    auto response = HttpResponse{.status = status, .body = dump(failureBody("not_run", reason, retryAfter))};
     if (retryAfter > Millis{0}) {
         response.headers.emplace_back("Retry-After", std::to_string((retryAfter.count() + 999) / 1000));
     }
@@ -45,10 +51,14 @@
 auto refuseFields(const std::vector<FieldError> &errors) -> HttpResponse
 {
     auto list = json::array();
+    auto reason = std::string{};
     for (const auto &it : errors) {
         list.push_back({{"path", it.path}, {"message", it.message}});
+        reason += (reason.empty() ? "" : "; ") + (it.path.empty() ? "" : it.path + " ") + it.message;
     }
-    return {.status = 400, .body = dump({{"result", "not_run"}, {"reason", formatErrors(errors)}, {"errors", list}, {"retry_after_ms", 0}})};
+    auto body = failureBody("not_run", reason, Millis{0});
+    body["errors"] = list;
+    return {.status = 400, .body = dump(body)};
 }
 
 auto verdictName(RequestVerdict verdict) -> const char *
@@ -69,10 +79,9 @@
     auto body = json{{"result", verdictName(reply.verdict)}, {"request_id", reply.request.str()}, {"config_version", reply.configVersion.value}};
     if (reply.verdict == RequestVerdict::Answer) {
         body["answer"] = reply.answer;
-    } else {
-        body["reason"] = reply.reason;
-        body["retry_after_ms"] = reply.retryAfter.count();
     }
+    body["reason"] = reply.reason;
+    body["retry_after_ms"] = reply.retryAfter.count();
     auto response = HttpResponse{.status = reply.status, .body = dump(body)};
     if (reply.retryAfter > Millis{0}) {
         response.headers.emplace_back("Retry-After", std::to_string((reply.retryAfter.count() + 999) / 1000));
@@ -94,7 +103,7 @@
         {"slots_per_task", job.spec.slotsPerTask.value},
         {"attempt", job.attempt},
         {"cancel_requested", job.cancelRequested},
-        {"detail", job.detail},
+        {"reason", job.detail},
         {"checkpoint", job.checkpoint},
         {"revision", job.revision},
         {"accepted_ms", job.accepted.time_since_epoch().count()},
@@ -138,11 +147,11 @@
 auto readRequest(JsonFields &fields, const WorkspaceId &workspace) -> RequestCall
 {
     auto call = RequestCall{.workspace = workspace};
-    call.caller = CallerId{fields.text("caller", "default", maxNameLength)};
+    call.caller = CallerId{fields.identifier("caller", "default", maxNameLength)};
     call.kind = KindId{fields.requiredText("kind", maxNameLength)};
-    call.key = IdempotencyKey{fields.text("key", "", maxKeyLength)};
+    call.key = IdempotencyKey{fields.identifier("key", "", maxKeyLength)};
     call.payload = fields.text("payload", "", std::string::npos);
-    call.attempt = static_cast<int>(fields.integer("attempt", 0, 0, 1'000'000));
+    call.attempt = static_cast<int>(fields.integer("attempt", 0, 1, 1'000'000));
     if (const auto n = fields.optionalInteger("first_sent_ms", 0, std::int64_t{1} << 52U)) {
         call.firstSent = WallTime{Millis{*n}};
     }
@@ -198,19 +207,24 @@
     return {.body = dump({{"key", key.value().str()}})};
 }
 
-auto readJob(JsonFields &fields, const WorkspaceId &workspace) -> JobDescription
+auto readJob(JsonFields &fields, const Authorized &who) -> JobDescription
 {
+    const auto &workspace = who.workspace;
     const auto adjacency = std::map<std::string, JobAdjacency>{{"worker", JobAdjacency::Worker}, {"rack", JobAdjacency::Rack}, {"any", JobAdjacency::Any}};
     const auto urgency = std::map<std::string, WorkUrgency>{{"urgent", WorkUrgency::Urgent}, {"normal", WorkUrgency::Normal}, {"batch", WorkUrgency::Batch}};
     auto spec = JobDescription{.workspace = workspace};
-    spec.caller = CallerId{fields.text("caller", "default", maxNameLength)};
+    spec.caller = CallerId{fields.identifier("caller", "default", maxNameLength)};
     spec.kind = KindId{fields.requiredText("kind", maxNameLength)};
-    spec.key = IdempotencyKey{fields.requiredText("key", maxKeyLength)};
-    spec.domain = FailureDomainId{fields.text("domain", "", maxNameLength)};
+    spec.key = IdempotencyKey{fields.identifier("key", "", maxKeyLength)};
+    if (spec.key.empty()) {
+        fields.addError("key", "is required");
+    }
+    spec.domain = FailureDomainId{fields.identifier("domain", "", maxNameLength)};
     spec.tasks = static_cast<int>(fields.integer("tasks", 1, 1, maxGang));
     spec.slotsPerTask = SlotCount{fields.integer("slots_per_task", 1, 1, maxSlotsPerTask)};
     spec.adjacency = fields.choice("adjacency", "any", adjacency);
-    spec.urgency = fields.choice("urgency", "normal", urgency);
+    const auto *kind = findKind(who.config->document, spec.kind);
+    spec.urgency = fields.choice("urgency", kind == nullptr ? "normal" : urgencyName(kind->urgency), urgency);
     spec.declared = Seconds{fields.integer("declared_seconds", 0, 0, maxDeclaredSeconds)};
     spec.checkpointable = fields.boolean("checkpointable", false);
     spec.restartable = fields.boolean("restartable", false);
@@ -318,14 +332,14 @@
     case SubmitOutcome::Unknown:
         break;
     }
-    return {.status = 504, .body = dump({{"result", "outcome_unknown"}, {"reason", result.reason + "; send the same key again"}, {"retry_after_ms", 1000}})};
+    return {.status = 504, .body = dump(failureBody("outcome_unknown", result.reason + "; send the same key again", Millis{1000}))};
 }
 
 auto postJob(const CallerContext &context, const HttpRequest &request, const Authorized &who) -> HttpResponse
 {
     auto fields = JsonFields{request.body};
     const auto own = checkWorkspace(fields, who.workspace);
-    auto spec = readJob(fields, who.workspace);
+    auto spec = readJob(fields, who);
     if (!fields.errors().empty()) {
         return refuseFields(fields.errors());
     }
@@ -338,10 +352,17 @@
     if (*context.draining) {
         return refuse(503, "the instance is draining", Millis{1000});
     }
-    if (const auto reason = chooseHome(context, spec); !reason.empty()) {
-        return refuse(422, reason);
+    // A repeated key gets its job even if the fleet can no longer hold it.
+    if (const auto known = context.jobs->find(spec.id); !known) {
+        if (const auto reason = chooseHome(context, spec); !reason.empty()) {
+            return refuse(422, reason);
+        }
+    }
+    auto result = context.jobs->submit(spec, submitWait);
+    if (result.outcome == SubmitOutcome::KeyInUse) {
+        // Another instance may have accepted the key meanwhile with another choice of the failure domain, which is no conflict.
+        result = context.jobs->submit(spec, submitWait);
     }
-    const auto result = context.jobs->submit(spec, submitWait);
     if (result.outcome == SubmitOutcome::Accepted) {
         context.noticeJob(*result.job);
     }
@@ -357,23 +378,41 @@
 
 auto notFound(const HttpRequest &request) -> HttpResponse
 {
-    return {.status = 404, .body = dump({{"reason", "no job '" + request.matches.at(0) + "'"}})};
+    return {.status = 404, .body = dump({{"reason", "no job '" + request.matches.at(0) + "' in this workspace"}})};
+}
+
+/// Reads a whole number of the query; larger ones than @p most count as @p most.
+/// @return the number, @p otherwise when it is missing, or nothing when it is malformed.
+auto readCount(const HttpRequest &request, const char *name, std::int64_t otherwise, std::int64_t most) -> std::optional<std::int64_t>
+{
+    const auto text = request.param(name);
+    if (!request.params.contains(name)) {
+        return otherwise;
+    }
+    constexpr auto maxDigits = std::size_t{18};
+    const auto digits = !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isdigit(c) != 0; });
+    if (!digits) {
+        return std::nullopt;
+    }
+    return text.size() > maxDigits ? most : std::min<std::int64_t>(most, std::stoll(text));
 }
 
-auto parseCount(const std::string &text, std::int64_t otherwise) -> std::int64_t
+auto badParameter(const char *name, const char *rule) -> HttpResponse
 {
-    const auto digits = !text.empty() && text.size() < 10 && std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isdigit(c) != 0; });
-    return digits ? std::stoll(text) : otherwise;
+    return {.status = 400, .body = dump({{"reason", std::string(name) + " must be " + rule}})};
 }
 
 auto getJob(const CallerContext &context, const HttpRequest &request, const Authorized &who) -> HttpResponse
 {
+    const auto wait = readCount(request, "wait_ms", 0, maxWait.count());
+    if (!wait) {
+        return badParameter("wait_ms", "a whole number from 0");
+    }
     auto job = ownJob(context, request, who);
     if (!job) {
         return notFound(request);
     }
-    const auto wait = std::min(maxWait, Millis{parseCount(request.param("wait_ms"), 0)});
-    const auto deadline = context.clock.mono() + wait;
+    const auto deadline = context.clock.mono() + Millis{*wait};
     while (job && !isTerminal(job->state) && context.clock.mono() < deadline && !*context.draining) {
         const auto left = std::chrono::duration_cast<Millis>(deadline - context.clock.mono());
         job = context.jobs->waitChanged(job->spec.id, job->revision, std::min(left, Millis{1000}));
@@ -383,8 +422,16 @@
 
 auto listJobs(const CallerContext &context, const HttpRequest &request, const Authorized &who) -> HttpResponse
 {
-    const auto limit = std::clamp<std::size_t>(static_cast<std::size_t>(parseCount(request.param("limit"), defaultPage)), 1, maxPage);
-    auto filter = JobFilter{.workspace = who.workspace, .state = std::nullopt, .liveOnly = request.param("live") == "true"};
+    const auto wanted = readCount(request, "limit", defaultPage, maxPage);
+    if (!wanted) {
+        return badParameter("limit", "a whole number from 1 to 1000");
+    }
+    const auto live = request.param("live");
+    if (request.params.contains("live") && live != "true" && live != "false") {
+        return badParameter("live", "true or false");
+    }
+    const auto limit = std::max<std::size_t>(1, static_cast<std::size_t>(*wanted));
+    auto filter = JobFilter{.workspace = who.workspace, .state = std::nullopt, .liveOnly = live == "true"};
     const auto jobs = context.jobs->list(filter, JobId{request.param("after")}, limit);
     auto list = json::array();
     for (const auto &it : jobs) {
--- a/packages/daemon/httplistener.cpp
+++ b/packages/daemon/httplistener.cpp
@@ -106,6 +106,14 @@
     }
 };
 
+/// The failure form of docs/interfaces.md, section 6.1.
+/// @param reason text without characters that JSON escapes
+auto failureBody(const std::string &result, const std::string &reason, Millis retryAfter = Millis{0}) -> std::string
+{
+    return R"({"config_version":0,"reason":")" + reason + R"(","request_id":"","result":")" + result + R"(","retry_after_ms":)"
+           + std::to_string(retryAfter.count()) + "}\n";
+}
+
 auto lowerCase(std::string text) -> std::string
 {
     std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
@@ -178,7 +186,7 @@
         response.status = 503;
         response.set_header("Connection", "close");
         response.set_header("Retry-After", "1");
-        response.set_content(R"({"result":"not_run","reason":"too many connections","retry_after_ms":1000})", "application/json");
+        response.set_content(failureBody("not_run", "too many connections", Millis{1000}), "application/json");
         return httplib::Server::HandlerResponse::Handled;
     });
     server.set_error_handler([](const httplib::Request &, httplib::Response &response) {
@@ -186,11 +194,11 @@
             return;
         }
         const auto *reason = response.status == 404 ? "no such path or method" : response.status == 413 ? "the body is too long" : "malformed request";
-        response.set_content(std::string(R"({"result":"not_run","reason":")") + reason + "\"}", "application/json");
+        response.set_content(failureBody("not_run", reason), "application/json");
     });
     server.set_exception_handler([](const httplib::Request &, httplib::Response &response, const std::exception_ptr &) {
         response.status = 500;
-        response.set_content(R"({"result":"outcome_unknown","reason":"internal error"})", "application/json");
+        response.set_content(failureBody("outcome_unknown", "internal error"), "application/json");
     });
 }
 
--- a/packages/daemon/jsonfields.cpp
+++ b/packages/daemon/jsonfields.cpp
@@ -37,7 +37,10 @@
 
 auto JsonFields::addError(const std::string &path, const std::string &message) -> void
 {
-    m_errors.push_back({.path = path, .message = message});
+    // Fields that are missing in a body that could not be read say nothing more.
+    if (m_errors.empty() || !m_errors.front().path.empty()) {
+        m_errors.push_back({.path = path, .message = message});
+    }
 }
 
 auto JsonFields::errors() const -> const std::vector<FieldError> &
@@ -73,6 +76,19 @@
     return out;
 }
 
+auto JsonFields::identifier(const std::string &name, const std::string &otherwise, std::size_t maxLength) -> std::string
+{
+    constexpr auto allowed = std::string_view{"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._:-"};
+    const auto before = m_errors.size();
+    auto out = text(name, otherwise, maxLength);
+    const auto given = m_impl->find(name) != nullptr && m_errors.size() == before;
+    if (given && (out.empty() || out.find_first_not_of(allowed) != std::string::npos)) {
+        addError(name, "must have 1 to " + std::to_string(maxLength) + " characters of A-Z a-z 0-9 . _ : -");
+        return otherwise;
+    }
+    return out;
+}
+
 auto JsonFields::optionalInteger(const std::string &name, std::int64_t least, std::int64_t most) -> std::optional<std::int64_t>
 {
     const auto *value = m_impl->find(name);
--- a/packages/daemon/jsonfields.h
+++ b/packages/daemon/jsonfields.h
@@ -34,6 +34,8 @@
 
     auto text(const std::string &name, const std::string &otherwise, std::size_t maxLength) -> std::string;
     auto requiredText(const std::string &name, std::size_t maxLength) -> std::string;
+    /// Reads a text of `A-Z a-z 0-9 . _ : -` with 1 to @p maxLength characters.
+    auto identifier(const std::string &name, const std::string &otherwise, std::size_t maxLength) -> std::string;
     auto integer(const std::string &name, std::int64_t otherwise, std::int64_t least, std::int64_t most) -> std::int64_t;
     auto optionalInteger(const std::string &name, std::int64_t least, std::int64_t most) -> std::optional<std::int64_t>;
     auto boolean(const std::string &name, bool otherwise) -> bool;
--- a/packages/daemon/operatorapi.cpp
+++ b/packages/daemon/operatorapi.cpp
@@ -93,8 +93,8 @@
 auto putConfig(const OperatorContext &context, const HttpRequest &request, const std::string &author) -> HttpResponse
 {
     auto body = json::parse(request.body, nullptr, false);
-    if (!body.is_object() || !body.contains("base") || !body["base"].is_number_unsigned() || !body.contains("document")) {
-        return problem(400, "the body must be an object with 'base', the version on which the change is based, and 'document'");
+    if (!body.is_object() || !body.contains("base") || !body["base"].is_number_unsigned() || !body.contains("document") || body.size() != 2) {
+        return problem(400, "the body must be an object with only 'base', the version on which the change is based, and 'document'");
     }
     const auto text = body["document"].is_string() ? body["document"].get<std::string>() : body["document"].dump();
     const auto base = ConfigVersion{body["base"].get<std::int64_t>()};
