--- a/testing/system/deployment.cpp
+++ b/testing/system/deployment.cpp
@@ -20,8 +20,8 @@
 
 using nlohmann::json;
 
-constexpr auto callerToken = "caller-token-of-the-test";
-constexpr auto operatorToken = "operator-token-of-the-test";
+constexpr auto callerTokenText = "caller-token-of-the-test";
+constexpr auto operatorTokenText = "operator-token-of-the-test";
 constexpr auto peerKey = "0123456789abcdef0123456789abcdef";
 constexpr auto startTimeout = Millis{20'000};
 
@@ -191,7 +191,7 @@
         << "[listeners]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
         << "[platform]\nlog = \"" << m_platformRelay->address() << "\"\ninstances = \"" << m_platformRelay->address() << "\"\ntimeout = \"1s\"\n"
         << "[peers]\nkey = \"" << peerKey << "\"\n"
-        << "[operators]\ntoken_sha256 = \"" << sha256Hex(operatorToken) << "\"\n"
+        << "[operators]\ntoken_sha256 = \"" << sha256Hex(operatorTokenText) << "\"\n"
         << "[leases]\n"
         << m_shape.leases << "[drain]\nnotice = \"300ms\"\ntime = \"20s\"\n";
     return path;
@@ -292,7 +292,7 @@
         {"workspaces",
          json::array({{{"name", m_shape.workspace},
                        {"weight", 10},
-                       {"tokens", json::array({sha256Hex(callerToken)})},
+                       {"tokens", json::array({sha256Hex(callerTokenText)})},
                        {"urgent_share_percent", 50},
                        {"guarantees", json::array({{{"domain", m_shape.domains.front().name}, {"slots", m_shape.slots}, {"count", 1}}})}}})},
         {"services", json::array({{{"name", "service"}, {"workspace", m_shape.workspace}, {"kinds", {"plan", "book", "simulate", "mold"}}}})},
@@ -303,14 +303,24 @@
     };
 }
 
+auto Deployment::callerToken() -> std::string
+{
+    return callerTokenText;
+}
+
+auto Deployment::operatorToken() -> std::string
+{
+    return operatorTokenText;
+}
+
 auto Deployment::caller(std::size_t index, const std::string &method, const std::string &path, const std::string &body, Millis timeout) -> Result<HttpReply>
 {
-    return exchange(m_entries.at(index).callers, callerToken, method, path, body, timeout);
+    return exchange(m_entries.at(index).callers, callerTokenText, method, path, body, timeout);
 }
 
 auto Deployment::operate(std::size_t index, const std::string &method, const std::string &path, const std::string &body) -> Result<HttpReply>
 {
-    return exchange(m_entries.at(index).operators, operatorToken, method, path, body, Millis{8'000});
+    return exchange(m_entries.at(index).operators, operatorTokenText, method, path, body, Millis{8'000});
 }
 
 auto Deployment::request(std::size_t index, const RequestParams &params) -> Call
--- a/testing/system/deployment.h
+++ b/testing/system/deployment.h
@@ -106,6 +106,11 @@
     /// @return a document with one workspace, kinds `plan`, `book`, `simulate` and `mold`, and a guarantee.
     [[nodiscard]] auto document() const -> nlohmann::json;
 
+    /// @return the token of document()'s workspace.
+    static auto callerToken() -> std::string;
+    /// @return the token of the operator in the instances' settings.
+    static auto operatorToken() -> std::string;
+
     /// Sends an HTTP call with the workspace's token to an entry instance.
     auto caller(std::size_t index, const std::string &method, const std::string &path, const std::string &body, Millis timeout) -> Result<HttpReply>;
     /// Sends an HTTP call with the operator's token.
