Test the documented statuses and the counters of objectives in a deployment

Change: a table of 12 faulty calls checks status and fields; the metrics source of the service-level report has to show the probe.

Conclusion: a field that leaves the failure form, or a status that changes, fails system_cli_test.

--- a/testing/system/testing/cli_test.cpp
+++ b/testing/system/testing/cli_test.cpp
@@ -182,6 +182,49 @@
         CHECK(cli.call({"cancel", "unknown"}).code == 1);
     }
 
+    SUBCASE("refused calls have the documented status and the failure form, whatever their fault")
+    {
+        struct Case
+        {
+            const char *method;
+            const char *path;
+            std::string body;
+            int status;
+        };
+        const auto cases = std::vector<Case>{
+            {"POST", "/v1/requests", "{", 400},
+            {"POST", "/v1/requests", R"({"kind":"plan","colour":1})", 400},
+            {"POST", "/v1/requests", R"({"kind":"plan","deadline_ms":"1"})", 400},
+            {"POST", "/v1/requests", R"({"kind":"plan","attempt":0})", 400},
+            {"POST", "/v1/requests", R"({"kind":"simulate"})", 400},
+            {"POST", "/v1/requests", R"({"workspace":"other","kind":"plan"})", 403},
+            {"POST", "/v1/requests", std::string(std::size_t{2} << 20U, 'x'), 413},
+            {"POST", "/v1/tickets", R"({"workspace":"other"})", 403},
+            {"POST", "/v1/jobs", R"({"kind":"simulate"})", 400},
+            {"POST", "/v1/jobs", R"({"kind":"simulate","key":"k","tasks":65})", 400},
+            {"POST", "/v1/jobs", R"({"kind":"simulate","key":"k","tasks":64,"slots_per_task":32})", 422},
+            {"POST", "/v1/nothing", "{}", 404},
+        };
+        for (const auto &it : cases) {
+            CAPTURE(it.path);
+            CAPTURE(it.body.substr(0, 80));
+            const auto reply = site.caller(0, it.method, it.path, it.body, Millis{8'000});
+            REQUIRE(reply);
+            CHECK(reply.value().status == it.status);
+            const auto body = json::parse(reply.value().body, nullptr, false);
+            CHECK(body["result"] == "not_run");
+            CHECK(body["request_id"].is_string());
+            CHECK_FALSE(body["reason"].get<std::string>().empty());
+            CHECK(body["retry_after_ms"].is_number_integer());
+            CHECK(body["config_version"].is_number_integer());
+        }
+        for (const auto *path : {"/v1/jobs?limit=x", "/v1/jobs?live=1"}) {
+            CHECK(site.caller(0, "GET", path, {}, Millis{8'000}).value().status == 400);
+        }
+        CHECK(site.caller(0, "GET", "/v1/jobs/unknown", {}, Millis{8'000}).value().status == 404);
+        CHECK(site.operate(0, "PUT", "/v1/config", R"({"base":1,"document":{},"more":1})").value().status == 400);
+    }
+
     SUBCASE("lists: every one answers with rows, and the service-level report counts the probe")
     {
         for (const auto *name : {"workspaces", "guarantees", "kinds", "services", "instances", "executors"}) {
@@ -192,6 +235,8 @@
         const auto report = cli.operate({"slo"});
         CHECK(report.code == 0);
         CHECK(report.body()["objectives"][0]["windows"].back()["total"].get<int>() >= 1);
-        CHECK(cli.operate({"slo", "--source", "metrics"}).code == 0);
+        const auto counters = cli.operate({"slo", "--source", "metrics"});
+        CHECK(counters.code == 0);
+        CHECK(counters.body()["objectives"][0]["windows"][0]["total"].get<int>() >= 1);
     }
 }
