Return a path without a copy in the deployment of the system tests

Cause: the linter reports that a constant local cannot be moved from. Change: the local is not constant any more; nothing else is affected.

--- a/testing/system/deployment.cpp
+++ b/testing/system/deployment.cpp
@@ -185,7 +185,7 @@
 
 auto Deployment::writeSettings(const EntryProcess &entry) -> std::string
 {
-    const auto path = m_folder + "/" + entry.id + ".toml";
+    auto path = m_folder + "/" + entry.id + ".toml";
     auto out = std::ofstream{path};
     out << "[instance]\nid = \"" << entry.id << "\"\ndomain = \"" << entry.domain << "\"\nregion = \"" << entry.region << "\"\n"
         << "[listeners]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
