--- a/testing/system/deployment.cpp
+++ b/testing/system/deployment.cpp
@@ -20,9 +20,9 @@
 
 using nlohmann::json;
 
-constexpr auto callerToken = "caller-token-of-the-test";
+constexpr auto callerTokenText = "caller-token-of-the-test";
 constexpr auto neighbourToken = "neighbour-token-of-the-test";
-constexpr auto operatorToken = "operator-token-of-the-test";
+constexpr auto operatorTokenText = "operator-token-of-the-test";
 constexpr auto peerKey = "0123456789abcdef0123456789abcdef";
 constexpr auto startTimeout = Millis{20'000};
 
@@ -186,13 +186,13 @@
 
 auto Deployment::writeSettings(const EntryProcess &entry) -> std::string
 {
-    const auto path = m_folder + "/" + entry.id + ".toml";
+    auto path = m_folder + "/" + entry.id + ".toml";
     auto out = std::ofstream{path};
     out << "[instance]\nid = \"" << entry.id << "\"\ndomain = \"" << entry.domain << "\"\nregion = \"" << entry.region << "\"\n"
         << "[listeners]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
         << "[platform]\nlog = \"" << m_platformRelay->address() << "\"\ninstances = \"" << m_platformRelay->address() << "\"\ntimeout = \"1s\"\n"
         << "[peers]\nkey = \"" << peerKey << "\"\n"
-        << "[operators]\ntoken_sha256 = \"" << sha256Hex(operatorToken) << "\"\n"
+        << "[operators]\ntoken_sha256 = \"" << sha256Hex(operatorTokenText) << "\"\n"
         << "[leases]\n"
         << m_shape.leases << "[drain]\nnotice = \"300ms\"\ntime = \"20s\"\n";
     return path;
@@ -294,7 +294,7 @@
     const auto service = [](const std::string &name, const std::string &owner) {
         return json{{"name", name}, {"workspace", owner}, {"kinds", {"plan", "book", "simulate", "mold"}}};
     };
-    auto owner = workspace(m_shape.workspace, callerToken);
+    auto owner = workspace(m_shape.workspace, callerTokenText);
     const auto slots = m_shape.guaranteeSlots > 0 ? m_shape.guaranteeSlots : m_shape.slots;
     owner["guarantees"].push_back({{"domain", m_shape.domains.front().name}, {"slots", slots}, {"count", 1}});
     return {
@@ -308,15 +308,25 @@
     };
 }
 
+auto Deployment::callerToken() -> std::string
+{
+    return callerTokenText;
+}
+
+auto Deployment::operatorToken() -> std::string
+{
+    return operatorTokenText;
+}
+
 auto Deployment::caller(std::size_t index, const std::string &method, const std::string &path, const std::string &body, Millis timeout, bool neighbour)
     -> Result<HttpReply>
 {
-    return exchange(m_entries.at(index).callers, neighbour ? neighbourToken : callerToken, method, path, body, timeout);
+    return exchange(m_entries.at(index).callers, neighbour ? neighbourToken : callerTokenText, method, path, body, timeout);
 }
 
 auto Deployment::operate(std::size_t index, const std::string &method, const std::string &path, const std::string &body) -> Result<HttpReply>
 {
-    return exchange(m_entries.at(index).operators, operatorToken, method, path, body, Millis{8'000});
+    return exchange(m_entries.at(index).operators, operatorTokenText, method, path, body, Millis{8'000});
 }
 
 auto Deployment::request(std::size_t index, const RequestParams &params) -> Call
--- a/testing/system/deployment.h
+++ b/testing/system/deployment.h
@@ -109,6 +109,11 @@
     /// `plan`, `book`, `simulate` and `mold` for both.
     [[nodiscard]] auto document() const -> nlohmann::json;
 
+    /// @return the token of document()'s first workspace.
+    static auto callerToken() -> std::string;
+    /// @return the token of the operator in the instances' settings.
+    static auto operatorToken() -> std::string;
+
     /// Sends an HTTP call with a workspace's token to an entry instance.
     /// @param neighbour whether it is the second workspace's, which has no guarantee
     auto caller(std::size_t index, const std::string &method, const std::string &path, const std::string &body, Millis timeout, bool neighbour = false)
