--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -481,7 +481,7 @@
     }
 }
 
-auto DomainPlanner::sendOrders(const WorkerId &id, std::vector<WorkerOrder> orders) -> void
+auto DomainPlanner::sendOrders(const WorkerId &id, const std::vector<WorkerOrder> &orders) -> void
 {
     const auto timeout = m_context.options.gangs.orderTimeout;
     const auto call
@@ -528,7 +528,8 @@
     worker.lastPoll = now;
     m_gangs.pollStarted(id);
     if (!worker.strays.empty() && m_claimed) {
-        sendOrders(id, std::exchange(worker.strays, {}));
+        const auto strays = std::exchange(worker.strays, {});
+        sendOrders(id, strays);
         return;
     }
     const auto timeout = m_context.options.gangs.orderTimeout;
@@ -576,7 +577,7 @@
         for (auto &[id, orders] : gangs.orders) {
             if (m_workers.contains(id)) {
                 m_workers.at(id).lastPoll = now; // the reply carries the status
-                sendOrders(id, std::move(orders));
+                sendOrders(id, orders);
             } else {
                 m_gangs.ordersDone(id, orders, failure(ErrorCode::Unavailable, "the worker has left"), now);
             }
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -141,7 +141,7 @@
     auto handleEnd(const GangEvent &event, MonoTime now) -> void;
     auto finishJob(const Job &job, const GangEvent &event, JobResult result, bool ran) -> void;
     auto confirmAttempt(const GangEvent &event) -> void;
-    auto sendOrders(const WorkerId &id, std::vector<WorkerOrder> orders) -> void;
+    auto sendOrders(const WorkerId &id, const std::vector<WorkerOrder> &orders) -> void;
     auto ordersDone(const WorkerId &id, const std::vector<WorkerOrder> &orders, const Result<OrdersReply> &reply) -> void;
     auto poll(const WorkerId &id, MonoTime now) -> void;
     auto pollPeriod() const -> Micros;
--- a/testing/system/testing/config_test.cpp
+++ b/testing/system/testing/config_test.cpp
@@ -19,6 +19,17 @@
     return reply && reply.value().status == 200 ? json::parse(reply.value().body).at("version").get<std::int64_t>() : -1;
 }
 
+/// @return the weight of the workspace that change() changes; a document in force lists workspaces by name.
+auto weightOf(const json &config) -> int
+{
+    for (const auto &it : config.at("document").at("workspaces")) {
+        if (it.at("name") == "patrulla") {
+            return it.at("weight").get<int>();
+        }
+    }
+    return -1;
+}
+
 auto change(const Deployment &site, std::int64_t base, int weight) -> std::string
 {
     auto document = site.document();
@@ -52,8 +63,11 @@
         for (auto i = std::size_t{0}; i < site.entryCount(); ++i) {
             CHECK(eventually([&] {
                 const auto reply = site.operate(i, "GET", "/v1/config");
-                const auto body = reply ? json::parse(reply.value().body) : json::object();
-                return body.value("version", std::int64_t{0}) == base + 1 && body["document"]["workspaces"][0]["weight"] == 20 + round * 2 + winner;
+                if (!reply || reply.value().status != 200) {
+                    return false;
+                }
+                const auto body = json::parse(reply.value().body);
+                return body.value("version", std::int64_t{0}) == base + 1 && weightOf(body) == 20 + round * 2 + winner;
             }));
         }
     }
