Take the planner role of the own region after its own heartbeats

Cause: after the loss of all instances the planner was back only after 6 s, three heartbeat periods across regions, although instances of its own region come first as planners and are heard from every 500 ms. Ruled out: the jobs stream as the cause; 1,000 waiting jobs took only 31 ms longer than 50. Change: a failure domain of the own region counts as settled after three periods inside the region.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -497,7 +497,7 @@
 {
     const auto lock = std::lock_guard{membershipMutex};
     const auto now = clock.mono();
-    return membership->settled(now) && membership->planner(domain, region, now) == settings.instance;
+    return membership->settled(region, now) && membership->planner(domain, region, now) == settings.instance;
 }
 
 auto Daemon::Impl::readiness() const -> std::string
--- a/packages/wire/membership.cpp
+++ b/packages/wire/membership.cpp
@@ -220,4 +220,10 @@
     return now - m_start >= std::max(m_options.periodInRegion, m_options.periodAcross) * m_options.freshPeriods;
 }
 
+auto Membership::settled(const RegionId &target, MonoTime now) const -> bool
+{
+    // Instances of the own region come first as planners of its failure domains, and they are heard from sooner.
+    return target == m_options.region ? now - m_start >= m_options.periodInRegion * m_options.freshPeriods : settled(now);
+}
+
 }
--- a/packages/wire/membership.h
+++ b/packages/wire/membership.h
@@ -124,6 +124,9 @@
     /// it sees itself as the planner of everything.
     [[nodiscard]] auto settled(MonoTime now) const -> bool;
 
+    /// @return whether this process has run long enough to know who plans the failure domains of region @p target.
+    [[nodiscard]] auto settled(const RegionId &target, MonoTime now) const -> bool;
+
     /// @return the heartbeat period towards an instance of @p region.
     [[nodiscard]] auto period(const RegionId &region) const -> Millis;
 
--- a/packages/wire/testing/membership_test.cpp
+++ b/packages/wire/testing/membership_test.cpp
@@ -224,3 +224,17 @@
     clock.advance(Millis{1});
     CHECK(table.settled(clock.now()));
 }
+
+TEST_CASE("the own region is settled before the slower heartbeats of other regions have arrived")
+{
+    // A restarted instance that waits for other regions leaves the gangs of its own one without a planner for longer.
+    auto clock = ManualClock{};
+    const auto table = Membership{{.self = InstanceId{"i"}, .domain = FailureDomainId{"d"}, .region = RegionId{"near"}, .incarnation = {1}}, clock.now()};
+    clock.advance(Millis{1499});
+    CHECK_FALSE(table.settled(RegionId{"near"}, clock.now()));
+    clock.advance(Millis{1});
+    CHECK(table.settled(RegionId{"near"}, clock.now()));
+    CHECK_FALSE(table.settled(RegionId{"far"}, clock.now()));
+    clock.advance(Millis{4500});
+    CHECK(table.settled(RegionId{"far"}, clock.now()));
+}
