Say why a job waits that the fleet can never hold

Cause: such a job is parked only after a minute, and until then its reason was 'not considered yet', because the decision skips it.

--- a/packages/policy/decide.cpp
+++ b/packages/policy/decide.cpp
@@ -330,9 +330,11 @@
             verdict->second = neverRuns(job->spec, job->workspace);
         }
         if (!verdict->second) {
+            job->reason = job->reason == WaitReason::NeverFits ? WaitReason::New : job->reason;
             it = impossible.erase(it);
             continue;
         }
+        job->reason = WaitReason::NeverFits;
         it->second = std::min(it->second, now);
         if (now < it->second + options.parkAfter) {
             ++it;
--- a/packages/policy/jobqueue.cpp
+++ b/packages/policy/jobqueue.cpp
@@ -51,6 +51,8 @@
         return "the job cannot be stopped, and the free slots are needed for other workspaces' guarantees";
     case WaitReason::NoWorkers:
         return "no worker is known";
+    case WaitReason::NeverFits:
+        return "the known fleet, quotas and guarantees leave no place for the job; it is parked if that lasts";
     }
     return "";
 }
--- a/packages/policy/jobqueue.h
+++ b/packages/policy/jobqueue.h
@@ -38,7 +38,7 @@
     [[nodiscard]] auto rank(MonoTime now, Seconds halfLife) const -> double;
 };
 
-enum class WaitReason { New, GuaranteeInUse, NoPlace, Reserved, Quota, Guarantees, NoWorkers };
+enum class WaitReason { New, GuaranteeInUse, NoPlace, Reserved, Quota, Guarantees, NoWorkers, NeverFits };
 
 /// @return the reason as a text for callers and operators.
 auto waitReasonText(WaitReason reason) -> const char *;
--- a/packages/policy/testing/scheduler_test.cpp
+++ b/packages/policy/testing/scheduler_test.cpp
@@ -225,6 +225,9 @@
     CHECK(scheduler.workerLost(WorkerId{"w1"}) == std::vector<JobId>{JobId{"y"}});
     scheduler.jobEnded(JobId{"y"}, JobEnd::Lost, at(3));
     CHECK(scheduler.decide(at(3)).parked.empty());
+    // Until it is parked, the job says why it waits.
+    REQUIRE(scheduler.queue().size() == 1);
+    CHECK(scheduler.queue()[0].reason.find("leave no place") != std::string::npos);
     const auto decisions = scheduler.decide(at(70));
     REQUIRE(decisions.parked.size() == 1);
     CHECK(decisions.parked[0].job == JobId{"z"});
