Count lost log records in the daemon's exit status

Cause: the exit status was 0 after a drain that could not append every log record, which the test of a planned stop takes as proof of a clean stop.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -643,7 +643,7 @@
         std::_Exit(1); // The connections that did not end in time would keep the process alive.
     }
     stopper.join();
-    return cut;
+    return cut + pending;
 }
 
 }
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -6,7 +6,7 @@
 ///   auto daemon = Catkin::Daemon{settings, Catkin::systemClock()};
 ///   auto ports = daemon.start();
 ///   daemon.waitForDrain(...);
-///   auto cut = daemon.drain();        // requests that did not end in time
+///   auto lost = daemon.drain();       // requests and log records that did not end in time
 /// @endcode
 
 #include "daemon/settings.h"
@@ -42,7 +42,7 @@
     [[nodiscard]] auto drainRequested() const -> bool;
 
     /// Stops gracefully: not ready, then no new connections, then the end of what is in progress.
-    /// @return the number of requests that had not ended within the drain time.
+    /// @return the number of requests that had not ended within the drain time and of log records that could not be appended.
     auto drain() -> std::size_t;
 
 private:
