Never preempt work that must not run twice

Cause: a checkpointable job that must not run twice counted as reclaimable. Once preempted it could not return to the queue, because the fold of the jobs stream refuses a second start after it ran, and the planner retried an attempt that the log never confirms. Ruled out: requeueing with a checkpoint in the fold; whether a worker resumes from it instead of starting over is not known to the log. Change: only restartable jobs are reclaimable; checkpoints save their progress. Measured: the reclaim test with checkpointable at-most-once borrowers failed before (the number of running borrowers never settled at 4) and passes after.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -27,7 +27,9 @@
         .slotsPerTask = static_cast<int>(spec.slotsPerTask.value),
         .adjacency = adjacency[static_cast<std::size_t>(spec.adjacency)],
         .urgency = urgency[static_cast<std::size_t>(spec.urgency)],
-        .checkpointable = spec.checkpointable,
+        // A job that must not run twice cannot return to the queue once it has started, so a checkpoint does not make
+        // it reclaimable.
+        .checkpointable = spec.checkpointable && spec.restartable,
         .restartable = spec.restartable,
     };
 }
@@ -452,8 +454,7 @@
         return;
     case GangOutcome::Stopped:
     case GangOutcome::Lost: {
-        const auto again = event.outcome == GangOutcome::Stopped || job->spec.restartable;
-        const auto mayRunAgain = again && (job->spec.restartable || job->spec.checkpointable);
+        const auto mayRunAgain = job->spec.restartable;
         m_scheduler.jobEnded(event.job, cancelled ? JobEnd::Cancelled : mayRunAgain ? JobEnd::Requeue : JobEnd::Lost, now);
         finishJob(*job, event, cancelled ? JobResult::Cancelled : mayRunAgain ? JobResult::Requeue : JobResult::Unknown, true);
         return;
--- a/testing/system/testing/reclaim_test.cpp
+++ b/testing/system/testing/reclaim_test.cpp
@@ -96,13 +96,15 @@
     }
 }
 
-TEST_CASE("work that cannot be stopped never takes the slots that a guarantee needs")
+TEST_CASE("work that must not run twice never takes the slots that a guarantee needs, even if it can checkpoint")
 {
     auto site = Deployment{guaranteedPair()};
     site.start();
     auto started = std::vector<std::string>{};
     for (auto i = 0; i < 8; ++i) {
-        const auto id = site.submit(0, job("mold", "fixed-" + std::to_string(i), 1, 4, 600'000, false), true);
+        auto fixed = job("mold", "fixed-" + std::to_string(i), 1, 4, 600'000, false);
+        fixed["checkpointable"] = i % 2 == 0;
+        const auto id = site.submit(0, fixed, true);
         REQUIRE(id.has_value());
         started.push_back(*id);
     }
