Name the test's second workspace so that it sorts last

Cause: documents in force list workspaces by name, and the console and catkinctl tests read the first one. Change: the neighbour is called vecino, after both deployments' workspaces.

--- a/testing/system/deployment.cpp
+++ b/testing/system/deployment.cpp
@@ -299,8 +299,8 @@
     owner["guarantees"].push_back({{"domain", m_shape.domains.front().name}, {"slots", slots}, {"count", 1}});
     return {
         {"format", 1},
-        {"workspaces", json::array({owner, workspace("neighbour", neighbourToken)})},
-        {"services", json::array({service("service", m_shape.workspace), service("other-service", "neighbour")})},
+        {"workspaces", json::array({owner, workspace("vecino", neighbourToken)})},
+        {"services", json::array({service("service", m_shape.workspace), service("service-2", "vecino")})},
         {"kinds", json::array({kind("plan", "request", true), kind("book", "request", false), kind("simulate", "job", true), kind("mold", "job", false)})},
         {"objectives", json::array({{{"workspace", m_shape.workspace}, {"kind", "plan"}, {"latency_ms", 1000}, {"target_percent", 99.0}}})},
         {"tolerate", {{"workers", 1}, {"racks", 0}}},
