Report ready only after the configuration stream has been read

Cause: an instance was ready as soon as a peer had offered it a configuration. It could also show an older version than before its restart. Ruled out: a change lost by the log stand-in (the change was never appended); a fold that goes back (the checker of versions found nothing). Change: readiness waits until the stream has been read to its end once, or three reads in a row have failed; a change proposed before that is 'not applied' and no conflict. The restart test now checks each change's status.

--- a/packages/daemon/configservice.cpp
+++ b/packages/daemon/configservice.cpp
@@ -95,7 +95,7 @@
     {
         const auto lock = std::lock_guard{m_mutex};
         const auto *certain = m_fold.certain();
-        if (certain == nullptr) {
+        if (certain == nullptr || !m_tail.caughtUp()) {
             return {.outcome = ApplyOutcome::NotApplied, .reason = "the configuration stream has not been read yet"};
         }
         if (certain->version != base) {
@@ -161,6 +161,11 @@
     return m_tail.caughtUp();
 }
 
+auto ConfigService::settled() const -> bool
+{
+    return m_tail.settled();
+}
+
 auto ConfigService::age() const -> std::optional<Millis>
 {
     return m_tail.age();
--- a/packages/daemon/configservice.h
+++ b/packages/daemon/configservice.h
@@ -83,6 +83,8 @@
 
     /// @return whether the log has been read to its end once.
     [[nodiscard]] auto caughtUp() const -> bool;
+    /// @return whether the log has been read to its end once or cannot be read; see LogTail::settled().
+    [[nodiscard]] auto settled() const -> bool;
     /// @return time since the log was last read.
     [[nodiscard]] auto age() const -> std::optional<Millis>;
 
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -508,6 +508,10 @@
     if (!config.active()) {
         return "no configuration is known";
     }
+    // A peer's offer may be older than what the log holds; callers must not see an older version after a restart.
+    if (!config.settled()) {
+        return "the configuration stream is still being read";
+    }
     return {};
 }
 
--- a/packages/daemon/logtail.cpp
+++ b/packages/daemon/logtail.cpp
@@ -35,6 +35,8 @@
     const auto page = m_log.read(m_stream, from, m_options.pageSize, wait);
     if (!page) {
         logEvent(LogLevel::Warn, 2002, page.error().message);
+        const auto lock = std::lock_guard{m_mutex};
+        ++m_failures;
         return false;
     }
     for (const auto &it : page.value().records) {
@@ -47,6 +49,7 @@
         const auto lock = std::lock_guard{m_mutex};
         m_next = std::max(from, page.value().next);
         m_lastRead = m_clock.mono();
+        m_failures = 0;
         m_caughtUp = m_caughtUp || page.value().records.empty();
     }
     m_changed.notify_all();
@@ -85,6 +88,12 @@
     return m_caughtUp;
 }
 
+auto LogTail::settled() const -> bool
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_caughtUp || m_failures >= m_options.settleFailures;
+}
+
 auto LogTail::age() const -> std::optional<Millis>
 {
     const auto lock = std::lock_guard{m_mutex};
--- a/packages/daemon/logtail.h
+++ b/packages/daemon/logtail.h
@@ -27,6 +27,7 @@
     int pageSize = 500; ///< records per read; bounds the memory of a page
     Millis longPoll{2'000}; ///< how long a read may wait for a new record
     Millis retryDelay{300}; ///< after a failed read
+    int settleFailures = 3; ///< failed reads in a row, before the first complete one, after which settled() gives up
     Millis startDelay{0}; ///< spreads the first reads of instances that start together
 };
 
@@ -54,6 +55,9 @@
 
     /// @return whether the stream has been read to its end once.
     [[nodiscard]] auto caughtUp() const -> bool;
+    /// @return whether the stream has been read to its end once, or has failed to answer so often that nobody should
+    /// wait for it any longer.
+    [[nodiscard]] auto settled() const -> bool;
     /// @return time since the last successful read; nothing before the first.
     [[nodiscard]] auto age() const -> std::optional<Millis>;
     /// @return bytes of record data read since the start.
@@ -73,6 +77,7 @@
     LogOffset m_next{0};
     bool m_started = false;
     bool m_caughtUp = false;
+    int m_failures = 0; ///< failed reads in a row
     bool m_stopping = false;
     std::optional<MonoTime> m_lastRead;
     std::atomic<std::uint64_t> m_bytesRead{0};
--- a/testing/system/deployment.cpp
+++ b/testing/system/deployment.cpp
@@ -81,6 +81,7 @@
     m_entries.clear();
     m_executors.clear();
     m_workers.clear();
+    m_logRelay.reset();
     m_platformRelay.reset();
     m_platform.reset();
     if (std::getenv("CATKIN_KEEP_LOGS") == nullptr) {
@@ -93,6 +94,7 @@
 {
     m_platform = take(startStandin("platform_standin", {"--threads", "128"}), "platform");
     m_platformRelay = std::make_unique<Relay>(m_platform->port(), m_shape.platformDelay);
+    m_logRelay = std::make_unique<Relay>(m_platformRelay->port(), m_shape.logDelay);
     for (const auto &domain : m_shape.domains) {
         for (auto i = 0; i < domain.executors; ++i) {
             auto process = take(startStandin("executor_standin", {"--busy-ms", std::to_string(m_shape.executorBusyMs), "--threads", "72"}), "executor");
@@ -190,7 +192,7 @@
     auto out = std::ofstream{path};
     out << "[instance]\nid = \"" << entry.id << "\"\ndomain = \"" << entry.domain << "\"\nregion = \"" << entry.region << "\"\n"
         << "[listeners]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
-        << "[platform]\nlog = \"" << m_platformRelay->address() << "\"\ninstances = \"" << m_platformRelay->address() << "\"\ntimeout = \"1s\"\n"
+        << "[platform]\nlog = \"" << m_logRelay->address() << "\"\ninstances = \"" << m_platformRelay->address() << "\"\ntimeout = \"1s\"\n"
         << "[peers]\nkey = \"" << peerKey << "\"\n"
         << "[operators]\ntoken_sha256 = \"" << sha256Hex(operatorTokenText) << "\"\n"
         << "[leases]\n"
--- a/testing/system/deployment.h
+++ b/testing/system/deployment.h
@@ -43,6 +43,7 @@
     int slots = 8;
     int executorBusyMs = 20;
     Millis platformDelay{0}; ///< one way between the entry instances and the platform
+    Millis logDelay{0}; ///< added to it one way for the log alone
     std::string leases = "probation = \"1500ms\"\nrun = \"6s\"\nrenew = \"1s\"\n"; ///< the settings' section [leases]
 };
 
@@ -140,6 +141,7 @@
     std::string m_folder;
     std::unique_ptr<ChildProcess> m_platform;
     std::unique_ptr<Relay> m_platformRelay;
+    std::unique_ptr<Relay> m_logRelay; ///< before m_platformRelay
     std::vector<EntryProcess> m_entries;
     std::vector<ServerProcess> m_executors;
     std::vector<ServerProcess> m_workers;
--- a/testing/system/testing/config_test.cpp
+++ b/testing/system/testing/config_test.cpp
@@ -91,7 +91,9 @@
         observe();
         REQUIRE(control(site.platform(), round % 2 == 0 ? R"({"lose_answer":true})" : R"({"lose_answer":false})"));
         // The answer of the append may be lost; the change still decides itself when it is read back.
-        (void)site.operate(0, "PUT", "/v1/config", change(site, base, 40 + round));
+        const auto reply = site.operate(0, "PUT", "/v1/config", change(site, base, 40 + round));
+        REQUIRE(reply);
+        CHECK((reply.value().status == 200 || reply.value().status == 504));
         REQUIRE(control(site.platform(), R"({"lose_answer":false})"));
         const auto victim = static_cast<std::size_t>(round) % site.entryCount();
         site.entry(victim).process->signal(SIGKILL);
@@ -107,6 +109,28 @@
     CHECK(versionAt(site, 0) == 5);
 }
 
+// Guards against an instance that is ready with a peer's configuration before it has read its own stream: it refused
+// changes as "not read yet" and could show an older version than before its restart.
+TEST_CASE("an instance that is ready after a restart takes a change at once")
+{
+    auto shape = barilocheShape();
+    shape.logDelay = Millis{350};
+    auto site = Deployment{shape};
+    site.start();
+    for (auto round = 0; round < 2; ++round) {
+        const auto base = versionAt(site, 1);
+        site.entry(0).process->signal(SIGKILL);
+        (void)site.entry(0).process->waitExit(Millis{5'000});
+        site.startEntry(0);
+        REQUIRE(site.waitReady(0));
+        CHECK(versionAt(site, 0) == base);
+        const auto reply = site.operate(0, "PUT", "/v1/config", change(site, base, 60 + round));
+        REQUIRE(reply);
+        CHECK(reply.value().status == 200);
+        CHECK(eventually([&] { return versionAt(site, 1) == base + 1; }));
+    }
+}
+
 TEST_CASE("an instance that cannot read the log takes the configuration from its peers")
 {
     auto site = Deployment{barilocheShape()};
