Bound the calls in progress, so that a flood leaves threads to the others

Cause: a call that waits holds its connection's thread. A flood of 200 connections held all 64 threads and the backlog, and a small caller was turned away with 503 before the fair queue saw it. limits.queue_memory and limits.attempt_memory had no effect; own attempts and tickets kept up to 50,000 answers of any size, and 80,000 bookings took an instance to 77 MB. A draining or overflowing instance answered 'not run' to repeated calls whose earlier attempt may have run. Change: CallGate gives each caller, kind and workspace a part of the calls and payload bytes relative to the free rest; job submissions, job waits and forwarded tickets count too. Keys and answers are bounded by limits.attempt_memory; answers too long for the log are asked from the instance that has them. One workspace leaves tickets to others. Refusals before a key is looked up are 'not run' only if that is certain. 128 threads, 4 malloc arenas. The small caller's latency beside a flood stays open.

--- a/packages/daemon/callerapi.cpp
+++ b/packages/daemon/callerapi.cpp
@@ -25,6 +25,10 @@
 constexpr auto maxJobPayload = std::size_t{64} << 10U;
 constexpr auto maxWait = Millis{30'000};
 constexpr auto submitWait = Millis{3'000};
+/// Classes of calls that wait without being requests; identifiers of kinds cannot contain a blank.
+const auto submitClass = KindId{"job submission"};
+const auto waitClass = KindId{"job wait"};
+constexpr auto draining = "the instance is draining";
 constexpr auto defaultPage = std::int64_t{100};
 constexpr auto maxPage = std::int64_t{1000};
 
@@ -162,6 +166,22 @@
     return call;
 }
 
+/// Refuses a request that bears a ticket; whether an earlier attempt ran is not known here.
+auto refuseTicket(const RequestCall &call, const std::string &reason) -> HttpResponse
+{
+    if (call.attempt == 1) {
+        return refuse(503, reason, Millis{1000});
+    }
+    return {.status = 504, .body = dump(failureBody("outcome_unknown", reason + "; an earlier attempt may have run", Millis{1000}))};
+}
+
+/// Serves a ticket on the instance that issued it.
+auto forwardTicket(const CallerContext &context, const Ticket &ticket, const RequestCall &call) -> HttpResponse
+{
+    const auto pass = context.gate->enter(call.workspace, call.kind, call.caller, Bytes{static_cast<std::int64_t>(call.payload.size())});
+    return pass ? toResponse(context.forwardTicket(ticket, call)) : refuseTicket(call, "too many calls are in progress");
+}
+
 auto postRequest(const CallerContext &context, const HttpRequest &request, const Authorized &who) -> HttpResponse
 {
     auto fields = JsonFields{request.body};
@@ -173,10 +193,11 @@
     if (!own) {
         return refuse(403, "the token belongs to another workspace");
     }
+    const auto isTicket = TicketService::looksLikeTicket(call.key.str());
     if (*context.draining) {
-        return refuse(503, "the instance is draining", Millis{1000});
+        return isTicket ? refuseTicket(call, draining) : toResponse(context.requests->refuse(call, draining));
     }
-    if (!TicketService::looksLikeTicket(call.key.str())) {
+    if (!isTicket) {
         return toResponse(context.requests->handle(call));
     }
     const auto ticket = context.tickets->parse(call.key.str());
@@ -186,7 +207,7 @@
     if (context.tickets->owns(*ticket)) {
         return toResponse(context.tickets->serve(*ticket, call, [&] { return context.requests->handleOwned(call); }));
     }
-    return toResponse(context.forwardTicket(*ticket, call));
+    return forwardTicket(context, *ticket, call);
 }
 
 auto postTicket(const CallerContext &context, const HttpRequest &request, const Authorized &who) -> HttpResponse
@@ -350,7 +371,11 @@
         return *refused;
     }
     if (*context.draining) {
-        return refuse(503, "the instance is draining", Millis{1000});
+        return refuse(503, draining, Millis{1000});
+    }
+    const auto pass = context.gate->enter(who.workspace, submitClass, spec.caller, Bytes{static_cast<std::int64_t>(spec.payload.size())});
+    if (!pass) {
+        return refuse(429, "too many submissions of the workspace are in progress", Millis{1000});
     }
     // A repeated key gets its job even if the fleet can no longer hold it.
     if (const auto known = context.jobs->find(spec.id); !known) {
@@ -412,7 +437,9 @@
     if (!job) {
         return notFound(request);
     }
-    const auto deadline = context.clock.mono() + Millis{*wait};
+    // Without a pass the present state is the answer; the caller asks again.
+    const auto pass = context.gate->enter(who.workspace, waitClass, job->spec.caller, Bytes{0});
+    const auto deadline = context.clock.mono() + (pass ? Millis{*wait} : Millis{0});
     while (job && !isTerminal(job->state) && context.clock.mono() < deadline && !*context.draining) {
         const auto left = std::chrono::duration_cast<Millis>(deadline - context.clock.mono());
         job = context.jobs->waitChanged(job->spec.id, job->revision, std::min(left, Millis{1000}));
--- a/packages/daemon/callerapi.h
+++ b/packages/daemon/callerapi.h
@@ -6,6 +6,7 @@
 ///   Catkin::addCallerRoutes(listener, context);
 /// @endcode
 
+#include "daemon/callgate.h"
 #include "daemon/configservice.h"
 #include "daemon/fleet.h"
 #include "daemon/httplistener.h"
@@ -27,6 +28,7 @@
     JobService *jobs = nullptr;
     TicketService *tickets = nullptr;
     Fleet *fleet = nullptr;
+    CallGate *gate = nullptr;
     Clock clock;
     FailureDomainId domain; ///< of this instance: the home of jobs that name none
     const std::atomic<bool> *draining = nullptr;
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "daemon/callerapi.h"
+#include "daemon/callgate.h"
 #include "daemon/configservice.h"
 #include "daemon/consoleroutes.h"
 #include "daemon/executorpoller.h"
@@ -53,6 +54,26 @@
     return std::chrono::duration_cast<Seconds>(settings.requests.logRetention);
 }
 
+auto gateOptions(const Settings &settings) -> CallGateOptions
+{
+    // The rest of the threads read new calls and refuse them.
+    return {.callsAtMost = std::max(1, settings.limits.callerThreads * 3 / 4), .bytesAtMost = settings.limits.queueMemory};
+}
+
+auto intentOptions(const Settings &settings) -> IntentServiceOptions
+{
+    // limits.attempt_memory in parts: half for the keys, a quarter for answers read from the log, an eighth each for
+    // own answers and those of tickets. A key needs about 400 bytes with its indexes.
+    constexpr auto bytesPerKey = std::int64_t{512};
+    const auto memory = settings.limits.attemptMemory.value;
+    return {.instance = settings.instance,
+            .fold = {.window = std::chrono::duration_cast<Seconds>(settings.requests.keyWindow),
+                     .maxKeys = static_cast<std::size_t>(memory / 2 / bytesPerKey),
+                     .maxAnswerBytes = static_cast<std::size_t>(memory / 4)},
+            .tail = logTailOptions(settings),
+            .ownAnswers = Bytes{memory / 8}};
+}
+
 auto toTicketResult(const RequestReply &reply) -> TicketResult
 {
     return {
@@ -133,6 +154,7 @@
     std::shared_ptr<const Membership> membership; ///< refreshed by housekeeping()
     ConfigService config;
     IntentService intents;
+    CallGate gate;
     RequestService requests;
     std::unique_ptr<PlannerService> planners;
     JobService jobs;
@@ -169,11 +191,13 @@
     , intents(log,
               writer,
               time,
-              {.instance = given.instance, .fold = {.window = std::chrono::duration_cast<Seconds>(given.requests.keyWindow)}, .tail = logTailOptions(given)},
+              intentOptions(given),
               [this](const InstanceId &peer, const AttemptQuery &query, Millis timeout) { return mesh.queryAttempt(peer, query, timeout); })
+    , gate(gateOptions(given))
     , requests(executorPort,
                config,
                intents,
+               gate,
                time,
                requestOptions(),
                [this](const RequestCall &call, const RequestReply &reply, Millis latency) {
@@ -188,7 +212,12 @@
                    planners->jobsChanged();
                }
            })
-    , tickets({.instance = given.instance, .incarnation = incarnation, .key = given.peers.key, .window = given.requests.keyWindow}, time)
+    , tickets({.instance = given.instance,
+               .incarnation = incarnation,
+               .key = given.peers.key,
+               .window = given.requests.keyWindow,
+               .answers = Bytes{given.limits.attemptMemory.value / 8}},
+              time)
     , poller(executorPort,
              time,
              {.period = given.poll.executors},
@@ -325,6 +354,7 @@
         .jobs = &jobs,
         .tickets = &tickets,
         .fleet = fleet.get(),
+        .gate = &gate,
         .clock = clock,
         .domain = settings.domain,
         .draining = &closing,
--- a/packages/daemon/httplistener.cpp
+++ b/packages/daemon/httplistener.cpp
@@ -186,7 +186,8 @@
         response.status = 503;
         response.set_header("Connection", "close");
         response.set_header("Retry-After", "1");
-        response.set_content(failureBody("not_run", "too many connections", Millis{1000}), "application/json");
+        // The call has not been read, so an earlier attempt of its key cannot be excluded.
+        response.set_content(failureBody("outcome_unknown", "too many connections; this call did not run", Millis{1000}), "application/json");
         return httplib::Server::HandlerResponse::Handled;
     });
     server.set_error_handler([](const httplib::Request &, httplib::Response &response) {
--- a/packages/daemon/intentservice.cpp
+++ b/packages/daemon/intentservice.cpp
@@ -15,6 +15,7 @@
 constexpr auto attemptIdBytes = std::size_t{12};
 /// Allowance for the difference between this instance's clock and the log's when an empty log is found.
 constexpr auto clockMargin = Millis{10'000};
+constexpr auto answerGone = "the answer is no longer available";
 
 /// While the log cannot be read up to now, an earlier attempt may have run without being known here; only a caller
 /// that states its first attempt excludes this.
@@ -31,7 +32,7 @@
         .verdict = answered ? RequestVerdict::Answer : RequestVerdict::OutcomeUnknown,
         .request = status.attempt,
         .answer = answered ? *status.answer : std::string{},
-        .reason = answered ? std::string{} : std::string{"the answer is no longer available"},
+        .reason = answered ? std::string{} : std::string{answerGone},
     };
 }
 
@@ -44,6 +45,7 @@
     , m_options(std::move(options))
     , m_queryPeer(std::move(queryPeer))
     , m_fold(m_options.fold)
+    , m_ownAnswers(m_options.ownAnswers)
     , m_tail(
           log, clock, "requests", [this](const LogPage &page, bool restart) { applyPage(page, restart); }, m_options.tail)
 {
@@ -74,8 +76,18 @@
     if (!m_own.contains(attempt)) {
         m_ownOrder.push_back(attempt);
     }
+    const auto bytes = outcome.answer.size();
     m_own[attempt] = std::move(outcome);
+    if (bytes > 0) {
+        m_ownAnswers.add(attempt, bytes, [this](const RequestId &oldest) {
+            auto &dropped = m_own.at(oldest);
+            dropped.verdict = RequestVerdict::OutcomeUnknown;
+            dropped.answer = {};
+            dropped.reason = answerGone;
+        });
+    }
     while (m_ownOrder.size() > m_options.maxOwn) {
+        m_ownAnswers.remove(m_ownOrder.front());
         m_own.erase(m_ownOrder.front());
         m_ownOrder.pop_front();
     }
@@ -104,7 +116,7 @@
     case KeyState::Owned:
         return awaitOther(key, status, firstAttempt, deadline);
     case KeyState::Done:
-        return {.kind = ClaimKind::Settled, .outcome = fromDone(status)};
+        return settled(key, status, deadline);
     case KeyState::Expired:
         return {.kind = ClaimKind::Undecided, .reason = "the key is older than the key window"};
     case KeyState::NotCovered:
@@ -148,7 +160,7 @@
         return awaitOther(key, status, firstAttempt, deadline);
     }
     if (status.state == KeyState::Done) {
-        return {.kind = ClaimKind::Settled, .outcome = fromDone(status)};
+        return settled(key, status, deadline);
     }
     return notStarted(firstAttempt, "the log did not confirm the request in time");
 }
@@ -164,12 +176,23 @@
     return answer ? std::move(answer).value() : AttemptOutcome{.state = AttemptState::Open, .reason = answer.error().message};
 }
 
+auto IntentService::settled(const RequestKey &key, const KeyStatus &status, MonoTime deadline) -> Claim
+{
+    // An answer that was too long for the log is with the instance that got it, while that has room for it.
+    if (status.result == LoggedOutcome::Answer && !status.answer) {
+        if (auto answer = askOwner(key, status, deadline); answer.state == AttemptState::Done) {
+            return {.kind = ClaimKind::Settled, .outcome = std::move(answer)};
+        }
+    }
+    return {.kind = ClaimKind::Settled, .outcome = fromDone(status)};
+}
+
 auto IntentService::awaitOther(const RequestKey &key, const KeyStatus &status, bool firstAttempt, MonoTime deadline) -> Claim
 {
     auto current = status;
     while (m_clock.mono() < deadline) {
         if (current.state == KeyState::Done) {
-            return {.kind = ClaimKind::Settled, .outcome = fromDone(current)};
+            return settled(key, current, deadline);
         }
         if (current.state != KeyState::Owned) {
             // The owner has given up before it sent anything, so the key is free again.
--- a/packages/daemon/intentservice.h
+++ b/packages/daemon/intentservice.h
@@ -17,6 +17,8 @@
 #include "state/intentfold.h"
 #include "wire/messages.h"
 
+#include "daemon/answerbudget.h"
+
 #include <condition_variable>
 #include <deque>
 #include <functional>
@@ -51,7 +53,9 @@
     Millis queryTimeout{1'000}; ///< for one query of the winning instance
     Millis queryPause{200}; ///< before an open attempt is asked about again
     int checksPerSecond = 20; ///< reads of the log's end for refused requests; a flood of refusals must not become one of reads
-    std::size_t maxOwn = 50'000; ///< own attempts whose outcome is remembered
+    /// Own attempts whose outcome is remembered: those of the seconds until the log has shown their outcome to everyone.
+    std::size_t maxOwn = 8'192;
+    Bytes ownAnswers{2 << 20}; ///< answers of own attempts that are kept, also those that are too long for the log
 };
 
 class IntentService
@@ -90,6 +94,7 @@
     auto appendIntent(const RequestKey &key, bool firstAttempt, MonoTime deadline) -> Claim;
     auto awaitOther(const RequestKey &key, const KeyStatus &status, bool firstAttempt, MonoTime deadline) -> Claim;
     auto askOwner(const RequestKey &key, const KeyStatus &status, MonoTime deadline) -> AttemptOutcome;
+    auto settled(const RequestKey &key, const KeyStatus &status, MonoTime deadline) -> Claim;
     auto remember(const RequestId &attempt, AttemptOutcome outcome) -> void;
     auto voidRecord(const RequestKey &key, const RequestId &attempt) -> void;
 
@@ -103,6 +108,7 @@
     IntentFold m_fold;
     std::map<RequestId, AttemptOutcome> m_own;
     std::deque<RequestId> m_ownOrder;
+    AnswerBudget<RequestId> m_ownAnswers;
     MonoTime m_checkSecond{}; ///< start of the second in which m_checks counts
     int m_checks = 0;
     LogTail m_tail;
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -7,6 +7,8 @@
 
 #include <tclap/CmdLine.h>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdio>
 #include <ctime>
@@ -90,6 +92,10 @@
         std::cout << path << ": settings are valid\n";
         return exitOk;
     }
+    // glibc gives threads up to eight arenas for each core; with a thread for each connection they would hold most of the
+    // memory that the process is allowed.
+    constexpr auto arenas = 4;
+    mallopt(M_ARENA_MAX, arenas);
     initLogging(read.settings.logLevel);
     return run(read.settings);
 }
--- a/packages/daemon/requestservice.cpp
+++ b/packages/daemon/requestservice.cpp
@@ -15,6 +15,8 @@
 {
 
 constexpr auto requestIdBytes = std::size_t{12};
+/// Retry time for a call that found its part of the connection threads in use.
+constexpr auto busyPause = Millis{500};
 
 auto toOutcome(const Error &error) -> DispatchOutcome
 {
@@ -58,10 +60,11 @@
 };
 
 RequestService::RequestService(
-    ExecutorPort executors, ConfigService &config, IntentService &intents, Clock clock, const RequestServiceOptions &options, Finished finished)
+    ExecutorPort executors, ConfigService &config, IntentService &intents, CallGate &gate, Clock clock, const RequestServiceOptions &options, Finished finished)
     : m_executors(std::move(executors))
     , m_config(config)
     , m_intents(intents)
+    , m_gate(gate)
     , m_clock(std::move(clock))
     , m_options(options)
     , m_finished(std::move(finished))
@@ -143,6 +146,18 @@
     return finish(call, serveOnce(call, kind), started);
 }
 
+auto RequestService::refuse(const RequestCall &call, const std::string &reason) -> RequestReply
+{
+    const auto active = m_config.active();
+    const auto *kind = active ? findKind(active->document, call.kind) : nullptr;
+    const auto repeatable = kind != nullptr && kind->idempotent;
+    const auto neverSent = call.attempt == 1 || (call.firstSent && m_intents.neverSeen({call.workspace, call.key, *call.firstSent}));
+    if (call.key.empty() || repeatable || neverSent) {
+        return notRun(statusUnavailable, reason, Millis{1000});
+    }
+    return unknownOutcome(reason + "; an earlier attempt of the key may have run");
+}
+
 auto RequestService::handleOwned(const RequestCall &call) -> RequestReply
 {
     const auto started = m_clock.mono();
@@ -188,6 +203,10 @@
 
 auto RequestService::serve(const RequestCall &call, const KindConfig &kind, const Prepare &prepare) -> RequestReply
 {
+    const auto pass = m_gate.enter(call.workspace, call.kind, call.caller, Bytes{static_cast<std::int64_t>(call.payload.size())});
+    if (!pass) {
+        return fromRefusal({RefusalReason::QueueFull, busyPause}, false);
+    }
     auto waiter = Waiter{};
     auto number = RequestNumber{};
     {
--- a/packages/daemon/requestservice.h
+++ b/packages/daemon/requestservice.h
@@ -8,6 +8,7 @@
 /// The decisions are made by policy/requestscheduler.h under one lock; the exchange with the executor runs on the
 /// caller's own thread, because cpp-httplib holds one for each connection anyway.
 
+#include "daemon/callgate.h"
 #include "daemon/configservice.h"
 #include "daemon/fleet.h"
 #include "daemon/intentservice.h"
@@ -74,7 +75,13 @@
     /// @param finished called for each finished request with its latency, for metrics; may be empty
     using Finished = std::function<void(const RequestCall &, const RequestReply &, Millis)>;
 
-    RequestService(ExecutorPort executors, ConfigService &config, IntentService &intents, Clock clock, const RequestServiceOptions &options, Finished finished);
+    RequestService(ExecutorPort executors,
+                   ConfigService &config,
+                   IntentService &intents,
+                   CallGate &gate,
+                   Clock clock,
+                   const RequestServiceOptions &options,
+                   Finished finished);
     ~RequestService();
     RequestService(const RequestService &) = delete;
     auto operator=(const RequestService &) -> RequestService & = delete;
@@ -82,6 +89,10 @@
     /// Serves one request of a plain key; never throws, never waits much longer than the request's deadline.
     auto handle(const RequestCall &call) -> RequestReply;
 
+    /// Refuses a request with a plain key before anything is tried. The answer is "not run" only if no earlier attempt may
+    /// have run.
+    auto refuse(const RequestCall &call, const std::string &reason) -> RequestReply;
+
     /// Serves one request without claiming a key in the log; for tickets, whose owner has made sure that it runs once.
     auto handleOwned(const RequestCall &call) -> RequestReply;
 
@@ -120,6 +131,7 @@
     ExecutorPort m_executors;
     ConfigService &m_config;
     IntentService &m_intents;
+    CallGate &m_gate;
     Clock m_clock;
     RequestServiceOptions m_options;
     Finished m_finished;
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -76,8 +76,8 @@
     Bytes requestBody{1 << 20}; ///< longest body accepted from a caller
     Bytes documentBody{4 << 20}; ///< longest configuration document or form
     Bytes answerBody{4 << 20}; ///< longest answer accepted from an executor
-    int callerThreads = 64; ///< one thread serves one open connection
-    int callerBacklog = 64; ///< accepted connections that wait for a thread
+    int callerThreads = 128; ///< one thread serves one open connection
+    int callerBacklog = 256; ///< accepted connections that wait for a thread
     int operatorThreads = 8;
     int operatorBacklog = 16;
     int dispatchThreads = 32;
--- a/packages/daemon/ticketservice.cpp
+++ b/packages/daemon/ticketservice.cpp
@@ -47,6 +47,7 @@
 TicketService::TicketService(TicketServiceOptions options, Clock clock)
     : m_options(std::move(options))
     , m_clock(std::move(clock))
+    , m_answers(m_options.answers)
 {
 }
 
@@ -59,6 +60,11 @@
 {
     const auto now = m_clock.mono();
     while (!m_entries.empty() && m_entries.begin()->second.state != State::Running && now - m_entries.begin()->second.issued > m_options.window) {
+        const auto &[number, entry] = *m_entries.begin();
+        m_answers.remove(number);
+        if (const auto it = m_outstanding.find(entry.workspace); --it->second == 0) {
+            m_outstanding.erase(it);
+        }
         m_entries.erase(m_entries.begin());
     }
 }
@@ -67,9 +73,12 @@
 {
     const auto lock = std::lock_guard{m_mutex};
     expire();
-    if (m_entries.size() >= m_options.maxTickets) {
+    // A workspace may hold as many tickets as are free, so that one that takes ever more leaves half to the others.
+    const auto held = m_outstanding.contains(workspace) ? m_outstanding.at(workspace) : 0;
+    if (m_entries.size() >= m_options.maxTickets || held >= m_options.maxTickets - m_entries.size()) {
         return failure(ErrorCode::Limit, "too many tickets are outstanding");
     }
+    ++m_outstanding[workspace];
     const auto number = m_nextNumber++;
     m_entries[number] = {.workspace = workspace, .issued = m_clock.mono(), .fingerprint = {}, .reply = {}};
     auto text = std::string{prefix} + m_options.instance.str() + "." + std::to_string(m_options.incarnation.value) + "." + std::to_string(number);
@@ -134,6 +143,12 @@
         auto &entry = m_entries.at(ticket.number);
         entry.state = reply.verdict == RequestVerdict::NotRun ? State::Unused : State::Done;
         entry.reply = reply;
+        if (!reply.answer.empty()) {
+            m_answers.add(ticket.number, reply.answer.size(), [this](std::int64_t oldest) {
+                // The ticket stays used up; only the answer is gone.
+                m_entries.at(oldest).reply = unknownOutcome("the answer is no longer available");
+            });
+        }
     }
     m_changed.notify_all();
     return reply;
--- a/packages/daemon/ticketservice.h
+++ b/packages/daemon/ticketservice.h
@@ -10,6 +10,7 @@
 /// A ticket is `t1.<instance>.<incarnation>.<number>.<mac>`; the MAC under the peer key keeps callers from inventing
 /// tickets that no instance remembers.
 
+#include "daemon/answerbudget.h"
 #include "daemon/requestservice.h"
 #include "util/clock.h"
 #include "util/ids.h"
@@ -42,6 +43,7 @@
     std::string key; ///< the shared peer key
     Millis window{3'600'000}; ///< how long a ticket stays valid
     std::size_t maxTickets = 50'000; ///< further ones are not issued, because forgetting one would allow a second run
+    Bytes answers{2 << 20}; ///< answers that are kept for repeated calls; the oldest are dropped above it
 };
 
 class TicketService
@@ -84,6 +86,8 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     std::map<std::int64_t, Entry> m_entries;
+    std::map<WorkspaceId, std::size_t> m_outstanding; ///< entries of each workspace
+    AnswerBudget<std::int64_t> m_answers;
     std::int64_t m_nextNumber = 1;
 };
 
