Price a new region by what its gang displaces

Change: the price counts the borrowed slots that the gang itself takes; equal prices go to the worker with the fewest free slots.

--- a/bench/placement_benchmark.cpp
+++ b/bench/placement_benchmark.cpp
@@ -94,6 +94,23 @@
     state.SetLabel(found ? "placed, " + std::to_string(displaced) + " displaced" : "waits");
 }
 
+/// Four tasks of one worker that open a shape of half a worker.
+auto placeCoveredSmallGang(benchmark::State &state) -> void
+{
+    auto topology = makeTopology(sizeOf(state), workersOf(state));
+    const auto &size = sizeOf(state);
+    topology.setGuarantees(size.workspaces, std::vector<Guarantee>{{size.slots / 2, 1}});
+    const auto gang = GangRequest{.workspace = size.workspaces, .tasks = 4, .slotsPerTask = 1, .adjacency = Adjacency::Worker};
+    auto displaced = std::size_t{0};
+    auto found = false;
+    for (auto _ : state) {
+        const auto placement = placeCovered(topology, gang);
+        found = placement.has_value();
+        displaced = found ? placement->displaced.size() : 0;
+    }
+    state.SetLabel(found ? "placed, " + std::to_string(displaced) + " displaced" : "waits");
+}
+
 auto placeUrgentGang(benchmark::State &state) -> void
 {
     const auto topology = makeTopology(sizeOf(state), workersOf(state));
@@ -186,6 +203,7 @@
     ->Args({2, 760, 1})
     ->Args({2, 760, 0})
     ->Unit(benchmark::kMicrosecond);
+BENCHMARK(placeCoveredSmallGang)->ArgNames({"size", "workers"})->Args({0, 50})->Args({1, 380})->Args({1, 760})->Args({2, 760})->Unit(benchmark::kMicrosecond);
 BENCHMARK(placeUrgentGang)->ArgNames({"size", "workers"})->Args({0, 50})->Args({1, 760})->Args({2, 760})->Unit(benchmark::kMicrosecond);
 BENCHMARK(decideCycle)->ArgNames({"size", "waiting"})->Args({0, 0})->Args({0, 100})->Args({1, 0})->Args({1, 1000})->Unit(benchmark::kMicrosecond);
 
--- a/packages/policy/coverage.cpp
+++ b/packages/policy/coverage.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 
 namespace Catkin
 {
@@ -26,6 +27,26 @@
     return std::popcount(mask & state.soft & ~state.stopping);
 }
 
+/// @return the borrowed slots that the tasks of @p gang displace in @p mask of one worker, as many tasks as fit there.
+auto gangPrice(const Topology &topology, const GangRequest &gang, int worker, SlotMask mask) -> int
+{
+    const auto level = levelOf(gang.slotsPerTask);
+    const auto price = reclaimPrice(topology, worker, mask);
+    if (price == 0 || gang.tasks << level >= std::popcount(mask)) {
+        return price;
+    }
+    if (level == 0) {
+        return std::max(0, gang.tasks - (std::popcount(mask) - price));
+    }
+    auto prices = std::array<int, maxWorkerSlots>{};
+    auto count = std::ptrdiff_t{0};
+    for (auto left = blockStarts(mask)[level]; left != 0; left &= left - 1) {
+        prices.at(count++) = reclaimPrice(topology, worker, blockMask(std::countr_zero(left), gang.slotsPerTask));
+    }
+    std::sort(prices.begin(), prices.begin() + count);
+    return std::accumulate(prices.begin(), prices.begin() + gang.tasks, 0);
+}
+
 /// Appends up to @p tasks tasks in @p mask of one worker, the cheapest blocks first.
 /// @return how many were appended.
 auto takeTasks(const Topology &topology, const GangRequest &gang, int worker, SlotMask mask, int tasks, std::vector<SlotBlock> &members) -> int
@@ -86,7 +107,7 @@
 };
 
 /// Finds a place for a shape inside one worker.
-auto findWorkerRegion(const Topology &topology, int level) -> std::optional<Candidate>
+auto findWorkerRegion(const Topology &topology, const GangRequest &gang, int level) -> std::optional<Candidate>
 {
     const auto workerLevel = topology.workerLevel();
     const auto slack = topology.slack();
@@ -105,7 +126,9 @@
                 }
                 top = std::min(top + (top == workerLevel ? brokenSizes : 0), shapeLevels - 1);
                 const auto mask = blockMask(first, 1 << level);
-                const auto cost = (std::int64_t{reclaimPrice(topology, index, mask)} << 16) + (std::int64_t{1} << top);
+                // The price counts only what the gang itself displaces: borrowers in the rest of the shape stay, and a price
+                // for the whole shape would open an empty worker for each small gang. Among equals the fullest worker is taken.
+                const auto cost = (((std::int64_t{gangPrice(topology, gang, index, mask)} << 16) + (std::int64_t{1} << top)) << 6) + std::popcount(worker.free);
                 auto admissible = true;
                 for (auto j = level + 1; j <= top; ++j) {
                     admissible = admissible && slack[j] >= 1;
@@ -168,7 +191,7 @@
 /// A shape can always get a place while nothing is in deficit; otherwise the least harmful place is taken.
 auto findRegion(const Topology &topology, const GangRequest &gang, int level) -> std::optional<Candidate>
 {
-    auto found = level <= topology.workerLevel() ? findWorkerRegion(topology, level) : findRackRegion(topology, gang, level);
+    auto found = level <= topology.workerLevel() ? findWorkerRegion(topology, gang, level) : findRackRegion(topology, gang, level);
     if (found && !found->admissible && !topology.inDeficit()) {
         return std::nullopt;
     }
--- a/packages/policy/testing/placement_test.cpp
+++ b/packages/policy/testing/placement_test.cpp
@@ -215,6 +215,25 @@
     }
 }
 
+TEST_CASE("a small covered gang leaves empty workers empty")
+{
+    // Guards against a new region that is priced by all its borrowers: each small gang then opened an empty worker, and 70%
+    // of the free slots at the design size lay outside whole workers.
+    for (const auto &[tasks, slotsPerTask] : {std::pair{1, 2}, {2, 1}}) {
+        auto topology = Topology{};
+        for (const auto *id : {"w0", "w1"}) {
+            topology.updateWorker({.worker = WorkerId{id}, .rack = RackId{"a"}, .slots = 8});
+        }
+        topology.setGuarantees(0, std::vector<Guarantee>{{4, 1}});
+        const auto used = *topology.workerIndex(WorkerId{"w1"});
+        topology.allocate({.workspace = 1, .reclaimable = true, .hold = Hold::Reclaimable, .blocks = {{used, 0b00111111}}});
+        const auto placement = placeCovered(topology, {.workspace = 0, .tasks = tasks, .slotsPerTask = slotsPerTask, .adjacency = Adjacency::Worker});
+        REQUIRE(placement);
+        CHECK(placement->displaced.empty());
+        CHECK(std::all_of(placement->members.begin(), placement->members.end(), [&](const auto &member) { return member.worker == used; }));
+    }
+}
+
 TEST_CASE("jobs that can never run are refused with the reason")
 {
     auto topology = Topology{};
