--- a/bench/request_figures.cpp
+++ b/bench/request_figures.cpp
@@ -1,6 +1,7 @@
 /// Figures of the request path under overload, next to baselines in the same run.
 ///
-/// usage: request_figures [--seeds N] [--seconds N] [--out DIR]
+/// usage: request_figures [--seeds N] [--seconds N] [--only TEXT] [--equal-parts 0|1] [--reserved PART] [--out DIR]
+/// --only runs the scenarios whose name contains TEXT; --equal-parts 1 never divides slots by demand; --reserved sets FairQueueOptions::reservedPart.
 /// Prints a table and, with --out, writes requests.csv and requests.svg.
 
 #include "figuretable.h"
@@ -10,6 +11,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <functional>
 #include <future>
 
 using namespace Catkin;
@@ -208,9 +210,10 @@
         for (auto i = std::size_t{0}; i < weights.size(); ++i) {
             worst = std::max(worst, std::abs(result.streams[i].slotSeconds / total / (weights[i] / 8) - 1));
         }
-        table.add({d.setting.name, name, policyName(policy), "largest deviation from the share by weight"}, worst, {});
+        table.add({d.setting.name, name, policyName(policy), "largest deviation from the share by weight"}, worst, {"<=", 0.1});
         table.add({d.setting.name, name, policyName(policy), "utilisation"}, result.utilisation, {});
         table.add({d.setting.name, name, policyName(policy), "executor refusals per attempt"}, result.refusedAttempts, {});
+        table.add({d.setting.name, name, policyName(policy), "executor refusals per attempt after the warm-up"}, result.refusedWhenMeasured, {});
         table.add({d.setting.name, name, policyName(policy), "retries per first attempt"}, result.retryShare, {"<=", 0.1});
         table.add({d.setting.name, name, policyName(policy), "refused by executors, given up / s"},
                   static_cast<double>(result.notRunAfterDispatch) / std::chrono::duration<double>(d.setting.length).count(),
@@ -218,7 +221,7 @@
     }
 }
 
-auto allScenarios(const Deployment &d, std::uint64_t seed) -> FigureTable
+auto allScenarios(const Deployment &d, const std::string &only, std::uint64_t seed) -> FigureTable
 {
     auto table = FigureTable{};
     auto everyone = std::vector<int>{};
@@ -227,14 +230,28 @@
             everyone.push_back(static_cast<int>(everyone.size()));
         }
     }
-    heavyCaller(table, d, seed);
-    floodedKind(table, d, 0, seed);
-    floodedKind(table, d, d.kinds.size() - 1, seed);
-    shares(table, d, "shares, even load", {}, Spread::Even, seed);
-    shares(table, d, "shares, uneven load", {}, Spread::Uneven, seed);
-    shares(table, d, "shares, one workspace on 2 instances", {}, Spread::Concentrated, seed);
-    shares(table, d, "shares, 2 instances cut off", {0, 1}, Spread::Uneven, seed);
-    shares(table, d, "shares, all cut off", everyone, Spread::Uneven, seed);
+    auto run = [&](const std::string &name, const std::function<void(const std::string &)> &scenario) {
+        if (name.find(only) != std::string::npos) {
+            scenario(name);
+        }
+    };
+    auto delayed = d;
+    delayed.setting.heartbeatDelay = Millis{250};
+    delayed.setting.heartbeatLoss = 0.2;
+    auto cut = d;
+    cut.setting.cutOffAfter = d.setting.length / 2;
+    run("one caller at 100x", [&](const auto &) { heavyCaller(table, d, seed); });
+    run("least urgent kind at 10x", [&](const auto &) { floodedKind(table, d, 0, seed); });
+    run("most urgent kind at 10x", [&](const auto &) { floodedKind(table, d, d.kinds.size() - 1, seed); });
+    run("shares, even load", [&](const auto &name) { shares(table, d, name, {}, Spread::Even, seed); });
+    run("shares, uneven load", [&](const auto &name) { shares(table, d, name, {}, Spread::Uneven, seed); });
+    run("shares, one workspace on 2 instances", [&](const auto &name) { shares(table, d, name, {}, Spread::Concentrated, seed); });
+    run("shares, one workspace on 2 instances, heartbeats late and lost",
+        [&](const auto &name) { shares(table, delayed, name, {}, Spread::Concentrated, seed); });
+    run("shares, one workspace on 2 instances, one of them cut off half-way",
+        [&](const auto &name) { shares(table, cut, name, {0}, Spread::Concentrated, seed); });
+    run("shares, 2 instances cut off", [&](const auto &name) { shares(table, d, name, {0, 1}, Spread::Uneven, seed); });
+    run("shares, all cut off", [&](const auto &name) { shares(table, d, name, everyone, Spread::Uneven, seed); });
     return table;
 }
 
@@ -245,11 +262,20 @@
     auto seeds = 5;
     auto seconds = 10;
     auto out = std::string{};
+    auto only = std::string{};
+    auto equalParts = false;
+    auto reserved = FairQueueOptions{}.reservedPart;
     for (auto i = 1; i + 1 < argc; i += 2) {
         if (std::strcmp(argv[i], "--seeds") == 0) {
             seeds = std::max(1, std::atoi(argv[i + 1]));
         } else if (std::strcmp(argv[i], "--seconds") == 0) {
             seconds = std::max(1, std::atoi(argv[i + 1]));
+        } else if (std::strcmp(argv[i], "--only") == 0) {
+            only = argv[i + 1];
+        } else if (std::strcmp(argv[i], "--equal-parts") == 0) {
+            equalParts = std::atoi(argv[i + 1]) != 0;
+        } else if (std::strcmp(argv[i], "--reserved") == 0) {
+            reserved = std::atof(argv[i + 1]);
         } else if (std::strcmp(argv[i], "--out") == 0) {
             out = argv[i + 1];
         }
@@ -258,11 +284,14 @@
     for (const auto bariloche : {true, false}) {
         auto d = deployment(bariloche);
         d.setting.length = Seconds{seconds};
+        d.setting.options.queue.reservedPart = reserved;
+        // A shortfall never exceeds all slots.
+        d.setting.options.demand.shiftFrom = equalParts ? 2 : d.setting.options.demand.shiftFrom;
         // Seeds are independent; at most four run at once.
         for (auto first = 1; first <= seeds; first += 4) {
             auto runs = std::vector<std::future<FigureTable>>{};
             for (auto seed = first; seed <= std::min(seeds, first + 3); ++seed) {
-                runs.push_back(std::async(std::launch::async, allScenarios, d, static_cast<std::uint64_t>(seed)));
+                runs.push_back(std::async(std::launch::async, allScenarios, d, only, static_cast<std::uint64_t>(seed)));
             }
             for (auto &run : runs) {
                 table.merge(run.get());
--- a/bench/requestsimulation.cpp
+++ b/bench/requestsimulation.cpp
@@ -18,6 +18,7 @@
 
 constexpr auto pollPeriod = Millis{1000};
 constexpr auto heartbeatPeriod = Millis{500};
+constexpr auto freshFor = 3 * heartbeatPeriod;
 
 /// Baseline: FIFO queue, every instance may use all slots of every executor, refused attempts are sent again at once.
 class FifoScheduler
@@ -96,7 +97,7 @@
     std::int64_t m_last = 0;
 };
 
-enum class EventType { Arrival, AtExecutor, ServiceEnd, Reply, Wake, Poll, Heartbeat };
+enum class EventType { Arrival, AtExecutor, ServiceEnd, Reply, Wake, Poll, Heartbeat, HeartbeatArrival };
 
 struct Event
 {
@@ -130,8 +131,22 @@
     std::optional<MonoTime> wakeAt;
     int region = 0;
     bool cutOff = false;
+    std::vector<MonoTime> heard; ///< last heartbeat of each instance
 };
 
+struct SimHeartbeat
+{
+    std::size_t from = 0;
+    std::size_t to = 0;
+    std::vector<InFlightLoad> loads;
+    std::vector<WorkspaceDemand> demands;
+};
+
+auto instanceName(std::size_t index) -> InstanceId
+{
+    return InstanceId{"i-" + std::to_string(index + 1)};
+}
+
 class Simulation
 {
 public:
@@ -149,6 +164,9 @@
     auto pump(int instance) -> void;
     auto handle(const Event &event) -> void;
     auto heartbeat() -> void;
+    auto heartbeatArrived(const SimHeartbeat &beat) -> void;
+    [[nodiscard]] auto isCutOff(std::size_t instance) const -> bool;
+    auto updatePeers(std::size_t instance) -> void;
     auto instanceFor(std::size_t stream) -> int;
 
     const SimSetting &m_setting;
@@ -164,18 +182,23 @@
     std::unordered_map<std::string, int> m_executorIndex;
     std::vector<int> m_busy;
     std::vector<SimInstance> m_instances;
+    std::mt19937_64 m_heartbeatRandom;
+    std::unordered_map<std::int64_t, SimHeartbeat> m_heartbeats; ///< on their way
     std::vector<double> m_capacity; ///< per instance
     SimResult m_result;
     double m_busySeconds = 0;
     std::int64_t m_attempts = 0;
     std::int64_t m_refusals = 0;
     std::int64_t m_first = 0;
+    std::int64_t m_warmUpAttempts = 0;
+    std::int64_t m_warmUpRefusals = 0;
 };
 
 Simulation::Simulation(const SimSetting &setting, const std::vector<SimStream> &streams, SimPolicy policy, std::uint64_t seed)
     : m_setting(setting)
     , m_streams(streams)
     , m_policy(policy)
+    , m_heartbeatRandom(seed)
 {
     m_start = m_now + setting.warmUp;
     m_end = m_start + setting.length;
@@ -231,16 +254,9 @@
     }
     for (auto i = std::size_t{0}; i < m_instances.size(); ++i) {
         const auto region = m_instances[i].region;
-        auto seen = std::vector<InstanceId>{};
-        for (auto n = std::size_t{0}; n < m_instances.size(); ++n) {
-            if (m_instances[n].region == region && !m_instances[n].cutOff && !m_instances[i].cutOff) {
-                seen.emplace_back("i-" + std::to_string(n + 1));
-            }
-        }
         m_capacity[i] /= static_cast<double>(std::count_if(m_instances.begin(), m_instances.end(), [&](const auto &it) { return it.region == region; }));
-        if (m_instances[i].fair) {
-            m_instances[i].fair->peersChanged(seen, m_now);
-        }
+        m_instances[i].heard.assign(m_instances.size(), m_now);
+        updatePeers(i);
         add({.at = m_now, .type = EventType::Poll, .who = static_cast<int>(i)});
     }
     add({.at = m_now + Micros{1}, .type = EventType::Heartbeat});
@@ -302,6 +318,7 @@
         auto step = instance.fair ? instance.fair->next(m_now) : instance.fifo->next(m_now);
         if (auto *dispatch = std::get_if<RequestDispatch>(&step)) {
             ++m_attempts;
+            m_warmUpAttempts += m_now < m_start ? 1 : 0;
             m_first += dispatch->attempt == 1 ? 1 : 0;
             const auto oneWay = dispatch->otherRegion ? Millis{20} : m_setting.oneWay;
             add({.at = m_now + oneWay,
@@ -322,19 +339,67 @@
     }
 }
 
+auto Simulation::isCutOff(std::size_t instance) const -> bool
+{
+    return m_instances[instance].cutOff && (!m_setting.cutOffAfter || m_now >= m_start + *m_setting.cutOffAfter);
+}
+
+auto Simulation::updatePeers(std::size_t instance) -> void
+{
+    auto &it = m_instances[instance];
+    if (!it.fair) {
+        return;
+    }
+    // A cut that was there from the start has left no time in which heartbeats could have been heard.
+    const auto always = !m_setting.cutOffAfter;
+    auto seen = std::vector<InstanceId>{};
+    for (auto n = std::size_t{0}; n < m_instances.size(); ++n) {
+        const auto cut = always && (m_instances[n].cutOff || it.cutOff);
+        if (n != instance && m_instances[n].region == it.region && !cut && m_now - it.heard[n] <= freshFor) {
+            seen.push_back(instanceName(n));
+        } else if (n != instance) {
+            it.fair->peerReported(instanceName(n), {}, m_now);
+        }
+    }
+    it.fair->peersChanged(seen, m_now);
+}
+
 auto Simulation::heartbeat() -> void
 {
     for (auto from = std::size_t{0}; from < m_instances.size(); ++from) {
-        if (!m_instances[from].fair || m_instances[from].cutOff) {
+        auto &sender = m_instances[from];
+        if (!sender.fair) {
             continue;
         }
-        const auto loads = m_instances[from].fair->ownLoads();
+        const auto beat = SimHeartbeat{from, from, sender.fair->ownLoads(), sender.fair->ownDemands(m_now)};
         for (auto to = std::size_t{0}; to < m_instances.size(); ++to) {
-            if (to != from && !m_instances[to].cutOff) {
-                m_instances[to].fair->peerReported(InstanceId{std::to_string(from)}, loads, m_now);
+            const auto lost = m_setting.heartbeatLoss > 0 && std::bernoulli_distribution{m_setting.heartbeatLoss}(m_heartbeatRandom);
+            if (to == from || isCutOff(from) || isCutOff(to) || lost) {
+                continue;
+            }
+            auto copy = beat;
+            copy.to = to;
+            if (m_setting.heartbeatDelay == Millis{0}) {
+                heartbeatArrived(copy);
+                continue;
             }
+            m_heartbeats.emplace(m_order + 1, std::move(copy));
+            add({.at = m_now + m_setting.heartbeatDelay, .type = EventType::HeartbeatArrival, .number = m_order + 1});
         }
     }
+    for (auto i = std::size_t{0}; i < m_instances.size(); ++i) {
+        updatePeers(i);
+    }
+}
+
+auto Simulation::heartbeatArrived(const SimHeartbeat &beat) -> void
+{
+    auto &receiver = m_instances[beat.to];
+    receiver.heard[beat.from] = m_now;
+    receiver.fair->peerReported(instanceName(beat.from), beat.loads, m_now);
+    if (receiver.region == m_instances[beat.from].region) {
+        receiver.fair->peerDemands(instanceName(beat.from), beat.demands);
+    }
 }
 
 auto Simulation::handle(const Event &event) -> void
@@ -348,6 +413,10 @@
         add({.at = m_now + heartbeatPeriod, .type = EventType::Heartbeat});
         return;
     }
+    if (event.type == EventType::HeartbeatArrival) {
+        heartbeatArrived(m_heartbeats.extract(event.number).mapped());
+        return;
+    }
     auto &instance = m_instances[static_cast<std::size_t>(event.who)];
     const auto executor = static_cast<std::size_t>(event.executor);
     if (event.type == EventType::Poll) {
@@ -360,6 +429,7 @@
         const auto &request = instance.requests.at(event.number);
         if (refused) {
             ++m_refusals;
+            m_warmUpRefusals += m_now < m_start ? 1 : 0;
             add({.at = m_now + m_setting.oneWay, .type = EventType::Reply, .who = event.who, .number = event.number, .refused = true});
         } else {
             ++m_busy[executor];
@@ -409,6 +479,8 @@
     const auto slots = static_cast<double>(m_executors.size()) * m_setting.slots;
     m_result.utilisation = m_busySeconds / slots / std::chrono::duration<double>(m_setting.length).count();
     m_result.refusedAttempts = m_attempts > 0 ? static_cast<double>(m_refusals) / static_cast<double>(m_attempts) : 0;
+    const auto attempts = m_attempts - m_warmUpAttempts;
+    m_result.refusedWhenMeasured = attempts > 0 ? static_cast<double>(m_refusals - m_warmUpRefusals) / static_cast<double>(attempts) : 0;
     m_result.retryShare = m_first > 0 ? static_cast<double>(m_attempts - m_first) / static_cast<double>(m_first) : 0;
     return std::move(m_result);
 }
--- a/bench/requestsimulation.h
+++ b/bench/requestsimulation.h
@@ -9,6 +9,7 @@
 
 #include "policy/requestscheduler.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,9 @@
     Seconds warmUp{2};
     Seconds length{10}; ///< after the warm-up
     std::vector<int> cutOff; ///< instances that see no peers, and that their peers do not see
+    std::optional<Seconds> cutOffAfter; ///< the cut begins this long after the warm-up; otherwise it is there from the start
+    Millis heartbeatDelay{0}; ///< one way
+    double heartbeatLoss = 0; ///< part of the heartbeats that never arrive
     RequestSchedulerOptions options;
 };
 
@@ -66,6 +70,7 @@
     std::vector<SimStreamResult> streams;
     double utilisation = 0; ///< busy part of all slots after the warm-up
     double refusedAttempts = 0; ///< executor refusals per dispatch
+    double refusedWhenMeasured = 0; ///< the same for the attempts after the warm-up
     double retryShare = 0; ///< retries per first attempt
     std::int64_t notRunAfterDispatch = 0; ///< accepted requests given up because executors refused them
 };
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -104,7 +104,7 @@
     auto configChanged(const ActiveConfig &active) -> void;
     auto fleetChanged(const FleetView &view) -> void;
     auto heartbeat(const Heartbeat &beat) -> void;
-    auto localStatus() const -> LocalStatus;
+    auto localStatus() -> LocalStatus;
     auto serveForwarded(const TicketForward &forward, const Responder<TicketResult> &respond) -> void;
     auto forwardTicket(const Ticket &ticket, const RequestCall &call) -> RequestReply;
     auto noticeJob(const Job &job) -> void;
@@ -383,7 +383,7 @@
     mesh.setKnown(KnownSource::InstanceList, known);
 }
 
-auto Daemon::Impl::localStatus() const -> LocalStatus
+auto Daemon::Impl::localStatus() -> LocalStatus
 {
     auto status = LocalStatus{.draining = draining};
     if (!assembled) {
@@ -398,6 +398,10 @@
     for (const auto &it : requests.ownLoads()) {
         status.executors.push_back({.executor = it.executor, .inFlight = it.inFlight});
     }
+    status.reportsDemand = true;
+    for (const auto &it : requests.ownDemands()) {
+        status.demands.push_back({.workspace = it.workspace, .slots = static_cast<float>(it.slots)});
+    }
     for (const auto &it : planners->planned()) {
         status.planners.push_back({.domain = it.domain, .generation = it.generation.counter, .holder = it.generation.holder});
     }
@@ -414,6 +418,11 @@
         loads.push_back({.executor = it.executor, .inFlight = it.inFlight});
     }
     requests.peerReported(beat.instance, loads);
+    auto demands = std::vector<WorkspaceDemand>{};
+    for (const auto &it : beat.demands) {
+        demands.push_back({.workspace = it.workspace, .slots = it.slots});
+    }
+    requests.peerDemands(beat.instance, beat.reportsDemand ? std::optional{std::move(demands)} : std::nullopt);
     const auto active = config.active();
     if (active && beat.configVersion < active->state.version) {
         const auto &state = active->state;
--- a/packages/daemon/operatorapi.cpp
+++ b/packages/daemon/operatorapi.cpp
@@ -218,6 +218,7 @@
             {"quarantined", it.quarantined},
             {"in_flight", it.inFlight},
             {"peers_in_flight", it.peersInFlight},
+            {"share", it.share},
             {"slots", it.slots},
             {"limit", it.limit},
         });
--- a/packages/daemon/requestservice.cpp
+++ b/packages/daemon/requestservice.cpp
@@ -411,6 +411,18 @@
     m_scheduler.peerReported(peer, loads, m_clock.mono());
 }
 
+auto RequestService::peerDemands(const InstanceId &peer, std::optional<std::vector<WorkspaceDemand>> demands) -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    m_scheduler.peerDemands(peer, std::move(demands));
+}
+
+auto RequestService::ownDemands() -> std::vector<WorkspaceDemand>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_scheduler.ownDemands(m_clock.mono());
+}
+
 auto RequestService::ownLoads() const -> std::vector<InFlightLoad>
 {
     const auto lock = std::lock_guard{m_mutex};
--- a/packages/daemon/requestservice.h
+++ b/packages/daemon/requestservice.h
@@ -91,6 +91,9 @@
     auto peersChanged(const std::vector<InstanceId> &fresh) -> void;
     auto peerReported(const InstanceId &peer, const std::vector<InFlightLoad> &loads) -> void;
 
+    auto peerDemands(const InstanceId &peer, std::optional<std::vector<WorkspaceDemand>> demands) -> void;
+
+    [[nodiscard]] auto ownDemands() -> std::vector<WorkspaceDemand>;
     [[nodiscard]] auto ownLoads() const -> std::vector<InFlightLoad>;
     [[nodiscard]] auto figures() const -> RequestFigures;
     /// @return payload of the requests that wait for an executor.
--- a/packages/policy/executorlimit.cpp
+++ b/packages/policy/executorlimit.cpp
@@ -10,9 +10,9 @@
 
 auto limitForShare(ExecutorLimit &limit, int slots, int share) -> void
 {
-    const auto bounded = std::clamp(share, 1, std::max(1, slots));
+    const auto bounded = std::clamp(share, 0, std::max(1, slots));
     if (slots != limit.slots || bounded != limit.share) {
-        limit.value = bounded;
+        limit.value = std::max(1, bounded);
     }
     limit.slots = std::max(1, slots);
     limit.share = bounded;
--- a/packages/policy/executorlimit.h
+++ b/packages/policy/executorlimit.h
@@ -22,7 +22,7 @@
 struct ExecutorLimit
 {
     int slots = 1;
-    int share = 1; ///< own part of the slots
+    int share = 1; ///< own part of the slots; 0 when it is divided by demand and all belong to others
     double value = 1; ///< between 1 and the slots; the whole part counts
     MonoTime decreased; ///< last decrease
     MonoTime growAfter; ///< no increase before
--- a/packages/policy/executortable.cpp
+++ b/packages/policy/executortable.cpp
@@ -1,5 +1,7 @@
 #include "policy/executortable.h"
 
+#include "policy/demandshares.h"
+
 #include <algorithm>
 
 namespace Catkin
@@ -31,17 +33,34 @@
         known->reach = reachOf(entry, m_options.domain, m_options.region);
         known->health.listed = true;
         known->health.listLeaving = entry.leaving;
-        updateShare(*known, known->limit.slots);
     }
     forgetGone();
+    auto shared = std::vector<KnownExecutor *>{};
+    for (auto &it : m_executors) {
+        if (it->health.listed && it->reach != Reach::OtherRegion) {
+            shared.push_back(it.get());
+        }
+    }
+    std::sort(shared.begin(), shared.end(), [](const auto *a, const auto *b) { return a->listed.id < b->listed.id; });
+    for (auto i = std::size_t{0}; i < shared.size(); ++i) {
+        shared[i]->ordinal = i;
+    }
+    for (auto &it : m_executors) {
+        updateShare(*it, it->limit.slots);
+    }
     m_capacityAt.reset();
 }
 
 auto ExecutorTable::updateShare(KnownExecutor &executor, int slots) const -> void
 {
     // Nothing of an executor in another region is the instance's own; it starts with one request and tries for more.
-    const auto share = executor.reach == Reach::OtherRegion ? 1 : ownShare(executor.listed.id, slots, m_options.instance, m_fresh);
-    limitForShare(executor.limit, slots, share);
+    if (executor.reach == Reach::OtherRegion) {
+        limitForShare(executor.limit, slots, 1);
+    } else if (!m_parts.empty()) {
+        limitForShare(executor.limit, slots, partOfSlots(m_parts, m_self, slots, executor.ordinal));
+    } else {
+        limitForShare(executor.limit, slots, ownShare(executor.listed.id, slots, m_options.instance, m_fresh));
+    }
 }
 
 auto ExecutorTable::forgetGone() -> void
@@ -79,6 +98,30 @@
     m_capacityAt.reset();
 }
 
+auto ExecutorTable::divideSlots(std::vector<double> parts, std::size_t self) -> void
+{
+    if (parts == m_parts && self == m_self) {
+        return;
+    }
+    m_parts = std::move(parts);
+    m_self = self;
+    for (auto &it : m_executors) {
+        updateShare(*it, it->limit.slots);
+    }
+    m_capacityAt.reset();
+}
+
+auto ExecutorTable::regionSlots(MonoTime now) const -> int
+{
+    auto slots = 0;
+    for (const auto &it : m_executors) {
+        const auto usable
+            = it->reach != Reach::OtherRegion && !it->health.quarantined && healthState(it->health, m_options.health, now) == ExecutorState::Usable;
+        slots += usable ? it->limit.slots : 0;
+    }
+    return slots;
+}
+
 auto ExecutorTable::peerReported(const InstanceId &peer, const std::vector<InFlightLoad> &loads) -> void
 {
     auto &reported = m_reported[peer];
@@ -209,11 +252,16 @@
             const auto usable
                 = lastResortOnly ? lastResort(it->health, m_options.health, now) : healthState(it->health, m_options.health, now) == ExecutorState::Usable;
             if (wanted.at(place) && usable && !it->health.quarantined) {
-                m_capacity.at(place).slots += limitNow(it->limit);
+                // One slot may be borrowed where none is the own, which is no capacity to rely on.
+                const auto borrowed = it->limit.share == 0 && limitNow(it->limit) == 1;
+                m_capacity.at(place).slots += borrowed ? 0 : limitNow(it->limit);
                 ++m_capacity.at(place).usable;
             }
         }
     }
+    for (auto &it : m_capacity) {
+        it.slots = it.usable > 0 ? std::max(1.0, it.slots) : 0;
+    }
     m_capacityAt = now;
 }
 
--- a/packages/policy/executortable.h
+++ b/packages/policy/executortable.h
@@ -30,6 +30,7 @@
     Reach reach = Reach::OwnDomain;
     ExecutorHealthTracker health;
     ExecutorLimit limit;
+    std::size_t ordinal = 0; ///< among the executors of the own region, by id
     int inFlight = 0;
     std::unordered_map<InstanceId, int> peers; ///< in flight by peer
     int peersInFlight = 0;
@@ -64,6 +65,11 @@
     auto polled(const ExecutorId &id, const std::optional<HealthSample> &sample, MonoTime now) -> void;
     /// @param fresh names of the entry instances of the own region, which share its executors
     auto freshInstances(std::vector<std::string> fresh) -> void;
+    /// @param parts of the slots for each instance, in the same order on all of them; empty for an equal division
+    /// @param self index of the own part
+    auto divideSlots(std::vector<double> parts, std::size_t self) -> void;
+    /// @return the slots of the usable executors of the own region, whoever uses them.
+    [[nodiscard]] auto regionSlots(MonoTime now) const -> int;
     auto peerReported(const InstanceId &peer, const std::vector<InFlightLoad> &loads) -> void;
 
     /// @return an executor with room, or null.
@@ -88,6 +94,8 @@
 
     RequestSchedulerOptions m_options;
     std::vector<std::string> m_fresh;
+    std::vector<double> m_parts; ///< of the slots by instance; empty for an equal division
+    std::size_t m_self = 0; ///< index of the own part
     std::vector<std::unique_ptr<KnownExecutor>> m_executors;
     std::unordered_map<ExecutorId, KnownExecutor *> m_byId;
     std::unordered_map<InstanceId, std::vector<ExecutorId>> m_reported;
--- a/packages/policy/fairnode.h
+++ b/packages/policy/fairnode.h
@@ -64,6 +64,7 @@
     bool configured = true;
 
     // Workspaces.
+    double configuredWeight = 1;
     double urgentShare = 0;
     double urgentCredit = 0;
     // Kinds.
--- a/packages/policy/fairqueue.cpp
+++ b/packages/policy/fairqueue.cpp
@@ -124,7 +124,8 @@
         auto &workspace = child(*m_root, it.id.str());
         const auto fresh = workspace.children.empty();
         workspace.configured = true;
-        workspace.weight = std::max(it.weight, 1e-6);
+        workspace.configuredWeight = std::max(it.weight, 1e-6);
+        workspace.weight = workspace.configuredWeight;
         workspace.urgentShare = std::clamp(it.urgentShare, 0.0, 1.0);
         if (fresh && workspace.urgentShare > 0) {
             workspace.urgentCredit = asDouble(m_options.urgentBurst);
@@ -166,6 +167,15 @@
     }
 }
 
+auto FairQueue::scaleWeights(const std::function<double(const std::string &workspace)> &factor) -> void
+{
+    m_root->busyWeight = 0;
+    for (auto &[name, workspace] : m_root->children) {
+        workspace->weight = workspace->configuredWeight * factor(name);
+        m_root->busyWeight += workspace->busy() ? workspace->weight : 0;
+    }
+}
+
 auto FairQueue::caller(const WorkspaceId &workspace, const KindId &kind, const CallerId &caller) -> FairNode &
 {
     // Caller ids come from outside, so the callers remembered without items are bounded.
--- a/packages/policy/fairqueue.h
+++ b/packages/policy/fairqueue.h
@@ -59,6 +59,10 @@
     /// Takes over weights and urgency; queued items keep their place.
     auto configure(const RequestConfig &config) -> void;
 
+    /// Multiplies the configured weights of the workspaces until the next call or configure().
+    /// @param factor for the name of a workspace
+    auto scaleWeights(const std::function<double(const std::string &workspace)> &factor) -> void;
+
     /// @return the caller's queue, which stays valid while it holds items or has items in service, or until the next
     ///         call of caller().
     auto caller(const WorkspaceId &workspace, const KindId &kind, const CallerId &caller) -> FairNode &;
--- a/packages/policy/requestdispatch.cpp
+++ b/packages/policy/requestdispatch.cpp
@@ -32,8 +32,10 @@
 
 auto RequestScheduler::Impl::chooseLocal(const RequestEntry &entry, int leaveFree, MonoTime now) -> KnownExecutor *
 {
-    // A refused attempt to borrow costs a retry; half of the budget is kept for other failures.
-    return table.choose({Reach::OwnDomain, Reach::SameRegion, entry.idempotent, retries.level() >= 0.5, leaveFree}, random, now);
+    // A refused attempt to borrow costs a retry; half of the budget is kept for other failures. Slots given to instances with
+    // entitled demand are not borrowed back: each gap between two of their requests would be taken.
+    const auto mayBorrow = !gaveSlots && retries.level() >= 0.5;
+    return table.choose({Reach::OwnDomain, Reach::SameRegion, entry.idempotent, mayBorrow, leaveFree}, random, now);
 }
 
 auto RequestScheduler::Impl::dispatchLocal(MonoTime now) -> std::optional<RequestDispatch>
--- a/packages/policy/requestscheduler.cpp
+++ b/packages/policy/requestscheduler.cpp
@@ -1,6 +1,7 @@
 #include "policy/requestschedulerimpl.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Catkin
 {
@@ -93,7 +94,12 @@
     }
     question.executorUsable = capacity.usable > 0;
     auto spilled = false;
-    if (const auto refusal = admit(d.options.admission, question)) {
+    const auto refusal = admit(d.options.admission, question);
+    // Requests that more slots would not help are no demand.
+    if (!refusal || refusal->reason == RefusalReason::ExpectedWait || refusal->reason == RefusalReason::QueueFull) {
+        d.demand.offered(workspaceKey(request.workspace), question.caller.averageCost, now);
+    }
+    if (refusal) {
         const auto local = refusal->reason == RefusalReason::ExpectedWait || refusal->reason == RefusalReason::NoExecutor;
         spilled = local && kind->second.crossRegion && d.admitSpill(request, question, now);
         if (!spilled) {
@@ -201,7 +207,6 @@
 
 auto RequestScheduler::configChanged(const RequestConfig &config, MonoTime now) -> void
 {
-    static_cast<void>(now);
     auto &d = *m_impl;
     d.workspaces.clear();
     d.kinds.clear();
@@ -213,6 +218,67 @@
     }
     d.local.configure(config);
     d.spill.configure(config);
+    d.weights.clear();
+    for (const auto &it : config.workspaces) {
+        d.weights[workspaceKey(it.id)] += std::max(it.weight, 1e-6);
+    }
+    d.divide(now);
+}
+
+auto RequestScheduler::Impl::divideEqually() -> void
+{
+    division = {};
+    gaveSlots = false;
+    dividedFor.clear();
+    table.divideSlots({}, 0);
+    local.scaleWeights([](const auto &) { return 1.0; });
+}
+
+auto RequestScheduler::Impl::divide(MonoTime now) -> void
+{
+    auto demands = std::vector<std::vector<WorkspaceDemand>>{};
+    auto self = std::size_t{0};
+    for (auto i = std::size_t{0}; i < fresh.size(); ++i) {
+        if (fresh[i] == options.instance.str()) {
+            self = i;
+            demands.push_back(demand.reported());
+            continue;
+        }
+        const auto it = peerDemands.find(fresh[i]);
+        if (it == peerDemands.end()) {
+            demands.clear();
+            break;
+        }
+        demands.push_back(it->second);
+    }
+    auto next = divideByDemand(weights, demands, table.regionSlots(now), options.demand, division.shifted);
+    if (!next.shifted) {
+        shortSince.reset();
+        if (division.shifted) {
+            divideEqually();
+        }
+        return;
+    }
+    shortSince = shortSince.value_or(now);
+    if (!division.shifted && now - *shortSince < options.demand.shiftAfter) {
+        return;
+    }
+    const auto same
+        = dividedFor == fresh && std::equal(next.parts.begin(), next.parts.end(), division.parts.begin(), division.parts.end(), [this](auto a, auto b) {
+              return std::abs(a - b) <= options.demand.keepWithin * b;
+          });
+    if (same) {
+        next.parts = division.parts;
+    }
+    division = std::move(next);
+    dividedFor = fresh;
+    gaveSlots = division.parts[self] * static_cast<double>(fresh.size()) < 1;
+    table.divideSlots(division.parts, self);
+    const auto &factors = division.weightFactors[self];
+    local.scaleWeights([&](const auto &name) {
+        const auto it = factors.find(workspaceKey(WorkspaceId{name}));
+        return it != factors.end() ? it->second : 1.0;
+    });
 }
 
 auto RequestScheduler::executorsChanged(const std::vector<ListedExecutor> &executors, MonoTime now) -> void
@@ -228,19 +294,39 @@
 auto RequestScheduler::peersChanged(int fresh, MonoTime now) -> void
 {
     static_cast<void>(now);
+    m_impl->fresh.clear();
+    m_impl->shortSince.reset();
+    m_impl->divideEqually();
     m_impl->table.freshInstances(std::vector<std::string>(static_cast<std::size_t>(std::max(1, fresh))));
 }
 
 auto RequestScheduler::peersChanged(const std::vector<InstanceId> &fresh, MonoTime now) -> void
 {
-    static_cast<void>(now);
     auto names = std::vector<std::string>{m_impl->options.instance.str()};
     for (const auto &it : fresh) {
         if (it != m_impl->options.instance) {
             names.push_back(it.str());
         }
     }
+    m_impl->fresh = names;
+    std::sort(m_impl->fresh.begin(), m_impl->fresh.end());
+    std::erase_if(m_impl->peerDemands, [&](const auto &it) { return !std::binary_search(m_impl->fresh.begin(), m_impl->fresh.end(), it.first); });
     m_impl->table.freshInstances(std::move(names));
+    m_impl->divide(now);
+}
+
+auto RequestScheduler::peerDemands(const InstanceId &peer, std::optional<std::vector<WorkspaceDemand>> demands) -> void
+{
+    if (demands) {
+        m_impl->peerDemands[peer.str()] = std::move(*demands);
+    } else {
+        m_impl->peerDemands.erase(peer.str());
+    }
+}
+
+auto RequestScheduler::ownDemands(MonoTime now) -> std::vector<WorkspaceDemand>
+{
+    return m_impl->demand.report(now);
 }
 
 auto RequestScheduler::peerReported(const InstanceId &peer, const std::vector<InFlightLoad> &loads, MonoTime now) -> void
--- a/packages/policy/requestscheduler.h
+++ b/packages/policy/requestscheduler.h
@@ -147,12 +147,21 @@
     auto peersChanged(int fresh, MonoTime now) -> void;
 
     /// The same with names, which divides slots without a remainder when all instances see the same peers.
+    /// Also divides the slots anew by what the instances have reported, so it is due once per heartbeat period.
     /// @param fresh entry instances of the own region with fresh heartbeats; the own one is added when it is missing
     auto peersChanged(const std::vector<InstanceId> &fresh, MonoTime now) -> void;
 
     /// Takes over the in-flight counts in a peer's heartbeat; an empty list forgets the peer.
     auto peerReported(const InstanceId &peer, const std::vector<InFlightLoad> &loads, MonoTime now) -> void;
 
+    /// Takes over the demand in a peer's heartbeat. The slots are divided by demand only while every fresh instance reports
+    /// its own; the division changes with the next peersChanged().
+    /// @param demands nothing for a peer that does not report any
+    auto peerDemands(const InstanceId &peer, std::optional<std::vector<WorkspaceDemand>> demands) -> void;
+
+    /// @return own demand by workspace, for the heartbeat.
+    auto ownDemands(MonoTime now) -> std::vector<WorkspaceDemand>;
+
     /// @return own in-flight requests per executor, for the heartbeat.
     [[nodiscard]] auto ownLoads() const -> std::vector<InFlightLoad>;
 
--- a/packages/policy/requestschedulerimpl.h
+++ b/packages/policy/requestschedulerimpl.h
@@ -7,6 +7,7 @@
 /// @endcode
 
 #include "policy/admission.h"
+#include "policy/demandshares.h"
 #include "policy/executortable.h"
 #include "policy/linkbudget.h"
 #include "policy/requestscheduler.h"
@@ -76,6 +77,7 @@
         , local(options.queue)
         , spill(options.queue)
         , table(options)
+        , demand(options.demand)
         , retries(options.retry)
     {
         link.configure(LinkTrafficClass::Requests, options.link);
@@ -116,6 +118,8 @@
     auto idle(MonoTime now) -> RequestIdle;
     auto admitSpill(const NewRequest &request, AdmissionQuestion question, MonoTime now) -> bool;
     auto cancel(RequestEntry &entry) -> RequestCancelResult;
+    auto divide(MonoTime now) -> void;
+    auto divideEqually() -> void;
 
     RequestSchedulerOptions options;
     Random random;
@@ -125,6 +129,14 @@
     FairQueue spill; ///< for those of other regions, because the own ones could not meet the deadline
     std::int64_t spillBytes = 0;
     ExecutorTable table;
+    DemandMeter demand;
+    std::unordered_map<std::string, std::vector<WorkspaceDemand>> peerDemands;
+    std::unordered_map<std::uint32_t, double> weights; ///< configured, by workspaceKey()
+    std::vector<std::string> fresh; ///< instances of the region with the own one, ordered; empty when their names are not known
+    std::vector<std::string> dividedFor; ///< instances of the division in force; empty for an equal one
+    DemandDivision division; ///< in force
+    std::optional<MonoTime> shortSince; ///< equal parts have left workspaces short since then
+    bool gaveSlots = false; ///< the own part is less than an equal one, because other instances see more of the entitled demand
     RetryBudget retries;
     LinkBudget link;
     std::unordered_map<std::int64_t, std::unique_ptr<RequestEntry>> entries;
--- a/packages/policy/requesttypes.h
+++ b/packages/policy/requesttypes.h
@@ -5,6 +5,7 @@
 #include "util/ids.h"
 #include "util/units.h"
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -105,6 +106,15 @@
     int inFlight = 0;
 };
 
+/// What the callers of one workspace ask of one instance, as heartbeats carry it.
+struct WorkspaceDemand
+{
+    std::uint32_t workspace = 0; ///< workspaceKey() of its name
+    double slots = 0; ///< executor time asked for per time, served or not
+
+    auto operator<=>(const WorkspaceDemand &other) const = default;
+};
+
 enum class ExecutorState {
     Usable,
     Leaving, ///< said so itself or in the list; gets no new work
@@ -135,6 +145,22 @@
     Millis growPauseAtMost{5000};
 };
 
+struct DemandOptions
+{
+    Millis window{250}; ///< demand is averaged over windows of this length …
+    Millis memory{2000}; ///< … with a weight that falls by a factor of e in this time
+    Millis reportPeriod{400}; ///< a report stays the same for this time; just below the heartbeat period of a region
+    double changePart = 0.04; ///< a demand is reported again when it has changed by this part
+    int changesAtOnce = 40; ///< of 8 bytes each: 320 B in a heartbeat, 4.5 KB/s each way for 7 peers
+    double shortBy = 0.1; ///< a workspace is short when equal parts would take this part of its share; the target for deviations
+    double shiftFrom = 0.01; ///< parts follow demand once the short workspaces together would lose this part of the slots …
+    double shiftUntil = 0.5; ///< … and until not even workspaces short by half as much lose half as much
+    Millis shiftAfter{1500}; ///< of shortage, so that a burst or the first, rough estimates of costs do not move slots
+    double leastPart = 0.25; ///< of an equal part: an instance keeps it for demand that it has not reported yet
+    double leastFactor = 0.1; ///< of a workspace's weight in an instance that has seen no demand of it
+    double keepWithin = 0.1; ///< parts stay while none would change by more than this part
+};
+
 struct RetryOptions
 {
     double share = 0.1; ///< retries per first attempt
@@ -180,6 +206,7 @@
     int slots = 8; ///< assumed slots of an executor before its first health answer
     ExecutorHealthOptions health;
     ExecutorLimitOptions limit;
+    DemandOptions demand;
     RetryOptions retry;
     LinkBudgetOptions link;
     AdmissionOptions admission;
--- a/packages/wire/bodycodec.h
+++ b/packages/wire/bodycodec.h
@@ -18,6 +18,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -231,7 +232,7 @@
 
 inline auto write(Writer &w, const Heartbeat &m) -> Offset<Fb::Heartbeat>
 {
-    w.tooLong = w.tooLong || m.executors.size() > maxListLength || m.planners.size() > maxListLength;
+    w.tooLong = w.tooLong || m.executors.size() > maxListLength || m.planners.size() > maxListLength || m.demands.size() > maxListLength;
     auto executors = std::vector<Offset<Fb::ExecutorLoad>>{};
     executors.reserve(m.executors.size());
     for (const auto &it : m.executors) {
@@ -244,8 +245,23 @@
     }
     const auto executorList = executors.empty() ? 0 : w.builder.CreateVector(executors);
     const auto plannerList = planners.empty() ? 0 : w.builder.CreateVector(planners);
-    return Fb::CreateHeartbeat(
-        w.builder, w.id(m.instance), m.incarnation.value, w.id(m.domain), m.draining, m.configVersion.value, m.fullLoads, executorList, plannerList);
+    auto demands = std::vector<Fb::WorkspaceDemand>{};
+    demands.reserve(m.demands.size());
+    for (const auto &it : m.demands) {
+        demands.emplace_back(it.workspace, it.slots);
+    }
+    const auto demandList = demands.empty() ? 0 : w.builder.CreateVectorOfStructs(demands);
+    return Fb::CreateHeartbeat(w.builder,
+                               w.id(m.instance),
+                               m.incarnation.value,
+                               w.id(m.domain),
+                               m.draining,
+                               m.configVersion.value,
+                               m.fullLoads,
+                               executorList,
+                               plannerList,
+                               m.reportsDemand,
+                               demandList);
 }
 
 inline auto read(Reader &r, const Fb::Heartbeat &m, Heartbeat &out) -> void
@@ -260,6 +276,16 @@
     r.list(m.planners(), [&](const Fb::PlannerRole &it) {
         out.planners.push_back({r.id<FailureDomainId>(it.domain()), it.generation(), r.idText(it.holder())});
     });
+    out.reportsDemand = m.reports_demand();
+    if (m.demands() != nullptr) {
+        r.valid = r.valid && m.demands()->size() <= maxListLength;
+        for (auto i = flatbuffers::uoffset_t{0}; r.valid && i < m.demands()->size(); ++i) {
+            const auto *it = m.demands()->Get(i);
+            // Every instance divides by these numbers, so one that cannot be a demand makes the message invalid.
+            r.valid = std::isfinite(it->slots()) && it->slots() >= 0;
+            out.demands.push_back({it->workspace(), it->slots()});
+        }
+    }
 }
 
 inline auto write(Writer &w, const ConfigOffer &m) -> Offset<Fb::ConfigOffer>
--- a/packages/wire/membership.cpp
+++ b/packages/wire/membership.cpp
@@ -28,6 +28,23 @@
     return loads;
 }
 
+auto mergeDemands(std::vector<DemandEntry> demands, const std::vector<DemandEntry> &changes) -> std::vector<DemandEntry>
+{
+    auto table = std::map<std::uint32_t, float>{};
+    for (const auto *list : {&std::as_const(demands), &changes}) {
+        for (const auto &it : *list) {
+            table[it.workspace] = it.slots;
+        }
+    }
+    demands.clear();
+    for (const auto &[workspace, slots] : table) {
+        if (slots > 0) {
+            demands.push_back({workspace, slots});
+        }
+    }
+    return demands;
+}
+
 }
 
 auto instanceStateName(InstanceState state) -> const char *
@@ -75,13 +92,21 @@
     auto &entry = m_entries[heartbeat.instance];
     const auto same = entry.last && entry.last->incarnation == heartbeat.incarnation;
     auto loads = mergeLoads(same && !heartbeat.fullLoads ? std::move(entry.last->executors) : std::vector<ExecutorLoad>{}, heartbeat.executors);
+    auto demands = mergeDemands(same && !heartbeat.fullLoads ? std::move(entry.last->demands) : std::vector<DemandEntry>{}, heartbeat.demands);
     entry.last = heartbeat;
     entry.last->executors = std::move(loads);
+    entry.last->demands = std::move(demands);
     entry.last->fullLoads = true;
     entry.lastAt = now;
     return same ? HeartbeatEffect::Accepted : HeartbeatEffect::NewIncarnation;
 }
 
+auto Membership::latest(const InstanceId &id) const -> std::optional<Heartbeat>
+{
+    const auto it = m_entries.find(id);
+    return it != m_entries.end() ? it->second.last : std::nullopt;
+}
+
 auto Membership::superseded(const InstanceId &id, Incarnation incarnation) const -> bool
 {
     const auto it = m_entries.find(id);
--- a/packages/wire/membership.h
+++ b/packages/wire/membership.h
@@ -93,6 +93,9 @@
     /// Takes a heartbeat into account; partial load lists are merged into the complete one.
     auto observe(const Heartbeat &heartbeat, MonoTime now) -> HeartbeatEffect;
 
+    /// @return the latest heartbeat of @p id with complete lists, or nothing when none has come.
+    [[nodiscard]] auto latest(const InstanceId &id) const -> std::optional<Heartbeat>;
+
     /// @return whether @p incarnation is older than one already seen from @p id.
     [[nodiscard]] auto superseded(const InstanceId &id, Incarnation incarnation) const -> bool;
 
--- a/packages/wire/meshcore.h
+++ b/packages/wire/meshcore.h
@@ -143,7 +143,7 @@
     auto reportClosed(const LinkState &state, const Error &reason) -> void;
     auto heartbeatRounds(MonoTime now) -> void;
     auto sendHeartbeat(LinkState &state, const Round &round, const std::string &frame, MonoTime now) -> void;
-    [[nodiscard]] auto heartbeatFrame(const LocalStatus &status, const std::vector<ExecutorLoad> *previous) const -> std::string;
+    [[nodiscard]] auto heartbeatFrame(const LocalStatus &status, const LocalStatus *previous) const -> std::string;
     auto linkOptions() const -> PeerLinkOptions;
 
     const PeerMeshOptions m_options;
--- a/packages/wire/meshdispatch.cpp
+++ b/packages/wire/meshdispatch.cpp
@@ -165,7 +165,12 @@
         m_targetsChanged = true;
     }
     if (m_handlers.heartbeat) {
-        m_handlers.heartbeat(heartbeat, effect);
+        // A heartbeat lists what has changed; the handler gets the whole state.
+        const auto complete = [&] {
+            const auto lock = std::lock_guard{m_mutex};
+            return m_members.latest(heartbeat.instance);
+        }();
+        m_handlers.heartbeat(complete.value_or(heartbeat), effect);
     }
     return success();
 }
--- a/packages/wire/meshlinks.cpp
+++ b/packages/wire/meshlinks.cpp
@@ -54,6 +54,26 @@
     return changes;
 }
 
+/// As changedLoads(), for demands.
+auto changedDemands(const std::vector<DemandEntry> &previous, const std::vector<DemandEntry> &current) -> std::vector<DemandEntry>
+{
+    auto before = std::map<std::uint32_t, float>{};
+    for (const auto &it : previous) {
+        before[it.workspace] = it.slots;
+    }
+    auto changes = std::vector<DemandEntry>{};
+    for (const auto &it : current) {
+        const auto known = before.extract(it.workspace);
+        if (known.empty() || known.mapped() != it.slots) {
+            changes.push_back(it);
+        }
+    }
+    for (const auto &[workspace, slots] : before) {
+        changes.push_back({workspace, 0});
+    }
+    return changes;
+}
+
 }
 
 auto MeshCore::linkOptions() const -> PeerLinkOptions
@@ -278,7 +298,7 @@
     }
 }
 
-auto MeshCore::heartbeatFrame(const LocalStatus &status, const std::vector<ExecutorLoad> *previous) const -> std::string
+auto MeshCore::heartbeatFrame(const LocalStatus &status, const LocalStatus *previous) const -> std::string
 {
     auto heartbeat = Heartbeat{.instance = m_self.instance,
                                .incarnation = m_self.incarnation,
@@ -288,15 +308,20 @@
                                .draining = status.draining,
                                .configVersion = status.configVersion,
                                .fullLoads = previous == nullptr,
-                               .executors = changedLoads(previous != nullptr ? *previous : std::vector<ExecutorLoad>{}, status.executors),
-                               .planners = status.planners};
+                               .executors = changedLoads(previous != nullptr ? previous->executors : std::vector<ExecutorLoad>{}, status.executors),
+                               .planners = status.planners,
+                               .reportsDemand = status.reportsDemand,
+                               .demands = changedDemands(previous != nullptr ? previous->demands : std::vector<DemandEntry>{}, status.demands)};
     // Liveness must not depend on the lists, which the caller may have let grow beyond the bounds of a message.
     heartbeat.executors.resize(std::min(heartbeat.executors.size(), maxListLength));
     heartbeat.planners.resize(std::min(heartbeat.planners.size(), maxListLength));
+    heartbeat.demands.resize(std::min(heartbeat.demands.size(), maxListLength));
     auto frame = encodeFrame({.correlation = 0, .response = false, .message = heartbeat});
     if (!frame) {
         heartbeat.executors.clear();
         heartbeat.planners.clear();
+        heartbeat.demands.clear();
+        heartbeat.reportsDemand = false;
         frame = encodeFrame({.correlation = 0, .response = false, .message = std::move(heartbeat)});
     }
     return frame.value();
@@ -330,6 +355,10 @@
         // Instances that were paused must not send the rounds that they missed.
         round.next = std::max(round.next + round.period, now + round.period / 2);
         const auto previous = std::exchange(round.status, *status);
+        if (group != 0) {
+            round.status.reportsDemand = false;
+            round.status.demands.clear();
+        }
         ++round.number;
         auto full = std::string{};
         auto partial = std::string{};
@@ -346,7 +375,7 @@
                 const auto known = it->round != 0 && it->round + 1 == round.number;
                 auto &frame = known ? partial : full;
                 if (frame.empty()) {
-                    frame = heartbeatFrame(round.status, known ? &previous.executors : nullptr);
+                    frame = heartbeatFrame(round.status, known ? &previous : nullptr);
                 }
                 sendHeartbeat(*it, round, frame, now);
             }
--- a/packages/wire/messages.h
+++ b/packages/wire/messages.h
@@ -31,6 +31,15 @@
     auto operator<=>(const ExecutorLoad &other) const = default;
 };
 
+/// Executor time that callers of one workspace ask of one instance, in slots, served or not.
+struct DemandEntry
+{
+    std::uint32_t workspace = 0; ///< low 32 bits of the xxHash64 of the workspace's name
+    float slots = 0;
+
+    auto operator<=>(const DemandEntry &other) const = default;
+};
+
 /// A failure domain that the sender schedules, with the generation under which it gives orders.
 struct PlannerRole
 {
@@ -56,6 +65,8 @@
     bool fullLoads = true;
     std::vector<ExecutorLoad> executors;
     std::vector<PlannerRole> planners;
+    bool reportsDemand = false; ///< whether @c demands is meant; it is not between regions
+    std::vector<DemandEntry> demands; ///< complete or changed, as @c executors is
 };
 
 /// An accepted configuration, sent to peers that report an older version.
--- a/packages/wire/peer_generated.h
+++ b/packages/wire/peer_generated.h
@@ -19,6 +19,8 @@
 struct ExecutorLoad;
 struct ExecutorLoadBuilder;
 
+struct WorkspaceDemand;
+
 struct PlannerRole;
 struct PlannerRoleBuilder;
 
@@ -278,6 +280,34 @@
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) WorkspaceDemand FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t workspace_;
+  float slots_;
+
+ public:
+  struct Traits;
+  WorkspaceDemand()
+      : workspace_(0),
+        slots_(0) {
+  }
+  WorkspaceDemand(uint32_t _workspace, float _slots)
+      : workspace_(flatbuffers::EndianScalar(_workspace)),
+        slots_(flatbuffers::EndianScalar(_slots)) {
+  }
+  uint32_t workspace() const {
+    return flatbuffers::EndianScalar(workspace_);
+  }
+  float slots() const {
+    return flatbuffers::EndianScalar(slots_);
+  }
+};
+FLATBUFFERS_STRUCT_END(WorkspaceDemand, 8);
+
+struct WorkspaceDemand::Traits {
+  using type = WorkspaceDemand;
+};
+
 struct ExecutorLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ExecutorLoadBuilder Builder;
   struct Traits;
@@ -798,7 +828,9 @@
     VT_CONFIG_VERSION = 12,
     VT_FULL_LOADS = 14,
     VT_EXECUTORS = 16,
-    VT_PLANNERS = 18
+    VT_PLANNERS = 18,
+    VT_REPORTS_DEMAND = 20,
+    VT_DEMANDS = 22
   };
   const flatbuffers::String *instance() const {
     return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
@@ -824,6 +856,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<Catkin::Fb::PlannerRole>> *planners() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<Catkin::Fb::PlannerRole>> *>(VT_PLANNERS);
   }
+  bool reports_demand() const {
+    return GetField<uint8_t>(VT_REPORTS_DEMAND, 0) != 0;
+  }
+  const flatbuffers::Vector<const Catkin::Fb::WorkspaceDemand *> *demands() const {
+    return GetPointer<const flatbuffers::Vector<const Catkin::Fb::WorkspaceDemand *> *>(VT_DEMANDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INSTANCE) &&
@@ -840,6 +878,9 @@
            VerifyOffset(verifier, VT_PLANNERS) &&
            verifier.VerifyVector(planners()) &&
            verifier.VerifyVectorOfTables(planners()) &&
+           VerifyField<uint8_t>(verifier, VT_REPORTS_DEMAND, 1) &&
+           VerifyOffset(verifier, VT_DEMANDS) &&
+           verifier.VerifyVector(demands()) &&
            verifier.EndTable();
   }
 };
@@ -872,6 +913,12 @@
   void add_planners(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Catkin::Fb::PlannerRole>>> planners) {
     fbb_.AddOffset(Heartbeat::VT_PLANNERS, planners);
   }
+  void add_reports_demand(bool reports_demand) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_REPORTS_DEMAND, static_cast<uint8_t>(reports_demand), 0);
+  }
+  void add_demands(flatbuffers::Offset<flatbuffers::Vector<const Catkin::Fb::WorkspaceDemand *>> demands) {
+    fbb_.AddOffset(Heartbeat::VT_DEMANDS, demands);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -892,14 +939,18 @@
     int64_t config_version = 0,
     bool full_loads = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Catkin::Fb::ExecutorLoad>>> executors = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Catkin::Fb::PlannerRole>>> planners = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Catkin::Fb::PlannerRole>>> planners = 0,
+    bool reports_demand = false,
+    flatbuffers::Offset<flatbuffers::Vector<const Catkin::Fb::WorkspaceDemand *>> demands = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_config_version(config_version);
   builder_.add_incarnation(incarnation);
+  builder_.add_demands(demands);
   builder_.add_planners(planners);
   builder_.add_executors(executors);
   builder_.add_domain(domain);
   builder_.add_instance(instance);
+  builder_.add_reports_demand(reports_demand);
   builder_.add_full_loads(full_loads);
   builder_.add_draining(draining);
   return builder_.Finish();
@@ -919,11 +970,14 @@
     int64_t config_version = 0,
     bool full_loads = false,
     const std::vector<flatbuffers::Offset<Catkin::Fb::ExecutorLoad>> *executors = nullptr,
-    const std::vector<flatbuffers::Offset<Catkin::Fb::PlannerRole>> *planners = nullptr) {
+    const std::vector<flatbuffers::Offset<Catkin::Fb::PlannerRole>> *planners = nullptr,
+    bool reports_demand = false,
+    const std::vector<Catkin::Fb::WorkspaceDemand> *demands = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   auto executors__ = executors ? _fbb.CreateVector<flatbuffers::Offset<Catkin::Fb::ExecutorLoad>>(*executors) : 0;
   auto planners__ = planners ? _fbb.CreateVector<flatbuffers::Offset<Catkin::Fb::PlannerRole>>(*planners) : 0;
+  auto demands__ = demands ? _fbb.CreateVectorOfStructs<Catkin::Fb::WorkspaceDemand>(*demands) : 0;
   return Catkin::Fb::CreateHeartbeat(
       _fbb,
       instance__,
@@ -933,7 +987,9 @@
       config_version,
       full_loads,
       executors__,
-      planners__);
+      planners__,
+      reports_demand,
+      demands__);
 }
 
 struct ConfigOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/packages/wire/peermesh.h
+++ b/packages/wire/peermesh.h
@@ -69,6 +69,8 @@
     ConfigVersion configVersion;
     std::vector<ExecutorLoad> executors;
     std::vector<PlannerRole> planners;
+    bool reportsDemand = false;
+    std::vector<DemandEntry> demands; ///< sent to the own region only, whose instances share executors
 };
 
 /// Answers one request; may be called later and from any thread. Only the first call counts. Without one, the peer's
@@ -80,7 +82,7 @@
 struct PeerMeshHandlers
 {
     std::function<LocalStatus()> localStatus; ///< asked once per heartbeat round
-    std::function<void(const Heartbeat &, HeartbeatEffect)> heartbeat; ///< after it was taken into account
+    std::function<void(const Heartbeat &, HeartbeatEffect)> heartbeat; ///< after it was taken into account; its lists are complete
     std::function<void(const InstanceId &from, const ConfigOffer &)> configOffer;
     std::function<void(const InstanceId &from, const AttemptQuery &, Responder<AttemptOutcome>)> attemptQuery;
     std::function<void(const InstanceId &from, const TicketForward &, Responder<TicketResult>)> ticketForward;
--- a/packages/wire/testing/frame_test.cpp
+++ b/packages/wire/testing/frame_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <limits>
 #include <string>
 #include <variant>
 
@@ -52,6 +53,9 @@
     CHECK(ticket.workspace.str() + ticket.caller.str() + ticket.kind.str() + ticket.key.str() == "bootsfittercheckliner-7");
     CHECK(ticket.firstSent == WallTime{Millis{1'700'000'000'123}});
     CHECK(ticket.deadline == Millis{250});
+    const auto beat = std::get<Heartbeat>(decodeEnvelope(payloadOf(samples[3])).value().message);
+    CHECK(beat.reportsDemand);
+    CHECK(beat.demands == std::vector<DemandEntry>{{7, 2.5F}, {8, 0}});
     const auto outcome = std::get<AttemptOutcome>(decodeEnvelope(payloadOf(samples[6])).value().message);
     CHECK(outcome.state == AttemptState::Voided);
     CHECK(outcome.verdict == RequestVerdict::NotRun);
@@ -146,6 +150,14 @@
     CHECK(decodeEnvelope(std::string_view(shifted).substr(1)).has_value());
 }
 
+TEST_CASE("a demand that is no number makes its message invalid")
+{
+    // Guards against slots divided by NaN, which a comparison would not notice.
+    for (const auto value : {std::numeric_limits<float>::quiet_NaN(), std::numeric_limits<float>::infinity(), -1.0F}) {
+        CHECK(decodeEnvelope(payloadOf({0, false, Heartbeat{.reportsDemand = true, .demands = {{7, value}}}})).has_error());
+    }
+}
+
 TEST_CASE("messages beyond the bounds are not sent")
 {
     const auto longId = std::string(maxIdLength + 1, 'x');
--- a/packages/wire/testing/peermesh_test.cpp
+++ b/packages/wire/testing/peermesh_test.cpp
@@ -157,6 +157,40 @@
     CHECK(counters.acrossRegions[static_cast<std::size_t>(TrafficClass::Heartbeat)].bytesOut == 0);
 }
 
+TEST_CASE("the handler of heartbeats gets complete lists")
+{
+    // Guards against a receiver that takes what changed since the previous heartbeat for all that there is.
+    auto mutex = std::mutex{};
+    auto seen = std::vector<Heartbeat>{};
+    auto receiving = handlersThatEcho();
+    receiving.heartbeat = [&](const Heartbeat &beat, HeartbeatEffect) {
+        const auto lock = std::lock_guard{mutex};
+        seen.push_back(beat);
+    };
+    auto round = 0;
+    auto sending = handlersThatEcho();
+    sending.localStatus = [&] {
+        ++round;
+        return LocalStatus{.executors = {{ExecutorId{"e-1"}, 3}, {ExecutorId{"e-2"}, 1 + round}},
+                           .reportsDemand = true,
+                           .demands = {{7, 2.5F}, {8, 1.0F + static_cast<float>(round)}}};
+    };
+    auto a = startMesh(optionsFor("a"), receiving);
+    auto b = startMesh(optionsFor("b"), sending);
+    b->setKnown(KnownSource::InstanceList, {knownAt("a", a->port())});
+    waitFor([&] {
+        const auto lock = std::lock_guard{mutex};
+        return seen.size() >= 4;
+    });
+    const auto lock = std::lock_guard{mutex};
+    for (const auto &it : seen) {
+        CHECK(it.executors.size() == 2);
+        CHECK(it.demands.size() == 2);
+        CHECK(it.reportsDemand);
+        CHECK(it.demands.front() == DemandEntry{7, 2.5F});
+    }
+}
+
 TEST_CASE("responses that cross reach their callers")
 {
     // The handler holds the first request back until the second one has been answered.
