Reach the platform, executors and workers over TLS

Cause: every exchange of an entry instance was plain text; nothing proved that the log or an executor was the one meant. Ruled out: httplib::SSLClient, whose errors do not tell a failed handshake from a connection that broke after the request; a default CA or a switch that turns verification off; session resumption, which would keep a replaced CA in force. Change: addresses may begin with https://. The handshake is made where cpp-httplib hands over the connected socket, before the first byte of the request, within the time of the connection and the total deadline; any failure is NotSent and names its cause.

--- a/packages/ports/deadlinestream.cpp
+++ b/packages/ports/deadlinestream.cpp
@@ -10,13 +10,32 @@
 namespace Catkin
 {
 
-DeadlineStream::DeadlineStream(socket_t sock, std::chrono::steady_clock::time_point deadline, std::size_t maxBytes)
+DeadlineStream::DeadlineStream(socket_t sock, std::chrono::steady_clock::time_point deadline, std::size_t maxBytes, TlsConnection *tls)
     : m_sock(sock)
     , m_deadline(deadline)
     , m_bytesLeft(maxBytes)
+    , m_tls(tls)
 {
 }
 
+auto DeadlineStream::setOperationTimeout(std::chrono::milliseconds timeout) -> void
+{
+    m_operationTimeout = timeout;
+}
+
+auto DeadlineStream::startOperation() -> void
+{
+    if (m_operationTimeout.count() > 0) {
+        m_deadline = std::chrono::steady_clock::now() + m_operationTimeout;
+        m_bytesLeft = m_buf.size();
+    }
+}
+
+auto DeadlineStream::buffered() const -> bool
+{
+    return m_begin != m_end || (m_tls != nullptr && m_tls->pending());
+}
+
 /// Waits until the socket is ready or the deadline has passed.
 auto DeadlineStream::waitFor(short events) -> bool
 {
@@ -45,17 +64,25 @@
     return true;
 }
 
+auto DeadlineStream::receive(std::size_t size) -> ssize_t
+{
+    if (m_tls != nullptr) {
+        const auto n = m_tls->read(m_buf.data(), size, m_deadline);
+        m_timedOut = m_timedOut || m_tls->timedOut();
+        return n;
+    }
+    return waitFor(POLLIN) ? recv(m_sock, m_buf.data(), size, 0) : -1;
+}
+
 auto DeadlineStream::read(char *ptr, size_t size) -> ssize_t
 {
     if (m_begin == m_end) {
+        startOperation();
         if (m_bytesLeft == 0) {
             m_tooLong = true;
             return -1;
         }
-        if (!waitFor(POLLIN)) {
-            return -1;
-        }
-        const auto n = recv(m_sock, m_buf.data(), std::min(m_buf.size(), m_bytesLeft), 0);
+        const auto n = receive(std::min(m_buf.size(), m_bytesLeft));
         if (n <= 0) {
             return n;
         }
@@ -71,6 +98,12 @@
 
 auto DeadlineStream::write(const char *ptr, size_t size) -> ssize_t
 {
+    startOperation();
+    if (m_tls != nullptr) {
+        const auto n = m_tls->write(ptr, size, m_deadline);
+        m_timedOut = m_timedOut || m_tls->timedOut();
+        return n;
+    }
     // MSG_DONTWAIT: a blocking send of a large body would wait for the peer beyond the deadline.
     for (;;) {
         if (!waitFor(POLLOUT)) {
--- a/packages/ports/httpclient.cpp
+++ b/packages/ports/httpclient.cpp
@@ -10,6 +10,8 @@
 #include <charconv>
 #include <chrono>
 #include <functional>
+#include <memory>
+#include <string_view>
 
 namespace Catkin
 {
@@ -18,6 +20,7 @@
 {
 
 constexpr auto maxPort = 65535;
+constexpr auto tlsScheme = std::string_view{"https://"};
 
 /// Bytes of a reply beside its body: header, and the framing of chunks.
 constexpr auto maxOverhead = std::size_t{64} << 10U;
@@ -28,7 +31,8 @@
     return inet_pton(family, text.c_str(), buf.data()) == 1;
 }
 
-/// Client whose exchange as a whole keeps one deadline and one size limit.
+/// Client whose exchange as a whole keeps one deadline and one size limit. With TLS, the handshake is made where the library hands over
+/// the connected socket, before it writes the first byte of the request, so that a failed handshake is known to have sent nothing.
 class DeadlineClient : public httplib::ClientImpl
 {
 public:
@@ -39,6 +43,26 @@
     {
     }
 
+    /// @param handshakeTimeout for the handshake alone, within the deadline
+    auto useTls(const HttpTls &tls, const std::string &host, Millis handshakeTimeout) -> void
+    {
+        m_context = tls.credentials->current();
+        m_expected = tls.name.empty() ? host : tls.name;
+        m_handshakeTimeout = handshakeTimeout;
+    }
+
+    /// @return why no request byte was sent although the connection was made; empty if that did not happen.
+    [[nodiscard]] auto handshakeError() const -> const std::string &
+    {
+        return m_handshakeError;
+    }
+
+    /// @return what TLS says about a broken exchange; may be empty.
+    [[nodiscard]] auto brokenReason() const -> const std::string &
+    {
+        return m_brokenReason;
+    }
+
     [[nodiscard]] auto timedOut() const -> bool
     {
         return m_timedOut;
@@ -52,7 +76,23 @@
 private:
     auto process_socket(const Socket &socket, std::function<bool(httplib::Stream &)> callback) -> bool override
     {
-        auto stream = DeadlineStream{socket.sock, m_deadline, m_maxBytes};
+        if (!m_context) {
+            return exchange(socket.sock, nullptr, callback);
+        }
+        auto tls = TlsConnection{socket.sock, m_context, TlsRole::Client, m_expected};
+        if (const auto done = tls.handshake(std::min(m_deadline, std::chrono::steady_clock::now() + m_handshakeTimeout)); !done) {
+            m_handshakeError = done.error().message;
+            return false;
+        }
+        const auto ok = exchange(socket.sock, &tls, callback);
+        m_brokenReason = tls.failureReason();
+        tls.close();
+        return ok;
+    }
+
+    auto exchange(socket_t sock, TlsConnection *tls, const std::function<bool(httplib::Stream &)> &callback) -> bool
+    {
+        auto stream = DeadlineStream{sock, m_deadline, m_maxBytes, tls};
         const auto ok = callback(stream);
         m_timedOut = stream.timedOut();
         m_tooLong = stream.tooLong();
@@ -63,21 +103,29 @@
     std::size_t m_maxBytes;
     bool m_timedOut = false;
     bool m_tooLong = false;
+    std::shared_ptr<ssl_ctx_st> m_context; // null for plain text
+    std::string m_expected;
+    Millis m_handshakeTimeout{0};
+    std::string m_handshakeError;
+    std::string m_brokenReason;
 };
 
-auto toError(httplib::Error error, bool tooLong, bool timedOut) -> Error
+auto toError(httplib::Error error, bool tooLong, const DeadlineClient &client) -> Error
 {
+    if (!client.handshakeError().empty()) {
+        return failure(ErrorCode::NotSent, "no TLS connection: " + client.handshakeError());
+    }
     const auto text = httplib::to_string(error);
     if (error == httplib::Error::Connection || error == httplib::Error::BindIPAddress || error == httplib::Error::ConnectionTimeout) {
         return failure(ErrorCode::NotSent, "no connection: " + text);
     }
-    if (tooLong) {
+    if (tooLong || client.tooLong()) {
         return failure(ErrorCode::Limit, "the answer is longer than accepted");
     }
-    if (timedOut) {
+    if (client.timedOut()) {
         return failure(ErrorCode::Timeout, "no complete answer in time");
     }
-    return failure(ErrorCode::Unknown, "the exchange broke off: " + text);
+    return failure(ErrorCode::Unknown, "the exchange broke off: " + (client.brokenReason().empty() ? text : client.brokenReason()));
 }
 
 auto lowerCase(std::string text) -> std::string
@@ -114,6 +162,16 @@
     return std::make_pair(host, port);
 }
 
+auto usesTls(const std::string &address) -> bool
+{
+    return address.starts_with(tlsScheme);
+}
+
+auto withoutScheme(const std::string &address) -> std::string
+{
+    return usesTls(address) ? address.substr(tlsScheme.size()) : address;
+}
+
 auto hadNoEffect(const Error &error) -> bool
 {
     return error.code == ErrorCode::NotSent || error.code == ErrorCode::InvalidInput;
@@ -121,16 +179,23 @@
 
 auto httpExchange(const HttpCall &call) -> Result<HttpReply>
 {
-    auto parts = splitAddress(call.address);
+    auto parts = splitAddress(withoutScheme(call.address));
     if (!parts) {
         return parts.error();
     }
+    if (usesTls(call.address) && !call.tls.credentials) {
+        return failure(ErrorCode::InvalidInput, "address '" + call.address + "' needs TLS, but no CA is set");
+    }
     if (call.timeout.count() <= 0) {
         return failure(ErrorCode::NotSent, "no time left for the exchange");
     }
     const auto deadline = std::chrono::steady_clock::now() + call.timeout;
     auto client = DeadlineClient{parts.value().first, parts.value().second, deadline, call.maxBody + maxOverhead};
-    client.set_connection_timeout(std::clamp(call.connectTimeout, Millis{1}, call.timeout));
+    const auto connectTimeout = std::clamp(call.connectTimeout, Millis{1}, call.timeout);
+    client.set_connection_timeout(connectTimeout);
+    if (usesTls(call.address)) {
+        client.useTls(call.tls, parts.value().first, connectTimeout);
+    }
     // Digests and lengths count for the bytes as sent, and a compressed body could be of any length.
     client.set_decompress(false);
     client.set_tcp_nodelay(true);
@@ -158,7 +223,7 @@
 
     auto result = client.send(request);
     if (!result) {
-        return toError(result.error(), tooLong || client.tooLong(), client.timedOut());
+        return toError(result.error(), tooLong, client);
     }
     reply.status = result->status;
     for (const auto &[name, value] : result->headers) {
--- a/packages/ports/httpexecutor.cpp
+++ b/packages/ports/httpexecutor.cpp
@@ -63,6 +63,7 @@
         .connectTimeout = std::min(options.connectTimeout, call.deadline),
         .timeout = call.deadline,
         .maxBody = options.maxAnswerBytes,
+        .tls = options.tls,
     });
     if (!reply) {
         const auto &error = reply.error();
@@ -80,9 +81,9 @@
     return checkAnswer(call, reply.value());
 }
 
-auto health(const std::string &address, Millis timeout) -> Result<ExecutorHealth>
+auto health(const HttpExecutorOptions &options, const std::string &address, Millis timeout) -> Result<ExecutorHealth>
 {
-    auto reply = httpExchange({.address = address, .method = "GET", .path = "/v1/health", .connectTimeout = timeout, .timeout = timeout});
+    auto reply = httpExchange({.address = address, .method = "GET", .path = "/v1/health", .connectTimeout = timeout, .timeout = timeout, .tls = options.tls});
     if (!reply || reply.value().status != 200) {
         return failure(ErrorCode::Unavailable, "the executor's health is not available");
     }
@@ -106,7 +107,7 @@
 {
     return {
         .execute = [options](const std::string &address, const ExecutorCall &call) { return execute(options, address, call); },
-        .health = [](const std::string &address, Millis timeout) { return health(address, timeout); },
+        .health = [options](const std::string &address, Millis timeout) { return health(options, address, timeout); },
     };
 }
 
--- a/packages/ports/httpexecutor.h
+++ b/packages/ports/httpexecutor.h
@@ -7,6 +7,7 @@
 /// @endcode
 
 #include "ports/executorport.h"
+#include "ports/httpclient.h"
 
 namespace Catkin
 {
@@ -15,6 +16,7 @@
 {
     Millis connectTimeout{300};
     std::size_t maxAnswerBytes = std::size_t{4} << 20U;
+    HttpTls tls;
 };
 
 /// @return a port that talks HTTP to executors.
--- a/packages/ports/httpinstancelist.cpp
+++ b/packages/ports/httpinstancelist.cpp
@@ -59,10 +59,10 @@
 
 }
 
-auto makeHttpInstanceList(const std::string &address, Millis timeout) -> InstanceListPort
+auto makeHttpInstanceList(const std::string &address, Millis timeout, const HttpTls &tls) -> InstanceListPort
 {
-    return {.fetch = [address, timeout]() -> Result<std::vector<ListedInstance>> {
-        auto reply = httpExchange({.address = address, .method = "GET", .path = "/v1/instances", .timeout = timeout});
+    return {.fetch = [address, timeout, tls]() -> Result<std::vector<ListedInstance>> {
+        auto reply = httpExchange({.address = address, .method = "GET", .path = "/v1/instances", .timeout = timeout, .tls = tls});
         if (!reply) {
             return failure(ErrorCode::Unavailable, "instance list: " + reply.error().message);
         }
--- a/packages/ports/httplog.cpp
+++ b/packages/ports/httplog.cpp
@@ -38,6 +38,7 @@
         .body = std::move(text),
         .connectTimeout = options.connectTimeout,
         .timeout = options.timeout,
+        .tls = options.tls,
     });
     if (!reply) {
         return failure(hadNoEffect(reply.error()) ? ErrorCode::NotSent : ErrorCode::Unknown, "append to " + stream + ": " + reply.error().message);
@@ -99,6 +100,7 @@
         .connectTimeout = options.connectTimeout,
         .timeout = options.timeout + wait,
         .maxBody = maxPageBytes,
+        .tls = options.tls,
     });
 }
 
--- a/packages/ports/httplog.h
+++ b/packages/ports/httplog.h
@@ -6,6 +6,7 @@
 ///   auto log = Catkin::makeHttpLog({.address = "127.0.0.1:8081"});
 /// @endcode
 
+#include "ports/httpclient.h"
 #include "ports/logport.h"
 
 namespace Catkin
@@ -13,9 +14,10 @@
 
 struct HttpLogOptions
 {
-    std::string address; ///< "ip:port" of the platform's log
+    std::string address; ///< "ip:port" or "https://ip:port" of the platform's log
     Millis connectTimeout{500};
     Millis timeout{2000}; ///< for an append; a read may also wait for its wait time
+    HttpTls tls;
 };
 
 /// @return a port that talks to the log at @p options.address.
--- a/packages/ports/httpworker.cpp
+++ b/packages/ports/httpworker.cpp
@@ -117,9 +117,9 @@
     return status;
 }
 
-auto fetchStatus(const std::string &address, Millis timeout) -> Result<WorkerStatus>
+auto fetchStatus(const HttpTls &tls, const std::string &address, Millis timeout) -> Result<WorkerStatus>
 {
-    auto reply = httpExchange({.address = address, .method = "GET", .path = "/v1/status", .connectTimeout = timeout, .timeout = timeout});
+    auto reply = httpExchange({.address = address, .method = "GET", .path = "/v1/status", .connectTimeout = timeout, .timeout = timeout, .tls = tls});
     if (!reply) {
         return failure(ErrorCode::Unavailable, "worker status: " + reply.error().message);
     }
@@ -161,7 +161,8 @@
     }
 }
 
-auto sendOrders(const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis timeout) -> Result<OrdersReply>
+auto sendOrders(const HttpTls &tls, const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis timeout)
+    -> Result<OrdersReply>
 {
     auto body = json{{"generation", encodeGeneration(generation)}, {"orders", json::array()}};
     for (const auto &it : orders) {
@@ -180,6 +181,7 @@
         .body = std::move(text),
         .connectTimeout = timeout,
         .timeout = timeout,
+        .tls = tls,
     });
     if (!reply) {
         return failure(hadNoEffect(reply.error()) ? ErrorCode::NotSent : ErrorCode::Unknown, "worker orders: " + reply.error().message);
@@ -195,9 +197,15 @@
 
 }
 
-auto makeHttpWorker() -> WorkerPort
+auto makeHttpWorker(const HttpTls &tls) -> WorkerPort
 {
-    return {.status = fetchStatus, .orders = sendOrders};
+    return {
+        .status = [tls](const std::string &address, Millis timeout) { return fetchStatus(tls, address, timeout); },
+        .orders =
+            [tls](const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis timeout) {
+                return sendOrders(tls, address, generation, orders, timeout);
+            },
+    };
 }
 
 }
--- a/packages/ports/httpworker.h
+++ b/packages/ports/httpworker.h
@@ -6,12 +6,13 @@
 ///   auto workers = Catkin::makeHttpWorker();
 /// @endcode
 
+#include "ports/httpclient.h"
 #include "ports/workerport.h"
 
 namespace Catkin
 {
 
 /// @return a port that talks HTTP to workers.
-auto makeHttpWorker() -> WorkerPort;
+auto makeHttpWorker(const HttpTls &tls = {}) -> WorkerPort;
 
 }
