Speak TLS on the listeners for callers and operators, and in catkinctl

Cause: bearer tokens and payloads crossed the network in plain text. Ruled out: httplib::SSLServer (one context for ever, timeouts that restart with every byte of a handshake) and a proxy beside the daemon (docs/wire-protection.md). Plain HTTP stays the default, with event 1014. A key_file or token file that is a folder is an error now instead of an exception.

--- a/packages/cli/client.cpp
+++ b/packages/cli/client.cpp
@@ -19,7 +19,8 @@
                          .method = call.method,
                          .path = call.path,
                          .body = call.body,
-                         .timeout = call.timeout.count() > 0 ? call.timeout : m_options.timeout};
+                         .timeout = call.timeout.count() > 0 ? call.timeout : m_options.timeout,
+                         .tls = m_options.tls};
     if (!m_options.token.empty()) {
         http.headers.emplace_back("Authorization", "Bearer " + m_options.token);
     }
--- a/packages/cli/client.h
+++ b/packages/cli/client.h
@@ -29,6 +29,7 @@
     std::string token;
     Audience audience = Audience::Callers;
     Millis timeout{5000};
+    HttpTls tls;
 };
 
 struct Call
--- a/packages/cli/commandline.cpp
+++ b/packages/cli/commandline.cpp
@@ -2,7 +2,9 @@
 
 #include "ports/httpclient.h"
 
+#include <algorithm>
 #include <charconv>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -59,7 +61,8 @@
     , m_line(description, ' ', "", false)
     , m_addresses("a",
                   "address",
-                  "entry instance as ip:port, tried in the given order; repeatable. Default: the comma-separated list in " + variableName(audience, "ADDRESS"),
+                  "entry instance as ip:port or https://ip:port, tried in the given order; repeatable. Default: the comma-separated list in "
+                      + variableName(audience, "ADDRESS"),
                   false,
                   "ip:port")
     , m_tokenFile("",
@@ -70,6 +73,10 @@
                   "",
                   "file")
     , m_timeout("", "timeout", "time for one call (default 5s)", false, "5s", "duration")
+    , m_ca("", "ca", "PEM file with the CA of https addresses. Default: the file named by CATKIN_CA", false, "", "file")
+    , m_serverName("", "server-name", "name in the certificate of https addresses. Default: their IP number", false, "", "name")
+    , m_certificate("", "cert", "PEM file with a client certificate. Default: the file named by CATKIN_CERT", false, "", "file")
+    , m_key("", "cert-key", "PEM file with its key. Default: the file named by CATKIN_CERT_KEY", false, "", "file")
     , m_json("", "json", "print JSON")
 {
     m_line.setOutput(&m_output);
@@ -78,6 +85,10 @@
         m_line.add(m_addresses);
         m_line.add(m_timeout);
         m_line.add(m_tokenFile);
+        m_line.add(m_ca);
+        m_line.add(m_serverName);
+        m_line.add(m_certificate);
+        m_line.add(m_key);
     }
     m_line.add(m_json);
 }
@@ -121,7 +132,7 @@
         return usageError("no address: give --address or set " + variableName(m_audience, "ADDRESS"));
     }
     for (const auto &address : options.addresses) {
-        if (const auto parts = splitAddress(address); !parts) {
+        if (const auto parts = splitAddress(withoutScheme(address)); !parts) {
             return usageError(parts.error().message);
         }
     }
@@ -140,10 +151,33 @@
         }
         options.token = trimmed(token.value());
     }
+    if (const auto wrong = readTls(options)) {
+        return wrong;
+    }
     m_client.emplace(std::move(options), m_env);
     return std::nullopt;
 }
 
+auto CommandLine::readTls(ClientOptions &options) -> std::optional<ExitCode>
+{
+    const auto given
+        = [&](TCLAP::ValueArg<std::string> &arg, const char *variable) { return arg.isSet() ? arg.getValue() : m_env.variable(variable).value_or(""); };
+    if (std::none_of(options.addresses.begin(), options.addresses.end(), usesTls)) {
+        // An address without https would send the token in plain text although the user asks for verification.
+        return m_ca.isSet() ? std::optional(usageError("--ca is given, but no address begins with https://")) : std::nullopt;
+    }
+    auto files = TlsFiles{.certificate = given(m_certificate, "CATKIN_CERT"), .key = given(m_key, "CATKIN_CERT_KEY"), .ca = given(m_ca, "CATKIN_CA")};
+    if (files.ca.empty()) {
+        return usageError("an https address needs --ca or CATKIN_CA");
+    }
+    auto credentials = TlsCredentials::load(TlsRole::Client, std::move(files), systemClock());
+    if (!credentials) {
+        return usageError(credentials.error().message);
+    }
+    options.tls = {.credentials = credentials.value(), .name = m_serverName.getValue()};
+    return std::nullopt;
+}
+
 auto CommandLine::client() const -> const Client &
 {
     return m_client.value(); // NOLINT(bugprone-unchecked-optional-access): set by a successful parse
@@ -166,7 +200,7 @@
         return std::string(std::istreambuf_iterator<char>(*env.in), {});
     }
     auto in = std::ifstream(path, std::ios::binary);
-    if (!in) {
+    if (!in || std::filesystem::is_directory(path)) { // reading a folder would throw
         return failure(ErrorCode::NotFound, "file '" + path + "' cannot be read");
     }
     return std::string(std::istreambuf_iterator<char>(in), {});
--- a/packages/cli/commandline.h
+++ b/packages/cli/commandline.h
@@ -47,6 +47,7 @@
 
 private:
     auto readClient() -> std::optional<ExitCode>;
+    auto readTls(ClientOptions &options) -> std::optional<ExitCode>;
 
     /// Writes help to our streams, and leaves the report of wrong arguments to parse().
     class Output : public TCLAP::StdOutput
@@ -67,6 +68,10 @@
     TCLAP::MultiArg<std::string> m_addresses;
     TCLAP::ValueArg<std::string> m_tokenFile;
     TCLAP::ValueArg<std::string> m_timeout;
+    TCLAP::ValueArg<std::string> m_ca;
+    TCLAP::ValueArg<std::string> m_serverName;
+    TCLAP::ValueArg<std::string> m_certificate;
+    TCLAP::ValueArg<std::string> m_key;
     TCLAP::SwitchArg m_json;
     std::optional<Client> m_client;
 };
--- a/packages/cli/testing/commands_test.cpp
+++ b/packages/cli/testing/commands_test.cpp
@@ -2,6 +2,8 @@
 #include "cli/testing/testenvironment.h"
 
 #include "cli/table.h"
+#include "harness/certificates.h"
+#include "harness/tlspeer.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -31,6 +33,39 @@
 
 }
 
+// Guards against a token that goes to another server, and against a message that does not say what to correct.
+TEST_CASE("https addresses are verified, and a failed verification is unreachable and says why")
+{
+    auto made = TestCertificates{};
+    const auto good = TlsPeer{made.issue("good", {.ip = "127.0.0.1"}), {.answer = "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"jobs\":[]}"}};
+    const auto named = TlsPeer{made.issue("named", {.dns = "entry.example"}), {.answer = "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"jobs\":[]}"}};
+    const auto plain = FakeServer{{{.body = "{\"jobs\":[]}"}}};
+    struct Case
+    {
+        std::string name;
+        std::vector<std::string> args;
+        ExitCode code;
+        std::string message;
+    };
+    for (const auto &it : std::vector<Case>{
+             {"accepted", {"-a", good.address(), "--ca", made.ca()}, ExitCode::Ok, ""},
+             {"accepted by name", {"-a", named.address(), "--ca", made.ca(), "--server-name", "entry.example"}, ExitCode::Ok, ""},
+             {"no CA", {"-a", good.address()}, ExitCode::Usage, "needs --ca"},
+             {"CA file missing", {"-a", good.address(), "--ca", made.path("none")}, ExitCode::Usage, "cannot be read"},
+             {"CA for a plain address", {"-a", plain.address(), "--ca", made.ca()}, ExitCode::Usage, "no address begins with https://"},
+             {"another CA", {"-a", good.address(), "--ca", made.ca("other")}, ExitCode::Unreachable, "not signed by a known CA"},
+             {"wrong number", {"-a", named.address(), "--ca", made.ca()}, ExitCode::Unreachable, "only for entry.example"},
+             {"plain server", {"-a", "https://" + plain.address(), "--ca", made.ca()}, ExitCode::Unreachable, "TLS"},
+         }) {
+        CAPTURE(it.name);
+        auto test = TestEnvironment{};
+        auto args = Arguments{"jobs"};
+        args.insert(args.end(), it.args.begin(), it.args.end());
+        CHECK(test.run(args) == static_cast<int>(it.code));
+        CHECK_MESSAGE(test.err.str().find(it.message) != std::string::npos, test.err.str());
+    }
+}
+
 TEST_CASE("exit codes follow the reply, because scripts branch on them")
 {
     struct Case
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -53,6 +53,26 @@
     return std::chrono::duration_cast<Seconds>(settings.requests.logRetention);
 }
 
+/// @return the credentials; null, with the reason in @p error, when the files have become unusable since the settings were checked.
+auto loadTls(TlsRole role, const TlsFiles &files, const Clock &clock, std::string &error) -> std::shared_ptr<TlsCredentials>
+{
+    if (files.certificate.empty() && files.ca.empty()) {
+        return nullptr;
+    }
+    auto loaded = TlsCredentials::load(role, files, clock);
+    if (!loaded) {
+        error = loaded.error().message;
+        return nullptr;
+    }
+    return loaded.value();
+}
+
+/// Client CAs count only beside a certificate.
+auto listenerFiles(const TlsSettings &tls, const std::string &clientCa) -> TlsFiles
+{
+    return tls.certificate.empty() ? TlsFiles{} : listenerTls(tls, clientCa);
+}
+
 auto toTicketResult(const RequestReply &reply) -> TicketResult
 {
     return {
@@ -115,9 +135,18 @@
     auto forgetSilentPeers() -> void;
     auto carryRecords() -> void;
     auto metricsText() -> std::string;
+    auto httpTls(const std::string &name = {}) const -> HttpTls;
+    auto handshakeFailed(TlsListener listener, const Error &error) -> void;
+    auto refreshTls() -> void;
 
     Settings settings;
     Clock clock;
+    std::string tlsError; ///< why TLS cannot be used; the daemon does not start with it
+    std::shared_ptr<TlsCredentials> callerTls; ///< null: plain HTTP
+    std::shared_ptr<TlsCredentials> operatorTls;
+    std::shared_ptr<TlsCredentials> clientTls; ///< null: no https addresses
+    std::mutex handshakeMutex;
+    MonoTime nextHandshakeWarning{}; ///< guarded by handshakeMutex
     Incarnation incarnation;
     std::atomic<bool> assembled{false};
     std::atomic<bool> draining{false}; ///< not ready any more; still serving
@@ -150,10 +179,13 @@
 Daemon::Impl::Impl(const Settings &given, const Clock &time)
     : settings(given)
     , clock(time)
+    , callerTls(loadTls(TlsRole::Server, listenerFiles(given.tls, given.tls.callerClientCa), time, tlsError))
+    , operatorTls(loadTls(TlsRole::Server, listenerFiles(given.tls, given.tls.operatorClientCa), time, tlsError))
+    , clientTls(loadTls(TlsRole::Client, {.certificate = {}, .key = {}, .ca = given.tls.ca}, time, tlsError))
     , incarnation{time.wall().time_since_epoch().count()}
     , telemetry(time)
-    , log(telemetry.observed(makeHttpLog({.address = given.platform.log, .timeout = given.platform.timeout})))
-    , executorPort(telemetry.observed(makeHttpExecutor({.maxAnswerBytes = static_cast<std::size_t>(given.limits.answerBody.value)})))
+    , log(telemetry.observed(makeHttpLog({.address = given.platform.log, .timeout = given.platform.timeout, .tls = httpTls(given.tls.platformName)})))
+    , executorPort(telemetry.observed(makeHttpExecutor({.maxAnswerBytes = static_cast<std::size_t>(given.limits.answerBody.value), .tls = httpTls()})))
     , writer(log, time, {})
     , pool(static_cast<std::size_t>(given.limits.dispatchThreads), maxQueuedWork)
     , mesh(meshOptions(), meshHandlers(), time)
@@ -199,6 +231,8 @@
           .backlog = given.limits.callerBacklog,
           .maxBody = static_cast<std::size_t>(given.limits.requestBody.value),
           .keepAlive = given.limits.keepAlive,
+          .tls = callerTls,
+          .handshakeFailed = [this](const Error &error) { handshakeFailed(TlsListener::Callers, error); },
       })
     , operators({
           .address = given.listeners.operators,
@@ -206,11 +240,13 @@
           .backlog = given.limits.operatorBacklog,
           .maxBody = static_cast<std::size_t>(given.limits.documentBody.value),
           .keepAlive = given.limits.keepAlive,
+          .tls = operatorTls,
+          .handshakeFailed = [this](const Error &error) { handshakeFailed(TlsListener::Operators, error); },
       })
 {
     planners = std::make_unique<PlannerService>(plannerContext(),
                                                 [this](const FailureDomainId &domain, const RegionId &region) { return isPlanner(domain, region); });
-    fleet = std::make_unique<Fleet>(makeHttpInstanceList(given.platform.instances, given.platform.timeout),
+    fleet = std::make_unique<Fleet>(makeHttpInstanceList(given.platform.instances, given.platform.timeout, httpTls(given.tls.platformName)),
                                     time,
                                     given.poll.instances,
                                     [this](const FleetView &view) { fleetChanged(view); });
@@ -306,7 +342,7 @@
 
 auto Daemon::Impl::plannerContext() -> PlannerContext
 {
-    auto context = PlannerContext{.workers = telemetry.observed(makeHttpWorker()), .jobs = &jobs, .pool = &pool, .clock = clock};
+    auto context = PlannerContext{.workers = telemetry.observed(makeHttpWorker(httpTls())), .jobs = &jobs, .pool = &pool, .clock = clock};
     context.decided = [this](Micros took) { telemetry.placementDecided(took); };
     context.preempted = [this](const Job &job) { telemetry.jobPreempted(job); };
     context.options.instance = settings.instance;
@@ -565,6 +601,7 @@
         if (clock.mono() >= nextCarry) {
             nextCarry = clock.mono() + carryPeriod;
             carryRecords();
+            refreshTls();
         }
         auto lock = std::unique_lock{stopMutex};
         if (stopChanged.wait_for(lock, housekeepingPeriod, [&] { return stopping; })) {
@@ -573,6 +610,38 @@
     }
 }
 
+auto Daemon::Impl::httpTls(const std::string &name) const -> HttpTls
+{
+    return {.credentials = clientTls, .name = name};
+}
+
+auto Daemon::Impl::handshakeFailed(TlsListener listener, const Error &error) -> void
+{
+    telemetry.tlsHandshakeFailed(listener);
+    // At most one warning in this time, because anyone who reaches the port can cause them.
+    constexpr auto warningInterval = Millis{1'000};
+    const auto lock = std::lock_guard{handshakeMutex};
+    const auto now = clock.mono();
+    if (now >= nextHandshakeWarning) {
+        nextHandshakeWarning = now + warningInterval;
+        const auto name = std::string(listener == TlsListener::Callers ? "callers" : "operators");
+        logEvent(LogLevel::Warn, 1013, "a TLS handshake failed on the listener for " + name + ": " + error.message);
+    }
+}
+
+auto Daemon::Impl::refreshTls() -> void
+{
+    for (const auto &it : {callerTls, operatorTls, clientTls}) {
+        const auto found = it ? it->refresh() : TlsRefresh::Unchanged;
+        if (found == TlsRefresh::Replaced) {
+            const auto until = it->validUntil();
+            logEvent(LogLevel::Info, 1011, "changed TLS files are in use for new connections" + (until.empty() ? "" : "; certificate valid until " + until));
+        } else if (found == TlsRefresh::Rejected) {
+            logEvent(LogLevel::Error, 1012, "changed TLS files cannot be used, the earlier ones stay in use: " + it->rejection());
+        }
+    }
+}
+
 auto Daemon::Impl::metricsText() -> std::string
 {
     return telemetry.scrape({
@@ -596,6 +665,14 @@
 auto Daemon::start() -> Result<DaemonPorts>
 {
     auto ports = DaemonPorts{};
+    if (!m_impl->tlsError.empty()) {
+        return failure(ErrorCode::InvalidInput, m_impl->tlsError);
+    }
+    if (!m_impl->callerTls) {
+        logEvent(LogLevel::Warn, 1014, "the listeners for callers and operators speak plain HTTP, because tls.certificate is not set");
+    } else {
+        logEvent(LogLevel::Info, 1010, "the listeners for callers and operators speak TLS; certificate valid until " + m_impl->callerTls->validUntil());
+    }
     if (auto started = m_impl->mesh.start(); !started) {
         return started.error();
     }
--- a/packages/daemon/httplistener.cpp
+++ b/packages/daemon/httplistener.cpp
@@ -1,11 +1,18 @@
 #include "daemon/httplistener.h"
 
+#include "ports/deadlinestream.h"
 #include "ports/httpclient.h"
 
 #include <httplib.h>
 
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <array>
 #include <atomic>
+#include <cerrno>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -95,10 +102,25 @@
     std::vector<std::thread> m_threads;
 };
 
-/// The library listens with a backlog of 5, which a burst of new connections exceeds.
+/// The failure form of docs/interfaces.md, section 6.1.
+/// @param reason text without characters that JSON escapes
+auto failureBody(const std::string &result, const std::string &reason, Millis retryAfter = Millis{0}) -> std::string
+{
+    return R"({"config_version":0,"reason":")" + reason + R"(","request_id":"","result":")" + result + R"(","retry_after_ms":)"
+           + std::to_string(retryAfter.count()) + "}\n";
+}
+
+/// A connection on an overflow thread must not keep the other refusals waiting for the whole of a stalled handshake.
+constexpr auto overflowHandshake = Millis{1'000};
+/// Rest of a plain request that is read before its connection is closed.
+constexpr auto maxDrained = std::size_t{64} << 10U;
+constexpr auto drainTime = Millis{500};
+
+/// Plain HTTP; connections are the library's.
 class Server : public httplib::Server
 {
 public:
+    /// The library listens with a backlog of 5, which a burst of new connections exceeds.
     auto widenBacklog() -> void
     {
         constexpr auto backlog = 512;
@@ -106,13 +128,97 @@
     }
 };
 
-/// The failure form of docs/interfaces.md, section 6.1.
-/// @param reason text without characters that JSON escapes
-auto failureBody(const std::string &result, const std::string &reason, Millis retryAfter = Millis{0}) -> std::string
+/// HTTPS. The library's own TLS server holds one context for ever and restarts its timeouts with every byte of a handshake; here each
+/// connection takes the current context, so that a replaced certificate is in force for the next connection and cuts none.
+class TlsServer : public Server
 {
-    return R"({"config_version":0,"reason":")" + reason + R"(","request_id":"","result":")" + result + R"(","retry_after_ms":)"
-           + std::to_string(retryAfter.count()) + "}\n";
-}
+public:
+    explicit TlsServer(const HttpListenerOptions &options)
+        : m_options(options)
+    {
+    }
+
+private:
+    auto process_and_close_socket(socket_t sock) -> bool override
+    {
+        auto tls = TlsConnection{sock, m_options.tls->current(), TlsRole::Server};
+        const auto limit = isOverflowThread ? std::min(overflowHandshake, m_options.readTimeout) : m_options.readTimeout;
+        const auto done = tls.handshake(std::chrono::steady_clock::now() + limit);
+        if (done) {
+            serve(sock, tls);
+            tls.close();
+        } else {
+            if (tls.sawPlainHttp()) {
+                sendPlainAnswer(sock);
+                drain(sock);
+            } else if (done.error().code == ErrorCode::Unauthorized) {
+                drain(sock);
+            }
+            if (m_options.handshakeFailed) {
+                m_options.handshakeFailed(done.error());
+            }
+        }
+        ::shutdown(sock, SHUT_RDWR);
+        ::close(sock);
+        return done.has_value();
+    }
+
+    auto serve(socket_t sock, TlsConnection &tls) -> void
+    {
+        auto stream = DeadlineStream{sock, {}, 0, &tls};
+        stream.setOperationTimeout(m_options.readTimeout);
+        for (auto left = keep_alive_max_count_; left > 0 && svr_sock_ != INVALID_SOCKET; --left) {
+            if (!stream.buffered() && !waitReadable(sock, m_options.keepAlive)) {
+                return;
+            }
+            auto closed = false;
+            if (!process_request(stream, left == 1, closed, nullptr) || closed) {
+                return;
+            }
+        }
+    }
+
+    static auto waitReadable(socket_t sock, Millis timeout) -> bool
+    {
+        const auto deadline = std::chrono::steady_clock::now() + timeout;
+        for (;;) {
+            const auto left = std::chrono::ceil<Millis>(deadline - std::chrono::steady_clock::now()).count();
+            auto fds = pollfd{.fd = sock, .events = POLLIN, .revents = 0};
+            const auto n = left <= 0 ? 0 : poll(&fds, 1, static_cast<int>(left));
+            if (n >= 0 || errno != EINTR) {
+                return n > 0;
+            }
+        }
+    }
+
+    /// Tells a client that uses plain HTTP by mistake.
+    static auto sendPlainAnswer(socket_t sock) -> void
+    {
+        const auto body = failureBody("not_run", "this port accepts only https");
+        const auto answer = "HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size())
+                            + "\r\n\r\n" + body;
+        (void)::send(sock, answer.data(), answer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+
+    /// Reads what the client has sent already, because closing a socket with unread bytes would discard the answer or alert that
+    /// tells the client why it is refused.
+    static auto drain(socket_t sock) -> void
+    {
+        ::shutdown(sock, SHUT_WR);
+        const auto deadline = std::chrono::steady_clock::now() + drainTime;
+        auto buf = std::array<char, 4096>{};
+        for (auto drained = std::size_t{0}; drained < maxDrained;) {
+            const auto left = std::chrono::ceil<Millis>(deadline - std::chrono::steady_clock::now());
+            const auto n = left.count() > 0 && waitReadable(sock, left) ? ::recv(sock, buf.data(), buf.size(), MSG_DONTWAIT) : 0;
+            if (n <= 0) {
+                return;
+            }
+            drained += static_cast<std::size_t>(n);
+        }
+    }
+
+    const HttpListenerOptions &m_options;
+};
 
 auto lowerCase(std::string text) -> std::string
 {
@@ -148,8 +254,14 @@
 
 struct HttpListener::Impl
 {
+    explicit Impl(const HttpListenerOptions &given)
+        : options(given)
+        , server(given.tls ? std::unique_ptr<Server>(std::make_unique<TlsServer>(options)) : std::make_unique<Server>())
+    {
+    }
+
     HttpListenerOptions options;
-    Server server;
+    std::unique_ptr<Server> server;
     std::thread thread;
     std::atomic<bool> closing{false};
     std::atomic<std::uint64_t> overflowed{0};
@@ -168,10 +280,9 @@
 };
 
 HttpListener::HttpListener(const HttpListenerOptions &options)
-    : m_impl(std::make_unique<Impl>())
+    : m_impl(std::make_unique<Impl>(options))
 {
-    m_impl->options = options;
-    auto &server = m_impl->server;
+    auto &server = *m_impl->server;
     server.new_task_queue = [impl = m_impl.get()] { return new BoundedQueue(impl->options.threads, impl->options.backlog, impl->overflowed); };
     server.set_payload_max_length(options.maxBody);
     server.set_keep_alive_timeout(std::max<time_t>(1, std::chrono::duration_cast<Seconds>(options.keepAlive).count()));
@@ -213,19 +324,19 @@
         impl->write(handler(toRequest(request)), response);
     };
     if (method == "GET") {
-        m_impl->server.Get(pattern, std::move(call));
+        m_impl->server->Get(pattern, std::move(call));
     } else if (method == "POST") {
-        m_impl->server.Post(pattern, std::move(call));
+        m_impl->server->Post(pattern, std::move(call));
     } else if (method == "PUT") {
-        m_impl->server.Put(pattern, std::move(call));
+        m_impl->server->Put(pattern, std::move(call));
     } else if (method == "DELETE") {
-        m_impl->server.Delete(pattern, std::move(call));
+        m_impl->server->Delete(pattern, std::move(call));
     }
 }
 
 auto HttpListener::routeForm(const std::string &pattern, Handler handler) -> void
 {
-    m_impl->server.Post(
+    m_impl->server->Post(
         pattern,
         [impl = m_impl.get(), handler = std::move(handler)](const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &read) {
             auto converted = toRequest(request);
@@ -249,17 +360,17 @@
     const auto [host, wanted] = parts.value();
     auto port = wanted;
     if (wanted == 0) {
-        port = m_impl->server.bind_to_any_port(host);
-    } else if (!m_impl->server.bind_to_port(host, wanted)) {
+        port = m_impl->server->bind_to_any_port(host);
+    } else if (!m_impl->server->bind_to_port(host, wanted)) {
         port = -1;
     }
     if (port <= 0) {
         return failure(ErrorCode::Unavailable, "cannot listen on " + m_impl->options.address);
     }
-    m_impl->server.widenBacklog();
-    m_impl->thread = std::thread([impl = m_impl.get()] { impl->server.listen_after_bind(); });
+    m_impl->server->widenBacklog();
+    m_impl->thread = std::thread([impl = m_impl.get()] { impl->server->listen_after_bind(); });
     // A stop before the accept loop runs would be lost.
-    while (!m_impl->server.is_running()) {
+    while (!m_impl->server->is_running()) {
         std::this_thread::sleep_for(Millis{1});
     }
     return port;
@@ -273,7 +384,7 @@
 auto HttpListener::stop() -> void
 {
     if (m_impl->thread.joinable()) {
-        m_impl->server.stop();
+        m_impl->server->stop();
         m_impl->thread.join();
     }
 }
--- a/packages/daemon/httplistener.h
+++ b/packages/daemon/httplistener.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// An HTTP listener with bounded threads, bodies and waiting connections.
+/// An HTTP or HTTPS listener with bounded threads, bodies and waiting connections.
 ///
 /// @code
 ///   auto listener = Catkin::HttpListener{{.address = "127.0.0.1:0", .threads = 64}};
@@ -9,6 +9,7 @@
 ///   listener.stop();                       // finishes the requests that have arrived
 /// @endcode
 
+#include "ports/tls.h"
 #include "util/outcome.h"
 #include "util/units.h"
 
@@ -29,7 +30,9 @@
     int backlog = 64; ///< connections that wait for a thread; further ones are answered with 503
     std::size_t maxBody = std::size_t{1} << 20U;
     Millis keepAlive{5'000}; ///< an idle connection is closed after this time
-    Millis readTimeout{5'000}; ///< between two pieces of a request
+    Millis readTimeout{5'000}; ///< between two pieces of a request, and for a whole TLS handshake
+    std::shared_ptr<TlsCredentials> tls; ///< of a server; null for plain HTTP
+    std::function<void(const Error &)> handshakeFailed; ///< told of every failed TLS handshake; called by the connection's thread
 };
 
 struct HttpRequest
--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -42,6 +42,7 @@
 constexpr auto streams = std::array{"config", "jobs", "requests"};
 constexpr auto appendResults = std::array{"ok", "not_sent", "unknown"};
 constexpr auto linkClasses = std::array{"control", "payload"};
+constexpr auto tlsListeners = std::array{"callers", "operators"};
 constexpr auto directions = std::array{"sent", "received"};
 constexpr auto configResults = std::array{"accepted", "rejected", "conflict", "not_applied", "unknown"};
 constexpr auto urgencies = std::array{"urgent", "normal", "batch"};
@@ -185,6 +186,7 @@
     CounterFamily linkBytes = counter("link_bytes_total", "Bytes exchanged with other regions by class", {"class", "direction"});
     CounterFamily linkRefused = counter("link_refused_total", "Sends to other regions that the byte budget refused", {"class"});
     CounterFamily linksClosed = counter("peer_links_closed_total", "Connections to peers that ended after their handshake");
+    CounterFamily tlsFailed = counter("tls_handshakes_failed_total", "Connections that ended in their TLS handshake", {"listener"});
     GaugeFamily freshPeers = gauge("fresh_peers", "Peers with a fresh heartbeat");
     GaugeFamily ready = gauge("ready", "1 while the instance takes requests");
     GaugeFamily draining = gauge("draining", "1 while the instance drains");
@@ -385,6 +387,11 @@
     m_families->linksClosed.at({}).Increment(static_cast<double>(count));
 }
 
+auto Metrics::tlsHandshakeFailed(TlsListener listener) -> void
+{
+    m_families->tlsFailed.at({nameOf(tlsListeners, listener)}).Increment();
+}
+
 auto Metrics::setFreshPeers(std::size_t count) -> void
 {
     m_families->freshPeers.at({}).Set(static_cast<double>(count));
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -31,6 +31,7 @@
 enum class LogStream { Config, Jobs, Requests };
 enum class AppendResult { Ok, NotSent, Unknown };
 enum class MetricLinkClass { Control, Payload };
+enum class TlsListener { Callers, Operators };
 enum class LinkDirection { Sent, Received };
 enum class ConfigResult { Accepted, Rejected, Conflict, NotApplied, Unknown };
 enum class JobUrgency { Urgent, Normal, Batch };
@@ -102,6 +103,7 @@
     auto linkTraffic(MetricLinkClass linkClass, LinkDirection direction, Bytes bytes) -> void;
     auto linkRefused(MetricLinkClass linkClass, std::uint64_t count = 1) -> void;
     auto peerLinksClosed(std::uint64_t count) -> void;
+    auto tlsHandshakeFailed(TlsListener listener) -> void;
     auto setFreshPeers(std::size_t count) -> void;
     auto setReady(bool ready) -> void;
     auto setDraining(bool draining) -> void;
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -1,6 +1,7 @@
 #include "daemon/settings.h"
 
 #include "ports/httpclient.h"
+#include "util/clock.h"
 
 #include <toml++/toml.h>
 
@@ -146,6 +147,27 @@
         }
     }
 
+    /// An address that may begin with "https://".
+    auto serverAddress(const std::string &key, std::string &value) -> void
+    {
+        if (text(key, true, value)) {
+            checkAddress(key, withoutScheme(value), false);
+        }
+    }
+
+    /// A path, made absolute or relative to the working folder.
+    auto path(const std::string &key, const std::string &settingsPath, std::string &value) -> void
+    {
+        if (!text(key, false, value)) {
+            return;
+        }
+        if (value.empty()) {
+            error(key, "must name a file");
+            return;
+        }
+        value = (std::filesystem::path(settingsPath).parent_path() / value).string();
+    }
+
     auto checkAddress(const std::string &key, const std::string &value, bool portZeroAllowed) -> void
     {
         const auto parts = splitAddress(value, portZeroAllowed ? AddressUse::Listen : AddressUse::Connect);
@@ -295,7 +317,7 @@
 auto readFile(const std::string &path, std::string &text) -> bool
 {
     auto in = std::ifstream(path, std::ios::binary);
-    if (!in) {
+    if (!in || std::filesystem::is_directory(path)) { // reading a folder would throw
         return false;
     }
     text.assign(std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>());
@@ -335,8 +357,8 @@
     reader.address("listeners.callers", true, s.listeners.callers);
     reader.address("listeners.operators", true, s.listeners.operators);
     reader.address("listeners.peers", true, s.listeners.peers);
-    reader.address("platform.log", false, s.platform.log);
-    reader.address("platform.instances", false, s.platform.instances);
+    reader.serverAddress("platform.log", s.platform.log);
+    reader.serverAddress("platform.instances", s.platform.instances);
     reader.addresses("peers.addresses", s.peers.addresses);
     readPeerKey(reader, path, s.peers.key);
     if (reader.text("operators.token_sha256", false, s.operators.tokenSha256) && !isSha256Hex(s.operators.tokenSha256)) {
@@ -344,6 +366,50 @@
     }
 }
 
+auto reportTlsFiles(Reader &reader, TlsRole role, const TlsFiles &files, const std::string &certificate, const std::string &ca) -> void
+{
+    for (const auto &it : checkTlsFiles(role, files, systemClock().wall())) {
+        reader.error(it.file == TlsFile::Certificate ? certificate : it.file == TlsFile::Key ? "tls.key" : ca, it.message);
+    }
+}
+
+auto readTls(Reader &reader, const std::string &path, Settings &s) -> void
+{
+    auto &tls = s.tls;
+    reader.path("tls.certificate", path, tls.certificate);
+    reader.path("tls.key", path, tls.key);
+    reader.path("tls.caller_client_ca", path, tls.callerClientCa);
+    reader.path("tls.operator_client_ca", path, tls.operatorClientCa);
+    reader.path("tls.ca", path, tls.ca);
+    reader.text("tls.platform_name", false, tls.platformName);
+    if (!tls.certificate.empty() || !tls.key.empty()) {
+        if (tls.certificate.empty() || tls.key.empty()) {
+            reader.error(tls.certificate.empty() ? "tls.key" : "tls.certificate", "tls.certificate and tls.key are needed together");
+        } else {
+            reportTlsFiles(reader, TlsRole::Server, listenerTls(tls, {}), "tls.certificate", {});
+        }
+    }
+    for (const auto &[key, file] : {std::pair<std::string, std::string>{"tls.caller_client_ca", tls.callerClientCa},
+                                    {"tls.operator_client_ca", tls.operatorClientCa},
+                                    {"tls.ca", tls.ca}}) {
+        if (file.empty()) {
+            continue;
+        }
+        reportTlsFiles(reader, TlsRole::Client, {.certificate = {}, .key = {}, .ca = file}, "tls.certificate", key);
+        if (key != "tls.ca" && tls.certificate.empty()) {
+            reader.error(key, "needs tls.certificate and tls.key, because plain HTTP has no client certificates");
+        }
+    }
+    for (const auto &[key, address] : {std::pair<std::string, std::string>{"platform.log", s.platform.log}, {"platform.instances", s.platform.instances}}) {
+        if (usesTls(address) && tls.ca.empty()) {
+            reader.error(key, "begins with https://, so tls.ca is required");
+        }
+    }
+    if (!tls.platformName.empty() && !usesTls(s.platform.log) && !usesTls(s.platform.instances)) {
+        reader.error("tls.platform_name", "has no effect, because no platform address begins with https://");
+    }
+}
+
 auto readTimes(Reader &reader, Settings &s) -> void
 {
     constexpr auto day = Millis{86400000};
@@ -444,6 +510,11 @@
 
 }
 
+auto listenerTls(const TlsSettings &tls, const std::string &clientCa) -> TlsFiles
+{
+    return {.certificate = tls.certificate, .key = tls.key, .ca = clientCa};
+}
+
 auto parseDuration(const std::string &text, Millis &value) -> bool
 {
     auto n = std::int64_t{0};
@@ -466,6 +537,7 @@
         const auto root = toml::parse(text, path);
         auto reader = Reader(root, path);
         readAddresses(reader, path, read.settings);
+        readTls(reader, path, read.settings);
         readTimes(reader, read.settings);
         readLimits(reader, read.settings);
         reader.rejectUnknown();
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -12,6 +12,7 @@
 ///   }
 /// @endcode
 
+#include "ports/tls.h"
 #include "util/ids.h"
 #include "util/logging.h"
 #include "util/units.h"
@@ -30,7 +31,7 @@
     std::string peers;
 };
 
-/// The platform's services, as "ip:port".
+/// The platform's services, as "ip:port" or "https://ip:port".
 struct PlatformSettings
 {
     std::string log;
@@ -38,6 +39,20 @@
     Millis timeout{2000}; ///< for one call, without a long poll's waiting time
 };
 
+/// PEM files of TLS; an empty path means that there is none.
+struct TlsSettings
+{
+    std::string certificate; ///< of the listeners for callers and operators; without it they speak plain HTTP
+    std::string key;
+    std::string callerClientCa; ///< callers must show a certificate signed by one of these
+    std::string operatorClientCa; ///< the same for operators
+    std::string ca; ///< of the platform, executors and workers with https addresses
+    std::string platformName; ///< name in the platform's certificate; empty: its IP number
+};
+
+/// @return the files of one listener.
+auto listenerTls(const TlsSettings &tls, const std::string &clientCa) -> TlsFiles;
+
 struct PeerSettings
 {
     std::vector<std::string> addresses; ///< "ip:port" of peers that are known without the instance list
@@ -108,6 +123,7 @@
     RegionId region;
     ListenerSettings listeners;
     PlatformSettings platform;
+    TlsSettings tls;
     PeerSettings peers;
     OperatorSettings operators;
     LeaseSettings leases;
@@ -134,14 +150,14 @@
     std::vector<SettingsError> errors; ///< ordered by line
 };
 
-/// Reads and checks a settings file and the key file that it names.
-/// @param path the TOML file; a relative peers.key_file is taken relative to its folder
+/// Reads and checks a settings file and the files that it names.
+/// @param path the TOML file; relative paths in it are taken relative to its folder
 /// @return the settings, or every error found.
 auto loadSettings(const std::string &path) -> SettingsRead;
 
 /// Like loadSettings, for text that has already been read.
 /// @param text the TOML text
-/// @param path the name reported in errors and the base of a relative peers.key_file
+/// @param path the name reported in errors and the base of relative paths in it
 auto parseSettings(const std::string &text, const std::string &path) -> SettingsRead;
 
 /// @return "file:line: key: message".
--- a/packages/daemon/telemetry.cpp
+++ b/packages/daemon/telemetry.cpp
@@ -445,6 +445,11 @@
     m_metrics.setLargestFreeBlock(largest);
 }
 
+auto Telemetry::tlsHandshakeFailed(TlsListener listener) -> void
+{
+    m_metrics.tlsHandshakeFailed(listener);
+}
+
 auto Telemetry::scrapePeers(const TelemetrySources &sources) -> void
 {
     const auto counters = sources.mesh->counters();
--- a/packages/daemon/telemetry.h
+++ b/packages/daemon/telemetry.h
@@ -71,6 +71,7 @@
     auto jobRecorded(const Job &job, const JobRecord &record) -> void;
     auto jobPreempted(const Job &job) -> void;
     auto placementDecided(Micros took) -> void;
+    auto tlsHandshakeFailed(TlsListener listener) -> void;
     /// @}
 
     /// @return the state of every objective.
--- a/packages/daemon/testing/settings_test.cpp
+++ b/packages/daemon/testing/settings_test.cpp
@@ -1,4 +1,5 @@
 #include "daemon/settings.h"
+#include "harness/certificates.h"
 
 #include <doctest/doctest.h>
 
@@ -90,6 +91,7 @@
         {replaced(valid, "key = ", "other = "), "s.toml:12: peers.key: or peers.key_file is required"},
         {valid + "key_file = \"k\"\n", "s.toml:13: peers.key: excludes peers.key_file"},
         {replaced(valid, "key = \"0123456789abcdef0123456789abcdef\"", "key_file = \"/nonexistent/key\""), "s.toml:13: peers.key_file: file"},
+        {replaced(valid, "key = \"0123456789abcdef0123456789abcdef\"", "key_file = \".\""), "s.toml:13: peers.key_file: file"},
         {valid + "addresses = \"192.0.2.1:80\"\n", "s.toml:14: peers.addresses: must be a list"},
         {valid + "addresses = [\"192.0.2.1:80\",\n\"x\"]\n", "s.toml:15: peers.addresses[1]: address 'x'"},
         {valid + "addresses = [\"192.0.2.1:80\", \"192.0.2.1:80\"]\n", "peers.addresses[1]: address '192.0.2.1:80' is listed twice"},
@@ -126,6 +128,41 @@
     }
 }
 
+TEST_CASE("TLS settings are checked together with their files")
+{
+    auto made = TestCertificates{};
+    const auto good = made.issue("good", {.ip = "127.0.0.1"});
+    const auto other = made.issue("other", {.ip = "127.0.0.1"});
+    const auto past = made.issue("past", {.validFrom = Seconds{-7200}, .validUntil = Seconds{-3600}});
+    const auto pair = [](const TlsFiles &files) { return "[tls]\ncertificate = \"" + files.certificate + "\"\nkey = \"" + files.key + "\"\n"; };
+    struct Case
+    {
+        std::string text;
+        std::string expected; ///< a part of the formatted errors; empty: none
+    };
+    const auto https = replaced(valid, "127.0.0.1:9000", "https://127.0.0.1:9000");
+    for (const auto &it : std::vector<Case>{
+             {valid + pair(good) + "operator_client_ca = \"" + made.ca() + "\"\n", ""},
+             {https + "[tls]\nca = \"" + made.ca() + "\"\nplatform_name = \"log.example\"\n", ""},
+             {https, "s.toml:10: platform.log: begins with https://, so tls.ca is required"},
+             {replaced(valid, "127.0.0.1:9000", "https://localhost:9000"), "s.toml:10: platform.log: address 'localhost:9000' does not start"},
+             {replaced(valid, "callers = \"", "callers = \"https://"), "s.toml:6: listeners.callers: address"},
+             {valid + "[tls]\ncertificate = \"c.pem\"\n", "s.toml:15: tls.certificate: tls.certificate and tls.key are needed together"},
+             {valid + "[tls]\nkey = \"k.pem\"\n", "s.toml:15: tls.key: tls.certificate and tls.key are needed together"},
+             {valid + "[tls]\ncertificate = \"/nonexistent/c.pem\"\nkey = \"" + good.key + "\"\n", "s.toml:15: tls.certificate: file '/nonexistent/c.pem'"},
+             {valid + pair({.certificate = good.certificate, .key = other.key, .ca = {}}), "s.toml:16: tls.key: the key in"},
+             {valid + pair(past), "s.toml:15: tls.certificate: a certificate in '" + past.certificate + "' expired on 20"},
+             {valid + pair(good) + "caller_client_ca = \"/nonexistent/ca.pem\"\n", "s.toml:17: tls.caller_client_ca: file"},
+             {valid + "[tls]\ncaller_client_ca = \"" + made.ca() + "\"\n", "s.toml:15: tls.caller_client_ca: needs tls.certificate"},
+             {valid + "[tls]\nplatform_name = \"log.example\"\n", "s.toml:15: tls.platform_name: has no effect"},
+             {valid + "[tls]\nca = \"\"\n", "s.toml:15: tls.ca: must name a file"},
+         }) {
+        const auto errors = format(parseSettings(it.text, "s.toml"));
+        CHECK_MESSAGE((it.expected.empty() ? errors.empty() : errors.find(it.expected) != std::string::npos),
+                      "expected \"" << it.expected << "\" in \"" << errors << "\"");
+    }
+}
+
 TEST_CASE("all errors of a file are reported at once and in line order")
 {
     const auto read = parseSettings(valid + "[limits]\nx = 1\ncaller_threads = -1\n[leases]\nrun = \"1s\"\n[log]\nlevel = \"x\"\n", "s.toml");
