--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -21,6 +21,7 @@
 #include "ports/httpworker.h"
 #include "util/digest.h"
 #include "util/logging.h"
+#include "util/threadname.h"
 #include "wire/peermesh.h"
 
 #include <atomic>
@@ -552,6 +553,7 @@
 
 auto Daemon::Impl::housekeeping() -> void
 {
+    nameThread("housekeeping");
     auto nextCarry = clock.mono() + carryPeriod;
     while (true) {
         {
--- a/packages/daemon/executorpoller.cpp
+++ b/packages/daemon/executorpoller.cpp
@@ -1,5 +1,7 @@
 #include "daemon/executorpoller.h"
 
+#include "util/threadname.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -17,7 +19,7 @@
     , m_clock(std::move(clock))
     , m_options(options)
     , m_polled(std::move(polled))
-    , m_pool(options.threads, maxQueuedPolls)
+    , m_pool(options.threads, maxQueuedPolls, "executor-poll")
     , m_thread([this] { run(); })
 {
 }
@@ -64,6 +66,7 @@
 
 auto ExecutorPoller::run() -> void
 {
+    nameThread("executor-timer");
     auto lock = std::unique_lock{m_mutex};
     while (!m_stopping) {
         const auto now = m_clock.mono();
--- a/packages/daemon/fleet.h
+++ b/packages/daemon/fleet.h
@@ -49,13 +49,14 @@
     auto run() -> void;
     auto fetch() -> void;
 
-    InstanceListPort m_list;
+    InstanceListPort m_port;
     Clock m_clock;
     Millis m_period;
     Changed m_changed;
     mutable std::mutex m_mutex;
     std::condition_variable m_wake;
     std::shared_ptr<const FleetView> m_view = std::make_shared<FleetView>();
+    std::shared_ptr<const std::vector<ListedInstance>> m_list; ///< of m_view; the fleet's thread only
     std::optional<MonoTime> m_fetched;
     bool m_stopping = false;
     bool m_failing = false;
--- a/packages/daemon/httplistener.cpp
+++ b/packages/daemon/httplistener.cpp
@@ -1,6 +1,7 @@
 #include "daemon/httplistener.h"
 
 #include "ports/httpclient.h"
+#include "util/threadname.h"
 
 #include <httplib.h>
 
@@ -70,6 +71,7 @@
 private:
     auto run(std::deque<std::function<void()>> &tasks) -> void
     {
+        nameThread("listener");
         while (true) {
             auto task = std::function<void()>{};
             {
--- a/packages/daemon/logtail.cpp
+++ b/packages/daemon/logtail.cpp
@@ -1,6 +1,7 @@
 #include "daemon/logtail.h"
 
 #include "util/logging.h"
+#include "util/threadname.h"
 
 #include <utility>
 
@@ -58,6 +59,7 @@
 
 auto LogTail::run() -> void
 {
+    nameThread("log-reader");
     auto pause = m_options.startDelay;
     while (true) {
         {
--- a/packages/daemon/logwriter.cpp
+++ b/packages/daemon/logwriter.cpp
@@ -1,6 +1,7 @@
 #include "daemon/logwriter.h"
 
 #include "util/logging.h"
+#include "util/threadname.h"
 
 #include <algorithm>
 #include <future>
@@ -122,6 +123,7 @@
 
 auto LogWriter::run(const std::string &name, Stream &stream) -> void
 {
+    nameThread("log-writer");
     auto delay = m_options.retryDelay;
     while (true) {
         auto group = std::vector<Pending>{};
--- a/packages/daemon/plannerservice.cpp
+++ b/packages/daemon/plannerservice.cpp
@@ -1,6 +1,7 @@
 #include "daemon/plannerservice.h"
 
 #include "util/logging.h"
+#include "util/threadname.h"
 
 #include <algorithm>
 #include <future>
@@ -135,6 +136,7 @@
 auto PlannerService::run() -> void
 {
     constexpr auto idlePeriod = Millis{200};
+    nameThread("planner");
     while (true) {
         takeChanges();
         updateRoles();
--- a/packages/daemon/requestservice.cpp
+++ b/packages/daemon/requestservice.cpp
@@ -3,6 +3,7 @@
 #include "daemon/requestreply.h"
 #include "util/digest.h"
 #include "util/logging.h"
+#include "util/threadname.h"
 
 #include <algorithm>
 #include <utility>
@@ -316,6 +317,7 @@
 
 auto RequestService::runTimer() -> void
 {
+    nameThread("request-timer");
     while (true) {
         {
             auto lock = std::unique_lock{m_mutex};
--- a/packages/daemon/workpool.cpp
+++ b/packages/daemon/workpool.cpp
@@ -1,12 +1,15 @@
 #include "daemon/workpool.h"
 
+#include "util/threadname.h"
+
 #include <utility>
 
 namespace Catkin
 {
 
-WorkPool::WorkPool(std::size_t threads, std::size_t maxQueued)
-    : m_maxQueued(maxQueued)
+WorkPool::WorkPool(std::size_t threads, std::size_t maxQueued, const char *name)
+    : m_name(name)
+    , m_maxQueued(maxQueued)
 {
     for (auto i = std::size_t{0}; i < threads; ++i) {
         m_threads.emplace_back([this] { run(); });
@@ -48,6 +51,7 @@
 
 auto WorkPool::run() -> void
 {
+    nameThread(m_name);
     while (true) {
         auto task = std::function<void()>{};
         {
--- a/packages/daemon/workpool.h
+++ b/packages/daemon/workpool.h
@@ -23,7 +23,8 @@
 public:
     /// @param threads number of threads
     /// @param maxQueued largest number of waiting tasks
-    WorkPool(std::size_t threads, std::size_t maxQueued);
+    /// @param name of the threads; a literal
+    WorkPool(std::size_t threads, std::size_t maxQueued, const char *name = "work");
     /// Runs the tasks that have started, drops the waiting ones.
     ~WorkPool();
     WorkPool(const WorkPool &) = delete;
@@ -41,6 +42,7 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::deque<std::function<void()>> m_tasks;
+    const char *m_name;
     std::size_t m_maxQueued;
     bool m_stopping = false;
     std::vector<std::thread> m_threads;
--- a/packages/policy/gangs.cpp
+++ b/packages/policy/gangs.cpp
@@ -511,6 +511,32 @@
     gang.nextDue = due;
 }
 
+/// A worker that renews one lease renews all of its confirmed ones: otherwise gangs that started at different times would
+/// need one exchange each per renewal period.
+auto GangTable::joinRenewals(MonoTime now, GangStep &step) -> void
+{
+    for (auto &[worker, orders] : step.orders) {
+        const auto renews
+            = std::any_of(orders.begin(), orders.end(), [&](const WorkerOrder &it) { return it.op == OrderOp::Renew && it.ttl == m_options.runTtl; });
+        if (!renews) {
+            continue;
+        }
+        for (const auto &job : m_jobsOnWorker[worker]) {
+            auto &gang = m_gangs.at(job);
+            for (auto &member : gang.members) {
+                const auto due = gang.phase == GangPhase::Running && member.worker == worker && member.state == MemberState::Running;
+                if (!due || member.lastRenewal == now) {
+                    continue;
+                }
+                member.lastRenewal = now;
+                member.lastOrder = now;
+                member.mayHoldUntil = std::max(member.mayHoldUntil, now + m_options.orderTimeout + widened(m_options.runTtl));
+                orders.push_back({.op = OrderOp::Renew, .lease = member.lease, .ttl = m_options.runTtl});
+            }
+        }
+    }
+}
+
 auto GangTable::tick(MonoTime now) -> GangStep
 {
     auto step = GangStep{};
@@ -531,6 +557,7 @@
         }
         it = m_gangs.erase(it);
     }
+    joinRenewals(now, step);
     return step;
 }
 
--- a/packages/policy/gangs.h
+++ b/packages/policy/gangs.h
@@ -194,6 +194,7 @@
     auto finishedStopping(const Gang &gang, MonoTime now) const -> bool;
     auto endEvent(const Gang &gang) const -> GangEvent;
     auto emitOrders(Gang &gang, MonoTime now, GangStep &step) -> void;
+    auto joinRenewals(MonoTime now, GangStep &step) -> void;
     auto emitFor(Gang &gang, std::size_t index, MonoTime now, std::vector<WorkerOrder> &batch) -> void;
     auto observe(const WorkerStatus &status, MonoTime now) -> void;
     auto observeMember(Gang &gang, Member &member, const WorkerStatus &status) -> void;
--- a/packages/policy/testing/gangs_test.cpp
+++ b/packages/policy/testing/gangs_test.cpp
@@ -121,6 +121,36 @@
     CHECK(bench.table.size() == 0);
 }
 
+// Guards against one exchange for each lease: gangs that start at different times would otherwise renew at different times.
+TEST_CASE("a worker's leases are renewed together")
+{
+    auto bench = Bench{};
+    constexpr auto gangs = 6;
+    for (auto i = 0; i < gangs; ++i) {
+        auto spec = Bench::spec();
+        spec.job = JobId{"job-" + std::to_string(i)};
+        bench.table.start(spec, bench.clock.now());
+        bench.steps(14);
+    }
+    auto batches = 0;
+    auto renewals = 0;
+    for (auto i = 0; i < 400; ++i) {
+        const auto out = [&] {
+            bench.clock.advance(stepTime);
+            return bench.table.tick(bench.clock.now());
+        }();
+        for (const auto &[id, orders] : out.orders) {
+            ++batches;
+            renewals += static_cast<int>(orders.size());
+            bench.workers.at(id).advance(bench.clock.now());
+            bench.table.ordersDone(id, orders, bench.workers.at(id).orders(bench.generation, orders), bench.clock.now());
+        }
+    }
+    // 20 s: two rounds at each of the four workers, each of them with a lease of every gang.
+    CHECK(batches == 8);
+    CHECK(renewals == 8 * gangs);
+}
+
 TEST_CASE("faults while a gang starts leave no part of it running beyond the probation time")
 {
     struct Case
--- a/packages/ports/httpinstancelist.cpp
+++ b/packages/ports/httpinstancelist.cpp
@@ -1,9 +1,14 @@
 #include "ports/httpinstancelist.h"
 
+#include "ports/entitytag.h"
 #include "ports/httpclient.h"
 
 #include <nlohmann/json.hpp>
 
+#include <memory>
+#include <mutex>
+#include <utility>
+
 namespace Catkin
 {
 
@@ -57,20 +62,55 @@
     }
 }
 
+using List = std::shared_ptr<const std::vector<ListedInstance>>;
+
+/// The last list that the platform named by a tag.
+struct KeptList
+{
+    std::mutex mutex;
+    std::string tag;
+    List list;
+};
+
+auto fetchList(KeptList &kept, const std::string &address, Millis timeout) -> Result<List>
+{
+    auto call = HttpCall{.address = address, .method = "GET", .path = "/v1/instances", .timeout = timeout};
+    auto known = std::string{};
+    auto last = List{};
+    {
+        const auto lock = std::lock_guard{kept.mutex};
+        known = kept.tag;
+        last = kept.list;
+    }
+    if (!known.empty()) {
+        call.headers.emplace_back("If-None-Match", matchHeader(known));
+    }
+    auto reply = httpExchange(call);
+    if (!reply) {
+        return failure(ErrorCode::Unavailable, "instance list: " + reply.error().message);
+    }
+    if (confirmsTag(reply.value(), known)) {
+        return last;
+    }
+    if (reply.value().status != 200) {
+        return failure(ErrorCode::Unavailable, "instance list: status " + std::to_string(reply.value().status));
+    }
+    auto decoded = decodeList(reply.value().body);
+    if (!decoded) {
+        return decoded.error();
+    }
+    auto list = std::make_shared<const std::vector<ListedInstance>>(std::move(decoded.value()));
+    const auto lock = std::lock_guard{kept.mutex};
+    kept.tag = entityTag(reply.value());
+    kept.list = list;
+    return List{list};
+}
+
 }
 
 auto makeHttpInstanceList(const std::string &address, Millis timeout) -> InstanceListPort
 {
-    return {.fetch = [address, timeout]() -> Result<std::vector<ListedInstance>> {
-        auto reply = httpExchange({.address = address, .method = "GET", .path = "/v1/instances", .timeout = timeout});
-        if (!reply) {
-            return failure(ErrorCode::Unavailable, "instance list: " + reply.error().message);
-        }
-        if (reply.value().status != 200) {
-            return failure(ErrorCode::Unavailable, "instance list: status " + std::to_string(reply.value().status));
-        }
-        return decodeList(reply.value().body);
-    }};
+    return {.fetch = [kept = std::make_shared<KeptList>(), address, timeout] { return fetchList(*kept, address, timeout); }};
 }
 
 }
--- a/packages/ports/httpworker.cpp
+++ b/packages/ports/httpworker.cpp
@@ -1,11 +1,16 @@
 #include "ports/httpworker.h"
 
+#include "ports/entitytag.h"
 #include "ports/httpclient.h"
 #include "ports/jsonfields.h"
+#include "ports/statuscache.h"
+#include "util/clock.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
+#include <memory>
 #include <string_view>
 
 namespace Catkin
@@ -117,17 +122,30 @@
     return status;
 }
 
-auto fetchStatus(const std::string &address, Millis timeout) -> Result<WorkerStatus>
+auto fetchStatus(StatusCache &cache, const std::string &address, Millis timeout) -> Result<WorkerStatus>
 {
-    auto reply = httpExchange({.address = address, .method = "GET", .path = "/v1/status", .connectTimeout = timeout, .timeout = timeout});
+    const auto known = cache.tagOf(address);
+    auto call = HttpCall{.address = address, .method = "GET", .path = "/v1/status", .connectTimeout = timeout, .timeout = timeout};
+    if (!known.empty()) {
+        call.headers.emplace_back("If-None-Match", matchHeader(known));
+    }
+    auto reply = httpExchange(call);
     if (!reply) {
         return failure(ErrorCode::Unavailable, "worker status: " + reply.error().message);
     }
+    if (confirmsTag(reply.value(), known)) {
+        if (auto status = cache.confirm(address, known)) {
+            return std::move(*status);
+        }
+        return failure(ErrorCode::Unavailable, "worker status: the status changed during the exchange");
+    }
     if (reply.value().status != 200) {
         return failure(ErrorCode::Unavailable, "worker status: status " + std::to_string(reply.value().status));
     }
     try {
-        return decodeStatus(json::parse(reply.value().body));
+        auto status = decodeStatus(json::parse(reply.value().body));
+        cache.store(address, entityTag(reply.value()), status);
+        return status;
     } catch (const json::exception &e) {
         return failure(ErrorCode::Protocol, std::string("worker status: ") + e.what());
     }
@@ -140,44 +158,122 @@
     return op == opNames[static_cast<std::size_t>(order.op)] && (order.op == OrderOp::Claim || result.at("lease").get<std::string>() == order.lease.str());
 }
 
-auto decodeReply(const std::string &text, const std::vector<WorkerOrder> &orders) -> Result<OrdersReply>
+/// What is sent for a batch of orders.
+struct OrdersBody
+{
+    std::string known; ///< tag of the status that the planner has; empty when it needs the whole status
+    bool renewsAll = false; ///< one order renews every running lease of that status
+};
+
+/// A batch that renews every running lease of the known status alike can be sent as one order.
+auto renewsAll(const WorkerStatus &status, const std::vector<WorkerOrder> &orders) -> bool
+{
+    if (orders.size() < 2
+        || !std::all_of(orders.begin(), orders.end(), [&](const WorkerOrder &it) { return it.op == OrderOp::Renew && it.ttl == orders.front().ttl; })) {
+        return false;
+    }
+    auto running = std::vector<LeaseId>{};
+    for (const auto &it : status.leases) {
+        if (it.state == LeaseState::Running || it.state == LeaseState::Checkpointing) {
+            running.push_back(it.lease);
+        }
+    }
+    auto renewed = std::vector<LeaseId>{};
+    for (const auto &it : orders) {
+        renewed.push_back(it.lease);
+    }
+    std::sort(running.begin(), running.end());
+    std::sort(renewed.begin(), renewed.end());
+    return running == renewed;
+}
+
+auto decodeResults(const json &results, const std::vector<WorkerOrder> &orders, bool renewsAll) -> Result<std::vector<OrderResult>>
+{
+    if (!results.is_array() || results.size() != (renewsAll ? 1 : orders.size())) {
+        return failure(ErrorCode::Unknown, "worker orders: the answer has another number of results than orders were sent");
+    }
+    if (renewsAll) {
+        if (results[0].at("op").get<std::string>() != "renew_all") {
+            return failure(ErrorCode::Unknown, "worker orders: a result belongs to another order");
+        }
+        return std::vector<OrderResult>(orders.size(), {.ok = results[0].at("ok").get<bool>(), .error = results[0].value("error", std::string{})});
+    }
+    auto out = std::vector<OrderResult>{};
+    for (auto i = std::size_t{0}; i < orders.size(); ++i) {
+        if (!isResultOf(results[i], orders[i])) {
+            return failure(ErrorCode::Unknown, "worker orders: a result belongs to another order");
+        }
+        out.push_back({.ok = results[i].at("ok").get<bool>(), .error = results[i].value("error", std::string{})});
+    }
+    return out;
+}
+
+auto decodeReply(StatusCache &cache, const std::string &address, const std::string &text, const std::vector<WorkerOrder> &orders, const OrdersBody &sent)
+    -> Result<OrdersReply>
 {
     try {
         const auto body = json::parse(text);
-        auto out = OrdersReply{.results = {}, .status = decodeStatus(body.at("status"))};
-        const auto &results = body.at("results");
-        if (!results.is_array() || results.size() != orders.size()) {
-            return failure(ErrorCode::Unknown, "worker orders: the answer has another number of results than orders were sent");
+        auto results = decodeResults(body.at("results"), orders, sent.renewsAll);
+        if (!results) {
+            return results.error();
+        }
+        const auto tag = body.value("tag", std::string{});
+        if (body.contains("status") || sent.known.empty()) {
+            auto out = OrdersReply{.results = std::move(results.value()), .status = decodeStatus(body.at("status"))};
+            cache.store(address, tag, out.status);
+            return out;
+        }
+        if (tag != sent.known) {
+            return failure(ErrorCode::Unknown, "worker orders: the answer has neither a status nor the tag of the known one");
         }
         for (auto i = std::size_t{0}; i < orders.size(); ++i) {
-            if (!isResultOf(results[i], orders[i])) {
-                return failure(ErrorCode::Unknown, "worker orders: a result belongs to another order");
+            if (orders[i].op == OrderOp::Renew && results.value()[i].ok) {
+                cache.renewed(address, tag, orders[i].lease, orders[i].ttl);
             }
-            out.results.push_back({.ok = results[i].at("ok").get<bool>(), .error = results[i].value("error", std::string{})});
         }
-        return out;
+        auto status = cache.confirm(address, tag);
+        if (!status) {
+            return failure(ErrorCode::Unknown, "worker orders: the status changed during the exchange");
+        }
+        return OrdersReply{.results = std::move(results.value()), .status = std::move(*status)};
     } catch (const json::exception &e) {
         return failure(ErrorCode::Unknown, std::string("worker orders: ") + e.what());
     }
 }
 
-auto sendOrders(const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis timeout) -> Result<OrdersReply>
+auto encodeOrders(const Generation &generation, const std::vector<WorkerOrder> &orders, const OrdersBody &how) -> Result<std::string>
 {
     auto body = json{{"generation", encodeGeneration(generation)}, {"orders", json::array()}};
-    for (const auto &it : orders) {
-        body["orders"].push_back(encodeOrder(it));
+    if (!how.known.empty()) {
+        body["known"] = how.known;
+    }
+    if (how.renewsAll) {
+        body["orders"].push_back({{"op", "renew_all"}, {"ttl_ms", orders.front().ttl.count()}});
+    } else {
+        for (const auto &it : orders) {
+            body["orders"].push_back(encodeOrder(it));
+        }
     }
-    auto text = std::string{};
     try {
-        text = body.dump();
+        return body.dump();
     } catch (const json::type_error &e) {
         return failure(ErrorCode::InvalidInput, std::string("worker orders: an order is not UTF-8: ") + e.what());
     }
+}
+
+auto exchangeOrders(
+    StatusCache &cache, const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, const OrdersBody &how, Millis timeout)
+    -> Result<OrdersReply>
+{
+    auto text = encodeOrders(generation, orders, how);
+    if (!text) {
+        return text.error();
+    }
     auto reply = httpExchange({
         .address = address,
         .method = "POST",
         .path = "/v1/orders",
-        .body = std::move(text),
+        .body = std::move(text.value()),
         .connectTimeout = timeout,
         .timeout = timeout,
     });
@@ -190,14 +286,38 @@
     if (reply.value().status != 200) {
         return failure(ErrorCode::Unknown, "worker orders: status " + std::to_string(reply.value().status));
     }
-    return decodeReply(reply.value().body, orders);
+    return decodeReply(cache, address, reply.value().body, orders, how);
+}
+
+auto sendOrders(StatusCache &cache, const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis timeout)
+    -> Result<OrdersReply>
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    auto how = OrdersBody{.known = cache.tagOf(address)};
+    if (const auto status = cache.confirm(address, how.known)) {
+        how.renewsAll = renewsAll(*status, orders);
+    }
+    auto reply = exchangeOrders(cache, address, generation, orders, how, timeout);
+    if (!how.renewsAll || !reply || reply.value().results.front().ok) {
+        return reply;
+    }
+    // The worker's leases have changed meanwhile, so none was renewed: each order is sent on its own.
+    const auto left = std::chrono::duration_cast<Millis>(deadline - std::chrono::steady_clock::now());
+    return exchangeOrders(cache, address, generation, orders, {}, left);
 }
 
 }
 
-auto makeHttpWorker() -> WorkerPort
+auto makeHttpWorker(std::function<MonoTime()> now) -> WorkerPort
 {
-    return {.status = fetchStatus, .orders = sendOrders};
+    auto cache = std::make_shared<StatusCache>(now ? std::move(now) : systemClock().mono);
+    return {
+        .status = [cache](const std::string &address, Millis timeout) { return fetchStatus(*cache, address, timeout); },
+        .orders =
+            [cache](const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis timeout) {
+                return sendOrders(*cache, address, generation, orders, timeout);
+            },
+    };
 }
 
 }
--- a/packages/ports/instancelistport.h
+++ b/packages/ports/instancelistport.h
@@ -3,13 +3,14 @@
 /// Port to the platform's instance list, which lags behind the truth.
 ///
 /// @code
-///   for (const auto &entry : list.fetch().value()) { ... }
+///   for (const auto &entry : *list.fetch().value()) { ... }
 /// @endcode
 
 #include "util/ids.h"
 #include "util/outcome.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -35,9 +36,10 @@
 /// Function to reach the list; may block up to its timeout and may be called from any thread.
 struct InstanceListPort
 {
-    /// @return the list, without roles that this release does not know; ErrorCode::Unavailable without a complete answer,
-    /// ErrorCode::Protocol when a line of it is malformed.
-    std::function<Result<std::vector<ListedInstance>>()> fetch;
+    /// @return the list, without roles that this release does not know, and the same object as before when the platform says
+    /// that nothing has changed; never null. ErrorCode::Unavailable without a complete answer, ErrorCode::Protocol when a line
+    /// of it is malformed.
+    std::function<Result<std::shared_ptr<const std::vector<ListedInstance>>>()> fetch;
 };
 
 }
--- a/packages/ports/testing/httpinstancelist_test.cpp
+++ b/packages/ports/testing/httpinstancelist_test.cpp
@@ -40,8 +40,8 @@
         const auto gaveUp = it.control.find("silent") != std::string::npos || it.control.find("_ms") != std::string::npos;
         const auto list = makeHttpInstanceList(standin->address(), gaveUp ? shortTimeout : longTimeout).fetch();
         checkOutcome(list, it.expected);
-        if (list && !list.value().empty()) {
-            const auto &first = list.value().front();
+        if (list && !list.value()->empty()) {
+            const auto &first = list.value()->front();
             CHECK(first.id == "w1");
             CHECK(first.role == InstanceRole::Worker);
             CHECK(first.rack == RackId{"r1"});
@@ -56,9 +56,33 @@
     const auto standin = requireStandin("platform_standin", {"--list-lag-ms", "3600000"});
     const auto list = makeHttpInstanceList(standin->address(), longTimeout);
     REQUIRE(control(*standin, R"({"register":{"id":"x","role":"entry","domain":"d","region":"r","address":"127.0.0.1:8"}})").has_value());
-    CHECK(list.fetch().value().empty());
+    CHECK(list.fetch().value()->empty());
     REQUIRE(control(*standin, R"({"list_lag_ms":0,"set_state":{"id":"x","state":"leaving"}})").has_value());
-    CHECK(list.fetch().value().at(0).leaving);
+    CHECK(list.fetch().value()->at(0).leaving);
     REQUIRE(control(*standin, R"({"unregister":"x"})").has_value());
-    CHECK(list.fetch().value().empty());
+    CHECK(list.fetch().value()->empty());
+}
+
+// Guards against fetching an unchanged list again, and against a stale list that passes for the present one.
+TEST_CASE("an unchanged list is confirmed by its tag")
+{
+    const auto standin = requireStandin("platform_standin");
+    const auto enlist = [&](const std::string &id) {
+        REQUIRE(control(*standin, R"({"register":{"id":")" + id + R"(","role":"entry","domain":"d","region":"r","address":"127.0.0.1:8"}})").has_value());
+    };
+    enlist("x");
+    const auto list = makeHttpInstanceList(standin->address(), longTimeout);
+    const auto first = list.fetch().value();
+    CHECK(list.fetch().value() == first);
+    enlist("y");
+    for (const auto *fault : {R"({"status":304})", R"({"truncate":true})", R"({"down":true})"}) {
+        CAPTURE(fault);
+        setFaults(*standin, fault);
+        checkOutcome(list.fetch(), ErrorCode::Unavailable);
+    }
+    setFaults(*standin, "{}");
+    const auto second = list.fetch().value();
+    CHECK(second->size() == 2);
+    CHECK(list.fetch().value() == second);
+    checkOutcome(makeHttpInstanceList(standin->address(), longTimeout).fetch(), std::nullopt);
 }
--- a/packages/ports/testing/httpworker_test.cpp
+++ b/packages/ports/testing/httpworker_test.cpp
@@ -2,6 +2,9 @@
 
 #include "harness/poll.h"
 #include "ports/httpworker.h"
+#include "util/clock.h"
+
+#include <nlohmann/json.hpp>
 
 using namespace Catkin;
 
@@ -95,7 +98,8 @@
 TEST_CASE("a status is whole or an error")
 {
     const auto standin = requireStandin("worker_standin");
-    const auto port = makeHttpWorker();
+    // Each line has a port that has read nothing yet: a confirmed status has no body that could be broken.
+    const auto port = makeHttpWorker;
     const auto cases = std::vector<FaultCase>{
         {"no fault", "{}", std::nullopt},
         {"down", R"({"down":true})", ErrorCode::Unavailable},
@@ -112,9 +116,9 @@
     for (const auto &it : cases) {
         CAPTURE(it.name);
         setFaults(*standin, it.control);
-        checkOutcome(port.status(standin->address(), it.name == "silent" ? shortTimeout : longTimeout), it.expected);
+        checkOutcome(port({}).status(standin->address(), it.name == "silent" ? shortTimeout : longTimeout), it.expected);
     }
-    checkOutcome(port.status(deadAddress(), longTimeout), ErrorCode::Unavailable);
+    checkOutcome(port({}).status(deadAddress(), longTimeout), ErrorCode::Unavailable);
 }
 
 TEST_CASE("a worker obeys the highest generation and leases a slot once")
@@ -150,3 +154,153 @@
     CHECK_FALSE(stopped.leases.at(1).started);
     CHECK(stopped.leases.at(1).state == LeaseState::Ended);
 }
+
+namespace
+{
+
+/// A stand-in with two running leases, and a port that has read its status.
+struct TaggedWorker
+{
+    TaggedWorker()
+    {
+        REQUIRE(send({reserveOrder("a", {0}, forever), reserveOrder("b", {1}, forever), order(OrderOp::Start, "a"), order(OrderOp::Start, "b")}).has_value());
+        REQUIRE(port.status(standin->address(), longTimeout).has_value());
+    }
+
+    auto send(const std::vector<WorkerOrder> &orders) -> Result<OrdersReply>
+    {
+        return port.orders(standin->address(), generation, orders, longTimeout);
+    }
+
+    /// Sends orders through a port of its own, as another process does.
+    auto sendBeside(const std::vector<WorkerOrder> &orders) const -> void
+    {
+        REQUIRE(makeHttpWorker().orders(standin->address(), generation, orders, longTimeout).has_value());
+    }
+
+    /// @return the number of exchanges on a route, such as "GET /v1/status 304".
+    auto exchanges(const std::string &route) const -> int
+    {
+        const auto text = readControl(*standin, "traffic");
+        REQUIRE(text.has_value());
+        return nlohmann::json::parse(text.value()).value(route, nlohmann::json::object()).value("exchanges", 0);
+    }
+
+    ManualClock clock;
+    std::unique_ptr<ChildProcess> standin = requireStandin("worker_standin");
+    WorkerPort port = makeHttpWorker([this] { return clock.now(); });
+};
+
+}
+
+// Guards against sending a whole status again that has not changed, and against remaining times that stand still.
+TEST_CASE("an unchanged status is confirmed by its tag and keeps ageing")
+{
+    auto worker = TaggedWorker{};
+    const auto read = [&] { return worker.port.status(worker.standin->address(), longTimeout); };
+    const auto first = read().value();
+    worker.clock.advance(Seconds{100});
+    const auto second = read().value();
+    CHECK(worker.exchanges("GET /v1/status 304") >= 2);
+    REQUIRE(second.leases.size() == 2);
+    CHECK(second.leases[0].lease == first.leases[0].lease);
+    CHECK(first.leases[0].remaining - second.leases[0].remaining == Millis{100'000});
+
+    // A renewal changes no tag; the port knows the new times from its own orders.
+    REQUIRE(worker.send({order(OrderOp::Renew, "a"), order(OrderOp::Renew, "b")}).has_value());
+    CHECK(read().value().leases[0].remaining == ttl);
+
+    // Usage is not covered by the tag, so the status is read in full from time to time.
+    const auto full = worker.exchanges("GET /v1/status 200");
+    worker.clock.advance(Seconds{300});
+    CHECK(read().has_value());
+    CHECK(worker.exchanges("GET /v1/status 200") == full + 1);
+}
+
+// Guards against an outdated status that passes for a fresh one.
+TEST_CASE("a change at a worker is seen whatever happens to conditional answers")
+{
+    struct Case
+    {
+        std::string name;
+        std::string control;
+        std::optional<ErrorCode> expected;
+    };
+    for (const auto &it : std::vector<Case>{
+             {"no fault", "{}", std::nullopt},
+             {"worker stops naming tags", R"({"tags":false})", std::nullopt},
+             {"worker restarts", R"({"restart":true})", std::nullopt},
+             {"worker leaves", R"({"leaving":true})", std::nullopt},
+             {"status 304 with another tag", R"({"status":304})", ErrorCode::Unavailable},
+             {"status 304 without a tag", R"({"tags":false,"status":304})", ErrorCode::Unavailable},
+             {"cut off", R"({"truncate":true})", ErrorCode::Unavailable},
+             {"down", R"({"down":true})", ErrorCode::Unavailable},
+             {"silent", R"({"silent":true})", ErrorCode::Unavailable},
+         }) {
+        CAPTURE(it.name);
+        auto worker = TaggedWorker{};
+        worker.sendBeside({order(OrderOp::Stop, "b")});
+        setFaults(*worker.standin, it.control);
+        const auto status = worker.port.status(worker.standin->address(), it.name == "silent" ? shortTimeout : longTimeout);
+        checkOutcome(status, it.expected);
+        if (status) {
+            const auto &leases = status.value().leases;
+            CHECK((it.name == "worker restarts" ? leases.empty() : leases.at(1).state == LeaseState::Ended));
+            CHECK(status.value().leaving == (it.name == "worker leaves"));
+        }
+        setFaults(*worker.standin, "{}");
+        const auto after = worker.port.status(worker.standin->address(), longTimeout);
+        REQUIRE(after.has_value());
+        CHECK((after.value().leases.empty() || after.value().leases.at(1).state == LeaseState::Ended));
+    }
+    // Nothing was read before, so there is nothing that a 304 could confirm.
+    const auto standin = requireStandin("worker_standin");
+    setFaults(*standin, R"({"status":304})");
+    checkOutcome(makeHttpWorker().status(standin->address(), longTimeout), ErrorCode::Unavailable);
+}
+
+// Guards against renewing leases that the planner does not know, and against taking a lapsed lease for a renewed one.
+TEST_CASE("one order renews all running leases, and only those that the planner knows")
+{
+    auto worker = TaggedWorker{};
+    const auto renewals = std::vector<WorkerOrder>{order(OrderOp::Renew, "a"), order(OrderOp::Renew, "b")};
+    const auto sent = [&] { return worker.exchanges("POST /v1/orders 200"); };
+
+    auto before = sent();
+    const auto both = worker.send(renewals);
+    REQUIRE(both.has_value());
+    CHECK((both.value().results.at(0).ok && both.value().results.at(1).ok));
+    CHECK(both.value().status.leases.size() == 2);
+    CHECK(sent() == before + 1);
+
+    worker.sendBeside({order(OrderOp::Stop, "b")});
+    before = sent();
+    const auto changed = worker.send(renewals);
+    REQUIRE(changed.has_value());
+    CHECK(changed.value().results.at(0).ok);
+    CHECK(changed.value().results.at(1).error == "the lease has ended");
+    CHECK(changed.value().status.leases.at(1).state == LeaseState::Ended);
+    CHECK(sent() == before + 2);
+
+    // A worker of an earlier release gets each order on its own and sends its whole status.
+    setFaults(*worker.standin, R"({"tags":false})");
+    worker.sendBeside({reserveOrder("c", {2}, forever), order(OrderOp::Start, "c")});
+    const auto plain = std::vector<WorkerOrder>{order(OrderOp::Renew, "a"), order(OrderOp::Renew, "c")};
+    for (auto i = 0; i < 2; ++i) {
+        const auto reply = worker.send(plain);
+        REQUIRE(reply.has_value());
+        CHECK((reply.value().results.at(0).ok && reply.value().results.at(1).ok));
+        CHECK(reply.value().status.leases.size() == 3);
+    }
+}
+
+TEST_CASE("an answer to orders without a status counts only with the tag of the known status")
+{
+    for (const auto *tag : {R"("tag":"other",)", ""}) {
+        CAPTURE(tag);
+        auto worker = TaggedWorker{};
+        auto body = std::string(R"({"generation":{"counter":3,"holder":"b"},)") + tag + R"("results":[{"op":"stop","lease":"a","ok":true,"error":""}]})";
+        setFaults(*worker.standin, nlohmann::json{{"body", body}}.dump());
+        checkOutcome(worker.send({order(OrderOp::Stop, "a")}), ErrorCode::Unknown);
+    }
+}
--- /dev/null
+++ b/packages/util/threadname.cpp
@@ -0,0 +1,16 @@
+#include "util/threadname.h"
+
+#include <pthread.h>
+
+#include <string>
+
+namespace Catkin
+{
+
+auto nameThread(const char *name) -> void
+{
+    constexpr auto longest = 15;
+    (void)pthread_setname_np(pthread_self(), std::string(name).substr(0, longest).c_str());
+}
+
+}
--- a/packages/wire/meshloop.cpp
+++ b/packages/wire/meshloop.cpp
@@ -1,5 +1,7 @@
 #include "wire/meshcore.h"
 
+#include "util/threadname.h"
+
 #include <poll.h>
 
 #include <algorithm>
@@ -27,6 +29,7 @@
 
 auto MeshCore::run() -> void
 {
+    nameThread("mesh");
     m_threadId = std::this_thread::get_id();
     const auto start = m_clock.mono();
     for (auto &round : m_rounds) {
--- a/testing/harness/childprocess.cpp
+++ b/testing/harness/childprocess.cpp
@@ -215,13 +215,18 @@
     return success();
 }
 
-auto fetchHistory(const ChildProcess &standin) -> Result<std::string>
+auto readControl(const ChildProcess &standin, const std::string &path) -> Result<std::string>
 {
-    auto reply = httpExchange({.address = standin.address(), .method = "GET", .path = "/control/history", .timeout = controlTimeout, .maxBody = historyBytes});
+    auto reply = httpExchange({.address = standin.address(), .method = "GET", .path = "/control/" + path, .timeout = controlTimeout, .maxBody = historyBytes});
     if (!reply) {
         return reply.error();
     }
     return std::move(reply.value().body);
 }
 
+auto fetchHistory(const ChildProcess &standin) -> Result<std::string>
+{
+    return readControl(standin, "history");
+}
+
 }
--- a/testing/harness/childprocess.h
+++ b/testing/harness/childprocess.h
@@ -87,4 +87,8 @@
 /// @return the JSON text of `GET /control/history` of a stand-in.
 auto fetchHistory(const ChildProcess &standin) -> Result<std::string>;
 
+/// @param path below /control, such as "traffic"
+/// @return the JSON text of a path that stand-ins offer for reading.
+auto readControl(const ChildProcess &standin, const std::string &path) -> Result<std::string>;
+
 }
--- a/testing/standins/faultserver.cpp
+++ b/testing/standins/faultserver.cpp
@@ -49,6 +49,42 @@
 thread_local auto currentFaults = json{};
 thread_local auto currentFate = AnswerFate{};
 
+/// Exchanges of one service route with one status.
+struct Traffic
+{
+    std::int64_t exchanges = 0;
+    std::size_t received = 0;
+    std::size_t sent = 0;
+};
+
+auto trafficMutex = std::mutex{};
+auto trafficTable = std::map<std::string, Traffic>{}; ///< of all servers of the process
+
+/// Method, path and status of the request that this thread serves; empty outside service routes.
+thread_local auto currentRoute = std::string{};
+
+auto countTraffic(const SocketStream &stream) -> void
+{
+    if (currentRoute.empty()) {
+        return;
+    }
+    const auto lock = std::lock_guard{trafficMutex};
+    auto &entry = trafficTable[currentRoute];
+    ++entry.exchanges;
+    entry.received += stream.received();
+    entry.sent += stream.sent();
+}
+
+auto trafficText() -> std::string
+{
+    auto out = json::object();
+    const auto lock = std::lock_guard{trafficMutex};
+    for (const auto &[route, it] : trafficTable) {
+        out[route] = {{"exchanges", it.exchanges}, {"received", it.received}, {"sent", it.sent}};
+    }
+    return out.dump();
+}
+
 auto isOn(const json &faults, const char *key) -> bool
 {
     const auto it = faults.find(key);
@@ -96,10 +132,12 @@
     {
         ++m_connections;
         currentFate = {};
+        currentRoute.clear();
         auto stream = SocketStream{sock};
         auto closed = false;
         const auto ok = process_request(stream, true, closed, nullptr);
         stream.flush(currentFate);
+        countTraffic(stream);
         if (currentFate.hold) {
             hold(sock);
         } else {
@@ -136,6 +174,17 @@
     res.set_content(json{{"error", text}}.dump(), "application/json");
 }
 
+auto unchanged(const std::string &tag, const httplib::Request &req, httplib::Response &res) -> bool
+{
+    const auto header = "W/\"" + tag + "\"";
+    res.set_header("ETag", header);
+    if (req.get_header_value("If-None-Match") != header) {
+        return false;
+    }
+    res.status = 304;
+    return true;
+}
+
 FaultServer::FaultServer(std::size_t threads)
     : m_listener(std::make_unique<Listener>())
     , m_refuse([](const httplib::Request &, httplib::Response &res) { res.status = 503; })
@@ -143,6 +192,7 @@
     m_listener->new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
     m_listener->set_payload_max_length(std::size_t{16} << 20U);
     m_listener->Post("/control", [this](const httplib::Request &req, httplib::Response &res) { control(req, res); });
+    onControlRead("traffic", trafficText);
     m_listener->Get("/control/history", [this](const httplib::Request &, httplib::Response &res) { history(res); });
 }
 
@@ -150,7 +200,7 @@
 
 auto FaultServer::route(const std::string &method, const std::string &pattern, Handler handler) -> void
 {
-    auto wrapped = [this, handler = std::move(handler)](const httplib::Request &req, httplib::Response &res) { serve(handler, req, res); };
+    auto wrapped = [this, handler = std::move(handler)](const httplib::Request &req, httplib::Response &res) { handle(handler, req, res); };
     if (method == "GET") {
         m_listener->Get(pattern, std::move(wrapped));
     } else {
@@ -216,9 +266,10 @@
     return taken;
 }
 
-auto FaultServer::serve(const Handler &handler, const httplib::Request &req, httplib::Response &res) -> void
+auto FaultServer::handle(const Handler &handler, const httplib::Request &req, httplib::Response &res) -> void
 {
     currentFaults = takeFaults(req);
+    currentRoute = req.method + " " + req.path;
     const auto &faults = currentFaults;
     std::this_thread::sleep_for(millis(faults, "slow_ms"));
     const auto losesAnswer = isOn(faults, "lose_answer");
@@ -245,6 +296,7 @@
     if (isOn(faults, "oversize_bytes")) {
         res.body.append(faults["oversize_bytes"].get<std::size_t>(), ' ');
     }
+    currentRoute += " " + std::to_string(res.status == -1 ? 200 : res.status);
 }
 
 auto FaultServer::applyControl(const std::string &key, const json &value) -> void
@@ -303,7 +355,13 @@
     res.set_content(events.dump(-1, ' ', false, json::error_handler_t::replace), "application/json");
 }
 
-auto FaultServer::run(const FaultServerOptions &options) -> int
+auto FaultServer::onControlRead(const std::string &path, std::function<std::string()> text) -> void
+{
+    m_listener->Get("/control/" + path,
+                    [text = std::move(text)](const httplib::Request &, httplib::Response &res) { res.set_content(text(), "application/json"); });
+}
+
+auto FaultServer::bind(const FaultServerOptions &options) -> int
 {
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGTERM, exitAtOnce);
@@ -318,16 +376,32 @@
     }
     if (port <= 0) {
         std::fprintf(stderr, "cannot bind port %d\n", options.port);
-        return 1;
+        return port;
     }
     m_listener->enlargeBacklog();
+    m_port = port;
+    return port;
+}
+
+auto FaultServer::serve() -> void
+{
+    m_listener->listen_after_bind();
+}
+
+auto FaultServer::start(const FaultServerOptions &options) -> int
+{
     if (options.exitOnEof) {
         exitAtEndOfInput();
     }
-    std::printf("listening %d\n", port);
+    std::printf("listening %d\n", m_port);
     std::fflush(stdout);
-    m_listener->listen_after_bind();
+    serve();
     return 0;
 }
 
+auto FaultServer::run(const FaultServerOptions &options) -> int
+{
+    return bind(options) <= 0 ? 1 : start(options);
+}
+
 }
--- a/testing/standins/faultserver.h
+++ b/testing/standins/faultserver.h
@@ -10,7 +10,8 @@
 /// @endcode
 ///
 /// `POST /control` takes a JSON object; docs/standins.md lists the switches. `GET /control/history` returns the
-/// recorded events. Faults apply to service routes only, so a faulty stand-in can always be repaired.
+/// recorded events, `GET /control/traffic` the bytes of the service routes, summed over all servers of the process. Faults apply to service routes only, so a
+/// faulty stand-in can always be repaired.
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -73,14 +74,27 @@
     /// @return the number of connections being served.
     [[nodiscard]] auto connections() const -> int;
 
-    /// Prints `listening <port>` and serves until the process ends.
+    /// Binds the port.
+    /// @return the port; 0 or less when it could not be bound
+    auto bind(const FaultServerOptions &options) -> int;
+
+    /// Serves on the bound port until the process ends.
+    auto serve() -> void;
+
+    /// Prints `listening <port>` for the bound port and serves until the process ends.
+    auto start(const FaultServerOptions &options) -> int;
+
+    /// Binds and starts.
     /// @return 1 when the port could not be bound
     auto run(const FaultServerOptions &options) -> int;
 
+    /// Adds a path below /control that answers with the JSON text that @p text returns.
+    auto onControlRead(const std::string &path, std::function<std::string()> text) -> void;
+
 private:
     class Listener;
 
-    auto serve(const Handler &handler, const httplib::Request &req, httplib::Response &res) -> void;
+    auto handle(const Handler &handler, const httplib::Request &req, httplib::Response &res) -> void;
     auto takeFaults(const httplib::Request &req) -> nlohmann::json;
     auto control(const httplib::Request &req, httplib::Response &res) -> void;
     auto applyControl(const std::string &key, const nlohmann::json &value) -> void;
@@ -92,10 +106,15 @@
     std::map<std::string, Control> m_controls;
     std::deque<nlohmann::json> m_history;
     std::ofstream m_historyFile;
+    int m_port = 0;
     std::function<void()> m_prepare;
     Handler m_refuse;
 };
 
+/// Sets the entity tag of an answer, and status 304 without a body if the request names the same tag.
+/// @return whether the answer is complete with that
+auto unchanged(const std::string &tag, const httplib::Request &req, httplib::Response &res) -> bool;
+
 /// Answers with status 400 and {"error": text}.
 auto badRequest(httplib::Response &res, const std::string &text) -> void;
 
--- a/testing/standins/platform_standin.cpp
+++ b/testing/standins/platform_standin.cpp
@@ -2,6 +2,8 @@
 
 #include "standins/standinargs.h"
 
+#include "util/digest.h"
+
 #include <chrono>
 #include <stdexcept>
 #include <utility>
@@ -170,14 +172,17 @@
     return entries;
 }
 
-auto list(Platform &platform, httplib::Response &res) -> void
+auto list(Platform &platform, const httplib::Request &req, httplib::Response &res) -> void
 {
     const auto lock = std::lock_guard{platform.mutex};
     auto instances = json::array();
     for (const auto &[id, entry] : listedAt(platform, platform.listLagMs)) {
         instances.push_back(entry);
     }
-    res.set_content(json{{"instances", instances}}.dump(), "application/json");
+    const auto text = json{{"instances", instances}}.dump();
+    if (!unchanged(xxh64Hex(text), req, res)) {
+        res.set_content(text, "application/json");
+    }
 }
 
 auto registerInstance(Platform &platform, const json &given) -> void
@@ -232,7 +237,7 @@
     const auto records = std::string("/v1/streams/([A-Za-z0-9_-]{1,64})/records");
     platform.server.route("POST", records, [&](const httplib::Request &req, httplib::Response &res) { append(platform, req, res); });
     platform.server.route("GET", records, [&](const httplib::Request &req, httplib::Response &res) { read(platform, req, res); });
-    platform.server.route("GET", "/v1/instances", [&](const httplib::Request &, httplib::Response &res) { list(platform, res); });
+    platform.server.route("GET", "/v1/instances", [&](const httplib::Request &req, httplib::Response &res) { list(platform, req, res); });
     platform.server.onControl("register", [&](const json &value) { forEach(value, [&](const json &it) { registerInstance(platform, it); }); });
     platform.server.onControl("set_state", [&](const json &value) { forEach(value, [&](const json &it) { setState(platform, it); }); });
     platform.server.onControl("unregister", [&](const json &value) {
--- a/testing/standins/simulatedworker.cpp
+++ b/testing/standins/simulatedworker.cpp
@@ -1,5 +1,7 @@
 #include "standins/simulatedworker.h"
 
+#include "util/digest.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -309,6 +311,21 @@
     return op == "release" ? release(lease, nowMs) : "unknown op";
 }
 
+auto SimulatedWorker::renewAll(const json &order, const std::string &known, std::int64_t nowMs) -> Outcome
+{
+    const auto ttlMs = ttlOf(order);
+    if (known.empty() || known != tag(nowMs)) {
+        return "the status has changed";
+    }
+    for (auto &[id, lease] : m_leases) {
+        if (lease.started && !lease.ended) {
+            lease.holder = m_holder;
+            lease.expiresMs = ownClock(static_cast<double>(nowMs)) + static_cast<double>(ttlMs);
+        }
+    }
+    return {};
+}
+
 auto SimulatedWorker::orders(const json &request, std::int64_t nowMs) -> std::pair<int, json>
 {
     advance(nowMs);
@@ -323,18 +340,27 @@
     }
     m_counter = counter;
     m_holder = holder;
+    const auto known = m_settings.tags ? request.value("known", std::string{}) : std::string{};
     auto results = json::array();
     for (const auto &it : list) {
         auto error = Outcome{};
         try {
-            error = order(it, nowMs);
+            error = it.at("op") == "renew_all" ? renewAll(it, known, nowMs) : order(it, nowMs);
         } catch (const json::exception &e) {
             error = std::string("malformed order: ") + e.what();
         }
         results.push_back({{"op", it.value("op", json())}, {"lease", it.value("lease", json())}, {"ok", error.empty()}, {"error", error}});
         advance(nowMs);
     }
-    return {200, {{"generation", generationJson()}, {"results", results}, {"status", status(nowMs)}}};
+    auto answer = json{{"generation", generationJson()}, {"results", results}};
+    const auto now = tag(nowMs);
+    if (m_settings.tags) {
+        answer["tag"] = now;
+    }
+    if (known.empty() || known != now) {
+        answer["status"] = status(nowMs);
+    }
+    return {200, std::move(answer)};
 }
 
 auto SimulatedWorker::generationJson() const -> json
@@ -385,4 +411,19 @@
     };
 }
 
+auto SimulatedWorker::tags() const -> bool
+{
+    return m_settings.tags;
+}
+
+auto SimulatedWorker::tag(std::int64_t nowMs) -> std::string
+{
+    auto content = status(nowMs);
+    content.erase("usage");
+    for (auto &it : content["leases"]) {
+        it.erase("remaining_ms");
+    }
+    return xxh64Hex(content.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
 }
--- a/testing/standins/simulatedworker.h
+++ b/testing/standins/simulatedworker.h
@@ -33,6 +33,7 @@
     double clockRate = 1.0; ///< speed of the worker's own clock
     bool leaving = false; ///< refuses new leases
     bool failEverything = false; ///< every task that starts fails at once
+    bool tags = true; ///< names its status by a tag; false: as a worker of an earlier release
     bool ignoreStop = false; ///< stop orders are confirmed and have no effect
 };
 
@@ -54,6 +55,12 @@
     /// @return the answer to `GET /v1/status`.
     auto status(std::int64_t nowMs) -> nlohmann::json;
 
+    /// @return the tag of the status: the same as long as only remaining times and usage differ.
+    auto tag(std::int64_t nowMs) -> std::string;
+
+    /// @return whether the worker shows its tag.
+    [[nodiscard]] auto tags() const -> bool;
+
     /// Ends every task and forgets every lease and generation.
     auto restart(const std::string &boot, std::int64_t nowMs) -> void;
 
@@ -87,6 +94,7 @@
     using Outcome = std::string; ///< error text; empty for success
 
     auto order(const nlohmann::json &order, std::int64_t nowMs) -> Outcome;
+    auto renewAll(const nlohmann::json &order, const std::string &known, std::int64_t nowMs) -> Outcome;
     auto reserve(const nlohmann::json &order, std::int64_t nowMs) -> Outcome;
     auto start(Lease &lease, std::int64_t ttlMs, std::int64_t nowMs) -> Outcome;
     auto checkpoint(Lease &lease, std::int64_t nowMs) const -> Outcome;
--- a/testing/standins/socketstream.cpp
+++ b/testing/standins/socketstream.cpp
@@ -48,6 +48,7 @@
         if (n <= 0) {
             return n;
         }
+        m_received += static_cast<std::size_t>(n);
         m_begin = 0;
         m_end = static_cast<std::size_t>(n);
     }
@@ -80,7 +81,7 @@
     return m_sock;
 }
 
-auto SocketStream::sendAll(const char *data, std::size_t size) const -> bool
+auto SocketStream::sendAll(const char *data, std::size_t size) -> bool
 {
     while (size > 0) {
         if (!ready(m_sock, POLLOUT, ioTimeoutMs)) {
@@ -90,12 +91,23 @@
         if (n <= 0) {
             return false;
         }
+        m_sent += static_cast<std::size_t>(n);
         data += n;
         size -= static_cast<std::size_t>(n);
     }
     return true;
 }
 
+auto SocketStream::received() const -> std::size_t
+{
+    return m_received;
+}
+
+auto SocketStream::sent() const -> std::size_t
+{
+    return m_sent;
+}
+
 auto SocketStream::flush(const AnswerFate &fate) -> void
 {
     if (fate.close || fate.hold) {
--- a/testing/standins/socketstream.h
+++ b/testing/standins/socketstream.h
@@ -35,14 +35,21 @@
     /// Sends the answer that was written, changed as @p fate says.
     auto flush(const AnswerFate &fate) -> void;
 
+    /// @return bytes received so far.
+    [[nodiscard]] auto received() const -> std::size_t;
+    /// @return bytes sent by flush().
+    [[nodiscard]] auto sent() const -> std::size_t;
+
 private:
-    auto sendAll(const char *data, std::size_t size) const -> bool;
+    auto sendAll(const char *data, std::size_t size) -> bool;
 
     socket_t m_sock;
     std::array<char, 4096> m_buf{};
     std::size_t m_begin = 0;
     std::size_t m_end = 0;
     std::string m_answer;
+    std::size_t m_received = 0;
+    std::size_t m_sent = 0;
 };
 
 }
--- a/testing/system/deployment.cpp
+++ b/testing/system/deployment.cpp
@@ -94,20 +94,17 @@
 {
     m_platform = take(startStandin("platform_standin", {"--threads", "128"}), "platform");
     m_platformRelay = std::make_unique<Relay>(m_platform->port(), m_shape.platformDelay);
-    m_logRelay = std::make_unique<Relay>(m_platformRelay->port(), m_shape.logDelay);
+    // A relay accepts connections before it knows whether it can pass them on, so that a cut behind it does not refuse
+    // them; it is there only if it is needed.
+    if (m_shape.logDelay > Millis{0}) {
+        m_logRelay = std::make_unique<Relay>(m_platformRelay->port(), m_shape.logDelay);
+    }
     for (const auto &domain : m_shape.domains) {
         for (auto i = 0; i < domain.executors; ++i) {
             auto process = take(startStandin("executor_standin", {"--busy-ms", std::to_string(m_shape.executorBusyMs), "--threads", "72"}), "executor");
             m_executors.push_back({.id = domain.name + "-ex-" + std::to_string(i), .domain = domain.name, .process = std::move(process)});
         }
-        for (auto i = 0; i < domain.workers; ++i) {
-            const auto id = domain.name + "-w-" + std::to_string(i);
-            const auto rack = domain.name + "-r-" + std::to_string(i / domain.workersPerRack);
-            auto process
-                = take(startStandin("worker_standin", {"--id", id, "--rack", rack, "--domain", domain.name, "--slots", std::to_string(m_shape.slots)}), id);
-            m_workers.push_back({.id = id, .domain = domain.name, .process = std::move(process)});
-            m_racks.emplace_back(id, rack);
-        }
+        startWorkers(domain);
         for (auto i = 0; i < domain.entries; ++i) {
             m_entries.push_back({.id = domain.name + "-e-" + std::to_string(i), .domain = domain.name, .region = domain.region, .process = nullptr});
         }
@@ -140,6 +137,45 @@
     }
 }
 
+auto Deployment::startWorkers(const DomainShape &domain) -> void
+{
+    const auto slots = std::to_string(m_shape.slots);
+    if (domain.sharedWorkers) {
+        auto process = take(startStandin("worker_standin",
+                                         {"--count",
+                                          std::to_string(domain.workers),
+                                          "--per-rack",
+                                          std::to_string(domain.workersPerRack),
+                                          "--id",
+                                          domain.name + "-w",
+                                          "--rack",
+                                          domain.name + "-r",
+                                          "--domain",
+                                          domain.name,
+                                          "--slots",
+                                          slots,
+                                          "--threads",
+                                          "2"}),
+                            domain.name + " workers");
+        for (const auto &it : json::parse(take(readControl(*process, "workers"), domain.name + " workers"))) {
+            const auto address = it["address"].get<std::string>();
+            m_listedWorkers.push_back({.id = it["id"], .domain = domain.name, .rack = it["rack"], .address = address});
+            if (!domain.workerTags) {
+                (void)take(httpExchange({.address = address, .method = "POST", .path = "/control", .body = R"({"tags":false})"}), address);
+            }
+        }
+        m_workers.push_back({.id = domain.name + "-w", .domain = domain.name, .process = std::move(process)});
+        return;
+    }
+    for (auto i = 0; i < domain.workers; ++i) {
+        const auto id = domain.name + "-w-" + std::to_string(i);
+        const auto rack = domain.name + "-r-" + std::to_string(i / domain.workersPerRack);
+        auto process = take(startStandin("worker_standin", {"--id", id, "--rack", rack, "--domain", domain.name, "--slots", slots}), id);
+        m_listedWorkers.push_back({.id = id, .domain = domain.name, .rack = rack, .address = process->address()});
+        m_workers.push_back({.id = id, .domain = domain.name, .process = std::move(process)});
+    }
+}
+
 auto Deployment::registerAll() -> void
 {
     auto list = json::array();
@@ -159,15 +195,14 @@
                         {"address", it.process->address()},
                         {"state", "live"}});
     }
-    for (auto i = std::size_t{0}; i < m_workers.size(); ++i) {
-        const auto &it = m_workers[i];
+    for (const auto &it : m_listedWorkers) {
         list.push_back({{"id", it.id},
                         {"role", "worker"},
                         {"domain", it.domain},
                         {"region", regionOf(it.domain)},
-                        {"rack", m_racks[i].second},
+                        {"rack", it.rack},
                         {"slots", m_shape.slots},
-                        {"address", it.process->address()},
+                        {"address", it.address},
                         {"state", "live"}});
     }
     for (const auto &it : m_entries) {
@@ -192,7 +227,8 @@
     auto out = std::ofstream{path};
     out << "[instance]\nid = \"" << entry.id << "\"\ndomain = \"" << entry.domain << "\"\nregion = \"" << entry.region << "\"\n"
         << "[listeners]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
-        << "[platform]\nlog = \"" << m_logRelay->address() << "\"\ninstances = \"" << m_platformRelay->address() << "\"\ntimeout = \"1s\"\n"
+        << "[platform]\nlog = \"" << (m_logRelay ? *m_logRelay : *m_platformRelay).address() << "\"\ninstances = \"" << m_platformRelay->address()
+        << "\"\ntimeout = \"1s\"\n"
         << "[peers]\nkey = \"" << peerKey << "\"\n"
         << "[operators]\ntoken_sha256 = \"" << sha256Hex(operatorTokenText) << "\"\n"
         << "[leases]\n"
--- a/testing/system/deployment.h
+++ b/testing/system/deployment.h
@@ -33,6 +33,8 @@
     int executors = 2;
     int workers = 4;
     int workersPerRack = 4;
+    bool sharedWorkers = false; ///< all workers in one process; worker() then has one entry for the failure domain
+    bool workerTags = true; ///< false: workers without conditional status, with sharedWorkers only
 };
 
 struct DeploymentShape
@@ -141,11 +143,21 @@
     std::string m_folder;
     std::unique_ptr<ChildProcess> m_platform;
     std::unique_ptr<Relay> m_platformRelay;
-    std::unique_ptr<Relay> m_logRelay; ///< before m_platformRelay
+    std::unique_ptr<Relay> m_logRelay; ///< before m_platformRelay; only with a delay of the log
     std::vector<EntryProcess> m_entries;
     std::vector<ServerProcess> m_executors;
     std::vector<ServerProcess> m_workers;
-    std::vector<std::pair<std::string, std::string>> m_racks; ///< worker id and rack
+    struct ListedWorker
+    {
+        std::string id;
+        std::string domain;
+        std::string rack;
+        std::string address;
+    };
+
+    auto startWorkers(const DomainShape &domain) -> void;
+
+    std::vector<ListedWorker> m_listedWorkers;
 };
 
 }
