--- a/packages/daemon/httplistener.cpp
+++ b/packages/daemon/httplistener.cpp
@@ -2,6 +2,7 @@
 
 #include "ports/deadlinestream.h"
 #include "ports/httpclient.h"
+#include "util/threadname.h"
 
 #include <httplib.h>
 
@@ -77,6 +78,7 @@
 private:
     auto run(std::deque<std::function<void()>> &tasks) -> void
     {
+        nameThread("listener");
         while (true) {
             auto task = std::function<void()>{};
             {
