--- a/packages/ports/httpworker.cpp
+++ b/packages/ports/httpworker.cpp
@@ -261,9 +261,13 @@
     }
 }
 
-auto exchangeOrders(
-    const HttpTls &tls, StatusCache &cache, const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, const OrdersBody &how, Millis timeout)
-    -> Result<OrdersReply>
+auto exchangeOrders(const HttpTls &tls,
+                    StatusCache &cache,
+                    const std::string &address,
+                    const Generation &generation,
+                    const std::vector<WorkerOrder> &orders,
+                    const OrdersBody &how,
+                    Millis timeout) -> Result<OrdersReply>
 {
     auto text = encodeOrders(generation, orders, how);
     if (!text) {
@@ -290,7 +294,8 @@
     return decodeReply(cache, address, reply.value().body, orders, how);
 }
 
-auto sendOrders(const HttpTls &tls, StatusCache &cache, const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis timeout)
+auto sendOrders(
+    const HttpTls &tls, StatusCache &cache, const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis timeout)
     -> Result<OrdersReply>
 {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
--- a/packages/ports/testing/httpworker_test.cpp
+++ b/packages/ports/testing/httpworker_test.cpp
@@ -99,7 +99,7 @@
 {
     const auto standin = requireStandin("worker_standin");
     // Each line has a port that has read nothing yet: a confirmed status has no body that could be broken.
-    const auto port = makeHttpWorker;
+    const auto port = [] { return makeHttpWorker(); };
     const auto cases = std::vector<FaultCase>{
         {"no fault", "{}", std::nullopt},
         {"down", R"({"down":true})", ErrorCode::Unavailable},
@@ -116,9 +116,9 @@
     for (const auto &it : cases) {
         CAPTURE(it.name);
         setFaults(*standin, it.control);
-        checkOutcome(port({}).status(standin->address(), it.name == "silent" ? shortTimeout : longTimeout), it.expected);
+        checkOutcome(port().status(standin->address(), it.name == "silent" ? shortTimeout : longTimeout), it.expected);
     }
-    checkOutcome(port({}).status(deadAddress(), longTimeout), ErrorCode::Unavailable);
+    checkOutcome(port().status(deadAddress(), longTimeout), ErrorCode::Unavailable);
 }
 
 TEST_CASE("a worker obeys the highest generation and leases a slot once")
