Show the counters of failed TLS handshakes from the start

Cause: system_metrics found the documented metric missing until a handshake had failed. Change: both series exist from the start, like the others with known labels.

--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -218,6 +218,9 @@
     for (const auto *it : configResults) {
         families.configChanges.at({it});
     }
+    for (const auto *it : tlsListeners) {
+        families.tlsFailed.at({it});
+    }
     for (const auto *stream : streams) {
         families.appendSeconds.at({stream});
         families.recordsRead.at({stream});
