Fill the holes of full workers first

Holes were taken in the order of the block that they break, so small holes of nearly empty workers were filled as early as those of full ones, and such workers did not empty.

Change: within the group, holes are taken in the order of the free slots of their worker; whole workers stay last.

--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -16,6 +16,7 @@
     int first = 0;
     int level = 0;
     int key = 0; ///< level of the largest block that using the hole breaks, counting blocks of whole workers
+    int room = 0; ///< usable slots of the worker, counted as the key is
 };
 
 struct Fill
@@ -54,12 +55,13 @@
                 const auto whole = std::max(1, topology.racks()[topology.workers()[index].rack].whole);
                 key += std::countr_zero(static_cast<unsigned>(whole));
             }
-            holes.push_back({index, first, level, std::min(key, shapeLevels)});
+            holes.push_back({index, first, level, std::min(key, shapeLevels), std::popcount(base)});
         }
     }
 }
 
-/// Fills the holes of @p group, those first whose use breaks the smallest blocks.
+/// Fills the holes of @p group: those of the fullest workers first, within a worker those whose use breaks the smallest
+/// blocks, and whole workers last.
 auto fillGroup(const Topology &topology, const GangRequest &gang, BlockedSlots blocked, std::span<const int> group, std::vector<Hole> &scratch)
     -> std::optional<Fill>
 {
@@ -78,9 +80,12 @@
     if (room < gang.tasks) {
         return std::nullopt;
     }
-    std::sort(scratch.begin(), scratch.end(), [](const auto &a, const auto &b) {
-        return std::tuple{a.key, a.level, a.worker, a.first} < std::tuple{b.key, b.level, b.worker, b.first};
-    });
+    // Small holes of a nearly empty worker are left alone: filled first, they would keep that worker from becoming whole.
+    const auto workerLevel = topology.workerLevel();
+    const auto order = [workerLevel](const Hole &hole) {
+        return std::tuple{std::max(hole.key, workerLevel), hole.room, hole.key, hole.level, hole.worker, hole.first};
+    };
+    std::sort(scratch.begin(), scratch.end(), [order](const auto &a, const auto &b) { return order(a) < order(b); });
     auto fill = Fill{};
     auto left = gang.tasks;
     for (const auto &hole : scratch) {
