--- a/packages/policy/placement.cpp
+++ b/packages/policy/placement.cpp
@@ -16,7 +16,6 @@
     int first = 0;
     int level = 0;
     int key = 0; ///< level of the largest block that using the hole breaks, counting blocks of whole workers
-    int room = 0; ///< usable slots of the worker, counted as the key is
 };
 
 struct Fill
@@ -55,13 +54,12 @@
                 const auto whole = std::max(1, topology.racks()[topology.workers()[index].rack].whole);
                 key += std::countr_zero(static_cast<unsigned>(whole));
             }
-            holes.push_back({index, first, level, std::min(key, shapeLevels), std::popcount(base)});
+            holes.push_back({index, first, level, std::min(key, shapeLevels)});
         }
     }
 }
 
-/// Fills the holes of @p group: those of the fullest workers first, within a worker those whose use breaks the smallest
-/// blocks, and whole workers last.
+/// Fills the holes of @p group, those first whose use breaks the smallest blocks.
 auto fillGroup(const Topology &topology, const GangRequest &gang, BlockedSlots blocked, std::span<const int> group, std::vector<Hole> &scratch)
     -> std::optional<Fill>
 {
@@ -80,12 +78,9 @@
     if (room < gang.tasks) {
         return std::nullopt;
     }
-    // Small holes of a nearly empty worker are left alone: filled first, they would keep that worker from becoming whole.
-    const auto workerLevel = topology.workerLevel();
-    const auto order = [workerLevel](const Hole &hole) {
-        return std::tuple{std::max(hole.key, workerLevel), hole.room, hole.key, hole.level, hole.worker, hole.first};
-    };
-    std::sort(scratch.begin(), scratch.end(), [order](const auto &a, const auto &b) { return order(a) < order(b); });
+    std::sort(scratch.begin(), scratch.end(), [](const auto &a, const auto &b) {
+        return std::tuple{a.key, a.level, a.worker, a.first} < std::tuple{b.key, b.level, b.worker, b.first};
+    });
     auto fill = Fill{};
     auto left = gang.tasks;
     for (const auto &hole : scratch) {
