Protect every frame between instances, and accept two peer keys

Cause: after the handshake, whoever could insert bytes into a link could change or repeat what an instance said; a peer key could only be replaced by stopping the whole deployment. Ruled out: TLS on the links, with certificates or a pre-shared key: it adds a second handshake, about 100 KB for each link and no less code here. A single MAC at the end of a frame: a raised length would make the receiver wait for 1 MiB. Tickets signed with one of two keys: one round of a replacement would refuse them. Keys for each link and direction come from the handshake; a frame has a MAC of its length and one of its contents, both over its number in the direction. Changed, repeated, moved and left out frames close the link and are counted, cut ones are counted apart. peers.previous_key is accepted beside peers.key by links and tickets. Tests changed: one check of peerlink_test counts the 24 bytes that each frame has gained, and still compares exactly; one test writes the version by name.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -220,7 +220,12 @@
                    planners->jobsChanged();
                }
            })
-    , tickets({.instance = given.instance, .incarnation = incarnation, .key = given.peers.key, .window = given.requests.keyWindow}, time)
+    , tickets({.instance = given.instance,
+               .incarnation = incarnation,
+               .key = given.peers.key,
+               .previousKey = given.peers.previousKey,
+               .window = given.requests.keyWindow},
+              time)
     , poller(executorPort,
              time,
              {.period = given.poll.executors},
@@ -290,6 +295,7 @@
         .listenAddress = settings.listeners.peers,
         .advertisedAddress = {},
         .key = settings.peers.key,
+        .previousKey = settings.peers.previousKey,
         .periodInRegion = settings.peers.heartbeat,
         .periodAcross = settings.peers.remoteHeartbeat,
     };
--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -186,6 +186,8 @@
     CounterFamily linkBytes = counter("link_bytes_total", "Bytes exchanged with other regions by class", {"class", "direction"});
     CounterFamily linkRefused = counter("link_refused_total", "Sends to other regions that the byte budget refused", {"class"});
     CounterFamily linksClosed = counter("peer_links_closed_total", "Connections to peers that ended after their handshake");
+    CounterFamily framesRejected = counter("peer_frames_rejected_total", "Links to peers that ended with a frame that was changed or cut", {"reason"});
+    GaugeFamily previousKeyLinks = gauge("peer_links_previous_key", "Open links to peers that were authenticated with the previous key");
     CounterFamily tlsFailed = counter("tls_handshakes_failed_total", "Connections that ended in their TLS handshake", {"listener"});
     GaugeFamily freshPeers = gauge("fresh_peers", "Peers with a fresh heartbeat");
     GaugeFamily ready = gauge("ready", "1 while the instance takes requests");
@@ -387,6 +389,16 @@
     m_families->linksClosed.at({}).Increment(static_cast<double>(count));
 }
 
+auto Metrics::peerFramesRejected(bool cut, std::uint64_t count) -> void
+{
+    m_families->framesRejected.at({cut ? "cut" : "changed"}).Increment(static_cast<double>(count));
+}
+
+auto Metrics::setPreviousKeyLinks(std::uint64_t count) -> void
+{
+    m_families->previousKeyLinks.at({}).Set(static_cast<double>(count));
+}
+
 auto Metrics::tlsHandshakeFailed(TlsListener listener) -> void
 {
     m_families->tlsFailed.at({nameOf(tlsListeners, listener)}).Increment();
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -103,6 +103,9 @@
     auto linkTraffic(MetricLinkClass linkClass, LinkDirection direction, Bytes bytes) -> void;
     auto linkRefused(MetricLinkClass linkClass, std::uint64_t count = 1) -> void;
     auto peerLinksClosed(std::uint64_t count) -> void;
+    /// @param cut whether the connection ended inside a frame; otherwise the frame was changed, repeated, left out or moved
+    auto peerFramesRejected(bool cut, std::uint64_t count) -> void;
+    auto setPreviousKeyLinks(std::uint64_t count) -> void;
     auto tlsHandshakeFailed(TlsListener listener) -> void;
     auto setFreshPeers(std::size_t count) -> void;
     auto setReady(bool ready) -> void;
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -324,28 +324,40 @@
     return !in.bad();
 }
 
-auto readPeerKey(Reader &reader, const std::string &settingsPath, std::string &key) -> void
+/// Reads a key that is given as a value or as a file.
+/// @param name the key of the value; the file's one has the suffix "_file"
+auto readSecret(Reader &reader, const std::string &settingsPath, const std::string &name, bool required, std::string &key) -> void
 {
+    const auto fileName = name + "_file";
     auto file = std::string{};
-    const auto hasValue = reader.text("peers.key", false, key);
-    const auto hasFile = reader.text("peers.key_file", false, file);
-    if (reader.hasError("peers.key") || reader.hasError("peers.key_file")) {
+    const auto hasValue = reader.text(name, false, key);
+    const auto hasFile = reader.text(fileName, false, file);
+    if (reader.hasError(name) || reader.hasError(fileName) || (!hasValue && !hasFile && !required)) {
         return;
     }
     if (hasValue == hasFile) {
-        reader.error("peers.key", hasValue ? "excludes peers.key_file; give one of the two" : "or peers.key_file is required");
+        reader.error(name, hasValue ? "excludes " + fileName + "; give one of the two" : "or " + fileName + " is required");
         return;
     }
     if (hasFile) {
         const auto path = (std::filesystem::path(settingsPath).parent_path() / file).string();
         if (!readFile(path, key)) {
-            reader.error("peers.key_file", "file '" + path + "' cannot be read");
+            reader.error(fileName, "file '" + path + "' cannot be read");
             return;
         }
         key.erase(key.find_last_not_of(" \t\r\n") + 1);
     }
     if (key.size() < minKeyLength) {
-        reader.error(hasFile ? "peers.key_file" : "peers.key", "the key needs at least " + std::to_string(minKeyLength) + " characters");
+        reader.error(hasFile ? fileName : name, "the key needs at least " + std::to_string(minKeyLength) + " characters");
+    }
+}
+
+auto readPeerKeys(Reader &reader, const std::string &settingsPath, PeerSettings &peers) -> void
+{
+    readSecret(reader, settingsPath, "peers.key", true, peers.key);
+    readSecret(reader, settingsPath, "peers.previous_key", false, peers.previousKey);
+    if (!peers.key.empty() && peers.key == peers.previousKey) {
+        reader.error(reader.isSet("peers.previous_key") ? "peers.previous_key" : "peers.previous_key_file", "is the same as the present key");
     }
 }
 
@@ -360,7 +372,7 @@
     reader.serverAddress("platform.log", s.platform.log);
     reader.serverAddress("platform.instances", s.platform.instances);
     reader.addresses("peers.addresses", s.peers.addresses);
-    readPeerKey(reader, path, s.peers.key);
+    readPeerKeys(reader, path, s.peers);
     if (reader.text("operators.token_sha256", false, s.operators.tokenSha256) && !isSha256Hex(s.operators.tokenSha256)) {
         reader.error("operators.token_sha256", "must be 64 lower-case hex digits, as printed by 'catkinctl token-hash'");
     }
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -57,6 +57,7 @@
 {
     std::vector<std::string> addresses; ///< "ip:port" of peers that are known without the instance list
     std::string key; ///< shared secret; from peers.key or the contents of peers.key_file
+    std::string previousKey; ///< accepted as well while the key is being replaced; empty: none
     Millis heartbeat{500}; ///< inside the region
     Millis remoteHeartbeat{2000}; ///< to other regions
 };
--- a/packages/daemon/telemetry.cpp
+++ b/packages/daemon/telemetry.cpp
@@ -461,6 +461,9 @@
         m_metrics.linkTraffic(linkClass, LinkDirection::Sent, Bytes{static_cast<std::int64_t>(increase(name + " sent", it.bytesOut))});
         m_metrics.linkTraffic(linkClass, LinkDirection::Received, Bytes{static_cast<std::int64_t>(increase(name + " received", it.bytesIn))});
     }
+    m_metrics.peerFramesRejected(false, increase("frames rejected", counters.framesRejected));
+    m_metrics.peerFramesRejected(true, increase("frames cut", counters.framesCut));
+    m_metrics.setPreviousKeyLinks(counters.linksPreviousKey);
     m_metrics.peerLinksClosed(increase("links closed", counters.linksClosed));
     const auto instances = sources.mesh->membership().instances(m_clock.mono());
     m_metrics.setFreshPeers(static_cast<std::size_t>(
--- a/packages/daemon/testing/metrics_test.cpp
+++ b/packages/daemon/testing/metrics_test.cpp
@@ -50,6 +50,7 @@
     metrics.configChanged(ConfigResult::Unknown);
     metrics.linkTraffic(MetricLinkClass::Payload, LinkDirection::Received, Bytes{1});
     metrics.linkRefused(MetricLinkClass::Payload);
+    metrics.peerFramesRejected(true, 1);
     metrics.tlsHandshakeFailed(TlsListener::Operators);
     metrics.sloObserved(workspace, kind, true);
     metrics.setSloTarget(workspace, kind, 99);
--- a/packages/daemon/ticketservice.cpp
+++ b/packages/daemon/ticketservice.cpp
@@ -50,9 +50,28 @@
 {
 }
 
-auto TicketService::mac(std::string_view text) const -> std::string
+auto TicketService::macs(std::string_view text) const -> std::string
 {
-    return hmacSha256Hex(m_options.key, text).substr(0, macLength);
+    auto all = hmacSha256Hex(m_options.key, text).substr(0, macLength);
+    if (!m_options.previousKey.empty()) {
+        all += hmacSha256Hex(m_options.previousKey, text).substr(0, macLength);
+    }
+    return all;
+}
+
+auto TicketService::hasMac(std::string_view text, std::string_view given) const -> bool
+{
+    if (given.empty() || given.size() % macLength != 0 || given.size() > 2 * macLength) {
+        return false;
+    }
+    const auto own = macs(text);
+    auto found = false;
+    for (auto i = std::size_t{0}; i < given.size(); i += macLength) {
+        for (auto k = std::size_t{0}; k < own.size(); k += macLength) {
+            found = constantTimeEqual(given.substr(i, macLength), std::string_view(own).substr(k, macLength)) || found;
+        }
+    }
+    return found;
 }
 
 auto TicketService::expire() -> void
@@ -73,7 +92,7 @@
     const auto number = m_nextNumber++;
     m_entries[number] = {.workspace = workspace, .issued = m_clock.mono(), .fingerprint = {}, .reply = {}};
     auto text = std::string{prefix} + m_options.instance.str() + "." + std::to_string(m_options.incarnation.value) + "." + std::to_string(number);
-    return IdempotencyKey{text + "." + mac(text)};
+    return IdempotencyKey{text + "." + macs(text)};
 }
 
 auto TicketService::looksLikeTicket(std::string_view key) -> bool
@@ -89,7 +108,7 @@
         return std::nullopt;
     }
     const auto signedPart = key.substr(0, key.size() - parts[4].size() - 1);
-    if (!constantTimeEqual(mac(signedPart), parts[4])) {
+    if (!hasMac(signedPart, parts[4])) {
         return std::nullopt;
     }
     ticket.instance = InstanceId{std::string(parts[1])};
--- a/packages/daemon/ticketservice.h
+++ b/packages/daemon/ticketservice.h
@@ -8,7 +8,8 @@
 ///   auto reply = tickets.serve(*ticket, call, handle);       // on the issuing instance
 /// @endcode
 /// A ticket is `t1.<instance>.<incarnation>.<number>.<mac>`; the MAC under the peer key keeps callers from inventing
-/// tickets that no instance remembers.
+/// tickets that no instance remembers. While that key is being replaced, a ticket has a MAC under each key, so that instances with either one
+/// can check it.
 
 #include "daemon/requestservice.h"
 #include "util/clock.h"
@@ -40,6 +41,7 @@
     InstanceId instance;
     Incarnation incarnation;
     std::string key; ///< the shared peer key
+    std::string previousKey; ///< while the key is being replaced; empty: none
     Millis window{3'600'000}; ///< how long a ticket stays valid
     std::size_t maxTickets = 50'000; ///< further ones are not issued, because forgetting one would allow a second run
 };
@@ -76,7 +78,8 @@
         RequestReply reply;
     };
 
-    auto mac(std::string_view text) const -> std::string;
+    auto macs(std::string_view text) const -> std::string;
+    auto hasMac(std::string_view text, std::string_view given) const -> bool;
     auto expire() -> void;
 
     TicketServiceOptions m_options;
--- a/packages/util/digest.cpp
+++ b/packages/util/digest.cpp
@@ -3,6 +3,7 @@
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
+#include <openssl/params.h>
 #include <openssl/rand.h>
 #include <xxhash.h>
 
@@ -46,6 +47,26 @@
     return toHex({buf.data(), n});
 }
 
+auto hmacSha256(std::string_view key, std::initializer_list<std::string_view> parts) -> std::string
+{
+    static auto *const algorithm = EVP_MAC_fetch(nullptr, "HMAC", nullptr);
+    auto digest = std::string{"SHA256"};
+    const auto params = std::array{OSSL_PARAM_construct_utf8_string("digest", digest.data(), 0), OSSL_PARAM_construct_end()};
+    auto *const ctx = EVP_MAC_CTX_new(algorithm);
+    auto out = std::string(32, '\0');
+    auto n = std::size_t{0};
+    auto ok = EVP_MAC_init(ctx, reinterpret_cast<const unsigned char *>(key.data()), key.size(), params.data()) == 1;
+    for (const auto part : parts) {
+        ok = ok && EVP_MAC_update(ctx, reinterpret_cast<const unsigned char *>(part.data()), part.size()) == 1;
+    }
+    ok = ok && EVP_MAC_final(ctx, reinterpret_cast<unsigned char *>(out.data()), &n, out.size()) == 1;
+    EVP_MAC_CTX_free(ctx);
+    if (!ok) {
+        std::abort(); // A MAC that cannot be computed must never compare equal to another one.
+    }
+    return out;
+}
+
 auto constantTimeEqual(std::string_view a, std::string_view b) -> bool
 {
     return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
--- a/packages/util/digest.h
+++ b/packages/util/digest.h
@@ -9,6 +9,7 @@
 /// @endcode
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,9 @@
 /// @return the HMAC-SHA-256 of @p data under @p key as 64 lower-case hex digits.
 auto hmacSha256Hex(std::string_view key, std::string_view data) -> std::string;
 
+/// @return the HMAC-SHA-256 of the concatenated @p parts under @p key as 32 bytes.
+auto hmacSha256(std::string_view key, std::initializer_list<std::string_view> parts) -> std::string;
+
 /// Compares in a time that depends on the lengths only.
 /// @return whether @p a and @p b are equal.
 auto constantTimeEqual(std::string_view a, std::string_view b) -> bool;
--- a/packages/wire/frame.cpp
+++ b/packages/wire/frame.cpp
@@ -1,5 +1,7 @@
 #include "wire/frame.h"
 
+#include <utility>
+
 namespace Catkin
 {
 
@@ -24,29 +26,49 @@
     m_buf.append(bytes);
 }
 
+auto FrameDecoder::expectSeal(FrameSeal seal) -> void
+{
+    m_seal = std::move(seal);
+}
+
+auto FrameDecoder::broken(ErrorCode code, std::string reason) -> Error
+{
+    m_broken = true;
+    m_buf = {};
+    m_pos = 0;
+    return failure(code, std::move(reason));
+}
+
 auto FrameDecoder::next() -> Result<std::optional<std::string>>
 {
     if (m_broken) {
         return failure(ErrorCode::Protocol, "the stream is broken");
     }
-    if (m_buf.size() - m_pos < frameHeaderSize) {
+    const auto bytes = std::string_view(m_buf).substr(m_pos);
+    const auto headerSize = frameHeaderSize + (m_seal ? lengthTagSize : 0);
+    const auto trailerSize = m_seal ? frameTagSize : 0;
+    if (bytes.size() < headerSize) {
         return std::optional<std::string>{};
     }
+    const auto header = bytes.substr(0, frameHeaderSize);
+    if (m_seal && !m_seal->acceptsLength(header, bytes.substr(frameHeaderSize, lengthTagSize))) {
+        return broken(ErrorCode::Unauthorized, "a frame was changed, repeated, left out or moved");
+    }
     auto length = std::size_t{0};
     for (auto i = std::size_t{0}; i < frameHeaderSize; ++i) {
-        length |= std::size_t{static_cast<unsigned char>(m_buf[m_pos + i])} << (8 * i);
+        length |= std::size_t{static_cast<unsigned char>(header[i])} << (8 * i);
     }
     if (length == 0 || length > m_maxPayload) {
-        m_broken = true;
-        m_buf = {};
-        m_pos = 0;
-        return failure(ErrorCode::Protocol, "frame of " + std::to_string(length) + " bytes, at most " + std::to_string(m_maxPayload) + " are allowed");
+        return broken(ErrorCode::Protocol, "frame of " + std::to_string(length) + " bytes, at most " + std::to_string(m_maxPayload) + " are allowed");
     }
-    if (m_buf.size() - m_pos < frameHeaderSize + length) {
+    if (bytes.size() < headerSize + length + trailerSize) {
         return std::optional<std::string>{};
     }
-    auto payload = m_buf.substr(m_pos + frameHeaderSize, length);
-    m_pos += frameHeaderSize + length;
+    if (m_seal && !m_seal->acceptsFrame(header, bytes.substr(headerSize, length), bytes.substr(headerSize + length, trailerSize))) {
+        return broken(ErrorCode::Unauthorized, "a frame was changed, repeated, left out or moved");
+    }
+    auto payload = std::string(bytes.substr(headerSize, length));
+    m_pos += headerSize + length + trailerSize;
     if (m_pos == m_buf.size()) {
         // A large frame must not leave its buffer allocated on a link that is idle afterwards.
         constexpr auto keptCapacity = std::size_t{64} << 10U;
--- a/packages/wire/frame.h
+++ b/packages/wire/frame.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Frames on a link: a 4-byte little-endian length and a FlatBuffers `Envelope` of that length.
+/// Frames on a link: a 4-byte little-endian length and a FlatBuffers `Envelope` of that length; on an authenticated link with two MACs (frameseal.h).
 ///
 /// @code
 ///   auto frame = Catkin::encodeFrame({.correlation = 7, .message = query});
@@ -13,6 +13,7 @@
 /// @endcode
 
 #include "util/outcome.h"
+#include "wire/frameseal.h"
 #include "wire/messages.h"
 
 #include <cstddef>
@@ -51,18 +52,25 @@
     /// Changes the limit for the frames that have not been returned yet.
     auto setMaxPayload(std::size_t maxPayload) -> void;
 
+    /// From the next frame on, every frame must carry the MACs of @p seal.
+    auto expectSeal(FrameSeal seal) -> void;
+
     /// Appends received bytes.
     auto feed(std::string_view bytes) -> void;
 
     /// @return the next payload; nothing when more bytes are needed; ErrorCode::Protocol, from then on always, after
-    /// a length of 0 or above the limit.
+    /// a length of 0 or above the limit; ErrorCode::Unauthorized, from then on always, after a frame that was changed, repeated, left out
+    /// or moved.
     auto next() -> Result<std::optional<std::string>>;
 
     /// @return the number of bytes held.
     [[nodiscard]] auto buffered() const -> std::size_t;
 
 private:
+    auto broken(ErrorCode code, std::string reason) -> Error;
+
     std::size_t m_maxPayload;
+    std::optional<FrameSeal> m_seal;
     std::string m_buf;
     std::size_t m_pos = 0; // start of the next frame in m_buf
     bool m_broken = false;
--- a/packages/wire/handshake.cpp
+++ b/packages/wire/handshake.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr auto nonceBytes = std::size_t{32};
+constexpr auto macLength = std::size_t{64}; // HMAC-SHA-256 in hex
 
 /// Appends a field with its length in front, so that no two different lists of fields give the same text.
 auto appendField(std::string &out, const std::string &field) -> void
@@ -135,33 +136,77 @@
     m_peer = identityOf(challenge);
     m_peerNonce = challenge.nonce;
     m_step = Step::AwaitProof;
-    return std::optional<Message>{Proof{proofOf(LinkRole::Connecting)}};
+    return std::optional<Message>{Proof{ownProof()}};
 }
 
 auto Handshake::onProof(const Proof &proof) -> Result<std::optional<Message>>
 {
     const auto sender = m_role == LinkRole::Connecting ? LinkRole::Accepting : LinkRole::Connecting;
-    if (!constantTimeEqual(proof.mac, proofOf(sender))) {
+    if (!findKey(proof.mac, sender)) {
         return failure(ErrorCode::Unauthorized, "wrong proof from " + m_peer.instance.str());
     }
     m_step = Step::Done;
     if (m_role == LinkRole::Connecting) {
         return std::optional<Message>{};
     }
-    return std::optional<Message>{Proof{proofOf(LinkRole::Accepting)}};
+    return std::optional<Message>{Proof{proofOf(LinkRole::Accepting, m_agreedKey)}};
 }
 
-auto Handshake::proofOf(LinkRole role) const -> std::string
+/// @return the MACs of the connecting side, under each of its keys.
+auto Handshake::ownProof() const -> std::string
+{
+    const auto previous = m_options.previousKey.empty() ? std::string{} : proofOf(LinkRole::Connecting, m_options.previousKey);
+    return proofOf(LinkRole::Connecting, m_options.key) + previous;
+}
+
+/// Looks for an own key under which one of the MACs in @p mac was made.
+auto Handshake::findKey(const std::string &mac, LinkRole sender) -> bool
+{
+    const auto most = sender == LinkRole::Connecting ? 2 * macLength : macLength;
+    if (mac.empty() || mac.size() % macLength != 0 || mac.size() > most) {
+        return false;
+    }
+    for (const auto *key : {&m_options.key, &m_options.previousKey}) {
+        if (key->empty()) {
+            continue;
+        }
+        const auto expected = proofOf(sender, *key);
+        for (auto i = std::size_t{0}; i < mac.size(); i += macLength) {
+            if (m_agreedKey.empty() && constantTimeEqual(std::string_view(mac).substr(i, macLength), expected)) {
+                m_agreedKey = *key;
+            }
+        }
+    }
+    return !m_agreedKey.empty();
+}
+
+/// @return everything that both sides have said, in a form that differs for each purpose and sender.
+auto Handshake::transcript(const char *purpose, LinkRole role) const -> std::string
 {
     const auto connecting = m_role == LinkRole::Connecting;
     auto text = std::string{};
-    appendField(text, "catkinworks peer");
+    appendField(text, purpose);
     appendField(text, std::to_string(peerProtocolVersion));
     appendField(text, role == LinkRole::Connecting ? "connecting" : "accepting");
     appendField(text, m_options.lane == Lane::Control ? "control" : "bulk");
     appendIdentity(text, connecting ? m_options.self : m_peer, connecting ? m_nonce : m_peerNonce);
     appendIdentity(text, connecting ? m_peer : m_options.self, connecting ? m_peerNonce : m_nonce);
-    return hmacSha256Hex(m_options.key, text);
+    return text;
+}
+
+auto Handshake::proofOf(LinkRole role, const std::string &key) const -> std::string
+{
+    return hmacSha256Hex(key, transcript("catkinworks peer", role));
+}
+
+auto Handshake::frameKey(LinkRole sender) const -> std::string
+{
+    return hmacSha256(m_agreedKey, {transcript("catkinworks frames", sender)});
+}
+
+auto Handshake::usedPreviousKey() const -> bool
+{
+    return m_agreedKey != m_options.key;
 }
 
 auto Handshake::done() const -> bool
--- a/packages/wire/handshake.h
+++ b/packages/wire/handshake.h
@@ -4,7 +4,8 @@
 ///
 /// Both sides prove that they hold the shared key by a MAC over everything that either side has said. The MAC covers
 /// the role of its sender, so that a proof cannot be reflected, and a fresh nonce of each side, so that it cannot be
-/// replayed. The accepting side proves itself only to a peer that has already done so.
+/// replayed. The accepting side proves itself only to a peer that has already done so. While the key is being replaced, the connecting side
+/// gives a MAC under each of its keys, and the accepting side answers under the one that both hold.
 /// @code
 ///   auto handshake = Catkin::Handshake{Catkin::LinkRole::Connecting, options};
 ///   send(*handshake.start());
@@ -28,7 +29,7 @@
 {
 
 /// Version of the protocol; both sides must speak the same.
-constexpr auto peerProtocolVersion = std::uint32_t{1};
+constexpr auto peerProtocolVersion = std::uint32_t{2};
 
 /// Who opened the connection.
 enum class LinkRole { Connecting, Accepting };
@@ -47,6 +48,7 @@
 {
     LinkIdentity self;
     std::string key; ///< secret shared by all entry instances
+    std::string previousKey; ///< accepted as well while the key is being replaced; empty: none
     InstanceId target; ///< connecting side only: who must answer
     Lane lane = Lane::Control; ///< connecting side only
 };
@@ -71,6 +73,12 @@
     /// @return the peer; only trustworthy when done.
     [[nodiscard]] auto peer() const -> const LinkIdentity &;
 
+    /// @return the key of the frames that @p sender sends after the handshake; only when done. It differs for each link and direction.
+    [[nodiscard]] auto frameKey(LinkRole sender) const -> std::string;
+
+    /// @return whether the peer and this side agreed on the previous key; only when done.
+    [[nodiscard]] auto usedPreviousKey() const -> bool;
+
     /// @return what the connecting side wants to use the link for.
     [[nodiscard]] auto lane() const -> Lane;
 
@@ -80,13 +88,17 @@
     auto onHello(const Hello &hello) -> Result<std::optional<Message>>;
     auto onChallenge(const Challenge &challenge) -> Result<std::optional<Message>>;
     auto onProof(const Proof &proof) -> Result<std::optional<Message>>;
-    [[nodiscard]] auto proofOf(LinkRole role) const -> std::string;
+    [[nodiscard]] auto transcript(const char *purpose, LinkRole role) const -> std::string;
+    [[nodiscard]] auto proofOf(LinkRole role, const std::string &key) const -> std::string;
+    [[nodiscard]] auto ownProof() const -> std::string;
+    auto findKey(const std::string &mac, LinkRole sender) -> bool;
 
     LinkRole m_role;
     HandshakeOptions m_options;
     Step m_step;
     std::string m_nonce;
     std::string m_peerNonce;
+    std::string m_agreedKey; // the one under which the peer has proved itself
     LinkIdentity m_peer;
 };
 
--- a/packages/wire/meshcore.cpp
+++ b/packages/wire/meshcore.cpp
@@ -30,8 +30,8 @@
     if (tooLong(options.self.str()) || tooLong(options.domain.str()) || tooLong(options.region.str()) || tooLong(options.advertisedAddress)) {
         return "an identifier is longer than " + std::to_string(maxIdLength) + " bytes";
     }
-    if (options.key.size() < minKeyLength) {
-        return "the peer key must have at least " + std::to_string(minKeyLength) + " bytes";
+    if (options.key.size() < minKeyLength || (!options.previousKey.empty() && options.previousKey.size() < minKeyLength)) {
+        return "each peer key must have at least " + std::to_string(minKeyLength) + " bytes";
     }
     for (const auto time :
          {options.periodInRegion, options.periodAcross, options.connectTimeout, options.handshakeTimeout, options.backoffMin, options.backoffMax}) {
--- a/packages/wire/meshlinks.cpp
+++ b/packages/wire/meshlinks.cpp
@@ -12,7 +12,7 @@
 {
 
 /// Log events of this package; docs/peer-protocol.md lists them.
-enum Event { LinkOpened = 5001, LinkClosed = 5002, HandshakeFailed = 5003, ConnectFailed = 5004, OldProcess = 5005 };
+enum Event { LinkOpened = 5001, LinkClosed = 5002, HandshakeFailed = 5003, ConnectFailed = 5004, OldProcess = 5005, FrameRejected = 5006 };
 
 /// The instance with the greater id connects only after this time without a link, so that a pair normally opens one
 /// connection per lane, and still finds each other when only one of them can reach or knows the other.
@@ -59,7 +59,7 @@
 auto MeshCore::linkOptions() const -> PeerLinkOptions
 {
     constexpr auto silentPeriods = 3;
-    return {.handshake = {.self = m_self, .key = m_options.key, .target = {}, .lane = Lane::Control},
+    return {.handshake = {.self = m_self, .key = m_options.key, .previousKey = m_options.previousKey, .target = {}, .lane = Lane::Control},
             .connectTimeout = m_options.connectTimeout,
             .handshakeTimeout = m_options.handshakeTimeout,
             .silenceInRegion = m_options.periodInRegion * silentPeriods,
@@ -203,8 +203,12 @@
         shared.up[static_cast<std::size_t>(key.second)] = true;
         shared.incarnation = peer.incarnation;
         ++m_counters.linksOpened;
+        m_counters.linksPreviousKey += it->link.usedPreviousKey() ? 1 : 0;
     }
-    logEvent(LogLevel::Info, LinkOpened, std::string(laneName(key.second)) + " link to " + peer.instance.str() + " at " + peer.address + " opened");
+    logEvent(LogLevel::Info,
+             LinkOpened,
+             std::string(laneName(key.second)) + " link to " + peer.instance.str() + " at " + peer.address + " opened"
+                 + (it->link.usedPreviousKey() ? " with the previous key" : ""));
     if (key.second == Lane::Control) {
         const auto &round = m_rounds[it->link.sameRegion() ? 0 : 1];
         sendHeartbeat(*it, round, heartbeatFrame(round.status, nullptr), now);
@@ -233,6 +237,7 @@
     auto ended = [&] {
         const auto lock = std::lock_guard{m_mutex};
         ++m_counters.linksClosed;
+        m_counters.linksPreviousKey -= it->link.usedPreviousKey() ? 1 : 0;
         // Calls of a replaced link stay: the same process may answer them on the new one.
         if (replaced) {
             return std::vector<EndedCall>{};
@@ -251,10 +256,17 @@
     const auto now = m_clock.mono();
     if (state.registered) {
         const auto text = std::string(laneName(state.link.lane())) + " link to " + state.link.peer().instance.str() + " closed: " + reason.message;
-        logEvent(LogLevel::Info, LinkClosed, text);
-        if (reason.code == ErrorCode::Protocol) {
+        const auto changed = reason.code == ErrorCode::Unauthorized;
+        {
             const auto lock = std::lock_guard{m_mutex};
-            ++m_counters.protocolErrors;
+            m_counters.protocolErrors += reason.code == ErrorCode::Protocol ? 1 : 0;
+            m_counters.framesRejected += changed ? 1 : 0;
+            m_counters.framesCut += reason.code == ErrorCode::Unavailable && state.link.insideFrame() ? 1 : 0;
+        }
+        if (changed) {
+            logEvent(LogLevel::Warn, FrameRejected, text);
+        } else {
+            logEvent(LogLevel::Info, LinkClosed, text);
         }
         return;
     }
--- a/packages/wire/peerlink.cpp
+++ b/packages/wire/peerlink.cpp
@@ -144,7 +144,7 @@
             return envelope.error();
         }
         auto &count = m_counts[static_cast<std::size_t>(trafficClass(envelope.value().message))];
-        count.bytesIn += frameHeaderSize + payload.value()->size();
+        count.bytesIn += frameHeaderSize + payload.value()->size() + (authenticated() ? sealSize : 0);
         ++count.messagesIn;
         if (authenticated()) {
             if (trafficClass(envelope.value().message) == TrafficClass::Handshake) {
@@ -165,9 +165,15 @@
     }
     if (m_handshake.done()) {
         m_decoder.setMaxPayload(maxFramePayload);
+        m_decoder.expectSeal(FrameSeal{m_handshake.frameKey(m_role == LinkRole::Connecting ? LinkRole::Accepting : LinkRole::Connecting)});
     }
     if (reply.value()) {
-        return sendHandshake(*reply.value(), now);
+        if (auto sent = sendHandshake(*reply.value(), now); !sent) {
+            return sent.error();
+        }
+    }
+    if (m_handshake.done()) {
+        m_seal = FrameSeal{m_handshake.frameKey(m_role)}; // from the first frame after the last proof on
     }
     return success();
 }
@@ -178,11 +184,18 @@
     if (!frame) {
         return frame.error();
     }
-    send(frame.value(), TrafficClass::Handshake, now);
+    append(frame.value(), TrafficClass::Handshake, now);
     return success();
 }
 
 auto PeerLink::send(std::string_view frame, TrafficClass traffic, MonoTime now) -> void
+{
+    if (m_seal) {
+        append(m_seal->seal(frame), traffic, now);
+    }
+}
+
+auto PeerLink::append(std::string_view frame, TrafficClass traffic, MonoTime now) -> void
 {
     if (pendingBytes() == 0) {
         m_lastWritten = now;
@@ -297,6 +310,16 @@
     return m_out.size() - m_outPos;
 }
 
+auto PeerLink::insideFrame() const -> bool
+{
+    return authenticated() && m_decoder.buffered() > 0;
+}
+
+auto PeerLink::usedPreviousKey() const -> bool
+{
+    return authenticated() && m_handshake.usedPreviousKey();
+}
+
 auto PeerLink::takeCounts() -> TrafficCounts
 {
     return std::exchange(m_counts, TrafficCounts{});
--- a/packages/wire/peerlink.h
+++ b/packages/wire/peerlink.h
@@ -15,6 +15,7 @@
 #include "util/outcome.h"
 #include "util/units.h"
 #include "wire/frame.h"
+#include "wire/frameseal.h"
 #include "wire/handshake.h"
 #include "wire/messages.h"
 #include "wire/sockets.h"
@@ -57,10 +58,10 @@
     /// @param revents what poll(2) reported
     /// @param now current time
     /// @return the envelopes received; ErrorCode::Unavailable when the connection is closed or could not be made,
-    /// ErrorCode::Unauthorized or Protocol when the peer is wrong.
+    /// ErrorCode::Unauthorized or Protocol when the peer is wrong; Unauthorized after authentication for a frame that was changed on the way.
     auto onReady(short revents, MonoTime now) -> Result<std::vector<Envelope>>;
 
-    /// Appends a frame made by encodeFrame(); only after authentication.
+    /// Appends a frame made by encodeFrame(), with its MACs; only after authentication, ignored before.
     auto send(std::string_view frame, TrafficClass traffic, MonoTime now) -> void;
 
     /// Writes without having been polled.
@@ -85,6 +86,10 @@
     [[nodiscard]] auto lastReceived() const -> MonoTime;
     /// @return the bytes that wait to be written.
     [[nodiscard]] auto pendingBytes() const -> std::size_t;
+    /// @return whether the last bytes received are a part of a frame; only after authentication.
+    [[nodiscard]] auto insideFrame() const -> bool;
+    /// @return whether the link was authenticated with the previous key.
+    [[nodiscard]] auto usedPreviousKey() const -> bool;
     /// @return what was counted since the last call.
     auto takeCounts() -> TrafficCounts;
 
@@ -94,6 +99,7 @@
     auto decodeAvailable(std::vector<Envelope> &out, MonoTime now) -> Result<void>;
     auto onHandshakeMessage(const Message &message, MonoTime now) -> Result<void>;
     auto sendHandshake(const Message &message, MonoTime now) -> Result<void>;
+    auto append(std::string_view bytes, TrafficClass traffic, MonoTime now) -> void;
     [[nodiscard]] auto silence() const -> Millis;
 
     UniqueFd m_fd;
@@ -107,6 +113,7 @@
     std::string m_out;
     std::size_t m_outPos = 0; // first byte of m_out that has not been written
     MonoTime m_lastWritten; // last progress of writing, or start of waiting for it
+    std::optional<FrameSeal> m_seal; // of the frames that are sent; set when authenticated
     TrafficCounts m_counts{};
 };
 
--- a/packages/wire/peermesh.h
+++ b/packages/wire/peermesh.h
@@ -47,6 +47,7 @@
     std::string listenAddress; ///< "ip:port"; port 0 selects a free one
     std::string advertisedAddress; ///< "ip:port" that peers use; empty: the listen address with the actual port
     std::string key; ///< secret shared by all entry instances; at least 16 bytes
+    std::string previousKey; ///< accepted as well while the key is being replaced; empty: none
     Millis periodInRegion{500}; ///< heartbeat period inside the region
     Millis periodAcross{2000}; ///< heartbeat period to other regions
     Millis connectTimeout{1000};
@@ -100,6 +101,9 @@
     std::uint64_t handshakesFailed = 0; ///< wrong key, broken protocol or deadline
     std::uint64_t connectsFailed = 0;
     std::uint64_t protocolErrors = 0; ///< on authenticated links
+    std::uint64_t framesRejected = 0; ///< links closed by a frame that was changed, repeated, left out or moved
+    std::uint64_t framesCut = 0; ///< links whose connection ended inside a frame
+    std::uint64_t linksPreviousKey = 0; ///< open now and authenticated with the previous key
     std::uint64_t queueFull = 0; ///< messages refused by a bounded queue
     std::uint64_t lateResponses = 0; ///< responses without a call that waits for them
     std::uint64_t oldIncarnations = 0; ///< links or heartbeats of a superseded process
--- a/packages/wire/testing/handshake_test.cpp
+++ b/packages/wire/testing/handshake_test.cpp
@@ -173,3 +173,72 @@
     REQUIRE(laterConnecting.receive(recorded[1]));
     CHECK(laterConnecting.receive(recorded[3]).has_error());
 }
+
+// Guards against instances that cannot reach each other while the key is being replaced, and against a former key that stays valid.
+TEST_CASE("two instances agree on a key that both hold")
+{
+    struct Keys
+    {
+        const char *current;
+        const char *previous;
+    };
+    struct Case
+    {
+        const char *name;
+        Keys a;
+        Keys b;
+        const char *agreed; ///< null: none
+    };
+    const auto cases = std::vector<Case>{
+        {"both before", {"one", ""}, {"one", ""}, "one"},
+        {"one replaced", {"two", "one"}, {"one", ""}, "one"},
+        {"both replaced", {"two", "one"}, {"two", "one"}, "two"},
+        {"one complete", {"two", ""}, {"two", "one"}, "two"},
+        {"both complete", {"two", ""}, {"two", ""}, "two"},
+        {"one left out", {"two", ""}, {"one", ""}, nullptr},
+        {"former key only", {"one", ""}, {"two", ""}, nullptr},
+        {"next replacement", {"three", "two"}, {"two", "one"}, "two"},
+        {"too far apart", {"three", "two"}, {"one", ""}, nullptr},
+    };
+    for (const auto &it : cases) {
+        for (const auto swapped : {false, true}) {
+            CAPTURE(it.name);
+            CAPTURE(swapped);
+            const auto &first = swapped ? it.b : it.a;
+            const auto &second = swapped ? it.a : it.b;
+            auto a
+                = Handshake{LinkRole::Connecting, {.self = identity("i-1"), .key = first.current, .previousKey = first.previous, .target = InstanceId{"i-2"}}};
+            auto b = Handshake{LinkRole::Accepting, {.self = identity("i-2"), .key = second.current, .previousKey = second.previous, .target = {}}};
+            const auto error = converse(a, b);
+            CHECK(error.has_value() == (it.agreed == nullptr));
+            if (error) {
+                CHECK(*error == ErrorCode::Unauthorized);
+                continue;
+            }
+            REQUIRE(a.done());
+            REQUIRE(b.done());
+            CHECK(a.usedPreviousKey() == (std::string_view(it.agreed) != first.current));
+            CHECK(b.usedPreviousKey() == (std::string_view(it.agreed) != second.current));
+            CHECK(a.frameKey(LinkRole::Connecting) == b.frameKey(LinkRole::Connecting));
+            CHECK(a.frameKey(LinkRole::Accepting) == b.frameKey(LinkRole::Accepting));
+            CHECK(a.frameKey(LinkRole::Connecting) != a.frameKey(LinkRole::Accepting));
+        }
+    }
+}
+
+TEST_CASE("proofs of an unexpected length are refused")
+{
+    for (const auto length : {std::size_t{0}, std::size_t{63}, std::size_t{65}, std::size_t{128}, std::size_t{192}}) {
+        auto a = connecting("i-1", "i-2");
+        auto b = accepting("i-2");
+        CHECK(converse(a,
+                       b,
+                       [&](int i, Message &m) {
+                           if (i == 3) {
+                               // The accepting side gives exactly one MAC; more would be guesses.
+                               std::get<Proof>(m).mac.resize(length, '0');
+                           }
+                       })
+              == ErrorCode::Unauthorized);
+    }
+}
--- a/packages/wire/testing/peerlink_test.cpp
+++ b/packages/wire/testing/peerlink_test.cpp
@@ -8,7 +8,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <functional>
 #include <memory>
 
 using namespace Catkin;
@@ -95,7 +97,7 @@
     auto bytes = std::size_t{0};
     for (auto i = 0; i < 3; ++i) {
         const auto frame = frameOf(JobNotice{.job = JobId{std::to_string(i)}});
-        bytes += frame.size();
+        bytes += frame.size() + sealSize;
         p.a->send(frame, TrafficClass::Control, p.clock.now());
     }
     REQUIRE(p.a->flush(p.clock.now()));
@@ -155,7 +157,7 @@
 {
     auto p = Pair{};
     p.acceptRaw();
-    const auto hello = frameOf(Hello{.version = 1, .instance = InstanceId{"a"}, .nonce = std::string(64, 'a'), .target = InstanceId{"b"}});
+    const auto hello = frameOf(Hello{.version = peerProtocolVersion, .instance = InstanceId{"a"}, .nonce = std::string(64, 'a'), .target = InstanceId{"b"}});
     auto pos = std::size_t{0};
     for (; pos < 19; ++pos) {
         p.clock.advance(Millis{100});
@@ -240,3 +242,165 @@
         CHECK(p.step(*p.b).has_error() == (trafficClass(sample.message) == TrafficClass::Handshake));
     }
 }
+
+namespace
+{
+
+/// Two authenticated links with somebody between them who can hold and change what the first one sends.
+struct Intercepted
+{
+    ManualClock clock;
+    UniqueFd nearA;
+    UniqueFd nearB;
+    std::unique_ptr<PeerLink> a;
+    std::unique_ptr<PeerLink> b;
+
+    explicit Intercepted(const char *previousKeyOfA = "")
+    {
+        auto [endA, middleA] = socketPair();
+        auto [endB, middleB] = socketPair();
+        nearA = std::move(middleA);
+        nearB = std::move(middleB);
+        auto options = linkOptions("a", "b");
+        options.handshake.previousKey = previousKeyOfA;
+        a = std::make_unique<PeerLink>(std::move(endA), LinkRole::Connecting, options, clock.now());
+        b = std::make_unique<PeerLink>(std::move(endB), LinkRole::Accepting, linkOptions("b", ""), clock.now());
+        for (auto i = 0; i < 6; ++i) {
+            REQUIRE(a->onReady(POLLIN | POLLOUT, clock.now()));
+            deliver(nearB, take(nearA));
+            REQUIRE(b->onReady(POLLIN | POLLOUT, clock.now()));
+            deliver(nearA, take(nearB));
+        }
+        REQUIRE(a->authenticated());
+        REQUIRE(b->authenticated());
+    }
+
+    /// @return the bytes of one frame sent by @p from, and not delivered.
+    auto frame(PeerLink &from, const Message &message) -> std::string
+    {
+        from.send(frameOf(message), TrafficClass::Control, clock.now());
+        REQUIRE(from.flush(clock.now()));
+        return take(&from == a.get() ? nearA : nearB);
+    }
+
+    static auto take(const UniqueFd &fd) -> std::string
+    {
+        auto buf = std::array<char, 65536>{};
+        const auto n = read(fd.get(), buf.data(), buf.size());
+        return {buf.data(), static_cast<std::size_t>(std::max<ssize_t>(n, 0))};
+    }
+
+    static auto deliver(const UniqueFd &fd, const std::string &bytes) -> void
+    {
+        REQUIRE(write(fd.get(), bytes.data(), bytes.size()) == static_cast<ssize_t>(bytes.size()));
+    }
+
+    auto receive(const std::string &bytes) -> Result<std::vector<Envelope>>
+    {
+        deliver(nearB, bytes);
+        return b->onReady(POLLIN, clock.now());
+    }
+};
+
+auto notice(const char *id) -> Message
+{
+    return JobNotice{.job = JobId{id}};
+}
+
+}
+
+// Guards against somebody between two instances who changes what they say, or says it again.
+TEST_CASE("a frame that was changed, repeated, left out or moved closes the link and is not delivered")
+{
+    struct Case
+    {
+        const char *name;
+        std::function<std::string(Intercepted &)> bytes;
+    };
+    const auto cases = std::vector<Case>{
+        {"repeated", [](auto &p) { return p.frame(*p.a, notice("1")); }},
+        {"left out",
+         [](auto &p) {
+             p.frame(*p.a, notice("1"));
+             return p.frame(*p.a, notice("2"));
+         }},
+        {"swapped",
+         [](auto &p) {
+             const auto first = p.frame(*p.a, notice("1"));
+             return p.frame(*p.a, notice("2")) + first;
+         }},
+        {"reflected", [](auto &p) { return p.frame(*p.b, notice("1")); }},
+        {"of another link between the same two",
+         [](auto &) {
+             auto other = Intercepted{};
+             return other.frame(*other.a, notice("1"));
+         }},
+        {"without MACs", [](auto &) { return frameOf(notice("1")) + std::string(64, 'x'); }},
+        {"length raised",
+         [](auto &p) {
+             auto frame = p.frame(*p.a, notice("1"));
+             frame[1] = '\x01';
+             return frame;
+         }},
+    };
+    for (const auto &it : cases) {
+        CAPTURE(it.name);
+        auto p = Intercepted{};
+        auto bytes = it.bytes(p);
+        if (std::string_view(it.name) == "repeated") {
+            REQUIRE(p.receive(bytes));
+        }
+        const auto received = p.receive(bytes);
+        REQUIRE(received.has_error());
+        CHECK(received.error().code == ErrorCode::Unauthorized);
+        // The link stays unusable, whatever follows.
+        CHECK(p.receive(p.frame(*p.a, notice("3"))).has_error());
+    }
+}
+
+TEST_CASE("no single changed byte of a frame is accepted")
+{
+    auto first = Intercepted{};
+    const auto size = first.frame(*first.a, notice("1")).size();
+    REQUIRE(size > sealSize);
+    for (auto i = std::size_t{0}; i < size; ++i) {
+        auto p = Intercepted{};
+        auto frame = p.frame(*p.a, notice("1"));
+        frame[i] = static_cast<char>(frame[i] ^ 1);
+        const auto received = p.receive(frame);
+        REQUIRE(received.has_error());
+        CHECK(received.error().code == ErrorCode::Unauthorized);
+    }
+}
+
+TEST_CASE("a frame that is cut off is not delivered, and the end inside it is known")
+{
+    auto p = Intercepted{};
+    REQUIRE(p.receive(p.frame(*p.a, notice("1"))).value().size() == 1);
+    CHECK_FALSE(p.b->insideFrame());
+    const auto frame = p.frame(*p.a, notice("2"));
+    CHECK(p.receive(frame.substr(0, frame.size() - 1)).value().empty());
+    p.nearB.reset();
+    const auto ended = p.b->onReady(POLLIN, p.clock.now());
+    REQUIRE(ended.has_error());
+    CHECK(ended.error().code == ErrorCode::Unavailable);
+    CHECK(p.b->insideFrame());
+}
+
+TEST_CASE("frames are protected under the previous key as well")
+{
+    auto p = Intercepted{"previous key of 16+ bytes"};
+    CHECK_FALSE(p.a->usedPreviousKey());
+    auto options = linkOptions("a", "b", "cuyo", "the next key of 16+ bytes");
+    options.handshake.previousKey = "0123456789abcdef";
+    auto pair = Pair{};
+    auto [x, y] = socketPair();
+    pair.a = std::make_unique<PeerLink>(std::move(x), LinkRole::Connecting, options, pair.clock.now());
+    pair.b = std::make_unique<PeerLink>(std::move(y), LinkRole::Accepting, linkOptions("b", ""), pair.clock.now());
+    REQUIRE(pair.exchange());
+    CHECK(pair.a->usedPreviousKey());
+    CHECK_FALSE(pair.b->usedPreviousKey());
+    pair.b->send(frameOf(notice("1")), TrafficClass::Control, pair.clock.now());
+    REQUIRE(pair.b->flush(pair.clock.now()));
+    CHECK(pair.step(*pair.a).value().size() == 1);
+}
--- a/packages/wire/testing/peermesh_test.cpp
+++ b/packages/wire/testing/peermesh_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <poll.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
@@ -358,3 +359,30 @@
         CHECK(started.error().code == ErrorCode::InvalidInput);
     }
 }
+
+TEST_CASE("links that end with a changed or cut frame are counted, and the peer can connect again")
+{
+    auto mesh = startMesh(optionsFor("b"));
+    struct Case
+    {
+        const char *name;
+        std::string bytes;
+        std::uint64_t rejected; ///< total afterwards
+        std::uint64_t cut;
+    };
+    for (const auto &it : {Case{"changed", std::string(200, 'x'), 1, 0}, Case{"cut", std::string(3, 'x'), 1, 1}, Case{"complete", "", 1, 1}}) {
+        CAPTURE(it.name);
+        const auto opened = mesh->counters().linksOpened;
+        {
+            auto peer = ManualPeer{mesh->port(), "a", "b", Lane::Control};
+            waitFor([&] { return peer.step() && mesh->counters().linksOpened > opened; });
+            REQUIRE(write(peer.link.fd(), it.bytes.data(), it.bytes.size()) == static_cast<ssize_t>(it.bytes.size()));
+            if (it.bytes.size() > sealSize) {
+                waitFor([&] { return !peer.step(); });
+            }
+        }
+        waitFor([&] { return mesh->counters().linksClosed > opened; });
+        CHECK(mesh->counters().framesRejected == it.rejected);
+        CHECK(mesh->counters().framesCut == it.cut);
+    }
+}
