--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -248,6 +248,7 @@
     , tickets({.instance = given.instance,
                .incarnation = incarnation,
                .key = given.peers.key,
+               .previousKey = given.peers.previousKey,
                .window = given.requests.keyWindow,
                .answers = Bytes{given.limits.attemptMemory.value / 8}},
               time)
@@ -320,6 +321,7 @@
         .listenAddress = settings.listeners.peers,
         .advertisedAddress = {},
         .key = settings.peers.key,
+        .previousKey = settings.peers.previousKey,
         .periodInRegion = settings.peers.heartbeat,
         .periodAcross = settings.peers.remoteHeartbeat,
     };
