Revert "Count the served callers of a kind when slots are kept free beside a flood"

Cause: the other kinds' p99 rises during a flood of the least urgent kind. Change: the former rule is back.

--- a/packages/policy/fairnode.h
+++ b/packages/policy/fairnode.h
@@ -57,7 +57,6 @@
     double virtualTime = 0; ///< of the children
     double busyWeight = 0; ///< of the children with items queued or in service
     int busyChildren = 0;
-    int servedChildren = 0; ///< children with items in service
     std::uint64_t order = 0; ///< equal tags are served in the order in which they were set
     int queued = 0;
     int inService = 0;
--- a/packages/policy/fairqueue.cpp
+++ b/packages/policy/fairqueue.cpp
@@ -198,12 +198,8 @@
 {
     for (auto *it = &node; it != nullptr; it = it->parent) {
         const auto before = it->busy();
-        const auto servedBefore = it->inService > 0;
         it->queued += queued;
         it->inService += inService;
-        if (it->parent != nullptr && servedBefore != (it->inService > 0)) {
-            it->parent->servedChildren += servedBefore ? -1 : 1;
-        }
         it->backlog += backlog;
         if (it->parent != nullptr && before != it->busy()) {
             it->parent->busyWeight += before ? -it->weight : it->weight;
@@ -279,12 +275,7 @@
     const auto &caller = *item.caller;
     const auto &kind = *caller.parent;
     const auto share = std::max(1.0, shareOf(kind, slots));
-    if (kind.inService + 1 <= share) {
-        return false;
-    }
-    // A caller's part is at least one slot. With more callers than slots that would let all of them pass for small ones.
-    const auto served = kind.servedChildren + (caller.inService == 0 ? 1 : 0);
-    return served > share || caller.inService + 1 > std::max(1.0, share / std::max(1, kind.busyChildren));
+    return kind.inService + 1 > share && caller.inService + 1 > std::max(1.0, share / std::max(1, kind.busyChildren));
 }
 
 auto FairQueue::frontBelowShare(double slots) const -> FairItem *
