--- a/bench/mesh_figures.cpp
+++ b/bench/mesh_figures.cpp
@@ -1,5 +1,6 @@
 // Cost of an idle mesh: bytes and CPU per instance at the real heartbeat periods, all instances in this process.
-// usage: mesh_figures [SECONDS]
+// usage: mesh_figures [SECONDS [WORKSPACES]]
+// With WORKSPACES, heartbeats report that many demands, of which as many change as a report allows.
 
 #include "util/logging.h"
 #include "wire/peermesh.h"
@@ -20,6 +21,7 @@
 {
 
 constexpr auto executorCount = 50; ///< as many as the deployments have today
+constexpr auto changingDemands = 40; ///< DemandOptions::changesAtOnce
 constexpr auto changingLoads = 10; ///< executors whose load changes between two heartbeats
 
 struct Figures
@@ -52,7 +54,8 @@
 /// @param count number of instances
 /// @param regions number of regions over which they are spread
 /// @param seconds length of the measurement
-auto measure(int count, int regions, int seconds) -> Figures
+/// @param workspaces demands reported by each instance
+auto measure(int count, int regions, int seconds, int workspaces) -> Figures
 {
     auto meshes = std::vector<std::unique_ptr<PeerMesh>>{};
     auto known = std::vector<KnownInstance>{};
@@ -61,12 +64,16 @@
         const auto domain = FailureDomainId{"domain-" + std::to_string(i % 8)};
         const auto id = InstanceId{"entry-" + std::to_string(100 + i)};
         auto round = std::make_shared<int>(0);
-        auto status = [domain, id, round] {
+        auto status = [domain, id, round, workspaces] {
             auto result = LocalStatus{.draining = false, .configVersion = {7}, .executors = {}, .planners = {{domain, 3, id.str()}}};
             ++*round;
             for (auto e = 0; e < executorCount; ++e) {
                 result.executors.push_back({ExecutorId{"executor-" + std::to_string(e)}, e < changingLoads ? 1 + (*round + e) % 8 : 4});
             }
+            result.reportsDemand = workspaces > 0;
+            for (auto w = 0; w < workspaces; ++w) {
+                result.demands.push_back({static_cast<std::uint32_t>(w), w < changingDemands ? static_cast<float>(1 + *round) : 1.0F});
+            }
             return result;
         };
         auto mesh = std::make_unique<PeerMesh>(PeerMeshOptions{.self = id,
@@ -108,13 +115,14 @@
     initLogging(LogLevel::Error);
     constexpr auto defaultSeconds = 20;
     const auto seconds = argc > 1 ? std::max(1, std::atoi(argv[1])) : defaultSeconds;
+    const auto workspaces = argc > 2 ? std::max(0, std::atoi(argv[2])) : 0;
     constexpr auto few = 8;
     constexpr auto many = 24;
     std::printf("idle mesh, %d executors of which %d change per heartbeat, %d s per row\n", executorCount, changingLoads, seconds);
     std::printf("%-8s %-10s %-26s %s\n", "regions", "instances", "bytes/s sent per instance", "CPU % of a core per instance");
     for (const auto regions : {1, 3}) {
-        const auto small = measure(few, regions, seconds);
-        const auto large = measure(many, regions, seconds);
+        const auto small = measure(few, regions, seconds, workspaces);
+        const auto large = measure(many, regions, seconds, workspaces);
         std::printf("%-8d %-10d %-26.0f %.3f\n", regions, few, small.sentPerSecond, small.cpuPercent);
         std::printf("%-8d %-10d %-26.0f %.3f\n", regions, many, large.sentPerSecond, large.cpuPercent);
         std::printf("%-8d %-10s %-26.1f %.4f\n",
