Refuse at submission a job that guarantees leave no place for

Cause: a job that is not restartable and needs slots that guarantees hold was accepted by an instance that does not plan its failure domain and parked only after a minute. Ruled out: asking the planner (a message before every acceptance, and none while it is unreachable). Change: the accepting instance makes the planner's own check (Scheduler::submit on an idle fleet) with the listed workers and the configuration that it has, for jobs that are not restartable: 422 with "not run" and the reason. The conversion of jobs and rules is in daemon/plannerview.h, which the planner uses as well.

--- a/packages/daemon/callerapi.cpp
+++ b/packages/daemon/callerapi.cpp
@@ -1,6 +1,7 @@
 #include "daemon/callerapi.h"
 
 #include "daemon/jsonfields.h"
+#include "daemon/plannerview.h"
 #include "util/digest.h"
 
 #include <nlohmann/json.hpp>
@@ -357,6 +358,12 @@
         if (const auto reason = chooseHome(context, spec); !reason.empty()) {
             return refuse(422, reason);
         }
+        // Such a job cannot give way, so that guarantees may leave it no place even on an idle fleet. Others can.
+        if (!spec.restartable) {
+            if (const auto reason = neverRuns(who.config->document, *context.fleet->view(), spec)) {
+                return refuse(422, "failure domain '" + spec.domain.str() + "': " + *reason);
+            }
+        }
     }
     auto result = context.jobs->submit(spec, submitWait);
     if (result.outcome == SubmitOutcome::KeyInUse) {
--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -1,5 +1,6 @@
 #include "daemon/domainplanner.h"
 
+#include "daemon/plannerview.h"
 #include "util/logging.h"
 
 #include <algorithm>
@@ -14,26 +15,6 @@
 /// The planner looks at its gangs at least this often.
 constexpr auto stepPeriod = Millis{50};
 
-auto toScheduled(const JobDescription &spec) -> ScheduledJob
-{
-    constexpr auto adjacency = std::array{Adjacency::Worker, Adjacency::Rack, Adjacency::Any};
-    constexpr auto urgency = std::array{Urgency::Urgent, Urgency::Normal, Urgency::Batch};
-    return {
-        .job = spec.id,
-        .workspace = spec.workspace,
-        .caller = spec.caller,
-        .kind = spec.kind,
-        .tasks = spec.tasks,
-        .slotsPerTask = static_cast<int>(spec.slotsPerTask.value),
-        .adjacency = adjacency[static_cast<std::size_t>(spec.adjacency)],
-        .urgency = urgency[static_cast<std::size_t>(spec.urgency)],
-        // A job that must not run twice cannot return to the queue once it has started, so a checkpoint does not make
-        // it reclaimable.
-        .checkpointable = spec.checkpointable && spec.restartable,
-        .restartable = spec.restartable,
-    };
-}
-
 }
 
 DomainPlanner::DomainPlanner(FailureDomainId domain, PlannerContext context)
@@ -91,20 +72,7 @@
 
 auto DomainPlanner::setConfig(const ActiveConfig &config) -> void
 {
-    auto view = SchedulerConfig{};
-    for (const auto &it : config.document.workspaces) {
-        auto rule = WorkspaceRule{.name = it.name, .weight = it.weight, .urgentSharePercent = it.urgentSharePercent};
-        if (it.quotaSlots) {
-            rule.quotaSlots = static_cast<int>(it.quotaSlots->value);
-        }
-        for (const auto &guarantee : it.guarantees) {
-            if (guarantee.domain == m_domain) {
-                rule.guarantees.push_back({.slots = static_cast<int>(guarantee.slots.value), .count = guarantee.count});
-            }
-        }
-        view.workspaces.push_back(std::move(rule));
-    }
-    m_scheduler.configure(view);
+    m_scheduler.configure(schedulerConfig(config.document, m_domain));
 }
 
 auto DomainPlanner::jobsChanged() -> void
