Let the recovery figure wait with jobs that can run

Cause: system_figures recovery queued jobs of 4 x 8 slots that are not restartable beside a guarantee of 8 of 32 slots. Such jobs can never run and are now refused at submission, so its queue would stay empty. Change: jobs of 3 x 8 slots, which wait for the running gang of 32. Conclusion: the figure measures waiting jobs again.

--- a/testing/system/figures.cpp
+++ b/testing/system/figures.cpp
@@ -268,7 +268,7 @@
     for (auto t = 0; t < threadCount; ++t) {
         threads.emplace_back([&, t] {
             for (auto i = t; i < waiting; i += threadCount) {
-                (void)site.submit(static_cast<std::size_t>(i) % 2, gang("wait-" + std::to_string(i), 4, 8, 1'000, false));
+                (void)site.submit(static_cast<std::size_t>(i) % 2, gang("wait-" + std::to_string(i), 3, 8, 1'000, false));
             }
         });
     }
