Send executor loads with every fourth heartbeat inside a region

Ruled out: a longer heartbeat period (slows the detection of a failed planner beyond 1.5 s); replacing unchanged heartbeats by pings (instances of the present release would look silent to each other during an update).

Change: inside a region loads go with every fourth heartbeat, and with every n-th above 12 instances, n = 1 + peers / 3. Heartbeats themselves keep their period, so freshness and detection are unchanged.

Loads of peers are up to 2 s old (4 s with 24 instances), as between regions before.

--- a/packages/wire/membership.cpp
+++ b/packages/wire/membership.cpp
@@ -109,7 +109,7 @@
     return region == m_options.region ? m_options.periodInRegion : m_options.periodAcross;
 }
 
-auto Membership::view(const InstanceId &id, const Entry &entry, MonoTime now) const -> InstanceView
+auto Membership::brief(const InstanceId &id, const Entry &entry, MonoTime now) const -> InstanceView
 {
     auto view = InstanceView{.id = id};
     auto leaving = false;
@@ -125,7 +125,6 @@
     if (!entry.last) {
         return view;
     }
-    view.last = entry.last;
     view.domain = entry.last->domain;
     view.region = entry.last->region;
     if (!entry.last->address.empty()) {
@@ -151,10 +150,21 @@
 }
 
 auto Membership::instances(MonoTime now) const -> std::vector<InstanceView>
+{
+    auto views = briefs(now);
+    for (auto &it : views) {
+        if (const auto entry = m_entries.find(it.id); !it.self && entry != m_entries.end()) {
+            it.last = entry->second.last;
+        }
+    }
+    return views;
+}
+
+auto Membership::briefs(MonoTime now) const -> std::vector<InstanceView>
 {
     auto views = std::vector<InstanceView>{selfView()};
     for (const auto &[id, entry] : m_entries) {
-        views.push_back(view(id, entry, now));
+        views.push_back(brief(id, entry, now));
     }
     std::sort(views.begin(), views.end(), [](const auto &a, const auto &b) { return a.id < b.id; });
     return views;
@@ -166,19 +176,19 @@
         return selfView().state;
     }
     const auto it = m_entries.find(id);
-    return it == m_entries.end() ? InstanceState::Silent : view(id, it->second, now).state;
+    return it == m_entries.end() ? InstanceState::Silent : brief(id, it->second, now).state;
 }
 
 auto Membership::freshCount(MonoTime now) const -> std::size_t
 {
-    const auto views = instances(now);
+    const auto views = briefs(now);
     return static_cast<std::size_t>(std::count_if(views.begin(), views.end(), [](const auto &it) { return it.state != InstanceState::Silent; }));
 }
 
 auto Membership::planner(const FailureDomainId &domain, MonoTime now) const -> InstanceId
 {
     auto region = domain == m_options.domain ? m_options.region : RegionId{};
-    for (const auto &it : instances(now)) {
+    for (const auto &it : briefs(now)) {
         if (region.empty() && it.domain == domain) {
             region = it.region;
         }
@@ -188,7 +198,7 @@
 
 auto Membership::planner(const FailureDomainId &domain, const RegionId &region, MonoTime now) const -> InstanceId
 {
-    const auto views = instances(now);
+    const auto views = briefs(now);
     const auto select = [&](InstanceState state, const auto &within) -> std::optional<InstanceId> {
         auto names = std::vector<std::string>{};
         for (const auto &it : views) {
--- a/packages/wire/membership.h
+++ b/packages/wire/membership.h
@@ -138,7 +138,9 @@
         MonoTime lastAt;
     };
 
-    [[nodiscard]] auto view(const InstanceId &id, const Entry &entry, MonoTime now) const -> InstanceView;
+    /// @return all of the view but the heartbeat, which is long.
+    [[nodiscard]] auto brief(const InstanceId &id, const Entry &entry, MonoTime now) const -> InstanceView;
+    [[nodiscard]] auto briefs(MonoTime now) const -> std::vector<InstanceView>;
     [[nodiscard]] auto selfView() const -> InstanceView;
 
     MembershipOptions m_options;
--- a/packages/wire/meshlinks.cpp
+++ b/packages/wire/meshlinks.cpp
@@ -21,6 +21,16 @@
 constexpr auto stableAfter = Millis{2000};
 /// No heartbeat is added behind so many unwritten bytes: the peer does not read, and the link is about to be closed.
 constexpr auto heartbeatBacklog = std::size_t{64} << 10U;
+/// Loads of executors are most of a heartbeat, and a peer can do without the latest. Inside a region they go with every
+/// fourth heartbeat, as often as between regions, and less often with many peers: their cost would otherwise grow with the
+/// product of peers and executors beyond the 27 KB/s of an instance (24 instances of one region).
+auto roundsPerLoads(std::size_t links) -> std::uint64_t
+{
+    constexpr auto fewest = std::uint64_t{4};
+    constexpr auto linksPerRound = std::size_t{6}; // two links to each peer
+    return std::max(fewest, 1 + static_cast<std::uint64_t>(links / linksPerRound));
+}
+
 /// At most one warning about failed handshakes in this time, because anyone who reaches the port can cause them.
 constexpr auto warningInterval = Millis{1000};
 
@@ -329,7 +339,11 @@
         }
         // Instances that were paused must not send the rounds that they missed.
         round.next = std::max(round.next + round.period, now + round.period / 2);
-        const auto previous = std::exchange(round.status, *status);
+        auto sent = *status;
+        if (group == 0 && round.number % roundsPerLoads(m_active.size()) != 0) {
+            sent.executors = round.status.executors;
+        }
+        const auto previous = std::exchange(round.status, std::move(sent));
         ++round.number;
         auto full = std::string{};
         auto partial = std::string{};
--- a/packages/wire/testing/peermesh_test.cpp
+++ b/packages/wire/testing/peermesh_test.cpp
@@ -115,6 +115,32 @@
 
 }
 
+// Guards against loads that are lost or never corrected, because not every heartbeat carries them.
+TEST_CASE("a peer learns of changed loads although few heartbeats carry them")
+{
+    auto load = std::atomic<int>{1};
+    auto handlers = PeerMeshHandlers{};
+    handlers.localStatus = [&] { return load > 0 ? LocalStatus{.executors = {{ExecutorId{"e-1"}, load.load()}, {ExecutorId{"e-2"}, 5}}} : LocalStatus{}; };
+    auto a = startMesh(optionsFor("a"));
+    auto b = startMesh(optionsFor("b"), handlers);
+    a->setKnown(KnownSource::InstanceList, {knownAt("b", b->port())});
+    const auto seen = [&] {
+        b->announce(); // the period is long; each announcement is a heartbeat
+        for (const auto &it : a->membership().instances(systemClock().mono())) {
+            if (it.id == InstanceId{"b"} && it.last) {
+                return it.last->executors;
+            }
+        }
+        return std::vector<ExecutorLoad>{};
+    };
+    for (const auto n : {1, 7, 2}) {
+        load = n;
+        waitFor([&] { return seen() == std::vector<ExecutorLoad>{{ExecutorId{"e-1"}, n}, {ExecutorId{"e-2"}, 5}}; });
+    }
+    load = 0;
+    waitFor([&] { return seen().empty(); });
+}
+
 TEST_CASE("three instances exchange heartbeats, notices and calls, and learn of each other")
 {
     auto offers = std::atomic<int>{0};
