Measure recovery of the whole fleet

Ruled out: nothing; a measurement.

Change: capacity_figures fleet-recovery kills all 8 instances of 760 workers with 19,000 running leases at once.

--- a/testing/system/capacityfigures.cpp
+++ b/testing/system/capacityfigures.cpp
@@ -1,9 +1,9 @@
 // Measures control cost and recovery at the design size with real processes.
-// usage: capacity_figures [GROUP...]   groups: domain baseline fleet recovery (all without arguments)
+// usage: capacity_figures [GROUP...]   groups: domain baseline fleet recovery fleet-recovery (all without arguments)
 //
 // domain: one failure domain of 95 workers with 25 leases each; baseline: the same with workers that name no tags;
 // fleet: 8 failure domains, 760 workers, 19,000 leases, 50 executors, 8 entry instances; recovery: all instances of a
-// failure domain killed at once. Bytes are those of HTTP, without TCP/IP headers; a connection costs about 500 B more.
+// failure domain killed at once; fleet-recovery: all instances of all. Bytes are those of HTTP, without TCP/IP headers; a connection costs about 500 B more.
 
 #include "harness/poll.h"
 #include "system/deployment.h"
@@ -281,15 +281,13 @@
     measureWindows(site, domains);
 }
 
-auto measureFleet() -> void
+auto fleetShape() -> DeploymentShape
 {
     auto shape = baseShape();
     shape.domains.clear();
-    auto names = std::vector<std::string>{};
     const auto regions = std::vector<std::string>{"patagonia-norte", "patagonia-norte", "patagonia-norte", "cuyo", "cuyo", "cuyo", "litoral", "litoral"};
     for (auto i = std::size_t{0}; i < regions.size(); ++i) {
-        names.push_back("domain-" + std::to_string(i));
-        shape.domains.push_back({.name = names.back(),
+        shape.domains.push_back({.name = "domain-" + std::to_string(i),
                                  .region = regions[i],
                                  .entries = 1,
                                  .executors = i < 2 ? 7 : 6,
@@ -297,6 +295,22 @@
                                  .workersPerRack = 8,
                                  .sharedWorkers = true});
     }
+    return shape;
+}
+
+auto namesOf(const DeploymentShape &shape) -> std::vector<std::string>
+{
+    auto names = std::vector<std::string>{};
+    for (const auto &it : shape.domains) {
+        names.push_back(it.name);
+    }
+    return names;
+}
+
+auto measureFleet() -> void
+{
+    const auto shape = fleetShape();
+    const auto names = namesOf(shape);
     auto site = Deployment{shape};
     site.start();
     const auto gangs = workersPerDomain * leasesPerWorker / gangSize;
@@ -305,11 +319,13 @@
     measureWindows(site, names);
 }
 
-auto measureRecovery(int gangs) -> void
+/// @param gangs of each failure domain
+auto measureRecovery(const DeploymentShape &shape, int gangs) -> void
 {
-    auto site = Deployment{oneDomain(true)};
+    auto site = Deployment{shape};
     site.start();
-    const auto domains = std::vector<std::string>{"cerro-catedral"};
+    const auto domains = namesOf(shape);
+    const auto count = static_cast<int>(domains.size());
     const auto filled = fill(site, domains, gangs);
     for (auto i = std::size_t{0}; i < site.entryCount(); ++i) {
         site.entry(i).process->signal(SIGKILL);
@@ -327,11 +343,10 @@
     const auto adopted = eventually(
         [&] {
             const auto planned = plannedGangs(site);
-            const auto it = planned.find(domains.front());
-            if (it != planned.end() && claimedMs < 0) {
+            if (planned.size() == domains.size() && claimedMs < 0) {
                 claimedMs = elapsed();
             }
-            return it != planned.end() && it->second == gangs;
+            return planned.size() == domains.size() && std::all_of(planned.begin(), planned.end(), [&](const auto &it) { return it.second == gangs; });
         },
         patient);
     const auto adoptedMs = elapsed();
@@ -343,9 +358,9 @@
         }
     }
     std::printf("%4d workers, %5d leases in %4d gangs %s: claimed after %5.0f ms, all gangs %s after %5.0f ms, %.0f kB with workers meanwhile\n",
-                workersPerDomain,
-                gangs * gangSize,
-                gangs,
+                count * workersPerDomain,
+                count * gangs * gangSize,
+                count * gangs,
                 filled ? "running" : "NOT all running",
                 claimedMs,
                 adopted ? "adopted" : "NOT adopted",
@@ -365,9 +380,10 @@
         {"recovery",
          [] {
              for (const auto gangs : {1, 25, 60, 125}) {
-                 measureRecovery(gangs);
+                 measureRecovery(oneDomain(true), gangs);
              }
          }},
+        {"fleet-recovery", [] { measureRecovery(fleetShape(), workersPerDomain * leasesPerWorker / gangSize); }},
     };
     const auto wanted = std::vector<std::string>(argv + 1, argv + argc);
     for (const auto &[name, run] : groups) {
