Put a relay on every way of a test deployment

Cause: no system test could cut a failure domain from the others or from the platform, because a platform relay served all instances, peers told each other their own addresses, and backend servers had one address for everyone.

Change: with DeploymentShape::relays each failure domain has its own instance list, whose addresses lead through relays of that failure domain, and its own way to the log and the list. Whole failure domains can be killed and replaced; the history files of killed backend servers are kept for the checker. The setting peers.advertise = false keeps the listen address out of the handshake, so that peers use the list's address; it also serves listen addresses that are wildcards or translated. The worker stand-in gets accept_while_leaving. The checker gets rule 8: no attempt starts while a task of an earlier one runs.

Ruled out: one relay for each instance's peer port, because it cannot tell the senders apart.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -253,6 +253,7 @@
         .incarnation = incarnation,
         .listenAddress = settings.listeners.peers,
         .advertisedAddress = {},
+        .advertise = settings.peers.advertise,
         .key = settings.peers.key,
         .periodInRegion = settings.peers.heartbeat,
         .periodAcross = settings.peers.remoteHeartbeat,
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -125,6 +125,16 @@
         return true;
     }
 
+    auto flag(const std::string &key, bool &value) -> void
+    {
+        const auto node = lookUp(key);
+        if (node && !node.is_boolean()) {
+            error(key, "must be true or false");
+        } else if (node) {
+            value = node.ref<bool>();
+        }
+    }
+
     template<typename Id>
     auto id(const std::string &key, Id &value) -> void
     {
@@ -338,6 +348,7 @@
     reader.address("platform.log", false, s.platform.log);
     reader.address("platform.instances", false, s.platform.instances);
     reader.addresses("peers.addresses", s.peers.addresses);
+    reader.flag("peers.advertise", s.peers.advertise);
     readPeerKey(reader, path, s.peers.key);
     if (reader.text("operators.token_sha256", false, s.operators.tokenSha256) && !isSha256Hex(s.operators.tokenSha256)) {
         reader.error("operators.token_sha256", "must be 64 lower-case hex digits, as printed by 'catkinctl token-hash'");
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -44,6 +44,7 @@
     std::string key; ///< shared secret; from peers.key or the contents of peers.key_file
     Millis heartbeat{500}; ///< inside the region
     Millis remoteHeartbeat{2000}; ///< to other regions
+    bool advertise = true; ///< whether peers are told the listen address; otherwise they use the instance list's
 };
 
 struct OperatorSettings
--- a/packages/daemon/testing/settings_test.cpp
+++ b/packages/daemon/testing/settings_test.cpp
@@ -59,12 +59,14 @@
 
 TEST_CASE("values replace defaults, with their units")
 {
-    const auto read = parseSettings(valid
-                                        + "addresses = [\"192.0.2.1:80\", \"[2001:db8::1]:80\"]\n[leases]\nrun = \"2min\"\nrenew = \"1500ms\"\n"
-                                          "[limits]\nrequest_body = \"64KiB\"\ncaller_threads = 8\n[log]\nlevel = \"debug\"\n",
-                                    "s.toml");
+    const auto read
+        = parseSettings(valid
+                            + "addresses = [\"192.0.2.1:80\", \"[2001:db8::1]:80\"]\nadvertise = false\n[leases]\nrun = \"2min\"\nrenew = \"1500ms\"\n"
+                              "[limits]\nrequest_body = \"64KiB\"\ncaller_threads = 8\n[log]\nlevel = \"debug\"\n",
+                        "s.toml");
     REQUIRE_MESSAGE(read.errors.empty(), format(read));
     CHECK(read.settings.peers.addresses.size() == 2);
+    CHECK_FALSE(read.settings.peers.advertise);
     CHECK(read.settings.leases.run == Millis{120000});
     CHECK(read.settings.leases.renew == Millis{1500});
     CHECK(read.settings.limits.requestBody == Bytes{65536});
@@ -93,6 +95,7 @@
         {valid + "addresses = \"192.0.2.1:80\"\n", "s.toml:14: peers.addresses: must be a list"},
         {valid + "addresses = [\"192.0.2.1:80\",\n\"x\"]\n", "s.toml:15: peers.addresses[1]: address 'x'"},
         {valid + "addresses = [\"192.0.2.1:80\", \"192.0.2.1:80\"]\n", "peers.addresses[1]: address '192.0.2.1:80' is listed twice"},
+        {valid + "advertise = \"no\"\n", "s.toml:14: peers.advertise: must be true or false"},
         {valid + "[leases]\nprobaton = \"3s\"\n", "s.toml:15: leases.probaton: is not a known key"},
         {valid + "[lease]\nrun = \"3s\"\n", "s.toml:14: lease: is not a known key"},
         {"leases = 3\n" + valid, "s.toml:1: leases: must be a table"},
--- a/packages/wire/meshcore.cpp
+++ b/packages/wire/meshcore.cpp
@@ -84,7 +84,9 @@
     m_listener = std::move(listener.value());
     m_port = localPort(m_listener.get());
     auto address = m_options.advertisedAddress;
-    if (address.empty()) {
+    if (!m_options.advertise) {
+        address.clear();
+    } else if (address.empty()) {
         address = m_options.listenAddress.substr(0, m_options.listenAddress.rfind(':') + 1) + std::to_string(m_port);
     }
     m_self = {m_options.self, m_options.incarnation, m_options.domain, m_options.region, address};
--- a/packages/wire/peermesh.h
+++ b/packages/wire/peermesh.h
@@ -46,6 +46,7 @@
     Incarnation incarnation; ///< must grow from one process of this instance id to the next: wall-clock milliseconds at start
     std::string listenAddress; ///< "ip:port"; port 0 selects a free one
     std::string advertisedAddress; ///< "ip:port" that peers use; empty: the listen address with the actual port
+    bool advertise = true; ///< false: peers are told no address and use the one that they know from settings or the list
     std::string key; ///< secret shared by all entry instances; at least 16 bytes
     Millis periodInRegion{500}; ///< heartbeat period inside the region
     Millis periodAcross{2000}; ///< heartbeat period to other regions
--- a/testing/harness/relay.cpp
+++ b/testing/harness/relay.cpp
@@ -151,6 +151,11 @@
         }
     }
 
+    auto setTarget(int targetPort) -> void
+    {
+        m_targetPort = targetPort;
+    }
+
     auto freeze() -> void
     {
         for (auto &it : m_connections) {
@@ -359,6 +364,11 @@
     m_loop->command([this, mode] { m_loop->setMode(mode); });
 }
 
+auto Relay::setTarget(int targetPort) -> void
+{
+    m_loop->command([this, targetPort] { m_loop->setTarget(targetPort); });
+}
+
 auto Relay::freezeOpenConnections() -> void
 {
     m_loop->command([this] { m_loop->freeze(); });
--- a/testing/harness/relay.h
+++ b/testing/harness/relay.h
@@ -41,6 +41,9 @@
     /// Returns when the mode is in force.
     auto setMode(RelayMode mode) -> void;
 
+    /// Sends later connections to another port, as when the process behind the relay is replaced; 0 refuses them.
+    auto setTarget(int targetPort) -> void;
+
     /// Makes the connections that are open now carry no more data, for good; new ones work.
     auto freezeOpenConnections() -> void;
 
--- a/testing/history/checker.cpp
+++ b/testing/history/checker.cpp
@@ -204,6 +204,21 @@
     return violations;
 }
 
+auto checkAttempts(const History &history) -> Violations
+{
+    auto violations = Violations{};
+    for (const auto &later : history.runs) {
+        for (const auto &earlier : history.runs) {
+            if (earlier.job == later.job && earlier.attempt < later.attempt && later.startMs < earlier.endMs) {
+                violations.push_back("job " + later.job + ": attempt " + std::to_string(later.attempt) + " started on " + later.server + " "
+                                     + std::to_string(earlier.endMs - later.startMs) + " ms before attempt " + std::to_string(earlier.attempt) + " ended on "
+                                     + earlier.server);
+            }
+        }
+    }
+    return violations;
+}
+
 auto checkAll(const History &history, const HistoryBounds &bounds, const AnswerMatch &matches) -> Violations
 {
     auto violations = checkAtMostOnce(history);
@@ -213,6 +228,7 @@
     append(violations, checkSlots(history));
     append(violations, checkVersions(history));
     append(violations, checkLeaving(history, bounds));
+    append(violations, checkAttempts(history));
     return violations;
 }
 
--- a/testing/history/checker.h
+++ b/testing/history/checker.h
@@ -47,6 +47,9 @@
 /// Rule 7: a leaving server got no new work after its grace time.
 auto checkLeaving(const History &history, const HistoryBounds &bounds) -> Violations;
 
+/// Rule 8: no task of an attempt of a job starts while a task of an earlier attempt runs.
+auto checkAttempts(const History &history) -> Violations;
+
 /// @return the violations of all rules.
 auto checkAll(const History &history, const HistoryBounds &bounds, const AnswerMatch &matches) -> Violations;
 
--- a/testing/history/testing/checker_test.cpp
+++ b/testing/history/testing/checker_test.cpp
@@ -26,6 +26,7 @@
         {.key = "refused first", .payload = "p3", .result = CallResult::OutcomeUnknown, .sentMs = 500},
         {.key = "scan", .idempotent = true, .payload = "p4", .result = CallResult::Answer, .answer = "answer to p4", .sentMs = 100},
         {.key = "mold", .payload = "p5", .result = CallResult::Answer, .sentMs = 100},
+        {.key = "again", .idempotent = true, .payload = "p6", .result = CallResult::Answer, .sentMs = 100},
     };
     history.executions = {
         {.server = "e1", .key = "booked", .startMs = 110},
@@ -33,10 +34,12 @@
         {.server = "e1", .key = "scan", .startMs = 120},
         {.server = "e2", .key = "scan", .startMs = 5900},
     };
-    history.gangSizes = {{"j1", 2}};
+    history.gangSizes = {{"j1", 2}, {"j2", 1}};
     history.runs = {
         {.server = "w1", .key = "mold", .job = "j1", .attempt = 1, .member = 0, .startMs = 1000, .endMs = 9000, .finished = true},
         {.server = "w2", .key = "mold", .job = "j1", .attempt = 1, .member = 1, .startMs = 4000, .endMs = 50000, .finished = true},
+        {.server = "w1", .key = "again", .job = "j2", .attempt = 1, .member = 0, .startMs = 1000, .endMs = 2000},
+        {.server = "w2", .key = "again", .job = "j2", .attempt = 2, .member = 0, .startMs = 2000, .endMs = 3000, .finished = true},
     };
     history.leases = {
         {.worker = "w1", .lease = "l1", .slots = {0, 1}, .fromMs = 900, .toMs = 9000},
@@ -83,15 +86,17 @@
          "key refused first ran on e1 although every call of it before was answered \"not run\""},
         {"refused job runs",
          [](History &it) {
-             it.gangSizes["j2"] = 1;
-             it.runs.push_back({.server = "w1", .key = "refused", .job = "j2", .attempt = 1, .startMs = 1, .endMs = 2});
+             it.gangSizes["j3"] = 1;
+             it.runs.push_back({.server = "w1", .key = "refused", .job = "j3", .attempt = 1, .startMs = 1, .endMs = 2});
          },
          "key refused ran on w1 although every call of it before was answered \"not run\""},
         {"crossed answer", [](History &it) { it.calls[4].answer = "answer to p1"; }, "key scan got an answer that is not its own: answer to p1"},
         {"late member", [](History &it) { it.runs[1].startMs = 4001; }, "job j1 attempt 1: a part of the gang ran for 3001 ms, 3000 are allowed"},
-        {"member that never starts", [](History &it) { it.runs.pop_back(); }, "job j1 attempt 1: a part of the gang ran for 8000 ms, 3000 are allowed"},
+        {"member that never starts",
+         [](History &it) { it.runs.erase(it.runs.begin() + 1); },
+         "job j1 attempt 1: a part of the gang ran for 8000 ms, 3000 are allowed"},
         {"lost member", [](History &it) { it.runs[0].finished = false; }, "job j1 attempt 1: a part of the gang ran for 41000 ms, 10000 are allowed"},
-        {"unrecorded gang", [](History &it) { it.gangSizes.clear(); }, "job j1 ran, but its size is not recorded"},
+        {"unrecorded gang", [](History &it) { it.gangSizes.erase("j1"); }, "job j1 ran, but its size is not recorded"},
         {"slot leased twice", [](History &it) { it.leases[1].fromMs = 8999; }, "worker w1: leases l1 and l2 held a slot at the same time"},
         {"version goes back",
          [](History &it) {
@@ -99,6 +104,7 @@
          },
          "i2 saw version 2 after 3"},
         {"work for a leaving server", [](History &it) { it.executions[3].startMs = 6001; }, "e2 got new work 5001 ms after it began to leave"},
+        {"attempts overlap", [](History &it) { it.runs[3].startMs = 1999; }, "job j2: attempt 2 started on w2 1 ms before attempt 1 ended on w1"},
     };
     for (const auto &it : cases) {
         CAPTURE(it.name);
--- a/testing/standins/simulatedworker.cpp
+++ b/testing/standins/simulatedworker.cpp
@@ -199,7 +199,7 @@
         }
         return it.ended ? "the lease has ended" : "";
     }
-    if (m_settings.leaving) {
+    if (m_settings.leaving && !m_settings.acceptWhileLeaving) {
         return "the worker is leaving";
     }
     auto error = slotError(lease.slots);
--- a/testing/standins/simulatedworker.h
+++ b/testing/standins/simulatedworker.h
@@ -31,7 +31,8 @@
     std::int64_t usageLagMs = 5000; ///< time between two measurements of usage
     std::int64_t keepEndedMs = 600000; ///< time for which an ended lease stays listed
     double clockRate = 1.0; ///< speed of the worker's own clock
-    bool leaving = false; ///< refuses new leases
+    bool leaving = false; ///< refuses new leases, unless acceptWhileLeaving is set
+    bool acceptWhileLeaving = false; ///< so that a test can see new work on a leaving worker
     bool failEverything = false; ///< every task that starts fails at once
     bool ignoreStop = false; ///< stop orders are confirmed and have no effect
 };
--- a/testing/standins/worker_standin.cpp
+++ b/testing/standins/worker_standin.cpp
@@ -63,6 +63,7 @@
     worker.server.route("POST", "/v1/orders", [&](const httplib::Request &req, httplib::Response &res) { orders(worker, req, res); });
     worker.server.route("GET", "/v1/status", [&](const httplib::Request &, httplib::Response &res) { status(worker, res); });
     addSetting(worker, "fail_everything", &WorkerSettings::failEverything);
+    addSetting(worker, "accept_while_leaving", &WorkerSettings::acceptWhileLeaving);
     addSetting(worker, "ignore_stop", &WorkerSettings::ignoreStop);
     addSetting(worker, "usage_lag_ms", &WorkerSettings::usageLagMs);
     addSetting(worker, "checkpoint_ms", &WorkerSettings::checkpointMs);
--- a/testing/system/callers.cpp
+++ b/testing/system/callers.cpp
@@ -1,7 +1,5 @@
 #include "system/callers.h"
 
-#include "util/random.h"
-
 #include <chrono>
 
 namespace Catkin
@@ -27,10 +25,17 @@
     }
 }
 
+auto Callers::choose(Random &random) const -> std::size_t
+{
+    const auto &entries = m_options.entries;
+    return entries.empty() ? uniform(random, static_cast<std::uint32_t>(m_site.entryCount()))
+                           : entries[uniform(random, static_cast<std::uint32_t>(entries.size()))];
+}
+
 auto Callers::sendKey(int thread, int number, unsigned &state) -> void
 {
     auto random = Random{state++, static_cast<std::uint64_t>(thread)};
-    auto index = uniform(random, static_cast<std::uint32_t>(m_site.entryCount()));
+    auto index = choose(random);
     const auto key = "key-" + std::to_string(m_options.seed) + "-" + std::to_string(thread) + "-" + std::to_string(number);
     auto params = RequestParams{.kind = m_options.kind, .key = key, .caller = "caller-" + std::to_string(thread)};
     params.payload = json{{"key", key}, {"busy_ms", m_options.busyMs}}.dump();
@@ -57,18 +62,24 @@
             return;
         }
         std::this_thread::sleep_for(Millis{20 + static_cast<std::int64_t>(uniform(random, 60))});
-        index = uniform(random, static_cast<std::uint32_t>(m_site.entryCount()));
+        index = choose(random);
     }
 }
 
 auto Callers::run(int thread) -> void
 {
     auto state = m_options.seed * 1000U + static_cast<unsigned>(thread) * 100U;
-    for (auto i = 0; i < m_options.requestsEach; ++i) {
+    for (auto i = 0; i < m_options.requestsEach && !m_stopping; ++i) {
         sendKey(thread, i, state);
+        std::this_thread::sleep_for(Millis{m_options.pauseMs});
     }
 }
 
+auto Callers::stop() -> void
+{
+    m_stopping = true;
+}
+
 auto Callers::join() -> std::vector<Call>
 {
     for (auto &it : m_threads) {
--- a/testing/system/callers.h
+++ b/testing/system/callers.h
@@ -9,6 +9,7 @@
 /// @endcode
 
 #include "system/deployment.h"
+#include "util/random.h"
 
 #include <atomic>
 #include <mutex>
@@ -27,6 +28,8 @@
     bool useTickets = false;
     unsigned seed = 1; ///< of the choice of instances
     std::string kind = "book";
+    std::vector<std::size_t> entries; ///< instances to call; empty: all
+    int pauseMs = 0; ///< between two keys of one thread
 };
 
 class Callers
@@ -37,6 +40,9 @@
     Callers(const Callers &) = delete;
     auto operator=(const Callers &) -> Callers & = delete;
 
+    /// Makes every caller end with its present key.
+    auto stop() -> void;
+
     /// Waits for every caller.
     /// @return every attempt, in no particular order.
     auto join() -> std::vector<Call>;
@@ -46,6 +52,7 @@
 
 private:
     auto run(int thread) -> void;
+    auto choose(Random &random) const -> std::size_t;
     auto sendKey(int thread, int number, unsigned &state) -> void;
 
     Deployment &m_site;
@@ -53,6 +60,7 @@
     std::mutex m_mutex;
     std::vector<Call> m_calls;
     std::atomic<int> m_answered{0};
+    std::atomic<bool> m_stopping{false};
     std::vector<std::thread> m_threads;
 };
 
--- a/testing/system/deployment.cpp
+++ b/testing/system/deployment.cpp
@@ -81,6 +81,8 @@
     m_entries.clear();
     m_executors.clear();
     m_workers.clear();
+    m_ways.clear();
+    m_lists.clear();
     m_logRelay.reset();
     m_platformRelay.reset();
     m_platform.reset();
@@ -97,21 +99,21 @@
     m_logRelay = std::make_unique<Relay>(m_platformRelay->port(), m_shape.logDelay);
     for (const auto &domain : m_shape.domains) {
         for (auto i = 0; i < domain.executors; ++i) {
-            auto process = take(startStandin("executor_standin", {"--busy-ms", std::to_string(m_shape.executorBusyMs), "--threads", "72"}), "executor");
-            m_executors.push_back({.id = domain.name + "-ex-" + std::to_string(i), .domain = domain.name, .process = std::move(process)});
+            m_executors.push_back({.id = domain.name + "-ex-" + std::to_string(i), .domain = domain.name, .process = nullptr});
         }
         for (auto i = 0; i < domain.workers; ++i) {
-            const auto id = domain.name + "-w-" + std::to_string(i);
             const auto rack = domain.name + "-r-" + std::to_string(i / domain.workersPerRack);
-            auto process
-                = take(startStandin("worker_standin", {"--id", id, "--rack", rack, "--domain", domain.name, "--slots", std::to_string(m_shape.slots)}), id);
-            m_workers.push_back({.id = id, .domain = domain.name, .process = std::move(process)});
-            m_racks.emplace_back(id, rack);
+            m_workers.push_back({.id = domain.name + "-w-" + std::to_string(i), .domain = domain.name, .process = nullptr, .rack = rack});
         }
         for (auto i = 0; i < domain.entries; ++i) {
             m_entries.push_back({.id = domain.name + "-e-" + std::to_string(i), .domain = domain.name, .region = domain.region, .process = nullptr});
         }
     }
+    if (m_shape.relays) {
+        makeRelays();
+    }
+    std::for_each(m_executors.begin(), m_executors.end(), [this](auto &it) { startExecutor(it); });
+    std::for_each(m_workers.begin(), m_workers.end(), [this](auto &it) { startWorker(it); });
     registerAll();
     for (auto i = std::size_t{0}; i < m_entries.size(); ++i) {
         startEntry(i);
@@ -140,48 +142,202 @@
     }
 }
 
-auto Deployment::registerAll() -> void
+auto Deployment::startExecutor(ServerProcess &server) -> void
 {
-    auto list = json::array();
-    const auto regionOf = [&](const std::string &domain) {
-        for (const auto &it : m_shape.domains) {
-            if (it.name == domain) {
-                return it.region;
+    server.historyFile = m_folder + "/" + server.id + "-" + std::to_string(++m_historyFiles) + ".history";
+    server.process
+        = take(startStandin("executor_standin", {"--busy-ms", std::to_string(m_shape.executorBusyMs), "--threads", "72", "--history-file", server.historyFile}),
+               server.id);
+    retarget(server.id, server.process->port());
+}
+
+auto Deployment::startWorker(ServerProcess &server) -> void
+{
+    server.historyFile = m_folder + "/" + server.id + "-" + std::to_string(++m_historyFiles) + ".history";
+    server.process = take(startStandin("worker_standin",
+                                       {"--id",
+                                        server.id,
+                                        "--rack",
+                                        server.rack,
+                                        "--domain",
+                                        server.domain,
+                                        "--slots",
+                                        std::to_string(m_shape.slots),
+                                        "--history-file",
+                                        server.historyFile}),
+                          server.id);
+    retarget(server.id, server.process->port());
+}
+
+auto Deployment::regionOf(const std::string &domain) const -> std::string
+{
+    const auto it = std::find_if(m_shape.domains.begin(), m_shape.domains.end(), [&](const auto &shape) { return shape.name == domain; });
+    return it == m_shape.domains.end() ? std::string{} : it->region;
+}
+
+auto Deployment::makeRelays() -> void
+{
+    for (const auto &from : m_shape.domains) {
+        const auto add = [&](const std::string &id, const std::string &domain, int port) {
+            const auto delay = regionOf(domain) == from.region ? Millis{0} : m_shape.regionDelay;
+            m_ways[{from.name, id}] = std::make_unique<Relay>(port, delay);
+        };
+        m_lists[from.name] = take(startStandin("platform_standin"), "instance list");
+        add("log", m_shape.domains.front().name, m_logRelay->port());
+        add("list", m_shape.domains.front().name, m_lists[from.name]->port());
+        for (const auto &it : m_executors) {
+            add(it.id, it.domain, 0);
+        }
+        for (const auto &it : m_workers) {
+            add(it.id, it.domain, 0);
+        }
+        for (const auto &it : m_entries) {
+            add(it.id, it.domain, 0);
+        }
+    }
+}
+
+auto Deployment::retarget(const std::string &id, int port) -> void
+{
+    for (auto &[way, relay] : m_ways) {
+        if (way.second == id) {
+            relay->setTarget(port);
+        }
+    }
+}
+
+auto Deployment::ways(const std::string &from, WayTo role, const std::string &to) -> std::vector<Relay *>
+{
+    auto out = std::vector<Relay *>{};
+    const auto add = [&](const std::string &id) { out.push_back(m_ways.at({from, id}).get()); };
+    const auto addOf = [&](const auto &servers) {
+        for (const auto &it : servers) {
+            if (it.domain == to) {
+                add(it.id);
+            }
+        }
+    };
+    switch (role) {
+    case WayTo::Entry:
+        addOf(m_entries);
+        break;
+    case WayTo::Executor:
+        addOf(m_executors);
+        break;
+    case WayTo::Worker:
+        addOf(m_workers);
+        break;
+    case WayTo::Platform:
+        add("log");
+        add("list");
+        break;
+    }
+    return out;
+}
+
+auto Deployment::separate(const std::string &a, const std::string &b, RelayMode mode) -> void
+{
+    for (const auto &[from, to] : {std::pair{a, b}, std::pair{b, a}}) {
+        for (const auto role : {WayTo::Entry, WayTo::Executor, WayTo::Worker}) {
+            for (auto *it : ways(from, role, to)) {
+                it->setMode(mode);
+            }
+        }
+    }
+}
+
+auto Deployment::isolate(const std::string &domain, RelayMode mode) -> void
+{
+    for (const auto &it : m_shape.domains) {
+        if (it.name != domain) {
+            separate(domain, it.name, mode);
+        }
+    }
+}
+
+auto Deployment::killServer(ServerProcess &server) -> void
+{
+    server.process->signal(SIGKILL);
+    (void)server.process->waitExit(startTimeout);
+    const auto endMs = historyNowMs();
+    retarget(server.id, 0);
+    auto file = std::ifstream{server.historyFile};
+    const auto text = std::string{std::istreambuf_iterator<char>{file}, {}};
+    if (server.rack.empty() ? !readExecutor(server.id, text, endMs, m_lost) : !readWorker(server.id, text, endMs, m_lost)) {
+        throw std::runtime_error(server.id + ": the history file cannot be read");
+    }
+    server.process.reset();
+}
+
+auto Deployment::killDomain(const std::string &domain) -> void
+{
+    for (auto &it : m_entries) {
+        if (it.domain == domain && it.process) {
+            it.process->signal(SIGKILL);
+            (void)it.process->waitExit(startTimeout);
+            retarget(it.id, 0);
+        }
+    }
+    for (auto *servers : {&m_executors, &m_workers}) {
+        for (auto &it : *servers) {
+            if (it.domain == domain && it.process) {
+                killServer(it);
             }
         }
-        return std::string{};
+    }
+}
+
+auto Deployment::startDomain(const std::string &domain) -> void
+{
+    for (auto &it : m_executors) {
+        if (it.domain == domain && !it.process) {
+            startExecutor(it);
+        }
+    }
+    for (auto &it : m_workers) {
+        if (it.domain == domain && !it.process) {
+            startWorker(it);
+        }
+    }
+    for (auto i = std::size_t{0}; i < m_entries.size(); ++i) {
+        if (m_entries[i].domain == domain) {
+            startEntry(i);
+        }
+    }
+}
+
+auto Deployment::registerAll() -> void
+{
+    registerAt(*m_platform, {});
+    for (auto &[domain, list] : m_lists) {
+        registerAt(*list, domain);
+    }
+}
+
+auto Deployment::registerAt(ChildProcess &platform, const std::string &viewer) -> void
+{
+    auto list = json::array();
+    const auto address = [&](const std::string &id, const std::string &own) { return viewer.empty() ? own : m_ways.at({viewer, id})->address(); };
+    const auto add = [&](const auto &it, const char *role, const json &more) {
+        list.push_back({{"id", it.id}, {"role", role}, {"domain", it.domain}, {"region", regionOf(it.domain)}, {"state", "live"}});
+        list.back().update(more);
     };
     for (const auto &it : m_executors) {
-        list.push_back({{"id", it.id},
-                        {"role", "executor"},
-                        {"domain", it.domain},
-                        {"region", regionOf(it.domain)},
-                        {"address", it.process->address()},
-                        {"state", "live"}});
-    }
-    for (auto i = std::size_t{0}; i < m_workers.size(); ++i) {
-        const auto &it = m_workers[i];
-        list.push_back({{"id", it.id},
-                        {"role", "worker"},
-                        {"domain", it.domain},
-                        {"region", regionOf(it.domain)},
-                        {"rack", m_racks[i].second},
-                        {"slots", m_shape.slots},
-                        {"address", it.process->address()},
-                        {"state", "live"}});
+        if (it.process) {
+            add(it, "executor", {{"address", address(it.id, it.process->address())}});
+        }
+    }
+    for (const auto &it : m_workers) {
+        if (it.process) {
+            add(it, "worker", {{"address", address(it.id, it.process->address())}, {"rack", it.rack}, {"slots", m_shape.slots}});
+        }
     }
     for (const auto &it : m_entries) {
         if (it.process) {
-            list.push_back({{"id", it.id},
-                            {"role", "entry"},
-                            {"domain", it.domain},
-                            {"region", it.region},
-                            {"address", it.callers},
-                            {"peer_address", it.peers},
-                            {"state", "live"}});
+            add(it, "entry", {{"address", it.callers}, {"peer_address", address(it.id, it.peers)}});
         }
     }
-    if (const auto done = control(*m_platform, json{{"register", list}}.dump()); !done) {
+    if (const auto done = control(platform, json{{"register", list}}.dump()); !done) {
         throw std::runtime_error("register: " + done.error().message);
     }
 }
@@ -189,12 +345,16 @@
 auto Deployment::writeSettings(const EntryProcess &entry) -> std::string
 {
     auto path = m_folder + "/" + entry.id + ".toml";
+    const auto log = m_shape.relays ? m_ways.at({entry.domain, "log"})->address() : m_logRelay->address();
+    const auto list = m_shape.relays ? m_ways.at({entry.domain, "list"})->address() : m_platformRelay->address();
+    // With relays, regions notice each other's silence within 1.5 s, so that a test sees what follows from it.
+    const auto *const peers = m_shape.relays ? "advertise = false\nremote_heartbeat = \"500ms\"\n" : "";
     auto out = std::ofstream{path};
     out << "[instance]\nid = \"" << entry.id << "\"\ndomain = \"" << entry.domain << "\"\nregion = \"" << entry.region << "\"\n"
         << "[listeners]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
-        << "[platform]\nlog = \"" << m_logRelay->address() << "\"\ninstances = \"" << m_platformRelay->address() << "\"\ntimeout = \"1s\"\n"
+        << "[platform]\nlog = \"" << log << "\"\ninstances = \"" << list << "\"\ntimeout = \"1s\"\n"
         << "[peers]\nkey = \"" << peerKey << "\"\n"
-        << "[operators]\ntoken_sha256 = \"" << sha256Hex(operatorTokenText) << "\"\n"
+        << peers << "[operators]\ntoken_sha256 = \"" << sha256Hex(operatorTokenText) << "\"\n"
         << "[leases]\n"
         << m_shape.leases << "[drain]\nnotice = \"300ms\"\ntime = \"20s\"\n";
     return path;
@@ -212,12 +372,23 @@
     if (std::sscanf(line.c_str(), "listening callers=%d operators=%d peers=%d", &callers, &operators, &peers) != 3) {
         throw std::runtime_error(entry.id + " printed: " + line);
     }
-    entry.callers = "127.0.0.1:" + std::to_string(callers);
-    entry.operators = "127.0.0.1:" + std::to_string(operators);
-    entry.peers = "127.0.0.1:" + std::to_string(peers);
+    {
+        const auto lock = std::lock_guard{m_addressMutex};
+        entry.callers = "127.0.0.1:" + std::to_string(callers);
+        entry.operators = "127.0.0.1:" + std::to_string(operators);
+        entry.peers = "127.0.0.1:" + std::to_string(peers);
+    }
+    retarget(entry.id, peers);
     registerAll();
 }
 
+auto Deployment::addressOf(std::size_t index, bool operators) -> std::string
+{
+    const auto lock = std::lock_guard{m_addressMutex};
+    const auto &entry = m_entries.at(index);
+    return operators ? entry.operators : entry.callers;
+}
+
 auto Deployment::waitReady(std::size_t index) -> bool
 {
     return eventually([&] {
@@ -323,12 +494,12 @@
 auto Deployment::caller(std::size_t index, const std::string &method, const std::string &path, const std::string &body, Millis timeout, bool neighbour)
     -> Result<HttpReply>
 {
-    return exchange(m_entries.at(index).callers, neighbour ? neighbourToken : callerTokenText, method, path, body, timeout);
+    return exchange(addressOf(index, false), neighbour ? neighbourToken : callerTokenText, method, path, body, timeout);
 }
 
 auto Deployment::operate(std::size_t index, const std::string &method, const std::string &path, const std::string &body) -> Result<HttpReply>
 {
-    return exchange(m_entries.at(index).operators, operatorTokenText, method, path, body, Millis{8'000});
+    return exchange(addressOf(index, true), operatorTokenText, method, path, body, Millis{8'000});
 }
 
 auto Deployment::request(std::size_t index, const RequestParams &params) -> Call
@@ -380,13 +551,17 @@
 
 auto Deployment::collect(History &history) -> void
 {
+    history.executions.insert(history.executions.end(), m_lost.executions.begin(), m_lost.executions.end());
+    history.runs.insert(history.runs.end(), m_lost.runs.begin(), m_lost.runs.end());
+    history.leases.insert(history.leases.end(), m_lost.leases.begin(), m_lost.leases.end());
+    history.leaving.insert(history.leaving.end(), m_lost.leaving.begin(), m_lost.leaving.end());
     for (const auto &it : m_executors) {
-        if (const auto text = fetchHistory(*it.process); text) {
+        if (const auto text = it.process ? fetchHistory(*it.process) : Result<std::string>{failure(ErrorCode::Unavailable, "killed")}; text) {
             readExecutor(it.id, text.value(), historyNowMs(), history);
         }
     }
     for (const auto &it : m_workers) {
-        if (const auto text = fetchHistory(*it.process); text) {
+        if (const auto text = it.process ? fetchHistory(*it.process) : Result<std::string>{failure(ErrorCode::Unavailable, "killed")}; text) {
             readWorker(it.id, text.value(), historyNowMs(), history);
         }
     }
--- a/testing/system/deployment.h
+++ b/testing/system/deployment.h
@@ -16,7 +16,9 @@
 #include "history/history.h"
 #include "ports/httpclient.h"
 
+#include <map>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -44,6 +46,8 @@
     int executorBusyMs = 20;
     Millis platformDelay{0}; ///< one way between the entry instances and the platform
     Millis logDelay{0}; ///< added to it one way for the log alone
+    bool relays = false; ///< whether every way between two processes goes through a relay; see Deployment::way
+    Millis regionDelay{0}; ///< added to the ways between two regions, one way; needs relays
     std::string leases = "probation = \"1500ms\"\nrun = \"6s\"\nrenew = \"1s\"\n"; ///< the settings' section [leases]
 };
 
@@ -68,8 +72,12 @@
     std::string id;
     std::string domain;
     std::unique_ptr<ChildProcess> process;
+    std::string rack; ///< workers only
+    std::string historyFile; ///< of the present process
 };
 
+enum class WayTo { Entry, Executor, Worker, Platform };
+
 struct RequestParams
 {
     std::string kind;
@@ -106,6 +114,19 @@
     /// The way from the entry instances to the platform, for outages that leave the platform's own state alone.
     auto platformRelay() -> Relay &;
 
+    /// The relays from one failure domain to the servers of one role in another; needs DeploymentShape::relays.
+    /// @param to failure domain of the servers; ignored for WayTo::Platform, which gives the log's and the list's relay
+    auto ways(const std::string &from, WayTo role, const std::string &to = {}) -> std::vector<Relay *>;
+    /// Sets the mode of every way between a failure domain and the others, in both directions.
+    auto isolate(const std::string &domain, RelayMode mode) -> void;
+    /// Sets the mode of every way between two failure domains, in both directions.
+    auto separate(const std::string &a, const std::string &b, RelayMode mode) -> void;
+    /// Kills a backend server or every process of a failure domain; what the backend servers recorded is kept for collect().
+    auto killServer(ServerProcess &server) -> void;
+    auto killDomain(const std::string &domain) -> void;
+    /// Replaces what killDomain() has killed. The processes have new ports and know nothing.
+    auto startDomain(const std::string &domain) -> void;
+
     /// @return a document with one workspace that has a guarantee, a neighbour without one, and kinds
     /// `plan`, `book`, `simulate` and `mold` for both.
     [[nodiscard]] auto document() const -> nlohmann::json;
@@ -135,17 +156,28 @@
 
 private:
     auto registerAll() -> void;
+    auto addressOf(std::size_t index, bool operators) -> std::string;
     auto writeSettings(const EntryProcess &entry) -> std::string;
+    auto startExecutor(ServerProcess &server) -> void;
+    auto startWorker(ServerProcess &server) -> void;
+    auto makeRelays() -> void;
+    auto retarget(const std::string &id, int port) -> void;
+    auto regionOf(const std::string &domain) const -> std::string;
+    auto registerAt(ChildProcess &platform, const std::string &viewer) -> void;
 
     DeploymentShape m_shape;
     std::string m_folder;
     std::unique_ptr<ChildProcess> m_platform;
     std::unique_ptr<Relay> m_platformRelay;
     std::unique_ptr<Relay> m_logRelay; ///< before m_platformRelay
+    std::mutex m_addressMutex; ///< guards the listeners' addresses in m_entries, which callers read while an instance is replaced
     std::vector<EntryProcess> m_entries;
     std::vector<ServerProcess> m_executors;
     std::vector<ServerProcess> m_workers;
-    std::vector<std::pair<std::string, std::string>> m_racks; ///< worker id and rack
+    std::map<std::string, std::unique_ptr<ChildProcess>> m_lists; ///< instance list of each failure domain, with its relays' addresses
+    std::map<std::pair<std::string, std::string>, std::unique_ptr<Relay>> m_ways; ///< by failure domain and target's id
+    History m_lost; ///< of killed backend servers
+    int m_historyFiles = 0;
 };
 
 }
