Settle nothing of a failure domain that cannot be reached, and number each try

Cause, found by the new system tests of partitions and of two faults at once: - A planner outside a cut-off failure domain claimed it without reaching any worker, and after the run lease recorded its jobs as lost, while the planner inside went on. After the partition, restartable jobs that had finished or still ran were started again. At most one of the two sides could read the log, so the wrong record of the other side was appended later. - A job that must not run twice kept its attempt number when a try was given up because the log did not confirm it. Its workers refused the ended leases' ids for 10 minutes, so it did not start after an outage of the log.

Change: a planner claims, settles and decides only once a worker has answered. If that takes longer than claimWait it waits 5 s more, longer than peers' largest connect backoff of 4 s. Leases that are not seen count as over by the time since then. Each try has its own number, above those on record and those that workers list, and the fold accepts any higher number of a queued job. A recorded attempt without a gang is settled by what the workers list.

Ruled out: a separate try number beside the attempt number, because the records and the adoption of gangs would have had to carry it too; settling by time on a planner that reaches no worker, because a lost failure domain and one that is cut off look the same from outside.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -169,8 +169,19 @@
     if (m_claimed || now < m_claimAfter) {
         return;
     }
+    const auto reachedAny = std::any_of(m_workers.begin(), m_workers.end(), [](const auto &it) { return it.second.status.has_value(); });
+    if (!reachedAny) {
+        return;
+    }
+    if (!m_contact) {
+        m_contact = now;
+        if (now - m_since > m_context.options.claimWait) {
+            m_claimAfter = now + m_context.options.reconnectWait;
+            return;
+        }
+    }
     const auto heardAll = std::all_of(m_workers.begin(), m_workers.end(), [](const auto &it) { return it.second.heard; });
-    if (m_workers.empty() || (!heardAll && now - m_since < m_context.options.claimWait)) {
+    if (!heardAll && now - m_since < m_context.options.claimWait) {
         return;
     }
     auto highest = std::int64_t{0};
@@ -193,25 +204,37 @@
 
 auto DomainPlanner::findGangs() const -> std::map<JobId, Found>
 {
-    auto out = std::map<JobId, Found>{};
+    auto attempts = std::map<JobId, std::map<int, Found>>{};
     for (const auto &[id, worker] : m_workers) {
-        if (!worker.status) {
-            continue;
-        }
-        for (const auto &lease : worker.status->leases) {
-            auto &found = out[lease.job];
-            if (lease.attempt > found.attempt) {
-                found = {.attempt = lease.attempt};
-            }
-            if (lease.attempt == found.attempt) {
-                found.members[lease.member] = {.worker = id, .slots = lease.slots};
-                found.live = found.live || lease.state != LeaseState::Ended;
-            }
+        for (const auto &lease : worker.status ? worker.status->leases : std::vector<WorkerLease>{}) {
+            auto &found = attempts[lease.job][lease.attempt];
+            found.attempt = lease.attempt;
+            found.members[lease.member] = {.worker = id, .slots = lease.slots};
+            found.live = found.live || lease.state != LeaseState::Ended;
         }
     }
+    // The highest attempt that holds slots, else the one on record, else the highest.
+    auto out = std::map<JobId, Found>{};
+    for (auto &[id, byNumber] : attempts) {
+        const auto live = std::find_if(byNumber.rbegin(), byNumber.rend(), [](const auto &it) { return it.second.live; });
+        const auto job = m_context.jobs->find(id);
+        const auto recorded = job ? byNumber.find(job->attempt) : byNumber.end();
+        out[id] = live != byNumber.rend() ? live->second : recorded != byNumber.end() ? recorded->second : byNumber.rbegin()->second;
+    }
     return out;
 }
 
+auto DomainPlanner::highestListed(const JobId &job) const -> int
+{
+    auto highest = 0;
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &lease : worker.status ? worker.status->leases : std::vector<WorkerLease>{}) {
+            highest = lease.job == job ? std::max(highest, lease.attempt) : highest;
+        }
+    }
+    return highest;
+}
+
 auto DomainPlanner::settleLost(const Job &job) -> void
 {
     // No worker holds a lease of the attempt any more, and whether its tasks did their work is not known.
@@ -300,7 +323,8 @@
         m_jobsChanged = true;
         return;
     }
-    const auto waited = now - m_since;
+    // Before a worker answered, another planner may have renewed what is not seen here.
+    const auto waited = now - m_contact.value_or(now);
     const auto leasesOver = waited >= m_context.options.gangs.runTtl + m_context.options.gangs.runTtl / 10;
     const auto unsettled = std::exchange(m_unsettled, {});
     for (const auto &id : unsettled) {
@@ -335,10 +359,13 @@
         }
         return;
     }
-    if (job.state == JobState::Queued) {
-        const auto waited = std::max(Millis{0}, m_context.clock.wall() - job.accepted);
-        m_scheduler.resubmit(toScheduled(job.spec), now - waited);
+    if (job.state != JobState::Queued) {
+        // The attempt's record arrived after the try had been given up: what its workers list settles it.
+        m_unsettled.insert(id);
+        return;
     }
+    const auto waited = std::max(Millis{0}, m_context.clock.wall() - job.accepted);
+    m_scheduler.resubmit(toScheduled(job.spec), now - waited);
 }
 
 auto DomainPlanner::syncJobs(MonoTime now) -> void
@@ -359,9 +386,9 @@
         m_jobsChanged = true;
         return;
     }
-    const auto attempt = std::max(job->attempt, m_lastAttempt[start.job]) + 1;
-    // A job that must not run twice gets its number from the log alone.
-    const auto number = job->spec.restartable ? attempt : job->attempt + 1;
+    // A new number for each try, also for one that was given up before its record was confirmed: workers refuse the
+    // lease ids of ended leases, and late or repeated records of that try must not count for this one.
+    const auto number = std::max({job->attempt, m_lastAttempt[start.job], highestListed(start.job)}) + 1;
     m_lastAttempt[start.job] = number;
     auto spec = GangSpec{
         .job = start.job,
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -11,7 +11,8 @@
 /// @endcode
 ///
 /// A new planner first reads the status of every worker, claims a generation above the highest that it finds, and adopts
-/// the gangs that run. Nothing is started or ended before that.
+/// the gangs that run. Nothing is started or ended before that. A planner that reaches no worker at all may be cut off
+/// from a failure domain in which another planner goes on, so it claims and settles nothing until a worker answers.
 
 #include "daemon/configservice.h"
 #include "daemon/fleet.h"
@@ -42,6 +43,9 @@
     Millis pollPeriod{500}; ///< least time between status polls of one worker
     int maxPollsPerSecond = 40; ///< over all workers of the failure domain; bounds the planner's processor time
     Millis claimWait{2'000}; ///< longest wait for the first status of unreachable workers before claiming
+    /// Pause before claiming when the first worker answers only after claimWait, as at the end of a partition: longer
+    /// than peers need to connect again (backoff of at most 4 s), so that the planner inside is known first.
+    Millis reconnectWait{5'000};
     Millis adoptWait{30'000}; ///< longest wait for unreachable workers before an incomplete gang is ended
     Millis attemptWait{3'000}; ///< longest wait for the log to confirm an attempt
     Millis staleBackoff{1'000}; ///< pause before claiming again after another planner has claimed a worker
@@ -129,6 +133,7 @@
     auto claim(MonoTime now) -> void;
     auto adoptGangs(MonoTime now) -> void;
     auto findGangs() const -> std::map<JobId, Found>;
+    auto highestListed(const JobId &job) const -> int;
     auto adoptJob(const Job &job, const Found *found, bool complete, MonoTime now) -> void;
     auto settleLost(const Job &job) -> void;
     auto endStrays(const std::map<JobId, Found> &found) -> void;
@@ -159,6 +164,7 @@
     bool m_adopted = false;
     bool m_jobsChanged = true;
     MonoTime m_since;
+    std::optional<MonoTime> m_contact; ///< when the first worker answered
     MonoTime m_claimAfter; ///< no claim before this time
     std::map<JobId, int> m_lastAttempt; ///< highest attempt number used here
     std::set<JobId> m_unsettled; ///< jobs of an earlier planner whose members have not been found yet
--- a/packages/state/jobfold.cpp
+++ b/packages/state/jobfold.cpp
@@ -10,7 +10,9 @@
 
 auto applyAttempt(Job &job, const JobAttemptRecord &record) -> bool
 {
-    const auto valid = job.spec.restartable ? record.attempt > job.attempt : job.state == JobState::Queued && record.attempt == job.attempt + 1;
+    // Numbers may be left out: a planner gives each try a new one, so that late or repeated records of a try that was
+    // given up are not taken for those of a later one.
+    const auto valid = record.attempt > job.attempt && (job.spec.restartable || job.state == JobState::Queued);
     if (!valid) {
         return false;
     }
--- a/packages/state/jobfold.h
+++ b/packages/state/jobfold.h
@@ -13,7 +13,7 @@
 /// @endcode
 ///
 /// Rules: the first accept of an id wins; attempt n of a job that must not run twice is valid only while the job is queued
-/// and n is the last attempt + 1; for a restartable job any n above the last one is valid; a terminal state is final.
+/// and n is above the last attempt; for a restartable job any n above the last one is valid; a terminal state is final.
 ///
 /// Every instance has to reach the same table, also one that starts in the middle of the stream and so has missed records.
 /// It takes an accept or carry record for an unknown job only if the builder had read at least up to this reader's start:
