Stop a gang whose job has ended on record, and replace a gang cleanly

Cause: - A restartable job that starts while the log is down is still queued in the log. Cancelled from outside, it was ended there at once, and its planner no longer looked at it: the gang ran to its end. - The settlement of a recorded attempt without a gang, added with the numbering of tries, could meet a gang that had started from the queue in the same step.

Change: the planner stops gangs whose job is in a final state; a job that waits for its settlement leaves the scheduler's queue, and one that has a gang is not settled; a replaced gang leaves the lists of its workers.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -329,7 +329,7 @@
     const auto unsettled = std::exchange(m_unsettled, {});
     for (const auto &id : unsettled) {
         const auto job = m_context.jobs->find(id);
-        if (!job || isTerminal(job->state)) {
+        if (!job || isTerminal(job->state) || m_gangs.contains(id)) {
             continue;
         }
         const auto it = found.find(id);
@@ -360,8 +360,11 @@
         return;
     }
     if (job.state != JobState::Queued) {
-        // The attempt's record arrived after the try had been given up: what its workers list settles it.
-        m_unsettled.insert(id);
+        // The attempt's record arrived after the try had been given up: what its workers list settles it, and until then
+        // the job must not start from the queue.
+        if (m_scheduler.cancel(id) != JobCancelResult::Running) {
+            m_unsettled.insert(id);
+        }
         return;
     }
     const auto waited = std::max(Millis{0}, m_context.clock.wall() - job.accepted);
@@ -376,6 +379,14 @@
     for (const auto &it : m_context.jobs->liveIn(m_domain)) {
         syncJob(it, now);
     }
+    // A job that the log showed as queued, because its attempt could not be recorded yet, ends there at once when it is
+    // cancelled from outside.
+    for (const auto &[id, attempt] : m_lastAttempt) {
+        const auto job = m_gangs.contains(id) ? m_context.jobs->find(id) : std::nullopt;
+        if (job && isTerminal(job->state)) {
+            m_gangs.stop(id, false, std::string("the job is ") + jobStateName(job->state), now);
+        }
+    }
 }
 
 auto DomainPlanner::startGang(const Start &start, MonoTime now) -> void
--- a/packages/policy/gangs.cpp
+++ b/packages/policy/gangs.cpp
@@ -41,6 +41,12 @@
 
 auto GangTable::insert(GangSpec spec, GangPhase phase, MonoTime now) -> Gang &
 {
+    // A gang that is replaced must not leave its job on workers that the new one does not use.
+    if (const auto old = m_gangs.find(spec.job); old != m_gangs.end()) {
+        for (const auto &it : old->second.members) {
+            std::erase(m_jobsOnWorker[it.worker], spec.job);
+        }
+    }
     auto gang = Gang{};
     for (auto i = std::size_t{0}; i < spec.members.size(); ++i) {
         gang.members.push_back({
--- a/packages/policy/testing/gangs_test.cpp
+++ b/packages/policy/testing/gangs_test.cpp
@@ -204,6 +204,24 @@
     CHECK(waiting.outcome() == "aborted");
 }
 
+// Guards against a planner that ends with an exception: the workers of the replaced gang still named the job.
+TEST_CASE("a gang that replaces another one of the same job on other workers leaves nothing behind")
+{
+    auto bench = Bench{};
+    auto first = Bench::spec();
+    bench.table.start(first, bench.clock.now());
+    bench.steps(2);
+    auto second = Bench::spec();
+    second.attempt = 2;
+    second.members.resize(1);
+    bench.table.adopt(second, bench.clock.now());
+    bench.steps(100);
+    CHECK(bench.table.size() == 0);
+    bench.table.statusDone(WorkerId{"w-3"}, failure(ErrorCode::Timeout, "silent"), bench.clock.now());
+    bench.table.statusDone(WorkerId{"w-3"}, bench.workers.at(WorkerId{"w-3"}).status(), bench.clock.now());
+    CHECK(bench.table.size() == 0);
+}
+
 TEST_CASE("losing a member of a running gang ends the rest")
 {
     struct Case
--- a/testing/system/testing/partition_test.cpp
+++ b/testing/system/testing/partition_test.cpp
@@ -50,6 +50,7 @@
     std::string cancelled;
     std::string waitingSim;
     std::string waitingMold;
+    std::string lateCancel; ///< starts during the cut and is cancelled from the other side
     std::string nearSim;
     std::string nearMold;
 };
@@ -69,6 +70,7 @@
         REQUIRE(load.waitState(part.entry, it, "running"));
     }
     jobs.waitingSim = load.mustSubmit(nearEntry, {.key = "waiting-sim", .domain = far, .slots = 4});
+    jobs.lateCancel = load.mustSubmit(nearEntry, {.key = "late-cancel", .domain = far, .slots = 1, .runMs = 60'000});
     jobs.waitingMold = load.mustSubmit(part.entry, {.key = "waiting-mold", .domain = far, .slots = 2, .restartable = false});
     return jobs;
 }
@@ -149,6 +151,15 @@
     return runs.size() == 2 && runs[0].finished && runs[1].finished;
 }
 
+/// @return whether no task of the job runs any more after some time.
+auto hasStopped(const FaultLoad &load, const std::string &job) -> bool
+{
+    return eventually([&] {
+        const auto runs = load.runs(job);
+        return std::all_of(runs.begin(), runs.end(), [](const TaskRun &it) { return it.endMs + 500 < historyNowMs(); });
+    });
+}
+
 auto runPartition(const Partition &part, unsigned seed) -> void
 {
     auto site = Deployment{threeDomains()};
@@ -169,11 +180,10 @@
     }
     checkNearSide(site, load);
     CHECK(eventually([&] { return ranOnce(load, jobs.waitingSim); }, waitPoll));
+    CHECK(eventually([&] { return load.runs(jobs.lateCancel).size() == 2; }, waitPoll));
+    REQUIRE(site.caller(nearEntry, "DELETE", "/v1/jobs/" + jobs.lateCancel, {}, Millis{3'000}));
     // The cancelled job's tasks have ended on the workers, although the record may still wait for the log.
-    CHECK(eventually([&] {
-        const auto runs = load.runs(jobs.cancelled);
-        return std::all_of(runs.begin(), runs.end(), [](const TaskRun &it) { return it.endMs + 500 < historyNowMs(); });
-    }));
+    CHECK(hasStopped(load, jobs.cancelled));
     // Longer than silence is noticed in (1.5 s), a planner waits to claim (2 s), and an unseen run lease can last (5.5 s).
     std::this_thread::sleep_for(Millis{11'000 - std::min<std::int64_t>(11'000, historyNowMs() - cutMs)});
     const auto healedMs = historyNowMs();
@@ -184,7 +194,9 @@
             CHECK(load.waitState(entry, it, "succeeded"));
         }
         CHECK(load.waitState(entry, jobs.cancelled, "cancelled"));
+        CHECK(load.waitState(entry, jobs.lateCancel, "cancelled"));
     }
+    CHECK(hasStopped(load, jobs.lateCancel));
     for (const auto &it : {jobs.block, jobs.sim, jobs.mold, jobs.waitingSim, jobs.waitingMold, jobs.nearSim, jobs.nearMold}) {
         CHECK(ranOnce(load, it));
     }
