--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -320,6 +320,7 @@
         .incarnation = incarnation,
         .listenAddress = settings.listeners.peers,
         .advertisedAddress = {},
+        .advertise = settings.peers.advertise,
         .key = settings.peers.key,
         .previousKey = settings.peers.previousKey,
         .periodInRegion = settings.peers.heartbeat,
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -126,6 +126,16 @@
         return true;
     }
 
+    auto flag(const std::string &key, bool &value) -> void
+    {
+        const auto node = lookUp(key);
+        if (node && !node.is_boolean()) {
+            error(key, "must be true or false");
+        } else if (node) {
+            value = node.ref<bool>();
+        }
+    }
+
     template<typename Id>
     auto id(const std::string &key, Id &value) -> void
     {
@@ -372,6 +382,7 @@
     reader.serverAddress("platform.log", s.platform.log);
     reader.serverAddress("platform.instances", s.platform.instances);
     reader.addresses("peers.addresses", s.peers.addresses);
+    reader.flag("peers.advertise", s.peers.advertise);
     readPeerKeys(reader, path, s.peers);
     if (reader.text("operators.token_sha256", false, s.operators.tokenSha256) && !isSha256Hex(s.operators.tokenSha256)) {
         reader.error("operators.token_sha256", "must be 64 lower-case hex digits, as printed by 'catkinctl token-hash'");
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -60,6 +60,7 @@
     std::string previousKey; ///< accepted as well while the key is being replaced; empty: none
     Millis heartbeat{500}; ///< inside the region
     Millis remoteHeartbeat{2000}; ///< to other regions
+    bool advertise = true; ///< whether peers are told the listen address; otherwise they use the instance list's
 };
 
 struct OperatorSettings
--- a/testing/standins/worker_standin.cpp
+++ b/testing/standins/worker_standin.cpp
@@ -70,6 +70,7 @@
     worker.server.route("GET", "/v1/status", [&](const httplib::Request &req, httplib::Response &res) { status(worker, req, res); });
     addSetting(worker, "fail_everything", &WorkerSettings::failEverything);
     addSetting(worker, "tags", &WorkerSettings::tags);
+    addSetting(worker, "accept_while_leaving", &WorkerSettings::acceptWhileLeaving);
     addSetting(worker, "ignore_stop", &WorkerSettings::ignoreStop);
     addSetting(worker, "usage_lag_ms", &WorkerSettings::usageLagMs);
     addSetting(worker, "checkpoint_ms", &WorkerSettings::checkpointMs);
--- a/testing/system/deployment.h
+++ b/testing/system/deployment.h
@@ -16,7 +16,9 @@
 #include "history/history.h"
 #include "ports/httpclient.h"
 
+#include <map>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -46,6 +48,8 @@
     int executorBusyMs = 20;
     Millis platformDelay{0}; ///< one way between the entry instances and the platform
     Millis logDelay{0}; ///< added to it one way for the log alone
+    bool relays = false; ///< whether every way between two processes goes through a relay; see Deployment::way
+    Millis regionDelay{0}; ///< added to the ways between two regions, one way; needs relays
     std::string leases = "probation = \"1500ms\"\nrun = \"6s\"\nrenew = \"1s\"\n"; ///< the settings' section [leases]
 };
 
@@ -70,8 +74,12 @@
     std::string id;
     std::string domain;
     std::unique_ptr<ChildProcess> process;
+    std::string rack; ///< workers only
+    std::string historyFile; ///< of the present process
 };
 
+enum class WayTo { Entry, Executor, Worker, Platform };
+
 struct RequestParams
 {
     std::string kind;
@@ -108,6 +116,19 @@
     /// The way from the entry instances to the platform, for outages that leave the platform's own state alone.
     auto platformRelay() -> Relay &;
 
+    /// The relays from one failure domain to the servers of one role in another; needs DeploymentShape::relays.
+    /// @param to failure domain of the servers; ignored for WayTo::Platform, which gives the log's and the list's relay
+    auto ways(const std::string &from, WayTo role, const std::string &to = {}) -> std::vector<Relay *>;
+    /// Sets the mode of every way between a failure domain and the others, in both directions.
+    auto isolate(const std::string &domain, RelayMode mode) -> void;
+    /// Sets the mode of every way between two failure domains, in both directions.
+    auto separate(const std::string &a, const std::string &b, RelayMode mode) -> void;
+    /// Kills a backend server or every process of a failure domain; what the backend servers recorded is kept for collect().
+    auto killServer(ServerProcess &server) -> void;
+    auto killDomain(const std::string &domain) -> void;
+    /// Replaces what killDomain() has killed. The processes have new ports and know nothing.
+    auto startDomain(const std::string &domain) -> void;
+
     /// @return a document with one workspace that has a guarantee, a neighbour without one, and kinds
     /// `plan`, `book`, `simulate` and `mold` for both.
     [[nodiscard]] auto document() const -> nlohmann::json;
@@ -137,17 +158,29 @@
 
 private:
     auto registerAll() -> void;
+    auto addressOf(std::size_t index, bool operators) -> std::string;
     auto writeSettings(const EntryProcess &entry) -> std::string;
+    auto startExecutor(ServerProcess &server) -> void;
+    auto startWorker(ServerProcess &server) -> void;
+    auto makeRelays() -> void;
+    /// The log's own relay only where it delays: a cut of the platform's relay behind it would show as connections that are
+    /// accepted and then closed, after which an append counts as possibly done.
+    auto logRelay() -> Relay &;
+    auto retarget(const std::string &id, int port) -> void;
+    auto regionOf(const std::string &domain) const -> std::string;
+    auto registerAt(ChildProcess &platform, const std::string &viewer) -> void;
 
     DeploymentShape m_shape;
     std::string m_folder;
     std::unique_ptr<ChildProcess> m_platform;
     std::unique_ptr<Relay> m_platformRelay;
-    std::unique_ptr<Relay> m_logRelay; ///< before m_platformRelay; only with a delay of the log
+    std::unique_ptr<Relay> m_logRelay; ///< before m_platformRelay
+    std::mutex m_addressMutex; ///< guards the listeners' addresses in m_entries, which callers read while an instance is replaced
     std::vector<EntryProcess> m_entries;
     std::vector<ServerProcess> m_executors;
-    std::vector<ServerProcess> m_workers;
-    struct ListedWorker
+    std::vector<ServerProcess> m_workers; ///< one that stands for m_sharedWorkers has no rack
+
+    struct SharedWorker
     {
         std::string id;
         std::string domain;
@@ -155,9 +188,13 @@
         std::string address;
     };
 
-    auto startWorkers(const DomainShape &domain) -> void;
+    auto startSharedWorkers(const DomainShape &domain) -> void;
 
-    std::vector<ListedWorker> m_listedWorkers;
+    std::vector<SharedWorker> m_sharedWorkers; ///< workers that one process serves
+    std::map<std::string, std::unique_ptr<ChildProcess>> m_lists; ///< instance list of each failure domain, with its relays' addresses
+    std::map<std::pair<std::string, std::string>, std::unique_ptr<Relay>> m_ways; ///< by failure domain and target's id
+    History m_lost; ///< of killed backend servers
+    int m_historyFiles = 0;
 };
 
 }
