Split the daemon's options from its assembly, and drop a setting without effect

Ruled out: enforcing a byte budget for control frames, because their volume is already bounded by period and entries, and a delayed heartbeat costs a failover. A settings file with link.control_per_second is refused as one with an unknown key. One parameter of a test is a const reference (lint).

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "daemon/callgate.h"
 #include "daemon/configservice.h"
 #include "daemon/consoleroutes.h"
+#include "daemon/daemonoptions.h"
 #include "daemon/executorpoller.h"
 #include "daemon/fleet.h"
 #include "daemon/httplistener.h"
@@ -11,6 +12,7 @@
 #include "daemon/jobservice.h"
 #include "daemon/logwriter.h"
 #include "daemon/operatorapi.h"
+#include "daemon/peeranswers.h"
 #include "daemon/plannerservice.h"
 #include "daemon/requestservice.h"
 #include "daemon/telemetry.h"
@@ -43,38 +45,6 @@
 constexpr auto flushWait = Millis{5'000};
 constexpr auto forwardMargin = Millis{500};
 
-auto logTailOptions(const Settings &settings) -> LogTailOptions
-{
-    // Instances that start together spread their first reads over this time.
-    constexpr auto startSpread = std::uint64_t{200};
-    return {.startDelay = Millis{static_cast<std::int64_t>(xxh64(settings.instance.str()) % startSpread)}};
-}
-
-auto retentionOf(const Settings &settings) -> Seconds
-{
-    return std::chrono::duration_cast<Seconds>(settings.requests.logRetention);
-}
-
-auto gateOptions(const Settings &settings) -> CallGateOptions
-{
-    // The rest of the threads read new calls and refuse them.
-    return {.callsAtMost = std::max(1, settings.limits.callerThreads * 3 / 4), .bytesAtMost = settings.limits.queueMemory};
-}
-
-auto intentOptions(const Settings &settings) -> IntentServiceOptions
-{
-    // limits.attempt_memory in parts: half for the keys, a quarter for answers read from the log, an eighth each for
-    // own answers and those of tickets. A key needs about 400 bytes with its indexes.
-    constexpr auto bytesPerKey = std::int64_t{512};
-    const auto memory = settings.limits.attemptMemory.value;
-    return {.instance = settings.instance,
-            .fold = {.window = std::chrono::duration_cast<Seconds>(settings.requests.keyWindow),
-                     .maxKeys = static_cast<std::size_t>(memory / 2 / bytesPerKey),
-                     .maxAnswerBytes = static_cast<std::size_t>(memory / 4)},
-            .tail = logTailOptions(settings),
-            .ownAnswers = Bytes{memory / 8}};
-}
-
 /// @return the credentials; null, with the reason in @p error, when the files have become unusable since the settings were checked.
 auto loadTls(TlsRole role, const TlsFiles &files, const Clock &clock, std::string &error) -> std::shared_ptr<TlsCredentials>
 {
@@ -95,40 +65,6 @@
     return tls.certificate.empty() ? TlsFiles{} : listenerTls(tls, clientCa);
 }
 
-auto toTicketResult(const RequestReply &reply) -> TicketResult
-{
-    return {
-        .verdict = reply.verdict,
-        .request = reply.request,
-        .answer = reply.answer,
-        .reason = reply.reason,
-        .retryAfter = reply.retryAfter,
-        .configVersion = reply.configVersion,
-        .status = reply.status,
-    };
-}
-
-auto fromTicketResult(const TicketResult &result) -> RequestReply
-{
-    return {
-        .verdict = result.verdict,
-        .status = result.status,
-        .request = result.request,
-        .answer = result.answer,
-        .reason = result.reason,
-        .retryAfter = result.retryAfter,
-        .configVersion = result.configVersion,
-    };
-}
-
-auto toJobStatus(const JobId &id, const std::optional<Job> &job) -> JobStatus
-{
-    if (!job) {
-        return {.job = id};
-    }
-    return {.job = id, .known = true, .state = jobStateName(job->state), .reason = job->detail, .attempt = job->attempt};
-}
-
 }
 
 struct Daemon::Impl
@@ -136,9 +72,7 @@
     Impl(const Settings &given, const Clock &time);
     ~Impl();
 
-    auto meshOptions() const -> PeerMeshOptions;
     auto meshHandlers() -> PeerMeshHandlers;
-    auto requestOptions() const -> RequestServiceOptions;
     auto plannerContext() -> PlannerContext;
     auto callerContext() -> CallerContext;
     auto operatorContext() -> OperatorContext;
@@ -211,7 +145,7 @@
     , executorPort(telemetry.observed(makeHttpExecutor({.maxAnswerBytes = static_cast<std::size_t>(given.limits.answerBody.value), .tls = httpTls()})))
     , writer(log, time, {})
     , pool(static_cast<std::size_t>(given.limits.dispatchThreads), maxQueuedWork)
-    , mesh(meshOptions(), meshHandlers(), time)
+    , mesh(meshOptions(given, incarnation), meshHandlers(), time)
     , membership(std::make_shared<const Membership>(mesh.membership()))
     , config(log,
              writer,
@@ -232,7 +166,7 @@
                intents,
                gate,
                time,
-               requestOptions(),
+               requestOptions(given, incarnation),
                [this](const RequestCall &call, const RequestReply &reply, Millis latency) {
                    telemetry.requestFinished(call, reply, latency, config.active().get());
                })
@@ -245,13 +179,7 @@
                    planners->jobsChanged();
                }
            })
-    , tickets({.instance = given.instance,
-               .incarnation = incarnation,
-               .key = given.peers.key,
-               .previousKey = given.peers.previousKey,
-               .window = given.requests.keyWindow,
-               .answers = Bytes{given.limits.attemptMemory.value / 8}},
-              time)
+    , tickets(ticketOptions(given, incarnation), time)
     , poller(executorPort,
              time,
              {.period = given.poll.executors},
@@ -311,23 +239,6 @@
     planners.reset();
 }
 
-auto Daemon::Impl::meshOptions() const -> PeerMeshOptions
-{
-    return {
-        .self = settings.instance,
-        .domain = settings.domain,
-        .region = settings.region,
-        .incarnation = incarnation,
-        .listenAddress = settings.listeners.peers,
-        .advertisedAddress = {},
-        .advertise = settings.peers.advertise,
-        .key = settings.peers.key,
-        .previousKey = settings.peers.previousKey,
-        .periodInRegion = settings.peers.heartbeat,
-        .periodAcross = settings.peers.remoteHeartbeat,
-    };
-}
-
 auto Daemon::Impl::meshHandlers() -> PeerMeshHandlers
 {
     auto handlers = PeerMeshHandlers{};
@@ -359,30 +270,12 @@
     return handlers;
 }
 
-auto Daemon::Impl::requestOptions() const -> RequestServiceOptions
-{
-    auto options = RequestServiceOptions{.instance = settings.instance, .keyWindow = settings.requests.keyWindow};
-    options.scheduler.instance = settings.instance;
-    options.scheduler.domain = settings.domain;
-    options.scheduler.region = settings.region;
-    options.scheduler.health.pollPeriod = settings.poll.executors;
-    options.scheduler.link.bytesPerSecond = settings.link.payloadPerSecond.value;
-    options.scheduler.link.burst = settings.link.payloadPerSecond.value * settings.link.burst.count() / 1000;
-    // Instances that start alike must not choose alike.
-    options.seed = xxh64(settings.instance.str()) ^ static_cast<std::uint64_t>(incarnation.value);
-    return options;
-}
-
 auto Daemon::Impl::plannerContext() -> PlannerContext
 {
     auto context = PlannerContext{.workers = telemetry.observed(makeHttpWorker(httpTls())), .jobs = &jobs, .pool = &pool, .clock = clock};
     context.decided = [this](Micros took) { telemetry.placementDecided(took); };
     context.preempted = [this](const Job &job) { telemetry.jobPreempted(job); };
-    context.options.instance = settings.instance;
-    context.options.pollPeriod = settings.poll.workers;
-    context.options.gangs.probationTtl = settings.leases.probation;
-    context.options.gangs.runTtl = settings.leases.run;
-    context.options.gangs.renewPeriod = settings.leases.renew;
+    context.options = plannerOptions(settings);
     return context;
 }
 
--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -351,10 +351,16 @@
     }
     // A job that the log showed as queued, because its attempt could not be recorded yet, ends there at once when it is
     // cancelled from outside.
-    for (const auto &[id, attempt] : m_lastAttempt) {
-        const auto job = m_gangs.contains(id) ? m_context.jobs->find(id) : std::nullopt;
-        if (job && isTerminal(job->state)) {
+    for (auto it = m_lastAttempt.begin(); it != m_lastAttempt.end();) {
+        const auto &id = it->first;
+        const auto job = m_context.jobs->find(id);
+        if (!job || !isTerminal(job->state)) {
+            ++it;
+        } else if (m_gangs.contains(id)) {
             m_gangs.stop(id, false, std::string("the job is ") + jobStateName(job->state), now);
+            ++it;
+        } else {
+            it = m_lastAttempt.erase(it); // it never starts again
         }
     }
 }
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -468,7 +468,6 @@
     reader.count("limits.operator_threads", 1, 64, s.limits.operatorThreads);
     reader.count("limits.operator_backlog", 0, 256, s.limits.operatorBacklog);
     reader.count("limits.dispatch_threads", 1, 512, s.limits.dispatchThreads);
-    reader.size("link.control_per_second", Bytes{1000}, Bytes{100000000}, s.link.controlPerSecond);
     reader.size("link.payload_per_second", Bytes{0}, Bytes{1000000000}, s.link.payloadPerSecond);
     auto level = std::string{};
     if (reader.text("log.level", false, level) && !parseLogLevel(level, s.logLevel)) {
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -107,7 +107,6 @@
 /// Bytes that this instance may send to other regions, by class.
 struct LinkSettings
 {
-    Bytes controlPerSecond{27000};
     Bytes payloadPerSecond{250000};
     Millis burst{2000}; ///< unused budget is kept for this long
 };
--- a/packages/daemon/testing/logtail_test.cpp
+++ b/packages/daemon/testing/logtail_test.cpp
@@ -13,7 +13,7 @@
 
 constexpr auto limit = Millis{10'000};
 
-auto port(std::function<Result<LogPage>(int call)> answer) -> LogPort
+auto port(const std::function<Result<LogPage>(int call)> &answer) -> LogPort
 {
     auto calls = std::make_shared<std::atomic<int>>(0);
     return {.append = {}, .read = [calls, answer](const std::string &, LogOffset, int, Millis) { return answer((*calls)++); }};
