Adopt only what the answers to a planner's claim show

Cause: a new planner adopted gangs from statuses read before its claim, in the same step as the claim. An order of the earlier planner that was still under way could start a gang in between, and the new planner started the job again on other slots until the first attempt's probation lease ended. Ruled out: a lost attempt record alone, because leases that are seen at the takeover are adopted without it. Change: claims go to every worker that has answered, also to one that was busy; adoption, scheduling and orders wait for the answers. A worker that does not answer its claim counts as not reached.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -163,9 +163,18 @@
     m_generation = {.counter = highest + 1, .holder = m_context.options.instance.str()};
     m_claimed = true;
     logEvent(LogLevel::Info, 2401, "planning " + m_domain.str() + " with generation " + std::to_string(m_generation.counter));
+    for (auto &[id, it] : m_workers) {
+        it.claimDue = it.status.has_value();
+        it.claimSent = false;
+    }
+}
+
+auto DomainPlanner::sendClaims() -> void
+{
     // An explicit claim fences the earlier planner also on workers that get no order for a while.
-    for (const auto &[id, it] : m_workers) {
-        if (it.status && !m_gangs.busy(id)) {
+    for (auto &[id, it] : m_workers) {
+        if (m_claimed && it.claimDue && !it.claimSent && !m_gangs.busy(id)) {
+            it.claimSent = true;
             m_gangs.pollStarted(id);
             sendOrders(id, {WorkerOrder{.op = OrderOp::Claim}});
         }
@@ -281,6 +290,12 @@
     if (!m_claimed || (m_adopted && m_unsettled.empty())) {
         return;
     }
+    // Until a worker has answered the claim, an order of the earlier planner may still start a task there, which a status
+    // read before the claim does not show.
+    const auto claimDue = std::any_of(m_workers.begin(), m_workers.end(), [](const auto &it) { return it.second.claimDue; });
+    if (!m_adopted && claimDue) {
+        return;
+    }
     const auto reachedAll = std::all_of(m_workers.begin(), m_workers.end(), [](const auto &it) { return it.second.status.has_value(); });
     const auto found = findGangs();
     if (!m_adopted) {
@@ -521,6 +536,12 @@
     }
     it->second.heard = true;
     m_gangs.ordersDone(id, orders, reply, now);
+    if (it->second.claimSent && orders.front().op == OrderOp::Claim) {
+        it->second.claimDue = false;
+        if (!reply) {
+            it->second.status.reset(); // counts as not reached until it answers again
+        }
+    }
     if (!reply) {
         if (reply.error().code == ErrorCode::StaleGeneration) {
             noteStale(now);
@@ -583,9 +604,10 @@
     runInbox();
     const auto now = m_context.clock.mono();
     claim(now);
+    sendClaims();
     adoptGangs(now);
     auto wakeAt = std::optional<MonoTime>{};
-    if (m_claimed) {
+    if (m_claimed && m_adopted) {
         syncJobs(now);
         wakeAt = decide(now);
         auto gangs = m_gangs.tick(now);
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -11,7 +11,7 @@
 /// @endcode
 ///
 /// A new planner first reads the status of every worker, claims a generation above the highest that it finds, and adopts
-/// the gangs that run. Nothing is started or ended before that. A planner that reaches no worker at all may be cut off
+/// the gangs that run when the workers answer the claim. Nothing is started or ended before that. A planner that reaches no worker at all may be cut off
 /// from a failure domain in which another planner goes on, so it claims and settles nothing until a worker answers.
 
 #include "daemon/configservice.h"
@@ -119,6 +119,8 @@
         std::optional<WorkerStatus> status;
         bool heard = false; ///< at least one exchange has ended, with or without success
         MonoTime lastPoll{};
+        bool claimDue = false; ///< the claim of the present generation has not been answered
+        bool claimSent = false;
         std::vector<WorkerOrder> strays; ///< orders that end leases of no known gang
     };
 
@@ -132,6 +134,7 @@
 
     auto runInbox() -> void;
     auto claim(MonoTime now) -> void;
+    auto sendClaims() -> void;
     auto adoptGangs(MonoTime now) -> void;
     auto findGangs() const -> std::map<JobId, Found>;
     auto highestListed(const JobId &job) const -> int;
--- /dev/null
+++ b/packages/daemon/testing/domainplanner_test.cpp
@@ -0,0 +1,133 @@
+#include "daemon/domainplanner.h"
+
+#include "state/records.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+using namespace Catkin;
+
+namespace
+{
+
+const auto domain = FailureDomainId{"oviedo"};
+const auto job = JobId{"job-1"};
+
+/// A log in memory.
+struct MemoryLog
+{
+    std::mutex mutex;
+    std::vector<std::string> records;
+
+    auto port() -> LogPort
+    {
+        return {.append = [this](const std::string &, const std::vector<std::string> &added) -> Result<LogOffset> {
+                    const auto lock = std::lock_guard{mutex};
+                    const auto first = LogOffset{static_cast<std::int64_t>(records.size())};
+                    records.insert(records.end(), added.begin(), added.end());
+                    return first;
+                },
+                .read = [this](const std::string &, LogOffset from, int, Millis) -> Result<LogPage> {
+                    std::this_thread::sleep_for(Millis{1});
+                    const auto lock = std::lock_guard{mutex};
+                    auto page = LogPage{.next = LogOffset{static_cast<std::int64_t>(records.size())}};
+                    for (auto i = static_cast<std::size_t>(from.value); i < records.size(); ++i) {
+                        page.records.push_back({.offset = LogOffset{static_cast<std::int64_t>(i)}, .time = systemClock().wall(), .data = records[i]});
+                    }
+                    return page;
+                }};
+    }
+};
+
+/// A worker to which an order of the earlier planner is under way: it takes effect just before the new planner's claim.
+struct TakenOverWorker
+{
+    std::mutex mutex;
+    WorkerStatus status{.worker = WorkerId{"w"}, .boot = "b", .rack = RackId{"r"}, .domain = domain, .slots = 8};
+    int reservations = 0;
+
+    auto apply(const Generation &generation, const WorkerOrder &order) -> void
+    {
+        if (order.op == OrderOp::Claim) {
+            status.leases = {{.lease = LeaseId{"job-1.1.0"},
+                              .job = job,
+                              .attempt = 1,
+                              .holder = "earlier",
+                              .slots = {0},
+                              .state = LeaseState::Running,
+                              .remaining = Millis{60'000},
+                              .started = true}};
+        }
+        reservations += order.op == OrderOp::Reserve ? 1 : 0;
+        status.generation = generation;
+    }
+
+    auto port() -> WorkerPort
+    {
+        return {.status = [this](const std::string &, Millis) -> Result<WorkerStatus> {
+                    const auto lock = std::lock_guard{mutex};
+                    return status;
+                },
+                .orders = [this](const std::string &, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis) -> Result<OrdersReply> {
+                    const auto lock = std::lock_guard{mutex};
+                    auto reply = OrdersReply{};
+                    for (const auto &it : orders) {
+                        apply(generation, it);
+                        reply.results.push_back({.ok = true});
+                    }
+                    reply.status = status;
+                    return reply;
+                }};
+    }
+};
+
+}
+
+// Guards against a new planner that trusts a status read before its claim: the earlier planner's last order could still
+// start a gang, whose job the new planner then started a second time on other slots.
+TEST_CASE("a planner adopts what runs when its claim is answered, not what ran before")
+{
+    auto log = MemoryLog{};
+    auto worker = TakenOverWorker{};
+    const auto clock = systemClock();
+    auto writer = LogWriter{log.port(), clock, {}};
+    auto pool = WorkPool{2, 16};
+    auto jobs = JobService{log.port(), writer, clock, {}, [] {}};
+    const auto spec = JobDescription{.id = job,
+                                     .workspace = WorkspaceId{"gas"},
+                                     .caller = CallerId{"desk"},
+                                     .kind = KindId{"simulate"},
+                                     .key = IdempotencyKey{"k"},
+                                     .domain = domain,
+                                     .tasks = 1,
+                                     .slotsPerTask = SlotCount{1},
+                                     .restartable = true};
+    const auto limit = std::chrono::steady_clock::now() + Seconds{20};
+    while (jobs.submit(spec, Millis{1'000}).outcome == SubmitOutcome::NotAccepted && std::chrono::steady_clock::now() < limit) {
+        std::this_thread::sleep_for(Millis{5});
+    }
+    REQUIRE(jobs.find(job));
+
+    auto context = PlannerContext{.workers = worker.port(), .jobs = &jobs, .pool = &pool, .clock = clock, .options = {.instance = InstanceId{"new"}}};
+    context.wake = [] {};
+    auto planner = std::make_shared<DomainPlanner>(domain, context);
+    auto config = ActiveConfig{};
+    config.document.workspaces.push_back({.name = WorkspaceId{"gas"}});
+    planner->setWorkers({{.id = "w", .role = InstanceRole::Worker, .domain = domain, .rack = RackId{"r"}, .slots = 8, .address = "a"}});
+    planner->setConfig(config);
+    while (planner->view().gangs == 0 && std::chrono::steady_clock::now() < limit) {
+        (void)planner->step();
+        std::this_thread::sleep_for(Millis{2});
+    }
+    CHECK(planner->view().gangs == 1);
+    for (auto i = 0; i < 20; ++i) {
+        (void)planner->step();
+        std::this_thread::sleep_for(Millis{2});
+    }
+    pool.stop();
+    const auto lock = std::lock_guard{worker.mutex};
+    CHECK(worker.reservations == 0);
+}
