--- a/cmake/CatkinPackage.cmake
+++ b/cmake/CatkinPackage.cmake
@@ -18,6 +18,9 @@
 
 # catkin_tests(name LIBS lib...): one doctest binary from every *_test.cpp in the package's testing folder.
 function(catkin_tests name)
+    if(NOT CATKIN_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "" "LIBS" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/testing/*.cpp)
     if(sources)
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
+#include "platform/poolmain.h"
 #include "util/clock.h"
 #include "util/logging.h"
 
@@ -23,6 +24,14 @@
 constexpr auto exitFailed = 1;
 constexpr auto exitUsage = 2;
 
+/// glibc gives threads up to eight arenas for each core; with a thread for each connection they would hold most of the
+/// memory that the process is allowed.
+auto limitArenas() -> void
+{
+    constexpr auto arenas = 4;
+    mallopt(M_ARENA_MAX, arenas);
+}
+
 auto blockSignals() -> sigset_t
 {
     auto signals = sigset_t{};
@@ -69,10 +78,18 @@
     auto checkOnly = false;
     try {
         auto cmd = TCLAP::CmdLine("Entry daemon of catkinworks: serves requests and schedules gang jobs.", ' ', "0.1.0");
-        auto settingsArg = TCLAP::ValueArg<std::string>("s", "settings", "settings file (TOML, see docs/settings.md)", true, "", "file", cmd);
+        auto settingsArg = TCLAP::ValueArg<std::string>("s", "settings", "settings file (TOML, see docs/settings.md)", false, "", "file", cmd);
+        auto platformArg = TCLAP::SwitchArg("p", "platform", "schedule the platform's worker pool, with the settings that the platform gives", cmd);
         auto checkArg = TCLAP::SwitchArg("c", "check-settings", "check the settings file and exit", cmd);
         cmd.setExceptionHandling(false);
         cmd.parse(argc, argv);
+        if (platformArg.getValue()) {
+            limitArenas();
+            return Platform::runOnPlatform();
+        }
+        if (!settingsArg.isSet()) {
+            throw TCLAP::CmdLineParseException("one of --settings and --platform is needed");
+        }
         path = settingsArg.getValue();
         checkOnly = checkArg.getValue();
     } catch (const TCLAP::ArgException &e) {
@@ -92,10 +109,7 @@
         std::cout << path << ": settings are valid\n";
         return exitOk;
     }
-    // glibc gives threads up to eight arenas for each core; with a thread for each connection they would hold most of the
-    // memory that the process is allowed.
-    constexpr auto arenas = 4;
-    mallopt(M_ARENA_MAX, arenas);
+    limitArenas();
     initLogging(read.settings.logLevel);
     return run(read.settings);
 }
--- /dev/null
+++ b/packages/daemon/poolfront.cpp
@@ -0,0 +1,184 @@
+#include "daemon/poolfront.h"
+
+#include "util/logging.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace Catkin
+{
+
+namespace
+{
+
+/// First try of an append; a lost answer must leave time for a second and a third try within a caller's usual 3 s.
+constexpr auto firstTry = Millis{700};
+/// Kept back from the caller's limit for the way of the answer.
+constexpr auto answerReserve = Millis{250};
+constexpr auto leastTry = Millis{100};
+/// Between two tries that the store refused at once.
+constexpr auto refusedPause = Millis{80};
+/// A store that refuses is asked for this long before the caller is sent elsewhere.
+constexpr auto refusedLimit = Millis{400};
+/// Another instance may reach the store: the caller can come back soon.
+constexpr auto retryElsewhere = Seconds{1};
+
+}
+
+PoolFront::PoolFront(const PoolFrontOptions &options, PoolView &view, RecordStore store, Clock clock, PoolFreshness freshness)
+    : m_options(options)
+    , m_view(view)
+    , m_store(std::move(store))
+    , m_clock(std::move(clock))
+    , m_freshness(std::move(freshness))
+{
+}
+
+auto PoolFront::configFresh() const -> bool
+{
+    const auto at = m_freshness.configReadAt();
+    return at && m_clock.mono() - *at < m_options.configLimit;
+}
+
+auto PoolFront::sharedFresh() const -> bool
+{
+    const auto at = m_freshness.sharedReadAt();
+    return at && m_clock.mono() - *at < m_options.viewLimit;
+}
+
+auto PoolFront::ready(std::string &reason) const -> bool
+{
+    if (!m_view.config()) {
+        reason = "no configuration yet";
+    } else if (!configFresh()) {
+        reason = "the configuration is not confirmed";
+    } else if (!sharedFresh()) {
+        reason = "the shared log cannot be read";
+    }
+    return reason.empty();
+}
+
+auto PoolFront::resolve(const std::string &host, const std::string &path, const std::string &key) const -> Result<QueueAccess>
+{
+    const auto config = m_view.config();
+    if (!config || !configFresh()) {
+        return failure(ErrorCode::Unavailable, config ? "the configuration is not confirmed" : "no configuration yet");
+    }
+    const auto *address = findQueue(*config, host, path);
+    if (address == nullptr) {
+        return failure(ErrorCode::NotFound, "no queue at this host and path");
+    }
+    const auto workspace = config->keys.find(key);
+    if (workspace == config->keys.end() && !address->isPublic) {
+        return failure(ErrorCode::Unauthorized, "unknown key");
+    }
+    return QueueAccess{
+        .queue = address->queue,
+        .workspace = workspace == config->keys.end() ? WorkspaceId{} : workspace->second,
+        .isPublic = address->isPublic,
+        .unsupported = address->unsupported,
+        .rest = path.substr(address->pathPrefix.size()),
+    };
+}
+
+auto PoolFront::append(const KeyedRecord &record, Millis limit) -> Result<LogOffset>
+{
+    const auto begin = m_clock.mono();
+    auto inDoubt = std::optional<Error>{};
+    while (true) {
+        const auto spent = std::chrono::duration_cast<Millis>(m_clock.mono() - begin);
+        const auto left = limit - answerReserve - spent;
+        if (left < leastTry) {
+            return inDoubt ? *inDoubt : failure(ErrorCode::NotSent, "no time left to store the record");
+        }
+        const auto done = m_store.append(RecordLog::Shared, {record}, {}, std::min(left, firstTry));
+        if (done) {
+            return done;
+        }
+        if (done.error().code == ErrorCode::NotSent) {
+            if (!inDoubt && spent > refusedLimit) {
+                return done;
+            }
+            std::this_thread::sleep_for(refusedPause);
+        } else {
+            inDoubt = failure(ErrorCode::Unknown, done.error().message);
+        }
+    }
+}
+
+auto PoolFront::submit(const QueueAccess &access, PoolJob job, Millis limit) -> SubmitAnswer
+{
+    job.queue = access.queue;
+    job.workspace = access.workspace;
+    job.acceptedAt = m_clock.wall();
+    const auto problem = access.unsupported.empty() ? jobProblem(job) : std::optional{access.unsupported};
+    if (problem) {
+        logEvent(LogLevel::Warn, 6020, "job=" + job.id.str() + " queue=" + job.queue.str() + " refused as malformed: " + *problem);
+        return {.outcome = SubmitOutcome::Malformed, .reason = *problem};
+    }
+    const auto known = m_view.find(job.id);
+    if (known && known->job) {
+        return {.outcome = SubmitOutcome::Accepted};
+    }
+    const auto [key, value] = encodeJob(job);
+    const auto begin = m_clock.mono();
+    const auto done = append({.key = key, .value = value}, limit);
+    const auto took = std::chrono::duration_cast<Millis>(m_clock.mono() - begin).count();
+    if (done) {
+        logEvent(LogLevel::Info, 6021, "job=" + job.id.str() + " queue=" + job.queue.str() + " workspace=" + job.workspace.str() + " accepted store_ms=" + std::to_string(took));
+        return {.outcome = SubmitOutcome::Accepted};
+    }
+    const auto notRun = done.error().code == ErrorCode::NotSent;
+    logEvent(LogLevel::Warn,
+             6022,
+             "job=" + job.id.str() + " queue=" + job.queue.str() + " not accepted, outcome=" + (notRun ? "not_run" : "in_doubt") + " store_ms=" + std::to_string(took)
+                 + " reason=" + done.error().message);
+    return {.outcome = notRun ? SubmitOutcome::NotRun : SubmitOutcome::InDoubt, .reason = done.error().message, .retryAfter = retryElsewhere};
+}
+
+auto PoolFront::state(const QueueAccess &access, const JobId &id) const -> Result<PoolJobPhase>
+{
+    // Freshness before the lookup: a job accepted before that read is then certainly in the view.
+    const auto fresh = sharedFresh();
+    const auto known = m_view.find(id);
+    if (known && known->job) {
+        if (known->job->workspace != access.workspace) {
+            return failure(ErrorCode::NotFound, "no such job");
+        }
+        return PoolView::shownPhase(*known);
+    }
+    if (!fresh) {
+        return failure(ErrorCode::Unavailable, "the shared log cannot be read");
+    }
+    return failure(ErrorCode::NotFound, "no such job");
+}
+
+auto PoolFront::cancel(const QueueAccess &access, const JobId &id, Millis limit) -> Result<void>
+{
+    const auto known = m_view.find(id);
+    if (known && known->job && known->job->workspace != access.workspace) {
+        return failure(ErrorCode::NotFound, "no such job");
+    }
+    if (known && (known->cancelled || isFinal(known->phase))) {
+        return success();
+    }
+    // A job that is not in the view may have been accepted elsewhere a moment ago, so its cancellation is stored all the same.
+    const auto [key, value] = encodeCancel(id);
+    const auto done = append({.key = key, .value = value}, limit);
+    if (!done) {
+        logEvent(LogLevel::Warn, 6024, "job=" + id.str() + " cancellation not stored: " + done.error().message);
+        return done.error();
+    }
+    logEvent(LogLevel::Info, 6023, "job=" + id.str() + " cancellation stored");
+    return success();
+}
+
+auto PoolFront::pending(const QueueAccess &access) const -> Result<std::size_t>
+{
+    if (!sharedFresh()) {
+        return failure(ErrorCode::Unavailable, "the shared log cannot be read");
+    }
+    return m_view.pendingOf(access.queue);
+}
+
+}
--- /dev/null
+++ b/packages/daemon/poolfront.h
@@ -0,0 +1,95 @@
+#pragma once
+
+/// Answers callers of a pool: submissions, states, cancellations and counts.
+///
+/// @code
+///   auto access = front.resolve(host, path, key);
+///   auto outcome = front.submit(access.value(), job, Catkin::Millis{3000});
+/// @endcode
+///
+/// A job is accepted once the shared log holds it. "Not run" is only said when the log certainly does not; when an
+/// append is in doubt, the outcome is, and the caller may ask again under the same id.
+
+#include "daemon/poolview.h"
+#include "ports/recordstore.h"
+#include "util/clock.h"
+#include "util/outcome.h"
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+namespace Catkin
+{
+
+/// A caller's way to a queue.
+struct QueueAccess
+{
+    QueueId queue;
+    WorkspaceId workspace; ///< empty for a public queue without a key
+    bool isPublic = false;
+    std::string unsupported; ///< why the queue's jobs cannot be run
+    std::string rest; ///< of the path, after the queue's prefix: a job's id or empty
+};
+
+enum class SubmitOutcome { Accepted, NotRun, InDoubt, Malformed };
+
+struct SubmitAnswer
+{
+    SubmitOutcome outcome = SubmitOutcome::InDoubt;
+    std::string reason;
+    Seconds retryAfter{0};
+};
+
+struct PoolFrontOptions
+{
+    Millis configLimit{5'500}; ///< a configuration unconfirmed for longer is not acted on
+    Millis viewLimit{2'000}; ///< a job unknown to a view older than this may exist
+};
+
+/// How old the instance's knowledge is.
+struct PoolFreshness
+{
+    std::function<std::optional<MonoTime>()> configReadAt; ///< when the last read that confirmed the configuration was sent
+    std::function<std::optional<MonoTime>()> sharedReadAt;
+};
+
+class PoolFront
+{
+public:
+    PoolFront(const PoolFrontOptions &options, PoolView &view, RecordStore store, Clock clock, PoolFreshness freshness);
+
+    /// @param host without a port
+    /// @return ErrorCode::Unavailable without a configuration that is known to be in force, ErrorCode::NotFound when no queue is there,
+    /// ErrorCode::Unauthorized for a key that no workspace has.
+    auto resolve(const std::string &host, const std::string &path, const std::string &key) const -> Result<QueueAccess>;
+
+    /// @param job without queue, workspace and time
+    /// @param limit how long the caller waits
+    auto submit(const QueueAccess &access, PoolJob job, Millis limit) -> SubmitAnswer;
+
+    /// @return ErrorCode::NotFound when no such job exists, ErrorCode::Unavailable when that cannot be told now.
+    auto state(const QueueAccess &access, const JobId &id) const -> Result<PoolJobPhase>;
+
+    /// @return ErrorCode::NotFound when the job belongs to somebody else, ErrorCode::NotSent or ErrorCode::Unknown when the cancellation
+    /// is not or may not be stored.
+    auto cancel(const QueueAccess &access, const JobId &id, Millis limit) -> Result<void>;
+
+    [[nodiscard]] auto pending(const QueueAccess &access) const -> Result<std::size_t>;
+
+    /// @return whether this instance can serve callers; @p reason is set when not.
+    auto ready(std::string &reason) const -> bool;
+
+private:
+    auto configFresh() const -> bool;
+    auto sharedFresh() const -> bool;
+    auto append(const KeyedRecord &record, Millis limit) -> Result<LogOffset>;
+
+    PoolFrontOptions m_options;
+    PoolView &m_view;
+    RecordStore m_store;
+    Clock m_clock;
+    PoolFreshness m_freshness;
+};
+
+}
--- /dev/null
+++ b/packages/daemon/poolnode.cpp
@@ -0,0 +1,376 @@
+#include "daemon/poolnode.h"
+
+#include "util/logging.h"
+#include "util/random.h"
+#include "util/threadname.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <variant>
+
+namespace Catkin
+{
+
+namespace
+{
+
+/// Between two looks of the control thread at the leadership.
+constexpr auto controlPeriod = Millis{20};
+constexpr auto claimTimeout = Millis{600};
+constexpr auto resignTimeout = Millis{500};
+constexpr auto resignTries = 3;
+/// Longest claim delay that chance adds, so that few instances claim at the same time.
+constexpr auto claimJitterMs = std::uint32_t{60};
+/// An instance lets those that are nearer to the store claim first: this many round trips.
+constexpr auto claimDelayTrips = 4;
+constexpr auto maxClaimDelay = Millis{600};
+/// The planner reads the shared log with little delay, since jobs wait for it; the others read in groups.
+constexpr auto plannerPace = Millis{10};
+constexpr auto followerPace = Millis{200};
+/// Margin by which the view's age limit stays below the bound on visibility.
+constexpr auto viewMargin = Millis{1'000};
+
+auto seedOf(const InstanceId &instance, const Clock &clock) -> Random
+{
+    return Random{std::hash<std::string>{}(instance.str()) ^ static_cast<std::uint64_t>(clock.wall().time_since_epoch().count())};
+}
+
+}
+
+struct PoolNode::Impl
+{
+    Impl(const PoolSettings &nodeSettings, PoolPorts nodePorts, Clock nodeClock)
+        : settings(nodeSettings)
+        , ports(std::move(nodePorts))
+        , clock(std::move(nodeClock))
+        , leadership(LeadershipOptions{.self = settings.instance, .address = settings.peerAddress})
+        , random(seedOf(settings.instance, clock))
+        , configTail(ports.store, RecordLog::Configuration, TailOptions{.name = "config", .pace = Millis{0}}, clock, configHandlers())
+        , sharedTail(ports.store, RecordLog::Shared, TailOptions{.name = "shared", .wait = Millis{500}, .pace = followerPace}, clock, sharedHandlers())
+        , front(PoolFrontOptions{.configLimit = settings.configApply + settings.configStretch / 2, .viewLimit = settings.visibility - viewMargin},
+                view,
+                ports.store,
+                clock,
+                PoolFreshness{.configReadAt = [this] { return configTail.readAt(); }, .sharedReadAt = [this] { return sharedTail.readAt(); }})
+    {
+    }
+
+    auto configHandlers() -> TailHandlers;
+    auto sharedHandlers() -> TailHandlers;
+    auto configRecord(const KeyedRecord &record) -> void;
+    auto sharedRecord(const KeyedRecord &record) -> void;
+    auto termHooks() -> PoolTermHooks;
+    auto control() -> void;
+    auto controlOnce() -> void;
+    auto updateTerm(std::optional<std::int64_t> epoch) -> void;
+    auto claim() -> void;
+    auto resign(const LeadershipRecord &record, std::int64_t epoch) -> void;
+
+    PoolSettings settings;
+    PoolPorts ports;
+    Clock clock;
+    PoolView view;
+
+    std::mutex mutex; ///< guards the leadership and sharedEnd; taken before the term's lock, never after
+    Leadership leadership;
+    LogOffset sharedEnd;
+    std::atomic<bool> retiring{false};
+    Random random; ///< control thread only
+
+    std::mutex termMutex; ///< guards the pointer; taken without the other locks
+    std::shared_ptr<PoolTerm> term;
+    std::optional<std::int64_t> termEpoch; ///< control thread only
+
+    RecordTail configTail;
+    RecordTail sharedTail;
+    PoolFront front;
+
+    std::mutex stopMutex;
+    std::condition_variable stopChanged;
+    bool stopping = false;
+    std::thread controlThread;
+};
+
+auto PoolNode::Impl::configHandlers() -> TailHandlers
+{
+    return {
+        .reset = [] {},
+        .record = [this](const KeyedRecord &it) { configRecord(it); },
+        .caughtUp = [](LogOffset, MonoTime) {},
+        .lost = [] {},
+    };
+}
+
+auto PoolNode::Impl::configRecord(const KeyedRecord &record) -> void
+{
+    if (record.key != ports.configKey || record.value.empty()) {
+        return;
+    }
+    const auto config = ports.decodeConfig(record.value);
+    if (!config) {
+        logEvent(LogLevel::Error, 6030, "configuration at offset " + std::to_string(record.offset.value) + " cannot be read: " + config.error().message);
+        return;
+    }
+    if (!view.applyConfig(config.value())) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+             6031,
+             "configuration version=" + std::to_string(config.value().rules.version.value) + " queues=" + std::to_string(config.value().addresses.size())
+                 + " keys=" + std::to_string(config.value().keys.size()) + " in force");
+    const auto lock = std::lock_guard{termMutex};
+    if (term) {
+        term->configChanged();
+    }
+}
+
+auto PoolNode::Impl::sharedHandlers() -> TailHandlers
+{
+    return {
+        .reset = [this] { view.beginSnapshot(); },
+        .record = [this](const KeyedRecord &it) { sharedRecord(it); },
+        .caughtUp =
+            [this](LogOffset end, MonoTime sentAt) {
+                view.endSnapshot();
+                const auto lock = std::lock_guard{mutex};
+                sharedEnd = end;
+                leadership.tailRead(sentAt, clock.mono());
+            },
+        .lost =
+            [this] {
+                const auto lock = std::lock_guard{mutex};
+                leadership.tailLost();
+            },
+    };
+}
+
+auto PoolNode::Impl::sharedRecord(const KeyedRecord &record) -> void
+{
+    const auto decoded = decodeShared(record.key, record.value);
+    if (!decoded) {
+        logEvent(LogLevel::Error, 6032, "shared record at offset " + std::to_string(record.offset.value) + " left out: " + decoded.error().message);
+        return;
+    }
+    if (const auto *it = std::get_if<LeadershipRecord>(&decoded.value())) {
+        const auto lock = std::lock_guard{mutex};
+        leadership.applyRecord(*it, record.offset, clock.mono());
+        return;
+    }
+    if (!view.applyShared(decoded.value())) {
+        return;
+    }
+    const auto id = std::holds_alternative<PoolJob>(decoded.value()) ? std::get<PoolJob>(decoded.value()).id : std::get<CancelRecord>(decoded.value()).id;
+    const auto lock = std::lock_guard{termMutex};
+    if (term) {
+        term->jobChanged(id);
+    }
+}
+
+auto PoolNode::Impl::termHooks() -> PoolTermHooks
+{
+    return {
+        .mayOrder =
+            [this] {
+                const auto lock = std::lock_guard{mutex};
+                return leadership.mayOrder(clock.mono());
+            },
+        .renewed =
+            [this](MonoTime sentAt) {
+                const auto lock = std::lock_guard{mutex};
+                leadership.renewed(sentAt);
+            },
+        .fenced =
+            [this](const char *reason) {
+                const auto lock = std::lock_guard{mutex};
+                if (leadership.ownEpoch()) {
+                    logEvent(LogLevel::Warn, 6033, "leadership lost epoch=" + std::to_string(*leadership.ownEpoch()) + " reason=" + reason);
+                }
+                leadership.fenced();
+            },
+        .renewal =
+            [this] {
+                const auto lock = std::lock_guard{mutex};
+                return leadership.renewal();
+            },
+    };
+}
+
+auto PoolNode::Impl::updateTerm(std::optional<std::int64_t> epoch) -> void
+{
+    if (epoch == termEpoch) {
+        return;
+    }
+    auto old = std::shared_ptr<PoolTerm>{};
+    {
+        const auto lock = std::lock_guard{termMutex};
+        old = std::exchange(term, nullptr);
+    }
+    if (old) {
+        old->stop();
+        logEvent(LogLevel::Info, 6034, "term epoch=" + std::to_string(termEpoch.value_or(0)) + " has ended");
+    }
+    termEpoch = epoch;
+    sharedTail.setPace(epoch ? plannerPace : followerPace);
+    if (!epoch) {
+        return;
+    }
+    logEvent(LogLevel::Info, 6035, "term epoch=" + std::to_string(*epoch) + " begins");
+    const auto options = PoolTermOptions{
+        .epoch = *epoch,
+        .pool = {.lease = settings.lease,
+                 .stopGrace = settings.stopGrace,
+                 .gangTimeout = settings.gangTimeout,
+                 .remoteFactor = settings.remoteFactor,
+                 .retention = settings.retention},
+    };
+    auto fresh = std::make_shared<PoolTerm>(options, ports, clock, view, termHooks());
+    const auto lock = std::lock_guard{termMutex};
+    term = fresh;
+    term->start();
+}
+
+auto PoolNode::Impl::claim() -> void
+{
+    auto record = LeadershipRecord{};
+    auto end = LogOffset{};
+    {
+        const auto lock = std::lock_guard{mutex};
+        end = sharedEnd;
+        record = leadership.claim(end, std::to_string(random()) + "-" + std::to_string(random()), clock.mono());
+    }
+    const auto [key, value] = encodeLeadership(record);
+    const auto begin = clock.mono();
+    const auto done = ports.store.append(RecordLog::Shared, {{.key = key, .value = value}}, {.at = end, .epoch = end.value, .sequence = 0}, claimTimeout);
+    const auto took = std::chrono::duration_cast<Millis>(clock.mono() - begin);
+    logEvent(LogLevel::Info, 6036, "claim at offset " + std::to_string(end.value) + (done ? " stored" : " not stored: " + done.error().message) + " store_ms=" + std::to_string(took.count()));
+    const auto lock = std::lock_guard{mutex};
+    leadership.setClaimDelay(std::min(took * claimDelayTrips, maxClaimDelay) + Millis{random(claimJitterMs)});
+    if (!done && done.error().code != ErrorCode::Unknown) {
+        leadership.claimRefused();
+    }
+}
+
+auto PoolNode::Impl::controlOnce() -> void
+{
+    auto step = LeadershipStep::None;
+    auto epoch = std::optional<std::int64_t>{};
+    {
+        const auto lock = std::lock_guard{mutex};
+        step = leadership.next(clock.mono());
+        epoch = leadership.ownEpoch();
+    }
+    if (retiring) {
+        return;
+    }
+    updateTerm(epoch);
+    if (step == LeadershipStep::Claim) {
+        claim();
+    }
+}
+
+auto PoolNode::Impl::control() -> void
+{
+    nameThread("control");
+    auto lock = std::unique_lock{stopMutex};
+    while (!stopping) {
+        lock.unlock();
+        controlOnce();
+        lock.lock();
+        stopChanged.wait_for(lock, controlPeriod, [&] { return stopping; });
+    }
+}
+
+auto PoolNode::Impl::resign(const LeadershipRecord &record, std::int64_t epoch) -> void
+{
+    const auto [key, value] = encodeLeadership(record);
+    for (auto i = 0; i < resignTries; ++i) {
+        // No sequence check: the term's own sequence has ended with its threads, and a newer epoch still refuses this append.
+        const auto done = ports.store.append(RecordLog::Shared, {{.key = key, .value = value}}, {}, resignTimeout);
+        if (done) {
+            logEvent(LogLevel::Info, 6037, "leadership resigned epoch=" + std::to_string(epoch));
+            return;
+        }
+    }
+    logEvent(LogLevel::Warn, 6038, "resignation not stored epoch=" + std::to_string(epoch) + "; others take over after the usual silence");
+}
+
+PoolNode::PoolNode(const PoolSettings &settings, PoolPorts ports, Clock clock)
+    : m_impl(std::make_unique<Impl>(settings, std::move(ports), std::move(clock)))
+{
+}
+
+PoolNode::~PoolNode()
+{
+    stop();
+}
+
+auto PoolNode::start() -> void
+{
+    m_impl->configTail.start();
+    m_impl->sharedTail.start();
+    m_impl->controlThread = std::thread([impl = m_impl.get()] { impl->control(); });
+}
+
+auto PoolNode::retire() -> void
+{
+    auto record = LeadershipRecord{};
+    auto epoch = std::optional<std::int64_t>{};
+    {
+        const auto lock = std::lock_guard{m_impl->mutex};
+        m_impl->leadership.retire();
+        epoch = m_impl->leadership.ownEpoch();
+        record = m_impl->leadership.resignation();
+    }
+    m_impl->retiring = true;
+    auto term = std::shared_ptr<PoolTerm>{};
+    {
+        const auto lock = std::lock_guard{m_impl->termMutex};
+        term = std::exchange(m_impl->term, nullptr);
+    }
+    if (epoch) {
+        m_impl->resign(record, *epoch);
+    }
+    if (term) {
+        term->stop();
+    }
+}
+
+auto PoolNode::stop() -> void
+{
+    {
+        const auto lock = std::lock_guard{m_impl->stopMutex};
+        m_impl->stopping = true;
+    }
+    m_impl->stopChanged.notify_all();
+    if (m_impl->controlThread.joinable()) {
+        m_impl->controlThread.join();
+    }
+    auto term = std::shared_ptr<PoolTerm>{};
+    {
+        const auto lock = std::lock_guard{m_impl->termMutex};
+        term = std::exchange(m_impl->term, nullptr);
+    }
+    if (term) {
+        term->stop();
+    }
+    m_impl->sharedTail.stop();
+    m_impl->configTail.stop();
+}
+
+auto PoolNode::front() -> PoolFront &
+{
+    return m_impl->front;
+}
+
+auto PoolNode::ready() -> bool
+{
+    auto reason = std::string{};
+    return !m_impl->retiring && m_impl->front.ready(reason);
+}
+
+}
--- /dev/null
+++ b/packages/daemon/poolterm.cpp
@@ -0,0 +1,587 @@
+#include "daemon/poolterm.h"
+
+#include "util/logging.h"
+#include "util/threadname.h"
+
+#include <algorithm>
+
+namespace Catkin
+{
+
+namespace
+{
+
+/// Between two passes of the planner when nothing happens: leases, due times and repeats of orders are checked then.
+constexpr auto planPeriod = Millis{100};
+/// One try of an append to the record of attempts; its repeat has no second effect.
+constexpr auto appendTry = Millis{600};
+constexpr auto appendPause = Millis{60};
+/// One try of an order; two tries end before a gang gives up waiting for its last member.
+constexpr auto orderTry = Millis{700};
+/// How long an order waits for the leadership to be confirmed again.
+constexpr auto orderPatience = Millis{1'500};
+constexpr auto orderPoll = Millis{20};
+/// Beyond the time that a worker may hold an answer back: the way there and back and a slow worker.
+constexpr auto lookSlack = Millis{900};
+/// An idle worker is looked at this often, to keep the estimate of its clock.
+constexpr auto idleLook = Millis{5'000};
+constexpr auto failedLookPause = Millis{200};
+/// How long a looker waits for its ends to be on record before it looks again.
+constexpr auto recordPatience = Millis{1'000};
+constexpr auto orderThreads = std::size_t{24};
+constexpr auto maxQueuedOrders = std::size_t{20'000};
+/// Bytes in one append; below the store's limit of a call.
+constexpr auto maxAppendBytes = std::size_t{1} << 20U;
+constexpr auto snapshotTimeout = Millis{2'000};
+/// A job accepted longer ago than this by another clock counts as this old.
+constexpr auto maxJobAge = Millis{60'000};
+constexpr auto leaseStretch = 1.03;
+constexpr auto takeoverSlack = Millis{500};
+
+auto byAcceptance(const JobSummary &a, const JobSummary &b) -> bool
+{
+    return std::pair{a.job->acceptedAt, a.job->id} < std::pair{b.job->acceptedAt, b.job->id};
+}
+
+auto toRecord(const EncodedRecord &it) -> KeyedRecord
+{
+    return {.key = it.first, .value = it.second};
+}
+
+}
+
+PoolTerm::PoolTerm(const PoolTermOptions &options, PoolPorts ports, Clock clock, PoolView &view, PoolTermHooks hooks)
+    : m_options(options)
+    , m_ports(std::move(ports))
+    , m_clock(std::move(clock))
+    , m_view(view)
+    , m_hooks(std::move(hooks))
+    , m_core(options.pool)
+{
+}
+
+PoolTerm::~PoolTerm()
+{
+    stop();
+}
+
+auto PoolTerm::start() -> void
+{
+    m_orderPool = std::make_unique<WorkPool>(orderThreads, maxQueuedOrders, "orders");
+    m_workersTail = std::make_unique<RecordTail>(m_ports.store,
+                                                 RecordLog::Workers,
+                                                 TailOptions{.name = "workers", .pace = Millis{250}},
+                                                 m_clock,
+                                                 TailHandlers{
+                                                     .reset =
+                                                         [this] {
+                                                             const auto lock = std::lock_guard{m_mutex};
+                                                             m_entries.clear();
+                                                         },
+                                                     .record = [this](const KeyedRecord &it) { workerRecord(it); },
+                                                     .caughtUp =
+                                                         [this](LogOffset, MonoTime) {
+                                                             const auto lock = std::lock_guard{m_mutex};
+                                                             m_workersKnown = true;
+                                                             m_wake.notify_all();
+                                                         },
+                                                     .lost = [] {},
+                                                 });
+    m_workersTail->start();
+    m_planner = std::thread([this] { plannerLoop(); });
+    m_publisher = std::thread([this] { publisherLoop(); });
+}
+
+auto PoolTerm::stop() -> void
+{
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    m_progress.notify_all();
+    m_publish.notify_all();
+    if (m_planner.joinable()) {
+        m_planner.join();
+        m_publisher.join();
+        for (auto &it : m_lookers) {
+            it->stopping = true;
+            it->channel.interrupt();
+        }
+        m_retired.splice(m_retired.end(), m_lookers);
+        for (auto &it : m_retired) {
+            it->thread.join();
+        }
+        m_retired.clear();
+        m_orderPool->stop();
+        m_workersTail->stop();
+    }
+}
+
+auto PoolTerm::stopped() const -> bool
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_stopping;
+}
+
+auto PoolTerm::pause(Millis span) -> void
+{
+    auto lock = std::unique_lock{m_mutex};
+    m_wake.wait_for(lock, span, [&] { return m_stopping; });
+}
+
+auto PoolTerm::jobChanged(const JobId &id) -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    m_inbox.insert(id);
+    m_dirty = true;
+    m_wake.notify_all();
+}
+
+auto PoolTerm::configChanged() -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    m_configDirty = true;
+    m_dirty = true;
+    m_wake.notify_all();
+}
+
+auto PoolTerm::workerRecord(const KeyedRecord &record) -> void
+{
+    const auto id = WorkerId{record.key};
+    if (record.value.empty()) {
+        const auto lock = std::lock_guard{m_mutex};
+        m_workersDirty = m_entries.erase(id) > 0 || m_workersDirty;
+        return;
+    }
+    const auto entry = m_ports.decodeWorker(record.key, record.value);
+    if (!entry) {
+        logEvent(LogLevel::Warn, 6005, "worker=" + id.str() + " entry left out: " + entry.error().message);
+        const auto lock = std::lock_guard{m_mutex};
+        m_workersDirty = m_entries.erase(id) > 0 || m_workersDirty;
+        return;
+    }
+    const auto lock = std::lock_guard{m_mutex};
+    auto &known = m_entries[id];
+    const auto &fresh = entry.value();
+    if (known.id.empty() || known.address != fresh.address || known.draining != fresh.draining || known.born != fresh.born || !(known.capacity == fresh.capacity)
+        || known.labels != fresh.labels || known.service != fresh.service) {
+        m_workersDirty = true;
+        m_dirty = true;
+        m_wake.notify_all();
+    }
+    known = fresh;
+}
+
+auto PoolTerm::loadJobs(const RecordPage &attempts) -> void
+{
+    const auto now = m_clock.mono();
+    const auto wall = m_clock.wall();
+    const auto stretched = Millis{static_cast<std::int64_t>(static_cast<double>(m_options.pool.lease.count()) * leaseStretch)};
+    const auto takenOverUntil = now + m_options.takeoverAfter + stretched + takeoverSlack;
+    const auto summaries = m_view.jobs();
+    auto jobs = std::vector<JobSummary>{};
+    for (const auto &[id, it] : summaries) {
+        if (it.job) {
+            jobs.push_back(it);
+        }
+    }
+    std::sort(jobs.begin(), jobs.end(), byAcceptance);
+    const auto lock = std::lock_guard{m_mutex};
+    if (const auto config = m_view.config()) {
+        m_core.setRules(config->rules);
+    }
+    for (const auto &it : jobs) {
+        const auto age = std::clamp(std::chrono::duration_cast<Millis>(wall - it.job->acceptedAt), Millis{0}, maxJobAge);
+        m_core.addJob(*it.job, now - age);
+    }
+    for (const auto &it : attempts.records) {
+        const auto *known = m_core.find(JobId{it.key});
+        if (known == nullptr || it.value.empty()) {
+            continue;
+        }
+        auto state = makeJobState(known->job);
+        if (const auto read = decodeAttempts(it.value, state); !read) {
+            logEvent(LogLevel::Error, 6006, "job=" + it.key + " record of attempts cannot be used: " + read.error().message);
+            continue;
+        }
+        m_core.adoptRecord(JobId{it.key}, state, takenOverUntil, now);
+    }
+    for (const auto &it : jobs) {
+        const auto *state = m_core.find(it.job->id);
+        if (it.cancelled) {
+            m_core.cancelJob(it.job->id, now);
+        }
+        if (state->phase != it.phase) {
+            m_unpublished.insert(it.job->id);
+        }
+    }
+}
+
+auto PoolTerm::takeOver() -> bool
+{
+    const auto begin = m_clock.mono();
+    // The epoch in the record of attempts shuts earlier planners out before it is read.
+    if (!appendAttempts({})) {
+        return false;
+    }
+    while (!stopped()) {
+        const auto page = m_ports.store.newest(RecordLog::Attempts, snapshotTimeout);
+        if (page) {
+            loadJobs(page.value());
+            auto lock = std::unique_lock{m_mutex};
+            m_wake.wait(lock, [&] { return m_stopping || m_workersKnown; });
+            m_workersDirty = true;
+            logEvent(LogLevel::Info,
+                     6007,
+                     "term epoch=" + std::to_string(m_options.epoch) + " jobs=" + std::to_string(m_core.jobs().size()) + " workers=" + std::to_string(m_entries.size())
+                         + " taken over in_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_clock.mono() - begin).count()));
+            return !m_stopping;
+        }
+        pause(appendPause);
+    }
+    return false;
+}
+
+auto PoolTerm::takeInbox(MonoTime now) -> void
+{
+    if (std::exchange(m_configDirty, false)) {
+        if (const auto config = m_view.config()) {
+            m_core.setRules(config->rules);
+        }
+    }
+    for (const auto &id : std::exchange(m_inbox, {})) {
+        const auto known = m_view.find(id);
+        if (!known || !known->job) {
+            continue;
+        }
+        m_core.addJob(*known->job, now);
+        if (known->cancelled) {
+            m_core.cancelJob(id, now);
+        }
+    }
+    if (std::exchange(m_workersDirty, false)) {
+        auto listed = std::vector<PoolWorkerInfo>{};
+        for (const auto &[id, it] : m_entries) {
+            listed.push_back(it);
+        }
+        m_core.setWorkers(listed, now);
+    }
+}
+
+auto PoolTerm::planOnce() -> void
+{
+    const auto now = m_clock.mono();
+    auto effects = PoolEffects{};
+    auto records = std::vector<KeyedRecord>{};
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        takeInbox(now);
+        effects = m_core.plan(now, m_clock.wall());
+        for (const auto &id : effects.changed) {
+            records.push_back(toRecord(encodeAttempts(*m_core.find(id))));
+        }
+        for (const auto &id : effects.expired) {
+            records.push_back({.key = id.str()});
+        }
+    }
+    for (const auto &it : effects.notes) {
+        logEvent(LogLevel::Info, 6010, std::string("decision=") + it.decision + " " + it.text);
+    }
+    if (!record(effects, std::move(records))) {
+        return;
+    }
+    for (const auto &it : effects.orders) {
+        dispatch(it);
+    }
+    updateLookers();
+}
+
+auto PoolTerm::record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool
+{
+    auto batch = std::vector<KeyedRecord>{};
+    auto bytes = std::size_t{0};
+    for (auto &it : records) {
+        const auto size = it.key.size() + it.value.size();
+        if (!batch.empty() && bytes + size > maxAppendBytes) {
+            if (!appendAttempts(batch)) {
+                return false;
+            }
+            batch.clear();
+            bytes = 0;
+        }
+        bytes += size;
+        batch.push_back(std::move(it));
+    }
+    if (!batch.empty() && !appendAttempts(batch)) {
+        return false;
+    }
+    const auto lock = std::lock_guard{m_mutex};
+    m_core.recorded(effects);
+    m_unpublished.insert(effects.phaseChanged.begin(), effects.phaseChanged.end());
+    m_dropped.insert(m_dropped.end(), effects.expired.begin(), effects.expired.end());
+    m_progress.notify_all();
+    m_publish.notify_all();
+    return true;
+}
+
+auto PoolTerm::appendAttempts(const std::vector<KeyedRecord> &records) -> bool
+{
+    const auto guard = AppendGuard{.epoch = m_options.epoch, .sequence = m_attemptsSequence};
+    while (!stopped()) {
+        const auto sentAt = m_clock.mono();
+        const auto done = m_ports.store.append(RecordLog::Attempts, records, guard, appendTry);
+        if (done) {
+            if (!records.empty()) {
+                ++m_attemptsSequence;
+            }
+            return true;
+        }
+        logEvent(LogLevel::Warn,
+                 6008,
+                 "record of attempts not stored sequence=" + std::to_string(guard.sequence) + " try_ms="
+                     + std::to_string(std::chrono::duration_cast<Millis>(m_clock.mono() - sentAt).count()) + " reason=" + done.error().message);
+        if (done.error().code == ErrorCode::StaleGeneration || done.error().code == ErrorCode::Conflict) {
+            m_hooks.fenced("the record of attempts belongs to a newer planner");
+            return false;
+        }
+        pause(appendPause);
+    }
+    return false;
+}
+
+auto PoolTerm::plannerLoop() -> void
+{
+    nameThread("planner");
+    if (!takeOver()) {
+        return;
+    }
+    while (true) {
+        {
+            auto lock = std::unique_lock{m_mutex};
+            m_wake.wait_for(lock, planPeriod, [&] { return m_stopping || m_dirty; });
+            if (m_stopping) {
+                return;
+            }
+            m_dirty = false;
+        }
+        planOnce();
+    }
+}
+
+auto PoolTerm::linkTo(const PoolOrder &order) -> std::shared_ptr<OrderLink>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    auto &link = m_links[order.worker];
+    if (!link || link->address != order.address) {
+        link = std::make_shared<OrderLink>();
+        link->address = order.address;
+        link->channel = m_ports.orders.open({.id = order.worker, .address = order.address});
+    }
+    return link;
+}
+
+auto PoolTerm::dispatch(const PoolOrder &order) -> void
+{
+    if (!m_orderPool->post([this, order] { sendOrder(order); })) {
+        logEvent(LogLevel::Error, 6009, "order queue is full; job=" + order.task.job.str() + " worker=" + order.worker.str());
+        const auto lock = std::lock_guard{m_mutex};
+        m_core.applyOrder(order, OrderOutcome::NotSent, m_clock.mono());
+    }
+}
+
+auto PoolTerm::startOutcome(const PoolOrder &order, OrderLink &link) -> OrderOutcome
+{
+    auto lease = WorkerTime{};
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        lease = m_core.leaseFor(order.worker, m_clock.mono());
+    }
+    if (lease.value == 0) {
+        return OrderOutcome::NotSent;
+    }
+    return link.channel
+        .start({.task = order.task, .attempt = order.attempt, .payload = order.payload, .leaseUntil = lease, .token = m_options.epoch, .checkpoint = order.checkpoint},
+               orderTry)
+        .outcome;
+}
+
+auto PoolTerm::sendOrder(const PoolOrder &order) -> void
+{
+    auto link = linkTo(order);
+    auto outcome = OrderOutcome::NotSent;
+    {
+        const auto one = std::lock_guard{link->mutex};
+        for (auto waited = Millis{0}; waited < orderPatience && !stopped() && !m_hooks.mayOrder(); waited += orderPoll) {
+            std::this_thread::sleep_for(orderPoll);
+        }
+        if (!stopped() && m_hooks.mayOrder()) {
+            outcome = order.kind == PoolOrder::Kind::Start
+                ? startOutcome(order, *link)
+                : link->channel.stop({.task = order.task, .attempt = order.attempt, .token = m_options.epoch}, orderTry).outcome;
+        }
+    }
+    if (outcome == OrderOutcome::Fenced) {
+        m_hooks.fenced("a worker has seen a newer planner");
+    }
+    const auto lock = std::lock_guard{m_mutex};
+    m_core.applyOrder(order, outcome, m_clock.mono());
+    m_progress.notify_all();
+    if (outcome != OrderOutcome::Accepted) {
+        m_dirty = true;
+        m_wake.notify_all();
+    }
+}
+
+auto PoolTerm::updateLookers() -> void
+{
+    auto targets = std::map<WorkerId, std::string>{};
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        for (const auto &[id, address] : m_core.lookTargets()) {
+            targets[id] = address;
+        }
+        std::erase_if(m_links, [&](const auto &it) { return !targets.contains(it.first); });
+    }
+    for (auto it = m_lookers.begin(); it != m_lookers.end();) {
+        const auto target = targets.find((*it)->id);
+        if (target != targets.end() && target->second == (*it)->address) {
+            targets.erase(target);
+            ++it;
+            continue;
+        }
+        (*it)->stopping = true;
+        (*it)->channel.interrupt();
+        m_retired.splice(m_retired.end(), m_lookers, it++);
+    }
+    for (const auto &[id, address] : targets) {
+        auto &looker = *m_lookers.emplace_back(std::make_unique<Looker>());
+        looker.id = id;
+        looker.address = address;
+        looker.channel = m_ports.orders.open({.id = id, .address = address});
+        looker.thread = std::thread([this, &looker] { lookerLoop(looker); });
+    }
+}
+
+auto PoolTerm::lookerLoop(Looker &looker) -> void
+{
+    nameThread("looker");
+    while (!looker.stopping && !stopped()) {
+        if (!m_hooks.mayOrder()) {
+            std::this_thread::sleep_for(orderPoll);
+            continue;
+        }
+        lookOnce(looker);
+        waitForWork(looker);
+    }
+}
+
+auto PoolTerm::waitForWork(const Looker &looker) -> void
+{
+    auto lock = std::unique_lock{m_mutex};
+    const auto ending = [&] { return m_stopping || looker.stopping.load(); };
+    m_progress.wait_for(lock, recordPatience, [&] { return ending() || !m_core.hasUnrecordedEnds(looker.id); });
+    m_progress.wait_for(lock, idleLook, [&] { return ending() || !m_core.isIdle(looker.id); });
+}
+
+auto PoolTerm::lookOnce(Looker &looker) -> void
+{
+    const auto sentAt = m_clock.mono();
+    auto request = LookRequest{};
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        request = m_core.nextLook(looker.id, sentAt).request;
+    }
+    request.token = m_options.epoch;
+    const auto answer = looker.channel.look(request, request.wait + lookSlack);
+    if (!answer && answer.error().code == ErrorCode::StaleGeneration) {
+        m_hooks.fenced("a worker has seen a newer planner");
+        return;
+    }
+    const auto now = m_clock.mono();
+    auto lost = false;
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        if (answer) {
+            if (m_core.applyLook(looker.id, answer.value(), sentAt, now)) {
+                m_dirty = true;
+                m_wake.notify_all();
+            }
+            return;
+        }
+        const auto worker = m_core.workers().find(looker.id);
+        lost = worker != m_core.workers().end() && worker->second.reachable;
+        m_core.lookFailed(looker.id);
+    }
+    if (lost && !looker.stopping && !stopped()) {
+        logEvent(LogLevel::Warn, 6011, "worker=" + looker.id.str() + " address=" + looker.address + " does not answer: " + answer.error().message);
+    }
+    std::this_thread::sleep_for(failedLookPause);
+}
+
+auto PoolTerm::nextPublication(MonoTime now) -> std::vector<KeyedRecord>
+{
+    auto lock = std::unique_lock{m_mutex};
+    const auto due = [&] { return m_clock.mono() - m_lastRenewal >= m_options.renewEvery; };
+    const auto left = std::chrono::duration_cast<Millis>(m_lastRenewal + m_options.renewEvery - now);
+    if (left.count() > 0) {
+        m_publish.wait_for(lock, left, [&] { return m_stopping || !m_unpublished.empty() || !m_dropped.empty() || due(); });
+    }
+    auto records = std::vector<KeyedRecord>{};
+    for (const auto &id : std::exchange(m_unpublished, {})) {
+        if (const auto *state = m_core.find(id)) {
+            records.push_back(toRecord(encodePhase(id, state->phase)));
+        }
+    }
+    for (const auto &id : std::exchange(m_dropped, {})) {
+        for (const auto &it : encodeDropped(id)) {
+            records.push_back(toRecord(it));
+        }
+    }
+    if (records.empty() && !due()) {
+        return records;
+    }
+    records.push_back(toRecord(encodeLeadership(m_hooks.renewal())));
+    return records;
+}
+
+auto PoolTerm::publish(const SharedAppend &append) -> bool
+{
+    while (!stopped()) {
+        const auto sentAt = m_clock.mono();
+        const auto done = m_ports.store.append(RecordLog::Shared, append.records, {.epoch = m_options.epoch, .sequence = append.sequence}, appendTry);
+        if (done) {
+            m_hooks.renewed(sentAt);
+            m_lastRenewal = sentAt;
+            return true;
+        }
+        logEvent(LogLevel::Warn,
+                 6012,
+                 "renewal not stored epoch=" + std::to_string(m_options.epoch) + " sequence=" + std::to_string(append.sequence) + " reason=" + done.error().message);
+        if (done.error().code == ErrorCode::StaleGeneration || done.error().code == ErrorCode::Conflict) {
+            m_hooks.fenced("the shared log belongs to a newer planner");
+            return false;
+        }
+        pause(appendPause);
+    }
+    return false;
+}
+
+auto PoolTerm::publisherLoop() -> void
+{
+    nameThread("publisher");
+    // The claim was the first append of this epoch.
+    auto append = SharedAppend{.records = {}, .sequence = 1};
+    while (!stopped()) {
+        append.records = nextPublication(m_clock.mono());
+        if (append.records.empty()) {
+            continue;
+        }
+        if (!publish(append)) {
+            return;
+        }
+        ++append.sequence;
+    }
+}
+
+}
--- /dev/null
+++ b/packages/daemon/poolterm.h
@@ -0,0 +1,152 @@
+#pragma once
+
+/// One term of leadership: the planner with its record, its workers and its orders.
+///
+/// @code
+///   auto term = Catkin::PoolTerm{options, ports, clock, view, hooks};
+///   term.start();
+///   term.jobChanged(id);                 // from the shared log
+///   term.stop();
+/// @endcode
+///
+/// Threads: one plans, one publishes phases and renewals, one looks at each worker, a pool sends orders, and a tail
+/// follows the workers' entries. Lock order: m_mutex, then nothing; no call to the network is made while it is held.
+
+#include "daemon/poolview.h"
+#include "daemon/recordtail.h"
+#include "daemon/workpool.h"
+#include "policy/poolcore.h"
+#include "ports/recordstore.h"
+#include "ports/workerorders.h"
+#include "util/clock.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace Catkin
+{
+
+struct PoolTermOptions
+{
+    std::int64_t epoch = 0; ///< also the fencing token
+    PoolOptions pool;
+    Millis renewEvery{400};
+    Millis takeoverAfter{2'000}; ///< an earlier planner gives no orders for longer than this
+};
+
+struct PoolPorts
+{
+    RecordStore store;
+    WorkerOrders orders;
+    std::function<Result<PoolWorkerInfo>(const std::string &key, const std::string &value)> decodeWorker;
+    std::function<Result<PoolConfig>(const std::string &value)> decodeConfig;
+    std::string configKey; ///< of the configuration in its log
+};
+
+/// The leadership as a term sees it; any thread may call.
+struct PoolTermHooks
+{
+    std::function<bool()> mayOrder;
+    std::function<void(MonoTime sentAt)> renewed;
+    std::function<void(const char *reason)> fenced;
+    std::function<LeadershipRecord()> renewal;
+};
+
+class PoolTerm
+{
+public:
+    PoolTerm(const PoolTermOptions &options, PoolPorts ports, Clock clock, PoolView &view, PoolTermHooks hooks);
+    ~PoolTerm();
+    PoolTerm(const PoolTerm &) = delete;
+    auto operator=(const PoolTerm &) -> PoolTerm & = delete;
+
+    auto start() -> void;
+    /// Ends all threads; orders under way may still be carried out.
+    auto stop() -> void;
+
+    auto jobChanged(const JobId &id) -> void;
+    auto configChanged() -> void;
+
+private:
+    struct Looker
+    {
+        WorkerId id;
+        std::string address;
+        WorkerChannel channel;
+        std::atomic<bool> stopping{false};
+        std::thread thread;
+    };
+    struct OrderLink
+    {
+        std::string address;
+        std::mutex mutex; ///< one order at a time; taken without m_mutex
+        WorkerChannel channel;
+    };
+    struct SharedAppend
+    {
+        std::vector<KeyedRecord> records;
+        std::int64_t sequence = 0;
+    };
+
+    auto stopped() const -> bool;
+    auto pause(Millis span) -> void;
+    auto plannerLoop() -> void;
+    auto takeOver() -> bool;
+    auto loadJobs(const RecordPage &attempts) -> void;
+    auto takeInbox(MonoTime now) -> void;
+    auto planOnce() -> void;
+    auto record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool;
+    auto appendAttempts(const std::vector<KeyedRecord> &records) -> bool;
+    auto dispatch(const PoolOrder &order) -> void;
+    auto sendOrder(const PoolOrder &order) -> void;
+    auto startOutcome(const PoolOrder &order, OrderLink &link) -> OrderOutcome;
+    auto linkTo(const PoolOrder &order) -> std::shared_ptr<OrderLink>;
+    auto updateLookers() -> void;
+    auto lookerLoop(Looker &looker) -> void;
+    auto lookOnce(Looker &looker) -> void;
+    auto waitForWork(const Looker &looker) -> void;
+    auto publisherLoop() -> void;
+    auto nextPublication(MonoTime now) -> std::vector<KeyedRecord>;
+    auto publish(const SharedAppend &append) -> bool;
+    auto workerRecord(const KeyedRecord &record) -> void;
+
+    PoolTermOptions m_options;
+    PoolPorts m_ports;
+    Clock m_clock;
+    PoolView &m_view;
+    PoolTermHooks m_hooks;
+
+    mutable std::mutex m_mutex; ///< guards everything below up to the threads
+    std::condition_variable m_wake; ///< the planner has something to do
+    std::condition_variable m_progress; ///< records were written, or a looker has something to do
+    std::condition_variable m_publish;
+    bool m_stopping = false;
+    bool m_dirty = true;
+    bool m_workersDirty = false;
+    bool m_workersKnown = false;
+    bool m_configDirty = true;
+    std::set<JobId> m_inbox;
+    std::map<WorkerId, PoolWorkerInfo> m_entries;
+    PoolCore m_core;
+    std::set<JobId> m_unpublished; ///< jobs whose phase is to be published
+    std::vector<JobId> m_dropped; ///< jobs to drop from the shared log
+    std::map<WorkerId, std::shared_ptr<OrderLink>> m_links;
+
+    std::int64_t m_attemptsSequence = 0; ///< planner thread only
+    MonoTime m_lastRenewal; ///< publisher thread only
+    std::list<std::unique_ptr<Looker>> m_lookers; ///< planner thread only
+    std::list<std::unique_ptr<Looker>> m_retired; ///< planner thread only
+    std::unique_ptr<RecordTail> m_workersTail;
+    std::unique_ptr<WorkPool> m_orderPool;
+    std::thread m_planner;
+    std::thread m_publisher;
+};
+
+}
--- /dev/null
+++ b/packages/daemon/poolview.cpp
@@ -0,0 +1,97 @@
+#include "daemon/poolview.h"
+
+#include <algorithm>
+
+namespace Catkin
+{
+
+auto PoolView::applyConfig(const PoolConfig &config) -> bool
+{
+    const auto lock = std::lock_guard{m_mutex};
+    if (m_config && config.rules.version <= m_config->rules.version) {
+        return false;
+    }
+    m_config = std::make_shared<const PoolConfig>(config);
+    return true;
+}
+
+auto PoolView::config() const -> std::shared_ptr<const PoolConfig>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_config;
+}
+
+auto PoolView::beginSnapshot() -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    m_snapshot.emplace();
+}
+
+auto PoolView::endSnapshot() -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    if (m_snapshot) {
+        std::erase_if(m_jobs, [&](const auto &it) { return !m_snapshot->contains(it.first); });
+        m_snapshot.reset();
+    }
+}
+
+auto PoolView::applyShared(const SharedRecord &record) -> bool
+{
+    const auto lock = std::lock_guard{m_mutex};
+    const auto seen = [&](const JobId &id) {
+        if (m_snapshot) {
+            m_snapshot->insert(id);
+        }
+    };
+    if (const auto *job = std::get_if<PoolJob>(&record)) {
+        seen(job->id);
+        auto &summary = m_jobs[job->id];
+        const auto isNew = !summary.job;
+        if (isNew) {
+            summary.job = std::make_shared<const PoolJob>(*job);
+        }
+        return isNew;
+    }
+    if (const auto *cancel = std::get_if<CancelRecord>(&record)) {
+        seen(cancel->id);
+        auto &summary = m_jobs[cancel->id];
+        return !std::exchange(summary.cancelled, true);
+    }
+    if (const auto *phase = std::get_if<PhaseRecord>(&record)) {
+        seen(phase->id);
+        m_jobs[phase->id].phase = phase->phase;
+    } else if (const auto *dropped = std::get_if<DroppedRecord>(&record)) {
+        m_jobs.erase(dropped->id);
+    }
+    return false;
+}
+
+auto PoolView::find(const JobId &id) const -> std::optional<JobSummary>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? std::nullopt : std::optional{it->second};
+}
+
+auto PoolView::pendingOf(const QueueId &queue) const -> std::size_t
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&](const auto &it) {
+        return it.second.job && it.second.job->queue == queue && shownPhase(it.second) == PoolJobPhase::Queued;
+    }));
+}
+
+auto PoolView::jobs() const -> std::map<JobId, JobSummary>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_jobs;
+}
+
+auto PoolView::shownPhase(const JobSummary &summary) -> PoolJobPhase
+{
+    // A job that had completed before its cancellation was noticed stays completed.
+    return summary.cancelled && !isFinal(summary.phase) ? PoolJobPhase::Cancelled : summary.phase;
+}
+
+}
--- /dev/null
+++ b/packages/daemon/poolview.h
@@ -0,0 +1,60 @@
+#pragma once
+
+/// What one instance knows of the pool from the shared log and the configuration: enough to answer callers.
+///
+/// @code
+///   view.applyConfig(config, sentAt);
+///   view.applyShared(record, now);
+///   auto phase = view.phaseOf(id);
+/// @endcode
+///
+/// Thread-safe. Its mutex is a leaf: no other lock is taken while it is held.
+
+#include "policy/poolfleet.h"
+#include "state/poolrecords.h"
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace Catkin
+{
+
+struct JobSummary
+{
+    std::shared_ptr<const PoolJob> job; ///< null when only a cancellation or a phase has been seen
+    PoolJobPhase phase = PoolJobPhase::Queued;
+    bool cancelled = false; ///< by the caller; final whatever the phase says
+};
+
+class PoolView
+{
+public:
+    /// Takes a newer configuration; an older one is ignored.
+    /// @return whether it was taken
+    auto applyConfig(const PoolConfig &config) -> bool;
+    [[nodiscard]] auto config() const -> std::shared_ptr<const PoolConfig>;
+
+    /// What follows is a snapshot: jobs that it does not name are forgotten at its end.
+    auto beginSnapshot() -> void;
+    auto endSnapshot() -> void;
+    /// @return whether the planner should hear of it: a new job or a new cancellation.
+    auto applyShared(const SharedRecord &record) -> bool;
+    [[nodiscard]] auto find(const JobId &id) const -> std::optional<JobSummary>;
+    /// @return accepted jobs of a queue of which nothing has started.
+    [[nodiscard]] auto pendingOf(const QueueId &queue) const -> std::size_t;
+    [[nodiscard]] auto jobs() const -> std::map<JobId, JobSummary>;
+    /// @return the phase to show to callers.
+    [[nodiscard]] static auto shownPhase(const JobSummary &summary) -> PoolJobPhase;
+
+private:
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const PoolConfig> m_config;
+    std::map<JobId, JobSummary> m_jobs;
+    std::optional<std::set<JobId>> m_snapshot; ///< jobs named since beginSnapshot()
+};
+
+}
--- /dev/null
+++ b/packages/policy/leadership.cpp
@@ -0,0 +1,130 @@
+#include "policy/leadership.h"
+
+namespace Catkin
+{
+
+Leadership::Leadership(const LeadershipOptions &options)
+    : m_options(options)
+{
+}
+
+auto Leadership::tailRead(MonoTime sentAt, MonoTime now) -> void
+{
+    if (!m_healthy) {
+        m_healthy = true;
+        m_healthySince = now;
+        m_lastSign = now;
+    }
+    m_lastRead = sentAt;
+}
+
+auto Leadership::tailLost() -> void
+{
+    m_healthy = false;
+}
+
+auto Leadership::applyRecord(const LeadershipRecord &record, LogOffset offset, MonoTime now) -> void
+{
+    const auto epoch = record.kind == LeadershipRecordKind::Claim ? offset.value : record.epoch;
+    if (m_holder && epoch < m_holder->epoch) {
+        return;
+    }
+    const auto taken = !m_holder || epoch > m_holder->epoch;
+    m_holder = record;
+    m_holder->epoch = epoch;
+    m_lastSign = now;
+    m_vacant = record.kind == LeadershipRecordKind::Resignation;
+    if (m_ownEpoch && (*m_ownEpoch != epoch || m_vacant)) {
+        m_ownEpoch.reset();
+    }
+    if (taken && record.kind == LeadershipRecordKind::Claim && record.holder == m_options.self && !m_pendingNonce.empty() && record.nonce == m_pendingNonce) {
+        m_ownEpoch = epoch;
+        m_fenced = false;
+        m_validSince = m_claimedAt;
+    }
+}
+
+auto Leadership::holderDisconnected(std::int64_t epoch, MonoTime now) -> void
+{
+    if (m_holder && m_holder->epoch == epoch && !m_vacant) {
+        m_vacant = true;
+        m_lastSign = now;
+    }
+}
+
+auto Leadership::renewed(MonoTime sentAt) -> void
+{
+    if (m_ownEpoch && sentAt > m_validSince) {
+        m_validSince = sentAt;
+    }
+}
+
+auto Leadership::claimRefused() -> void
+{
+    m_pendingNonce.clear();
+}
+
+auto Leadership::fenced() -> void
+{
+    m_fenced = true;
+    m_ownEpoch.reset();
+}
+
+auto Leadership::retire() -> void
+{
+    m_retired = true;
+}
+
+auto Leadership::setClaimDelay(Millis delay) -> void
+{
+    m_claimDelay = delay;
+}
+
+auto Leadership::next(MonoTime now) const -> LeadershipStep
+{
+    if (m_ownEpoch) {
+        return now - m_validSince >= m_options.renewEvery ? LeadershipStep::Renew : LeadershipStep::None;
+    }
+    if (m_retired || !m_healthy || now - m_lastRead > m_options.takeoverAfter) {
+        return LeadershipStep::None;
+    }
+    const auto silence = m_vacant ? m_claimDelay : m_options.takeoverAfter + m_claimDelay;
+    const auto waiting = !m_pendingNonce.empty() && now - m_claimedAt < m_options.claimRetry;
+    return now - m_lastSign >= silence && !waiting ? LeadershipStep::Claim : LeadershipStep::None;
+}
+
+auto Leadership::claim(LogOffset end, const std::string &nonce, MonoTime now) -> LeadershipRecord
+{
+    m_pendingNonce = nonce;
+    m_claimedAt = now;
+    return {.kind = LeadershipRecordKind::Claim, .holder = m_options.self, .epoch = end.value, .nonce = nonce, .address = m_options.address};
+}
+
+auto Leadership::renewal() const -> LeadershipRecord
+{
+    return {.kind = LeadershipRecordKind::Renewal, .holder = m_options.self, .epoch = m_ownEpoch.value_or(0), .nonce = m_pendingNonce, .address = m_options.address};
+}
+
+auto Leadership::resignation() const -> LeadershipRecord
+{
+    auto record = renewal();
+    record.kind = LeadershipRecordKind::Resignation;
+    return record;
+}
+
+auto Leadership::ownEpoch() const -> std::optional<std::int64_t>
+{
+    return m_ownEpoch;
+}
+
+auto Leadership::mayOrder(MonoTime now) const -> bool
+{
+    return m_ownEpoch && !m_fenced && now - m_validSince < m_options.validFor;
+}
+
+auto Leadership::holder() const -> const std::optional<LeadershipRecord> &
+{
+    return m_holder;
+}
+
+}
--- /dev/null
+++ b/packages/policy/poolcore.h
@@ -0,0 +1,208 @@
+#pragma once
+
+/// The pool planner's decisions: which task runs where, what an answer of a worker means, and what must be on record
+/// before the next order goes out. No network, threads or clock of its own.
+///
+/// @code
+///   auto core = Catkin::PoolCore{options};
+///   core.setRules(rules, now);
+///   core.addJob(job, now);
+///   core.applyLook("w-1", request, answer, sentAt, now);
+///   auto effects = core.plan(now, wall);
+///   write(effects.changed);                    // first the record,
+///   core.recorded(effects);                    // then the orders and the acknowledgement of ends
+///   send(effects.orders);
+/// @endcode
+///
+/// Why a task never runs twice at once: each placed attempt has an allocation on its worker, and the task can only be
+/// placed again after the allocation is gone. An allocation goes when the worker lists the attempt's end, when a look
+/// that was sent after every open order had been answered does not show it, when the worker has another lifetime, or
+/// when every lease that any planner can have given has run out.
+
+#include "policy/poolfleet.h"
+#include "policy/pooljob.h"
+#include "policy/poollooks.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Catkin
+{
+
+struct PoolOptions
+{
+    Millis lease{10'000}; ///< how long a worker keeps running without word from a planner
+    Millis stopGrace{200}; ///< how long a stop may take
+    Millis gangTimeout{3'000}; ///< how long a member waits for the rest of its gang
+    double remoteFactor = 3.0; ///< slowdown away from the data or over several racks
+    Millis retention{120'000}; ///< how long a final job stays known
+};
+
+/// What PoolCore wants sent.
+struct PoolOrder
+{
+    enum class Kind { Start, Stop };
+    Kind kind = Kind::Start;
+    WorkerId worker;
+    std::string address;
+    TaskKey task;
+    int attempt = 0;
+    std::string payload; ///< of a start
+    std::string checkpoint; ///< of a start
+};
+
+/// Decision worth a log line.
+struct PoolNote
+{
+    const char *decision = ""; ///< one word, listed in docs/OPERATIONS.md
+    std::string text;
+};
+
+struct PoolEffects
+{
+    std::vector<JobId> changed; ///< jobs whose placement record must be written first
+    std::vector<JobId> phaseChanged; ///< jobs whose published state has changed
+    std::vector<JobId> expired; ///< jobs to forget
+    std::vector<PoolOrder> orders;
+    std::map<WorkerId, std::int64_t> ends; ///< ends that the changes cover
+    std::vector<PoolNote> notes;
+};
+
+/// How a look at a worker should be made now.
+struct LookPlan
+{
+    WorkerId worker;
+    std::string address;
+    LookRequest request; ///< without the token
+};
+
+class PoolCore
+{
+public:
+    explicit PoolCore(const PoolOptions &options);
+
+    /// @name What others report
+    /// @{
+    auto setRules(const PoolRules &rules) -> void;
+    auto addJob(const PoolJob &job, MonoTime now) -> void;
+    auto cancelJob(const JobId &id, MonoTime now) -> void;
+    /// Takes over a job with the record of an earlier planner; addJob() must have been called.
+    /// @param takenOverUntil when every lease of earlier planners has run out
+    auto adoptRecord(const JobId &id, const PoolJobState &recorded, MonoTime takenOverUntil, MonoTime now) -> void;
+    auto setWorkers(const std::vector<PoolWorkerInfo> &listed, MonoTime now) -> void;
+    /// @param sentAt when the look was sent
+    /// @return whether plan() may decide otherwise now
+    auto applyLook(const WorkerId &id, const LookAnswer &answer, MonoTime sentAt, MonoTime now) -> bool;
+    auto lookFailed(const WorkerId &id) -> void;
+    auto applyOrder(const PoolOrder &order, OrderOutcome outcome, MonoTime now) -> void;
+    /// @}
+
+    /// Decides what to do next.
+    /// @param now monotonic time that also counts suspension
+    /// @param wall wall-clock time, for scheduled jobs
+    auto plan(MonoTime now, WallTime wall) -> PoolEffects;
+
+    /// The records of @p effects are stored.
+    auto recorded(const PoolEffects &effects) -> void;
+
+    /// @return the lease that an order sent now should carry; the core remembers it. Nothing before the worker's first answer.
+    auto leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime;
+
+    /// @return workers to look at: those listed and those with allocations.
+    [[nodiscard]] auto lookTargets() const -> std::vector<std::pair<WorkerId, std::string>>;
+    /// @return whether nothing runs on the worker and nothing of it is open, so that it need not be looked at now.
+    [[nodiscard]] auto isIdle(const WorkerId &id) const -> bool;
+    /// @return whether the worker has listed ends that are not on record yet.
+    [[nodiscard]] auto hasUnrecordedEnds(const WorkerId &id) const -> bool;
+    /// @return the next look at a worker.
+    auto nextLook(const WorkerId &id, MonoTime now) -> LookPlan;
+
+    /// @return whether a worker has seen a newer planner.
+    [[nodiscard]] auto fenced() const -> bool;
+    /// @return the state of a job, or null.
+    [[nodiscard]] auto find(const JobId &id) const -> const PoolJobState *;
+    [[nodiscard]] auto jobs() const -> const std::map<JobId, PoolJobState> &;
+
+    /// Room that an attempt holds, or may hold, on a worker.
+    struct Allocation
+    {
+        Resources resources;
+        QueueId queue;
+        int priority = 0;
+        bool stopping = false;
+        bool orderOpen = false; ///< a start is on its way and not answered
+        bool doubtful = false; ///< a start without an answer may still be carried out
+        bool stopAnswered = false;
+        int startTries = 0;
+        MonoTime placedAt;
+        MonoTime acceptedAt; ///< when the start was answered
+        MonoTime stopSentAt;
+        MonoTime stopAnsweredAt;
+    };
+    using AttemptKey = std::pair<TaskKey, int>;
+    struct Worker
+    {
+        PoolWorkerInfo info;
+        bool listed = false;
+        bool answered = false; ///< a look has been answered in this planner's term
+        Resources used;
+        std::map<AttemptKey, Allocation> allocations;
+        WorkerTime clock; ///< at the last answer
+        MonoTime clockAt;
+        MonoTime leaseEnd; ///< no lease given by any planner lasts longer
+        MonoTime answeredAt;
+        bool reachable = true; ///< the last look was answered
+        std::int64_t processedEnds = 0;
+        std::int64_t recordedEnds = 0;
+        int failures = 0; ///< since the last success
+        MonoTime suspectUntil;
+    };
+    /// @return the workers, for reports and tests.
+    [[nodiscard]] auto workers() const -> const std::map<WorkerId, Worker> &;
+
+private:
+    friend class PoolPlacer;
+
+    auto setPhase(PoolJobState &state, PoolJobPhase phase) -> void;
+    auto release(Worker &worker, const AttemptKey &key) -> void;
+    auto endAttempt(Worker &worker, const AttemptEnd &end, MonoTime now) -> void;
+    auto finishTask(PoolJobState &state, const TaskKey &key, MonoTime now) -> void;
+    auto failTask(PoolJobState &state, const TaskKey &key, int attempt, MonoTime now) -> void;
+    auto blame(Worker &worker, MonoTime now) -> void;
+    auto loseAttempt(Worker &worker, const AttemptKey &key, const char *reason) -> void;
+    auto saveCheckpoint(PoolJobState &state, const TaskKey &key, const std::string &checkpoint) -> void;
+    auto stopAttempt(const TaskKey &key, const TaskState &task) -> void;
+    auto stopStep(const PoolJobState &state, int occurrence, int step) -> void;
+    auto stopJob(const PoolJobState &state) -> void;
+    auto checkFinished(PoolJobState &state, MonoTime now) -> void;
+    auto findTask(const TaskKey &key) -> TaskState *;
+    auto allocate(Worker &worker, const PoolJobState &state, const AttemptKey &key) -> Allocation &;
+    auto newLifetime(Worker &worker, const LookAnswer &answer) -> void;
+    auto noteRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void;
+    auto resolveMissing(Worker &worker, const LookAnswer &answer, MonoTime sentAt) -> void;
+    auto applyStart(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
+    auto applyStop(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
+    auto startRefused(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
+    auto expireLeases(MonoTime now) -> void;
+    auto stopHung(MonoTime now) -> void;
+    auto expireJobs(MonoTime now) -> void;
+    auto dropUnlisted() -> void;
+    auto emitOrders(PoolEffects &effects, MonoTime now) -> void;
+    auto emitStart(PoolEffects &effects, const Worker &worker, const AttemptKey &key) -> void;
+    auto note(const char *decision, std::string text) -> void;
+
+    PoolOptions m_options;
+    PoolRules m_rules;
+    std::map<JobId, PoolJobState> m_jobs;
+    std::set<JobId> m_active; ///< jobs that are not final
+    std::map<WorkerId, Worker> m_workers;
+    std::set<JobId> m_changed;
+    std::set<JobId> m_phaseChanged;
+    std::set<JobId> m_expired;
+    std::vector<PoolNote> m_notes;
+    bool m_fenced = false;
+};
+
+}
--- /dev/null
+++ b/packages/policy/pooljob.cpp
@@ -0,0 +1,136 @@
+#include "policy/pooljob.h"
+
+#include <algorithm>
+
+namespace Catkin
+{
+
+namespace
+{
+
+constexpr auto maxSteps = std::size_t{64};
+constexpr auto maxTasks = 10'000;
+constexpr auto maxOccurrences = 10'000;
+constexpr auto maxPayload = std::size_t{4'000};
+
+auto copiesOf(std::int64_t need, std::int64_t room, int limit) -> int
+{
+    if (need <= 0) {
+        return limit;
+    }
+    return static_cast<int>(std::clamp<std::int64_t>(room / need, 0, limit));
+}
+
+auto stepProblem(const PoolJob &job, std::size_t number) -> std::optional<std::string>
+{
+    const auto &step = job.steps[number];
+    const auto name = "step " + std::to_string(number);
+    if (step.tasks < 1 || step.tasks > maxTasks) {
+        return name + ": the number of tasks must be between 1 and " + std::to_string(maxTasks);
+    }
+    if (step.perTask.cpuMillis < 0 || step.perTask.memoryMb < 0 || step.perTask.accelerators < 0) {
+        return name + ": a resource is negative";
+    }
+    const auto isEarlier = [&](int it) { return it >= 0 && static_cast<std::size_t>(it) < number; };
+    if (!std::all_of(step.dependsOn.begin(), step.dependsOn.end(), isEarlier)) {
+        return name + ": depends on a step that is not an earlier one";
+    }
+    return std::nullopt;
+}
+
+}
+
+auto Resources::operator+=(const Resources &other) -> Resources &
+{
+    cpuMillis += other.cpuMillis;
+    memoryMb += other.memoryMb;
+    accelerators += other.accelerators;
+    return *this;
+}
+
+auto Resources::operator-=(const Resources &other) -> Resources &
+{
+    cpuMillis -= other.cpuMillis;
+    memoryMb -= other.memoryMb;
+    accelerators -= other.accelerators;
+    return *this;
+}
+
+auto copiesThatFit(const Resources &need, const Resources &room, int limit) -> int
+{
+    const auto cpu = copiesOf(need.cpuMillis, room.cpuMillis, limit);
+    const auto memory = copiesOf(need.memoryMb, room.memoryMb, limit);
+    return std::min({cpu, memory, copiesOf(need.accelerators, room.accelerators, limit)});
+}
+
+auto isFinal(PoolJobPhase phase) -> bool
+{
+    return phase == PoolJobPhase::Completed || phase == PoolJobPhase::Failed || phase == PoolJobPhase::Cancelled;
+}
+
+auto makeJobState(const PoolJob &job) -> PoolJobState
+{
+    auto state = PoolJobState{.job = job};
+    auto occurrence = OccurrenceState{};
+    for (const auto &it : job.steps) {
+        occurrence.steps.push_back({.tasks = std::vector<TaskState>(static_cast<std::size_t>(it.tasks))});
+    }
+    state.occurrences.assign(static_cast<std::size_t>(std::max(job.occurrences, 1)), occurrence);
+    return state;
+}
+
+auto taskAt(PoolJobState &state, const TaskKey &key) -> TaskState &
+{
+    return state.occurrences.at(static_cast<std::size_t>(key.occurrence)).steps.at(static_cast<std::size_t>(key.step)).tasks.at(static_cast<std::size_t>(key.index));
+}
+
+auto stepDone(const StepState &step) -> bool
+{
+    return std::all_of(step.tasks.begin(), step.tasks.end(), [](const TaskState &it) { return it.phase == TaskPhase::Done; });
+}
+
+auto stepReady(const PoolJobState &state, int occurrence, int step) -> bool
+{
+    const auto &steps = state.occurrences.at(static_cast<std::size_t>(occurrence)).steps;
+    const auto &needed = state.job.steps.at(static_cast<std::size_t>(step)).dependsOn;
+    return std::all_of(needed.begin(), needed.end(), [&](int it) { return stepDone(steps.at(static_cast<std::size_t>(it))); });
+}
+
+auto dueTime(const PoolJob &job, int occurrence) -> std::optional<WallTime>
+{
+    if (!job.firstDue) {
+        return std::nullopt;
+    }
+    return *job.firstDue + job.interval * occurrence;
+}
+
+auto hasBegun(const PoolJobState &state) -> bool
+{
+    return std::any_of(state.occurrences.begin(), state.occurrences.end(), [](const OccurrenceState &it) {
+        return std::any_of(it.steps.begin(), it.steps.end(), [](const StepState &step) { return step.everStarted; });
+    });
+}
+
+auto jobProblem(const PoolJob &job) -> std::optional<std::string>
+{
+    if (job.id.empty()) {
+        return "the job has no id";
+    }
+    if (job.payload.size() > maxPayload) {
+        return "the payload is longer than " + std::to_string(maxPayload) + " bytes";
+    }
+    if (job.steps.empty() || job.steps.size() > maxSteps) {
+        return "a job has 1 to " + std::to_string(maxSteps) + " steps";
+    }
+    if (job.occurrences < 1 || job.occurrences > maxOccurrences || job.interval.count() < 0) {
+        return "the schedule is malformed";
+    }
+    for (auto i = std::size_t{0}; i < job.steps.size(); ++i) {
+        if (auto problem = stepProblem(job, i)) {
+            return problem;
+        }
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/packages/policy/poolplacer.cpp
@@ -0,0 +1,458 @@
+#include "policy/poolplacer.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace Catkin
+{
+
+namespace
+{
+
+/// What an accelerator counts beside a core when lost work is compared.
+constexpr auto coresPerAccelerator = 8.0;
+constexpr auto millisPerCore = 1'000.0;
+/// Share of the work of a checkpointing task that a stop loses.
+constexpr auto checkpointedLoss = 0.1;
+/// A group of priority 0 that found no rack by then runs spread over several: late beats never.
+constexpr auto urgentSpreadAfter = Millis{900};
+
+
+auto seconds(Micros span) -> double
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+auto chainEstimate(const PoolJob &job) -> Millis
+{
+    auto longest = std::vector<Millis>{};
+    for (const auto &step : job.steps) {
+        auto before = Millis{0};
+        for (const auto it : step.dependsOn) {
+            before = std::max(before, longest[static_cast<std::size_t>(it)]);
+        }
+        longest.push_back(before + step.estimate);
+    }
+    return longest.empty() ? Millis{0} : *std::max_element(longest.begin(), longest.end());
+}
+
+auto clampToZero(const Resources &it) -> Resources
+{
+    return {.cpuMillis = std::max<std::int64_t>(it.cpuMillis, 0),
+            .memoryMb = std::max<std::int64_t>(it.memoryMb, 0),
+            .accelerators = std::max<std::int64_t>(it.accelerators, 0)};
+}
+
+auto lower(const Resources &a, const Resources &b) -> Resources
+{
+    return {.cpuMillis = std::min(a.cpuMillis, b.cpuMillis),
+            .memoryMb = std::min(a.memoryMb, b.memoryMb),
+            .accelerators = std::min(a.accelerators, b.accelerators)};
+}
+
+/// Largest demand that the job has at one time if its steps run one after the other.
+auto acceleratorDemand(const PoolJob &job) -> std::int64_t
+{
+    auto most = std::int64_t{0};
+    for (const auto &it : job.steps) {
+        most = std::max(most, it.perTask.accelerators * it.tasks);
+    }
+    return most;
+}
+
+}
+
+PoolPlacer::PoolPlacer(PoolCore &core, MonoTime now, WallTime wall)
+    : m_core(core)
+    , m_now(now)
+    , m_wall(wall)
+{
+}
+
+auto PoolPlacer::spec(const TaskGroup &group) const -> const PoolStep &
+{
+    return group.job->job.steps[static_cast<std::size_t>(group.step)];
+}
+
+auto PoolPlacer::collectStep(PoolJobState &state, const PoolQueue &queue, int occurrence, int step) -> void
+{
+    const auto &tasks = state.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].tasks;
+    const auto &wanted = state.job.steps[static_cast<std::size_t>(step)];
+    auto group = TaskGroup{.job = &state, .queue = &queue, .occurrence = occurrence, .step = step};
+    for (auto i = 0; i < static_cast<int>(tasks.size()); ++i) {
+        if (tasks[static_cast<std::size_t>(i)].phase == TaskPhase::Waiting) {
+            group.tasks.push_back(i);
+        }
+    }
+    // A gang starts anew only after the last attempt of every member is settled.
+    if (group.tasks.empty() || (wanted.gang && group.tasks.size() != tasks.size()) || !stepReady(state, occurrence, step)) {
+        return;
+    }
+    const auto chain = chainEstimate(state.job);
+    const auto slack = std::chrono::duration_cast<Micros>(chain * queue.stretch) + queue.targetRuntime - chain;
+    auto since = state.knownSince;
+    if (const auto due = dueTime(state.job, occurrence)) {
+        since = std::max(since, m_now - std::chrono::duration_cast<Micros>(m_wall - *due));
+    }
+    group.latestStart = since + std::chrono::duration_cast<Micros>(slack);
+    m_groups.push_back(std::move(group));
+}
+
+auto PoolPlacer::collectGroups() -> void
+{
+    for (const auto &id : m_core.m_active) {
+        auto &state = m_core.m_jobs.at(id);
+        const auto queue = m_core.m_rules.queues.find(state.job.queue);
+        if (queue == m_core.m_rules.queues.end()) {
+            continue;
+        }
+        for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
+            const auto due = dueTime(state.job, o);
+            if (due && *due > m_wall) {
+                break;
+            }
+            for (auto s = 0; s < static_cast<int>(state.job.steps.size()); ++s) {
+                collectStep(state, queue->second, o, s);
+            }
+        }
+    }
+}
+
+auto PoolPlacer::markGuaranteed() -> void
+{
+    auto urgent = std::vector<const PoolJobState *>{};
+    for (const auto &id : m_core.m_active) {
+        const auto &state = m_core.m_jobs.at(id);
+        const auto queue = m_core.m_rules.queues.find(state.job.queue);
+        if (queue != m_core.m_rules.queues.end() && queue->second.priority == 0) {
+            urgent.push_back(&state);
+        }
+    }
+    std::sort(urgent.begin(), urgent.end(), [](const auto *a, const auto *b) { return std::tie(a->knownSince, a->job.id) < std::tie(b->knownSince, b->job.id); });
+    auto used = std::map<WorkspaceId, std::int64_t>{};
+    for (const auto *it : urgent) {
+        const auto guarantee = m_core.m_rules.guaranteedAccelerators.find(it->job.workspace);
+        const auto demand = acceleratorDemand(it->job);
+        auto &sum = used[it->job.workspace];
+        if (guarantee != m_core.m_rules.guaranteedAccelerators.end() && sum + demand <= guarantee->second) {
+            sum += demand;
+            m_guaranteedJobs.insert(it->job.id);
+        }
+    }
+    for (auto &it : m_groups) {
+        it.guaranteed = m_guaranteedJobs.contains(it.job->job.id);
+    }
+}
+
+auto PoolPlacer::sortGroups() -> void
+{
+    const auto rank = [](const TaskGroup &it) {
+        return std::tuple(it.queue->priority, !it.guaranteed, it.latestStart, it.job->job.id, it.occurrence, it.step);
+    };
+    std::sort(m_groups.begin(), m_groups.end(), [&](const TaskGroup &a, const TaskGroup &b) { return rank(a) < rank(b); });
+}
+
+auto PoolPlacer::collectSlots() -> void
+{
+    for (auto &[id, worker] : m_core.m_workers) {
+        auto slot = Slot{.worker = &worker, .free = worker.info.capacity, .soon = {}};
+        slot.free -= worker.used;
+        slot.soon = slot.free;
+        for (const auto &[key, it] : worker.allocations) {
+            if (it.stopping) {
+                slot.soon += it.resources;
+            }
+        }
+        slot.usable = worker.listed && worker.answered && worker.reachable && !worker.info.draining;
+        m_slots.push_back(slot);
+    }
+}
+
+auto PoolPlacer::mayPreempt(const TaskGroup &group, const PoolCore::AttemptKey &key, const PoolCore::Allocation &victim) const -> bool
+{
+    if (group.queue->priority != 0 || victim.stopping || !m_core.m_jobs.contains(key.first.job)) {
+        return false;
+    }
+    return victim.priority > 0 || (group.guaranteed && !m_guaranteedJobs.contains(key.first.job));
+}
+
+auto PoolPlacer::lossOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double
+{
+    const auto cores = static_cast<double>(it.resources.cpuMillis) / millisPerCore + coresPerAccelerator * static_cast<double>(it.resources.accelerators);
+    auto work = cores * seconds(m_now - it.placedAt);
+    const auto *state = m_core.find(key.first.job);
+    if (state == nullptr) {
+        return work;
+    }
+    const auto &wanted = state->job.steps[static_cast<std::size_t>(key.first.step)];
+    if (wanted.gang) {
+        work *= wanted.tasks; // the whole gang stops with the member
+    }
+    return wanted.checkpointing ? work * checkpointedLoss : work;
+}
+
+auto PoolPlacer::remainingOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double
+{
+    const auto *state = m_core.find(key.first.job);
+    if (state == nullptr) {
+        return 0.0;
+    }
+    const auto estimate = state->job.steps[static_cast<std::size_t>(key.first.step)].estimate;
+    return std::max(0.1, seconds(estimate) - seconds(m_now - it.placedAt));
+}
+
+auto PoolPlacer::addReclaimable(const TaskGroup &group, Room kind, const Slot &slot, WorkerRoom &room) const -> void
+{
+    for (const auto &[key, it] : slot.worker->allocations) {
+        if (kind == Room::Preemptible && mayPreempt(group, key, it)) {
+            room.room += it.resources;
+            room.cost += lossOf(key, it);
+        } else if (kind == Room::Eventual && !it.stopping) {
+            room.room += it.resources;
+            room.cost = std::max(room.cost, remainingOf(key, it));
+        }
+    }
+}
+
+auto PoolPlacer::rooms(const TaskGroup &group, Room kind) const -> std::vector<WorkerRoom>
+{
+    const auto &wanted = spec(group);
+    auto out = std::vector<WorkerRoom>{};
+    for (auto i = std::size_t{0}; i < m_slots.size(); ++i) {
+        const auto &slot = m_slots[i];
+        const auto &info = slot.worker->info;
+        const auto labelled = wanted.requiredLabel.empty() || std::find(info.labels.begin(), info.labels.end(), wanted.requiredLabel) != info.labels.end();
+        if (!slot.usable || info.service != group.queue->service || !labelled) {
+            continue;
+        }
+        auto room = WorkerRoom{.worker = i, .rack = info.rack, .room = kind == Room::Free ? slot.free : slot.soon, .suspect = m_now < slot.worker->suspectUntil};
+        if (wanted.maxPerWorker > 0) {
+            for (const auto &[key, it] : slot.worker->allocations) {
+                const auto same = key.first.job == group.job->job.id && key.first.occurrence == group.occurrence && key.first.step == group.step;
+                room.placed += same ? 1 : 0;
+            }
+        }
+        if (kind == Room::Preemptible || kind == Room::Eventual) {
+            addReclaimable(group, kind, slot, room);
+        }
+        room.room = clampToZero(room.room);
+        out.push_back(std::move(room));
+    }
+    return out;
+}
+
+auto PoolPlacer::fitsOneRack(const TaskGroup &group) const -> bool
+{
+    const auto &wanted = spec(group);
+    auto racks = std::map<std::string, int>{};
+    for (const auto &it : m_slots) {
+        if (it.usable && it.worker->info.service == group.queue->service) {
+            const auto limit = wanted.maxPerWorker > 0 ? std::min(wanted.maxPerWorker, wanted.tasks) : wanted.tasks;
+            racks[it.worker->info.rack] += copiesThatFit(wanted.perTask, it.worker->info.capacity, limit);
+        }
+    }
+    return std::any_of(racks.begin(), racks.end(), [&](const auto &it) { return it.second >= wanted.tasks; });
+}
+
+auto PoolPlacer::take(Slot &slot, const Resources &need) -> void
+{
+    slot.soon -= need;
+    slot.free = lower(slot.free, slot.soon);
+}
+
+auto PoolPlacer::start(TaskGroup &group, const std::vector<int> &tasks, const std::vector<std::size_t> &slots, PoolEffects &effects) -> void
+{
+    auto &state = *group.job;
+    auto &step = state.occurrences[static_cast<std::size_t>(group.occurrence)].steps[static_cast<std::size_t>(group.step)];
+    const auto &wanted = spec(group);
+    auto attempt = 0;
+    for (const auto &it : step.tasks) {
+        attempt = std::max(attempt, it.attempt + 1);
+    }
+    for (auto i = std::size_t{0}; i < tasks.size(); ++i) {
+        auto &slot = m_slots[slots[i]];
+        auto &task = step.tasks[static_cast<std::size_t>(tasks[i])];
+        const auto key = TaskKey{.job = state.job.id, .occurrence = group.occurrence, .step = group.step, .index = tasks[i]};
+        task.attempt = wanted.gang ? attempt : task.attempt + 1;
+        task.phase = TaskPhase::Placed;
+        task.worker = slot.worker->info.id;
+        task.workerBorn = slot.worker->info.born;
+        task.attemptPhase = AttemptPhase::Starting;
+        task.placedAt = m_now;
+        task.progressAt = m_now;
+        task.percent = -1;
+        auto &allocation = m_core.allocate(*slot.worker, state, {key, task.attempt});
+        allocation.orderOpen = true;
+        allocation.startTries = 1;
+        allocation.placedAt = m_now;
+        slot.free -= wanted.perTask;
+        slot.soon -= wanted.perTask;
+        m_core.emitStart(effects, *slot.worker, {key, task.attempt});
+    }
+    step.everStarted = true;
+    m_core.m_changed.insert(state.job.id);
+    if (state.phase == PoolJobPhase::Queued) {
+        m_core.setPhase(state, PoolJobPhase::Running);
+    }
+    m_core.note("placed",
+                "job=" + state.job.id.str() + " occurrence=" + std::to_string(group.occurrence) + " step=" + std::to_string(group.step) + " tasks="
+                    + std::to_string(tasks.size()) + "/" + std::to_string(wanted.tasks) + " first_worker=" + m_slots[slots.front()].worker->info.id.str()
+                    + " waited_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_now - state.knownSince).count())
+                    + " guaranteed=" + (group.guaranteed ? "yes" : "no"));
+}
+
+auto PoolPlacer::placeGang(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool
+{
+    const auto free = rooms(group, Room::Free);
+    const auto chosen = chooseWorkers(free, spec(group), static_cast<int>(group.tasks.size()), spread);
+    if (!chosen) {
+        return false;
+    }
+    auto slots = std::vector<std::size_t>{};
+    for (const auto it : *chosen) {
+        slots.push_back(free[it].worker);
+    }
+    start(group, group.tasks, slots, effects);
+    return true;
+}
+
+auto PoolPlacer::reserveSoon(const TaskGroup &group, Spread spread) -> bool
+{
+    const auto soon = rooms(group, Room::FreeSoon);
+    const auto chosen = chooseWorkers(soon, spec(group), static_cast<int>(group.tasks.size()), spread);
+    if (!chosen) {
+        return false;
+    }
+    for (const auto it : *chosen) {
+        take(m_slots[soon[it].worker], spec(group).perTask);
+    }
+    return true;
+}
+
+auto PoolPlacer::makeRoom(const TaskGroup &group, Slot &slot, const Resources &need) -> void
+{
+    auto victims = std::vector<std::tuple<int, double, PoolCore::AttemptKey>>{};
+    for (const auto &[key, it] : slot.worker->allocations) {
+        if (mayPreempt(group, key, it)) {
+            victims.emplace_back(-it.priority, lossOf(key, it), key);
+        }
+    }
+    std::sort(victims.begin(), victims.end());
+    for (const auto &[priority, loss, key] : victims) {
+        if (copiesThatFit(need, clampToZero(slot.soon), 1) == 1) {
+            return;
+        }
+        auto *task = m_core.findTask(key.first);
+        const auto &state = m_core.m_jobs.at(key.first.job);
+        const auto gang = state.job.steps[static_cast<std::size_t>(key.first.step)].gang;
+        m_core.note("preempted",
+                    "job=" + key.first.job.str() + " step=" + std::to_string(key.first.step) + " task=" + std::to_string(key.first.index)
+                        + " worker=" + slot.worker->info.id.str() + " for_job=" + group.job->job.id.str() + " loss_core_s=" + std::to_string(static_cast<int>(loss)));
+        auto before = std::vector<std::pair<PoolCore::Worker *, Resources>>{};
+        for (auto &it : m_slots) {
+            for (const auto &[other, allocation] : it.worker->allocations) {
+                const auto same = gang ? other.first.job == key.first.job && other.first.occurrence == key.first.occurrence && other.first.step == key.first.step : other == key;
+                if (same && !allocation.stopping) {
+                    it.soon += allocation.resources;
+                }
+            }
+        }
+        if (gang) {
+            m_core.stopStep(state, key.first.occurrence, key.first.step);
+        } else {
+            m_core.stopAttempt(key.first, *task);
+        }
+        slot.worker->allocations.at(key).stopping = true;
+    }
+}
+
+auto PoolPlacer::preempt(const TaskGroup &group, Spread spread) -> bool
+{
+    const auto reclaimable = rooms(group, Room::Preemptible);
+    const auto chosen = chooseWorkers(reclaimable, spec(group), static_cast<int>(group.tasks.size()), spread);
+    if (!chosen) {
+        return false;
+    }
+    for (const auto it : *chosen) {
+        auto &slot = m_slots[reclaimable[it].worker];
+        makeRoom(group, slot, spec(group).perTask);
+        take(slot, spec(group).perTask);
+    }
+    return true;
+}
+
+/// The first blocked group of a priority holds the workers on which it can start soonest.
+auto PoolPlacer::keepRoom(const TaskGroup &group) -> void
+{
+    if (!m_blockedPriorities.insert(group.queue->priority).second) {
+        return;
+    }
+    const auto &wanted = spec(group);
+    const auto eventual = rooms(group, Room::Eventual);
+    const auto spread = wanted.sameRack && fitsOneRack(group) ? Spread::OneRack : Spread::Anywhere;
+    const auto chosen = chooseWorkers(eventual, wanted, static_cast<int>(group.tasks.size()), spread);
+    if (!chosen) {
+        return;
+    }
+    for (const auto it : *chosen) {
+        take(m_slots[eventual[it].worker], wanted.perTask);
+    }
+}
+
+auto PoolPlacer::placeGroup(TaskGroup &group, PoolEffects &effects) -> bool
+{
+    const auto &wanted = spec(group);
+    if (!wanted.gang) {
+        const auto free = rooms(group, Room::Free);
+        const auto chosen = chooseForSome(free, wanted, static_cast<int>(group.tasks.size()));
+        if (!chosen.empty()) {
+            auto slots = std::vector<std::size_t>{};
+            for (const auto it : chosen) {
+                slots.push_back(free[it].worker);
+            }
+            const auto placed = std::vector<int>(group.tasks.begin(), group.tasks.begin() + static_cast<std::ptrdiff_t>(slots.size()));
+            start(group, placed, slots, effects);
+            group.tasks.erase(group.tasks.begin(), group.tasks.begin() + static_cast<std::ptrdiff_t>(slots.size()));
+        }
+        if (group.tasks.empty()) {
+            return true;
+        }
+    }
+    const auto oneRack = wanted.sameRack && fitsOneRack(group);
+    const auto spread = oneRack ? Spread::OneRack : wanted.dataRack.empty() ? Spread::Anywhere : Spread::DataRack;
+    if (wanted.gang && placeGang(group, spread, effects)) {
+        return true;
+    }
+    if (group.queue->priority != 0) {
+        keepRoom(group);
+        return false;
+    }
+    if (reserveSoon(group, spread) || preempt(group, spread)) {
+        return false;
+    }
+    const auto urgent = m_now - group.job->knownSince > urgentSpreadAfter;
+    if (!oneRack || !(urgent || group.guaranteed)) {
+        return false;
+    }
+    if (placeGang(group, Spread::Anywhere, effects)) {
+        return true;
+    }
+    if (!reserveSoon(group, Spread::Anywhere)) {
+        preempt(group, Spread::Anywhere);
+    }
+    return false;
+}
+
+auto PoolPlacer::place(PoolEffects &effects) -> void
+{
+    collectGroups();
+    markGuaranteed();
+    sortGroups();
+    collectSlots();
+    for (auto &it : m_groups) {
+        placeGroup(it, effects);
+    }
+}
+
+}
--- /dev/null
+++ b/packages/policy/poolplacer.h
@@ -0,0 +1,89 @@
+#pragma once
+
+/// One placement pass of PoolCore: orders the groups of tasks that can start, and finds room for them.
+///
+/// @code
+///   Catkin::PoolPlacer{core, now, wall}.place(effects);
+/// @endcode
+///
+/// Order: work for priority 0 within its workspace's guarantee, other work of priority 0, then by priority and by the
+/// latest time at which a start still meets the objective. A group of priority 0 that finds no free room takes it from
+/// lower priorities, and, within a guarantee, from priority-0 work beyond one. Other groups wait; the first one that
+/// waits in each priority keeps the room that it needs next, so that small work cannot starve a large gang.
+
+#include "policy/poolcore.h"
+#include "policy/poolplacement.h"
+
+#include <set>
+#include <vector>
+
+namespace Catkin
+{
+
+/// Tasks of one step and occurrence that can start now.
+struct TaskGroup
+{
+    PoolJobState *job = nullptr;
+    const PoolQueue *queue = nullptr;
+    int occurrence = 0;
+    int step = 0;
+    std::vector<int> tasks; ///< indices
+    bool guaranteed = false;
+    MonoTime latestStart; ///< that still meets the objective by the caller's estimate
+};
+
+class PoolPlacer
+{
+public:
+    PoolPlacer(PoolCore &core, MonoTime now, WallTime wall);
+
+    /// Places what fits; adds start orders to @p effects and marks attempts to be stopped.
+    auto place(PoolEffects &effects) -> void;
+
+private:
+    /// What a placement may count as room.
+    enum class Room {
+        Free,
+        FreeSoon, ///< with that of attempts being stopped
+        Preemptible, ///< with that of attempts that the group may preempt
+        Eventual, ///< with that of all work that will end by itself
+    };
+    struct Slot
+    {
+        PoolCore::Worker *worker = nullptr;
+        Resources free;
+        Resources soon;
+        bool usable = false;
+    };
+
+    auto collectGroups() -> void;
+    auto collectStep(PoolJobState &state, const PoolQueue &queue, int occurrence, int step) -> void;
+    auto markGuaranteed() -> void;
+    auto sortGroups() -> void;
+    auto collectSlots() -> void;
+    auto rooms(const TaskGroup &group, Room kind) const -> std::vector<WorkerRoom>;
+    auto addReclaimable(const TaskGroup &group, Room kind, const Slot &slot, WorkerRoom &room) const -> void;
+    auto placeGroup(TaskGroup &group, PoolEffects &effects) -> bool;
+    auto placeGang(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool;
+    auto reserveSoon(const TaskGroup &group, Spread spread) -> bool;
+    auto preempt(const TaskGroup &group, Spread spread) -> bool;
+    auto makeRoom(const TaskGroup &group, Slot &slot, const Resources &need) -> void;
+    auto keepRoom(const TaskGroup &group) -> void;
+    auto start(TaskGroup &group, const std::vector<int> &tasks, const std::vector<std::size_t> &slots, PoolEffects &effects) -> void;
+    auto take(Slot &slot, const Resources &need) -> void;
+    auto mayPreempt(const TaskGroup &group, const PoolCore::AttemptKey &key, const PoolCore::Allocation &victim) const -> bool;
+    auto lossOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double;
+    auto remainingOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double;
+    auto fitsOneRack(const TaskGroup &group) const -> bool;
+    auto spec(const TaskGroup &group) const -> const PoolStep &;
+
+    PoolCore &m_core;
+    MonoTime m_now;
+    WallTime m_wall;
+    std::vector<TaskGroup> m_groups;
+    std::vector<Slot> m_slots;
+    std::set<JobId> m_guaranteedJobs;
+    std::set<int> m_blockedPriorities;
+};
+
+}
--- /dev/null
+++ b/packages/state/poolrecords.h
@@ -0,0 +1,61 @@
+#pragma once
+
+/// The records of a pool in the shared log and in the log of attempts, as JSON; docs/log-records.md lists the fields.
+///
+/// @code
+///   auto record = Catkin::encodeJob(job);              // {key, value}
+///   auto read = Catkin::decodePoolRecord(record.key, record.value);
+/// @endcode
+
+#include "policy/leadership.h"
+#include "policy/pooljob.h"
+#include "util/outcome.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace Catkin
+{
+
+using EncodedRecord = std::pair<std::string, std::string>; ///< key and value
+
+/// A job was cancelled by its caller.
+struct CancelRecord
+{
+    JobId id;
+};
+
+/// The published state of a job.
+struct PhaseRecord
+{
+    JobId id;
+    PoolJobPhase phase = PoolJobPhase::Queued;
+};
+
+/// The key of a job, a cancellation or a phase was dropped.
+struct DroppedRecord
+{
+    JobId id;
+};
+
+using SharedRecord = std::variant<PoolJob, CancelRecord, PhaseRecord, DroppedRecord, LeadershipRecord>;
+
+auto encodeJob(const PoolJob &job) -> EncodedRecord;
+auto encodeCancel(const JobId &id) -> EncodedRecord;
+auto encodePhase(const JobId &id, PoolJobPhase phase) -> EncodedRecord;
+auto encodeLeadership(const LeadershipRecord &record) -> EncodedRecord;
+/// @return the keys that belong to a job, with empty values: they are dropped from the shared log.
+auto encodeDropped(const JobId &id) -> std::vector<EncodedRecord>;
+
+/// @return the record; ErrorCode::Protocol when key or value cannot be read.
+auto decodeShared(const std::string &key, const std::string &value) -> Result<SharedRecord>;
+
+/// Where the tasks of a job were placed and what has ended.
+auto encodeAttempts(const PoolJobState &state) -> EncodedRecord;
+
+/// @param state of the job as submitted; its phase and tasks are set
+/// @return ErrorCode::Protocol when the record does not belong to such a job.
+auto decodeAttempts(const std::string &value, PoolJobState &state) -> Result<void>;
+
+}
--- a/packages/util/clock.cpp
+++ b/packages/util/clock.cpp
@@ -1,5 +1,7 @@
 #include "util/clock.h"
 
+#include <ctime>
+
 namespace Catkin
 {
 
@@ -18,6 +20,17 @@
     };
 }
 
+auto bootClock() -> Clock
+{
+    auto clock = systemClock();
+    clock.mono = [] {
+        auto now = timespec{};
+        clock_gettime(CLOCK_BOOTTIME, &now);
+        return MonoTime{Seconds{now.tv_sec} + std::chrono::duration_cast<Micros>(std::chrono::nanoseconds{now.tv_nsec})};
+    };
+    return clock;
+}
+
 ManualClock::ManualClock()
     : m_mono(manualStart)
 {
--- a/packages/util/clock.h
+++ b/packages/util/clock.h
@@ -26,6 +26,9 @@
 /// @return a clock that reads the operating system's clocks.
 auto systemClock() -> Clock;
 
+/// @return as systemClock(), but the monotonic time also counts while the machine is suspended: leases of others go on meanwhile.
+auto bootClock() -> Clock;
+
 /// A clock that moves only when told to; not thread-safe.
 class ManualClock
 {
--- a/packages/util/logging.cpp
+++ b/packages/util/logging.cpp
@@ -33,10 +33,10 @@
 
 }
 
-auto initLogging(LogLevel level) -> void
+auto initLogging(LogLevel level, LogTarget target) -> void
 {
     static const auto initializer = log4cplus::Initializer{};
-    auto appender = log4cplus::SharedAppenderPtr{new log4cplus::ConsoleAppender(true, true)};
+    auto appender = log4cplus::SharedAppenderPtr{new log4cplus::ConsoleAppender(target == LogTarget::StandardError, true)};
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n"));
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
--- a/packages/util/logging.h
+++ b/packages/util/logging.h
@@ -15,9 +15,11 @@
 
 enum class LogLevel { Debug, Info, Warn, Error };
 
-/// Starts logging to standard error.
+enum class LogTarget { StandardError, StandardOutput };
+
+/// Starts logging.
 /// @param level events below this level are dropped
-auto initLogging(LogLevel level) -> void;
+auto initLogging(LogLevel level, LogTarget target = LogTarget::StandardError) -> void;
 
 /// Writes one event.
 /// @param level severity
