Keep a placed attempt until a lease can have run out

Now an allocation whose order is still open is never expired. Test: poolcore_test 'a placed attempt is kept', and a simulation of workers with lost answers, late orders, cuts, restarts and takeovers, 40 seeds.

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -595,7 +595,9 @@
 auto PoolCore::expireLeases(MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
-        if (worker.allocations.empty() || now <= worker.leaseEnd) {
+        // An order that is still on its way will carry a lease of its own.
+        const auto orderOpen = std::any_of(worker.allocations.begin(), worker.allocations.end(), [](const auto &it) { return it.second.orderOpen; });
+        if (worker.allocations.empty() || orderOpen || now <= worker.leaseEnd) {
             continue;
         }
         note("leases_expired", "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size()) + " no answer and no lease left");
@@ -718,6 +720,12 @@
     }
 }
 
+auto PoolCore::extendLease(Worker &worker, MonoTime now) const -> void
+{
+    const auto stretched = Millis{static_cast<std::int64_t>(static_cast<double>(m_options.lease.count()) * leaseStretch)};
+    worker.leaseEnd = std::max(worker.leaseEnd, now + stretched + leaseSlack);
+}
+
 auto PoolCore::leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime
 {
     const auto it = m_workers.find(id);
@@ -725,8 +733,7 @@
         return {};
     }
     auto &worker = it->second;
-    const auto stretched = Millis{static_cast<std::int64_t>(static_cast<double>(m_options.lease.count()) * leaseStretch)};
-    worker.leaseEnd = std::max(worker.leaseEnd, now + stretched + leaseSlack);
+    extendLease(worker, now);
     return worker.clock + WorkerTime{std::chrono::duration_cast<Millis>(now - worker.clockAt).count() + m_options.lease.count()};
 }
 
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -185,6 +185,7 @@
     auto applyStart(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
     auto applyStop(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
     auto startRefused(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
+    auto extendLease(Worker &worker, MonoTime now) const -> void;
     auto expireLeases(MonoTime now) -> void;
     auto stopHung(MonoTime now) -> void;
     auto expireJobs(MonoTime now) -> void;
--- /dev/null
+++ b/packages/policy/testing/leadership_test.cpp
@@ -0,0 +1,98 @@
+#include "policy/leadership.h"
+
+#include <doctest/doctest.h>
+
+using namespace Catkin;
+
+namespace
+{
+
+constexpr auto start = MonoTime{Seconds{100}};
+
+auto makeLeadership(const std::string &name) -> Leadership
+{
+    return Leadership{{.self = InstanceId{name}, .address = name + ":1"}};
+}
+
+/// Claims and wins at @p offset.
+auto win(Leadership &leadership, LogOffset offset, MonoTime now) -> void
+{
+    leadership.tailRead(now, now);
+    const auto record = leadership.claim(offset, "nonce", now);
+    leadership.applyRecord(record, offset, now);
+}
+
+}
+
+// Guards against an instance that leads because its append was acknowledged although another claim came first.
+TEST_CASE("only a claim that is read back at its offset leads")
+{
+    auto leadership = makeLeadership("a");
+    leadership.tailRead(start, start);
+    CHECK(leadership.next(start) == LeadershipStep::Claim);
+    const auto claim = leadership.claim({7}, "mine", start);
+    CHECK_FALSE(leadership.mayOrder(start));
+    leadership.applyRecord({.kind = LeadershipRecordKind::Claim, .holder = InstanceId{"b"}, .epoch = 7, .nonce = "theirs"}, {7}, start);
+    CHECK_FALSE(leadership.ownEpoch());
+    leadership.applyRecord(claim, {9}, start);
+    REQUIRE(leadership.ownEpoch());
+    CHECK(*leadership.ownEpoch() == 9);
+    CHECK(leadership.mayOrder(start));
+}
+
+// Guards against orders of a holder whose renewals no longer reach the log: another may claim by then.
+TEST_CASE("orders stop before others can claim by silence")
+{
+    auto holder = makeLeadership("a");
+    auto other = makeLeadership("b");
+    win(holder, {3}, start);
+    holder.renewed(start + Millis{500});
+    other.tailRead(start, start);
+    other.applyRecord(holder.renewal(), {4}, start + Millis{510});
+    for (auto t = Millis{0}; t < Millis{5'000}; t += Millis{10}) {
+        const auto now = start + t;
+        other.tailRead(now, now);
+        const auto claims = other.next(now) == LeadershipStep::Claim;
+        CHECK_FALSE((claims && holder.mayOrder(now)));
+    }
+    CHECK(other.next(start + Millis{3'000}) == LeadershipStep::Claim);
+}
+
+// Guards against a change of planner after every short outage of the store, which costs more than the outage.
+TEST_CASE("silence while the log cannot be read does not count")
+{
+    auto other = makeLeadership("b");
+    other.tailRead(start, start);
+    other.applyRecord({.kind = LeadershipRecordKind::Renewal, .holder = InstanceId{"a"}, .epoch = 3}, {4}, start);
+    other.tailLost();
+    const auto back = start + Millis{6'000};
+    CHECK(other.next(back) == LeadershipStep::None);
+    other.tailRead(back, back);
+    CHECK(other.next(back + Millis{1'900}) == LeadershipStep::None);
+    other.tailRead(back + Millis{2'000}, back + Millis{2'000});
+    CHECK(other.next(back + Millis{2'100}) == LeadershipStep::Claim);
+}
+
+// Guards against a gap in planning after a planned stop.
+TEST_CASE("a resignation is followed by a claim at once")
+{
+    auto holder = makeLeadership("a");
+    auto other = makeLeadership("b");
+    win(holder, {3}, start);
+    other.tailRead(start, start);
+    other.applyRecord(holder.renewal(), {4}, start);
+    CHECK(other.next(start + Millis{100}) == LeadershipStep::None);
+    other.applyRecord(holder.resignation(), {5}, start + Millis{100});
+    CHECK(other.next(start + Millis{101}) == LeadershipStep::Claim);
+}
+
+// Guards against a late record of an earlier planner that would hide the present one.
+TEST_CASE("records of an earlier epoch change nothing")
+{
+    auto leadership = makeLeadership("b");
+    leadership.tailRead(start, start);
+    leadership.applyRecord({.kind = LeadershipRecordKind::Claim, .holder = InstanceId{"a"}}, {8}, start);
+    leadership.applyRecord({.kind = LeadershipRecordKind::Resignation, .holder = InstanceId{"c"}, .epoch = 5}, {9}, start + Millis{10});
+    CHECK(leadership.holder()->holder == InstanceId{"a"});
+    CHECK(leadership.next(start + Millis{100}) == LeadershipStep::None);
+}
--- /dev/null
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -0,0 +1,134 @@
+#include "policy/poolcore.h"
+
+#include "policy/testing/poolsimulation.h"
+
+#include <doctest/doctest.h>
+
+#include <numeric>
+
+using namespace Catkin;
+using namespace Catkin::Testing;
+
+namespace
+{
+
+auto makeStep(int tasks, std::int64_t accelerators, Millis estimate, bool gang) -> PoolStep
+{
+    return {.tasks = tasks, .perTask = {.cpuMillis = 3'700, .memoryMb = 11'000, .accelerators = accelerators}, .estimate = estimate, .gang = gang};
+}
+
+auto makeJob(const std::string &id, const std::string &queue, std::vector<PoolStep> steps) -> PoolJob
+{
+    return {.id = JobId{id}, .queue = QueueId{queue}, .workspace = WorkspaceId{"w"}, .payload = "p", .steps = std::move(steps)};
+}
+
+auto randomJob(Random &random, int number) -> PoolJob
+{
+    constexpr auto queues = std::array{"urgent", "normal", "batch"};
+    const auto *queue = queues.at(random(3));
+    const auto gang = random(2) == 0;
+    auto first = makeStep(1 + static_cast<int>(random(6)), std::int64_t{1} << random(4), Millis{500 + random(4'000)}, gang);
+    first.sameRack = gang && random(2) == 0;
+    auto job = makeJob("job" + std::to_string(number), queue, {first});
+    if (random(3) == 0) {
+        auto second = makeStep(1 + static_cast<int>(random(4)), 1, Millis{500 + random(2'000)}, false);
+        second.dependsOn = {0};
+        job.steps.push_back(second);
+    }
+    return job;
+}
+
+/// Plays random jobs under faults.
+auto playRandom(std::uint64_t seed, const PoolFaults &faults) -> PoolSimulation
+{
+    auto simulation = PoolSimulation{seed, 12, faults};
+    auto random = Random{seed + 1};
+    for (auto i = 0; i < 40; ++i) {
+        simulation.submit(randomJob(random, i));
+        if (random(10) == 0) {
+            simulation.cancel(JobId{"job" + std::to_string(i)});
+        }
+        simulation.run(Millis{(i + 1) * 500});
+    }
+    simulation.run(Millis{120'000});
+    return simulation;
+}
+
+auto text(const std::vector<std::string> &lines) -> std::string
+{
+    return std::accumulate(lines.begin(), lines.end(), std::string{}, [](const auto &sum, const auto &it) { return sum + it + "\n"; });
+}
+
+auto unfinished(const PoolSimulation &simulation) -> std::string
+{
+    auto out = std::string{};
+    for (const auto &[id, state] : simulation.core().jobs()) {
+        out += isFinal(state.phase) ? "" : id.str() + " ";
+    }
+    return out;
+}
+
+}
+
+// Guards against an attempt that is given up before its start order has gone out, because no lease had been given yet.
+TEST_CASE("a placed attempt is kept until a lease can have run out")
+{
+    auto simulation = PoolSimulation{1, 2, {}};
+    simulation.submit(makeJob("a", "batch", {makeStep(3, 1, Millis{4'000}, false)}));
+    simulation.run(Millis{1'000});
+    for (const auto &it : simulation.core().find(JobId{"a"})->occurrences[0].steps[0].tasks) {
+        CHECK(it.attempt == 1);
+        CHECK(it.phase == TaskPhase::Placed);
+    }
+}
+
+// Guards against jobs that never end, and against any double run, overload or wrong order without faults.
+TEST_CASE("random jobs all end without faults")
+{
+    for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
+        const auto simulation = playRandom(seed, {});
+        CAPTURE(seed);
+        CHECK_MESSAGE(simulation.violations().empty(), text(simulation.violations()));
+        CHECK(unfinished(simulation).empty());
+    }
+}
+
+// Guards against double runs and overload when answers are lost, orders are carried out late, and workers and planners go.
+TEST_CASE("random jobs keep the promises under faults")
+{
+    const auto faults = PoolFaults{.lostAnswers = 5, .lateOrders = 4, .failedTasks = 5, .cutWorkers = 15, .restarts = 10, .takeovers = 3};
+    for (auto seed = std::uint64_t{1}; seed <= 40; ++seed) {
+        const auto simulation = playRandom(seed, faults);
+        CAPTURE(seed);
+        CHECK_MESSAGE(simulation.violations().empty(), text(simulation.violations()));
+        CHECK(unfinished(simulation).empty());
+    }
+}
+
+// Guards against a guarantee that waits behind other workspaces' long work.
+TEST_CASE("guaranteed urgent work takes its room from lower priorities")
+{
+    auto simulation = PoolSimulation{3, 4, {}};
+    simulation.submit(makeJob("long", "batch", {makeStep(32, 1, Millis{60'000}, false)}));
+    simulation.run(Millis{1'000});
+    simulation.submit(makeJob("urgent", "urgent", {makeStep(2, 8, Millis{2'000}, true)}));
+    const auto submitted = simulation.now();
+    simulation.run(Millis{4'000});
+    REQUIRE(simulation.beganAt(JobId{"urgent"}));
+    CHECK(*simulation.beganAt(JobId{"urgent"}) - submitted <= Millis{2'700});
+}
+
+// Guards against a large gang that never finds enough whole workers beside a stream of small jobs.
+TEST_CASE("a large gang is not starved by small work of lower priority")
+{
+    auto simulation = PoolSimulation{4, 4, {}};
+    for (auto i = 0; i < 60; ++i) {
+        simulation.submit(makeJob("small" + std::to_string(i), "batch", {makeStep(4, 1, Millis{3'000}, false)}));
+        if (i == 8) {
+            simulation.submit(makeJob("large", "normal", {makeStep(3, 8, Millis{2'000}, true)}));
+        }
+        simulation.run(Millis{(i + 1) * 300});
+    }
+    REQUIRE(simulation.beganAt(JobId{"large"}));
+    CHECK(*simulation.beganAt(JobId{"large"}) - MonoTime{Seconds{1'000}} <= Millis{10'000});
+}
--- /dev/null
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -0,0 +1,441 @@
+#include "policy/testing/poolsimulation.h"
+
+#include <algorithm>
+
+namespace Catkin::Testing
+{
+
+namespace
+{
+
+constexpr auto stepTime = Millis{20};
+constexpr auto workersPerRack = 4;
+constexpr auto cutTime = Millis{12'000};
+constexpr auto lookEvery = 5; // steps
+constexpr auto takeoverGap = Millis{2'000};
+
+auto workerTime(MonoTime now, const SimulatedPoolWorker &worker) -> WorkerTime
+{
+    return {std::chrono::duration_cast<Millis>(now - worker.bornAt).count() + 1};
+}
+
+}
+
+auto simulationRules() -> PoolRules
+{
+    auto rules = PoolRules{.version = {1}};
+    auto priority = 0;
+    for (const auto *name : {"urgent", "normal", "batch"}) {
+        rules.queues[QueueId{name}] = {
+            .id = QueueId{name}, .service = ServiceId{"s"}, .priority = priority++, .maxAttempts = 3, .stretch = 2.0, .targetRuntime = Millis{1'000}};
+    }
+    rules.guaranteedAccelerators[WorkspaceId{"w"}] = 16;
+    return rules;
+}
+
+PoolSimulation::PoolSimulation(std::uint64_t seed, int workers, const PoolFaults &faults)
+    : m_options(PoolOptions{})
+    , m_faults(faults)
+    , m_random(seed)
+    , m_core(m_options)
+{
+    for (auto i = 0; i < workers; ++i) {
+        const auto id = WorkerId{"w" + std::to_string(i)};
+        const auto rack = "r" + std::to_string(i / workersPerRack);
+        auto &worker = m_workers[id];
+        worker.info = {.id = id,
+                       .address = "10.0.0." + std::to_string(i) + ":1",
+                       .service = ServiceId{"s"},
+                       .rack = rack,
+                       .labels = {"a", rack},
+                       .capacity = {.cpuMillis = 32'000, .memoryMb = 128'000, .accelerators = 8},
+                       .born = Incarnation{1}};
+        worker.bornAt = m_start;
+        if (chance(m_faults.cutWorkers)) {
+            worker.cutFrom = m_start + Millis{2'000 + m_random(15'000)};
+            worker.cutUntil = worker.cutFrom + cutTime;
+        }
+    }
+    for (auto i = 0; i < m_faults.takeovers; ++i) {
+        m_takeovers.push_back(m_start + Millis{3'000 + m_random(25'000)});
+    }
+    std::sort(m_takeovers.begin(), m_takeovers.end());
+    m_core.setRules(simulationRules());
+    listWorkers();
+}
+
+auto PoolSimulation::chance(int percent) -> bool
+{
+    return static_cast<int>(m_random(100)) < percent;
+}
+
+auto PoolSimulation::cut(const SimulatedPoolWorker &worker) const -> bool
+{
+    return m_now >= worker.cutFrom && m_now < worker.cutUntil;
+}
+
+auto PoolSimulation::core() const -> const PoolCore &
+{
+    return m_core;
+}
+
+auto PoolSimulation::violations() const -> const std::vector<std::string> &
+{
+    return m_violations;
+}
+
+auto PoolSimulation::doneTasks() const -> std::size_t
+{
+    return m_done.size();
+}
+
+auto PoolSimulation::now() const -> MonoTime
+{
+    return m_now;
+}
+
+auto PoolSimulation::beganAt(const JobId &id) const -> std::optional<MonoTime>
+{
+    const auto it = m_began.find(id);
+    return it == m_began.end() ? std::nullopt : std::optional{it->second};
+}
+
+auto PoolSimulation::listWorkers() -> void
+{
+    auto listed = std::vector<PoolWorkerInfo>{};
+    for (const auto &[id, it] : m_workers) {
+        listed.push_back(it.info);
+    }
+    m_core.setWorkers(listed, m_now);
+}
+
+auto PoolSimulation::submit(const PoolJob &job) -> void
+{
+    m_jobs[job.id] = job;
+    m_core.addJob(job, m_now);
+}
+
+auto PoolSimulation::cancel(const JobId &id) -> void
+{
+    m_cancelled.insert(id);
+    m_core.cancelJob(id, m_now);
+}
+
+auto PoolSimulation::run(Millis until) -> void
+{
+    while (m_now < m_start + until) {
+        step();
+    }
+}
+
+auto PoolSimulation::step() -> void
+{
+    m_now += stepTime;
+    for (auto i = std::size_t{0}; i < m_late.size();) {
+        if (m_late[i].at > m_now) {
+            ++i;
+            continue;
+        }
+        const auto late = m_late[i];
+        m_late.erase(m_late.begin() + static_cast<std::ptrdiff_t>(i));
+        carryOut(late.order, late.leaseUntil, late.token);
+    }
+    advanceWorkers();
+    if (!m_takeovers.empty() && m_now >= m_takeovers.front()) {
+        m_takeovers.erase(m_takeovers.begin());
+        takeOver();
+    }
+    if ((m_now - m_start) / stepTime % lookEvery == 0) {
+        look();
+    }
+    plan();
+}
+
+auto PoolSimulation::takeOver() -> void
+{
+    // Nobody gives orders until the silence has been noticed.
+    const auto resume = m_now + takeoverGap;
+    while (m_now < resume) {
+        m_now += stepTime;
+        advanceWorkers();
+    }
+    ++m_token;
+    m_core = PoolCore{m_options};
+    m_core.setRules(simulationRules());
+    for (const auto &[id, job] : m_jobs) {
+        m_core.addJob(job, m_now);
+    }
+    const auto takenOverUntil = m_now + takeoverGap + Millis{m_options.lease.count() * 103 / 100} + Millis{500};
+    for (const auto &[id, state] : m_records) {
+        m_core.adoptRecord(id, state, takenOverUntil, m_now);
+    }
+    for (const auto &id : m_cancelled) {
+        m_core.cancelJob(id, m_now);
+    }
+    listWorkers();
+}
+
+auto PoolSimulation::plan() -> void
+{
+    const auto effects = m_core.plan(m_now, WallTime{std::chrono::duration_cast<Millis>(m_now.time_since_epoch())});
+    for (const auto &id : effects.changed) {
+        auto state = *m_core.find(id);
+        // What a record does not hold.
+        for (auto &occurrence : state.occurrences) {
+            for (auto &it : occurrence.steps) {
+                for (auto &task : it.tasks) {
+                    task.attemptPhase = AttemptPhase::Unknown;
+                    task.percent = -1;
+                }
+            }
+        }
+        m_records[id] = std::move(state);
+    }
+    m_core.recorded(effects);
+    for (const auto &it : effects.orders) {
+        send(it);
+    }
+}
+
+auto PoolSimulation::send(const PoolOrder &order) -> void
+{
+    auto &worker = m_workers.at(order.worker);
+    const auto lease = m_core.leaseFor(order.worker, m_now);
+    const auto leaseUntil = worker.bornAt + Millis{lease.value - 1};
+    if (cut(worker)) {
+        m_core.applyOrder(order, OrderOutcome::InDoubt, m_now);
+    } else if (chance(m_faults.lateOrders)) {
+        m_late.push_back({.at = m_now + Millis{2'000 + m_random(10'000)}, .order = order, .leaseUntil = leaseUntil, .token = m_token});
+        m_core.applyOrder(order, OrderOutcome::InDoubt, m_now);
+    } else {
+        const auto outcome = carryOut(order, leaseUntil, m_token);
+        m_core.applyOrder(order, chance(m_faults.lostAnswers) ? OrderOutcome::InDoubt : outcome, m_now);
+    }
+}
+
+auto PoolSimulation::carryOut(const PoolOrder &order, MonoTime leaseUntil, std::int64_t token) -> OrderOutcome
+{
+    auto &worker = m_workers.at(order.worker);
+    if (token < worker.token) {
+        return OrderOutcome::Fenced;
+    }
+    worker.token = token;
+    if (order.kind == PoolOrder::Kind::Start) {
+        return startAt(worker, order, leaseUntil);
+    }
+    auto &bar = worker.barred[order.task];
+    bar = std::max(bar, order.attempt);
+    const auto it = worker.running.find(order.task);
+    if (it != worker.running.end() && it->second.attempt <= order.attempt) {
+        it->second.stopping = true;
+        it->second.stopAt = m_now + m_options.stopGrace;
+    }
+    return OrderOutcome::Accepted;
+}
+
+auto PoolSimulation::startAt(SimulatedPoolWorker &worker, const PoolOrder &order, MonoTime leaseUntil) -> OrderOutcome
+{
+    const auto it = worker.running.find(order.task);
+    if (it != worker.running.end() && it->second.attempt == order.attempt) {
+        return OrderOutcome::Accepted;
+    }
+    const auto bar = worker.barred.find(order.task);
+    if (bar != worker.barred.end() && order.attempt <= bar->second) {
+        return OrderOutcome::Superseded;
+    }
+    if (leaseUntil <= m_now) {
+        return OrderOutcome::Expired;
+    }
+    check(worker, order);
+    worker.leaseUntil = std::max(worker.leaseUntil, leaseUntil);
+    const auto &step = m_jobs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)];
+    worker.running[order.task] = {.attempt = order.attempt, .begin = m_now, .end = m_now + step.estimate, .resources = step.perTask};
+    m_began.try_emplace(order.task.job, m_now);
+    return OrderOutcome::Accepted;
+}
+
+auto PoolSimulation::check(const SimulatedPoolWorker &worker, const PoolOrder &order) -> void
+{
+    const auto name = order.task.job.str() + "." + std::to_string(order.task.step) + "." + std::to_string(order.task.index) + " attempt " + std::to_string(order.attempt);
+    const auto at = " at " + std::to_string(std::chrono::duration_cast<Millis>(m_now - m_start).count()) + " ms on " + worker.info.id.str();
+    auto used = m_jobs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)].perTask;
+    for (const auto &[key, it] : worker.running) {
+        used += it.resources;
+    }
+    if (copiesThatFit(used, worker.info.capacity, 1) == 0) {
+        m_violations.push_back(name + " is started beyond the capacity" + at);
+    }
+    for (const auto &[id, other] : m_workers) {
+        if (other.running.contains(order.task)) {
+            m_violations.push_back(name + " runs twice, also on " + id.str() + at);
+        }
+    }
+    if (endedWell(order.task)) {
+        m_violations.push_back(name + " is started after it was done" + at);
+    }
+    const auto &job = m_jobs.at(order.task.job);
+    for (const auto before : job.steps[static_cast<std::size_t>(order.task.step)].dependsOn) {
+        for (auto i = 0; i < job.steps[static_cast<std::size_t>(before)].tasks; ++i) {
+            const auto needed = TaskKey{.job = order.task.job, .occurrence = order.task.occurrence, .step = before, .index = i};
+            if (std::none_of(m_everDone.begin(), m_everDone.end(), [&](const TaskKey &it) { return sameUnit(needed, it); })) {
+                m_violations.push_back(name + " is started before step " + std::to_string(before) + at);
+            }
+        }
+    }
+}
+
+auto PoolSimulation::gangComplete(const TaskKey &key, int attempt) const -> bool
+{
+    const auto wanted = m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].tasks;
+    auto present = 0;
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &[other, it] : worker.running) {
+            present += other.job == key.job && other.occurrence == key.occurrence && other.step == key.step && it.attempt == attempt ? 1 : 0;
+        }
+    }
+    return present == wanted;
+}
+
+auto PoolSimulation::sameUnit(const TaskKey &a, const TaskKey &b) const -> bool
+{
+    const auto gang = m_jobs.at(a.job).steps[static_cast<std::size_t>(a.step)].gang;
+    return a == b || (gang && a.job == b.job && a.occurrence == b.occurrence && a.step == b.step);
+}
+
+/// A good end counts once it is on record, and before that as long as the worker's lease has not run out since.
+auto PoolSimulation::endedWell(const TaskKey &key) const -> bool
+{
+    if (std::any_of(m_done.begin(), m_done.end(), [&](const TaskKey &it) { return sameUnit(key, it); })) {
+        return true;
+    }
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &worker) {
+        return std::any_of(worker.second.ended.begin(), worker.second.ended.end(), [&](const AttemptEnd &it) {
+            return it.kind == AttemptEndKind::Done && sameUnit(key, it.task) && !worker.second.voidEnds.contains(it.number);
+        });
+    });
+}
+
+auto PoolSimulation::acknowledge(SimulatedPoolWorker &worker, std::int64_t upTo) -> void
+{
+    for (const auto &it : worker.ended) {
+        if (it.number <= upTo && it.kind == AttemptEndKind::Done && !worker.voidEnds.contains(it.number)) {
+            m_done.insert(it.task);
+        }
+    }
+    std::erase_if(worker.ended, [&](const AttemptEnd &it) { return it.number <= upTo; });
+}
+
+auto PoolSimulation::endAttempt(SimulatedPoolWorker &worker, const TaskKey &key, AttemptEndKind kind) -> void
+{
+    const auto it = worker.running.find(key);
+    const auto attempt = it->second.attempt;
+    worker.running.erase(it);
+    auto &bar = worker.barred[key];
+    bar = std::max(bar, attempt);
+    if (kind == AttemptEndKind::Done) {
+        m_everDone.insert(key);
+    }
+    worker.ended.push_back({.number = worker.nextEnd++, .task = key, .attempt = attempt, .kind = kind});
+}
+
+auto PoolSimulation::breakGang(const TaskKey &key, int attempt) -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        auto members = std::vector<TaskKey>{};
+        for (const auto &[other, it] : worker.running) {
+            if (other.job == key.job && other.occurrence == key.occurrence && other.step == key.step && it.attempt == attempt) {
+                members.push_back(other);
+            }
+        }
+        for (const auto &it : members) {
+            endAttempt(worker, it, AttemptEndKind::Broken);
+        }
+    }
+}
+
+auto PoolSimulation::advanceWorker(SimulatedPoolWorker &worker) -> void
+{
+    if (m_now >= worker.leaseUntil) {
+        for (const auto &it : worker.ended) {
+            worker.voidEnds.insert(it.number);
+        }
+    }
+    auto due = std::vector<TaskKey>{};
+    for (const auto &[key, it] : worker.running) {
+        due.push_back(key);
+    }
+    for (const auto &key : due) {
+        const auto it = worker.running.find(key);
+        if (it == worker.running.end()) {
+            continue;
+        }
+        const auto attempt = it->second.attempt;
+        const auto gang = m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].gang;
+        if (m_now >= worker.leaseUntil) {
+            endAttempt(worker, key, AttemptEndKind::Lapsed);
+        } else if (it->second.stopping && m_now >= it->second.stopAt) {
+            endAttempt(worker, key, AttemptEndKind::Stopped);
+        } else if (gang && !gangComplete(key, attempt)) {
+            if (m_now - it->second.begin > m_options.gangTimeout) {
+                endAttempt(worker, key, AttemptEndKind::Alone);
+            }
+            continue;
+        } else if (m_now >= it->second.end) {
+            endAttempt(worker, key, chance(m_faults.failedTasks) ? AttemptEndKind::Failed : AttemptEndKind::Done);
+        } else {
+            continue;
+        }
+        if (gang) {
+            breakGang(key, attempt);
+        }
+    }
+}
+
+auto PoolSimulation::advanceWorkers() -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        advanceWorker(worker);
+        // One restart in about 30 s for the given share of workers.
+        if (m_faults.restarts > 0 && m_random(150'000) < static_cast<std::uint32_t>(m_faults.restarts)) {
+            for (const auto &[key, it] : std::map{worker.running}) {
+                const auto attempt = it.attempt;
+                worker.running.erase(key);
+                if (m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].gang) {
+                    breakGang(key, attempt);
+                }
+            }
+            const auto info = worker.info;
+            worker = SimulatedPoolWorker{.info = info, .bornAt = m_now, .cutFrom = worker.cutFrom, .cutUntil = worker.cutUntil};
+            ++worker.info.born;
+            listWorkers();
+        }
+    }
+}
+
+auto PoolSimulation::look() -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        const auto plan = m_core.nextLook(id, m_now);
+        if (cut(worker)) {
+            m_core.lookFailed(id);
+            continue;
+        }
+        worker.token = std::max(worker.token, m_token);
+        if (plan.request.leaseUntil.value > 0) {
+            worker.leaseUntil = std::max(worker.leaseUntil, worker.bornAt + Millis{plan.request.leaseUntil.value - 1});
+        }
+        // The core keeps the number of acknowledged ends; one of an earlier lifetime says nothing here.
+        const auto &known = m_core.workers().at(id);
+        if (known.answered && known.info.born == worker.info.born) {
+            acknowledge(worker, plan.request.seenEnds);
+        }
+        auto answer = LookAnswer{.clock = workerTime(m_now, worker), .born = worker.info.born, .ended = worker.ended};
+        for (const auto &[key, it] : worker.running) {
+            const auto spent = std::chrono::duration_cast<Millis>(m_now - it.begin).count();
+            answer.running.push_back({.task = key, .attempt = it.attempt, .percent = static_cast<int>(spent / 50)});
+        }
+        m_core.applyLook(id, answer, m_now, m_now);
+    }
+}
+
+}
