--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -316,8 +316,14 @@
     m_impl->controlThread = std::thread([impl = m_impl.get()] { impl->control(); });
 }
 
+auto PoolNode::beginRetirement() -> void
+{
+    m_impl->retiring = true;
+}
+
 auto PoolNode::retire() -> void
 {
+    m_impl->retiring = true;
     auto record = LeadershipRecord{};
     auto epoch = std::optional<std::int64_t>{};
     {
@@ -326,7 +332,6 @@
         epoch = m_impl->leadership.ownEpoch();
         record = m_impl->leadership.resignation();
     }
-    m_impl->retiring = true;
     auto term = std::shared_ptr<PoolTerm>{};
     {
         const auto lock = std::lock_guard{m_impl->termMutex};
--- a/packages/daemon/poolnode.h
+++ b/packages/daemon/poolnode.h
@@ -31,7 +31,9 @@
     auto operator=(const PoolNode &) -> PoolNode & = delete;
 
     auto start() -> void;
-    /// Not ready any more; a term of leadership ends and others are told.
+    /// Not ready any more, and no claim from now on.
+    auto beginRetirement() -> void;
+    /// Ends a term of leadership and tells the others.
     auto retire() -> void;
     auto stop() -> void;
 
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -772,7 +772,8 @@
         return entry.second.stopping || (task != nullptr && task->attemptPhase == AttemptPhase::Unknown);
     });
     auto plan = LookPlan{.worker = id, .address = worker.info.address};
-    plan.request.leaseUntil = leaseFor(id, now);
+    // A worker that does not answer gets no new lease, or its work would stay bound to it for ever.
+    plan.request.leaseUntil = worker.reachable ? leaseFor(id, now) : WorkerTime{};
     plan.request.seenEnds = worker.recordedEnds;
     plan.request.wait = !worker.answered ? Millis{0} : open ? busyLook : calmLook;
     return plan;
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -105,6 +105,17 @@
     }
 }
 
+// Guards against work that stays bound to a worker that has gone for good, because each unanswered look renewed its lease.
+TEST_CASE("work of workers that vanish is placed again")
+{
+    for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
+        const auto simulation = playRandom(seed, {.lostWorkers = 20, .takeovers = 1});
+        CAPTURE(seed);
+        CHECK_MESSAGE(simulation.violations().empty(), text(simulation.violations()));
+        CHECK(unfinished(simulation).empty());
+    }
+}
+
 // Guards against a guarantee that waits behind other workspaces' long work.
 TEST_CASE("guaranteed urgent work takes its room from lower priorities")
 {
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -55,6 +55,10 @@
             worker.cutFrom = m_start + Millis{2'000 + m_random(15'000)};
             worker.cutUntil = worker.cutFrom + cutTime;
         }
+        if (chance(m_faults.lostWorkers)) {
+            worker.cutFrom = m_start + Millis{2'000 + m_random(15'000)};
+            worker.cutUntil = MonoTime::max();
+        }
     }
     for (auto i = 0; i < m_faults.takeovers; ++i) {
         m_takeovers.push_back(m_start + Millis{3'000 + m_random(25'000)});
@@ -138,7 +142,10 @@
         }
         const auto late = m_late[i];
         m_late.erase(m_late.begin() + static_cast<std::ptrdiff_t>(i));
-        carryOut(late.order, late.leaseUntil, late.token);
+        // A worker refuses orders for an earlier lifetime.
+        if (late.born == m_workers.at(late.order.worker).info.born) {
+            carryOut(late.order, late.leaseUntil, late.token);
+        }
     }
     advanceWorkers();
     if (!m_takeovers.empty() && m_now >= m_takeovers.front()) {
@@ -205,7 +212,7 @@
     if (cut(worker)) {
         m_core.applyOrder(order, OrderOutcome::InDoubt, m_now);
     } else if (chance(m_faults.lateOrders)) {
-        m_late.push_back({.at = m_now + Millis{2'000 + m_random(10'000)}, .order = order, .leaseUntil = leaseUntil, .token = m_token});
+        m_late.push_back({.at = m_now + Millis{2'000 + m_random(10'000)}, .order = order, .leaseUntil = leaseUntil, .token = m_token, .born = worker.info.born});
         m_core.applyOrder(order, OrderOutcome::InDoubt, m_now);
     } else {
         const auto outcome = carryOut(order, leaseUntil, m_token);
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -20,6 +20,7 @@
     int lateOrders = 0; ///< per cent of orders that are not answered and carried out 2 to 12 s later
     int failedTasks = 0; ///< per cent of attempts that end by a failure
     int cutWorkers = 0; ///< per cent of workers cut off for 12 s, some time
+    int lostWorkers = 0; ///< per cent of workers that vanish for good, some time
     int restarts = 0; ///< per cent of workers that restart at some time
     int takeovers = 0; ///< planners that follow one another
 };
@@ -74,6 +75,7 @@
         PoolOrder order;
         MonoTime leaseUntil;
         std::int64_t token = 0;
+        Incarnation born; ///< lifetime that the order is meant for
     };
 
     auto step() -> void;
