Let a restarted holder claim the leadership at once

Its new process knows that the old one is gone: the record names it, with a nonce that this process never used. Test: leadership_test 'a restarted holder claims at once' (failed before).

--- a/packages/policy/leadership.cpp
+++ b/packages/policy/leadership.cpp
@@ -33,7 +33,8 @@
     m_holder = record;
     m_holder->epoch = epoch;
     m_lastSign = now;
-    m_vacant = record.kind == LeadershipRecordKind::Resignation;
+    const auto ofEarlierProcess = record.holder == m_options.self && !m_nonces.contains(record.nonce);
+    m_vacant = record.kind == LeadershipRecordKind::Resignation || ofEarlierProcess;
     if (m_ownEpoch && (*m_ownEpoch != epoch || m_vacant)) {
         m_ownEpoch.reset();
     }
@@ -96,6 +97,7 @@
 auto Leadership::claim(LogOffset end, const std::string &nonce, MonoTime now) -> LeadershipRecord
 {
     m_pendingNonce = nonce;
+    m_nonces.insert(nonce);
     m_claimedAt = now;
     return {.kind = LeadershipRecordKind::Claim, .holder = m_options.self, .epoch = end.value, .nonce = nonce, .address = m_options.address};
 }
--- a/packages/policy/leadership.h
+++ b/packages/policy/leadership.h
@@ -25,6 +25,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Catkin
@@ -101,6 +102,7 @@
     bool m_fenced = false;
     Millis m_claimDelay{0};
     std::string m_pendingNonce;
+    std::set<std::string> m_nonces; ///< of all claims of this process; few, since a claim needs a vacancy
     MonoTime m_claimedAt;
     std::optional<std::int64_t> m_ownEpoch;
     MonoTime m_validSince; ///< sending time of the last acknowledged renewal
--- a/packages/policy/testing/leadership_test.cpp
+++ b/packages/policy/testing/leadership_test.cpp
@@ -96,3 +96,23 @@
     CHECK(leadership.holder()->holder == InstanceId{"a"});
     CHECK(leadership.next(start + Millis{100}) == LeadershipStep::None);
 }
+
+// Guards against a pause in planning after all processes were killed: the holder's new process knows that the old one is gone.
+TEST_CASE("a restarted holder claims at once")
+{
+    auto leadership = makeLeadership("a");
+    leadership.tailRead(start, start);
+    leadership.applyRecord({.kind = LeadershipRecordKind::Renewal, .holder = InstanceId{"a"}, .epoch = 8, .nonce = "of the earlier process"}, {9}, start);
+    CHECK(leadership.next(start + Millis{1}) == LeadershipStep::Claim);
+}
+
+// Guards against a claim in the place of a holder that lives: only its own process can tell that it has ended.
+TEST_CASE("a claim of this process that is still on its way is not taken for one of an earlier process")
+{
+    auto leadership = makeLeadership("a");
+    leadership.tailRead(start, start);
+    const auto claim = leadership.claim({5}, "mine", start);
+    leadership.applyRecord(claim, {5}, start + Millis{5});
+    CHECK(leadership.next(start + Millis{6}) == LeadershipStep::None);
+    CHECK(leadership.ownEpoch());
+}
