--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -18,7 +18,6 @@
 /// A group of priority 0 that found no rack by then runs spread over several: late beats never.
 constexpr auto urgentSpreadAfter = Millis{900};
 
-
 auto seconds(Micros span) -> double
 {
     return std::chrono::duration<double>(span).count();
@@ -202,17 +201,36 @@
     return std::max(0.1, seconds(estimate) - seconds(m_now - it.placedAt));
 }
 
-auto PoolPlacer::addReclaimable(const TaskGroup &group, Room kind, const Slot &slot, WorkerRoom &room) const -> void
+auto PoolPlacer::victimsAt(const TaskGroup &group, const Slot &slot) const -> std::vector<Victim>
 {
+    auto victims = std::vector<Victim>{};
     for (const auto &[key, it] : slot.worker->allocations) {
-        if (kind == Room::Preemptible && mayPreempt(group, key, it)) {
-            room.room += it.resources;
-            room.cost += lossOf(key, it);
-        } else if (kind == Room::Eventual && !it.stopping) {
-            room.room += it.resources;
-            room.cost = std::max(room.cost, remainingOf(key, it));
+        if (mayPreempt(group, key, it)) {
+            victims.push_back({.priority = it.priority, .loss = lossOf(key, it), .key = key, .resources = it.resources});
         }
     }
+    std::sort(victims.begin(), victims.end(), [](const Victim &a, const Victim &b) { return std::tie(a.loss, a.key) < std::tie(b.loss, b.key); });
+    return victims;
+}
+
+/// Adds the room of preemptible work; its cost is that of making room for one task.
+auto PoolPlacer::addReclaimable(const TaskGroup &group, Room kind, const Slot &slot, WorkerRoom &room) const -> void
+{
+    if (kind == Room::Eventual) {
+        for (const auto &[key, it] : slot.worker->allocations) {
+            if (!it.stopping) {
+                room.room += it.resources;
+                room.cost = std::max(room.cost, remainingOf(key, it));
+            }
+        }
+        return;
+    }
+    for (const auto &it : victimsAt(group, slot)) {
+        if (copiesThatFit(spec(group).perTask, clampToZero(room.room), 1) == 0) {
+            room.cost += it.loss;
+        }
+        room.room += it.resources;
+    }
 }
 
 auto PoolPlacer::rooms(const TaskGroup &group, Room kind) const -> std::vector<WorkerRoom>
@@ -332,14 +350,7 @@
 
 auto PoolPlacer::makeRoom(const TaskGroup &group, Slot &slot, const Resources &need) -> void
 {
-    auto victims = std::vector<std::tuple<int, double, PoolCore::AttemptKey>>{};
-    for (const auto &[key, it] : slot.worker->allocations) {
-        if (mayPreempt(group, key, it)) {
-            victims.emplace_back(-it.priority, lossOf(key, it), key);
-        }
-    }
-    std::sort(victims.begin(), victims.end());
-    for (const auto &[priority, loss, key] : victims) {
+    for (const auto &[priority, loss, key, resources] : victimsAt(group, slot)) {
         if (copiesThatFit(need, clampToZero(slot.soon), 1) == 1) {
             return;
         }
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -56,6 +56,14 @@
         bool usable = false;
     };
 
+    struct Victim
+    {
+        int priority = 0;
+        double loss = 0.0; ///< core-seconds of work that its stop loses
+        PoolCore::AttemptKey key;
+        Resources resources;
+    };
+
     auto collectGroups() -> void;
     auto collectStep(PoolJobState &state, const PoolQueue &queue, int occurrence, int step) -> void;
     auto markGuaranteed() -> void;
@@ -68,6 +76,7 @@
     auto reserveSoon(const TaskGroup &group, Spread spread) -> bool;
     auto preempt(const TaskGroup &group, Spread spread) -> bool;
     auto makeRoom(const TaskGroup &group, Slot &slot, const Resources &need) -> void;
+    auto victimsAt(const TaskGroup &group, const Slot &slot) const -> std::vector<Victim>;
     auto keepRoom(const TaskGroup &group) -> void;
     auto start(TaskGroup &group, const std::vector<int> &tasks, const std::vector<std::size_t> &slots, PoolEffects &effects) -> void;
     auto take(Slot &slot, const Resources &need) -> void;
