Keep the recent peak of urgent work free of lower priorities

Cause: low-priority tasks were started on accelerators that the next urgent jobs took back within a second; their work was lost. The placer now remembers the urgent demand of the last 3 s and lets other groups only take what is beyond it.

--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -23,6 +23,7 @@
 #include "policy/pooljob.h"
 #include "policy/poollooks.h"
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -203,6 +204,7 @@
     std::set<JobId> m_phaseChanged;
     std::set<JobId> m_expired;
     std::vector<PoolNote> m_notes;
+    std::deque<std::pair<MonoTime, std::int64_t>> m_urgentDemand; ///< accelerators that urgent work used or waited for
     bool m_fenced = false;
 };
 
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -17,6 +17,8 @@
 constexpr auto checkpointedLoss = 0.1;
 /// A group of priority 0 that found no rack by then runs spread over several: late beats never.
 constexpr auto urgentSpreadAfter = Millis{900};
+/// How long a peak of urgent work is remembered; a burst lasts several seconds, and urgent tasks last about 2.5 s.
+constexpr auto urgentMemory = Millis{3'000};
 
 auto seconds(Micros span) -> double
 {
@@ -306,6 +308,7 @@
         allocation.placedAt = m_now;
         slot.free -= wanted.perTask;
         slot.soon -= wanted.perTask;
+        m_freeAccelerators -= wanted.perTask.accelerators;
         m_core.emitStart(effects, *slot.worker, {key, task.attempt});
     }
     step.everStarted = true;
@@ -411,9 +414,44 @@
     }
 }
 
+/// Urgent work comes in waves. What it used within the last few seconds is kept free of other work, which would be
+/// preempted, and lose what it has done, as soon as the next urgent jobs come.
+auto PoolPlacer::measureUrgent() -> void
+{
+    auto inUse = std::int64_t{0};
+    for (const auto &slot : m_slots) {
+        m_freeAccelerators += slot.usable ? std::max<std::int64_t>(slot.free.accelerators, 0) : 0;
+        for (const auto &[key, it] : slot.worker->allocations) {
+            inUse += it.priority == 0 && !it.stopping ? it.resources.accelerators : 0;
+        }
+    }
+    auto demand = inUse;
+    for (const auto &it : m_groups) {
+        demand += it.queue->priority == 0 ? spec(it).perTask.accelerators * static_cast<std::int64_t>(it.tasks.size()) : 0;
+    }
+    auto &history = m_core.m_urgentDemand;
+    history.emplace_back(m_now, demand);
+    while (history.front().first < m_now - urgentMemory) {
+        history.pop_front();
+    }
+    const auto peak = std::max_element(history.begin(), history.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    m_reserve = peak->second - inUse;
+}
+
+auto PoolPlacer::leavesReserve(const TaskGroup &group) const -> bool
+{
+    const auto &wanted = spec(group);
+    const auto need = wanted.perTask.accelerators * (wanted.gang ? static_cast<std::int64_t>(group.tasks.size()) : 1);
+    return m_freeAccelerators - need >= m_reserve;
+}
+
 auto PoolPlacer::placeGroup(TaskGroup &group, PoolEffects &effects) -> bool
 {
     const auto &wanted = spec(group);
+    if (group.queue->priority != 0 && m_reserve > 0 && !leavesReserve(group)) {
+        keepRoom(group);
+        return false;
+    }
     if (!wanted.gang) {
         const auto free = rooms(group, Room::Free);
         const auto chosen = chooseForSome(free, wanted, static_cast<int>(group.tasks.size()));
@@ -461,6 +499,7 @@
     markGuaranteed();
     sortGroups();
     collectSlots();
+    measureUrgent();
     for (auto &it : m_groups) {
         placeGroup(it, effects);
     }
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -77,6 +77,8 @@
     auto preempt(const TaskGroup &group, Spread spread) -> bool;
     auto makeRoom(const TaskGroup &group, Slot &slot, const Resources &need) -> void;
     auto victimsAt(const TaskGroup &group, const Slot &slot) const -> std::vector<Victim>;
+    auto measureUrgent() -> void;
+    auto leavesReserve(const TaskGroup &group) const -> bool;
     auto keepRoom(const TaskGroup &group) -> void;
     auto start(TaskGroup &group, const std::vector<int> &tasks, const std::vector<std::size_t> &slots, PoolEffects &effects) -> void;
     auto take(Slot &slot, const Resources &need) -> void;
@@ -93,6 +95,8 @@
     std::vector<Slot> m_slots;
     std::set<JobId> m_guaranteedJobs;
     std::set<int> m_blockedPriorities;
+    std::int64_t m_freeAccelerators = 0;
+    std::int64_t m_reserve = 0; ///< accelerators to keep free of work of lower priorities
 };
 
 }
