Count a failure once, however often it is reported

A worker repeats an end until it is acknowledged; after a takeover the next planner counted the same failure again. Ruled out: two attempts under one number (attempts rise in the record). The record of a task now holds its last failed attempt, as that of a gang did.

--- a/packages/daemon/poolfront.cpp
+++ b/packages/daemon/poolfront.cpp
@@ -91,7 +91,7 @@
         if (left < leastTry) {
             return inDoubt ? *inDoubt : failure(ErrorCode::NotSent, "no time left to store the record");
         }
-        const auto done = m_store.append(RecordLog::Shared, {record}, {}, std::min(left, firstTry));
+        auto done = m_store.append(RecordLog::Shared, {record}, {}, std::min(left, firstTry));
         if (done) {
             return done;
         }
@@ -125,14 +125,16 @@
     const auto done = append({.key = key, .value = value}, limit);
     const auto took = std::chrono::duration_cast<Millis>(m_clock.mono() - begin).count();
     if (done) {
-        logEvent(LogLevel::Info, 6021, "job=" + job.id.str() + " queue=" + job.queue.str() + " workspace=" + job.workspace.str() + " accepted store_ms=" + std::to_string(took));
+        logEvent(LogLevel::Info,
+                 6021,
+                 "job=" + job.id.str() + " queue=" + job.queue.str() + " workspace=" + job.workspace.str() + " accepted store_ms=" + std::to_string(took));
         return {.outcome = SubmitOutcome::Accepted};
     }
     const auto notRun = done.error().code == ErrorCode::NotSent;
     logEvent(LogLevel::Warn,
              6022,
-             "job=" + job.id.str() + " queue=" + job.queue.str() + " not accepted, outcome=" + (notRun ? "not_run" : "in_doubt") + " store_ms=" + std::to_string(took)
-                 + " reason=" + done.error().message);
+             "job=" + job.id.str() + " queue=" + job.queue.str() + " not accepted, outcome=" + (notRun ? "not_run" : "in_doubt")
+                 + " store_ms=" + std::to_string(took) + " reason=" + done.error().message);
     return {.outcome = notRun ? SubmitOutcome::NotRun : SubmitOutcome::InDoubt, .reason = done.error().message, .retryAfter = retryElsewhere};
 }
 
--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -247,7 +247,10 @@
     const auto begin = clock.mono();
     const auto done = ports.store.append(RecordLog::Shared, {{.key = key, .value = value}}, {.at = end, .epoch = end.value, .sequence = 0}, claimTimeout);
     const auto took = std::chrono::duration_cast<Millis>(clock.mono() - begin);
-    logEvent(LogLevel::Info, 6036, "claim at offset " + std::to_string(end.value) + (done ? " stored" : " not stored: " + done.error().message) + " store_ms=" + std::to_string(took.count()));
+    logEvent(LogLevel::Info,
+             6036,
+             "claim at offset " + std::to_string(end.value) + (done ? " stored" : " not stored: " + done.error().message)
+                 + " store_ms=" + std::to_string(took.count()));
     const auto lock = std::lock_guard{mutex};
     leadership.setClaimDelay(std::min(took * claimDelayTrips, maxClaimDelay) + Millis{random(claimJitterMs)});
     if (!done && done.error().code != ErrorCode::Unknown) {
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -164,8 +164,8 @@
     const auto lock = std::lock_guard{m_mutex};
     auto &known = m_entries[id];
     const auto &fresh = entry.value();
-    if (known.id.empty() || known.address != fresh.address || known.draining != fresh.draining || known.born != fresh.born || !(known.capacity == fresh.capacity)
-        || known.labels != fresh.labels || known.service != fresh.service) {
+    if (known.id.empty() || known.address != fresh.address || known.draining != fresh.draining || known.born != fresh.born
+        || !(known.capacity == fresh.capacity) || known.labels != fresh.labels || known.service != fresh.service) {
         m_workersDirty = true;
         m_dirty = true;
         m_wake.notify_all();
@@ -234,7 +234,8 @@
             m_workersDirty = true;
             logEvent(LogLevel::Info,
                      6007,
-                     "term epoch=" + std::to_string(m_options.epoch) + " jobs=" + std::to_string(m_core.jobs().size()) + " workers=" + std::to_string(m_entries.size())
+                     "term epoch=" + std::to_string(m_options.epoch) + " jobs=" + std::to_string(m_core.jobs().size())
+                         + " workers=" + std::to_string(m_entries.size())
                          + " taken over in_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_clock.mono() - begin).count()));
             return !m_stopping;
         }
@@ -339,8 +340,8 @@
         }
         logEvent(LogLevel::Warn,
                  6008,
-                 "record of attempts not stored sequence=" + std::to_string(guard.sequence) + " try_ms="
-                     + std::to_string(std::chrono::duration_cast<Millis>(m_clock.mono() - sentAt).count()) + " reason=" + done.error().message);
+                 "record of attempts not stored sequence=" + std::to_string(guard.sequence)
+                     + " try_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_clock.mono() - sentAt).count()) + " reason=" + done.error().message);
         if (done.error().code == ErrorCode::StaleGeneration || done.error().code == ErrorCode::Conflict) {
             m_hooks.fenced("the record of attempts belongs to a newer planner");
             return false;
@@ -401,7 +402,12 @@
         return OrderOutcome::NotSent;
     }
     return link.channel
-        .start({.task = order.task, .attempt = order.attempt, .payload = order.payload, .leaseUntil = lease, .token = m_options.epoch, .checkpoint = order.checkpoint},
+        .start({.task = order.task,
+                .attempt = order.attempt,
+                .payload = order.payload,
+                .leaseUntil = lease,
+                .token = m_options.epoch,
+                .checkpoint = order.checkpoint},
                orderTry)
         .outcome;
 }
@@ -417,8 +423,8 @@
         }
         if (!stopped() && m_hooks.mayOrder()) {
             outcome = order.kind == PoolOrder::Kind::Start
-                ? startOutcome(order, *link)
-                : link->channel.stop({.task = order.task, .attempt = order.attempt, .token = m_options.epoch}, orderTry).outcome;
+                          ? startOutcome(order, *link)
+                          : link->channel.stop({.task = order.task, .attempt = order.attempt, .token = m_options.epoch}, orderTry).outcome;
         }
     }
     if (outcome == OrderOutcome::Fenced) {
@@ -557,7 +563,8 @@
         }
         logEvent(LogLevel::Warn,
                  6012,
-                 "renewal not stored epoch=" + std::to_string(m_options.epoch) + " sequence=" + std::to_string(append.sequence) + " reason=" + done.error().message);
+                 "renewal not stored epoch=" + std::to_string(m_options.epoch) + " sequence=" + std::to_string(append.sequence)
+                     + " reason=" + done.error().message);
         if (done.error().code == ErrorCode::StaleGeneration || done.error().code == ErrorCode::Conflict) {
             m_hooks.fenced("the shared log belongs to a newer planner");
             return false;
--- a/packages/policy/leadership.cpp
+++ b/packages/policy/leadership.cpp
@@ -104,7 +104,11 @@
 
 auto Leadership::renewal() const -> LeadershipRecord
 {
-    return {.kind = LeadershipRecordKind::Renewal, .holder = m_options.self, .epoch = m_ownEpoch.value_or(0), .nonce = m_pendingNonce, .address = m_options.address};
+    return {.kind = LeadershipRecordKind::Renewal,
+            .holder = m_options.self,
+            .epoch = m_ownEpoch.value_or(0),
+            .nonce = m_pendingNonce,
+            .address = m_options.address};
 }
 
 auto Leadership::resignation() const -> LeadershipRecord
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -27,7 +27,6 @@
 constexpr auto calmLook = Millis{2'000};
 constexpr auto busyLook = Millis{100};
 
-
 auto describe(const TaskKey &key, int attempt) -> std::string
 {
     return "job=" + key.job.str() + " occurrence=" + std::to_string(key.occurrence) + " step=" + std::to_string(key.step) + " task=" + std::to_string(key.index)
@@ -295,9 +294,8 @@
 
 auto PoolCore::checkFinished(PoolJobState &state, MonoTime now) -> void
 {
-    const auto done = std::all_of(state.occurrences.begin(), state.occurrences.end(), [](const OccurrenceState &it) {
-        return std::all_of(it.steps.begin(), it.steps.end(), stepDone);
-    });
+    const auto done = std::all_of(
+        state.occurrences.begin(), state.occurrences.end(), [](const OccurrenceState &it) { return std::all_of(it.steps.begin(), it.steps.end(), stepDone); });
     if (done) {
         state.finalSince = now;
         setPhase(state, PoolJobPhase::Completed);
@@ -308,16 +306,14 @@
 {
     auto &step = stepAt(state, key);
     const auto &spec = specOf(state, key);
-    auto failures = 0;
-    if (spec.gang) {
-        if (step.lastFailedAttempt != attempt) {
-            step.lastFailedAttempt = attempt;
-            ++step.gangFailures;
-        }
-        failures = step.gangFailures;
-    } else {
-        failures = ++taskAt(state, key).failures;
+    auto &task = taskAt(state, key);
+    auto &lastFailed = spec.gang ? step.lastFailedAttempt : task.lastFailedAttempt;
+    auto &failures = spec.gang ? step.gangFailures : task.failures;
+    if (lastFailed == attempt) {
+        return;
     }
+    lastFailed = attempt;
+    ++failures;
     const auto queue = m_rules.queues.find(state.job.queue);
     const auto limit = queue == m_rules.queues.end() ? 1 : queue->second.maxAttempts;
     note("task_failed", describe(key, attempt) + " failures=" + std::to_string(failures) + " of=" + std::to_string(limit));
@@ -399,13 +395,16 @@
 
 auto PoolCore::newLifetime(Worker &worker, const LookAnswer &answer) -> void
 {
-    note("worker_restarted", "worker=" + worker.info.id.str() + " born=" + std::to_string(answer.born.value) + " before=" + std::to_string(worker.info.born.value));
+    note("worker_restarted",
+         "worker=" + worker.info.id.str() + " born=" + std::to_string(answer.born.value) + " before=" + std::to_string(worker.info.born.value));
     worker.info.born = answer.born;
     worker.processedEnds = 0;
     worker.recordedEnds = 0;
     auto gone = std::vector<AttemptKey>{};
     for (const auto &[key, allocation] : worker.allocations) {
-        const auto runs = std::any_of(answer.running.begin(), answer.running.end(), [&](const RunningAttempt &it) { return AttemptKey{it.task, it.attempt} == key; });
+        const auto runs = std::any_of(answer.running.begin(), answer.running.end(), [&](const RunningAttempt &it) {
+            return AttemptKey{it.task, it.attempt} == key;
+        });
         if (!runs && !allocation.orderOpen && !allocation.doubtful) {
             gone.push_back(key);
         }
@@ -620,7 +619,8 @@
         for (auto &[key, it] : worker.allocations) {
             const auto *task = findTask(key.first);
             if (it.stopping || task == nullptr || task->attempt != key.second || task->attemptPhase != AttemptPhase::Running || task->phase != TaskPhase::Placed
-                || specOf(m_jobs.at(key.first.job), key.first).longRunning || now - task->progressAt < hungAfter || worker.answeredAt < task->progressAt + hungAfter) {
+                || specOf(m_jobs.at(key.first.job), key.first).longRunning || now - task->progressAt < hungAfter
+                || worker.answeredAt < task->progressAt + hungAfter) {
                 continue;
             }
             note("task_hung",
@@ -672,7 +672,8 @@
         for (auto &[key, it] : worker.allocations) {
             if (it.stopping && !it.stopAnswered && (it.stopSentAt == MonoTime{} || now - it.stopSentAt >= stopRetry)) {
                 it.stopSentAt = now;
-                effects.orders.push_back({.kind = PoolOrder::Kind::Stop, .worker = id, .address = worker.info.address, .task = key.first, .attempt = key.second});
+                effects.orders.push_back(
+                    {.kind = PoolOrder::Kind::Stop, .worker = id, .address = worker.info.address, .task = key.first, .attempt = key.second});
             } else if (!it.stopping && it.doubtful && !it.orderOpen && m_jobs.contains(key.first.job)) {
                 it.orderOpen = true;
                 ++it.startTries;
@@ -751,7 +752,8 @@
 auto PoolCore::isIdle(const WorkerId &id) const -> bool
 {
     const auto it = m_workers.find(id);
-    return it == m_workers.end() || (it->second.answered && it->second.allocations.empty() && it->second.recordedEnds >= it->second.processedEnds && it->second.reachable);
+    return it == m_workers.end()
+           || (it->second.answered && it->second.allocations.empty() && it->second.recordedEnds >= it->second.processedEnds && it->second.reachable);
 }
 
 auto PoolCore::hasUnrecordedEnds(const WorkerId &id) const -> bool
--- a/packages/policy/pooljob.cpp
+++ b/packages/policy/pooljob.cpp
@@ -81,7 +81,9 @@
 
 auto taskAt(PoolJobState &state, const TaskKey &key) -> TaskState &
 {
-    return state.occurrences.at(static_cast<std::size_t>(key.occurrence)).steps.at(static_cast<std::size_t>(key.step)).tasks.at(static_cast<std::size_t>(key.index));
+    return state.occurrences.at(static_cast<std::size_t>(key.occurrence))
+        .steps.at(static_cast<std::size_t>(key.step))
+        .tasks.at(static_cast<std::size_t>(key.index));
 }
 
 auto stepDone(const StepState &step) -> bool
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -93,6 +93,7 @@
     TaskPhase phase = TaskPhase::Waiting;
     int attempt = 0; ///< number of the last attempt; rises with each placement
     int failures = 0; ///< attempts that ended by a failure
+    int lastFailedAttempt = 0; ///< so that a failure that is reported twice counts once
     WorkerId worker; ///< while Placed
     Incarnation workerBorn; ///< lifetime of that worker
     std::string checkpoint; ///< resume point; empty: from the beginning
@@ -168,7 +169,8 @@
     auto operator()(const Catkin::TaskKey &key) const noexcept -> std::size_t
     {
         constexpr auto spread = std::size_t{1'000'003};
-        const auto numbers = (static_cast<std::size_t>(key.occurrence) * spread + static_cast<std::size_t>(key.step)) * spread + static_cast<std::size_t>(key.index);
+        const auto numbers
+            = (static_cast<std::size_t>(key.occurrence) * spread + static_cast<std::size_t>(key.step)) * spread + static_cast<std::size_t>(key.index);
         return std::hash<std::string>{}(key.job.str()) ^ (numbers * spread);
     }
 };
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -130,7 +130,8 @@
             urgent.push_back(&state);
         }
     }
-    std::sort(urgent.begin(), urgent.end(), [](const auto *a, const auto *b) { return std::tie(a->knownSince, a->job.id) < std::tie(b->knownSince, b->job.id); });
+    std::sort(
+        urgent.begin(), urgent.end(), [](const auto *a, const auto *b) { return std::tie(a->knownSince, a->job.id) < std::tie(b->knownSince, b->job.id); });
     auto used = std::map<WorkspaceId, std::int64_t>{};
     for (const auto *it : urgent) {
         const auto guarantee = m_core.m_rules.guaranteedAccelerators.find(it->job.workspace);
@@ -148,9 +149,8 @@
 
 auto PoolPlacer::sortGroups() -> void
 {
-    const auto rank = [](const TaskGroup &it) {
-        return std::tuple(it.queue->priority, !it.guaranteed, it.latestStart, it.job->job.id, it.occurrence, it.step);
-    };
+    const auto rank
+        = [](const TaskGroup &it) { return std::tuple(it.queue->priority, !it.guaranteed, it.latestStart, it.job->job.id, it.occurrence, it.step); };
     std::sort(m_groups.begin(), m_groups.end(), [&](const TaskGroup &a, const TaskGroup &b) { return rank(a) < rank(b); });
 }
 
@@ -246,7 +246,8 @@
         if (!slot.usable || info.service != group.queue->service || !labelled) {
             continue;
         }
-        auto room = WorkerRoom{.worker = i, .rack = info.rack, .room = kind == Room::Free ? slot.free : slot.soon, .suspect = m_now < slot.worker->suspectUntil};
+        auto room
+            = WorkerRoom{.worker = i, .rack = info.rack, .room = kind == Room::Free ? slot.free : slot.soon, .suspect = m_now < slot.worker->suspectUntil};
         if (wanted.maxPerWorker > 0) {
             for (const auto &[key, it] : slot.worker->allocations) {
                 const auto same = key.first.job == group.job->job.id && key.first.occurrence == group.occurrence && key.first.step == group.step;
@@ -361,12 +362,14 @@
         const auto &state = m_core.m_jobs.at(key.first.job);
         const auto gang = state.job.steps[static_cast<std::size_t>(key.first.step)].gang;
         m_core.note("preempted",
-                    "job=" + key.first.job.str() + " step=" + std::to_string(key.first.step) + " task=" + std::to_string(key.first.index)
-                        + " worker=" + slot.worker->info.id.str() + " for_job=" + group.job->job.id.str() + " loss_core_s=" + std::to_string(static_cast<int>(loss)));
+                    "job=" + key.first.job.str() + " step=" + std::to_string(key.first.step) + " task=" + std::to_string(key.first.index) + " worker="
+                        + slot.worker->info.id.str() + " for_job=" + group.job->job.id.str() + " loss_core_s=" + std::to_string(static_cast<int>(loss)));
         auto before = std::vector<std::pair<PoolCore::Worker *, Resources>>{};
         for (auto &it : m_slots) {
             for (const auto &[other, allocation] : it.worker->allocations) {
-                const auto same = gang ? other.first.job == key.first.job && other.first.occurrence == key.first.occurrence && other.first.step == key.first.step : other == key;
+                const auto same = gang
+                                      ? other.first.job == key.first.job && other.first.occurrence == key.first.occurrence && other.first.step == key.first.step
+                                      : other == key;
                 if (same && !allocation.stopping) {
                     it.soon += allocation.resources;
                 }
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -105,6 +105,17 @@
     }
 }
 
+// Guards against a failure that is counted again when a later planner is told of it again, and jobs that fail for it.
+TEST_CASE("a job fails only after a task has failed as often as its queue allows")
+{
+    for (auto seed = std::uint64_t{1}; seed <= 20; ++seed) {
+        const auto simulation = playRandom(seed, {.failedTasks = 25, .takeovers = 12});
+        CAPTURE(seed);
+        CHECK_MESSAGE(simulation.violations().empty(), text(simulation.violations()));
+        CHECK(simulation.failedWithoutCause().empty());
+    }
+}
+
 // Guards against work that stays bound to a worker that has gone for good, because each unanswered look renewed its lease.
 TEST_CASE("work of workers that vanish is placed again")
 {
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -26,8 +26,8 @@
     auto rules = PoolRules{.version = {1}};
     auto priority = 0;
     for (const auto *name : {"urgent", "normal", "batch"}) {
-        rules.queues[QueueId{name}] = {
-            .id = QueueId{name}, .service = ServiceId{"s"}, .priority = priority++, .maxAttempts = 3, .stretch = 2.0, .targetRuntime = Millis{1'000}};
+        rules.queues[QueueId{name}]
+            = {.id = QueueId{name}, .service = ServiceId{"s"}, .priority = priority++, .maxAttempts = 3, .stretch = 2.0, .targetRuntime = Millis{1'000}};
     }
     rules.guaranteedAccelerators[WorkspaceId{"w"}] = 16;
     return rules;
@@ -88,9 +88,16 @@
     return m_violations;
 }
 
-auto PoolSimulation::doneTasks() const -> std::size_t
+auto PoolSimulation::failedWithoutCause() const -> std::string
 {
-    return m_done.size();
+    auto out = std::string{};
+    for (const auto &[id, state] : m_core.jobs()) {
+        const auto caused = std::any_of(m_failures.begin(), m_failures.end(), [&](const auto &it) {
+            return it.first.job == id && static_cast<int>(it.second.size()) >= simulationRules().queues.at(state.job.queue).maxAttempts;
+        });
+        out += state.phase == PoolJobPhase::Failed && !caused ? id.str() + " " : "";
+    }
+    return out;
 }
 
 auto PoolSimulation::now() const -> MonoTime
@@ -212,7 +219,8 @@
     if (cut(worker)) {
         m_core.applyOrder(order, OrderOutcome::InDoubt, m_now);
     } else if (chance(m_faults.lateOrders)) {
-        m_late.push_back({.at = m_now + Millis{2'000 + m_random(10'000)}, .order = order, .leaseUntil = leaseUntil, .token = m_token, .born = worker.info.born});
+        m_late.push_back(
+            {.at = m_now + Millis{2'000 + m_random(10'000)}, .order = order, .leaseUntil = leaseUntil, .token = m_token, .born = worker.info.born});
         m_core.applyOrder(order, OrderOutcome::InDoubt, m_now);
     } else {
         const auto outcome = carryOut(order, leaseUntil, m_token);
@@ -263,7 +271,8 @@
 
 auto PoolSimulation::check(const SimulatedPoolWorker &worker, const PoolOrder &order) -> void
 {
-    const auto name = order.task.job.str() + "." + std::to_string(order.task.step) + "." + std::to_string(order.task.index) + " attempt " + std::to_string(order.attempt);
+    const auto name
+        = order.task.job.str() + "." + std::to_string(order.task.step) + "." + std::to_string(order.task.index) + " attempt " + std::to_string(order.attempt);
     const auto at = " at " + std::to_string(std::chrono::duration_cast<Millis>(m_now - m_start).count()) + " ms on " + worker.info.id.str();
     auto used = m_jobs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)].perTask;
     for (const auto &[key, it] : worker.running) {
@@ -341,6 +350,10 @@
     bar = std::max(bar, attempt);
     if (kind == AttemptEndKind::Done) {
         m_everDone.insert(key);
+    } else if (kind == AttemptEndKind::Failed) {
+        auto unit = key;
+        unit.index = m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].gang ? 0 : key.index;
+        m_failures[unit].insert(attempt);
     }
     worker.ended.push_back({.number = worker.nextEnd++, .task = key, .attempt = attempt, .kind = kind});
 }
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -63,7 +63,8 @@
     [[nodiscard]] auto core() const -> const PoolCore &;
     /// @return what was seen that must never happen.
     [[nodiscard]] auto violations() const -> const std::vector<std::string> &;
-    [[nodiscard]] auto doneTasks() const -> std::size_t;
+    /// @return jobs that have failed although no task or gang of theirs failed as often as its queue allows.
+    [[nodiscard]] auto failedWithoutCause() const -> std::string;
     [[nodiscard]] auto now() const -> MonoTime;
     /// @return when the first task of a job began, or nothing.
     [[nodiscard]] auto beganAt(const JobId &id) const -> std::optional<MonoTime>;
@@ -113,6 +114,7 @@
     std::set<TaskKey> m_everDone; ///< tasks that have ended well, on record or not
     std::set<TaskKey> m_done; ///< tasks of which a good end is on record
     std::map<JobId, MonoTime> m_began;
+    std::map<TaskKey, std::set<int>> m_failures; ///< failed attempts of a task, or of a gang under its first task
     std::vector<std::string> m_violations;
     std::vector<MonoTime> m_takeovers;
     PoolCore m_core;
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -92,10 +92,10 @@
     return static_cast<PoolJobPhase>(number);
 }
 
-/// One task: [phase, attempt, failures, worker, lifetime, checkpoint], without the empty end.
+/// One task: [phase, attempt, failures, last failed attempt, worker, lifetime, checkpoint], without the empty end.
 auto toJson(const TaskState &it) -> json
 {
-    auto out = json::array({static_cast<int>(it.phase), it.attempt, it.failures});
+    auto out = json::array({static_cast<int>(it.phase), it.attempt, it.failures, it.lastFailedAttempt});
     if (it.phase == TaskPhase::Placed || !it.checkpoint.empty()) {
         out.push_back(it.worker.str());
         out.push_back(it.workerBorn.value);
@@ -114,10 +114,11 @@
     task.phase = static_cast<TaskPhase>(phase);
     task.attempt = it.at(1).get<int>();
     task.failures = it.at(2).get<int>();
-    if (it.size() > 3) {
-        task.worker = WorkerId{it.at(3).get<std::string>()};
-        task.workerBorn = Incarnation{it.at(4).get<std::int64_t>()};
-        task.checkpoint = it.at(5).get<std::string>();
+    task.lastFailedAttempt = it.at(3).get<int>();
+    if (it.size() > 4) {
+        task.worker = WorkerId{it.at(4).get<std::string>()};
+        task.workerBorn = Incarnation{it.at(5).get<std::int64_t>()};
+        task.checkpoint = it.at(6).get<std::string>();
     }
     return task;
 }
@@ -155,7 +156,11 @@
 auto encodeLeadership(const LeadershipRecord &record) -> EncodedRecord
 {
     return {leadershipKey,
-            json{{"kind", static_cast<int>(record.kind)}, {"holder", record.holder.str()}, {"epoch", record.epoch}, {"nonce", record.nonce}, {"address", record.address}}
+            json{{"kind", static_cast<int>(record.kind)},
+                 {"holder", record.holder.str()},
+                 {"epoch", record.epoch},
+                 {"nonce", record.nonce},
+                 {"address", record.address}}
                 .dump()};
 }
 
