--- a/packages/daemon/poolfront.cpp
+++ b/packages/daemon/poolfront.cpp
@@ -25,12 +25,13 @@
 
 }
 
-PoolFront::PoolFront(const PoolFrontOptions &options, PoolView &view, RecordStore store, Clock clock, PoolFreshness freshness)
+PoolFront::PoolFront(const PoolFrontOptions &options, PoolView &view, RecordStore store, Clock clock, PoolFreshness freshness, Metrics &metrics)
     : m_options(options)
     , m_view(view)
     , m_store(std::move(store))
     , m_clock(std::move(clock))
     , m_freshness(std::move(freshness))
+    , m_metrics(metrics)
 {
 }
 
@@ -62,6 +63,7 @@
 {
     const auto config = m_view.config();
     if (!config || !configFresh()) {
+        m_metrics.requestRefused(MetricRefusal::NotReady);
         return failure(ErrorCode::Unavailable, config ? "the configuration is not confirmed" : "no configuration yet");
     }
     const auto *address = findQueue(*config, host, path);
@@ -70,6 +72,7 @@
     }
     const auto workspace = config->keys.find(key);
     if (workspace == config->keys.end() && !address->isPublic) {
+        m_metrics.requestRefused(MetricRefusal::Unauthorized);
         return failure(ErrorCode::Unauthorized, "unknown key");
     }
     return QueueAccess{
@@ -114,6 +117,7 @@
     const auto problem = access.unsupported.empty() ? jobProblem(job) : std::optional{access.unsupported};
     if (problem) {
         logEvent(LogLevel::Warn, 6020, "job=" + job.id.str() + " queue=" + job.queue.str() + " refused as malformed: " + *problem);
+        m_metrics.requestRefused(MetricRefusal::BadInput);
         return {.outcome = SubmitOutcome::Malformed, .reason = *problem};
     }
     const auto known = m_view.find(job.id);
@@ -124,18 +128,27 @@
     const auto begin = m_clock.mono();
     const auto done = append({.key = key, .value = value}, limit);
     const auto took = std::chrono::duration_cast<Millis>(m_clock.mono() - begin).count();
+    const auto latency = std::chrono::duration_cast<Micros>(m_clock.mono() - begin);
+    const auto refused = !done && done.error().code == ErrorCode::NotSent;
+    m_metrics.logAppended(LogStream::Jobs, done ? AppendResult::Ok : refused ? AppendResult::NotSent : AppendResult::Unknown, latency);
+    m_metrics.requestFinished(job.workspace,
+                              KindId{job.queue.str()},
+                              done      ? MetricRequestResult::Answer
+                              : refused ? MetricRequestResult::NotRun
+                                        : MetricRequestResult::OutcomeUnknown,
+                              latency);
     if (done) {
+        m_metrics.jobEvent(job.workspace, JobEvent::Accepted);
         logEvent(LogLevel::Info,
                  6021,
                  "job=" + job.id.str() + " queue=" + job.queue.str() + " workspace=" + job.workspace.str() + " accepted store_ms=" + std::to_string(took));
         return {.outcome = SubmitOutcome::Accepted};
     }
-    const auto notRun = done.error().code == ErrorCode::NotSent;
     logEvent(LogLevel::Warn,
              6022,
-             "job=" + job.id.str() + " queue=" + job.queue.str() + " not accepted, outcome=" + (notRun ? "not_run" : "in_doubt")
+             "job=" + job.id.str() + " queue=" + job.queue.str() + " not accepted, outcome=" + (refused ? "not_run" : "in_doubt")
                  + " store_ms=" + std::to_string(took) + " reason=" + done.error().message);
-    return {.outcome = notRun ? SubmitOutcome::NotRun : SubmitOutcome::InDoubt, .reason = done.error().message, .retryAfter = retryElsewhere};
+    return {.outcome = refused ? SubmitOutcome::NotRun : SubmitOutcome::InDoubt, .reason = done.error().message, .retryAfter = retryElsewhere};
 }
 
 auto PoolFront::state(const QueueAccess &access, const JobId &id) const -> Result<PoolJobPhase>
--- a/packages/daemon/poolfront.h
+++ b/packages/daemon/poolfront.h
@@ -10,6 +10,7 @@
 /// A job is accepted once the shared log holds it. "Not run" is only said when the log certainly does not; when an
 /// append is in doubt, the outcome is, and the caller may ask again under the same id.
 
+#include "daemon/metrics.h"
 #include "daemon/poolview.h"
 #include "ports/recordstore.h"
 #include "util/clock.h"
@@ -57,7 +58,7 @@
 class PoolFront
 {
 public:
-    PoolFront(const PoolFrontOptions &options, PoolView &view, RecordStore store, Clock clock, PoolFreshness freshness);
+    PoolFront(const PoolFrontOptions &options, PoolView &view, RecordStore store, Clock clock, PoolFreshness freshness, Metrics &metrics);
 
     /// @param host without a port
     /// @return ErrorCode::Unavailable without a configuration that is known to be in force, ErrorCode::NotFound when no queue is there,
@@ -90,6 +91,7 @@
     RecordStore m_store;
     Clock m_clock;
     PoolFreshness m_freshness;
+    Metrics &m_metrics;
 };
 
 }
--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -56,7 +56,8 @@
                 view,
                 ports.store,
                 clock,
-                PoolFreshness{.configReadAt = [this] { return configTail.readAt(); }, .sharedReadAt = [this] { return sharedTail.readAt(); }})
+                PoolFreshness{.configReadAt = [this] { return configTail.readAt(); }, .sharedReadAt = [this] { return sharedTail.readAt(); }},
+                *ports.metrics)
     {
     }
 
@@ -80,6 +81,7 @@
     Leadership leadership;
     LogOffset sharedEnd;
     std::atomic<bool> retiring{false};
+    std::atomic<bool> wasReady{false};
     Random random; ///< control thread only
 
     std::mutex termMutex; ///< guards the pointer; taken without the other locks
@@ -119,6 +121,7 @@
     if (!view.applyConfig(config.value())) {
         return;
     }
+    ports.metrics->setConfig(config.value().rules.version, Seconds{0});
     logEvent(LogLevel::Info,
              6031,
              "configuration version=" + std::to_string(config.value().rules.version.value) + " queues=" + std::to_string(config.value().addresses.size())
@@ -137,12 +140,14 @@
         .caughtUp =
             [this](LogOffset end, MonoTime sentAt) {
                 view.endSnapshot();
+                ports.metrics->setLogAvailable(LogStream::Jobs, true);
                 const auto lock = std::lock_guard{mutex};
                 sharedEnd = end;
                 leadership.tailRead(sentAt, clock.mono());
             },
         .lost =
             [this] {
+                ports.metrics->setLogAvailable(LogStream::Jobs, false);
                 const auto lock = std::lock_guard{mutex};
                 leadership.tailLost();
             },
@@ -215,6 +220,7 @@
         logEvent(LogLevel::Info, 6034, "term epoch=" + std::to_string(termEpoch.value_or(0)) + " has ended");
     }
     termEpoch = epoch;
+    ports.metrics->setPlanner(epoch.has_value());
     sharedTail.setPace(epoch ? plannerPace : followerPace);
     if (!epoch) {
         return;
@@ -378,7 +384,12 @@
 auto PoolNode::ready() -> bool
 {
     auto reason = std::string{};
-    return !m_impl->retiring && m_impl->front.ready(reason);
+    const auto ready = !m_impl->retiring && m_impl->front.ready(reason);
+    if (ready != m_impl->wasReady.exchange(ready)) {
+        logEvent(LogLevel::Info, 6039, ready ? "ready for new connections" : "not ready: " + (reason.empty() ? std::string("stopping") : reason));
+        m_impl->ports.metrics->setReady(ready);
+    }
+    return ready;
 }
 
 }
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -286,6 +286,7 @@
             records.push_back({.key = id.str()});
         }
     }
+    countEffects(effects);
     for (const auto &it : effects.notes) {
         logEvent(LogLevel::Info, 6010, std::string("decision=") + it.decision + " " + it.text);
     }
@@ -298,6 +299,23 @@
     updateLookers();
 }
 
+auto PoolTerm::countEffects(const PoolEffects &effects) -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    for (const auto &id : effects.phaseChanged) {
+        const auto *state = m_core.find(id);
+        const auto event = state->phase == PoolJobPhase::Completed   ? JobEvent::Succeeded
+                           : state->phase == PoolJobPhase::Failed    ? JobEvent::Failed
+                           : state->phase == PoolJobPhase::Cancelled ? JobEvent::Cancelled
+                                                                     : JobEvent::Started;
+        m_ports.metrics->jobEvent(state->job.workspace, event);
+    }
+    const auto usable = std::count_if(
+        m_core.workers().begin(), m_core.workers().end(), [](const auto &it) { return it.second.listed && it.second.answered && it.second.reachable; });
+    m_ports.metrics->setWorkers(BackendState::Usable, static_cast<std::size_t>(usable));
+    m_ports.metrics->setWorkers(BackendState::Lost, m_core.workers().size() - static_cast<std::size_t>(usable));
+}
+
 auto PoolTerm::record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool
 {
     auto batch = std::vector<KeyedRecord>{};
@@ -430,6 +448,10 @@
     if (outcome == OrderOutcome::Fenced) {
         m_hooks.fenced("a worker has seen a newer planner");
     }
+    m_ports.metrics->workerOrder(outcome == OrderOutcome::Accepted  ? MetricOrderResult::Ok
+                                 : outcome == OrderOutcome::Fenced  ? MetricOrderResult::Stale
+                                 : outcome == OrderOutcome::InDoubt ? MetricOrderResult::Failed
+                                                                    : MetricOrderResult::Refused);
     const auto lock = std::lock_guard{m_mutex};
     m_core.applyOrder(order, outcome, m_clock.mono());
     m_progress.notify_all();
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -12,6 +12,7 @@
 /// Threads: one plans, one publishes phases and renewals, one looks at each worker, a pool sends orders, and a tail
 /// follows the workers' entries. Lock order: m_mutex, then nothing; no call to the network is made while it is held.
 
+#include "daemon/metrics.h"
 #include "daemon/poolview.h"
 #include "daemon/recordtail.h"
 #include "daemon/workpool.h"
@@ -48,6 +49,7 @@
     std::function<Result<PoolWorkerInfo>(const std::string &key, const std::string &value)> decodeWorker;
     std::function<Result<PoolConfig>(const std::string &value)> decodeConfig;
     std::string configKey; ///< of the configuration in its log
+    std::shared_ptr<Metrics> metrics; ///< never null
 };
 
 /// The leadership as a term sees it; any thread may call.
@@ -104,6 +106,7 @@
     auto planOnce() -> void;
     auto record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool;
     auto appendAttempts(const std::vector<KeyedRecord> &records) -> bool;
+    auto countEffects(const PoolEffects &effects) -> void;
     auto dispatch(const PoolOrder &order) -> void;
     auto sendOrder(const PoolOrder &order) -> void;
     auto startOutcome(const PoolOrder &order, OrderLink &link) -> OrderOutcome;
