--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -24,6 +25,7 @@
 constexpr auto claimTimeout = Millis{600};
 constexpr auto resignTimeout = Millis{500};
 constexpr auto resignTries = 3;
+constexpr auto announceRetry = Millis{2'000};
 /// Longest claim delay that chance adds, so that few instances claim at the same time.
 constexpr auto claimJitterMs = std::uint32_t{60};
 /// An instance lets those that are nearer to the store claim first: this many round trips.
@@ -70,6 +72,8 @@
     auto controlOnce() -> void;
     auto updateTerm(std::optional<std::int64_t> epoch) -> void;
     auto claim() -> void;
+    auto addMember(const MemberRecord &member) -> void;
+    auto announce() -> void;
     auto resign(const LeadershipRecord &record, std::int64_t epoch) -> void;
 
     PoolSettings settings;
@@ -83,6 +87,9 @@
     std::atomic<bool> retiring{false};
     std::atomic<bool> wasReady{false};
     Random random; ///< control thread only
+    std::map<InstanceId, std::string> members; ///< tail of the shared log only
+    std::atomic<bool> announced{false};
+    MonoTime announcedAt; ///< control thread only
 
     std::mutex termMutex; ///< guards the pointer; taken without the other locks
     std::shared_ptr<PoolTerm> term;
@@ -166,6 +173,10 @@
         leadership.applyRecord(*it, record.offset, clock.mono());
         return;
     }
+    if (const auto *it = std::get_if<MemberRecord>(&decoded.value())) {
+        addMember(*it);
+        return;
+    }
     if (!view.applyShared(decoded.value())) {
         return;
     }
@@ -176,6 +187,40 @@
     }
 }
 
+auto PoolNode::Impl::addMember(const MemberRecord &member) -> void
+{
+    if (member.instance == settings.instance) {
+        announced = announced || member.address == settings.peerAddress;
+        return;
+    }
+    members[member.instance] = member.address;
+    // The order differs from instance to instance, so that relayed calls spread.
+    auto addresses = std::vector<std::pair<std::size_t, std::string>>{};
+    for (const auto &[id, address] : members) {
+        addresses.emplace_back(std::hash<std::string>{}(id.str() + settings.instance.str()), address);
+    }
+    std::sort(addresses.begin(), addresses.end());
+    auto relays = std::vector<std::string>{};
+    for (const auto &it : addresses) {
+        relays.push_back(it.second);
+    }
+    ports.store.setRelays(relays);
+}
+
+auto PoolNode::Impl::announce() -> void
+{
+    const auto now = clock.mono();
+    if (announced || now - announcedAt < announceRetry) {
+        return;
+    }
+    announcedAt = now;
+    const auto [key, value] = encodeMember({.instance = settings.instance, .address = settings.peerAddress});
+    const auto done = ports.store.append(RecordLog::Shared, {{.key = key, .value = value}}, {}, claimTimeout);
+    if (!done) {
+        logEvent(LogLevel::Warn, 6047, "instance not announced to the others: " + done.error().message);
+    }
+}
+
 auto PoolNode::Impl::termHooks() -> PoolTermHooks
 {
     return {
@@ -277,6 +322,7 @@
         return;
     }
     updateTerm(epoch);
+    announce();
     if (step == LeadershipStep::Claim) {
         claim();
     }
--- /dev/null
+++ b/packages/policy/storepath.cpp
@@ -0,0 +1,49 @@
+#include "policy/storepath.h"
+
+#include <algorithm>
+
+namespace Catkin
+{
+
+StorePath::StorePath(const StorePathOptions &options)
+    : m_options(options)
+{
+}
+
+auto StorePath::setRelays(const std::vector<std::string> &relays) -> void
+{
+    m_order = relays;
+    std::erase_if(m_relays, [&](const auto &it) { return std::find(relays.begin(), relays.end(), it.first) == relays.end(); });
+}
+
+auto StorePath::choose(MonoTime now) const -> std::string
+{
+    if (now >= m_direct.pausedUntil) {
+        return {};
+    }
+    for (const auto &it : m_order) {
+        const auto way = m_relays.find(it);
+        if (way == m_relays.end() || now >= way->second.pausedUntil) {
+            return it;
+        }
+    }
+    return {};
+}
+
+auto StorePath::report(const std::string &relay, bool ok, MonoTime now) -> void
+{
+    auto &way = relay.empty() ? m_direct : m_relays[relay];
+    if (ok) {
+        way = {};
+        return;
+    }
+    // Calls that were under way together count as one failure.
+    if (now < way.pausedUntil) {
+        return;
+    }
+    constexpr auto maxDoublings = 8;
+    way.pausedUntil = now + std::min(m_options.firstPause * (1 << std::min(way.failures, maxDoublings)), m_options.maxPause);
+    ++way.failures;
+}
+
+}
--- /dev/null
+++ b/packages/policy/storepath.h
@@ -0,0 +1,58 @@
+#pragma once
+
+/// Decides over which way an instance calls the record store: directly, or through another instance that still
+/// reaches it when the store or the network turns this one away.
+///
+/// @code
+///   auto path = paths.choose(now);              // empty: directly
+///   ...
+///   paths.report(path, ok, now);
+/// @endcode
+///
+/// The direct way is used unless it failed a short while ago; the time grows with each further failure, so that a
+/// silent store does not cost every call a timeout. A relay that fails is passed over in the same way.
+
+#include "util/units.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Catkin
+{
+
+struct StorePathOptions
+{
+    Millis firstPause{1'000}; ///< a way that failed is not used for this long; doubles with each further failure
+    Millis maxPause{4'000}; ///< short against the time after which a configuration counts as unconfirmed
+};
+
+class StorePath
+{
+public:
+    explicit StorePath(const StorePathOptions &options = {});
+
+    /// @param relays "ip:port" of the other instances
+    auto setRelays(const std::vector<std::string> &relays) -> void;
+
+    /// @return the relay to use, or an empty text for the direct way.
+    [[nodiscard]] auto choose(MonoTime now) const -> std::string;
+
+    /// @param relay as returned by choose()
+    /// @param ok whether the store answered; a refusal because of the call's own conditions is an answer
+    auto report(const std::string &relay, bool ok, MonoTime now) -> void;
+
+private:
+    struct Way
+    {
+        int failures = 0; ///< since the last success
+        MonoTime pausedUntil;
+    };
+
+    StorePathOptions m_options;
+    Way m_direct;
+    std::vector<std::string> m_order; ///< relays in the order of use
+    std::map<std::string, Way> m_relays;
+};
+
+}
--- a/packages/ports/recordstore.h
+++ b/packages/ports/recordstore.h
@@ -63,6 +63,9 @@
 
     /// @return the newest record of each key; continue with read() at the page's end, whose records may be newer ones of the same keys.
     std::function<Result<RecordPage>(RecordLog log, Millis timeout)> newest;
+
+    /// Names other instances, as "ip:port", through which calls may go when the store does not answer this one.
+    std::function<void(const std::vector<std::string> &addresses)> setRelays;
 };
 
 }
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -13,6 +13,7 @@
 constexpr auto jobPrefix = "j/";
 constexpr auto cancelPrefix = "x/";
 constexpr auto phasePrefix = "s/";
+constexpr auto memberPrefix = "m/";
 constexpr auto leadershipKey = "leader";
 constexpr auto prefixLength = std::size_t{2};
 
@@ -153,6 +154,11 @@
     return {phasePrefix + id.str(), std::to_string(static_cast<int>(phase))};
 }
 
+auto encodeMember(const MemberRecord &record) -> EncodedRecord
+{
+    return {memberPrefix + record.instance.str(), json{{"address", record.address}}.dump()};
+}
+
 auto encodeLeadership(const LeadershipRecord &record) -> EncodedRecord
 {
     return {leadershipKey,
@@ -186,6 +192,9 @@
         if (prefix == jobPrefix) {
             return SharedRecord{jobFromJson(id, json::parse(value))};
         }
+        if (prefix == memberPrefix) {
+            return SharedRecord{MemberRecord{.instance = InstanceId{id.str()}, .address = json::parse(value).at("address").get<std::string>()}};
+        }
         if (prefix == cancelPrefix) {
             return SharedRecord{CancelRecord{id}};
         }
--- a/packages/state/poolrecords.h
+++ b/packages/state/poolrecords.h
@@ -39,11 +39,19 @@
     JobId id;
 };
 
-using SharedRecord = std::variant<PoolJob, CancelRecord, PhaseRecord, DroppedRecord, LeadershipRecord>;
+/// An instance and the address at which others reach it.
+struct MemberRecord
+{
+    InstanceId instance;
+    std::string address; ///< "ip:port"
+};
+
+using SharedRecord = std::variant<PoolJob, CancelRecord, PhaseRecord, DroppedRecord, LeadershipRecord, MemberRecord>;
 
 auto encodeJob(const PoolJob &job) -> EncodedRecord;
 auto encodeCancel(const JobId &id) -> EncodedRecord;
 auto encodePhase(const JobId &id, PoolJobPhase phase) -> EncodedRecord;
+auto encodeMember(const MemberRecord &record) -> EncodedRecord;
 auto encodeLeadership(const LeadershipRecord &record) -> EncodedRecord;
 /// @return the keys that belong to a job, with empty values: they are dropped from the shared log.
 auto encodeDropped(const JobId &id) -> std::vector<EncodedRecord>;
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -13,7 +13,7 @@
 clang-format --dry-run -Werror "${files[@]}"
 
 # Names of the platform's messages belong to platform/ alone.
-words='"(fencing_token|until_ms|seen_upto|clock_ms|run-start|run-stop|api_keys|path_prefix|target_runtime_ms|depends_on|data_rack|required_label|anti_affinity|may_miss|estimate_ms|end_offset|depends_on|log-append|log-read|log-newest|keyed\.[a-z]+)|/v1/(run-start|run-stop|hold|log-[a-z]+|ready)\b|Expected-Instance|Duty-Holder'
+words='"(fencing_token|until_ms|seen_upto|clock_ms|run-start|run-stop|api_keys|path_prefix|target_runtime_ms|depends_on|data_rack|required_label|anti_affinity|may_miss|estimate_ms|end_offset|log-append|log-read|log-newest|keyed\.[a-z]+)"|/v1/(run-start|run-stop|hold|log-[a-z]+|ready)\b|Expected-Instance|Duty-Holder'
 if git grep -nE "$words" -- 'packages/*.h' 'packages/*.cpp' ':!packages/*testing*'; then
     echo "lint: names of the platform outside platform/" >&2
     exit 1
