--- a/packages/daemon/testing/logevents_test.cpp
+++ b/packages/daemon/testing/logevents_test.cpp
@@ -85,12 +85,14 @@
 auto allCalls() -> std::vector<EventCall>
 {
     auto calls = std::vector<EventCall>{};
-    for (const auto &it : std::filesystem::recursive_directory_iterator(sourceFolder / "packages")) {
-        const auto &path = it.path();
-        const auto isSource = path.extension() == ".cpp" || path.extension() == ".h";
-        if (isSource && path.parent_path().filename() != "testing") {
-            const auto found = eventCalls(readText(path), path.lexically_relative(sourceFolder).string());
-            calls.insert(calls.end(), found.begin(), found.end());
+    for (const auto *folder : {"packages", "platform"}) {
+        for (const auto &it : std::filesystem::recursive_directory_iterator(sourceFolder / folder)) {
+            const auto &path = it.path();
+            const auto isSource = path.extension() == ".cpp" || path.extension() == ".h";
+            if (isSource && path.parent_path().filename() != "testing") {
+                const auto found = eventCalls(readText(path), path.lexically_relative(sourceFolder).string());
+                calls.insert(calls.end(), found.begin(), found.end());
+            }
         }
     }
     return calls;
