Notice the end of the leader's process by its refused connections

Cause: after the leader's process ended, others waited 2 s for its renewals; jobs accepted then started that much later. Now each instance keeps a connection to the leader's address; when it closes and a new one is refused, the process has ended, and the next claim follows at once. A closed connection alone proves nothing (idle time-outs, resets). Ruled out: a shorter silence, since a slow store (x84) delays renewals by 0.7 s.

--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -1,5 +1,6 @@
 #include "daemon/poolnode.h"
 
+#include "daemon/holderwatch.h"
 #include "util/logging.h"
 #include "util/random.h"
 #include "util/threadname.h"
@@ -52,6 +53,10 @@
         , clock(std::move(nodeClock))
         , leadership(LeadershipOptions{.self = settings.instance, .address = settings.peerAddress})
         , random(seedOf(settings.instance, clock))
+        , watch([this](std::int64_t epoch) {
+            const auto lock = std::lock_guard{mutex};
+            leadership.holderDisconnected(epoch, clock.mono());
+        })
         , configTail(ports.store, RecordLog::Configuration, TailOptions{.name = "config", .pace = Millis{0}}, clock, configHandlers())
         , sharedTail(ports.store, RecordLog::Shared, TailOptions{.name = "shared", .wait = Millis{500}, .pace = followerPace}, clock, sharedHandlers())
         , front(PoolFrontOptions{.configLimit = settings.configApply + settings.configStretch / 2, .viewLimit = settings.visibility - viewMargin},
@@ -95,6 +100,7 @@
     std::shared_ptr<PoolTerm> term;
     std::optional<std::int64_t> termEpoch; ///< control thread only
 
+    HolderWatch watch;
     RecordTail configTail;
     RecordTail sharedTail;
     PoolFront front;
@@ -171,6 +177,9 @@
     if (const auto *it = std::get_if<LeadershipRecord>(&decoded.value())) {
         const auto lock = std::lock_guard{mutex};
         leadership.applyRecord(*it, record.offset, clock.mono());
+        const auto &holder = leadership.holder();
+        const auto watched = holder && holder->holder != settings.instance && holder->kind != LeadershipRecordKind::Resignation;
+        watch.setHolder(watched ? holder->address : std::string{}, watched ? holder->epoch : -1);
         return;
     }
     if (const auto *it = std::get_if<MemberRecord>(&decoded.value())) {
@@ -418,6 +427,7 @@
     if (term) {
         term->stop();
     }
+    m_impl->watch.stop();
     m_impl->sharedTail.stop();
     m_impl->configTail.stop();
 }
--- a/packages/policy/testing/leadership_test.cpp
+++ b/packages/policy/testing/leadership_test.cpp
@@ -86,6 +86,21 @@
     CHECK(other.next(start + Millis{101}) == LeadershipStep::Claim);
 }
 
+// Guards against seconds without a planner after its process has ended, and against a claim because of an earlier holder's end.
+TEST_CASE("the end of the holder's process is followed by a claim at once")
+{
+    auto other = makeLeadership("b");
+    other.tailRead(start, start);
+    other.applyRecord({.kind = LeadershipRecordKind::Renewal, .holder = InstanceId{"a"}, .epoch = 3}, {4}, start);
+    other.holderDisconnected(2, start + Millis{10});
+    CHECK(other.next(start + Millis{11}) == LeadershipStep::None);
+    other.holderDisconnected(3, start + Millis{20});
+    CHECK(other.next(start + Millis{21}) == LeadershipStep::Claim);
+    // It lives after all: a renewal that was read later ends the vacancy.
+    other.applyRecord({.kind = LeadershipRecordKind::Renewal, .holder = InstanceId{"a"}, .epoch = 3}, {5}, start + Millis{30});
+    CHECK(other.next(start + Millis{31}) == LeadershipStep::None);
+}
+
 // Guards against a late record of an earlier planner that would hide the present one.
 TEST_CASE("records of an earlier epoch change nothing")
 {
