--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -400,12 +400,13 @@
     worker.info.born = answer.born;
     worker.processedEnds = 0;
     worker.recordedEnds = 0;
+    auto running = std::set<AttemptKey>{};
+    for (const auto &it : answer.running) {
+        running.emplace(it.task, it.attempt);
+    }
     auto gone = std::vector<AttemptKey>{};
     for (const auto &[key, allocation] : worker.allocations) {
-        const auto runs = std::any_of(answer.running.begin(), answer.running.end(), [&](const RunningAttempt &it) {
-            return AttemptKey{it.task, it.attempt} == key;
-        });
-        if (!runs && !allocation.orderOpen && !allocation.doubtful) {
+        if (!running.contains(key) && !allocation.orderOpen && !allocation.doubtful) {
             gone.push_back(key);
         }
     }
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -91,11 +91,11 @@
 auto PoolSimulation::failedWithoutCause() const -> std::string
 {
     auto out = std::string{};
-    for (const auto &[id, state] : m_core.jobs()) {
-        const auto caused = std::any_of(m_failures.begin(), m_failures.end(), [&](const auto &it) {
-            return it.first.job == id && static_cast<int>(it.second.size()) >= simulationRules().queues.at(state.job.queue).maxAttempts;
-        });
-        out += state.phase == PoolJobPhase::Failed && !caused ? id.str() + " " : "";
+    for (const auto &job : m_core.jobs()) {
+        const auto limit = simulationRules().queues.at(job.second.job.queue).maxAttempts;
+        const auto caused = std::any_of(
+            m_failures.begin(), m_failures.end(), [&](const auto &it) { return it.first.job == job.first && static_cast<int>(it.second.size()) >= limit; });
+        out += job.second.phase == PoolJobPhase::Failed && !caused ? job.first.str() + " " : "";
     }
     return out;
 }
@@ -283,7 +283,7 @@
     }
     for (const auto &[id, other] : m_workers) {
         if (other.running.contains(order.task)) {
-            m_violations.push_back(name + " runs twice, also on " + id.str() + at);
+            m_violations.push_back(std::string(name).append(" runs twice, also on ").append(id.str()).append(at));
         }
     }
     if (endedWell(order.task)) {
@@ -294,7 +294,7 @@
         for (auto i = 0; i < job.steps[static_cast<std::size_t>(before)].tasks; ++i) {
             const auto needed = TaskKey{.job = order.task.job, .occurrence = order.task.occurrence, .step = before, .index = i};
             if (std::none_of(m_everDone.begin(), m_everDone.end(), [&](const TaskKey &it) { return sameUnit(needed, it); })) {
-                m_violations.push_back(name + " is started before step " + std::to_string(before) + at);
+                m_violations.push_back(std::string(name).append(" is started before step ").append(std::to_string(before)).append(at));
             }
         }
     }
--- a/packages/ports/httpchannel.cpp
+++ b/packages/ports/httpchannel.cpp
@@ -1,12 +1,10 @@
 #include "ports/httpchannel.h"
 
-#include <httplib.h>
+#include "ports/httprequest.h"
 
 #include <algorithm>
-#include <cctype>
 #include <chrono>
 #include <mutex>
-#include <optional>
 #include <utility>
 #include <vector>
 
@@ -16,12 +14,6 @@
 namespace
 {
 
-auto lowerCase(std::string text) -> std::string
-{
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return text;
-}
-
 auto toError(httplib::Error error, bool expired) -> Error
 {
     const auto text = httplib::to_string(error);
@@ -34,21 +26,6 @@
     return failure(ErrorCode::Unknown, "the exchange broke off: " + text);
 }
 
-auto toRequest(const HttpCall &call) -> httplib::Request
-{
-    auto request = httplib::Request{};
-    request.method = call.method;
-    request.path = call.path;
-    request.body = call.body;
-    if (!call.body.empty()) {
-        request.set_header("Content-Type", call.contentType);
-    }
-    for (const auto &[name, value] : call.headers) {
-        request.set_header(name, value);
-    }
-    return request;
-}
-
 }
 
 struct HttpChannel::Impl
--- a/packages/ports/httpclient.cpp
+++ b/packages/ports/httpclient.cpp
@@ -1,12 +1,12 @@
 #include "ports/httpclient.h"
 
 #include "ports/deadlinestream.h"
+#include "ports/httprequest.h"
 
 #include <arpa/inet.h>
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 #include <chrono>
 #include <functional>
@@ -128,12 +128,6 @@
     return failure(ErrorCode::Unknown, "the exchange broke off: " + (client.brokenReason().empty() ? text : client.brokenReason()));
 }
 
-auto lowerCase(std::string text) -> std::string
-{
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return text;
-}
-
 }
 
 auto splitAddress(const std::string &address, AddressUse use) -> Result<std::pair<std::string, int>>
@@ -200,17 +194,7 @@
     client.set_decompress(false);
     client.set_tcp_nodelay(true);
 
-    auto request = httplib::Request{};
-    request.method = call.method;
-    request.path = call.path;
-    request.body = call.body;
-    if (!call.body.empty()) {
-        request.set_header("Content-Type", call.contentType);
-    }
-    for (const auto &[name, value] : call.headers) {
-        request.set_header(name, value);
-    }
-
+    auto request = toRequest(call);
     auto reply = HttpReply{};
     auto tooLong = false;
     request.content_receiver = [&](const char *data, size_t n, uint64_t, uint64_t) {
--- a/testing/standins/faultserver.cpp
+++ b/testing/standins/faultserver.cpp
@@ -63,7 +63,8 @@
 /// Method, path and status of the request that this thread serves; empty outside service routes.
 thread_local auto currentRoute = std::string{};
 
-auto countTraffic(const SocketStream &stream) -> void
+/// Counts an exchange before its answer goes out, so that whoever has the answer finds it counted.
+auto countExchange(const SocketStream &stream) -> void
 {
     if (currentRoute.empty()) {
         return;
@@ -72,7 +73,14 @@
     auto &entry = trafficTable[currentRoute];
     ++entry.exchanges;
     entry.received += stream.received();
-    entry.sent += stream.sent();
+}
+
+auto countSent(const SocketStream &stream) -> void
+{
+    if (!currentRoute.empty()) {
+        const auto lock = std::lock_guard{trafficMutex};
+        trafficTable[currentRoute].sent += stream.sent();
+    }
 }
 
 auto trafficText() -> std::string
@@ -136,8 +144,9 @@
         auto stream = SocketStream{sock};
         auto closed = false;
         const auto ok = process_request(stream, true, closed, nullptr);
+        countExchange(stream);
         stream.flush(currentFate);
-        countTraffic(stream);
+        countSent(stream);
         if (currentFate.hold) {
             hold(sock);
         } else {
