--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -284,8 +284,6 @@
         .epoch = *epoch,
         .pool = {.lease = settings.lease,
                  .stopGrace = settings.stopGrace,
-                 .gangTimeout = settings.gangTimeout,
-                 .remoteFactor = settings.remoteFactor,
                  .retention = settings.retention},
     };
     auto fresh = std::make_shared<PoolTerm>(options, ports, clock, view, termHooks());
--- a/packages/daemon/poolsettings.h
+++ b/packages/daemon/poolsettings.h
@@ -16,7 +16,6 @@
 {
     InstanceId instance;
     FailureDomainId domain;
-    RegionId region;
     std::string callerAddress; ///< "ip:port" for callers
     std::string readinessAddress; ///< "ip:port" of the readiness check
     std::string peerAddress; ///< "ip:port" for other instances
@@ -24,8 +23,6 @@
     std::string storeAddress; ///< "ip:port" of the record store
     Millis lease{10'000}; ///< longest time that a worker runs on without word from a planner
     Millis stopGrace{200}; ///< longest time that a stop of a task takes
-    Millis gangTimeout{3'000}; ///< how long a gang member waits for the others
-    double remoteFactor = 3.0; ///< slowdown of work away from its data or spread over racks
     Millis configApply{2'500}; ///< time within which a configuration must be in force
     Millis configStretch{6'000}; ///< added to configApply while the store turns instances away
     Millis visibility{3'000}; ///< time within which every instance must know an accepted job
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -161,7 +161,6 @@
                 auto &worker = m_workers[task.worker];
                 worker.info.id = task.worker;
                 worker.leaseEnd = std::max(worker.leaseEnd, takenOverUntil);
-                task.placedAt = now;
                 task.progressAt = now;
                 task.attemptPhase = AttemptPhase::Unknown;
                 allocate(worker, state, {key, task.attempt});
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -36,8 +36,6 @@
 {
     Millis lease{10'000}; ///< how long a worker keeps running without word from a planner
     Millis stopGrace{200}; ///< how long a stop may take
-    Millis gangTimeout{3'000}; ///< how long a member waits for the rest of its gang
-    double remoteFactor = 3.0; ///< slowdown away from the data or over several racks
     Millis retention{120'000}; ///< how long a final job stays known
 };
 
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -84,8 +84,6 @@
     Unknown, ///< taken over from an earlier planner and not yet seen
     Starting, ///< the start order has not been answered
     Running,
-    Stopping, ///< must end; a stop order is sent until it is answered
-    StopAnswered, ///< the next look decides whether it ran
 };
 
 struct TaskState
@@ -99,7 +97,6 @@
     std::string checkpoint; ///< resume point; empty: from the beginning
 
     AttemptPhase attemptPhase = AttemptPhase::Unknown;
-    MonoTime placedAt;
     int percent = -1; ///< progress at the last look
     MonoTime progressAt; ///< last time the progress changed
 };
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -300,7 +300,6 @@
         task.worker = slot.worker->info.id;
         task.workerBorn = slot.worker->info.born;
         task.attemptPhase = AttemptPhase::Starting;
-        task.placedAt = m_now;
         task.progressAt = m_now;
         task.percent = -1;
         auto &allocation = m_core.allocate(*slot.worker, state, {key, task.attempt});
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -10,6 +10,7 @@
 
 constexpr auto stepTime = Millis{20};
 constexpr auto workersPerRack = 4;
+constexpr auto gangTimeout = Millis{3'000};
 constexpr auto cutTime = Millis{12'000};
 constexpr auto lookEvery = 5; // steps
 constexpr auto takeoverGap = Millis{2'000};
@@ -396,7 +397,7 @@
         } else if (it->second.stopping && m_now >= it->second.stopAt) {
             endAttempt(worker, key, AttemptEndKind::Stopped);
         } else if (gang && !gangComplete(key, attempt)) {
-            if (m_now - it->second.begin > m_options.gangTimeout) {
+            if (m_now - it->second.begin > gangTimeout) {
                 endAttempt(worker, key, AttemptEndKind::Alone);
             }
             continue;
