--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -282,9 +282,7 @@
     logEvent(LogLevel::Info, 6035, "term epoch=" + std::to_string(*epoch) + " begins");
     const auto options = PoolTermOptions{
         .epoch = *epoch,
-        .pool = {.lease = settings.lease,
-                 .stopGrace = settings.stopGrace,
-                 .retention = settings.retention},
+        .pool = {.lease = settings.lease, .stopGrace = settings.stopGrace, .retention = settings.retention},
     };
     auto fresh = std::make_shared<PoolTerm>(options, ports, clock, view, termHooks());
     const auto lock = std::lock_guard{termMutex};
