--- a/packages/daemon/httplistener.cpp
+++ b/packages/daemon/httplistener.cpp
@@ -169,7 +169,8 @@
     {
         auto stream = DeadlineStream{sock, {}, 0, &tls};
         stream.setOperationTimeout(m_options.readTimeout);
-        for (auto left = keep_alive_max_count_; left > 0 && svr_sock_ != INVALID_SOCKET; --left) {
+        // A client that has just made its handshake has a request under way, which a stopping server still answers.
+        for (auto left = keep_alive_max_count_, served = std::size_t{0}; left > 0 && (served == 0 || svr_sock_ != INVALID_SOCKET); --left, ++served) {
             if (!stream.buffered() && !waitReadable(sock, m_options.keepAlive)) {
                 return;
             }
@@ -186,7 +187,7 @@
         for (;;) {
             const auto left = std::chrono::ceil<Millis>(deadline - std::chrono::steady_clock::now()).count();
             auto fds = pollfd{.fd = sock, .events = POLLIN, .revents = 0};
-            const auto n = left <= 0 ? 0 : poll(&fds, 1, static_cast<int>(left));
+            const auto n = poll(&fds, 1, static_cast<int>(std::max<std::int64_t>(left, 0)));
             if (n >= 0 || errno != EINTR) {
                 return n > 0;
             }
