Count a failed TLS handshake before its client has the answer

Ruled out: a lost handshake (the 400 came from the same connection) and the metrics' cache (none). Test: "a failed handshake is counted before the client of plain HTTP has its answer" failed before (1 of 1, the count is made slow in it), passes now; all TLS cases 3 of 3.

--- a/packages/daemon/httplistener.cpp
+++ b/packages/daemon/httplistener.cpp
@@ -150,15 +150,16 @@
             serve(sock, tls);
             tls.close();
         } else {
+            // Before the answer, so that a client that has it finds its failure counted.
+            if (m_options.handshakeFailed) {
+                m_options.handshakeFailed(done.error());
+            }
             if (tls.sawPlainHttp()) {
                 sendPlainAnswer(sock);
                 drain(sock);
             } else if (done.error().code == ErrorCode::Unauthorized) {
                 drain(sock);
             }
-            if (m_options.handshakeFailed) {
-                m_options.handshakeFailed(done.error());
-            }
         }
         ::shutdown(sock, SHUT_RDWR);
         ::close(sock);
--- a/packages/daemon/testing/tlslistener_test.cpp
+++ b/packages/daemon/testing/tlslistener_test.cpp
@@ -221,6 +221,28 @@
     }
 }
 
+// Guards against an operator who is told of the wrong scheme and then reads metrics without the failure.
+TEST_CASE("a failed handshake is counted before the client of plain HTTP has its answer")
+{
+    constexpr auto slowCount = Millis{200};
+    auto made = TestCertificates{};
+    auto counted = std::atomic<bool>{false};
+    auto listener = HttpListener{{.address = "127.0.0.1:0",
+                                  .threads = 1,
+                                  .keepAlive = longTimeout,
+                                  .readTimeout = longTimeout,
+                                  .tls = TlsCredentials::load(TlsRole::Server, made.issue("server", {.ip = "127.0.0.1"}), systemClock()).value(),
+                                  .handshakeFailed = [&](const Error &) {
+                                      std::this_thread::sleep_for(slowCount);
+                                      counted = true;
+                                  }}};
+    auto client = Client{listener.start().value()};
+    const auto text = request("plain");
+    REQUIRE(send(client.sock, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+    CHECK(client.plainAnswer().find("only https") != std::string::npos);
+    CHECK(counted);
+}
+
 TEST_CASE("with a client CA only clients with a certificate of that CA are served")
 {
     auto site = Site{"clients"};
