Keep the planner's records in one ledger, and jobs in either of two logs

The log says which: keyed.pool could not be read or written, while keyed.attempts (decisions went on being recorded) and keyed.op (version 21 came in at 34.0) could. With keyed.pool went acceptance, states and the renewal of the leadership; relays were asked although they were turned away alike (502). Ruled out: the store down for everybody (see above); slow takeover (0.1 s after the log was back). Change: leadership, placements, ends and shown states go to one ledger in one append, which also renews the leadership; the publishing thread is gone. Accepted jobs go to either of two partitions, the ledger repeats each placed job so that a takeover needs nothing else, and ways to the store are judged log by log.

--- a/packages/daemon/poolfront.cpp
+++ b/packages/daemon/poolfront.cpp
@@ -16,7 +16,7 @@
 /// Kept back from the caller's limit for the way of the answer.
 constexpr auto answerReserve = Millis{250};
 constexpr auto leastTry = Millis{100};
-/// Between two tries that the store refused at once.
+/// After every log has failed once.
 constexpr auto refusedPause = Millis{80};
 /// A store that refuses is asked for this long before the caller is sent elsewhere.
 constexpr auto refusedLimit = Millis{400};
@@ -32,6 +32,7 @@
     , m_clock(std::move(clock))
     , m_freshness(std::move(freshness))
     , m_metrics(metrics)
+    , m_preferredLog(options.homeLog)
 {
 }
 
@@ -41,20 +42,26 @@
     return at && m_clock.mono() - *at < m_options.configLimit;
 }
 
-auto PoolFront::sharedFresh() const -> bool
+auto PoolFront::isFresh(RecordLog log) const -> bool
 {
-    const auto at = m_freshness.sharedReadAt();
+    const auto at = m_freshness.jobsReadAt(log);
     return at && m_clock.mono() - *at < m_options.viewLimit;
 }
 
+/// Whether a job that is not in the view does not exist.
+auto PoolFront::allJobsKnown() const -> bool
+{
+    return std::all_of(jobLogs.begin(), jobLogs.end(), [&](RecordLog it) { return isFresh(it); });
+}
+
 auto PoolFront::ready(std::string &reason) const -> bool
 {
     if (!m_view.config()) {
         reason = "no configuration yet";
     } else if (!configFresh()) {
         reason = "the configuration is not confirmed";
-    } else if (!sharedFresh()) {
-        reason = "the shared log cannot be read";
+    } else if (std::none_of(jobLogs.begin(), jobLogs.end(), [&](RecordLog it) { return isFresh(it); })) {
+        reason = "the logs of jobs cannot be read";
     }
     return reason.empty();
 }
@@ -88,24 +95,31 @@
 {
     const auto begin = m_clock.mono();
     auto inDoubt = std::optional<Error>{};
+    auto failures = std::size_t{0};
     while (true) {
         const auto spent = std::chrono::duration_cast<Millis>(m_clock.mono() - begin);
         const auto left = limit - answerReserve - spent;
         if (left < leastTry) {
             return inDoubt ? *inDoubt : failure(ErrorCode::NotSent, "no time left to store the record");
         }
-        auto done = m_store.append(RecordLog::Shared, {record}, {}, std::min(left, firstTry));
+        const auto preferred = m_preferredLog.load();
+        auto done = m_store.append(jobLogs.at(preferred), {record}, {}, std::min(left, firstTry));
         if (done) {
             return done;
         }
-        if (done.error().code == ErrorCode::NotSent) {
-            if (!inDoubt && spent > refusedLimit) {
-                return done;
-            }
-            std::this_thread::sleep_for(refusedPause);
-        } else {
+        // The other log may be served although this one is not.
+        m_preferredLog = (preferred + 1) % jobLogs.size();
+        ++failures;
+        if (done.error().code != ErrorCode::NotSent) {
             inDoubt = failure(ErrorCode::Unknown, done.error().message);
         }
+        if (failures % jobLogs.size() != 0) {
+            continue;
+        }
+        if (!inDoubt && spent > refusedLimit) {
+            return done;
+        }
+        std::this_thread::sleep_for(refusedPause);
     }
 }
 
@@ -154,7 +168,7 @@
 auto PoolFront::state(const QueueAccess &access, const JobId &id) const -> Result<PoolJobPhase>
 {
     // Freshness before the lookup: a job accepted before that read is then certainly in the view.
-    const auto fresh = sharedFresh();
+    const auto fresh = allJobsKnown();
     const auto known = m_view.find(id);
     if (known && known->job) {
         if (known->job->workspace != access.workspace) {
@@ -163,7 +177,7 @@
         return PoolView::shownPhase(*known);
     }
     if (!fresh) {
-        return failure(ErrorCode::Unavailable, "the shared log cannot be read");
+        return failure(ErrorCode::Unavailable, "a log of jobs cannot be read");
     }
     return failure(ErrorCode::NotFound, "no such job");
 }
@@ -190,8 +204,8 @@
 
 auto PoolFront::pending(const QueueAccess &access) const -> Result<std::size_t>
 {
-    if (!sharedFresh()) {
-        return failure(ErrorCode::Unavailable, "the shared log cannot be read");
+    if (!allJobsKnown()) {
+        return failure(ErrorCode::Unavailable, "a log of jobs cannot be read");
     }
     return m_view.pendingOf(access.queue);
 }
--- a/packages/daemon/poolfront.h
+++ b/packages/daemon/poolfront.h
@@ -7,8 +7,8 @@
 ///   auto outcome = front.submit(access.value(), job, Catkin::Millis{3000});
 /// @endcode
 ///
-/// A job is accepted once the shared log holds it. "Not run" is only said when the log certainly does not; when an
-/// append is in doubt, the outcome is, and the caller may ask again under the same id.
+/// A job is accepted once a log of jobs holds it. "Not run" is only said when certainly none does; when an append is
+/// in doubt, the outcome is, and the caller may ask again under the same id.
 
 #include "daemon/metrics.h"
 #include "daemon/poolview.h"
@@ -46,13 +46,14 @@
 {
     Millis configLimit{5'500}; ///< a configuration unconfirmed for longer is not acted on
     Millis viewLimit{2'000}; ///< a job unknown to a view older than this may exist
+    std::size_t homeLog = 0; ///< index in jobLogs of the log to write to first; instances differ, so that the load is spread
 };
 
 /// How old the instance's knowledge is.
 struct PoolFreshness
 {
     std::function<std::optional<MonoTime>()> configReadAt; ///< when the last read that confirmed the configuration was sent
-    std::function<std::optional<MonoTime>()> sharedReadAt;
+    std::function<std::optional<MonoTime>(RecordLog log)> jobsReadAt; ///< the same for one of the logs of jobs
 };
 
 class PoolFront
@@ -83,7 +84,8 @@
 
 private:
     auto configFresh() const -> bool;
-    auto sharedFresh() const -> bool;
+    auto isFresh(RecordLog log) const -> bool;
+    auto allJobsKnown() const -> bool;
     auto append(const KeyedRecord &record, Millis limit) -> Result<LogOffset>;
 
     PoolFrontOptions m_options;
@@ -92,6 +94,7 @@
     Clock m_clock;
     PoolFreshness m_freshness;
     Metrics &m_metrics;
+    std::atomic<std::size_t> m_preferredLog; ///< index in jobLogs: the last one that took a record
 };
 
 }
--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -6,6 +6,7 @@
 #include "util/threadname.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <condition_variable>
 #include <functional>
@@ -32,12 +33,18 @@
 /// An instance lets those that are nearer to the store claim first: this many round trips.
 constexpr auto claimDelayTrips = 4;
 constexpr auto maxClaimDelay = Millis{600};
-/// The planner reads the shared log with little delay, since jobs wait for it; the others read in groups.
+/// The planner reads the logs of jobs with little delay, since jobs wait for it; the others read in groups.
 constexpr auto plannerPace = Millis{10};
 constexpr auto followerPace = Millis{200};
 /// Margin by which the view's age limit stays below the bound on visibility.
 constexpr auto viewMargin = Millis{1'000};
 
+/// The log of jobs that an instance writes to first.
+auto homeLogOf(const InstanceId &instance) -> std::size_t
+{
+    return std::hash<std::string>{}(instance.str()) % jobLogs.size();
+}
+
 auto seedOf(const InstanceId &instance, const Clock &clock) -> Random
 {
     return Random{std::hash<std::string>{}(instance.str()) ^ static_cast<std::uint64_t>(clock.wall().time_since_epoch().count())};
@@ -58,20 +65,27 @@
             leadership.holderDisconnected(epoch, clock.mono());
         })
         , configTail(ports.store, RecordLog::Configuration, TailOptions{.name = "config", .pace = Millis{0}}, clock, configHandlers())
-        , sharedTail(ports.store, RecordLog::Shared, TailOptions{.name = "shared", .wait = Millis{500}, .pace = followerPace}, clock, sharedHandlers())
-        , front(PoolFrontOptions{.configLimit = settings.configApply + settings.configStretch / 2, .viewLimit = settings.visibility - viewMargin},
+        , ledgerTail(ports.store, RecordLog::Ledger, TailOptions{.name = "ledger", .wait = Millis{500}, .pace = followerPace}, clock, ledgerHandlers())
+        , jobTails{tailOf(RecordLog::Jobs, "jobs"), tailOf(RecordLog::JobsSpare, "jobs spare")}
+        , front(PoolFrontOptions{.configLimit = settings.configApply + settings.configStretch / 2,
+                                 .viewLimit = settings.visibility - viewMargin,
+                                 .homeLog = homeLogOf(settings.instance)},
                 view,
                 ports.store,
                 clock,
-                PoolFreshness{.configReadAt = [this] { return configTail.readAt(); }, .sharedReadAt = [this] { return sharedTail.readAt(); }},
+                PoolFreshness{.configReadAt = [this] { return configTail.readAt(); },
+                              .jobsReadAt = [this](RecordLog log) { return jobTails.at(static_cast<std::size_t>(log == RecordLog::JobsSpare)).readAt(); }},
                 *ports.metrics)
     {
     }
 
     auto configHandlers() -> TailHandlers;
-    auto sharedHandlers() -> TailHandlers;
+    auto ledgerHandlers() -> TailHandlers;
+    auto jobHandlers(RecordLog log) -> TailHandlers;
+    auto tailOf(RecordLog log, const char *name) -> RecordTail;
     auto configRecord(const KeyedRecord &record) -> void;
-    auto sharedRecord(const KeyedRecord &record) -> void;
+    auto poolRecord(RecordLog log, const KeyedRecord &record) -> void;
+    auto leadershipRecord(const LeadershipRecord &record, LogOffset offset) -> void;
     auto termHooks() -> PoolTermHooks;
     auto control() -> void;
     auto controlOnce() -> void;
@@ -86,15 +100,17 @@
     Clock clock;
     PoolView view;
 
-    std::mutex mutex; ///< guards the leadership and sharedEnd; taken before the term's lock, never after
+    std::mutex mutex; ///< guards the leadership and ledgerEnd; taken before the term's lock, never after
     Leadership leadership;
-    LogOffset sharedEnd;
+    LogOffset ledgerEnd;
     std::atomic<bool> retiring{false};
     std::atomic<bool> wasReady{false};
     Random random; ///< control thread only
-    std::map<InstanceId, std::string> members; ///< tail of the shared log only
+    std::mutex membersMutex; ///< leaf
+    std::map<InstanceId, std::string> members;
     std::atomic<bool> announced{false};
     MonoTime announcedAt; ///< control thread only
+    std::size_t announceLog = 0; ///< control thread only; the next try goes to the other log of jobs
 
     std::mutex termMutex; ///< guards the pointer; taken without the other locks
     std::shared_ptr<PoolTerm> term;
@@ -102,7 +118,8 @@
 
     HolderWatch watch;
     RecordTail configTail;
-    RecordTail sharedTail;
+    RecordTail ledgerTail;
+    std::array<RecordTail, jobLogs.size()> jobTails;
     PoolFront front;
 
     std::mutex stopMutex;
@@ -145,48 +162,70 @@
     }
 }
 
-auto PoolNode::Impl::sharedHandlers() -> TailHandlers
+auto PoolNode::Impl::ledgerHandlers() -> TailHandlers
 {
     return {
-        .reset = [this] { view.beginSnapshot(); },
-        .record = [this](const KeyedRecord &it) { sharedRecord(it); },
+        .reset = [this] { view.beginSnapshot(RecordLog::Ledger); },
+        .record = [this](const KeyedRecord &it) { poolRecord(RecordLog::Ledger, it); },
         .caughtUp =
             [this](LogOffset end, MonoTime sentAt) {
-                view.endSnapshot();
-                ports.metrics->setLogAvailable(LogStream::Jobs, true);
+                view.endSnapshot(RecordLog::Ledger);
                 const auto lock = std::lock_guard{mutex};
-                sharedEnd = end;
+                ledgerEnd = end;
                 leadership.tailRead(sentAt, clock.mono());
             },
         .lost =
             [this] {
-                ports.metrics->setLogAvailable(LogStream::Jobs, false);
                 const auto lock = std::lock_guard{mutex};
                 leadership.tailLost();
             },
     };
 }
 
-auto PoolNode::Impl::sharedRecord(const KeyedRecord &record) -> void
+auto PoolNode::Impl::jobHandlers(RecordLog log) -> TailHandlers
+{
+    return {
+        .reset = [this, log] { view.beginSnapshot(log); },
+        .record = [this, log](const KeyedRecord &it) { poolRecord(log, it); },
+        .caughtUp =
+            [this, log](LogOffset, MonoTime) {
+                view.endSnapshot(log);
+                ports.metrics->setLogAvailable(LogStream::Jobs, true);
+            },
+        .lost = [this] { ports.metrics->setLogAvailable(LogStream::Jobs, false); },
+    };
+}
+
+auto PoolNode::Impl::tailOf(RecordLog log, const char *name) -> RecordTail
 {
-    const auto decoded = decodeShared(record.key, record.value);
+    return {ports.store, log, TailOptions{.name = name, .wait = Millis{500}, .pace = followerPace}, clock, jobHandlers(log)};
+}
+
+auto PoolNode::Impl::leadershipRecord(const LeadershipRecord &record, LogOffset offset) -> void
+{
+    const auto lock = std::lock_guard{mutex};
+    leadership.applyRecord(record, offset, clock.mono());
+    const auto &holder = leadership.holder();
+    const auto watched = holder && holder->holder != settings.instance && holder->kind != LeadershipRecordKind::Resignation;
+    watch.setHolder(watched ? holder->address : std::string{}, watched ? holder->epoch : -1);
+}
+
+auto PoolNode::Impl::poolRecord(RecordLog log, const KeyedRecord &record) -> void
+{
+    const auto decoded = decodePoolRecord(record.key, record.value);
     if (!decoded) {
-        logEvent(LogLevel::Error, 6032, "shared record at offset " + std::to_string(record.offset.value) + " left out: " + decoded.error().message);
+        logEvent(LogLevel::Error, 6032, "record at offset " + std::to_string(record.offset.value) + " left out: " + decoded.error().message);
         return;
     }
     if (const auto *it = std::get_if<LeadershipRecord>(&decoded.value())) {
-        const auto lock = std::lock_guard{mutex};
-        leadership.applyRecord(*it, record.offset, clock.mono());
-        const auto &holder = leadership.holder();
-        const auto watched = holder && holder->holder != settings.instance && holder->kind != LeadershipRecordKind::Resignation;
-        watch.setHolder(watched ? holder->address : std::string{}, watched ? holder->epoch : -1);
+        leadershipRecord(*it, record.offset);
         return;
     }
     if (const auto *it = std::get_if<MemberRecord>(&decoded.value())) {
         addMember(*it);
         return;
     }
-    if (!view.applyShared(decoded.value())) {
+    if (!view.apply(log, decoded.value())) {
         return;
     }
     const auto id = std::holds_alternative<PoolJob>(decoded.value()) ? std::get<PoolJob>(decoded.value()).id : std::get<CancelRecord>(decoded.value()).id;
@@ -202,6 +241,7 @@
         announced = announced || member.address == settings.peerAddress;
         return;
     }
+    const auto lock = std::lock_guard{membersMutex};
     members[member.instance] = member.address;
     // The order differs from instance to instance, so that relayed calls spread.
     auto addresses = std::vector<std::pair<std::size_t, std::string>>{};
@@ -224,7 +264,8 @@
     }
     announcedAt = now;
     const auto [key, value] = encodeMember({.instance = settings.instance, .address = settings.peerAddress});
-    const auto done = ports.store.append(RecordLog::Shared, {{.key = key, .value = value}}, {}, claimTimeout);
+    const auto done = ports.store.append(jobLogs.at(announceLog), {{.key = key, .value = value}}, {}, claimTimeout);
+    announceLog = (announceLog + 1) % jobLogs.size();
     if (!done) {
         logEvent(LogLevel::Warn, 6047, "instance not announced to the others: " + done.error().message);
     }
@@ -275,7 +316,9 @@
     }
     termEpoch = epoch;
     ports.metrics->setPlanner(epoch.has_value());
-    sharedTail.setPace(epoch ? plannerPace : followerPace);
+    for (auto &it : jobTails) {
+        it.setPace(epoch ? plannerPace : followerPace);
+    }
     if (!epoch) {
         return;
     }
@@ -296,12 +339,12 @@
     auto end = LogOffset{};
     {
         const auto lock = std::lock_guard{mutex};
-        end = sharedEnd;
+        end = ledgerEnd;
         record = leadership.claim(end, std::to_string(random()) + "-" + std::to_string(random()), clock.mono());
     }
     const auto [key, value] = encodeLeadership(record);
     const auto begin = clock.mono();
-    const auto done = ports.store.append(RecordLog::Shared, {{.key = key, .value = value}}, {.at = end, .epoch = end.value, .sequence = 0}, claimTimeout);
+    const auto done = ports.store.append(RecordLog::Ledger, {{.key = key, .value = value}}, {.at = end, .epoch = end.value, .sequence = 0}, claimTimeout);
     const auto took = std::chrono::duration_cast<Millis>(clock.mono() - begin);
     logEvent(LogLevel::Info,
              6036,
@@ -350,7 +393,7 @@
     const auto [key, value] = encodeLeadership(record);
     for (auto i = 0; i < resignTries; ++i) {
         // No sequence check: the term's own sequence has ended with its threads, and a newer epoch still refuses this append.
-        const auto done = ports.store.append(RecordLog::Shared, {{.key = key, .value = value}}, {}, resignTimeout);
+        const auto done = ports.store.append(RecordLog::Ledger, {{.key = key, .value = value}}, {}, resignTimeout);
         if (done) {
             logEvent(LogLevel::Info, 6037, "leadership resigned epoch=" + std::to_string(epoch));
             return;
@@ -372,7 +415,10 @@
 auto PoolNode::start() -> void
 {
     m_impl->configTail.start();
-    m_impl->sharedTail.start();
+    m_impl->ledgerTail.start();
+    for (auto &it : m_impl->jobTails) {
+        it.start();
+    }
     m_impl->controlThread = std::thread([impl = m_impl.get()] { impl->control(); });
 }
 
@@ -424,7 +470,10 @@
         term->stop();
     }
     m_impl->watch.stop();
-    m_impl->sharedTail.stop();
+    m_impl->ledgerTail.stop();
+    for (auto &it : m_impl->jobTails) {
+        it.stop();
+    }
     m_impl->configTail.stop();
 }
 
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -13,7 +13,7 @@
 
 /// Between two passes of the planner when nothing happens: leases, due times and repeats of orders are checked then.
 constexpr auto planPeriod = Millis{100};
-/// One try of an append to the record of attempts; its repeat has no second effect.
+/// One try of an append to the ledger; its repeat has no second effect.
 constexpr auto appendTry = Millis{600};
 constexpr auto appendPause = Millis{60};
 /// One try of an order; two tries end before a gang gives up waiting for its last member.
@@ -33,6 +33,8 @@
 /// Bytes in one append; below the store's limit of a call.
 constexpr auto maxAppendBytes = std::size_t{1} << 20U;
 constexpr auto snapshotTimeout = Millis{2'000};
+/// One try to drop expired jobs from a log of jobs; nothing waits for it.
+constexpr auto dropTry = Millis{1'000};
 /// A job accepted longer ago than this by another clock counts as this old.
 constexpr auto maxJobAge = Millis{60'000};
 constexpr auto leaseStretch = 1.03;
@@ -89,7 +91,6 @@
                                                  });
     m_workersTail->start();
     m_planner = std::thread([this] { plannerLoop(); });
-    m_publisher = std::thread([this] { publisherLoop(); });
 }
 
 auto PoolTerm::stop() -> void
@@ -100,10 +101,8 @@
     }
     m_wake.notify_all();
     m_progress.notify_all();
-    m_publish.notify_all();
     if (m_planner.joinable()) {
         m_planner.join();
-        m_publisher.join();
         for (auto &it : m_lookers) {
             it->stopping = true;
             it->channel.interrupt();
@@ -173,13 +172,43 @@
     known = fresh;
 }
 
-auto PoolTerm::loadJobs(const RecordPage &attempts) -> void
+auto PoolTerm::adoptLedger(const RecordPage &ledger, MonoTime now) -> void
 {
-    const auto now = m_clock.mono();
-    const auto wall = m_clock.wall();
     const auto stretched = Millis{static_cast<std::int64_t>(static_cast<double>(m_options.pool.lease.count()) * leaseStretch)};
     const auto takenOverUntil = now + m_options.takeoverAfter + stretched + takeoverSlack;
-    const auto summaries = m_view.jobs();
+    for (const auto &it : ledger.records) {
+        const auto record = decodePoolRecord(it.key, it.value);
+        const auto *attempts = record ? std::get_if<AttemptsRecord>(&record.value()) : nullptr;
+        const auto *known = attempts == nullptr ? nullptr : m_core.find(attempts->id);
+        if (known == nullptr) {
+            continue;
+        }
+        auto state = makeJobState(known->job);
+        if (const auto read = decodeAttempts(attempts->value, state); !read) {
+            logEvent(LogLevel::Error, 6006, "job=" + attempts->id.str() + " record of attempts cannot be used: " + read.error().message);
+            continue;
+        }
+        m_core.adoptRecord(attempts->id, state, takenOverUntil, now);
+    }
+}
+
+auto PoolTerm::loadJobs(const RecordPage &ledger) -> void
+{
+    const auto now = m_clock.mono();
+    const auto wall = m_clock.wall();
+    auto summaries = m_view.jobs();
+    auto published = std::map<JobId, PoolJobPhase>{};
+    for (const auto &it : ledger.records) {
+        const auto record = decodePoolRecord(it.key, it.value);
+        if (!record) {
+            logEvent(LogLevel::Error, 6032, "ledger record at offset " + std::to_string(it.offset.value) + " left out: " + record.error().message);
+        } else if (const auto *job = std::get_if<PoolJob>(&record.value())) {
+            summaries[job->id].job = std::make_shared<const PoolJob>(*job);
+            m_onLedger.insert(job->id);
+        } else if (const auto *phase = std::get_if<PhaseRecord>(&record.value())) {
+            published[phase->id] = phase->phase;
+        }
+    }
     auto jobs = std::vector<JobSummary>{};
     for (const auto &[id, it] : summaries) {
         if (it.job) {
@@ -195,24 +224,14 @@
         const auto age = std::clamp(std::chrono::duration_cast<Millis>(wall - it.job->acceptedAt), Millis{0}, maxJobAge);
         m_core.addJob(*it.job, now - age);
     }
-    for (const auto &it : attempts.records) {
-        const auto *known = m_core.find(JobId{it.key});
-        if (known == nullptr || it.value.empty()) {
-            continue;
-        }
-        auto state = makeJobState(known->job);
-        if (const auto read = decodeAttempts(it.value, state); !read) {
-            logEvent(LogLevel::Error, 6006, "job=" + it.key + " record of attempts cannot be used: " + read.error().message);
-            continue;
-        }
-        m_core.adoptRecord(JobId{it.key}, state, takenOverUntil, now);
-    }
+    adoptLedger(ledger, now);
     for (const auto &it : jobs) {
         const auto *state = m_core.find(it.job->id);
         if (it.cancelled) {
             m_core.cancelJob(it.job->id, now);
         }
-        if (state->phase != it.phase) {
+        const auto shown = published.find(it.job->id);
+        if (state->phase != (shown == published.end() ? PoolJobPhase::Queued : shown->second)) {
             m_unpublished.insert(it.job->id);
         }
     }
@@ -221,12 +240,9 @@
 auto PoolTerm::takeOver() -> bool
 {
     const auto begin = m_clock.mono();
-    // The epoch in the record of attempts shuts earlier planners out before it is read.
-    if (!appendAttempts({})) {
-        return false;
-    }
     while (!stopped()) {
-        const auto page = m_ports.store.newest(RecordLog::Attempts, snapshotTimeout);
+        // The claim in the ledger has shut earlier planners out, so nothing is added to what this reads.
+        const auto page = m_ports.store.newest(RecordLog::Ledger, snapshotTimeout);
         if (page) {
             loadJobs(page.value());
             auto lock = std::unique_lock{m_mutex};
@@ -270,6 +286,36 @@
     }
 }
 
+/// What a pass of the planner has to store before its orders go out; the caller holds m_mutex.
+auto PoolTerm::ledgerRecords(const PoolEffects &effects, MonoTime now) -> std::vector<KeyedRecord>
+{
+    auto records = std::vector<KeyedRecord>{};
+    for (const auto &id : effects.changed) {
+        const auto *state = m_core.find(id);
+        if (m_onLedger.insert(id).second) {
+            records.push_back(toRecord(encodeJob(state->job)));
+        }
+        records.push_back(toRecord(encodeAttempts(*state)));
+    }
+    m_unpublished.insert(effects.phaseChanged.begin(), effects.phaseChanged.end());
+    for (const auto &id : std::exchange(m_unpublished, {})) {
+        if (const auto *state = m_core.find(id)) {
+            records.push_back(toRecord(encodePhase(id, state->phase)));
+        }
+    }
+    for (const auto &id : std::exchange(m_dropped, {})) {
+        m_onLedger.erase(id);
+        for (const auto &it : encodeDroppedLedger(id)) {
+            records.push_back(toRecord(it));
+        }
+    }
+    if (now - m_lastRenewal >= m_options.renewEvery) {
+        records.push_back(toRecord(encodeLeadership(m_hooks.renewal())));
+        m_lastRenewal = now;
+    }
+    return records;
+}
+
 auto PoolTerm::planOnce() -> void
 {
     const auto now = m_clock.mono();
@@ -279,12 +325,7 @@
         const auto lock = std::lock_guard{m_mutex};
         takeInbox(now);
         effects = m_core.plan(now, m_clock.wall());
-        for (const auto &id : effects.changed) {
-            records.push_back(toRecord(encodeAttempts(*m_core.find(id))));
-        }
-        for (const auto &id : effects.expired) {
-            records.push_back({.key = id.str()});
-        }
+        records = ledgerRecords(effects, now);
     }
     countEffects(effects);
     for (const auto &it : effects.notes) {
@@ -296,9 +337,41 @@
     for (const auto &it : effects.orders) {
         dispatch(it);
     }
+    if (!effects.expired.empty()) {
+        dropJobs(effects.expired);
+    }
     updateLookers();
 }
 
+/// Drops expired jobs from the logs of jobs, then from the ledger: a job that only the ledger holds would be taken for
+/// finished, one that only a log of jobs holds for new.
+auto PoolTerm::dropJobs(const std::vector<JobId> &expired) -> void
+{
+    const auto posted = m_orderPool->post([this, expired] {
+        auto records = std::vector<KeyedRecord>{};
+        for (const auto &id : expired) {
+            for (const auto &it : encodeDroppedJob(id)) {
+                records.push_back(toRecord(it));
+            }
+        }
+        for (const auto log : jobLogs) {
+            while (!stopped()) {
+                const auto done = m_ports.store.append(log, records, {}, dropTry);
+                if (done) {
+                    break;
+                }
+                logEvent(LogLevel::Warn, 6013, "expired jobs not dropped: " + done.error().message);
+                pause(dropTry);
+            }
+        }
+        const auto lock = std::lock_guard{m_mutex};
+        m_dropped.insert(m_dropped.end(), expired.begin(), expired.end());
+    });
+    if (!posted) {
+        logEvent(LogLevel::Error, 6009, "order queue is full; " + std::to_string(expired.size()) + " expired jobs stay in the logs");
+    }
+}
+
 auto PoolTerm::countEffects(const PoolEffects &effects) -> void
 {
     const auto lock = std::lock_guard{m_mutex};
@@ -323,7 +396,7 @@
     for (auto &it : records) {
         const auto size = it.key.size() + it.value.size();
         if (!batch.empty() && bytes + size > maxAppendBytes) {
-            if (!appendAttempts(batch)) {
+            if (!appendLedger(batch)) {
                 return false;
             }
             batch.clear();
@@ -332,36 +405,32 @@
         bytes += size;
         batch.push_back(std::move(it));
     }
-    if (!batch.empty() && !appendAttempts(batch)) {
+    if (!batch.empty() && !appendLedger(batch)) {
         return false;
     }
     const auto lock = std::lock_guard{m_mutex};
     m_core.recorded(effects);
-    m_unpublished.insert(effects.phaseChanged.begin(), effects.phaseChanged.end());
-    m_dropped.insert(m_dropped.end(), effects.expired.begin(), effects.expired.end());
     m_progress.notify_all();
-    m_publish.notify_all();
     return true;
 }
 
-auto PoolTerm::appendAttempts(const std::vector<KeyedRecord> &records) -> bool
+auto PoolTerm::appendLedger(const std::vector<KeyedRecord> &records) -> bool
 {
-    const auto guard = AppendGuard{.epoch = m_options.epoch, .sequence = m_attemptsSequence};
+    const auto guard = AppendGuard{.epoch = m_options.epoch, .sequence = m_ledgerSequence};
     while (!stopped()) {
         const auto sentAt = m_clock.mono();
-        const auto done = m_ports.store.append(RecordLog::Attempts, records, guard, appendTry);
+        const auto done = m_ports.store.append(RecordLog::Ledger, records, guard, appendTry);
         if (done) {
-            if (!records.empty()) {
-                ++m_attemptsSequence;
-            }
+            ++m_ledgerSequence;
+            m_hooks.renewed(sentAt);
             return true;
         }
         logEvent(LogLevel::Warn,
                  6008,
-                 "record of attempts not stored sequence=" + std::to_string(guard.sequence)
+                 "ledger not written epoch=" + std::to_string(m_options.epoch) + " sequence=" + std::to_string(guard.sequence)
                      + " try_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_clock.mono() - sentAt).count()) + " reason=" + done.error().message);
         if (done.error().code == ErrorCode::StaleGeneration || done.error().code == ErrorCode::Conflict) {
-            m_hooks.fenced("the record of attempts belongs to a newer planner");
+            m_hooks.fenced("the ledger belongs to a newer planner");
             return false;
         }
         pause(appendPause);
@@ -547,70 +616,4 @@
     std::this_thread::sleep_for(failedLookPause);
 }
 
-auto PoolTerm::nextPublication(MonoTime now) -> std::vector<KeyedRecord>
-{
-    auto lock = std::unique_lock{m_mutex};
-    const auto due = [&] { return m_clock.mono() - m_lastRenewal >= m_options.renewEvery; };
-    const auto left = std::chrono::duration_cast<Millis>(m_lastRenewal + m_options.renewEvery - now);
-    if (left.count() > 0) {
-        m_publish.wait_for(lock, left, [&] { return m_stopping || !m_unpublished.empty() || !m_dropped.empty() || due(); });
-    }
-    auto records = std::vector<KeyedRecord>{};
-    for (const auto &id : std::exchange(m_unpublished, {})) {
-        if (const auto *state = m_core.find(id)) {
-            records.push_back(toRecord(encodePhase(id, state->phase)));
-        }
-    }
-    for (const auto &id : std::exchange(m_dropped, {})) {
-        for (const auto &it : encodeDropped(id)) {
-            records.push_back(toRecord(it));
-        }
-    }
-    if (records.empty() && !due()) {
-        return records;
-    }
-    records.push_back(toRecord(encodeLeadership(m_hooks.renewal())));
-    return records;
-}
-
-auto PoolTerm::publish(const SharedAppend &append) -> bool
-{
-    while (!stopped()) {
-        const auto sentAt = m_clock.mono();
-        const auto done = m_ports.store.append(RecordLog::Shared, append.records, {.epoch = m_options.epoch, .sequence = append.sequence}, appendTry);
-        if (done) {
-            m_hooks.renewed(sentAt);
-            m_lastRenewal = sentAt;
-            return true;
-        }
-        logEvent(LogLevel::Warn,
-                 6012,
-                 "renewal not stored epoch=" + std::to_string(m_options.epoch) + " sequence=" + std::to_string(append.sequence)
-                     + " reason=" + done.error().message);
-        if (done.error().code == ErrorCode::StaleGeneration || done.error().code == ErrorCode::Conflict) {
-            m_hooks.fenced("the shared log belongs to a newer planner");
-            return false;
-        }
-        pause(appendPause);
-    }
-    return false;
-}
-
-auto PoolTerm::publisherLoop() -> void
-{
-    nameThread("publisher");
-    // The claim was the first append of this epoch.
-    auto append = SharedAppend{.records = {}, .sequence = 1};
-    while (!stopped()) {
-        append.records = nextPublication(m_clock.mono());
-        if (append.records.empty()) {
-            continue;
-        }
-        if (!publish(append)) {
-            return;
-        }
-        ++append.sequence;
-    }
-}
-
 }
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -5,12 +5,16 @@
 /// @code
 ///   auto term = Catkin::PoolTerm{options, ports, clock, view, hooks};
 ///   term.start();
-///   term.jobChanged(id);                 // from the shared log
+///   term.jobChanged(id);                 // from the logs of jobs
 ///   term.stop();
 /// @endcode
 ///
-/// Threads: one plans, one publishes phases and renewals, one looks at each worker, a pool sends orders, and a tail
-/// follows the workers' entries. Lock order: m_mutex, then nothing; no call to the network is made while it is held.
+/// Threads: one plans and writes the ledger, one looks at each worker, a pool sends orders, and a tail follows the
+/// workers' entries. Lock order: m_mutex, then nothing; no call to the network is made while it is held.
+///
+/// One append to the ledger holds the placements, the ends and the states shown to callers that a pass of the planner
+/// has decided, and renews the leadership. The ledger also repeats each job that has been placed, so that a new planner
+/// needs nothing else to take over what runs.
 
 #include "daemon/metrics.h"
 #include "daemon/poolview.h"
@@ -91,21 +95,19 @@
         std::mutex mutex; ///< one order at a time; taken without m_mutex
         WorkerChannel channel;
     };
-    struct SharedAppend
-    {
-        std::vector<KeyedRecord> records;
-        std::int64_t sequence = 0;
-    };
 
     auto stopped() const -> bool;
     auto pause(Millis span) -> void;
     auto plannerLoop() -> void;
     auto takeOver() -> bool;
-    auto loadJobs(const RecordPage &attempts) -> void;
+    auto loadJobs(const RecordPage &ledger) -> void;
+    auto adoptLedger(const RecordPage &ledger, MonoTime now) -> void;
     auto takeInbox(MonoTime now) -> void;
     auto planOnce() -> void;
+    auto ledgerRecords(const PoolEffects &effects, MonoTime now) -> std::vector<KeyedRecord>;
     auto record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool;
-    auto appendAttempts(const std::vector<KeyedRecord> &records) -> bool;
+    auto appendLedger(const std::vector<KeyedRecord> &records) -> bool;
+    auto dropJobs(const std::vector<JobId> &expired) -> void;
     auto countEffects(const PoolEffects &effects) -> void;
     auto dispatch(const PoolOrder &order) -> void;
     auto sendOrder(const PoolOrder &order) -> void;
@@ -115,9 +117,6 @@
     auto lookerLoop(Looker &looker) -> void;
     auto lookOnce(Looker &looker) -> void;
     auto waitForWork(const Looker &looker) -> void;
-    auto publisherLoop() -> void;
-    auto nextPublication(MonoTime now) -> std::vector<KeyedRecord>;
-    auto publish(const SharedAppend &append) -> bool;
     auto workerRecord(const KeyedRecord &record) -> void;
 
     PoolTermOptions m_options;
@@ -129,7 +128,6 @@
     mutable std::mutex m_mutex; ///< guards everything below up to the threads
     std::condition_variable m_wake; ///< the planner has something to do
     std::condition_variable m_progress; ///< records were written, or a looker has something to do
-    std::condition_variable m_publish;
     bool m_stopping = false;
     bool m_dirty = true;
     bool m_workersDirty = false;
@@ -138,18 +136,18 @@
     std::set<JobId> m_inbox;
     std::map<WorkerId, PoolWorkerInfo> m_entries;
     PoolCore m_core;
-    std::set<JobId> m_unpublished; ///< jobs whose phase is to be published
-    std::vector<JobId> m_dropped; ///< jobs to drop from the shared log
+    std::set<JobId> m_unpublished; ///< jobs whose phase the ledger does not show yet
+    std::set<JobId> m_onLedger; ///< jobs that the ledger holds
+    std::vector<JobId> m_dropped; ///< jobs that the logs of jobs have dropped, and the ledger has not
     std::map<WorkerId, std::shared_ptr<OrderLink>> m_links;
 
-    std::int64_t m_attemptsSequence = 0; ///< planner thread only
-    MonoTime m_lastRenewal; ///< publisher thread only
+    std::int64_t m_ledgerSequence = 1; ///< planner thread only; the claim was the first append of the epoch
+    MonoTime m_lastRenewal; ///< planner thread only
     std::list<std::unique_ptr<Looker>> m_lookers; ///< planner thread only
     std::list<std::unique_ptr<Looker>> m_retired; ///< planner thread only
     std::unique_ptr<RecordTail> m_workersTail;
     std::unique_ptr<WorkPool> m_orderPool;
     std::thread m_planner;
-    std::thread m_publisher;
 };
 
 }
--- a/packages/daemon/poolview.cpp
+++ b/packages/daemon/poolview.cpp
@@ -21,32 +21,43 @@
     return m_config;
 }
 
-auto PoolView::beginSnapshot() -> void
+auto PoolView::beginSnapshot(RecordLog log) -> void
 {
     const auto lock = std::lock_guard{m_mutex};
-    m_snapshot.emplace();
+    m_snapshots[log].clear();
 }
 
-auto PoolView::endSnapshot() -> void
+auto PoolView::endSnapshot(RecordLog log) -> void
 {
     const auto lock = std::lock_guard{m_mutex};
-    if (m_snapshot) {
-        std::erase_if(m_jobs, [&](const auto &it) { return !m_snapshot->contains(it.first); });
-        m_snapshot.reset();
+    const auto named = m_snapshots.find(log);
+    if (named == m_snapshots.end()) {
+        return;
     }
+    for (auto &[id, it] : m_jobs) {
+        if (!named->second.contains(id)) {
+            it.logs.erase(log);
+        }
+    }
+    std::erase_if(m_jobs, [](const auto &it) { return it.second.logs.empty(); });
+    m_snapshots.erase(named);
 }
 
-auto PoolView::applyShared(const SharedRecord &record) -> bool
+auto PoolView::summaryOf(RecordLog log, const JobId &id) -> JobSummary &
+{
+    if (const auto snapshot = m_snapshots.find(log); snapshot != m_snapshots.end()) {
+        snapshot->second.insert(id);
+    }
+    auto &summary = m_jobs[id];
+    summary.logs.insert(log);
+    return summary;
+}
+
+auto PoolView::apply(RecordLog log, const PoolRecord &record) -> bool
 {
     const auto lock = std::lock_guard{m_mutex};
-    const auto seen = [&](const JobId &id) {
-        if (m_snapshot) {
-            m_snapshot->insert(id);
-        }
-    };
     if (const auto *job = std::get_if<PoolJob>(&record)) {
-        seen(job->id);
-        auto &summary = m_jobs[job->id];
+        auto &summary = summaryOf(log, job->id);
         const auto isNew = !summary.job;
         if (isNew) {
             summary.job = std::make_shared<const PoolJob>(*job);
@@ -54,13 +65,10 @@
         return isNew;
     }
     if (const auto *cancel = std::get_if<CancelRecord>(&record)) {
-        seen(cancel->id);
-        auto &summary = m_jobs[cancel->id];
-        return !std::exchange(summary.cancelled, true);
+        return !std::exchange(summaryOf(log, cancel->id).cancelled, true);
     }
     if (const auto *phase = std::get_if<PhaseRecord>(&record)) {
-        seen(phase->id);
-        m_jobs[phase->id].phase = phase->phase;
+        summaryOf(log, phase->id).phase = phase->phase;
     } else if (const auto *dropped = std::get_if<DroppedRecord>(&record)) {
         m_jobs.erase(dropped->id);
     }
--- a/packages/daemon/poolview.h
+++ b/packages/daemon/poolview.h
@@ -1,16 +1,17 @@
 #pragma once
 
-/// What one instance knows of the pool from the shared log and the configuration: enough to answer callers.
+/// What one instance knows of the pool from the logs of jobs, the ledger and the configuration: enough to answer callers.
 ///
 /// @code
 ///   view.applyConfig(config, sentAt);
-///   view.applyShared(record, now);
-///   auto phase = view.phaseOf(id);
+///   view.apply(Catkin::RecordLog::Jobs, record);
+///   auto summary = view.find(id);
 /// @endcode
 ///
 /// Thread-safe. Its mutex is a leaf: no other lock is taken while it is held.
 
 #include "policy/poolfleet.h"
+#include "ports/recordstore.h"
 #include "state/poolrecords.h"
 
 #include <map>
@@ -28,6 +29,7 @@
     std::shared_ptr<const PoolJob> job; ///< null when only a cancellation or a phase has been seen
     PoolJobPhase phase = PoolJobPhase::Queued;
     bool cancelled = false; ///< by the caller; final whatever the phase says
+    std::set<RecordLog> logs; ///< that hold something of it
 };
 
 class PoolView
@@ -38,11 +40,11 @@
     auto applyConfig(const PoolConfig &config) -> bool;
     [[nodiscard]] auto config() const -> std::shared_ptr<const PoolConfig>;
 
-    /// What follows is a snapshot: jobs that it does not name are forgotten at its end.
-    auto beginSnapshot() -> void;
-    auto endSnapshot() -> void;
+    /// What follows from @p log is a snapshot: jobs that it does not name, and no other log, are forgotten at its end.
+    auto beginSnapshot(RecordLog log) -> void;
+    auto endSnapshot(RecordLog log) -> void;
     /// @return whether the planner should hear of it: a new job or a new cancellation.
-    auto applyShared(const SharedRecord &record) -> bool;
+    auto apply(RecordLog log, const PoolRecord &record) -> bool;
     [[nodiscard]] auto find(const JobId &id) const -> std::optional<JobSummary>;
     /// @return accepted jobs of a queue of which nothing has started.
     [[nodiscard]] auto pendingOf(const QueueId &queue) const -> std::size_t;
@@ -51,10 +53,12 @@
     [[nodiscard]] static auto shownPhase(const JobSummary &summary) -> PoolJobPhase;
 
 private:
+    auto summaryOf(RecordLog log, const JobId &id) -> JobSummary &;
+
     mutable std::mutex m_mutex;
     std::shared_ptr<const PoolConfig> m_config;
     std::map<JobId, JobSummary> m_jobs;
-    std::optional<std::set<JobId>> m_snapshot; ///< jobs named since beginSnapshot()
+    std::map<RecordLog, std::set<JobId>> m_snapshots; ///< jobs named since beginSnapshot()
 };
 
 }
--- a/packages/daemon/recordtail.h
+++ b/packages/daemon/recordtail.h
@@ -3,7 +3,7 @@
 /// Follows one log of the record store in a thread of its own: a snapshot first, then every new record.
 ///
 /// @code
-///   auto tail = Catkin::RecordTail{store, Catkin::RecordLog::Shared, options, clock, handlers};
+///   auto tail = Catkin::RecordTail{store, Catkin::RecordLog::Jobs, options, clock, handlers};
 ///   tail.start();
 ///   auto age = clock.mono() - tail.readAt();
 /// @endcode
--- a/packages/ports/recordstore.h
+++ b/packages/ports/recordstore.h
@@ -11,6 +11,7 @@
 #include "util/outcome.h"
 #include "util/units.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -24,10 +25,14 @@
 enum class RecordLog {
     Configuration, ///< what operators wrote; read only
     Workers, ///< what workers say of themselves; read only
-    Shared, ///< jobs, cancellations, states of jobs and leadership, read by every instance
-    Attempts, ///< where tasks were placed; read only by a new planner
+    Jobs, ///< jobs, cancellations and instances, written by any instance
+    JobsSpare, ///< the same; an instance that cannot write to one writes to the other
+    Ledger, ///< leadership, and the planner's record of attempts and states of jobs; written by the planner
 };
 
+/// The logs that hold accepted jobs. A record may be in either, or in both after an append in doubt.
+constexpr auto jobLogs = std::array{RecordLog::Jobs, RecordLog::JobsSpare};
+
 struct KeyedRecord
 {
     std::string key;
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -13,6 +13,7 @@
 constexpr auto jobPrefix = "j/";
 constexpr auto cancelPrefix = "x/";
 constexpr auto phasePrefix = "s/";
+constexpr auto attemptsPrefix = "t/";
 constexpr auto memberPrefix = "m/";
 constexpr auto leadershipKey = "leader";
 constexpr auto prefixLength = std::size_t{2};
@@ -170,16 +171,21 @@
                 .dump()};
 }
 
-auto encodeDropped(const JobId &id) -> std::vector<EncodedRecord>
+auto encodeDroppedJob(const JobId &id) -> std::vector<EncodedRecord>
 {
-    return {{jobPrefix + id.str(), {}}, {cancelPrefix + id.str(), {}}, {phasePrefix + id.str(), {}}};
+    return {{jobPrefix + id.str(), {}}, {cancelPrefix + id.str(), {}}};
 }
 
-auto decodeShared(const std::string &key, const std::string &value) -> Result<SharedRecord>
+auto encodeDroppedLedger(const JobId &id) -> std::vector<EncodedRecord>
+{
+    return {{jobPrefix + id.str(), {}}, {attemptsPrefix + id.str(), {}}, {phasePrefix + id.str(), {}}};
+}
+
+auto decodePoolRecord(const std::string &key, const std::string &value) -> Result<PoolRecord>
 {
     try {
         if (key == leadershipKey) {
-            return SharedRecord{leadershipFromJson(json::parse(value))};
+            return PoolRecord{leadershipFromJson(json::parse(value))};
         }
         if (key.size() <= prefixLength) {
             return failure(ErrorCode::Protocol, "unknown key '" + key + "'");
@@ -187,19 +193,22 @@
         const auto id = JobId{key.substr(prefixLength)};
         const auto prefix = key.substr(0, prefixLength);
         if (value.empty()) {
-            return SharedRecord{DroppedRecord{id}};
+            return PoolRecord{DroppedRecord{id}};
         }
         if (prefix == jobPrefix) {
-            return SharedRecord{jobFromJson(id, json::parse(value))};
+            return PoolRecord{jobFromJson(id, json::parse(value))};
         }
         if (prefix == memberPrefix) {
-            return SharedRecord{MemberRecord{.instance = InstanceId{id.str()}, .address = json::parse(value).at("address").get<std::string>()}};
+            return PoolRecord{MemberRecord{.instance = InstanceId{id.str()}, .address = json::parse(value).at("address").get<std::string>()}};
         }
         if (prefix == cancelPrefix) {
-            return SharedRecord{CancelRecord{id}};
+            return PoolRecord{CancelRecord{id}};
+        }
+        if (prefix == attemptsPrefix) {
+            return PoolRecord{AttemptsRecord{.id = id, .value = value}};
         }
         if (prefix == phasePrefix) {
-            return SharedRecord{PhaseRecord{.id = id, .phase = phaseFromJson(json::parse(value))}};
+            return PoolRecord{PhaseRecord{.id = id, .phase = phaseFromJson(json::parse(value))}};
         }
         return failure(ErrorCode::Protocol, "unknown key '" + key + "'");
     } catch (const json::exception &e) {
@@ -221,7 +230,7 @@
         }
         occurrences.push_back(std::move(steps));
     }
-    return {state.job.id.str(), json{{"p", static_cast<int>(state.phase)}, {"o", std::move(occurrences)}}.dump()};
+    return {attemptsPrefix + state.job.id.str(), json{{"p", static_cast<int>(state.phase)}, {"o", std::move(occurrences)}}.dump()};
 }
 
 auto decodeAttempts(const std::string &value, PoolJobState &state) -> Result<void>
--- a/packages/state/poolrecords.h
+++ b/packages/state/poolrecords.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// The records of a pool in the shared log and in the log of attempts, as JSON; docs/log-records.md lists the fields.
+/// The records of a pool in the logs of jobs and in the ledger, as JSON; docs/log-records.md lists the fields.
 ///
 /// @code
 ///   auto record = Catkin::encodeJob(job);              // {key, value}
@@ -33,7 +33,14 @@
     PoolJobPhase phase = PoolJobPhase::Queued;
 };
 
-/// The key of a job, a cancellation or a phase was dropped.
+/// Where the tasks of a job were placed and what has ended; read by a new planner with decodeAttempts().
+struct AttemptsRecord
+{
+    JobId id;
+    std::string value;
+};
+
+/// A key of a job was dropped.
 struct DroppedRecord
 {
     JobId id;
@@ -46,18 +53,20 @@
     std::string address; ///< "ip:port"
 };
 
-using SharedRecord = std::variant<PoolJob, CancelRecord, PhaseRecord, DroppedRecord, LeadershipRecord, MemberRecord>;
+using PoolRecord = std::variant<PoolJob, CancelRecord, PhaseRecord, AttemptsRecord, DroppedRecord, LeadershipRecord, MemberRecord>;
 
 auto encodeJob(const PoolJob &job) -> EncodedRecord;
 auto encodeCancel(const JobId &id) -> EncodedRecord;
 auto encodePhase(const JobId &id, PoolJobPhase phase) -> EncodedRecord;
 auto encodeMember(const MemberRecord &record) -> EncodedRecord;
 auto encodeLeadership(const LeadershipRecord &record) -> EncodedRecord;
-/// @return the keys that belong to a job, with empty values: they are dropped from the shared log.
-auto encodeDropped(const JobId &id) -> std::vector<EncodedRecord>;
+/// @return the keys of a job in a log of jobs, with empty values: they are dropped.
+auto encodeDroppedJob(const JobId &id) -> std::vector<EncodedRecord>;
+/// @return the keys of a job in the ledger, with empty values: they are dropped.
+auto encodeDroppedLedger(const JobId &id) -> std::vector<EncodedRecord>;
 
 /// @return the record; ErrorCode::Protocol when key or value cannot be read.
-auto decodeShared(const std::string &key, const std::string &value) -> Result<SharedRecord>;
+auto decodePoolRecord(const std::string &key, const std::string &value) -> Result<PoolRecord>;
 
 /// Where the tasks of a job were placed and what has ended.
 auto encodeAttempts(const PoolJobState &state) -> EncodedRecord;
