Send orders worker by worker, and none that are no longer wanted

The 24 sending threads were held by stops to the 39 workers that had been taken away: each stop waited for its time-out, was repeated every 0.5 s, and a second order to the same worker held a second thread. Ruled out: the planner's processor time (a pass takes 14 ms at 350 workers with a backlog, poolplan_figures), the store (appends took their usual time then). Change: one thread sends to one worker at a time, 64 threads in all; a worker whose last look was not answered gets no orders until it answers; a start whose job was cancelled or whose room was given away while it waited is not sent, and the worker is not blamed for it. Tests: poolcore_test "a start order of a cancelled job is not wanted any more" and "a worker that does not answer gets no orders until it does".

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -28,7 +28,8 @@
 constexpr auto failedLookPause = Millis{200};
 /// How long a looker waits for its ends to be on record before it looks again.
 constexpr auto recordPatience = Millis{1'000};
-constexpr auto orderThreads = std::size_t{24};
+/// One thread sends to one worker at a time; enough for a failure domain of 350 workers that has gone silent.
+constexpr auto orderThreads = std::size_t{64};
 constexpr auto maxQueuedOrders = std::size_t{20'000};
 /// Bytes in one append; below the store's limit of a call.
 constexpr auto maxAppendBytes = std::size_t{1} << 20U;
@@ -457,9 +458,9 @@
     }
 }
 
-auto PoolTerm::linkTo(const PoolOrder &order) -> std::shared_ptr<OrderLink>
+/// The caller holds m_mutex.
+auto PoolTerm::linkTo(const PoolOrder &order) -> std::shared_ptr<OrderLink> &
 {
-    const auto lock = std::lock_guard{m_mutex};
     auto &link = m_links[order.worker];
     if (!link || link->address != order.address) {
         link = std::make_shared<OrderLink>();
@@ -469,12 +470,38 @@
     return link;
 }
 
+/// Orders to one worker go out one after the other, so that a silent worker holds up one thread and no other worker.
 auto PoolTerm::dispatch(const PoolOrder &order) -> void
 {
-    if (!m_orderPool->post([this, order] { sendOrder(order); })) {
+    const auto lock = std::lock_guard{m_mutex};
+    auto &link = linkTo(order);
+    link->queue.push_back(order);
+    if (link->busy) {
+        return;
+    }
+    link->busy = m_orderPool->post([this, link] { sendQueued(link); });
+    if (!link->busy) {
         logEvent(LogLevel::Error, 6009, "order queue is full; job=" + order.task.job.str() + " worker=" + order.worker.str());
-        const auto lock = std::lock_guard{m_mutex};
-        m_core.applyOrder(order, OrderOutcome::NotSent, m_clock.mono());
+        for (const auto &it : std::exchange(link->queue, {})) {
+            m_core.applyOrder(it, OrderOutcome::NotSent, m_clock.mono());
+        }
+    }
+}
+
+auto PoolTerm::sendQueued(const std::shared_ptr<OrderLink> &link) -> void
+{
+    while (true) {
+        auto order = PoolOrder{};
+        {
+            const auto lock = std::lock_guard{m_mutex};
+            if (link->queue.empty()) {
+                link->busy = false;
+                return;
+            }
+            order = std::move(link->queue.front());
+            link->queue.pop_front();
+        }
+        sendOrder(order, *link);
     }
 }
 
@@ -483,6 +510,10 @@
     auto lease = WorkerTime{};
     {
         const auto lock = std::lock_guard{m_mutex};
+        // The job may have been cancelled, or its room given away, since the order was queued.
+        if (!m_core.wants(order)) {
+            return OrderOutcome::NotSent;
+        }
         lease = m_core.leaseFor(order.worker, m_clock.mono());
     }
     if (lease.value == 0) {
@@ -499,20 +530,16 @@
         .outcome;
 }
 
-auto PoolTerm::sendOrder(const PoolOrder &order) -> void
+auto PoolTerm::sendOrder(const PoolOrder &order, OrderLink &link) -> void
 {
-    auto link = linkTo(order);
     auto outcome = OrderOutcome::NotSent;
-    {
-        const auto one = std::lock_guard{link->mutex};
-        for (auto waited = Millis{0}; waited < orderPatience && !stopped() && !m_hooks.mayOrder(); waited += orderPoll) {
-            std::this_thread::sleep_for(orderPoll);
-        }
-        if (!stopped() && m_hooks.mayOrder()) {
-            outcome = order.kind == PoolOrder::Kind::Start
-                          ? startOutcome(order, *link)
-                          : link->channel.stop({.task = order.task, .attempt = order.attempt, .token = m_options.epoch}, orderTry).outcome;
-        }
+    for (auto waited = Millis{0}; waited < orderPatience && !stopped() && !m_hooks.mayOrder(); waited += orderPoll) {
+        std::this_thread::sleep_for(orderPoll);
+    }
+    if (!stopped() && m_hooks.mayOrder()) {
+        outcome = order.kind == PoolOrder::Kind::Start
+                      ? startOutcome(order, link)
+                      : link.channel.stop({.task = order.task, .attempt = order.attempt, .token = m_options.epoch}, orderTry).outcome;
     }
     if (outcome == OrderOutcome::Fenced) {
         m_hooks.fenced("a worker has seen a newer planner");
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -27,6 +27,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -92,8 +93,9 @@
     struct OrderLink
     {
         std::string address;
-        std::mutex mutex; ///< one order at a time; taken without m_mutex
-        WorkerChannel channel;
+        WorkerChannel channel; ///< used by the one thread that sends to this worker
+        std::deque<PoolOrder> queue;
+        bool busy = false; ///< a thread sends what is queued
     };
 
     auto stopped() const -> bool;
@@ -110,9 +112,10 @@
     auto dropJobs(const std::vector<JobId> &expired) -> void;
     auto countEffects(const PoolEffects &effects) -> void;
     auto dispatch(const PoolOrder &order) -> void;
-    auto sendOrder(const PoolOrder &order) -> void;
+    auto sendQueued(const std::shared_ptr<OrderLink> &link) -> void;
+    auto sendOrder(const PoolOrder &order, OrderLink &link) -> void;
     auto startOutcome(const PoolOrder &order, OrderLink &link) -> OrderOutcome;
-    auto linkTo(const PoolOrder &order) -> std::shared_ptr<OrderLink>;
+    auto linkTo(const PoolOrder &order) -> std::shared_ptr<OrderLink> &;
     auto updateLookers() -> void;
     auto lookerLoop(Looker &looker) -> void;
     auto lookOnce(Looker &looker) -> void;
@@ -139,7 +142,7 @@
     std::set<JobId> m_unpublished; ///< jobs whose phase the ledger does not show yet
     std::set<JobId> m_onLedger; ///< jobs that the ledger holds
     std::vector<JobId> m_dropped; ///< jobs that the logs of jobs have dropped, and the ledger has not
-    std::map<WorkerId, std::shared_ptr<OrderLink>> m_links;
+    std::map<WorkerId, std::shared_ptr<OrderLink>> m_links; ///< and what they queue
 
     std::int64_t m_ledgerSequence = 1; ///< planner thread only; the claim was the first append of the epoch
     MonoTime m_lastRenewal; ///< planner thread only
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -523,7 +523,8 @@
 {
     note("start_refused", describe(key.first, key.second) + " worker=" + worker.info.id.str() + " answer=" + outcomeName(outcome));
     auto &allocation = worker.allocations.at(key);
-    if (outcome == OrderOutcome::Unhealthy || outcome == OrderOutcome::NotSent || outcome == OrderOutcome::NoRoom) {
+    // A start that was given up before it was sent says nothing of the worker.
+    if (!allocation.stopping && (outcome == OrderOutcome::Unhealthy || outcome == OrderOutcome::NotSent || outcome == OrderOutcome::NoRoom)) {
         blame(worker, now);
     }
     if (allocation.doubtful || outcome == OrderOutcome::Superseded) {
@@ -666,7 +667,8 @@
 auto PoolCore::emitOrders(PoolEffects &effects, MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
-        if (worker.info.address.empty()) {
+        // Orders to a worker that does not answer would only hold up those to others; its lease bounds what it runs.
+        if (worker.info.address.empty() || !worker.reachable) {
             continue;
         }
         for (auto &[key, it] : worker.allocations) {
@@ -727,6 +729,19 @@
     worker.leaseEnd = std::max(worker.leaseEnd, now + stretched + leaseSlack);
 }
 
+auto PoolCore::wants(const PoolOrder &order) const -> bool
+{
+    if (order.kind == PoolOrder::Kind::Stop) {
+        return true;
+    }
+    const auto worker = m_workers.find(order.worker);
+    if (worker == m_workers.end()) {
+        return false;
+    }
+    const auto allocation = worker->second.allocations.find({order.task, order.attempt});
+    return allocation != worker->second.allocations.end() && !allocation->second.stopping;
+}
+
 auto PoolCore::leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime
 {
     const auto it = m_workers.find(id);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -106,6 +106,9 @@
     /// The records of @p effects are stored.
     auto recorded(const PoolEffects &effects) -> void;
 
+    /// @return whether an order that has waited to be sent is still to be sent.
+    [[nodiscard]] auto wants(const PoolOrder &order) const -> bool;
+
     /// @return the lease that an order sent now should carry; the core remembers it. Nothing before the worker's first answer.
     auto leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime;
 
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -154,3 +154,79 @@
     REQUIRE(simulation.beganAt(JobId{"large"}));
     CHECK(*simulation.beganAt(JobId{"large"}) - MonoTime{Seconds{1'000}} <= Millis{10'000});
 }
+
+namespace
+{
+
+/// Two workers with 8 accelerators, and a job with a task of 8 on each of them.
+struct TwoWorkers
+{
+    TwoWorkers()
+    {
+        core.setRules({.queues = {{QueueId{"batch"}, {.id = QueueId{"batch"}, .service = ServiceId{"svc"}, .maxAttempts = 2}}}});
+        auto listed = std::vector<PoolWorkerInfo>{};
+        for (const auto *it : {"w-1", "w-2"}) {
+            listed.push_back({.id = WorkerId{it},
+                              .address = it,
+                              .service = ServiceId{"svc"},
+                              .capacity = {.cpuMillis = 32'000, .memoryMb = 131'072, .accelerators = 8},
+                              .born = Incarnation{1}});
+        }
+        core.setWorkers(listed, now);
+        for (const auto &it : listed) {
+            core.applyLook(it.id, {.clock = WorkerTime{1}, .born = Incarnation{1}}, now, now);
+        }
+        core.addJob(makeJob("a", "batch", {makeStep(2, 8, Millis{4'000}, false)}), now);
+        starts = plan();
+        for (const auto &it : starts) {
+            core.leaseFor(it.worker, now);
+        }
+    }
+
+    auto plan() -> std::vector<PoolOrder>
+    {
+        now += Millis{100};
+        const auto effects = core.plan(now, WallTime{});
+        core.recorded(effects);
+        return effects.orders;
+    }
+
+    PoolCore core{PoolOptions{}};
+    MonoTime now{Seconds{1'000}};
+    std::vector<PoolOrder> starts;
+};
+
+}
+
+// Guards against a start that has waited behind other orders and begins work of a job that was cancelled meanwhile.
+TEST_CASE("a start order of a cancelled job is not wanted any more")
+{
+    auto pool = TwoWorkers{};
+    REQUIRE(pool.starts.size() == 2);
+    CHECK(pool.core.wants(pool.starts[0]));
+    pool.core.cancelJob(JobId{"a"}, pool.now);
+    CHECK_FALSE(pool.core.wants(pool.starts[0]));
+    pool.core.applyOrder(pool.starts[0], OrderOutcome::NotSent, pool.now);
+    CHECK(pool.core.workers().at(pool.starts[0].worker).allocations.empty());
+    CHECK(pool.core.workers().at(pool.starts[0].worker).failures == 0);
+}
+
+// Guards against orders to silent workers that keep every sender waiting, so that sound workers get theirs seconds late.
+TEST_CASE("a worker that does not answer gets no orders until it does")
+{
+    auto pool = TwoWorkers{};
+    for (const auto &it : pool.starts) {
+        pool.core.applyOrder(it, OrderOutcome::Accepted, pool.now);
+    }
+    const auto silent = pool.starts[0].worker;
+    pool.core.lookFailed(silent);
+    pool.core.cancelJob(JobId{"a"}, pool.now);
+    const auto orders = pool.plan();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].worker != silent);
+    pool.now += Seconds{2};
+    pool.core.applyLook(
+        silent, {.clock = WorkerTime{2'000}, .born = Incarnation{1}, .running = {{.task = pool.starts[0].task, .attempt = 1}}}, pool.now, pool.now);
+    const auto later = pool.plan();
+    CHECK(std::any_of(later.begin(), later.end(), [&](const PoolOrder &it) { return it.worker == silent && it.kind == PoolOrder::Kind::Stop; }));
+}
