Keep an attempt whose repeated start could not be sent

Its first start was carried out and not answered; a look showed it; the repeat could not be sent (47.693 "not sent"), which was taken for the fate of the attempt, so its place was given up and the task placed again. Ruled out: an order carried out late (the first run began within the first try). Test: poolcore_test "a repeated start that is not sent says nothing of the first one", failed before.

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -527,7 +527,10 @@
     if (!allocation.stopping && (outcome == OrderOutcome::Unhealthy || outcome == OrderOutcome::NotSent || outcome == OrderOutcome::NoRoom)) {
         blame(worker, now);
     }
-    if (allocation.doubtful || outcome == OrderOutcome::Superseded) {
+    if (allocation.startTries > 1 && !allocation.doubtful && outcome != OrderOutcome::Superseded) {
+        return; // the first order was carried out: a look has shown the attempt since
+    }
+    if (allocation.startTries > 1 || outcome == OrderOutcome::Superseded) {
         allocation.stopping = true;
         return;
     }
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -230,3 +230,25 @@
     const auto later = pool.plan();
     CHECK(std::any_of(later.begin(), later.end(), [&](const PoolOrder &it) { return it.worker == silent && it.kind == PoolOrder::Kind::Stop; }));
 }
+
+// Guards against a second run of a task whose first start was carried out unanswered, when its repeat cannot be sent.
+TEST_CASE("a repeated start that is not sent says nothing of the first one")
+{
+    for (const auto seen : {false, true}) {
+        CAPTURE(seen);
+        auto pool = TwoWorkers{};
+        const auto &first = pool.starts[0];
+        pool.core.applyOrder(first, OrderOutcome::InDoubt, pool.now);
+        const auto repeats = pool.plan();
+        REQUIRE(std::any_of(repeats.begin(), repeats.end(), [&](const PoolOrder &it) { return it.task == first.task && it.kind == PoolOrder::Kind::Start; }));
+        if (seen) {
+            pool.core.applyLook(first.worker, {.clock = WorkerTime{100}, .born = Incarnation{1}, .running = {{.task = first.task, .attempt = 1}}}, pool.now, pool.now);
+        }
+        pool.core.applyOrder(first, OrderOutcome::NotSent, pool.now);
+        pool.plan();
+        const auto &task = pool.core.find(JobId{"a"})->occurrences[0].steps[0].tasks[static_cast<std::size_t>(first.task.index)];
+        CHECK(task.phase == TaskPhase::Placed);
+        CHECK(task.attempt == 1);
+        CHECK(pool.core.workers().at(first.worker).allocations.at({first.task, 1}).stopping == !seen);
+    }
+}
