Keep attempts out of the log that every instance follows, and rule out shapes that found no room

Starts that waited so long were preempted before they went out ("not sent" 60 to 100 times a second), gangs waited for their last members (GANG), tasks started late. Ruled out: the planner's processor time (a pass took 2 to 8 ms, appends 10 to 20 ms), connections that could not be made (only to workers that were gone, 8 to 16 s), the number of sending threads. Change: attempts and copies of placed jobs are in a log that only a new planner reads; states and leadership are in a small one that all follow, written by the publisher beside the record of attempts and not after it. A published final state stands at a takeover. An append to either confirms the leadership.

--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -65,7 +65,7 @@
             leadership.holderDisconnected(epoch, clock.mono());
         })
         , configTail(ports.store, RecordLog::Configuration, TailOptions{.name = "config", .pace = Millis{0}}, clock, configHandlers())
-        , ledgerTail(ports.store, RecordLog::Ledger, TailOptions{.name = "ledger", .wait = Millis{500}, .pace = followerPace}, clock, ledgerHandlers())
+        , statesTail(ports.store, RecordLog::States, TailOptions{.name = "states", .wait = Millis{500}, .pace = followerPace}, clock, statesHandlers())
         , jobTails{tailOf(RecordLog::Jobs, "jobs"), tailOf(RecordLog::JobsSpare, "jobs spare")}
         , front(PoolFrontOptions{.configLimit = settings.configApply + settings.configStretch / 2,
                                  .viewLimit = settings.visibility - viewMargin,
@@ -80,7 +80,7 @@
     }
 
     auto configHandlers() -> TailHandlers;
-    auto ledgerHandlers() -> TailHandlers;
+    auto statesHandlers() -> TailHandlers;
     auto jobHandlers(RecordLog log) -> TailHandlers;
     auto tailOf(RecordLog log, const char *name) -> RecordTail;
     auto configRecord(const KeyedRecord &record) -> void;
@@ -100,9 +100,9 @@
     Clock clock;
     PoolView view;
 
-    std::mutex mutex; ///< guards the leadership and ledgerEnd; taken before the term's lock, never after
+    std::mutex mutex; ///< guards the leadership and statesEnd; taken before the term's lock, never after
     Leadership leadership;
-    LogOffset ledgerEnd;
+    LogOffset statesEnd;
     std::atomic<bool> retiring{false};
     std::atomic<bool> wasReady{false};
     Random random; ///< control thread only
@@ -118,7 +118,7 @@
 
     HolderWatch watch;
     RecordTail configTail;
-    RecordTail ledgerTail;
+    RecordTail statesTail;
     std::array<RecordTail, jobLogs.size()> jobTails;
     PoolFront front;
 
@@ -162,16 +162,16 @@
     }
 }
 
-auto PoolNode::Impl::ledgerHandlers() -> TailHandlers
+auto PoolNode::Impl::statesHandlers() -> TailHandlers
 {
     return {
-        .reset = [this] { view.beginSnapshot(RecordLog::Ledger); },
-        .record = [this](const KeyedRecord &it) { poolRecord(RecordLog::Ledger, it); },
+        .reset = [this] { view.beginSnapshot(RecordLog::States); },
+        .record = [this](const KeyedRecord &it) { poolRecord(RecordLog::States, it); },
         .caughtUp =
             [this](LogOffset end, MonoTime sentAt) {
-                view.endSnapshot(RecordLog::Ledger);
+                view.endSnapshot(RecordLog::States);
                 const auto lock = std::lock_guard{mutex};
-                ledgerEnd = end;
+                statesEnd = end;
                 leadership.tailRead(sentAt, clock.mono());
             },
         .lost =
@@ -339,12 +339,12 @@
     auto end = LogOffset{};
     {
         const auto lock = std::lock_guard{mutex};
-        end = ledgerEnd;
+        end = statesEnd;
         record = leadership.claim(end, std::to_string(random()) + "-" + std::to_string(random()), clock.mono());
     }
     const auto [key, value] = encodeLeadership(record);
     const auto begin = clock.mono();
-    const auto done = ports.store.append(RecordLog::Ledger, {{.key = key, .value = value}}, {.at = end, .epoch = end.value, .sequence = 0}, claimTimeout);
+    const auto done = ports.store.append(RecordLog::States, {{.key = key, .value = value}}, {.at = end, .epoch = end.value, .sequence = 0}, claimTimeout);
     const auto took = std::chrono::duration_cast<Millis>(clock.mono() - begin);
     logEvent(LogLevel::Info,
              6036,
@@ -393,7 +393,7 @@
     const auto [key, value] = encodeLeadership(record);
     for (auto i = 0; i < resignTries; ++i) {
         // No sequence check: the term's own sequence has ended with its threads, and a newer epoch still refuses this append.
-        const auto done = ports.store.append(RecordLog::Ledger, {{.key = key, .value = value}}, {}, resignTimeout);
+        const auto done = ports.store.append(RecordLog::States, {{.key = key, .value = value}}, {}, resignTimeout);
         if (done) {
             logEvent(LogLevel::Info, 6037, "leadership resigned epoch=" + std::to_string(epoch));
             return;
@@ -415,7 +415,7 @@
 auto PoolNode::start() -> void
 {
     m_impl->configTail.start();
-    m_impl->ledgerTail.start();
+    m_impl->statesTail.start();
     for (auto &it : m_impl->jobTails) {
         it.start();
     }
@@ -470,7 +470,7 @@
         term->stop();
     }
     m_impl->watch.stop();
-    m_impl->ledgerTail.stop();
+    m_impl->statesTail.stop();
     for (auto &it : m_impl->jobTails) {
         it.stop();
     }
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -13,7 +13,10 @@
 
 /// Between two passes of the planner when nothing happens: leases, due times and repeats of orders are checked then.
 constexpr auto planPeriod = Millis{100};
-/// One try of an append to the ledger; its repeat has no second effect.
+/// After a pass the planner rests for this many times its length, so that it leaves the processor to orders and looks.
+constexpr auto restPerPass = 2;
+constexpr auto maxRest = Millis{200};
+/// One try of an append to the log of attempts or of states; its repeat has no second effect.
 constexpr auto appendTry = Millis{600};
 constexpr auto appendPause = Millis{60};
 /// One try of an order; two tries end before a gang gives up waiting for its last member.
@@ -92,6 +95,7 @@
                                                  });
     m_workersTail->start();
     m_planner = std::thread([this] { plannerLoop(); });
+    m_publisher = std::thread([this] { publisherLoop(); });
 }
 
 auto PoolTerm::stop() -> void
@@ -102,8 +106,10 @@
     }
     m_wake.notify_all();
     m_progress.notify_all();
+    m_publish.notify_all();
     if (m_planner.joinable()) {
         m_planner.join();
+        m_publisher.join();
         for (auto &it : m_lookers) {
             it->stopping = true;
             it->channel.interrupt();
@@ -126,6 +132,9 @@
 
 auto PoolTerm::pause(Millis span) -> void
 {
+    if (span.count() <= 0) {
+        return;
+    }
     auto lock = std::unique_lock{m_mutex};
     m_wake.wait_for(lock, span, [&] { return m_stopping; });
 }
@@ -173,45 +182,41 @@
     known = fresh;
 }
 
-auto PoolTerm::adoptLedger(const RecordPage &ledger, MonoTime now) -> void
+auto PoolTerm::adoptAttempts(const RecordPage &attempts, MonoTime now) -> void
 {
     const auto stretched = Millis{static_cast<std::int64_t>(static_cast<double>(m_options.pool.lease.count()) * leaseStretch)};
     const auto takenOverUntil = now + m_options.takeoverAfter + stretched + takeoverSlack;
-    for (const auto &it : ledger.records) {
+    for (const auto &it : attempts.records) {
         const auto record = decodePoolRecord(it.key, it.value);
-        const auto *attempts = record ? std::get_if<AttemptsRecord>(&record.value()) : nullptr;
-        const auto *known = attempts == nullptr ? nullptr : m_core.find(attempts->id);
+        const auto *found = record ? std::get_if<AttemptsRecord>(&record.value()) : nullptr;
+        const auto *known = found == nullptr ? nullptr : m_core.find(found->id);
         if (known == nullptr) {
             continue;
         }
         auto state = makeJobState(known->job);
-        if (const auto read = decodeAttempts(attempts->value, state); !read) {
-            logEvent(LogLevel::Error, 6006, "job=" + attempts->id.str() + " record of attempts cannot be used: " + read.error().message);
+        if (const auto read = decodeAttempts(found->value, state); !read) {
+            logEvent(LogLevel::Error, 6006, "job=" + found->id.str() + " record of attempts cannot be used: " + read.error().message);
             continue;
         }
-        m_core.adoptRecord(attempts->id, state, takenOverUntil, now);
+        m_core.adoptRecord(found->id, state, takenOverUntil, now);
     }
 }
 
-auto PoolTerm::loadJobs(const RecordPage &ledger) -> void
+auto PoolTerm::loadJobs(const RecordPage &attempts) -> void
 {
     const auto now = m_clock.mono();
     const auto wall = m_clock.wall();
-    auto summaries = m_view.jobs();
-    auto published = std::map<JobId, PoolJobPhase>{};
-    for (const auto &it : ledger.records) {
+    for (const auto &it : attempts.records) {
         const auto record = decodePoolRecord(it.key, it.value);
         if (!record) {
-            logEvent(LogLevel::Error, 6032, "ledger record at offset " + std::to_string(it.offset.value) + " left out: " + record.error().message);
+            logEvent(LogLevel::Error, 6032, "record at offset " + std::to_string(it.offset.value) + " left out: " + record.error().message);
         } else if (const auto *job = std::get_if<PoolJob>(&record.value())) {
-            summaries[job->id].job = std::make_shared<const PoolJob>(*job);
-            m_onLedger.insert(job->id);
-        } else if (const auto *phase = std::get_if<PhaseRecord>(&record.value())) {
-            published[phase->id] = phase->phase;
+            m_view.apply(RecordLog::Attempts, record.value()); // its own log may not be served
+            m_recorded.insert(job->id);
         }
     }
     auto jobs = std::vector<JobSummary>{};
-    for (const auto &[id, it] : summaries) {
+    for (const auto &[id, it] : m_view.jobs()) {
         if (it.job) {
             jobs.push_back(it);
         }
@@ -225,14 +230,15 @@
         const auto age = std::clamp(std::chrono::duration_cast<Millis>(wall - it.job->acceptedAt), Millis{0}, maxJobAge);
         m_core.addJob(*it.job, now - age);
     }
-    adoptLedger(ledger, now);
+    adoptAttempts(attempts, now);
     for (const auto &it : jobs) {
         const auto *state = m_core.find(it.job->id);
         if (it.cancelled) {
             m_core.cancelJob(it.job->id, now);
+        } else if (isFinal(it.phase)) {
+            m_core.adoptFinal(it.job->id, it.phase, now);
         }
-        const auto shown = published.find(it.job->id);
-        if (state->phase != (shown == published.end() ? PoolJobPhase::Queued : shown->second)) {
+        if (state->phase != it.phase) {
             m_unpublished.insert(it.job->id);
         }
     }
@@ -241,9 +247,12 @@
 auto PoolTerm::takeOver() -> bool
 {
     const auto begin = m_clock.mono();
+    // The epoch in the log of attempts shuts earlier planners out before it is read.
+    if (!appendAttempts({})) {
+        return false;
+    }
     while (!stopped()) {
-        // The claim in the ledger has shut earlier planners out, so nothing is added to what this reads.
-        const auto page = m_ports.store.newest(RecordLog::Ledger, snapshotTimeout);
+        const auto page = m_ports.store.newest(RecordLog::Attempts, snapshotTimeout);
         if (page) {
             loadJobs(page.value());
             auto lock = std::unique_lock{m_mutex};
@@ -287,33 +296,23 @@
     }
 }
 
-/// What a pass of the planner has to store before its orders go out; the caller holds m_mutex.
-auto PoolTerm::ledgerRecords(const PoolEffects &effects, MonoTime now) -> std::vector<KeyedRecord>
+/// What a pass of the planner has to record before its orders go out; the caller holds m_mutex.
+auto PoolTerm::attemptRecords(const PoolEffects &effects) -> std::vector<KeyedRecord>
 {
     auto records = std::vector<KeyedRecord>{};
     for (const auto &id : effects.changed) {
         const auto *state = m_core.find(id);
-        if (m_onLedger.insert(id).second) {
+        if (m_recorded.insert(id).second) {
             records.push_back(toRecord(encodeJob(state->job)));
         }
         records.push_back(toRecord(encodeAttempts(*state)));
     }
-    m_unpublished.insert(effects.phaseChanged.begin(), effects.phaseChanged.end());
-    for (const auto &id : std::exchange(m_unpublished, {})) {
-        if (const auto *state = m_core.find(id)) {
-            records.push_back(toRecord(encodePhase(id, state->phase)));
-        }
-    }
     for (const auto &id : std::exchange(m_dropped, {})) {
-        m_onLedger.erase(id);
-        for (const auto &it : encodeDroppedLedger(id)) {
+        m_recorded.erase(id);
+        for (const auto &it : encodeDroppedAttempts(id)) {
             records.push_back(toRecord(it));
         }
     }
-    if (now - m_lastRenewal >= m_options.renewEvery) {
-        records.push_back(toRecord(encodeLeadership(m_hooks.renewal())));
-        m_lastRenewal = now;
-    }
     return records;
 }
 
@@ -322,16 +321,25 @@
     const auto now = m_clock.mono();
     auto effects = PoolEffects{};
     auto records = std::vector<KeyedRecord>{};
+    auto unconfirmed = false;
     {
         const auto lock = std::lock_guard{m_mutex};
         takeInbox(now);
         effects = m_core.plan(now, m_clock.wall());
-        records = ledgerRecords(effects, now);
+        records = attemptRecords(effects);
+        m_unpublished.insert(effects.phaseChanged.begin(), effects.phaseChanged.end());
+        m_publish.notify_all();
+        unconfirmed = now - m_confirmedAt >= m_options.renewEvery * 2;
     }
+    const auto decided = m_clock.mono();
     countEffects(effects);
     for (const auto &it : effects.notes) {
         logEvent(LogLevel::Info, 6010, std::string("decision=") + it.decision + " " + it.text);
     }
+    // The log of states may not be served; an append without records confirms the leadership as well.
+    if (records.empty() && unconfirmed && !appendAttempts({})) {
+        return;
+    }
     if (!record(effects, std::move(records))) {
         return;
     }
@@ -342,10 +350,11 @@
         dropJobs(effects.expired);
     }
     updateLookers();
+    pause(std::min(std::chrono::duration_cast<Millis>(decided - now) * restPerPass, maxRest));
 }
 
-/// Drops expired jobs from the logs of jobs, then from the ledger: a job that only the ledger holds would be taken for
-/// finished, one that only a log of jobs holds for new.
+/// Drops expired jobs from the logs of jobs, and only then their states and attempts: a job that only a log of jobs holds
+/// would be taken for a new one.
 auto PoolTerm::dropJobs(const std::vector<JobId> &expired) -> void
 {
     const auto posted = m_orderPool->post([this, expired] {
@@ -367,6 +376,7 @@
         }
         const auto lock = std::lock_guard{m_mutex};
         m_dropped.insert(m_dropped.end(), expired.begin(), expired.end());
+        m_droppedPhases.insert(m_droppedPhases.end(), expired.begin(), expired.end());
     });
     if (!posted) {
         logEvent(LogLevel::Error, 6009, "order queue is full; " + std::to_string(expired.size()) + " expired jobs stay in the logs");
@@ -397,7 +407,7 @@
     for (auto &it : records) {
         const auto size = it.key.size() + it.value.size();
         if (!batch.empty() && bytes + size > maxAppendBytes) {
-            if (!appendLedger(batch)) {
+            if (!appendAttempts(batch)) {
                 return false;
             }
             batch.clear();
@@ -406,7 +416,7 @@
         bytes += size;
         batch.push_back(std::move(it));
     }
-    if (!batch.empty() && !appendLedger(batch)) {
+    if (!batch.empty() && !appendAttempts(batch)) {
         return false;
     }
     const auto lock = std::lock_guard{m_mutex};
@@ -415,23 +425,33 @@
     return true;
 }
 
-auto PoolTerm::appendLedger(const std::vector<KeyedRecord> &records) -> bool
+/// An append that was sent at @p sentAt and stored shows that no newer planner has begun before.
+auto PoolTerm::confirmed(MonoTime sentAt) -> void
 {
-    const auto guard = AppendGuard{.epoch = m_options.epoch, .sequence = m_ledgerSequence};
+    m_hooks.renewed(sentAt);
+    const auto lock = std::lock_guard{m_mutex};
+    m_confirmedAt = std::max(m_confirmedAt, sentAt);
+}
+
+auto PoolTerm::appendAttempts(const std::vector<KeyedRecord> &records) -> bool
+{
+    const auto guard = AppendGuard{.epoch = m_options.epoch, .sequence = m_attemptsSequence};
     while (!stopped()) {
         const auto sentAt = m_clock.mono();
-        const auto done = m_ports.store.append(RecordLog::Ledger, records, guard, appendTry);
+        const auto done = m_ports.store.append(RecordLog::Attempts, records, guard, appendTry);
         if (done) {
-            ++m_ledgerSequence;
-            m_hooks.renewed(sentAt);
+            if (!records.empty()) {
+                ++m_attemptsSequence;
+            }
+            confirmed(sentAt);
             return true;
         }
         logEvent(LogLevel::Warn,
                  6008,
-                 "ledger not written epoch=" + std::to_string(m_options.epoch) + " sequence=" + std::to_string(guard.sequence)
+                 "record of attempts not stored epoch=" + std::to_string(m_options.epoch) + " sequence=" + std::to_string(guard.sequence)
                      + " try_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_clock.mono() - sentAt).count()) + " reason=" + done.error().message);
         if (done.error().code == ErrorCode::StaleGeneration || done.error().code == ErrorCode::Conflict) {
-            m_hooks.fenced("the ledger belongs to a newer planner");
+            m_hooks.fenced("the record of attempts belongs to a newer planner");
             return false;
         }
         pause(appendPause);
@@ -643,4 +663,66 @@
     std::this_thread::sleep_for(failedLookPause);
 }
 
+auto PoolTerm::nextPublication() -> std::vector<KeyedRecord>
+{
+    auto lock = std::unique_lock{m_mutex};
+    const auto due = [&] { return m_clock.mono() - m_lastRenewal >= m_options.renewEvery; };
+    const auto left = std::chrono::duration_cast<Millis>(m_lastRenewal + m_options.renewEvery - m_clock.mono());
+    if (left.count() > 0) {
+        m_publish.wait_for(lock, left, [&] { return m_stopping || !m_unpublished.empty() || !m_droppedPhases.empty() || due(); });
+    }
+    auto records = std::vector<KeyedRecord>{};
+    for (const auto &id : std::exchange(m_unpublished, {})) {
+        if (const auto *state = m_core.find(id)) {
+            records.push_back(toRecord(encodePhase(id, state->phase)));
+        }
+    }
+    for (const auto &id : std::exchange(m_droppedPhases, {})) {
+        records.push_back(toRecord(encodeDroppedPhase(id)));
+    }
+    if (!records.empty() || due()) {
+        records.push_back(toRecord(encodeLeadership(m_hooks.renewal())));
+    }
+    return records;
+}
+
+auto PoolTerm::publish(const std::vector<KeyedRecord> &records, std::int64_t sequence) -> bool
+{
+    while (!stopped()) {
+        const auto sentAt = m_clock.mono();
+        const auto done = m_ports.store.append(RecordLog::States, records, {.epoch = m_options.epoch, .sequence = sequence}, appendTry);
+        if (done) {
+            confirmed(sentAt);
+            m_lastRenewal = sentAt;
+            return true;
+        }
+        logEvent(LogLevel::Warn,
+                 6012,
+                 "states not published epoch=" + std::to_string(m_options.epoch) + " sequence=" + std::to_string(sequence) + " reason=" + done.error().message);
+        if (done.error().code == ErrorCode::StaleGeneration || done.error().code == ErrorCode::Conflict) {
+            m_hooks.fenced("the log of states belongs to a newer planner");
+            return false;
+        }
+        pause(appendPause);
+    }
+    return false;
+}
+
+auto PoolTerm::publisherLoop() -> void
+{
+    nameThread("publisher");
+    // The claim was the first append of this epoch.
+    auto sequence = std::int64_t{1};
+    while (!stopped()) {
+        const auto records = nextPublication();
+        if (records.empty()) {
+            continue;
+        }
+        if (!publish(records, sequence)) {
+            return;
+        }
+        ++sequence;
+    }
+}
+
 }
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -9,12 +9,14 @@
 ///   term.stop();
 /// @endcode
 ///
-/// Threads: one plans and writes the ledger, one looks at each worker, a pool sends orders, and a tail follows the
-/// workers' entries. Lock order: m_mutex, then nothing; no call to the network is made while it is held.
+/// Threads: one plans and records attempts, one publishes the states of jobs and renews the leadership, one looks at each
+/// worker, a pool sends orders, and a tail follows the workers' entries. Lock order: m_mutex, then nothing; no call to the
+/// network is made while it is held.
 ///
-/// One append to the ledger holds the placements, the ends and the states shown to callers that a pass of the planner
-/// has decided, and renews the leadership. The ledger also repeats each job that has been placed, so that a new planner
-/// needs nothing else to take over what runs.
+/// The log of attempts repeats each job that was placed, so that a new planner needs no log of jobs to take over what
+/// runs. A final state may be published before the ends that led to it are recorded: it stands for them at a takeover,
+/// and the workers forget no end before it is recorded. Appends to either log prove that no newer planner has taken over,
+/// so that the term goes on while one of them is not served.
 
 #include "daemon/metrics.h"
 #include "daemon/poolview.h"
@@ -102,13 +104,17 @@
     auto pause(Millis span) -> void;
     auto plannerLoop() -> void;
     auto takeOver() -> bool;
-    auto loadJobs(const RecordPage &ledger) -> void;
-    auto adoptLedger(const RecordPage &ledger, MonoTime now) -> void;
+    auto loadJobs(const RecordPage &attempts) -> void;
+    auto adoptAttempts(const RecordPage &attempts, MonoTime now) -> void;
     auto takeInbox(MonoTime now) -> void;
     auto planOnce() -> void;
-    auto ledgerRecords(const PoolEffects &effects, MonoTime now) -> std::vector<KeyedRecord>;
+    auto attemptRecords(const PoolEffects &effects) -> std::vector<KeyedRecord>;
     auto record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool;
-    auto appendLedger(const std::vector<KeyedRecord> &records) -> bool;
+    auto appendAttempts(const std::vector<KeyedRecord> &records) -> bool;
+    auto publisherLoop() -> void;
+    auto nextPublication() -> std::vector<KeyedRecord>;
+    auto publish(const std::vector<KeyedRecord> &records, std::int64_t sequence) -> bool;
+    auto confirmed(MonoTime sentAt) -> void;
     auto dropJobs(const std::vector<JobId> &expired) -> void;
     auto countEffects(const PoolEffects &effects) -> void;
     auto dispatch(const PoolOrder &order) -> void;
@@ -130,6 +136,7 @@
 
     mutable std::mutex m_mutex; ///< guards everything below up to the threads
     std::condition_variable m_wake; ///< the planner has something to do
+    std::condition_variable m_publish; ///< there is a state to publish
     std::condition_variable m_progress; ///< records were written, or a looker has something to do
     bool m_stopping = false;
     bool m_dirty = true;
@@ -139,18 +146,21 @@
     std::set<JobId> m_inbox;
     std::map<WorkerId, PoolWorkerInfo> m_entries;
     PoolCore m_core;
-    std::set<JobId> m_unpublished; ///< jobs whose phase the ledger does not show yet
-    std::set<JobId> m_onLedger; ///< jobs that the ledger holds
-    std::vector<JobId> m_dropped; ///< jobs that the logs of jobs have dropped, and the ledger has not
+    std::set<JobId> m_unpublished; ///< jobs whose phase is to be published
+    std::set<JobId> m_recorded; ///< jobs that the log of attempts holds
+    std::vector<JobId> m_dropped; ///< jobs that the logs of jobs have dropped, and the log of attempts has not
+    std::vector<JobId> m_droppedPhases; ///< jobs whose published phase is to be dropped
+    MonoTime m_confirmedAt; ///< when the last append was sent that proves this planner to be the newest
     std::map<WorkerId, std::shared_ptr<OrderLink>> m_links; ///< and what they queue
 
-    std::int64_t m_ledgerSequence = 1; ///< planner thread only; the claim was the first append of the epoch
-    MonoTime m_lastRenewal; ///< planner thread only
+    std::int64_t m_attemptsSequence = 0; ///< planner thread only
+    MonoTime m_lastRenewal; ///< publisher thread only
     std::list<std::unique_ptr<Looker>> m_lookers; ///< planner thread only
     std::list<std::unique_ptr<Looker>> m_retired; ///< planner thread only
     std::unique_ptr<RecordTail> m_workersTail;
     std::unique_ptr<WorkPool> m_orderPool;
     std::thread m_planner;
+    std::thread m_publisher;
 };
 
 }
--- a/packages/daemon/poolview.h
+++ b/packages/daemon/poolview.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// What one instance knows of the pool from the logs of jobs, the ledger and the configuration: enough to answer callers.
+/// What one instance knows of the pool from the logs of jobs, the states and the configuration: enough to answer callers.
 ///
 /// @code
 ///   view.applyConfig(config, sentAt);
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -169,6 +169,17 @@
     }
 }
 
+auto PoolCore::adoptFinal(const JobId &id, PoolJobPhase phase, MonoTime now) -> void
+{
+    const auto it = m_jobs.find(id);
+    if (it == m_jobs.end() || isFinal(it->second.phase)) {
+        return;
+    }
+    it->second.finalSince = now;
+    stopJob(it->second);
+    setPhase(it->second, phase);
+}
+
 auto PoolCore::setWorkers(const std::vector<PoolWorkerInfo> &listed, MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -90,6 +90,8 @@
     /// Takes over a job with the record of an earlier planner; addJob() must have been called.
     /// @param takenOverUntil when every lease of earlier planners has run out
     auto adoptRecord(const JobId &id, const PoolJobState &recorded, MonoTime takenOverUntil, MonoTime now) -> void;
+    /// Takes over a final state that an earlier planner published; what is left of the job is stopped.
+    auto adoptFinal(const JobId &id, PoolJobPhase phase, MonoTime now) -> void;
     auto setWorkers(const std::vector<PoolWorkerInfo> &listed, MonoTime now) -> void;
     /// @param sentAt when the look was sent
     /// @return whether plan() may decide otherwise now
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+/// Bound on the tasks of one step that a worker is counted to take.
+constexpr auto maxCopies = 10'000;
 /// What an accelerator counts beside a core when lost work is compared.
 constexpr auto coresPerAccelerator = 8.0;
 constexpr auto millisPerCore = 1'000.0;
@@ -76,6 +78,37 @@
     return group.job->job.steps[static_cast<std::size_t>(group.step)];
 }
 
+auto PoolPlacer::shapeOf(const TaskGroup &group, Room kind, Spread spread) const -> ShapeKey
+{
+    const auto &it = spec(group);
+    return {kind,
+            spread,
+            group.guaranteed,
+            group.queue->service,
+            it.perTask.cpuMillis,
+            it.perTask.memoryMb,
+            it.perTask.accelerators,
+            it.requiredLabel,
+            it.dataRack};
+}
+
+auto PoolPlacer::isRuledOut(const TaskGroup &group, Room kind, Spread spread) const -> bool
+{
+    const auto it = m_ruledOut.find(shapeOf(group, kind, spread));
+    return it != m_ruledOut.end() && it->second <= group.tasks.size();
+}
+
+/// Room only shrinks during a pass, but for that of attempts being stopped; see preempt().
+auto PoolPlacer::ruleOut(const TaskGroup &group, Room kind, Spread spread) -> void
+{
+    // A limit for each worker makes the room depend on the job.
+    if (spec(group).maxPerWorker > 0) {
+        return;
+    }
+    const auto [it, isNew] = m_ruledOut.try_emplace(shapeOf(group, kind, spread), group.tasks.size());
+    it->second = std::min(it->second, group.tasks.size());
+}
+
 auto PoolPlacer::collectStep(PoolJobState &state, const PoolQueue &queue, int occurrence, int step) -> void
 {
     const auto &tasks = state.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].tasks;
@@ -239,11 +272,16 @@
 {
     const auto &wanted = spec(group);
     auto out = std::vector<WorkerRoom>{};
+    out.reserve(m_slots.size());
     for (auto i = std::size_t{0}; i < m_slots.size(); ++i) {
         const auto &slot = m_slots[i];
         const auto &info = slot.worker->info;
+        const auto fixed = kind == Room::Free || kind == Room::FreeSoon;
+        if (!slot.usable || (fixed && copiesThatFit(wanted.perTask, kind == Room::Free ? slot.free : slot.soon, 1) == 0)) {
+            continue;
+        }
         const auto labelled = wanted.requiredLabel.empty() || std::find(info.labels.begin(), info.labels.end(), wanted.requiredLabel) != info.labels.end();
-        if (!slot.usable || info.service != group.queue->service || !labelled) {
+        if (info.service != group.queue->service || !labelled) {
             continue;
         }
         auto room
@@ -258,22 +296,30 @@
             addReclaimable(group, kind, slot, room);
         }
         room.room = clampToZero(room.room);
-        out.push_back(std::move(room));
+        if (copiesThatFit(wanted.perTask, room.room, 1) > 0) {
+            out.push_back(std::move(room));
+        }
     }
     return out;
 }
 
-auto PoolPlacer::fitsOneRack(const TaskGroup &group) const -> bool
+auto PoolPlacer::fitsOneRack(const TaskGroup &group) -> bool
 {
     const auto &wanted = spec(group);
-    auto racks = std::map<std::string, int>{};
-    for (const auto &it : m_slots) {
-        if (it.usable && it.worker->info.service == group.queue->service) {
-            const auto limit = wanted.maxPerWorker > 0 ? std::min(wanted.maxPerWorker, wanted.tasks) : wanted.tasks;
-            racks[it.worker->info.rack] += copiesThatFit(wanted.perTask, it.worker->info.capacity, limit);
+    const auto limit = wanted.maxPerWorker > 0 ? wanted.maxPerWorker : maxCopies;
+    const auto key = std::tuple{group.queue->service, wanted.perTask.cpuMillis, wanted.perTask.memoryMb, wanted.perTask.accelerators, limit};
+    const auto [most, isNew] = m_mostInRack.try_emplace(key, 0);
+    if (isNew) {
+        auto racks = std::map<std::string, int>{};
+        for (const auto &it : m_slots) {
+            if (it.usable && it.worker->info.service == group.queue->service) {
+                auto &n = racks[it.worker->info.rack];
+                n += copiesThatFit(wanted.perTask, it.worker->info.capacity, limit);
+                most->second = std::max(most->second, n);
+            }
         }
     }
-    return std::any_of(racks.begin(), racks.end(), [&](const auto &it) { return it.second >= wanted.tasks; });
+    return most->second >= wanted.tasks;
 }
 
 auto PoolPlacer::take(Slot &slot, const Resources &need) -> void
@@ -325,9 +371,13 @@
 
 auto PoolPlacer::placeGang(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool
 {
+    if (isRuledOut(group, Room::Free, spread)) {
+        return false;
+    }
     const auto free = rooms(group, Room::Free);
     const auto chosen = chooseWorkers(free, spec(group), static_cast<int>(group.tasks.size()), spread);
     if (!chosen) {
+        ruleOut(group, Room::Free, spread);
         return false;
     }
     auto slots = std::vector<std::size_t>{};
@@ -340,9 +390,13 @@
 
 auto PoolPlacer::reserveSoon(const TaskGroup &group, Spread spread) -> bool
 {
+    if (isRuledOut(group, Room::FreeSoon, spread)) {
+        return false;
+    }
     const auto soon = rooms(group, Room::FreeSoon);
     const auto chosen = chooseWorkers(soon, spec(group), static_cast<int>(group.tasks.size()), spread);
     if (!chosen) {
+        ruleOut(group, Room::FreeSoon, spread);
         return false;
     }
     for (const auto it : *chosen) {
@@ -385,11 +439,17 @@
 
 auto PoolPlacer::preempt(const TaskGroup &group, Spread spread) -> bool
 {
+    if (isRuledOut(group, Room::Preemptible, spread)) {
+        return false;
+    }
     const auto reclaimable = rooms(group, Room::Preemptible);
     const auto chosen = chooseWorkers(reclaimable, spec(group), static_cast<int>(group.tasks.size()), spread);
     if (!chosen) {
+        ruleOut(group, Room::Preemptible, spread);
         return false;
     }
+    // The attempts that are stopped now add to the room that is free soon.
+    std::erase_if(m_ruledOut, [](const auto &it) { return std::get<Room>(it.first) == Room::FreeSoon; });
     for (const auto it : *chosen) {
         auto &slot = m_slots[reclaimable[it].worker];
         makeRoom(group, slot, spec(group).perTask);
@@ -454,7 +514,7 @@
         keepRoom(group);
         return false;
     }
-    if (!wanted.gang) {
+    if (!wanted.gang && !isRuledOut(group, Room::Free, Spread::Anywhere)) {
         const auto free = rooms(group, Room::Free);
         const auto chosen = chooseForSome(free, wanted, static_cast<int>(group.tasks.size()));
         if (!chosen.empty()) {
@@ -469,6 +529,10 @@
         if (group.tasks.empty()) {
             return true;
         }
+        // What is left found no room for a single task.
+        auto one = group;
+        one.tasks.resize(1);
+        ruleOut(one, Room::Free, Spread::Anywhere);
     }
     const auto oneRack = wanted.sameRack && fitsOneRack(group);
     const auto spread = oneRack ? Spread::OneRack : wanted.dataRack.empty() ? Spread::Anywhere : Spread::DataRack;
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -14,7 +14,10 @@
 #include "policy/poolcore.h"
 #include "policy/poolplacement.h"
 
+#include <map>
 #include <set>
+#include <string>
+#include <tuple>
 #include <vector>
 
 namespace Catkin
@@ -64,6 +67,12 @@
         Resources resources;
     };
 
+    /// What two groups must share to find the same room: a group that finds none rules out the others of at least its size.
+    using ShapeKey = std::tuple<Room, Spread, bool, ServiceId, std::int64_t, std::int64_t, std::int64_t, std::string, std::string>;
+
+    auto shapeOf(const TaskGroup &group, Room kind, Spread spread) const -> ShapeKey;
+    auto isRuledOut(const TaskGroup &group, Room kind, Spread spread) const -> bool;
+    auto ruleOut(const TaskGroup &group, Room kind, Spread spread) -> void;
     auto collectGroups() -> void;
     auto collectStep(PoolJobState &state, const PoolQueue &queue, int occurrence, int step) -> void;
     auto markGuaranteed() -> void;
@@ -85,7 +94,7 @@
     auto mayPreempt(const TaskGroup &group, const PoolCore::AttemptKey &key, const PoolCore::Allocation &victim) const -> bool;
     auto lossOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double;
     auto remainingOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double;
-    auto fitsOneRack(const TaskGroup &group) const -> bool;
+    auto fitsOneRack(const TaskGroup &group) -> bool;
     auto spec(const TaskGroup &group) const -> const PoolStep &;
 
     PoolCore &m_core;
@@ -95,6 +104,8 @@
     std::vector<Slot> m_slots;
     std::set<JobId> m_guaranteedJobs;
     std::set<int> m_blockedPriorities;
+    std::map<ShapeKey, std::size_t> m_ruledOut; ///< smallest number of tasks that found no room in this pass
+    std::map<std::tuple<ServiceId, std::int64_t, std::int64_t, std::int64_t, int>, int> m_mostInRack; ///< tasks of a shape in the emptied rack that takes most
     std::int64_t m_freeAccelerators = 0;
     std::int64_t m_reserve = 0; ///< accelerators to keep free of work of lower priorities
 };
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -242,7 +242,8 @@
         const auto repeats = pool.plan();
         REQUIRE(std::any_of(repeats.begin(), repeats.end(), [&](const PoolOrder &it) { return it.task == first.task && it.kind == PoolOrder::Kind::Start; }));
         if (seen) {
-            pool.core.applyLook(first.worker, {.clock = WorkerTime{100}, .born = Incarnation{1}, .running = {{.task = first.task, .attempt = 1}}}, pool.now, pool.now);
+            pool.core.applyLook(
+                first.worker, {.clock = WorkerTime{100}, .born = Incarnation{1}, .running = {{.task = first.task, .attempt = 1}}}, pool.now, pool.now);
         }
         pool.core.applyOrder(first, OrderOutcome::NotSent, pool.now);
         pool.plan();
--- a/packages/ports/recordstore.h
+++ b/packages/ports/recordstore.h
@@ -27,7 +27,8 @@
     Workers, ///< what workers say of themselves; read only
     Jobs, ///< jobs, cancellations and instances, written by any instance
     JobsSpare, ///< the same; an instance that cannot write to one writes to the other
-    Ledger, ///< leadership, and the planner's record of attempts and states of jobs; written by the planner
+    States, ///< leadership and the states of jobs that callers see; written by the planner, followed by every instance
+    Attempts, ///< where tasks were placed, and the jobs they belong to; read only by a new planner
 };
 
 /// The logs that hold accepted jobs. A record may be in either, or in both after an append in doubt.
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -176,9 +176,14 @@
     return {{jobPrefix + id.str(), {}}, {cancelPrefix + id.str(), {}}};
 }
 
-auto encodeDroppedLedger(const JobId &id) -> std::vector<EncodedRecord>
+auto encodeDroppedAttempts(const JobId &id) -> std::vector<EncodedRecord>
 {
-    return {{jobPrefix + id.str(), {}}, {attemptsPrefix + id.str(), {}}, {phasePrefix + id.str(), {}}};
+    return {{jobPrefix + id.str(), {}}, {attemptsPrefix + id.str(), {}}};
+}
+
+auto encodeDroppedPhase(const JobId &id) -> EncodedRecord
+{
+    return {phasePrefix + id.str(), {}};
 }
 
 auto decodePoolRecord(const std::string &key, const std::string &value) -> Result<PoolRecord>
--- a/packages/state/poolrecords.h
+++ b/packages/state/poolrecords.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// The records of a pool in the logs of jobs and in the ledger, as JSON; docs/log-records.md lists the fields.
+/// The records of a pool in its logs, as JSON; docs/log-records.md lists the fields.
 ///
 /// @code
 ///   auto record = Catkin::encodeJob(job);              // {key, value}
@@ -62,8 +62,10 @@
 auto encodeLeadership(const LeadershipRecord &record) -> EncodedRecord;
 /// @return the keys of a job in a log of jobs, with empty values: they are dropped.
 auto encodeDroppedJob(const JobId &id) -> std::vector<EncodedRecord>;
-/// @return the keys of a job in the ledger, with empty values: they are dropped.
-auto encodeDroppedLedger(const JobId &id) -> std::vector<EncodedRecord>;
+/// @return the keys of a job in the log of attempts, with empty values: they are dropped.
+auto encodeDroppedAttempts(const JobId &id) -> std::vector<EncodedRecord>;
+/// @return the key of a job's state, with an empty value: it is dropped.
+auto encodeDroppedPhase(const JobId &id) -> EncodedRecord;
 
 /// @return the record; ErrorCode::Protocol when key or value cannot be read.
 auto decodePoolRecord(const std::string &key, const std::string &value) -> Result<PoolRecord>;
