Take over anew after another planner has claimed the workers in between

Change: a planner that another one has superseded is replaced by a new one, which claims after the same pause and adopts what the answers show; only the attempt numbers are handed on. Log events 6014 and 6015 tell apart what shared a number (logevents_test).

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -130,13 +130,26 @@
     if (m_claimed) {
         logEvent(LogLevel::Warn, 2403, "another planner has claimed a worker of " + m_domain.str() + "; claiming again after a pause");
         m_claimed = false;
+        m_superseded = true;
         m_claimAfter = now + m_context.options.staleBackoff;
     }
 }
 
+auto DomainPlanner::superseded() const -> bool
+{
+    return m_superseded;
+}
+
+auto DomainPlanner::succeed(const DomainPlanner &superseded) -> void
+{
+    m_claimAfter = superseded.m_claimAfter;
+    // A late record of an earlier try must not count for one with the same number.
+    m_lastAttempt = superseded.m_lastAttempt;
+}
+
 auto DomainPlanner::claim(MonoTime now) -> void
 {
-    if (m_claimed || now < m_claimAfter) {
+    if (m_claimed || m_superseded || now < m_claimAfter) {
         return;
     }
     const auto reachedAny = std::any_of(m_workers.begin(), m_workers.end(), [](const auto &it) { return it.second.status.has_value(); });
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -111,6 +111,11 @@
     [[nodiscard]] auto view() const -> PlannerView;
     [[nodiscard]] auto generation() const -> const Generation &;
     [[nodiscard]] auto claimed() const -> bool;
+    /// @return whether another planner has claimed a worker since. This object then knows nothing of what that planner started, and
+    /// does nothing more: a new one has to take over in its place.
+    [[nodiscard]] auto superseded() const -> bool;
+    /// Takes the place of a superseded planner of this instance after a pause.
+    auto succeed(const DomainPlanner &superseded) -> void;
 
 private:
     struct Worker
@@ -165,6 +170,7 @@
     std::map<WorkerId, Worker> m_workers;
     Generation m_generation;
     bool m_claimed = false;
+    bool m_superseded = false;
     bool m_adopted = false;
     bool m_jobsChanged = true;
     MonoTime m_since;
--- a/packages/daemon/plannerservice.cpp
+++ b/packages/daemon/plannerservice.cpp
@@ -120,8 +120,11 @@
     for (auto &[id, it] : m_domains) {
         // Without the jobs and the configuration every lease would look like one of no known gang.
         const auto mine = !it.workers.empty() && config && m_context.jobs->caughtUp() && m_isPlanner(id, it.region);
-        if (mine && !it.planner) {
-            it.planner = std::make_shared<DomainPlanner>(id, m_context);
+        if (mine && (!it.planner || it.planner->superseded())) {
+            const auto before = std::exchange(it.planner, std::make_shared<DomainPlanner>(id, m_context));
+            if (before) {
+                it.planner->succeed(*before);
+            }
             it.planner->setWorkers(it.workers);
             it.planner->setConfig(*config);
         } else if (!mine && it.planner) {
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -209,7 +209,7 @@
     for (const auto &it : attempts.records) {
         const auto record = decodePoolRecord(it.key, it.value);
         if (!record) {
-            logEvent(LogLevel::Error, 6032, "record at offset " + std::to_string(it.offset.value) + " left out: " + record.error().message);
+            logEvent(LogLevel::Error, 6015, "record of attempts at offset " + std::to_string(it.offset.value) + " left out: " + record.error().message);
         } else if (const auto *job = std::get_if<PoolJob>(&record.value())) {
             m_view.apply(RecordLog::Attempts, record.value()); // its own log may not be served
             m_recorded.insert(job->id);
@@ -379,7 +379,7 @@
         m_droppedPhases.insert(m_droppedPhases.end(), expired.begin(), expired.end());
     });
     if (!posted) {
-        logEvent(LogLevel::Error, 6009, "order queue is full; " + std::to_string(expired.size()) + " expired jobs stay in the logs");
+        logEvent(LogLevel::Error, 6014, "order queue is full; " + std::to_string(expired.size()) + " expired jobs stay in the logs");
     }
 }
 
--- a/packages/daemon/testing/domainplanner_test.cpp
+++ b/packages/daemon/testing/domainplanner_test.cpp
@@ -1,4 +1,5 @@
 #include "daemon/domainplanner.h"
+#include "daemon/plannerservice.h"
 
 #include "state/records.h"
 
@@ -42,6 +43,31 @@
     }
 };
 
+auto describeJob() -> JobDescription
+{
+    return {.id = job,
+            .workspace = WorkspaceId{"gas"},
+            .caller = CallerId{"desk"},
+            .kind = KindId{"simulate"},
+            .key = IdempotencyKey{"k"},
+            .domain = domain,
+            .tasks = 1,
+            .slotsPerTask = SlotCount{1},
+            .restartable = true};
+}
+
+auto runningLease(int attempt) -> WorkerLease
+{
+    return {.lease = GangTable::leaseId(job, attempt, 0),
+            .job = job,
+            .attempt = attempt,
+            .holder = "earlier",
+            .slots = {0},
+            .state = LeaseState::Running,
+            .remaining = Millis{60'000},
+            .started = true};
+}
+
 /// A worker to which an order of the earlier planner is under way: it takes effect just before the new planner's claim.
 struct TakenOverWorker
 {
@@ -52,14 +78,7 @@
     auto apply(const Generation &generation, const WorkerOrder &order) -> void
     {
         if (order.op == OrderOp::Claim) {
-            status.leases = {{.lease = LeaseId{"job-1.1.0"},
-                              .job = job,
-                              .attempt = 1,
-                              .holder = "earlier",
-                              .slots = {0},
-                              .state = LeaseState::Running,
-                              .remaining = Millis{60'000},
-                              .started = true}};
+            status.leases = {runningLease(1)};
         }
         reservations += order.op == OrderOp::Reserve ? 1 : 0;
         status.generation = generation;
@@ -96,15 +115,7 @@
     auto writer = LogWriter{log.port(), clock, {}};
     auto pool = WorkPool{2, 16};
     auto jobs = JobService{log.port(), writer, clock, {}, [] {}};
-    const auto spec = JobDescription{.id = job,
-                                     .workspace = WorkspaceId{"gas"},
-                                     .caller = CallerId{"desk"},
-                                     .kind = KindId{"simulate"},
-                                     .key = IdempotencyKey{"k"},
-                                     .domain = domain,
-                                     .tasks = 1,
-                                     .slotsPerTask = SlotCount{1},
-                                     .restartable = true};
+    const auto spec = describeJob();
     const auto limit = std::chrono::steady_clock::now() + Seconds{20};
     while (jobs.submit(spec, Millis{1'000}).outcome == SubmitOutcome::NotAccepted && std::chrono::steady_clock::now() < limit) {
         std::this_thread::sleep_for(Millis{5});
@@ -131,3 +142,117 @@
     const auto lock = std::lock_guard{worker.mutex};
     CHECK(worker.reservations == 0);
 }
+
+namespace
+{
+
+/// A worker that another planner can claim.
+struct ContestedWorker
+{
+    std::mutex mutex;
+    WorkerStatus status{.worker = WorkerId{"w"}, .boot = "b", .rack = RackId{"r"}, .domain = domain, .slots = 8};
+    int reservations = 0;
+    int claims = 0;
+    int looks = 0; ///< answers with a status, those to orders included
+    bool silent = false;
+
+    auto seize() -> void
+    {
+        const auto lock = std::lock_guard{mutex};
+        status.generation = {.counter = status.generation.counter + 1, .holder = "another"};
+        status.leases = {runningLease(3)};
+        silent = true;
+    }
+
+    auto answerAgain() -> void
+    {
+        const auto lock = std::lock_guard{mutex};
+        silent = false;
+    }
+
+    auto orders(const Generation &generation, const std::vector<WorkerOrder> &orders) -> Result<OrdersReply>
+    {
+        const auto lock = std::lock_guard{mutex};
+        ++looks;
+        if (silent) {
+            return failure(ErrorCode::Unavailable, "no answer");
+        }
+        if (status.generation > generation) {
+            return failure(ErrorCode::StaleGeneration, "a newer planner has claimed the worker");
+        }
+        status.generation = generation;
+        auto reply = OrdersReply{};
+        for (const auto &it : orders) {
+            claims += it.op == OrderOp::Claim ? 1 : 0;
+            reservations += it.op == OrderOp::Reserve ? 1 : 0;
+            reply.results.push_back({.ok = true});
+        }
+        reply.status = status;
+        return reply;
+    }
+
+    auto port() -> WorkerPort
+    {
+        return {
+            .status = [this](const std::string &, Millis) -> Result<WorkerStatus> {
+                const auto lock = std::lock_guard{mutex};
+                ++looks;
+                if (silent) {
+                    return failure(ErrorCode::Unavailable, "no answer");
+                }
+                return status;
+            },
+            .orders
+            = [this](const std::string &, const Generation &generation, const std::vector<WorkerOrder> &given, Millis) { return orders(generation, given); }};
+    }
+
+    auto count(int ContestedWorker::*member) -> int
+    {
+        const auto lock = std::lock_guard{mutex};
+        return this->*member;
+    }
+};
+
+}
+
+// Guards against a planner that claims its workers back and does not know what the other planner started meanwhile: it
+// started the same job a second time.
+TEST_CASE("a planner that claims again adopts what another planner started in between")
+{
+    auto log = MemoryLog{};
+    auto worker = ContestedWorker{};
+    const auto clock = systemClock();
+    auto writer = LogWriter{log.port(), clock, {}};
+    auto pool = WorkPool{2, 16};
+    auto jobs = JobService{log.port(), writer, clock, {}, [] {}};
+    const auto limit = std::chrono::steady_clock::now() + Seconds{20};
+    const auto eventually = [&](const std::function<bool()> &holds) {
+        while (!holds() && std::chrono::steady_clock::now() < limit) {
+            std::this_thread::sleep_for(Millis{2});
+        }
+        return holds();
+    };
+    auto options = PlannerOptions{.instance = InstanceId{"new"}};
+    options.staleBackoff = Millis{20};
+    auto service = PlannerService{{.workers = worker.port(), .jobs = &jobs, .pool = &pool, .clock = clock, .options = options},
+                                  [](const FailureDomainId &, const RegionId &) { return true; }};
+    auto config = std::make_shared<ActiveConfig>();
+    config->document.workspaces.push_back({.name = WorkspaceId{"gas"}});
+    service.configChanged(config);
+    service.workersChanged({{.id = "w", .role = InstanceRole::Worker, .domain = domain, .rack = RackId{"r"}, .slots = 8, .address = "a"}});
+    REQUIRE(eventually([&] { return worker.count(&ContestedWorker::claims) == 1; }));
+    worker.seize();
+    REQUIRE(eventually([&] { return jobs.submit(describeJob(), Millis{1'000}).outcome != SubmitOutcome::NotAccepted; }));
+    REQUIRE(eventually([&] { return jobs.find(job).has_value(); }));
+    worker.answerAgain();
+    service.jobsChanged();
+    REQUIRE(eventually([&] { return worker.count(&ContestedWorker::claims) >= 2; }));
+    CHECK(eventually([&] {
+        const auto views = service.views(Millis{1'000});
+        return !views.empty() && views[0].gangs == 1;
+    }));
+    // An order for a second start would go out before the next looks.
+    const auto seen = worker.count(&ContestedWorker::looks);
+    REQUIRE(eventually([&] { return worker.count(&ContestedWorker::looks) >= seen + 2; }));
+    CHECK(worker.count(&ContestedWorker::reservations) == 0);
+}
--- a/packages/policy/leadership.h
+++ b/packages/policy/leadership.h
@@ -2,11 +2,11 @@
 
 /// Decides which instance plans for the pool, and when it must stop giving orders.
 ///
-/// The shared log orders all claims: a claim is appended on condition that the log still ends where the claimant saw
+/// The log of states orders all claims: a claim is appended on condition that the log still ends where the claimant saw
 /// it end, so one claimant wins, and the offset of its claim is its epoch and fencing token. The holder renews; an
 /// instance that has read the log without a gap and saw no renewal for takeoverAfter claims.
 /// @code
-///   leadership.tailRead(sentAt, now);                   // after each successful read of the shared log
+///   leadership.tailRead(sentAt, now);                   // after each successful read of the log of states
 ///   leadership.applyRecord(record, offset, now);        // for each leadership record in it
 ///   switch (leadership.next(now)) {
 ///   case Catkin::LeadershipStep::Claim: append(leadership.claim(now)); break;
@@ -59,9 +59,9 @@
 public:
     explicit Leadership(const LeadershipOptions &options);
 
-    /// The shared log was read up to its end by a call that was sent at @p sentAt.
+    /// The log of states was read up to its end by a call that was sent at @p sentAt.
     auto tailRead(MonoTime sentAt, MonoTime now) -> void;
-    /// The shared log cannot be read; silence does not count until it can.
+    /// The log of states cannot be read; silence does not count until it can.
     auto tailLost() -> void;
     auto applyRecord(const LeadershipRecord &record, LogOffset offset, MonoTime now) -> void;
     /// The connection to the holder broke, which a process that ends causes at once.
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -163,7 +163,7 @@
                 worker.leaseEnd = std::max(worker.leaseEnd, takenOverUntil);
                 task.progressAt = now;
                 task.attemptPhase = AttemptPhase::Unknown;
-                allocate(worker, state, {key, task.attempt});
+                allocate(worker, state, {key, task.attempt}).placedAt = now; // when it began is not on record
             }
         }
     }
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -220,6 +220,11 @@
         return work;
     }
     const auto &wanted = state->job.steps[static_cast<std::size_t>(key.first.step)];
+    if (const auto *task = m_core.findTask(key.first); task != nullptr && task->attempt == key.second && task->percent > 0) {
+        // Work that was taken over has begun before it was seen.
+        constexpr auto wholePercent = 100.0;
+        work = std::max(work, cores * seconds(wanted.estimate) * task->percent / wholePercent);
+    }
     if (wanted.gang) {
         work *= wanted.tasks; // the whole gang stops with the member
     }
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -253,3 +253,40 @@
         CHECK(pool.core.workers().at(first.worker).allocations.at({first.task, 1}).stopping == !seen);
     }
 }
+
+// Guards against a new planner that takes adopted work for hours old, and preempts dearer work in its place.
+TEST_CASE("adopted work is not taken for older than the takeover, nor for less than its progress")
+{
+    auto pool = TwoWorkers{};
+    auto next = PoolCore{PoolOptions{}};
+    auto rules = PoolRules{};
+    rules.queues[QueueId{"batch"}] = {.id = QueueId{"batch"}, .service = ServiceId{"svc"}, .priority = 2, .maxAttempts = 2};
+    rules.queues[QueueId{"urgent"}] = {.id = QueueId{"urgent"}, .service = ServiceId{"svc"}, .maxAttempts = 2};
+    next.setRules(rules);
+    const auto &recorded = *pool.core.find(JobId{"a"});
+    next.addJob(recorded.job, pool.now);
+    next.adoptRecord(JobId{"a"}, recorded, pool.now + Seconds{12}, pool.now);
+    auto listed = std::vector<PoolWorkerInfo>{};
+    for (const auto &[id, worker] : pool.core.workers()) {
+        listed.push_back(worker.info);
+    }
+    next.setWorkers(listed, pool.now);
+    // One of the two tasks is nearly done, the other has just begun: the second is the cheaper one to stop.
+    for (const auto &it : pool.starts) {
+        const auto percent = it.task.index == 0 ? 90 : 1;
+        next.applyLook(it.worker,
+                       {.clock = WorkerTime{100}, .born = Incarnation{1}, .running = {{.task = it.task, .attempt = 1, .percent = percent}}},
+                       pool.now,
+                       pool.now);
+    }
+    next.addJob(makeJob("u", "urgent", {makeStep(1, 8, Millis{2'000}, true)}), pool.now);
+    const auto effects = next.plan(pool.now + Millis{100}, WallTime{});
+    REQUIRE(effects.orders.size() == 1);
+    CHECK(effects.orders[0].kind == PoolOrder::Kind::Stop);
+    CHECK(effects.orders[0].task.index == 1);
+    for (const auto &[id, worker] : next.workers()) {
+        for (const auto &[key, it] : worker.allocations) {
+            CHECK(it.placedAt == pool.now);
+        }
+    }
+}
