--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -27,6 +27,11 @@
     return std::chrono::duration<double>(span).count();
 }
 
+auto coresOf(const Resources &it) -> double
+{
+    return static_cast<double>(it.cpuMillis) / millisPerCore + coresPerAccelerator * static_cast<double>(it.accelerators);
+}
+
 auto chainEstimate(const PoolJob &job) -> Millis
 {
     auto longest = std::vector<Millis>{};
@@ -213,7 +218,7 @@
 
 auto PoolPlacer::lossOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double
 {
-    const auto cores = static_cast<double>(it.resources.cpuMillis) / millisPerCore + coresPerAccelerator * static_cast<double>(it.resources.accelerators);
+    const auto cores = coresOf(it.resources);
     auto work = cores * seconds(m_now - it.placedAt);
     const auto *state = m_core.find(key.first.job);
     if (state == nullptr) {
@@ -243,10 +248,17 @@
 
 auto PoolPlacer::victimsAt(const TaskGroup &group, const Slot &slot) const -> std::vector<Victim>
 {
+    const auto &wanted = spec(group);
+    const auto own = coresOf(wanted.perTask) * seconds(wanted.estimate) * static_cast<double>(group.tasks.size());
     auto victims = std::vector<Victim>{};
     for (const auto &[key, it] : slot.worker->allocations) {
-        if (mayPreempt(group, key, it)) {
-            victims.push_back({.priority = it.priority, .loss = lossOf(key, it), .key = key, .resources = it.resources});
+        if (!mayPreempt(group, key, it)) {
+            continue;
+        }
+        // Beyond its workspace's guarantee, work does not destroy more than it is worth.
+        const auto loss = lossOf(key, it);
+        if (group.guaranteed || loss <= own) {
+            victims.push_back({.priority = it.priority, .loss = loss, .key = key, .resources = it.resources});
         }
     }
     std::sort(victims.begin(), victims.end(), [](const Victim &a, const Victim &b) { return std::tie(a.loss, a.key) < std::tie(b.loss, b.key); });
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -290,3 +290,23 @@
         }
     }
 }
+
+// Answers the pattern of urgent bursts over capacity: urgent jobs beyond their guarantee stopped gangs that had nearly
+// finished, so that neither kind met its objective.
+TEST_CASE("urgent work stops dearer work only within its guarantee")
+{
+    for (const auto guaranteed : {false, true}) {
+        CAPTURE(guaranteed);
+        auto simulation = PoolSimulation{5, 2, {}};
+        simulation.submit(makeJob("long", "normal", {makeStep(2, 8, Millis{8'000}, true)}));
+        simulation.run(Millis{5'000});
+        auto urgent = makeJob("urgent", "urgent", {makeStep(1, 8, Millis{1'000}, true)});
+        urgent.workspace = WorkspaceId{guaranteed ? "w" : "without a guarantee"};
+        simulation.submit(urgent);
+        simulation.run(Millis{7'000});
+        CHECK(simulation.beganAt(JobId{"urgent"}).has_value() == guaranteed);
+        simulation.run(Millis{40'000});
+        CHECK(unfinished(simulation).empty());
+        CHECK(simulation.violations().empty());
+    }
+}
