Rule out a group beyond its guarantee only by one of no less work, and drop expired jobs by one thread

Found when the diff was read: what a group beyond its guarantee may stop depends on its own work, so a small group that found nothing must not rule out a larger one; and each pass with expired jobs could hold one more sending thread while a log of jobs is not served.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -357,7 +357,30 @@
 /// would be taken for a new one.
 auto PoolTerm::dropJobs(const std::vector<JobId> &expired) -> void
 {
-    const auto posted = m_orderPool->post([this, expired] {
+    const auto lock = std::lock_guard{m_mutex};
+    m_expired.insert(m_expired.end(), expired.begin(), expired.end());
+    if (m_dropping) {
+        return;
+    }
+    m_dropping = m_orderPool->post([this] { dropQueued(); });
+    if (!m_dropping) {
+        logEvent(LogLevel::Error, 6014, "order queue is full; " + std::to_string(m_expired.size()) + " expired jobs stay in the logs for now");
+    }
+}
+
+/// One thread at most drops jobs, however long a log of jobs is not served.
+auto PoolTerm::dropQueued() -> void
+{
+    while (true) {
+        auto expired = std::vector<JobId>{};
+        {
+            const auto lock = std::lock_guard{m_mutex};
+            expired.swap(m_expired);
+            m_dropping = !expired.empty() && !m_stopping;
+            if (!m_dropping) {
+                return;
+            }
+        }
         auto records = std::vector<KeyedRecord>{};
         for (const auto &id : expired) {
             for (const auto &it : encodeDroppedJob(id)) {
@@ -377,9 +400,6 @@
         const auto lock = std::lock_guard{m_mutex};
         m_dropped.insert(m_dropped.end(), expired.begin(), expired.end());
         m_droppedPhases.insert(m_droppedPhases.end(), expired.begin(), expired.end());
-    });
-    if (!posted) {
-        logEvent(LogLevel::Error, 6014, "order queue is full; " + std::to_string(expired.size()) + " expired jobs stay in the logs");
     }
 }
 
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -10,8 +10,8 @@
 /// @endcode
 ///
 /// Threads: one plans and records attempts, one publishes the states of jobs and renews the leadership, one looks at each
-/// worker, a pool sends orders, and a tail follows the workers' entries. Lock order: m_mutex, then nothing; no call to the
-/// network is made while it is held.
+/// worker, a pool sends orders, and a tail follows the workers' entries. Lock order: m_mutex, then that of the pool; no call
+/// to the network is made while either is held.
 ///
 /// The log of attempts repeats each job that was placed, so that a new planner needs no log of jobs to take over what
 /// runs. A final state may be published before the ends that led to it are recorded: it stands for them at a takeover,
@@ -116,6 +116,7 @@
     auto publish(const std::vector<KeyedRecord> &records, std::int64_t sequence) -> bool;
     auto confirmed(MonoTime sentAt) -> void;
     auto dropJobs(const std::vector<JobId> &expired) -> void;
+    auto dropQueued() -> void;
     auto countEffects(const PoolEffects &effects) -> void;
     auto dispatch(const PoolOrder &order) -> void;
     auto sendQueued(const std::shared_ptr<OrderLink> &link) -> void;
@@ -148,6 +149,8 @@
     PoolCore m_core;
     std::set<JobId> m_unpublished; ///< jobs whose phase is to be published
     std::set<JobId> m_recorded; ///< jobs that the log of attempts holds
+    std::vector<JobId> m_expired; ///< jobs to drop from the logs of jobs
+    bool m_dropping = false; ///< a thread of the pool drops them
     std::vector<JobId> m_dropped; ///< jobs that the logs of jobs have dropped, and the log of attempts has not
     std::vector<JobId> m_droppedPhases; ///< jobs whose published phase is to be dropped
     MonoTime m_confirmedAt; ///< when the last append was sent that proves this planner to be the newest
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -100,7 +100,9 @@
 auto PoolPlacer::isRuledOut(const TaskGroup &group, Room kind, Spread spread) const -> bool
 {
     const auto it = m_ruledOut.find(shapeOf(group, kind, spread));
-    return it != m_ruledOut.end() && it->second <= group.tasks.size();
+    // What a group beyond its guarantee may stop depends on its own work.
+    const auto byWork = kind == Room::Preemptible && !group.guaranteed;
+    return it != m_ruledOut.end() && it->second.tasks <= group.tasks.size() && (!byWork || workOf(group) <= it->second.work);
 }
 
 /// Room only shrinks during a pass, but for that of attempts being stopped; see preempt().
@@ -110,8 +112,12 @@
     if (spec(group).maxPerWorker > 0) {
         return;
     }
-    const auto [it, isNew] = m_ruledOut.try_emplace(shapeOf(group, kind, spread), group.tasks.size());
-    it->second = std::min(it->second, group.tasks.size());
+    m_ruledOut[shapeOf(group, kind, spread)] = {.tasks = group.tasks.size(), .work = workOf(group)};
+}
+
+auto PoolPlacer::workOf(const TaskGroup &group) const -> double
+{
+    return coresOf(spec(group).perTask) * seconds(spec(group).estimate) * static_cast<double>(group.tasks.size());
 }
 
 auto PoolPlacer::collectStep(PoolJobState &state, const PoolQueue &queue, int occurrence, int step) -> void
@@ -248,8 +254,7 @@
 
 auto PoolPlacer::victimsAt(const TaskGroup &group, const Slot &slot) const -> std::vector<Victim>
 {
-    const auto &wanted = spec(group);
-    const auto own = coresOf(wanted.perTask) * seconds(wanted.estimate) * static_cast<double>(group.tasks.size());
+    const auto own = workOf(group);
     auto victims = std::vector<Victim>{};
     for (const auto &[key, it] : slot.worker->allocations) {
         if (!mayPreempt(group, key, it)) {
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -67,9 +67,16 @@
         Resources resources;
     };
 
-    /// What two groups must share to find the same room: a group that finds none rules out the others of at least its size.
+    /// What two groups must share to find the same room: a group that finds none rules out those that need at least as much.
     using ShapeKey = std::tuple<Room, Spread, bool, ServiceId, std::int64_t, std::int64_t, std::int64_t, std::string, std::string>;
 
+    /// A group that found no room.
+    struct RuledOut
+    {
+        std::size_t tasks = 0;
+        double work = 0.0; ///< in core-seconds
+    };
+
     auto shapeOf(const TaskGroup &group, Room kind, Spread spread) const -> ShapeKey;
     auto isRuledOut(const TaskGroup &group, Room kind, Spread spread) const -> bool;
     auto ruleOut(const TaskGroup &group, Room kind, Spread spread) -> void;
@@ -93,6 +100,7 @@
     auto take(Slot &slot, const Resources &need) -> void;
     auto mayPreempt(const TaskGroup &group, const PoolCore::AttemptKey &key, const PoolCore::Allocation &victim) const -> bool;
     auto lossOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double;
+    auto workOf(const TaskGroup &group) const -> double;
     auto remainingOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double;
     auto fitsOneRack(const TaskGroup &group) -> bool;
     auto spec(const TaskGroup &group) const -> const PoolStep &;
@@ -104,7 +112,7 @@
     std::vector<Slot> m_slots;
     std::set<JobId> m_guaranteedJobs;
     std::set<int> m_blockedPriorities;
-    std::map<ShapeKey, std::size_t> m_ruledOut; ///< smallest number of tasks that found no room in this pass
+    std::map<ShapeKey, RuledOut> m_ruledOut; ///< in this pass
     std::map<std::tuple<ServiceId, std::int64_t, std::int64_t, std::int64_t, int>, int> m_mostInRack; ///< tasks of a shape in the emptied rack that takes most
     std::int64_t m_freeAccelerators = 0;
     std::int64_t m_reserve = 0; ///< accelerators to keep free of work of lower priorities
