Log which attempts are stopped, why, and what became of the stop

The planner now writes one line for each job and reason: adopted (what a new planner read of a job with placed tasks), stopping, stop_answered, stop_refused and job_stopped. Gauges: catkin_stopping_attempts, catkin_oldest_stop_seconds. No decision changes.

--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -171,6 +171,8 @@
     GaugeFamily jobsWaiting = gauge("jobs_waiting", "Jobs that wait", {"workspace"});
     GaugeFamily jobsRunning = gauge("jobs_running", "Jobs that run", {"workspace"});
     GaugeFamily workers = gauge("workers", "Workers of the failure domain by state", {"state"});
+    GaugeFamily stopping = gauge("stopping_attempts", "Attempts that are to be stopped and may still run");
+    GaugeFamily oldestStop = gauge("oldest_stop_seconds", "How long the first of them has been stopping");
     GaugeFamily slots = gauge("slots", "Slots of the failure domain by state", {"state"});
     GaugeFamily largestFree = gauge("largest_free_block_slots", "Largest block of adjacent free slots");
     GaugeFamily planner = gauge("planner", "1 while this instance plans a failure domain");
@@ -335,6 +337,12 @@
     m_families->workers.at({nameOf(backendStates, state)}).Set(static_cast<double>(count));
 }
 
+auto Metrics::setStoppingAttempts(std::size_t count, Micros oldest) -> void
+{
+    m_families->stopping.at({}).Set(static_cast<double>(count));
+    m_families->oldestStop.at({}).Set(seconds(oldest));
+}
+
 auto Metrics::setSlots(SlotState state, SlotCount slots) -> void
 {
     m_families->slots.at({nameOf(slotStates, state)}).Set(static_cast<double>(slots.value));
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -84,6 +84,9 @@
     auto addWorkspace(const WorkspaceId &workspace) -> void;
     auto setJobs(const WorkspaceId &workspace, std::size_t waiting, std::size_t running) -> void;
     auto setWorkers(BackendState state, std::size_t count) -> void;
+    /// @param count attempts that are to be stopped and may still run
+    /// @param oldest how long the first of them has been stopping
+    auto setStoppingAttempts(std::size_t count, Micros oldest) -> void;
     auto setSlots(SlotState state, SlotCount slots) -> void;
     auto setLargestFreeBlock(SlotCount slots) -> void;
     auto setPlanner(bool active) -> void;
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -494,6 +494,7 @@
         m_core.workers().begin(), m_core.workers().end(), [](const auto &it) { return it.second.listed && it.second.answered && it.second.reachable; });
     m_ports.metrics->setWorkers(BackendState::Usable, static_cast<std::size_t>(usable));
     m_ports.metrics->setWorkers(BackendState::Lost, m_core.workers().size() - static_cast<std::size_t>(usable));
+    m_ports.metrics->setStoppingAttempts(static_cast<std::size_t>(m_core.stoppingAttempts()), m_core.oldestStop(m_clock.mono()));
 }
 
 auto PoolTerm::record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -33,33 +33,6 @@
 constexpr auto longPollWait = Millis{2'000};
 constexpr auto shortPollWait = Millis{100};
 
-auto outcomeName(OrderOutcome outcome) -> const char *
-{
-    switch (outcome) {
-    case OrderOutcome::Accepted:
-        return "accepted";
-    case OrderOutcome::Fenced:
-        return "fenced";
-    case OrderOutcome::Superseded:
-        return "superseded";
-    case OrderOutcome::Expired:
-        return "lease expired";
-    case OrderOutcome::InsufficientCapacity:
-        return "no room";
-    case OrderOutcome::WorkerRestarted:
-        return "worker restarted";
-    case OrderOutcome::Unhealthy:
-        return "worker unhealthy";
-    case OrderOutcome::Rejected:
-        return "rejected";
-    case OrderOutcome::NotSent:
-        return "not sent";
-    case OrderOutcome::OutcomeUnknown:
-        return "no answer";
-    }
-    return "unknown";
-}
-
 }
 
 auto PoolCore::loseAttempt(Worker &worker, const AttemptKey &key, const char *reason) -> void
@@ -75,7 +48,7 @@
     if (!isFinal(state.phase)) {
         logDecision("attempt_lost", describeAttempt(key.first, key.second) + " worker=" + worker.info.id.str() + " reason=" + reason);
         if (specOf(state, key.first).gang) {
-            stopStep(state, key.first.occurrence, key.first.step);
+            stopStep(state, key.first.occurrence, key.first.step, StopReason::GangBroken);
         }
     }
 }
@@ -123,7 +96,7 @@
         failTask(state, completion.task, completion.attempt, now);
     }
     if (specOf(state, completion.task).gang) {
-        stopStep(state, completion.task.occurrence, completion.task.step);
+        stopStep(state, completion.task.occurrence, completion.task.step, StopReason::GangBroken);
     }
 }
 
@@ -164,8 +137,8 @@
         }
         allocation = worker.allocations.find(key);
         allocation->second.placedAt = now;
-        allocation->second.stopping = !current;
         if (!current) {
+            requestStop(allocation->second, StopReason::NotRecorded);
             logDecision("foreign_attempt",
                         describeAttempt(it.task, it.attempt) + " worker=" + worker.info.id.str() + " is not recorded on this worker; stopping it");
         }
@@ -207,7 +180,7 @@
         } else if (it.acceptedAt <= sentAt) {
             // The accepted attempt is not listed. A stop order prevents it from starting later, so that a later poll can show that
             // it does not run.
-            it.stopping = true;
+            requestStop(it, StopReason::NotListed);
             it.stopSentAt = MonoTime{};
         }
     }
@@ -268,7 +241,7 @@
         return; // an earlier try was carried out: a poll reply has listed the attempt since
     }
     if (allocation.startTries > 1 || outcome == OrderOutcome::Superseded) {
-        allocation.stopping = true;
+        requestStop(allocation, StopReason::StartRefused);
         return;
     }
     loseAttempt(worker, key, outcomeName(outcome));
@@ -290,11 +263,11 @@
         allocation.startOutcomeUnknown = true;
         if (allocation.startTries >= static_cast<int>(startTimeouts.size())) {
             logDecision("start_refused", describeAttempt(key.first, key.second) + " worker=" + worker.info.id.str() + " answer=" + outcomeName(outcome));
-            allocation.stopping = true;
+            requestStop(allocation, StopReason::StartUnanswered);
             recordFailure(worker, now);
             auto *task = findTask(key.first);
             if (task != nullptr && task->attempt == key.second && specOf(m_jobs.at(key.first.job), key.first).gang) {
-                stopStep(m_jobs.at(key.first.job), key.first.occurrence, key.first.step);
+                stopStep(m_jobs.at(key.first.job), key.first.occurrence, key.first.step, StopReason::GangBroken);
             }
         }
     } else {
@@ -302,9 +275,20 @@
     }
 }
 
+auto PoolCore::noteStopAnswer(Worker &worker, const AttemptKey &key, OrderOutcome outcome) -> void
+{
+    auto &allocation = worker.allocations.at(key);
+    const auto accepted = outcome == OrderOutcome::Accepted;
+    // Stop orders are repeated until one is answered; the log has the first that was not.
+    if (accepted || !std::exchange(allocation.stopRefusalLogged, true)) {
+        noteStop(m_stopReport.answered[{key.first.job, outcome}], worker.info.id, worker.reachable);
+    }
+}
+
 auto PoolCore::applyStop(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void
 {
     auto &allocation = worker.allocations.at(key);
+    noteStopAnswer(worker, key, outcome);
     if (outcome == OrderOutcome::Accepted) {
         allocation.stopAnswered = true;
         allocation.stopAnsweredAt = now;
@@ -375,9 +359,9 @@
                         describeAttempt(key.first, key.second) + " worker=" + id.str() + " percent=" + std::to_string(task->percent)
                             + " still_ms=" + std::to_string(std::chrono::duration_cast<Millis>(now - task->progressAt).count()));
             recordFailure(worker, now);
-            it.stopping = true;
+            requestStop(it, StopReason::NoProgress);
             if (specOf(m_jobs.at(key.first.job), key.first).gang) {
-                stopStep(m_jobs.at(key.first.job), key.first.occurrence, key.first.step);
+                stopStep(m_jobs.at(key.first.job), key.first.occurrence, key.first.step, StopReason::GangBroken);
             }
         }
     }
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -83,6 +83,7 @@
     if (isFinal(state.phase)) {
         m_active.erase(id);
     }
+    auto placed = 0;
     for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
         for (auto s = 0; s < static_cast<int>(state.job.steps.size()); ++s) {
             for (auto i = 0; i < state.job.steps[static_cast<std::size_t>(s)].tasks; ++i) {
@@ -97,9 +98,13 @@
                 task.progressAt = now;
                 task.attemptPhase = AttemptPhase::Unknown;
                 allocate(worker, state, {key, task.attempt}).placedAt = now; // the record does not contain the start time
+                ++placed;
             }
         }
     }
+    if (placed > 0) {
+        logDecision("adopted", "job=" + id.str() + " state=" + phaseName(state.phase) + " placed=" + std::to_string(placed));
+    }
 }
 
 auto PoolCore::adoptFinal(const JobId &id, PoolJobPhase phase, MonoTime now) -> void
@@ -188,6 +193,7 @@
     if (it != worker.allocations.end()) {
         worker.used -= it->second.resources;
         worker.allocations.erase(it);
+        m_released.insert(key.first.job);
     }
 }
 
@@ -253,7 +259,15 @@
     }
 }
 
-auto PoolCore::stopAttempt(const TaskKey &key, const TaskState &task) -> void
+auto PoolCore::requestStop(Allocation &allocation, StopReason reason) -> void
+{
+    if (!allocation.stopping) {
+        allocation.stopping = true;
+        allocation.stopReason = reason;
+    }
+}
+
+auto PoolCore::stopAttempt(const TaskKey &key, const TaskState &task, StopReason reason) -> void
 {
     const auto worker = m_workers.find(task.worker);
     if (task.phase != TaskPhase::Placed || worker == m_workers.end()) {
@@ -261,15 +275,15 @@
     }
     const auto allocation = worker->second.allocations.find({key, task.attempt});
     if (allocation != worker->second.allocations.end()) {
-        allocation->second.stopping = true;
+        requestStop(allocation->second, reason);
     }
 }
 
-auto PoolCore::stopStep(const PoolJobState &state, int occurrence, int step) -> void
+auto PoolCore::stopStep(const PoolJobState &state, int occurrence, int step, StopReason reason) -> void
 {
     const auto &tasks = state.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].tasks;
     for (auto i = 0; i < static_cast<int>(tasks.size()); ++i) {
-        stopAttempt({.job = state.job.id, .occurrence = occurrence, .step = step, .index = i}, tasks[static_cast<std::size_t>(i)]);
+        stopAttempt({.job = state.job.id, .occurrence = occurrence, .step = step, .index = i}, tasks[static_cast<std::size_t>(i)], reason);
     }
 }
 
@@ -277,7 +291,7 @@
 {
     for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
         for (auto s = 0; s < static_cast<int>(state.job.steps.size()); ++s) {
-            stopStep(state, o, s);
+            stopStep(state, o, s, StopReason::JobFinal);
         }
     }
 }
@@ -304,7 +318,9 @@
     expireJobs(now);
     dropUnlisted();
     PoolPlacer{*this, now, wall}.place(effects);
+    logStops(now);
     emitOrders(effects, now);
+    logStoppedJobs(now);
     effects.changed.assign(m_changed.begin(), m_changed.end());
     effects.phaseChanged.assign(m_phaseChanged.begin(), m_phaseChanged.end());
     effects.expired.assign(m_expired.begin(), m_expired.end());
@@ -323,6 +339,67 @@
     return effects;
 }
 
+auto PoolCore::logStops(MonoTime now) -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        for (auto &[key, it] : worker.allocations) {
+            if (it.stopping && it.stopRequestedAt == MonoTime{}) {
+                it.stopRequestedAt = now;
+                noteStop(m_stopReport.requested[{key.first.job, it.stopReason}], id, worker.reachable && !worker.info.address.empty());
+            }
+        }
+    }
+    for (auto &it : takeStopEntries(m_stopReport)) {
+        m_logEntries.push_back(std::move(it));
+    }
+}
+
+/// A job that ended while attempts of it ran gets a line when the last of them is over.
+auto PoolCore::logStoppedJobs(MonoTime now) -> void
+{
+    auto over = std::exchange(m_released, {});
+    std::erase_if(over, [&](const JobId &it) {
+        const auto *state = find(it);
+        return state == nullptr || !isFinal(state->phase) || state->phase == PoolJobPhase::Completed;
+    });
+    if (over.empty()) {
+        return;
+    }
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &[key, it] : worker.allocations) {
+            over.erase(key.first.job);
+        }
+    }
+    for (const auto &it : over) {
+        const auto &state = m_jobs.at(it);
+        logDecision("job_stopped",
+                    "job=" + it.str() + " state=" + phaseName(state.phase)
+                        + " took_ms=" + std::to_string(std::chrono::duration_cast<Millis>(now - state.finalSince).count()));
+    }
+}
+
+auto PoolCore::stoppingAttempts() const -> int
+{
+    auto n = 0;
+    for (const auto &[id, worker] : m_workers) {
+        n += static_cast<int>(std::count_if(worker.allocations.begin(), worker.allocations.end(), [](const auto &it) { return it.second.stopping; }));
+    }
+    return n;
+}
+
+auto PoolCore::oldestStop(MonoTime now) const -> Micros
+{
+    auto oldest = Micros{0};
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &[key, it] : worker.allocations) {
+            if (it.stopping && it.stopRequestedAt != MonoTime{}) {
+                oldest = std::max(oldest, now - it.stopRequestedAt);
+            }
+        }
+    }
+    return oldest;
+}
+
 auto PoolCore::recorded(const PoolEffects &effects) -> void
 {
     for (const auto &[id, number] : effects.completions) {
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -24,6 +24,7 @@
 
 #include "policy/poolfleet.h"
 #include "policy/pooljob.h"
+#include "policy/stopreport.h"
 #include "policy/workermessages.h"
 
 #include <deque>
@@ -56,13 +57,6 @@
     Millis answerTimeout{0}; ///< without an answer within this time, the outcome is unknown
 };
 
-/// A decision to be logged.
-struct PoolLogEntry
-{
-    const char *decision = ""; ///< keyword, listed in docs/OPERATIONS.md
-    std::string text;
-};
-
 struct PoolEffects
 {
     std::vector<JobId> changed; ///< jobs whose placement record must be stored before the orders are sent
@@ -132,6 +126,10 @@
     /// @return the next poll of a worker; grants a lease if the worker is reachable.
     auto nextPoll(const WorkerId &id, MonoTime now) -> WorkerPoll;
 
+    /// @return attempts that are to be stopped and may still run.
+    [[nodiscard]] auto stoppingAttempts() const -> int;
+    /// @return how long the oldest of them has been stopping; 0 without any.
+    [[nodiscard]] auto oldestStop(MonoTime now) const -> Micros;
     /// @return whether a worker has refused an order because it has seen a newer planner.
     [[nodiscard]] auto fenced() const -> bool;
     /// @return the state of a job, or null.
@@ -145,12 +143,15 @@
         QueueId queue;
         int priority = 0;
         bool stopping = false; ///< the attempt is to be stopped
+        StopReason stopReason = StopReason::JobFinal; ///< valid while stopping
+        bool stopRefusalLogged = false; ///< whether a stop order without success has been logged
         bool orderOpen = false; ///< a start order has been issued and not answered
         bool startOutcomeUnknown = false; ///< a start order was not answered and may still be carried out
         bool stopAnswered = false;
         int startTries = 0;
         MonoTime placedAt;
         MonoTime acceptedAt; ///< time at which the worker accepted the start order
+        MonoTime stopRequestedAt; ///< first planning pass that found the attempt stopping; MonoTime{} before
         MonoTime stopSentAt; ///< last stop order; MonoTime{} before the first
         MonoTime stopAnsweredAt;
     };
@@ -186,8 +187,8 @@
     auto recordFailure(Worker &worker, MonoTime now) -> void;
     auto loseAttempt(Worker &worker, const AttemptKey &key, const char *reason) -> void;
     auto saveCheckpoint(PoolJobState &state, const TaskKey &key, const std::string &checkpoint) -> void;
-    auto stopAttempt(const TaskKey &key, const TaskState &task) -> void;
-    auto stopStep(const PoolJobState &state, int occurrence, int step) -> void;
+    auto stopAttempt(const TaskKey &key, const TaskState &task, StopReason reason) -> void;
+    auto stopStep(const PoolJobState &state, int occurrence, int step, StopReason reason) -> void;
     auto stopJob(const PoolJobState &state) -> void;
     auto checkFinished(PoolJobState &state, MonoTime now) -> void;
     auto findTask(const TaskKey &key) -> TaskState *;
@@ -207,6 +208,10 @@
     auto emitOrders(PoolEffects &effects, MonoTime now) -> void;
     auto emitStart(PoolEffects &effects, const Worker &worker, const AttemptKey &key) -> void;
     auto logDecision(const char *decision, std::string text) -> void;
+    static auto requestStop(Allocation &allocation, StopReason reason) -> void;
+    auto logStops(MonoTime now) -> void;
+    auto logStoppedJobs(MonoTime now) -> void;
+    auto noteStopAnswer(Worker &worker, const AttemptKey &key, OrderOutcome outcome) -> void;
 
     PoolOptions m_options;
     PoolRules m_rules;
@@ -217,6 +222,8 @@
     std::set<JobId> m_phaseChanged;
     std::set<JobId> m_expired;
     std::vector<PoolLogEntry> m_logEntries;
+    StopReport m_stopReport;
+    std::set<JobId> m_released; ///< jobs with an allocation released since the last planning pass
     std::deque<std::pair<MonoTime, std::int64_t>> m_urgentDemand; ///< accelerators that priority-0 work used or waited for at each planning pass
     bool m_fenced = false;
 };
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -456,11 +456,11 @@
             }
         }
         if (gang) {
-            m_core.stopStep(state, key.first.occurrence, key.first.step);
+            m_core.stopStep(state, key.first.occurrence, key.first.step, StopReason::Preempted);
         } else {
-            m_core.stopAttempt(key.first, *task);
+            m_core.stopAttempt(key.first, *task, StopReason::Preempted);
         }
-        slot.worker->allocations.at(key).stopping = true;
+        PoolCore::requestStop(slot.worker->allocations.at(key), StopReason::Preempted);
     }
 }
 
--- /dev/null
+++ b/packages/policy/stopreport.cpp
@@ -0,0 +1,92 @@
+#include "policy/stopreport.h"
+
+namespace Catkin
+{
+
+namespace
+{
+
+auto describe(const JobId &job, const StopCount &count) -> std::string
+{
+    auto out = "job=" + job.str() + " attempts=" + std::to_string(count.attempts) + " first_worker=" + count.firstWorker.str();
+    if (count.unreachable > 0) {
+        out += " unreachable=" + std::to_string(count.unreachable);
+    }
+    return out;
+}
+
+}
+
+auto stopReasonName(StopReason reason) -> const char *
+{
+    switch (reason) {
+    case StopReason::JobFinal:
+        return "job_final";
+    case StopReason::GangBroken:
+        return "gang_broken";
+    case StopReason::Preempted:
+        return "preempted";
+    case StopReason::NoProgress:
+        return "no_progress";
+    case StopReason::NotListed:
+        return "not_listed";
+    case StopReason::NotRecorded:
+        return "not_recorded";
+    case StopReason::StartUnanswered:
+        return "start_unanswered";
+    case StopReason::StartRefused:
+        return "start_refused";
+    }
+    return "unknown";
+}
+
+auto outcomeName(OrderOutcome outcome) -> const char *
+{
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        return "accepted";
+    case OrderOutcome::Fenced:
+        return "fenced";
+    case OrderOutcome::Superseded:
+        return "superseded";
+    case OrderOutcome::Expired:
+        return "lease expired";
+    case OrderOutcome::InsufficientCapacity:
+        return "no room";
+    case OrderOutcome::WorkerRestarted:
+        return "worker restarted";
+    case OrderOutcome::Unhealthy:
+        return "worker unhealthy";
+    case OrderOutcome::Rejected:
+        return "rejected";
+    case OrderOutcome::NotSent:
+        return "not sent";
+    case OrderOutcome::OutcomeUnknown:
+        return "no answer";
+    }
+    return "unknown";
+}
+
+auto noteStop(StopCount &count, const WorkerId &worker, bool reachable) -> void
+{
+    if (count.attempts == 0) {
+        count.firstWorker = worker;
+    }
+    ++count.attempts;
+    count.unreachable += reachable ? 0 : 1;
+}
+
+auto takeStopEntries(StopReport &report) -> std::vector<PoolLogEntry>
+{
+    auto out = std::vector<PoolLogEntry>{};
+    for (const auto &[key, count] : std::exchange(report.requested, {})) {
+        out.push_back({.decision = "stopping", .text = describe(key.first, count) + " reason=" + stopReasonName(key.second)});
+    }
+    for (const auto &[key, count] : std::exchange(report.answered, {})) {
+        const auto accepted = key.second == OrderOutcome::Accepted;
+        out.push_back({.decision = accepted ? "stop_answered" : "stop_refused", .text = describe(key.first, count) + " answer=" + outcomeName(key.second)});
+    }
+    return out;
+}
+
+}
--- /dev/null
+++ b/packages/policy/stopreport.h
@@ -0,0 +1,61 @@
+#pragma once
+
+/// Log lines about attempts that are stopped: one line for each job and reason, or answer, of a planning pass, however many attempts
+/// are concerned.
+///
+/// @code
+///   Catkin::noteStop(report.requested[{job, Catkin::StopReason::Preempted}], worker, reachable);
+///   Catkin::noteStop(report.answered[{job, outcome}], worker, true);
+///   for (const auto &it : Catkin::takeStopEntries(report)) { ... }
+/// @endcode
+
+#include "policy/poollogentry.h"
+#include "policy/workermessages.h"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace Catkin
+{
+
+/// Why an attempt is to be stopped.
+enum class StopReason {
+    JobFinal, ///< its job was cancelled, has failed, or has completed without it
+    GangBroken, ///< another member of its gang is over
+    Preempted,
+    NoProgress,
+    NotListed, ///< its worker accepted the start order and does not list the attempt
+    NotRecorded, ///< its worker lists the attempt, which no record places there
+    StartUnanswered, ///< no try of its start order was answered
+    StartRefused, ///< a repeated start order was refused; the first may have been carried out
+};
+
+/// Attempts of one line.
+struct StopCount
+{
+    int attempts = 0;
+    int unreachable = 0; ///< of them, those on workers that get no orders at present
+    WorkerId firstWorker;
+};
+
+struct StopReport
+{
+    std::map<std::pair<JobId, StopReason>, StopCount> requested;
+    std::map<std::pair<JobId, OrderOutcome>, StopCount> answered;
+};
+
+/// @return the word for @p reason in log lines.
+auto stopReasonName(StopReason reason) -> const char *;
+
+/// @return the words for @p outcome in log lines.
+auto outcomeName(OrderOutcome outcome) -> const char *;
+
+/// Adds one attempt.
+/// @param reachable whether its worker gets orders at present
+auto noteStop(StopCount &count, const WorkerId &worker, bool reachable) -> void;
+
+/// @return the lines of @p report, which is empty afterwards.
+auto takeStopEntries(StopReport &report) -> std::vector<PoolLogEntry>;
+
+}
