Stop what the state of a job does not call for, whichever planner made that state

Cause: a stop hung on a change of state. cancelJob(), adoptFinal() and failTask() marked the attempts in the same call that made the job final. The leader stores that state before its stop orders go out. Killed in between, it leaves a record that shows the job as final with its tasks placed; the next planner adopts the record, cancelJob() and adoptFinal() return early because the job is final already, and nothing marks the attempts. An action bound to a transition is lost when the transition outlives the process that made it.

The new leader writes "adopted state=cancelled placed=3" and no "stopping"; the earlier one had written "stopping" 9 ms before it was killed. Failed jobs have the same cause: the unit test got 0 stop orders of 2 for both.

Change: each planning pass compares every allocation with the state of its job and stops what that state does not call for. The three calls that stopped on the transition are gone. A start order that is queued is checked in the same way before it is sent, and a worker is not blamed for one that was withdrawn. The same holds for gangs: members that wait for a gang of which a recorded member is over are stopped by the next planner too. An attempt that a worker lists although its task is elsewhere or done is stopped also when it has an allocation.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -138,7 +138,6 @@
         allocation = worker.allocations.find(key);
         allocation->second.placedAt = now;
         if (!current) {
-            requestStop(allocation->second, StopReason::NotRecorded);
             logDecision("foreign_attempt",
                         describeAttempt(it.task, it.attempt) + " worker=" + worker.info.id.str() + " is not recorded on this worker; stopping it");
         }
@@ -148,6 +147,7 @@
         allocation->second.stopAnswered = false;
     }
     if (!current) {
+        requestStop(allocation->second, StopReason::NotRecorded);
         return;
     }
     allocation->second.startOutcomeUnknown = false;
@@ -234,7 +234,8 @@
     logDecision("start_refused", describeAttempt(key.first, key.second) + " worker=" + worker.info.id.str() + " answer=" + outcomeName(outcome));
     auto &allocation = worker.allocations.at(key);
     // A start order that was withdrawn before it was sent is no failure of the worker.
-    if (!allocation.stopping && (outcome == OrderOutcome::Unhealthy || outcome == OrderOutcome::NotSent || outcome == OrderOutcome::InsufficientCapacity)) {
+    if (isWanted(worker, key, allocation)
+        && (outcome == OrderOutcome::Unhealthy || outcome == OrderOutcome::NotSent || outcome == OrderOutcome::InsufficientCapacity)) {
         recordFailure(worker, now);
     }
     if (allocation.startTries > 1 && !allocation.startOutcomeUnknown && outcome != OrderOutcome::Superseded) {
@@ -423,7 +424,7 @@
         return false;
     }
     const auto allocation = worker->second.allocations.find({order.task, order.attempt});
-    return allocation != worker->second.allocations.end() && !allocation->second.stopping;
+    return allocation != worker->second.allocations.end() && isWanted(worker->second, allocation->first, allocation->second);
 }
 
 auto PoolCore::leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -66,7 +66,6 @@
     }
     it->second.cancelRequested = true;
     it->second.finalSince = now;
-    stopJob(it->second);
     setPhase(it->second, PoolJobPhase::Cancelled);
 }
 
@@ -114,7 +113,6 @@
         return;
     }
     it->second.finalSince = now;
-    stopJob(it->second);
     setPhase(it->second, phase);
 }
 
@@ -253,7 +251,6 @@
     const auto limit = queue == m_rules.queues.end() ? 1 : queue->second.maxAttempts;
     logDecision("task_failed", describeAttempt(key, attempt) + " failures=" + std::to_string(failures) + " of=" + std::to_string(limit));
     if (failures >= limit && !spec.longRunning) {
-        stopJob(state);
         state.finalSince = now;
         setPhase(state, PoolJobPhase::Failed);
     }
@@ -269,8 +266,11 @@
 
 auto PoolCore::stopAttempt(const TaskKey &key, const TaskState &task, StopReason reason) -> void
 {
+    if (task.phase != TaskPhase::Placed) {
+        return;
+    }
     const auto worker = m_workers.find(task.worker);
-    if (task.phase != TaskPhase::Placed || worker == m_workers.end()) {
+    if (worker == m_workers.end()) {
         return;
     }
     const auto allocation = worker->second.allocations.find({key, task.attempt});
@@ -287,11 +287,57 @@
     }
 }
 
-auto PoolCore::stopJob(const PoolJobState &state) -> void
+/// @return why the state of the job does not call for an attempt, or nothing if it does. A task that is done needs no stop: its worker
+/// reports the completion, and an attempt that is listed all the same is stopped by applyRunning().
+auto PoolCore::stopReasonOf(const Worker &worker, const AttemptKey &key) const -> std::optional<StopReason>
 {
-    for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
-        for (auto s = 0; s < static_cast<int>(state.job.steps.size()); ++s) {
-            stopStep(state, o, s, StopReason::JobFinal);
+    const auto *state = find(key.first.job);
+    if (state == nullptr || !containsTask(*state, key.first)) {
+        return StopReason::NotRecorded;
+    }
+    const auto &task = taskAt(*state, key.first);
+    if (task.phase == TaskPhase::Done) {
+        return std::nullopt;
+    }
+    if (isFinal(state->phase)) {
+        return StopReason::JobFinal;
+    }
+    const auto current = task.phase == TaskPhase::Placed && task.attempt == key.second && task.worker == worker.info.id;
+    return current ? std::nullopt : std::optional{StopReason::NotRecorded};
+}
+
+auto PoolCore::isWanted(const Worker &worker, const AttemptKey &key, const Allocation &allocation) const -> bool
+{
+    return !allocation.stopping && !stopReasonOf(worker, key);
+}
+
+auto PoolCore::stopUnwanted() -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        for (auto &[key, it] : worker.allocations) {
+            if (it.stopping) {
+                continue;
+            }
+            if (const auto reason = stopReasonOf(worker, key)) {
+                requestStop(it, *reason);
+            }
+        }
+    }
+}
+
+/// A gang of which a member is over cannot go on. An earlier planner may have recorded that member and not stopped the others.
+auto PoolCore::stopBrokenGangs() -> void
+{
+    for (const auto &id : m_active) {
+        const auto &state = m_jobs.at(id);
+        for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
+            for (auto s = 0; s < static_cast<int>(state.job.steps.size()); ++s) {
+                const auto &tasks = state.occurrences[static_cast<std::size_t>(o)].steps[static_cast<std::size_t>(s)].tasks;
+                const auto waits = [](const TaskState &it) { return it.phase == TaskPhase::Waiting; };
+                if (state.job.steps[static_cast<std::size_t>(s)].gang && std::any_of(tasks.begin(), tasks.end(), waits)) {
+                    stopStep(state, o, s, StopReason::GangBroken);
+                }
+            }
         }
     }
 }
@@ -314,6 +360,8 @@
 {
     auto effects = PoolEffects{};
     expireLeases(now);
+    stopUnwanted();
+    stopBrokenGangs();
     stopHung(now);
     expireJobs(now);
     dropUnlisted();
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -21,6 +21,9 @@
 /// - the worker has restarted,
 /// - the worker's process has shut down by itself, or
 /// - every lease that any planner can have granted has expired.
+///
+/// Each planning pass compares every allocation with the state of its job and stops the attempts that this state does not call for,
+/// whichever planner made the state and whether or not stop orders were sent for it before.
 
 #include "policy/poolfleet.h"
 #include "policy/pooljob.h"
@@ -189,7 +192,10 @@
     auto saveCheckpoint(PoolJobState &state, const TaskKey &key, const std::string &checkpoint) -> void;
     auto stopAttempt(const TaskKey &key, const TaskState &task, StopReason reason) -> void;
     auto stopStep(const PoolJobState &state, int occurrence, int step, StopReason reason) -> void;
-    auto stopJob(const PoolJobState &state) -> void;
+    auto stopReasonOf(const Worker &worker, const AttemptKey &key) const -> std::optional<StopReason>;
+    auto isWanted(const Worker &worker, const AttemptKey &key, const Allocation &allocation) const -> bool;
+    auto stopUnwanted() -> void;
+    auto stopBrokenGangs() -> void;
     auto checkFinished(PoolJobState &state, MonoTime now) -> void;
     auto findTask(const TaskKey &key) -> TaskState *;
     auto allocate(Worker &worker, const PoolJobState &state, const AttemptKey &key) -> Allocation &;
--- a/packages/policy/pooljob.cpp
+++ b/packages/policy/pooljob.cpp
@@ -86,6 +86,13 @@
         .tasks.at(static_cast<std::size_t>(key.index));
 }
 
+auto taskAt(const PoolJobState &state, const TaskKey &key) -> const TaskState &
+{
+    return state.occurrences.at(static_cast<std::size_t>(key.occurrence))
+        .steps.at(static_cast<std::size_t>(key.step))
+        .tasks.at(static_cast<std::size_t>(key.index));
+}
+
 auto containsTask(const PoolJobState &state, const TaskKey &key) -> bool
 {
     const auto within = [](int index, std::size_t size) { return index >= 0 && static_cast<std::size_t>(index) < size; };
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -142,6 +142,7 @@
 
 /// @param state must contain the task
 auto taskAt(PoolJobState &state, const TaskKey &key) -> TaskState &;
+auto taskAt(const PoolJobState &state, const TaskKey &key) -> const TaskState &;
 
 /// @return whether the job contains the task.
 auto containsTask(const PoolJobState &state, const TaskKey &key) -> bool;
