Simulate cancellations at every moment, queued orders, held polls and departures

Change: orders to one worker are sent one after the other and count as unanswered only after their timeouts; polls are held back by the worker, fail after their timeouts, and come every 5 s while a worker is idle, as the daemon makes them. New faults: workers that drain, leave and come back under their id, and late orders that the next incarnation carries out. Late orders are also carried out while no planner is in office. The check of final jobs counts from the caller's cancellation instead of the planner's knowledge of it, and reports starts after it. It excuses only what was measured: workers out of reach, a takeover, 4 s for a late start or a late stop.

--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -73,6 +73,30 @@
     return simulation;
 }
 
+/// Runs 50 random jobs, half of them for at least 12 s, and cancels three of four, each at another moment: before it is submitted or
+/// placed, while its start orders are sent or repeated, while it runs, at about its end, twice, and after its retention.
+auto runCancelledJobs(std::uint64_t seed, const PoolFaults &faults) -> PoolSimulation
+{
+    auto simulation = PoolSimulation{seed, 12, faults};
+    auto random = Random{seed + 1};
+    for (auto i = 0; i < 50; ++i) {
+        auto job = randomJob(random, i);
+        auto &length = job.steps.front().estimate;
+        length += Millis{random(2) == 0 ? 12'000 : 0};
+        const auto submitted = std::int64_t{i} * 500;
+        const auto spans = std::array<std::int64_t, 7>{-20, 0, 40, random(1'500), random(10'000), length.count(), 124'000 + length.count()};
+        const auto span = spans.at(random(7));
+        if (random(4) != 0) {
+            simulation.cancelAt(job.id, Millis{submitted + span});
+            simulation.cancelAt(job.id, Millis{submitted + span + std::int64_t{random(2)} * 1'000});
+        }
+        simulation.submit(job);
+        simulation.run(Millis{submitted + 500});
+    }
+    simulation.run(Millis{60'000});
+    return simulation;
+}
+
 auto text(const std::vector<std::string> &lines) -> std::string
 {
     return std::accumulate(lines.begin(), lines.end(), std::string{}, [](const auto &sum, const auto &it) { return sum + it + "\n"; });
@@ -160,6 +184,43 @@
     }
 }
 
+// Guards against work of a cancelled or failed job that runs on for 3 s and more, by any fault alone and by all of them together.
+TEST_CASE("work of cancelled and failed jobs is over in time, whatever goes wrong")
+{
+    const auto faults = std::vector<std::pair<std::string, PoolFaults>>{
+        {"none", {}},
+        {"lost answers", {.lostAnswers = 20}},
+        {"late orders", {.lateOrders = 50}},
+        {"failed tasks", {.failedTasks = 40}},
+        {"cut workers", {.cutWorkers = 30}},
+        {"lost workers", {.lostWorkers = 20}},
+        {"restarts", {.restarts = 40}},
+        {"departures", {.departures = 40}},
+        {"takeovers", {.takeovers = 6}},
+        {"takeovers before orders", {.takeoversBeforeOrders = 6}},
+        {"restarts and orders for the earlier incarnation", {.lateOrders = 30, .restarts = 80, .misdirectedOrders = true}},
+        {"departures and orders for the earlier incarnation", {.lateOrders = 30, .departures = 80, .misdirectedOrders = true}},
+        {"all",
+         {.lostAnswers = 5,
+          .lateOrders = 10,
+          .failedTasks = 10,
+          .cutWorkers = 15,
+          .restarts = 20,
+          .takeovers = 3,
+          .takeoversBeforeOrders = 3,
+          .departures = 20,
+          .misdirectedOrders = true}},
+    };
+    for (const auto &it : faults) {
+        for (auto seed = std::uint64_t{1}; seed <= 5; ++seed) {
+            const auto simulation = runCancelledJobs(seed, it.second);
+            CAPTURE(it.first);
+            CAPTURE(seed);
+            CHECK_MESSAGE(simulation.violations().empty(), text(simulation.violations()));
+        }
+    }
+}
+
 // Guards against work of a cancelled or failed job that a new planner keeps running, because the record of the earlier planner already
 // shows the job as final.
 TEST_CASE("a new planner stops what runs of a job that its record shows as cancelled or failed")
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -12,10 +12,17 @@
 constexpr auto workersPerRack = 4;
 constexpr auto gangTimeout = Millis{3'000};
 constexpr auto cutDuration = Millis{12'000};
-constexpr auto pollIntervalSteps = 5;
 constexpr auto takeoverTimeout = Millis{2'000};
 /// Work of a cancelled or failed job is over by then, unless its worker was out of reach.
 constexpr auto stopLimit = Millis{3'000};
+/// More time for work that a late order started, from its start, and for an attempt whose stop order is late.
+constexpr auto lateLimit = Millis{4'000};
+/// Times of the pollers in daemon/poolcalls.cpp.
+constexpr auto pollTimeoutMargin = Millis{900};
+constexpr auto pollRetryDelay = Millis{200};
+constexpr auto idlePollInterval = Millis{5'000};
+constexpr auto drainDuration = Millis{2'500};
+constexpr auto absence = Millis{2'000};
 
 auto workerTime(MonoTime now, const SimulatedPoolWorker &worker) -> WorkerTime
 {
@@ -53,7 +60,7 @@
                        .labels = {"a", rack},
                        .capacity = {.cpuMillis = 32'000, .memoryMb = 128'000, .accelerators = 8},
                        .born = Incarnation{1}};
-        worker.bornAt = m_start;
+        worker.bornAt = m_start - Seconds{100};
         if (chance(m_faults.cutWorkers)) {
             worker.cutFrom = m_start + Millis{2'000 + m_random(15'000)};
             worker.cutUntil = worker.cutFrom + cutDuration;
@@ -62,6 +69,9 @@
             worker.cutFrom = m_start + Millis{2'000 + m_random(15'000)};
             worker.cutUntil = MonoTime::max();
         }
+        if (chance(m_faults.departures)) {
+            worker.drainsAt = m_start + Millis{2'000 + m_random(25'000)};
+        }
     }
     for (auto i = 0; i < m_faults.takeovers; ++i) {
         m_takeovers.push_back(m_start + Millis{3'000 + m_random(25'000)});
@@ -82,7 +92,7 @@
 
 auto PoolSimulation::isCutOff(const SimulatedPoolWorker &worker) const -> bool
 {
-    return m_now >= worker.cutFrom && m_now < worker.cutUntil;
+    return worker.gone || (m_now >= worker.cutFrom && m_now < worker.cutUntil);
 }
 
 auto PoolSimulation::core() const -> const PoolCore &
@@ -122,7 +132,9 @@
 {
     auto listed = std::vector<PoolWorkerInfo>{};
     for (const auto &[id, it] : m_workers) {
-        listed.push_back(it.info);
+        if (!it.gone) {
+            listed.push_back(it.info);
+        }
     }
     m_core.setWorkers(listed, m_now);
 }
@@ -135,10 +147,25 @@
 
 auto PoolSimulation::cancel(const JobId &id) -> void
 {
-    m_cancelled.insert(id);
+    m_cancelled.try_emplace(id, m_now);
     m_core.cancelJob(id, m_now);
 }
 
+auto PoolSimulation::cancelAt(const JobId &id, Millis time) -> void
+{
+    m_cancellations.emplace_back(m_start + time, id);
+}
+
+auto PoolSimulation::applyCancellations() -> void
+{
+    std::erase_if(m_cancellations, [&](const auto &it) {
+        if (it.first <= m_now) {
+            cancel(it.second);
+        }
+        return it.first <= m_now;
+    });
+}
+
 auto PoolSimulation::run(Millis until) -> void
 {
     while (m_now < m_start + until) {
@@ -149,42 +176,69 @@
 auto PoolSimulation::step() -> void
 {
     m_now += stepTime;
-    for (auto i = std::size_t{0}; i < m_lateOrders.size();) {
-        if (m_lateOrders[i].at > m_now) {
-            ++i;
-            continue;
-        }
-        const auto late = m_lateOrders[i];
-        m_lateOrders.erase(m_lateOrders.begin() + static_cast<std::ptrdiff_t>(i));
-        // A worker refuses orders meant for an earlier incarnation.
-        if (late.born == m_workers.at(late.order.worker).info.born) {
-            execute(late.order, late.leaseUntil, late.token);
-        }
-    }
+    applyCancellations();
     advanceWorkers();
     if (!m_takeovers.empty() && m_now >= m_takeovers.front()) {
         m_takeovers.erase(m_takeovers.begin());
         takeOver();
     }
-    if ((m_now - m_start) / stepTime % pollIntervalSteps == 0) {
-        pollWorkers();
-    }
+    pollWorkers();
     plan();
+    sendOrders();
     checkFinalJobs();
 }
 
+auto PoolSimulation::executeLateOrders() -> void
+{
+    auto due = std::vector<LateOrder>{};
+    std::erase_if(m_lateOrders, [&](const LateOrder &it) {
+        if (it.at <= m_now) {
+            due.push_back(it);
+        }
+        return it.at <= m_now;
+    });
+    for (const auto &it : due) {
+        const auto &worker = m_workers.at(it.order.worker);
+        if (!worker.gone && (m_faults.misdirectedOrders || it.born == worker.info.born)) {
+            execute(it.order, it.leaseUntil, it.token, &it);
+        }
+    }
+}
+
+/// @return when the job was cancelled, or was first found to have failed; nothing if neither.
+auto PoolSimulation::finalSince(const JobId &id) const -> std::optional<MonoTime>
+{
+    const auto *state = m_core.find(id);
+    // A cancellation does not change a job that has ended.
+    const auto ended = state != nullptr && (state->phase == PoolJobPhase::Completed || state->phase == PoolJobPhase::Failed);
+    if (const auto it = m_cancelled.find(id); it != m_cancelled.end() && !ended) {
+        return it->second;
+    }
+    const auto it = m_failed.find(id);
+    return it == m_failed.end() ? std::nullopt : std::optional{it->second};
+}
+
 /// Reports attempts of cancelled and failed jobs that run on although their workers can be reached.
 auto PoolSimulation::checkFinalJobs() -> void
 {
+    for (const auto &[id, state] : m_core.jobs()) {
+        if (state.phase == PoolJobPhase::Failed) {
+            m_failed.try_emplace(id, m_now);
+        }
+    }
     for (const auto &[id, worker] : m_workers) {
         for (const auto &[key, it] : worker.running) {
-            const auto *state = m_core.find(key.job);
-            if (state == nullptr || (state->phase != PoolJobPhase::Cancelled && state->phase != PoolJobPhase::Failed)) {
+            const auto final = finalSince(key.job);
+            if (!final) {
                 continue;
             }
-            const auto reachableSince = isCutOff(worker) ? m_now : std::max(worker.cutUntil, m_start);
-            const auto since = std::max({state->finalSince, it.begin, m_tookOverAt, reachableSince});
-            if (m_now - since > stopLimit + m_options.stopGrace && m_reportedFinal.emplace(key, it.attempt).second) {
+            const auto reachableSince = isCutOff(worker) ? m_now : worker.cutUntil <= m_now ? worker.cutUntil : m_start;
+            auto limit = std::max({*final, m_tookOverAt, reachableSince}) + stopLimit;
+            if (m_lateStops.contains({key, it.attempt})) {
+                limit += lateLimit;
+            }
+            limit = std::max(limit, it.late ? it.begin + lateLimit : limit) + m_options.stopGrace;
+            if (m_now > limit && m_reportedFinal.emplace(key, it.attempt).second) {
                 m_violations.push_back(key.job.str() + "." + std::to_string(key.step) + "." + std::to_string(key.index) + " attempt "
                                        + std::to_string(it.attempt) + " runs on after the end of its job at "
                                        + std::to_string(std::chrono::duration_cast<Millis>(m_now - m_start).count()) + " ms on " + id.str());
@@ -209,8 +263,11 @@
     const auto resume = m_now + takeoverTimeout;
     while (m_now < resume) {
         m_now += stepTime;
+        applyCancellations();
         advanceWorkers();
     }
+    m_links.clear();
+    m_pollers.clear();
     ++m_token;
     m_core = PoolCore{m_options};
     m_core.setRules(simulationRules());
@@ -221,7 +278,7 @@
     for (const auto &[id, state] : m_records) {
         m_core.adoptRecord(id, state, earlierLeasesEnd, m_now);
     }
-    for (const auto &id : m_cancelled) {
+    for (const auto &[id, at] : m_cancelled) {
         m_core.cancelJob(id, m_now);
     }
     listWorkers();
@@ -250,28 +307,56 @@
     }
     m_core.recorded(effects);
     for (const auto &it : effects.orders) {
-        send(it);
+        m_links[it.worker].queue.push_back(it);
     }
 }
 
-auto PoolSimulation::send(const PoolOrder &order) -> void
+auto PoolSimulation::sendOrders() -> void
+{
+    for (auto &[id, link] : m_links) {
+        if (link.unanswered && m_now >= link.answerDue) {
+            m_core.applyOrder(*std::exchange(link.unanswered, std::nullopt), OrderOutcome::OutcomeUnknown, m_now);
+        }
+        while (!link.unanswered && !link.queue.empty()) {
+            const auto order = link.queue.front();
+            link.queue.pop_front();
+            send(link, order);
+        }
+    }
+}
+
+auto PoolSimulation::send(Link &link, const PoolOrder &order) -> void
 {
     auto &worker = m_workers.at(order.worker);
-    const auto lease = m_core.leaseFor(order.worker, m_now);
-    const auto leaseUntil = worker.bornAt + Millis{lease.value - 1};
-    if (isCutOff(worker)) {
-        m_core.applyOrder(order, OrderOutcome::OutcomeUnknown, m_now);
-    } else if (chance(m_faults.lateOrders)) {
-        m_lateOrders.push_back(
-            {.at = m_now + Millis{2'000 + m_random(10'000)}, .order = order, .leaseUntil = leaseUntil, .token = m_token, .born = worker.info.born});
-        m_core.applyOrder(order, OrderOutcome::OutcomeUnknown, m_now);
-    } else {
-        const auto outcome = execute(order, leaseUntil, m_token);
-        m_core.applyOrder(order, chance(m_faults.lostAnswers) ? OrderOutcome::OutcomeUnknown : outcome, m_now);
+    if (!m_core.isCurrent(order)) {
+        m_core.applyOrder(order, OrderOutcome::NotSent, m_now);
+        return;
+    }
+    const auto lease = order.kind == PoolOrder::Kind::Start ? m_core.leaseFor(order.worker, m_now) : WorkerTime{};
+    if (order.kind == PoolOrder::Kind::Start && lease.value == 0) {
+        m_core.applyOrder(order, OrderOutcome::NotSent, m_now);
+        return;
     }
+    if (!isCutOff(worker)) {
+        if (!chance(m_faults.lateOrders)) {
+            const auto outcome = execute(order, lease, m_token, nullptr);
+            if (!chance(m_faults.lostAnswers)) {
+                m_core.applyOrder(order, outcome, m_now);
+                return;
+            }
+        } else {
+            m_lateOrders.push_back(
+                {.at = m_now + Millis{2'000 + m_random(10'000)}, .order = order, .leaseUntil = lease, .token = m_token, .born = worker.info.born});
+            if (order.kind == PoolOrder::Kind::Stop) {
+                m_lateStops.emplace(order.task, order.attempt);
+            }
+        }
+    }
+    link.unanswered = order;
+    link.answerDue = m_now + order.answerTimeout;
 }
 
-auto PoolSimulation::execute(const PoolOrder &order, MonoTime leaseUntil, std::int64_t token) -> OrderOutcome
+auto PoolSimulation::execute(const PoolOrder &order, WorkerTime leaseUntil, std::int64_t token, const LateOrder *late) -> OrderOutcome
 {
     auto &worker = m_workers.at(order.worker);
     if (token < worker.token) {
@@ -279,19 +364,19 @@
     }
     worker.token = token;
     if (order.kind == PoolOrder::Kind::Start) {
-        return startAt(worker, order, leaseUntil);
+        return startAt(worker, order, leaseUntil, late);
     }
     auto &closed = worker.lastClosed[order.task];
     closed = std::max(closed, order.attempt);
     const auto it = worker.running.find(order.task);
-    if (it != worker.running.end() && it->second.attempt <= order.attempt) {
+    if (it != worker.running.end() && it->second.attempt <= order.attempt && !it->second.stopping) {
         it->second.stopping = true;
         it->second.stopAt = m_now + m_options.stopGrace;
     }
     return OrderOutcome::Accepted;
 }
 
-auto PoolSimulation::startAt(SimulatedPoolWorker &worker, const PoolOrder &order, MonoTime leaseUntil) -> OrderOutcome
+auto PoolSimulation::startAt(SimulatedPoolWorker &worker, const PoolOrder &order, WorkerTime leaseUntil, const LateOrder *late) -> OrderOutcome
 {
     const auto it = worker.running.find(order.task);
     if (it != worker.running.end() && it->second.attempt == order.attempt) {
@@ -301,14 +386,25 @@
     if (closed != worker.lastClosed.end() && order.attempt <= closed->second) {
         return OrderOutcome::Superseded;
     }
-    if (leaseUntil <= m_now) {
+    // A longer lease is shortened; one by the clock of an earlier incarnation can be much longer.
+    const auto until = std::min(worker.bornAt + Millis{leaseUntil.value - 1}, m_now + m_options.leaseDuration);
+    if (until <= m_now) {
         return OrderOutcome::Expired;
     }
-    checkStart(worker, order);
-    worker.leaseUntil = std::max(worker.leaseUntil, leaseUntil);
+    // Nothing can prevent an incarnation that knows nothing of the attempt from starting it.
+    const auto misdirected = late != nullptr && late->born != worker.info.born;
+    if (!misdirected) {
+        checkStart(worker, order);
+    }
+    worker.leaseUntil = std::max(worker.leaseUntil, until);
     const auto &step = m_jobs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)];
-    worker.running[order.task] = {.attempt = order.attempt, .begin = m_now, .end = m_now + step.estimate, .resources = step.perTask};
+    worker.running[order.task] = {
+        .attempt = order.attempt, .begin = m_now, .end = m_now + step.estimate, .resources = step.perTask, .late = late != nullptr, .misdirected = misdirected};
     m_startedAt.try_emplace(order.task.job, m_now);
+    if (late == nullptr && finalSince(order.task.job)) {
+        m_violations.push_back(order.task.job.str() + " is started after its end at "
+                               + std::to_string(std::chrono::duration_cast<Millis>(m_now - m_start).count()) + " ms on " + worker.info.id.str());
+    }
     return OrderOutcome::Accepted;
 }
 
@@ -319,13 +415,14 @@
     const auto at = " at " + std::to_string(std::chrono::duration_cast<Millis>(m_now - m_start).count()) + " ms on " + worker.info.id.str();
     auto used = m_jobs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)].perTask;
     for (const auto &[key, it] : worker.running) {
-        used += it.resources;
+        used += it.misdirected ? Resources{} : it.resources;
     }
     if (copiesThatFit(used, worker.info.capacity, 1) == 0) {
         m_violations.push_back(name + " is started beyond the capacity" + at);
     }
     for (const auto &[id, other] : m_workers) {
-        if (other.running.contains(order.task)) {
+        const auto it = other.running.find(order.task);
+        if (it != other.running.end() && !it->second.misdirected) {
             m_violations.push_back(std::string(name).append(" runs twice, also on ").append(id.str()).append(at));
         }
     }
@@ -454,50 +551,108 @@
     }
 }
 
+/// The worker's process ends; what it ran is gone.
+auto PoolSimulation::lifetimeEnds(SimulatedPoolWorker &worker) -> void
+{
+    for (const auto &[key, it] : std::map{worker.running}) {
+        const auto attempt = it.attempt;
+        worker.running.erase(key);
+        if (m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].gang) {
+            endGang(key, attempt);
+        }
+    }
+    const auto before = worker;
+    worker = SimulatedPoolWorker{.info = before.info, .bornAt = m_now, .cutFrom = before.cutFrom, .cutUntil = before.cutUntil};
+    ++worker.info.born;
+    worker.info.draining = false;
+}
+
+/// A worker that drains, leaves and comes back.
+auto PoolSimulation::moveWorker(SimulatedPoolWorker &worker) -> void
+{
+    if (worker.gone) {
+        if (m_now - worker.bornAt >= absence) {
+            worker.gone = false;
+            worker.bornAt = m_now;
+            listWorkers();
+        }
+    } else if (worker.drainsAt && m_now >= *worker.drainsAt + drainDuration) {
+        lifetimeEnds(worker);
+        worker.gone = true;
+        if (chance(50)) {
+            m_core.workerLeft(worker.info.id);
+        }
+        listWorkers();
+    } else if (worker.drainsAt && m_now >= *worker.drainsAt && !worker.info.draining) {
+        worker.info.draining = true;
+        listWorkers();
+    }
+}
+
 auto PoolSimulation::advanceWorkers() -> void
 {
+    executeLateOrders();
     for (auto &[id, worker] : m_workers) {
-        advanceWorker(worker);
+        if (!worker.gone) {
+            advanceWorker(worker);
+        }
+        moveWorker(worker);
         // On average, the given percentage of workers restarts within 30 s.
-        if (m_faults.restarts > 0 && m_random(150'000) < static_cast<std::uint32_t>(m_faults.restarts)) {
-            for (const auto &[key, it] : std::map{worker.running}) {
-                const auto attempt = it.attempt;
-                worker.running.erase(key);
-                if (m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].gang) {
-                    endGang(key, attempt);
-                }
-            }
-            const auto info = worker.info;
-            worker = SimulatedPoolWorker{.info = info, .bornAt = m_now, .cutFrom = worker.cutFrom, .cutUntil = worker.cutUntil};
-            ++worker.info.born;
+        if (m_faults.restarts > 0 && !worker.gone && m_random(150'000) < static_cast<std::uint32_t>(m_faults.restarts)) {
+            lifetimeEnds(worker);
             listWorkers();
         }
     }
 }
 
+auto PoolSimulation::receivePoll(SimulatedPoolWorker &worker, const WorkerPollRequest &request) -> void
+{
+    worker.token = std::max(worker.token, m_token);
+    if (request.leaseUntil.value > 0) {
+        const auto until = worker.bornAt + Millis{request.leaseUntil.value - 1};
+        worker.leaseUntil = std::max(worker.leaseUntil, std::min(until, m_now + m_options.leaseDuration));
+    }
+    // The core may still hold the number of a completion of an earlier incarnation, which must not be acknowledged here.
+    const auto &known = m_core.workers().at(worker.info.id);
+    if (known.answered && known.info.born == worker.info.born) {
+        acknowledge(worker, request.seenCompletions);
+    }
+}
+
+auto PoolSimulation::answerPoll(const SimulatedPoolWorker &worker, const Poller &poller) -> void
+{
+    auto reply = WorkerPollReply{.clock = workerTime(m_now, worker), .born = worker.info.born, .completions = worker.completions};
+    for (const auto &[key, it] : worker.running) {
+        const auto spent = std::chrono::duration_cast<Millis>(m_now - it.begin).count();
+        reply.running.push_back({.task = key, .attempt = it.attempt, .percent = static_cast<int>(spent / 50)});
+    }
+    m_core.applyPollReply(worker.info.id, reply, poller.sentAt, m_now);
+}
+
 auto PoolSimulation::pollWorkers() -> void
 {
-    for (auto &[id, worker] : m_workers) {
-        const auto poll = m_core.nextPoll(id, m_now);
-        if (isCutOff(worker)) {
-            m_core.pollFailed(id);
+    std::erase_if(m_pollers, [&](const auto &it) { return !m_core.workers().contains(it.first); });
+    for (const auto &[id, address] : m_core.pollTargets()) {
+        auto &worker = m_workers.at(id);
+        auto &poller = m_pollers[id];
+        if (!poller.open && (m_now < poller.pauseUntil || (m_now < poller.idleUntil && m_core.isIdle(id)))) {
             continue;
         }
-        worker.token = std::max(worker.token, m_token);
-        if (poll.request.leaseUntil.value > 0) {
-            worker.leaseUntil = std::max(worker.leaseUntil, worker.bornAt + Millis{poll.request.leaseUntil.value - 1});
-        }
-        // The core may still hold the number of a completion of an earlier incarnation, which must not be acknowledged here.
-        const auto &known = m_core.workers().at(id);
-        if (known.answered && known.info.born == worker.info.born) {
-            acknowledge(worker, poll.request.seenCompletions);
+        if (!poller.open) {
+            poller = {.open = m_core.nextPoll(id, m_now).request, .sentAt = m_now, .born = worker.info.born, .lost = isCutOff(worker)};
+            if (!poller.lost) {
+                receivePoll(worker, *poller.open);
+            }
         }
-        auto reply = WorkerPollReply{.clock = workerTime(m_now, worker), .born = worker.info.born, .completions = worker.completions};
-        for (const auto &[key, it] : worker.running) {
-            const auto spent = std::chrono::duration_cast<Millis>(m_now - it.begin).count();
-            reply.running.push_back({.task = key, .attempt = it.attempt, .percent = static_cast<int>(spent / 50)});
+        const auto reset = poller.born != worker.info.born;
+        poller.lost = poller.lost || isCutOff(worker);
+        if (reset || (poller.lost && m_now - poller.sentAt >= poller.open->wait + pollTimeoutMargin)) {
+            poller = {.pauseUntil = m_now + pollRetryDelay};
+            m_core.pollFailed(id);
+        } else if (!poller.lost && (!worker.completions.empty() || m_now - poller.sentAt >= poller.open->wait)) {
+            answerPoll(worker, poller);
+            poller = {.idleUntil = m_now + idlePollInterval};
         }
-        m_core.applyPollReply(id, reply, m_now, m_now);
     }
 }
 
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// Simulates the workers of a pool for tests of PoolCore: carries out its orders and answers its polls, loses and delays orders and
-/// answers, cuts off and restarts workers, replaces the planner, and checks invariants at each start.
+/// answers, cuts off and restarts workers, replaces the planner, and checks invariants at each start. Orders to a worker are sent one
+/// after the other, and polls are held back by the worker, as daemon/poolterm does it.
 ///
 /// @code
 ///   auto simulation = Catkin::Testing::PoolSimulation{seed, 12, {.lostAnswers = 5}};
@@ -13,7 +14,9 @@
 #include "policy/poolcore.h"
 #include "util/random.h"
 
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +34,8 @@
     int restarts = 0; ///< percentage of workers that restart within 30 s, on average
     int takeovers = 0; ///< number of takeovers by a new planner
     int takeoversBeforeOrders = 0; ///< further takeovers, each after a planner has stored its records and before its stop orders are sent
+    int departures = 0; ///< percentage of workers that drain, leave, and come back under their id
+    bool misdirectedOrders = false; ///< whether late orders are also carried out by the next incarnation of their worker
 };
 
 struct SimulatedAttempt
@@ -41,6 +46,8 @@
     Resources resources;
     bool stopping = false;
     MonoTime stopAt; ///< when a stop order takes effect
+    bool late = false; ///< started by a late order
+    bool misdirected = false; ///< started by an order meant for an earlier incarnation
 };
 
 struct SimulatedPoolWorker
@@ -56,6 +63,8 @@
     MonoTime bornAt;
     MonoTime cutFrom; ///< the worker is cut off from here until cutUntil
     MonoTime cutUntil;
+    std::optional<MonoTime> drainsAt; ///< the worker leaves drainDuration later
+    bool gone = false; ///< has left and not come back yet
 };
 
 class PoolSimulation
@@ -65,6 +74,8 @@
 
     auto submit(const PoolJob &job) -> void;
     auto cancel(const JobId &id) -> void;
+    /// Cancels a job at a time since the start of the simulation, also while no planner is in office.
+    auto cancelAt(const JobId &id, Millis time) -> void;
     /// Runs in steps of 20 ms.
     /// @param until time since the start of the simulation
     auto run(Millis until) -> void;
@@ -83,10 +94,26 @@
     {
         MonoTime at;
         PoolOrder order;
-        MonoTime leaseUntil;
+        WorkerTime leaseUntil;
         std::int64_t token = 0;
         Incarnation born; ///< incarnation of the worker that the order is meant for
     };
+    /// Orders to one worker.
+    struct Link
+    {
+        std::deque<PoolOrder> queue;
+        std::optional<PoolOrder> unanswered;
+        MonoTime answerDue; ///< when @c unanswered counts as such
+    };
+    struct Poller
+    {
+        std::optional<WorkerPollRequest> open;
+        MonoTime sentAt;
+        Incarnation born; ///< of the worker when the poll was sent
+        bool lost = false;
+        MonoTime pauseUntil;
+        MonoTime idleUntil; ///< an idle worker is not polled before
+    };
 
     auto step() -> void;
     auto advanceWorkers() -> void;
@@ -94,10 +121,18 @@
     auto completeAttempt(SimulatedPoolWorker &worker, const TaskKey &key, CompletionKind kind) -> void;
     auto endGang(const TaskKey &key, int attempt) -> void;
     auto plan() -> void;
-    auto send(const PoolOrder &order) -> void;
-    auto execute(const PoolOrder &order, MonoTime leaseUntil, std::int64_t token) -> OrderOutcome;
-    auto startAt(SimulatedPoolWorker &worker, const PoolOrder &order, MonoTime leaseUntil) -> OrderOutcome;
+    auto sendOrders() -> void;
+    auto send(Link &link, const PoolOrder &order) -> void;
+    auto executeLateOrders() -> void;
+    auto execute(const PoolOrder &order, WorkerTime leaseUntil, std::int64_t token, const LateOrder *late) -> OrderOutcome;
+    auto startAt(SimulatedPoolWorker &worker, const PoolOrder &order, WorkerTime leaseUntil, const LateOrder *late) -> OrderOutcome;
     auto pollWorkers() -> void;
+    auto receivePoll(SimulatedPoolWorker &worker, const WorkerPollRequest &request) -> void;
+    auto answerPoll(const SimulatedPoolWorker &worker, const Poller &poller) -> void;
+    auto applyCancellations() -> void;
+    auto lifetimeEnds(SimulatedPoolWorker &worker) -> void;
+    auto moveWorker(SimulatedPoolWorker &worker) -> void;
+    auto finalSince(const JobId &id) const -> std::optional<MonoTime>;
     auto takeOver() -> void;
     auto isLostBeforeOrders(const PoolEffects &effects) -> bool;
     auto checkFinalJobs() -> void;
@@ -118,10 +153,15 @@
     std::int64_t m_token = 1;
     std::map<WorkerId, SimulatedPoolWorker> m_workers;
     std::map<JobId, PoolJob> m_jobs;
-    std::set<JobId> m_cancelled;
+    std::map<JobId, MonoTime> m_cancelled;
+    std::vector<std::pair<MonoTime, JobId>> m_cancellations; ///< still to come
+    std::map<JobId, MonoTime> m_failed; ///< when a planner first found the job failed
     std::map<JobId, PoolJobState> m_records;
     std::map<WorkerId, std::int64_t> m_acknowledged;
     std::vector<LateOrder> m_lateOrders;
+    std::map<WorkerId, Link> m_links;
+    std::map<WorkerId, Poller> m_pollers;
+    std::set<std::pair<TaskKey, int>> m_lateStops; ///< attempts with a stop order that is carried out late
     std::set<TaskKey> m_everSucceeded; ///< tasks that have succeeded, recorded or not
     std::set<TaskKey> m_recordedSuccesses; ///< tasks whose success is recorded
     std::map<JobId, MonoTime> m_startedAt;
