Poll a worker that has just restarted all the time: late orders for its earlier process can reach it

What callers would see: a task of a cancelled job runs for up to 7 s after a worker carried its start order out late, more than the 4 s and the stop grace that the users allow.

Cause: a worker may start again under its id, and then knows nothing of what was stopped there. A start order without an answer, meant for the earlier process, can be carried out by the next one, up to 12 s later. That worker has no attempts as far as the planner knows, so it counts as idle: its poll is held back for 2 s and the next one comes 5 s later.

Change: a worker is not idle while its entry shows a newer process than its last poll, nor until its own clock, which begins with the process, shows 16 s. It then has a long poll of 2 s open all the time. The rule needs nothing that a takeover would lose.

The price is 8 polls instead of 3 in the first 16 s of each worker's process.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -32,6 +32,9 @@
 /// How long a worker may delay its poll reply: normally, and while an attempt is being stopped or has an unknown state.
 constexpr auto longPollWait = Millis{2'000};
 constexpr auto shortPollWait = Millis{100};
+/// A start order meant for the earlier incarnation of a restarted worker can be carried out until the worker's clock shows this: it is
+/// sent at most 3 s after the restart, before a poll has shown it, and carried out up to 12 s later.
+constexpr auto earlierOrdersEnd = WorkerTime{16'000};
 
 }
 
@@ -452,9 +455,12 @@
 auto PoolCore::isIdle(const WorkerId &id) const -> bool
 {
     const auto it = m_workers.find(id);
-    return it == m_workers.end()
-           || (it->second.answered && it->second.allocations.empty() && it->second.recordedCompletions >= it->second.processedCompletions
-               && it->second.reachable);
+    if (it == m_workers.end()) {
+        return true;
+    }
+    const auto &worker = it->second;
+    const auto earlierOrders = worker.listedBorn > worker.info.born || worker.clock < earlierOrdersEnd;
+    return worker.answered && worker.reachable && worker.allocations.empty() && worker.recordedCompletions >= worker.processedCompletions && !earlierOrders;
 }
 
 auto PoolCore::hasUnrecordedCompletions(const WorkerId &id) const -> bool
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -126,6 +126,7 @@
         const auto moved = worker.info.address != it.address;
         const auto born = worker.info.born;
         worker.info = it;
+        worker.listedBorn = it.born;
         worker.listed = true;
         if (worker.answered) {
             worker.info.born = born; // the list may lag behind the worker's own replies
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -122,7 +122,8 @@
     [[nodiscard]] auto hasUnlistedWork() const -> bool;
     /// @return id and address of the workers to poll: those listed and those with allocations.
     [[nodiscard]] auto pollTargets() const -> std::vector<std::pair<WorkerId, std::string>>;
-    /// @return whether the worker is reachable and has neither attempts nor unrecorded completions, so that polling it can wait.
+    /// @return whether polling the worker can wait: it is reachable, has neither attempts nor unrecorded completions, and has run for
+    /// so long that no order meant for an earlier incarnation can reach it.
     [[nodiscard]] auto isIdle(const WorkerId &id) const -> bool;
     /// @return whether the worker has reported completions that are not yet recorded.
     [[nodiscard]] auto hasUnrecordedCompletions(const WorkerId &id) const -> bool;
@@ -164,6 +165,7 @@
         PoolWorkerInfo info;
         bool listed = false;
         bool answered = false; ///< a poll has been answered in this planner's term
+        Incarnation listedBorn; ///< incarnation in the worker's entry
         Resources used;
         std::map<AttemptKey, Allocation> allocations;
         WorkerTime clock; ///< worker's clock in the last poll reply
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -221,6 +221,32 @@
     }
 }
 
+// Guards against work of a cancelled job that a late order starts on a worker which has restarted, counts as idle and is polled too
+// rarely: the restarted worker does not know that the attempt was stopped.
+TEST_CASE("a start order that reaches the next incarnation of an idle worker is found and stopped in time")
+{
+    const auto faults = std::array{
+        PoolFaults{.lateOrders = 40, .restarts = 150, .misdirectedOrders = true},
+        PoolFaults{.lateOrders = 40, .takeovers = 4, .departures = 100, .misdirectedOrders = true},
+    };
+    for (const auto &it : faults) {
+        for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
+            auto simulation = PoolSimulation{seed, 12, it};
+            auto random = Random{seed + 1};
+            for (auto i = 0; i < 40; ++i) {
+                const auto at = std::int64_t{i} * 750;
+                const auto job = makeJob("job" + std::to_string(i), "batch", {makeStep(2, 2, Millis{30'000}, false)});
+                simulation.cancelAt(job.id, Millis{at + random(3'000)});
+                simulation.submit(job);
+                simulation.run(Millis{at + 750});
+            }
+            simulation.run(Millis{60'000});
+            CAPTURE(seed);
+            CHECK_MESSAGE(simulation.violations().empty(), text(simulation.violations()));
+        }
+    }
+}
+
 // Guards against work of a cancelled or failed job that a new planner keeps running, because the record of the earlier planner already
 // shows the job as final.
 TEST_CASE("a new planner stops what runs of a job that its record shows as cancelled or failed")
