Send one stop order for an attempt at a time, before start orders, and withdraw it when it is not needed

What callers would see: work of a cancelled job runs on for seconds on a worker that leaves orders unanswered, because its stop order waits behind others that nobody needs any more.

Cause: orders to one worker are sent one after the other, and each unanswered one takes 0.3 to 0.7 s. A stop order was issued again every 0.5 s although the one before it still waited in the queue, and was sent although the attempt was over or its stop answered. The queue grew faster than it was sent.

Change: a stop order is open until it is answered or counts as unanswered, like a start order, and only then repeated. Stop orders that wait are withdrawn when the attempt is over or its stop has been answered. They go before start orders in the queue: a worker that has answered a stop refuses the start. The simulation now excuses a late stop for the run that it was for, not for the attempt's number, and does not count the success of a run that an order for an earlier process started.

--- a/packages/daemon/poolcalls.cpp
+++ b/packages/daemon/poolcalls.cpp
@@ -41,7 +41,7 @@
 {
     const auto lock = std::lock_guard{m_mutex};
     auto &link = linkTo(order);
-    link->queue.push_back(order);
+    enqueueOrder(link->queue, order);
     if (link->busy) {
         return;
     }
@@ -71,16 +71,21 @@
     }
 }
 
-auto PoolTerm::startOutcome(const PoolOrder &order, OrderLink &link) -> OrderOutcome
+auto PoolTerm::outcomeOf(const PoolOrder &order, OrderLink &link) -> OrderOutcome
 {
     auto lease = WorkerTime{};
     {
         const auto lock = std::lock_guard{m_mutex};
-        // The job may have been cancelled, or its room given away, since the order was queued.
+        // The job may have been cancelled, its room given away, or the attempt may have ended since the order was queued.
         if (!m_core.isCurrent(order)) {
             return OrderOutcome::NotSent;
         }
-        lease = m_core.leaseFor(order.worker, m_clock.mono());
+        if (order.kind == PoolOrder::Kind::Start) {
+            lease = m_core.leaseFor(order.worker, m_clock.mono());
+        }
+    }
+    if (order.kind == PoolOrder::Kind::Stop) {
+        return link.channel.stop({.task = order.task, .attempt = order.attempt, .token = m_options.epoch}, order.answerTimeout).outcome;
     }
     if (lease.value == 0) {
         return OrderOutcome::NotSent;
@@ -103,9 +108,7 @@
         std::this_thread::sleep_for(orderPoll);
     }
     if (!stopped() && m_hooks.mayOrder()) {
-        outcome = order.kind == PoolOrder::Kind::Start
-                      ? startOutcome(order, link)
-                      : link.channel.stop({.task = order.task, .attempt = order.attempt, .token = m_options.epoch}, order.answerTimeout).outcome;
+        outcome = outcomeOf(order, link);
     }
     if (outcome == OrderOutcome::Fenced) {
         m_hooks.fenced("a worker has seen a newer planner");
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -124,7 +124,7 @@
     auto dispatch(const PoolOrder &order) -> void;
     auto sendQueued(const std::shared_ptr<OrderLink> &link) -> void;
     auto sendOrder(const PoolOrder &order, OrderLink &link) -> void;
-    auto startOutcome(const PoolOrder &order, OrderLink &link) -> OrderOutcome;
+    auto outcomeOf(const PoolOrder &order, OrderLink &link) -> OrderOutcome;
     auto linkTo(const PoolOrder &order) -> std::shared_ptr<OrderLink> &;
     auto updatePollers() -> void;
     auto pollerLoop(WorkerPoller &poller) -> void;
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -38,6 +38,13 @@
 
 }
 
+auto enqueueOrder(std::deque<PoolOrder> &queue, PoolOrder order) -> void
+{
+    const auto isStart = [](const PoolOrder &it) { return it.kind == PoolOrder::Kind::Start; };
+    const auto at = isStart(order) ? queue.end() : std::find_if(queue.begin(), queue.end(), isStart);
+    queue.insert(at, std::move(order));
+}
+
 auto PoolCore::loseAttempt(Worker &worker, const AttemptKey &key, const char *reason) -> void
 {
     release(worker, key);
@@ -292,6 +299,10 @@
 auto PoolCore::applyStop(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void
 {
     auto &allocation = worker.allocations.at(key);
+    allocation.stopOpen = false;
+    if (allocation.stopAnswered && outcome == OrderOutcome::NotSent) {
+        return; // withdrawn
+    }
     noteStopAnswer(worker, key, outcome);
     if (outcome == OrderOutcome::Accepted) {
         allocation.stopAnswered = true;
@@ -394,7 +405,8 @@
             continue;
         }
         for (auto &[key, it] : worker.allocations) {
-            if (it.stopping && !it.stopAnswered && (it.stopSentAt == MonoTime{} || now - it.stopSentAt >= stopRetryInterval)) {
+            if (it.stopping && !it.stopOpen && !it.stopAnswered && (it.stopSentAt == MonoTime{} || now - it.stopSentAt >= stopRetryInterval)) {
+                it.stopOpen = true;
                 it.stopSentAt = now;
                 effects.orders.push_back({.kind = PoolOrder::Kind::Stop,
                                           .worker = id,
@@ -419,15 +431,16 @@
 
 auto PoolCore::isCurrent(const PoolOrder &order) const -> bool
 {
-    if (order.kind == PoolOrder::Kind::Stop) {
-        return true;
-    }
     const auto worker = m_workers.find(order.worker);
     if (worker == m_workers.end()) {
         return false;
     }
-    const auto allocation = worker->second.allocations.find({order.task, order.attempt});
-    return allocation != worker->second.allocations.end() && isWanted(worker->second, allocation->first, allocation->second);
+    const auto found = worker->second.allocations.find({order.task, order.attempt});
+    if (found == worker->second.allocations.end()) {
+        return false;
+    }
+    const auto &[key, allocation] = *found;
+    return order.kind == PoolOrder::Kind::Start ? isWanted(worker->second, key, allocation) : allocation.stopping && !allocation.stopAnswered;
 }
 
 auto PoolCore::leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -60,6 +60,10 @@
     Millis answerTimeout{0}; ///< without an answer within this time, the outcome is unknown
 };
 
+/// Adds an order to those that wait to be sent to one worker: stop orders go before start orders. A worker that has answered a stop order
+/// refuses the attempt's start orders afterwards.
+auto enqueueOrder(std::deque<PoolOrder> &queue, PoolOrder order) -> void;
+
 struct PoolEffects
 {
     std::vector<JobId> changed; ///< jobs whose placement record must be stored before the orders are sent
@@ -111,7 +115,8 @@
     /// Reports that the records of @p effects are stored.
     auto recorded(const PoolEffects &effects) -> void;
 
-    /// @return whether a queued order should still be sent; false for a start order whose attempt is to be stopped or was lost.
+    /// @return whether a queued order should still be sent; false for a start order whose attempt is to be stopped or was lost, and for a
+    /// stop order whose attempt is over or whose stop has been answered.
     [[nodiscard]] auto isCurrent(const PoolOrder &order) const -> bool;
 
     /// Grants a lease to a worker and extends the worker's Worker::leaseEnd accordingly.
@@ -151,6 +156,7 @@
         bool stopRefusalLogged = false; ///< whether a stop order without success has been logged
         bool orderOpen = false; ///< a start order has been issued and not answered
         bool startOutcomeUnknown = false; ///< a start order was not answered and may still be carried out
+        bool stopOpen = false; ///< a stop order has been issued, and has neither been answered nor counts as unanswered
         bool stopAnswered = false;
         int startTries = 0;
         MonoTime placedAt;
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -477,6 +477,48 @@
     CHECK(pool.core.workers().at(hung.worker).suspectUntil > pool.now);
 }
 
+// Guards against a queue of orders that fills with repeated and needless stop orders, so that others wait for seconds behind them.
+TEST_CASE("an attempt has one stop order under way at most, and a queued one is withdrawn when it is no longer needed")
+{
+    auto pool = TwoWorkers{};
+    for (const auto &it : pool.starts) {
+        pool.core.applyOrder(it, OrderOutcome::Accepted, pool.now);
+    }
+    pool.core.cancelJob(JobId{"a"}, pool.now);
+    const auto stops = pool.plan();
+    REQUIRE(stops.size() == 2);
+    CHECK(pool.core.isCurrent(stops[0]));
+    pool.now += Seconds{2};
+    CHECK(pool.plan().empty()); // both still wait in a queue
+    pool.core.applyOrder(stops[0], OrderOutcome::OutcomeUnknown, pool.now);
+    const auto repeats = pool.plan();
+    REQUIRE(repeats.size() == 1);
+    CHECK(repeats[0].task == stops[0].task);
+    const auto end = AttemptCompletion{.number = 1, .task = stops[0].task, .attempt = 1, .kind = CompletionKind::Stopped};
+    pool.core.applyPollReply(stops[0].worker, {.clock = WorkerTime{100}, .born = Incarnation{1}, .completions = {end}}, pool.now, pool.now);
+    CHECK_FALSE(pool.core.isCurrent(repeats[0]));
+    CHECK(pool.core.isCurrent(stops[1]));
+    pool.core.applyOrder(stops[1], OrderOutcome::NotSent, pool.now);
+    CHECK(pool.plan().size() == 1);
+}
+
+// Guards against a stop order that waits behind start orders which a worker does not answer.
+TEST_CASE("stop orders go before the start orders that wait in a worker's queue")
+{
+    auto queue = std::deque<PoolOrder>{};
+    for (const auto attempt : {1, 2}) {
+        enqueueOrder(queue, {.kind = PoolOrder::Kind::Start, .attempt = attempt});
+    }
+    for (const auto attempt : {3, 4}) {
+        enqueueOrder(queue, {.kind = PoolOrder::Kind::Stop, .attempt = attempt});
+    }
+    auto attempts = std::vector<int>{};
+    for (const auto &it : queue) {
+        attempts.push_back(it.attempt);
+    }
+    CHECK(attempts == std::vector<int>{3, 4, 1, 2});
+}
+
 // Guards against tasks of a worker that has shut down which are placed again only after its lease has expired.
 TEST_CASE("tasks of a worker that has left are placed again at once")
 {
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -233,11 +233,8 @@
                 continue;
             }
             const auto reachableSince = isCutOff(worker) ? m_now : worker.cutUntil <= m_now ? worker.cutUntil : m_start;
-            auto limit = std::max({*final, m_tookOverAt, reachableSince}) + stopLimit;
-            if (m_lateStops.contains({key, it.attempt})) {
-                limit += lateLimit;
-            }
-            limit = std::max(limit, it.late ? it.begin + lateLimit : limit) + m_options.stopGrace;
+            const auto inTime = std::max({*final, m_tookOverAt, reachableSince}) + stopLimit;
+            const auto limit = (it.late ? std::max(inTime, it.begin + lateLimit) : inTime) + (it.stopHeldUp ? lateLimit : Millis{0}) + m_options.stopGrace;
             if (m_now > limit && m_reportedFinal.emplace(key, it.attempt).second) {
                 m_violations.push_back(key.job.str() + "." + std::to_string(key.step) + "." + std::to_string(key.index) + " attempt "
                                        + std::to_string(it.attempt) + " runs on after the end of its job at "
@@ -307,7 +304,7 @@
     }
     m_core.recorded(effects);
     for (const auto &it : effects.orders) {
-        m_links[it.worker].queue.push_back(it);
+        enqueueOrder(m_links[it.worker].queue, it);
     }
 }
 
@@ -347,8 +344,9 @@
         } else {
             m_lateOrders.push_back(
                 {.at = m_now + Millis{2'000 + m_random(10'000)}, .order = order, .leaseUntil = lease, .token = m_token, .born = worker.info.born});
-            if (order.kind == PoolOrder::Kind::Stop) {
-                m_lateStops.emplace(order.task, order.attempt);
+            const auto it = worker.running.find(order.task);
+            if (order.kind == PoolOrder::Kind::Stop && it != worker.running.end()) {
+                it->second.stopHeldUp = true;
             }
         }
     }
@@ -485,6 +483,9 @@
 {
     const auto it = worker.running.find(key);
     const auto attempt = it->second.attempt;
+    if (it->second.misdirected) {
+        worker.voidCompletions.insert(worker.nextCompletion); // the planner may have placed a later attempt
+    }
     worker.running.erase(it);
     auto &closed = worker.lastClosed[key];
     closed = std::max(closed, attempt);
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -47,6 +47,7 @@
     bool stopping = false;
     MonoTime stopAt; ///< when a stop order takes effect
     bool late = false; ///< started by a late order
+    bool stopHeldUp = false; ///< a stop order for it is carried out late
     bool misdirected = false; ///< started by an order meant for an earlier incarnation
 };
 
@@ -161,7 +162,6 @@
     std::vector<LateOrder> m_lateOrders;
     std::map<WorkerId, Link> m_links;
     std::map<WorkerId, Poller> m_pollers;
-    std::set<std::pair<TaskKey, int>> m_lateStops; ///< attempts with a stop order that is carried out late
     std::set<TaskKey> m_everSucceeded; ///< tasks that have succeeded, recorded or not
     std::set<TaskKey> m_recordedSuccesses; ///< tasks whose success is recorded
     std::map<JobId, MonoTime> m_startedAt;
