--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -32,9 +32,19 @@
 /// How long a worker may delay its poll reply: normally, and while an attempt is being stopped or has an unknown state.
 constexpr auto longPollWait = Millis{2'000};
 constexpr auto shortPollWait = Millis{100};
+/// A start order meant for the earlier incarnation of a restarted worker can be carried out until the worker's clock shows this: it is
+/// sent at most 3 s after the restart, before a poll has shown it, and carried out up to 12 s later.
+constexpr auto earlierOrdersEnd = WorkerTime{16'000};
 
 }
 
+auto enqueueOrder(std::deque<PoolOrder> &queue, PoolOrder order) -> void
+{
+    const auto isStart = [](const PoolOrder &it) { return it.kind == PoolOrder::Kind::Start; };
+    const auto at = isStart(order) ? queue.end() : std::find_if(queue.begin(), queue.end(), isStart);
+    queue.insert(at, std::move(order));
+}
+
 auto PoolCore::loseAttempt(Worker &worker, const AttemptKey &key, const char *reason) -> void
 {
     release(worker, key);
@@ -289,6 +299,10 @@
 auto PoolCore::applyStop(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void
 {
     auto &allocation = worker.allocations.at(key);
+    allocation.stopOpen = false;
+    if (allocation.stopAnswered && outcome == OrderOutcome::NotSent) {
+        return; // withdrawn
+    }
     noteStopAnswer(worker, key, outcome);
     if (outcome == OrderOutcome::Accepted) {
         allocation.stopAnswered = true;
@@ -391,7 +405,8 @@
             continue;
         }
         for (auto &[key, it] : worker.allocations) {
-            if (it.stopping && !it.stopAnswered && (it.stopSentAt == MonoTime{} || now - it.stopSentAt >= stopRetryInterval)) {
+            if (it.stopping && !it.stopOpen && !it.stopAnswered && (it.stopSentAt == MonoTime{} || now - it.stopSentAt >= stopRetryInterval)) {
+                it.stopOpen = true;
                 it.stopSentAt = now;
                 effects.orders.push_back({.kind = PoolOrder::Kind::Stop,
                                           .worker = id,
@@ -416,15 +431,16 @@
 
 auto PoolCore::isCurrent(const PoolOrder &order) const -> bool
 {
-    if (order.kind == PoolOrder::Kind::Stop) {
-        return true;
-    }
     const auto worker = m_workers.find(order.worker);
     if (worker == m_workers.end()) {
         return false;
     }
-    const auto allocation = worker->second.allocations.find({order.task, order.attempt});
-    return allocation != worker->second.allocations.end() && isWanted(worker->second, allocation->first, allocation->second);
+    const auto found = worker->second.allocations.find({order.task, order.attempt});
+    if (found == worker->second.allocations.end()) {
+        return false;
+    }
+    const auto &[key, allocation] = *found;
+    return order.kind == PoolOrder::Kind::Start ? isWanted(worker->second, key, allocation) : allocation.stopping && !allocation.stopAnswered;
 }
 
 auto PoolCore::leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime
@@ -452,9 +468,12 @@
 auto PoolCore::isIdle(const WorkerId &id) const -> bool
 {
     const auto it = m_workers.find(id);
-    return it == m_workers.end()
-           || (it->second.answered && it->second.allocations.empty() && it->second.recordedCompletions >= it->second.processedCompletions
-               && it->second.reachable);
+    if (it == m_workers.end()) {
+        return true;
+    }
+    const auto &worker = it->second;
+    const auto earlierOrders = worker.listedBorn > worker.info.born || worker.clock < earlierOrdersEnd;
+    return worker.answered && worker.reachable && worker.allocations.empty() && worker.recordedCompletions >= worker.processedCompletions && !earlierOrders;
 }
 
 auto PoolCore::hasUnrecordedCompletions(const WorkerId &id) const -> bool
