Refuse jobs whose ids cannot be stored or sent

Cause: the id is what a caller's path has after the prefix, percent-decoded, and was taken as it came. JSON cannot hold an id that is not UTF-8, so that encoding the first start order of such a job threw in a thread of the order pool, which ends the process. The job is in the log, so each next leader ended in the same way. An id longer than a key of the store allows was tried until the caller's time ran out.

Seen: after POST of the id %FF%FE (200) the instance ended with SIGABRT; POST and DELETE of an id of 300 bytes took 2.7 s each and were answered 504.

--- a/packages/daemon/poolfront.cpp
+++ b/packages/daemon/poolfront.cpp
@@ -1,6 +1,7 @@
 #include "daemon/poolfront.h"
 
 #include "util/logging.h"
+#include "util/printable.h"
 
 #include <algorithm>
 #include <thread>
@@ -133,7 +134,7 @@
     job.acceptedAt = m_clock.wall();
     const auto problem = access.unsupported.empty() ? jobProblem(job) : std::optional{access.unsupported};
     if (problem) {
-        logEvent(LogLevel::Warn, 6020, "job=" + job.id.str() + " queue=" + job.queue.str() + " refused as malformed: " + *problem);
+        logEvent(LogLevel::Warn, 6020, "job=" + printable(job.id.str()) + " queue=" + job.queue.str() + " refused as malformed: " + *problem);
         m_metrics.requestRefused(MetricRefusal::BadInput);
         return {.outcome = SubmitOutcome::Malformed, .reason = *problem};
     }
@@ -190,7 +191,7 @@
 auto PoolFront::cancel(const QueueAccess &access, const JobId &id, Millis limit) -> Result<void>
 {
     const auto known = m_view.find(id);
-    if (known && known->job && known->job->workspace != access.workspace) {
+    if (!isJobId(id) || (known && known->job && known->job->workspace != access.workspace)) {
         return failure(ErrorCode::NotFound, "no such job");
     }
     if (known && (known->cancelled || isFinal(known->phase))) {
--- a/packages/policy/pooljob.cpp
+++ b/packages/policy/pooljob.cpp
@@ -1,5 +1,7 @@
 #include "policy/pooljob.h"
 
+#include "util/printable.h"
+
 #include <algorithm>
 
 namespace Catkin
@@ -63,6 +65,11 @@
     return std::min({cpu, memory, copiesOf(need.accelerators, available.accelerators, limit)});
 }
 
+auto isJobId(const JobId &id) -> bool
+{
+    return isPrintableId(id.str(), maxJobId);
+}
+
 auto isFinal(PoolJobPhase phase) -> bool
 {
     return phase == PoolJobPhase::Completed || phase == PoolJobPhase::Failed || phase == PoolJobPhase::Cancelled;
@@ -145,8 +152,8 @@
 
 auto jobProblem(const PoolJob &job) -> std::optional<std::string>
 {
-    if (job.id.empty()) {
-        return "the job has no id";
+    if (!isJobId(job.id)) {
+        return "the id has to have 1 to " + std::to_string(maxJobId) + " visible ASCII characters";
     }
     if (job.payload.size() > maxPayload) {
         return "the payload is longer than " + std::to_string(maxPayload) + " bytes";
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -68,6 +68,12 @@
     Millis interval{0}; ///< between two occurrences of a scheduled job
 };
 
+/// Longest id of a job: with its prefix it is a key of the record store, of at most 255 bytes.
+constexpr auto maxJobId = std::size_t{253};
+
+/// @return whether the id can be stored and sent: 1 to maxJobId visible ASCII characters.
+auto isJobId(const JobId &id) -> bool;
+
 enum class PoolJobPhase { Queued, Running, Completed, Failed, Cancelled };
 
 /// @return whether a job in @p phase will never run again.
--- a/packages/ports/httpexecutor.cpp
+++ b/packages/ports/httpexecutor.cpp
@@ -1,8 +1,8 @@
 #include "ports/httpexecutor.h"
 
 #include "ports/httpclient.h"
-#include "ports/jsonfields.h"
 #include "util/digest.h"
+#include "util/jsonnumbers.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/ports/httplog.cpp
+++ b/packages/ports/httplog.cpp
@@ -1,7 +1,7 @@
 #include "ports/httplog.h"
 
 #include "ports/httpclient.h"
-#include "ports/jsonfields.h"
+#include "util/jsonnumbers.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/ports/httpworker.cpp
+++ b/packages/ports/httpworker.cpp
@@ -2,9 +2,9 @@
 
 #include "ports/entitytag.h"
 #include "ports/httpclient.h"
-#include "ports/jsonfields.h"
 #include "ports/statuscache.h"
 #include "util/clock.h"
+#include "util/jsonnumbers.h"
 
 #include <nlohmann/json.hpp>
 
--- /dev/null
+++ b/packages/util/jsonnumbers.h
@@ -0,0 +1,70 @@
+#pragma once
+
+/// Checked access to numbers of a JSON document from another process.
+///
+/// The library converts a number that does not fit by a plain cast. For 1e300 that is undefined, with other results on x86-64
+/// than on arm64, and for integers it silently wraps around.
+///
+/// @code
+///   auto slots = Catkin::intField<int>(body, "slots", 1, 32);   // throws nlohmann::json::exception otherwise
+///   auto attempt = Catkin::toInteger<int>(row.at(1), "attempt");
+/// @endcode
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <string>
+
+namespace Catkin
+{
+
+/// @param name of the number in the error
+/// @param lowest smallest valid value
+/// @param highest largest valid value
+/// @return the number; throws nlohmann::json::exception when it is not an integer or out of range
+template<typename Int = std::int64_t>
+auto toInteger(const nlohmann::json &value, const std::string &name, std::int64_t lowest = 0, std::int64_t highest = std::numeric_limits<Int>::max()) -> Int
+{
+    const auto tooLarge = value.is_number_unsigned() && value.get<std::uint64_t>() > static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+    if (!value.is_number_integer() || tooLarge || value.get<std::int64_t>() < lowest || value.get<std::int64_t>() > highest) {
+        throw nlohmann::json::other_error::create(501, name + " is not an integer within its range", nullptr);
+    }
+    return static_cast<Int>(value.get<std::int64_t>());
+}
+
+/// @param name of the number in the error
+/// @param lowest smallest valid value
+/// @param highest largest valid value
+/// @return the number; throws nlohmann::json::exception when it is not a number or out of range
+inline auto toReal(const nlohmann::json &value, const std::string &name, double lowest, double highest) -> double
+{
+    // No comparison holds for a value that is not a number.
+    if (!value.is_number() || !(value.get<double>() >= lowest && value.get<double>() <= highest)) {
+        throw nlohmann::json::other_error::create(501, name + " is not a number within its range", nullptr);
+    }
+    return value.get<double>();
+}
+
+/// Like toInteger(), for writers that also send fractions.
+/// @param highest at most 2^53, up to which a fraction is exact
+/// @return the number without its fraction; throws nlohmann::json::exception when it is not a number or out of range
+template<typename Int = std::int64_t>
+auto toWhole(const nlohmann::json &value, const std::string &name, std::int64_t lowest, std::int64_t highest) -> Int
+{
+    return value.is_number_float() ? static_cast<Int>(toReal(value, name, static_cast<double>(lowest), static_cast<double>(highest)))
+                                   : toInteger<Int>(value, name, lowest, highest);
+}
+
+/// @param object object that must have the field
+/// @param name name of the field
+/// @param lowest smallest valid value
+/// @param highest largest valid value
+/// @return the number; throws nlohmann::json::exception when it is missing, not an integer or out of range
+template<typename Int = std::int64_t>
+auto intField(const nlohmann::json &object, const std::string &name, std::int64_t lowest = 0, std::int64_t highest = std::numeric_limits<Int>::max()) -> Int
+{
+    return toInteger<Int>(object.at(name), name, lowest, highest);
+}
+
+}
--- a/packages/util/logging.cpp
+++ b/packages/util/logging.cpp
@@ -7,6 +7,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 
@@ -46,8 +47,11 @@
 
 auto logEvent(LogLevel level, int number, std::string_view text) -> void
 {
-    auto root = log4cplus::Logger::getRoot();
-    root.log(toNative(level), "E" + std::to_string(number) + " " + std::string(text));
+    auto line = "E" + std::to_string(number) + " " + std::string(text);
+    // A text of another process must not begin a line of its own.
+    std::replace_if(
+        line.begin(), line.end(), [](unsigned char c) { return c < ' ' || c == 0x7f; }, '?');
+    log4cplus::Logger::getRoot().log(toNative(level), line);
 }
 
 auto parseLogLevel(std::string_view name, LogLevel &level) -> bool
