--- a/packages/ports/httpclient.cpp
+++ b/packages/ports/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "ports/deadlinestream.h"
 #include "ports/httprequest.h"
+#include "util/printable.h"
 
 #include <arpa/inet.h>
 
@@ -133,8 +134,9 @@
 auto splitAddress(const std::string &address, AddressUse use) -> Result<std::pair<std::string, int>>
 {
     const auto colon = address.rfind(':');
+    const auto quoted = "address '" + printable(address) + "' ";
     if (colon == std::string::npos) {
-        return failure(ErrorCode::InvalidInput, "address '" + address + "' is not of the form ip:port");
+        return failure(ErrorCode::InvalidInput, quoted + "is not of the form ip:port");
     }
     auto host = address.substr(0, colon);
     const auto bracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
@@ -145,13 +147,13 @@
     const auto *const end = address.data() + address.size();
     const auto [ptr, ec] = std::from_chars(address.data() + colon + 1, end, port);
     if (ec != std::errc{} || ptr != end || port < 0 || port > maxPort) {
-        return failure(ErrorCode::InvalidInput, "address '" + address + "' has no valid port");
+        return failure(ErrorCode::InvalidInput, quoted + "has no valid port");
     }
     if (port == 0 && use == AddressUse::Connect) {
-        return failure(ErrorCode::InvalidInput, "address '" + address + "' needs a port above 0");
+        return failure(ErrorCode::InvalidInput, quoted + "needs a port above 0");
     }
     if (!isAddress(bracketed ? AF_INET6 : AF_INET, host)) {
-        return failure(ErrorCode::InvalidInput, "address '" + address + "' does not start with an IP number");
+        return failure(ErrorCode::InvalidInput, quoted + "does not start with an IP number");
     }
     return std::make_pair(host, port);
 }
