Log an unusable worker entry once, and pass a page of malformed records

Cause: E6005 was written for each write of an entry that cannot be used. A worker, or another writer, writes with each heartbeat. The search for earlier writes took a page whose records are all malformed for the end of the log, gave up and asked again.

Seen: a line every 1.5 s for each odd entry.

Change: E6005 is written once until the entry can be used again, for at most 256 workers at a time, so that a writer that invents keys costs neither lines nor memory. The search goes on behind malformed records and counts them in E6017.

Measured: "an entry that cannot be used is reported once until it can be used again" passes: 10,000 odd keys give 256 reports.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -1,6 +1,7 @@
 #include "daemon/poolterm.h"
 
 #include "util/logging.h"
+#include "util/printable.h"
 #include "util/threadname.h"
 
 #include <algorithm>
@@ -153,9 +154,15 @@
     }
     const auto entry = m_ports.decodeWorker(record.key, record.value);
     if (!entry) {
-        logEvent(LogLevel::Warn, 6005, "worker=" + id.str() + " entry left out: " + entry.error().message);
-        const auto lock = std::lock_guard{m_mutex};
-        m_workersDirty = dropEntry(m_entries, id) || m_workersDirty;
+        auto isNew = false;
+        {
+            const auto lock = std::lock_guard{m_mutex};
+            isNew = noteUnusable(m_entries, id);
+            m_workersDirty = dropEntry(m_entries, id) || m_workersDirty;
+        }
+        if (isNew) {
+            logEvent(LogLevel::Warn, 6005, "worker=" + printable(id.str()) + " entry left out until it can be used: " + entry.error().message);
+        }
         return;
     }
     const auto lock = std::lock_guard{m_mutex};
@@ -310,10 +317,11 @@
 auto PoolTerm::readEarlierWrites(LogOffset from, LogOffset end) -> void
 {
     auto writes = std::vector<WorkerWrite>{};
-    auto unreadable = 0;
+    auto unreadable = std::uint64_t{0};
     while (from < end) {
         const auto page = m_ports.store.read(RecordLog::Workers, from, Millis{0}, snapshotTimeout);
-        if (!page || page.value().records.empty()) {
+        // A page may have none but malformed records.
+        if (!page || page.value().end <= from) {
             logEvent(LogLevel::Warn,
                      6016,
                      "the earlier entries of workers cannot be read from offset " + std::to_string(from.value) + ": "
@@ -322,6 +330,7 @@
             m_earlierAsked = !page && page.error().code == ErrorCode::NotFound; // records that are gone stay gone
             return;
         }
+        unreadable += page.value().malformed;
         for (const auto &it : page.value().records) {
             const auto entry = it.value.empty() ? Result<PoolWorkerInfo>{PoolWorkerInfo{}} : m_ports.decodeWorker(it.key, it.value);
             if (!entry) {
--- a/packages/policy/testing/workerentries_test.cpp
+++ b/packages/policy/testing/workerentries_test.cpp
@@ -112,3 +112,24 @@
     noteRemoval(entries, WorkerId{"w"}, heartbeat, start + Millis{10});
     CHECK(takeDepartures(entries).empty());
 }
+
+// Guards against a log line with every heartbeat for an entry that cannot be used, and against memory for ids without end.
+TEST_CASE("an entry that cannot be used is reported once until it can be used again")
+{
+    auto entries = WorkerEntries{};
+    const auto id = WorkerId{"i-1"};
+    CHECK(noteUnusable(entries, id));
+    CHECK_FALSE(noteUnusable(entries, id));
+    resetEntries(entries);
+    CHECK_FALSE(noteUnusable(entries, id));
+    noteEntry(entries, {.id = id});
+    CHECK(noteUnusable(entries, id));
+    noteRemoval(entries, id, Millis{1'500}, MonoTime{});
+    CHECK(noteUnusable(entries, id));
+    auto reported = std::size_t{1};
+    for (auto i = 0; i < 10'000; ++i) {
+        reported += noteUnusable(entries, WorkerId{"odd-" + std::to_string(i)}) ? 1U : 0U;
+    }
+    CHECK(reported == maxUnusable);
+    CHECK(entries.unusable.size() == maxUnusable);
+}
--- a/packages/policy/workerentries.cpp
+++ b/packages/policy/workerentries.cpp
@@ -31,6 +31,7 @@
 
 auto noteEntry(WorkerEntries &entries, const PoolWorkerInfo &info) -> bool
 {
+    entries.unusable.erase(info.id);
     auto &known = entries.listed[info.id];
     const auto isNew = known.info.id.empty() || !sameWorker(known.info, info);
     known = {.info = info, .writtenAfter = entries.readAt};
@@ -39,6 +40,7 @@
 
 auto noteRemoval(WorkerEntries &entries, const WorkerId &id, Millis heartbeat, MonoTime now) -> bool
 {
+    entries.unusable.erase(id);
     const auto it = entries.listed.find(id);
     if (it == entries.listed.end()) {
         return false;
@@ -56,6 +58,11 @@
     return entries.listed.erase(id) > 0;
 }
 
+auto noteUnusable(WorkerEntries &entries, const WorkerId &id) -> bool
+{
+    return entries.unusable.size() < maxUnusable && entries.unusable.insert(id).second;
+}
+
 auto takeDepartures(WorkerEntries &entries) -> std::vector<WorkerId>
 {
     return std::exchange(entries.departed, {});
--- a/packages/policy/workerentries.h
+++ b/packages/policy/workerentries.h
@@ -18,12 +18,17 @@
 
 #include "policy/poolfleet.h"
 
+#include <cstddef>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace Catkin
 {
 
+/// Workers with unusable entries that are remembered; another writer may invent ids without end.
+constexpr auto maxUnusable = std::size_t{256};
+
 struct WorkerEntry
 {
     PoolWorkerInfo info;
@@ -35,6 +40,7 @@
     std::map<WorkerId, WorkerEntry> listed;
     std::vector<WorkerId> departed; ///< not yet returned by takeDepartures()
     MonoTime readAt = MonoTime::min(); ///< sending time of the last read; the minimum: none since the last snapshot
+    std::set<WorkerId> unusable; ///< whose last entry could not be used, as far as reported
 };
 
 /// Forgets all entries; a snapshot follows.
@@ -54,6 +60,11 @@
 /// @return whether the entry was listed.
 auto dropEntry(WorkerEntries &entries, const WorkerId &id) -> bool;
 
+/// Reports an entry that cannot be used. Its writer may repeat it with every heartbeat.
+/// @return whether this is the first one since the last usable entry, so that it is worth a log line; never for more than
+/// maxUnusable workers at a time.
+auto noteUnusable(WorkerEntries &entries, const WorkerId &id) -> bool;
+
 /// @return the workers found to have departed since the last call.
 auto takeDepartures(WorkerEntries &entries) -> std::vector<WorkerId>;
 
