--- a/packages/daemon/recordtail.cpp
+++ b/packages/daemon/recordtail.cpp
@@ -12,6 +12,8 @@
 constexpr auto retryPause = Millis{150};
 /// A snapshot may be several pages long.
 constexpr auto snapshotTimeout = Millis{2'000};
+/// A writer may repeat a malformed record with every heartbeat.
+constexpr auto malformedLogInterval = Seconds{60};
 }
 
 RecordTail::RecordTail(RecordStore store, RecordLog log, const TailOptions &options, Clock clock, TailHandlers handlers)
@@ -66,11 +68,21 @@
     m_changed.wait_for(lock, span, [&] { return m_stopping; });
 }
 
-auto RecordTail::handOver(const RecordPage &page, MonoTime sentAt) -> void
+auto RecordTail::noteMalformed(std::uint64_t n) -> void
 {
-    if (page.malformed > 0) {
-        logEvent(LogLevel::Warn, 6002, std::string("log=") + m_options.name + " malformed_records=" + std::to_string(page.malformed) + " left out");
+    m_malformed += n;
+    const auto now = m_clock.mono();
+    if (m_malformed == 0 || (m_malformedLoggedAt && now - *m_malformedLoggedAt < malformedLogInterval)) {
+        return;
     }
+    logEvent(LogLevel::Warn, 6002, std::string("log=") + m_options.name + " malformed_records=" + std::to_string(m_malformed) + " left out");
+    m_malformed = 0;
+    m_malformedLoggedAt = now;
+}
+
+auto RecordTail::handOver(const RecordPage &page, MonoTime sentAt) -> void
+{
+    noteMalformed(page.malformed);
     for (const auto &it : page.records) {
         m_handlers.record(it);
     }
--- a/packages/daemon/recordtail.h
+++ b/packages/daemon/recordtail.h
@@ -58,6 +58,7 @@
     auto snapshot() -> bool;
     auto pause(Millis span) -> void;
     auto handOver(const RecordPage &page, MonoTime sentAt) -> void;
+    auto noteMalformed(std::uint64_t n) -> void;
     auto readLost(const Error &error) -> void;
 
     RecordStore m_store;
@@ -69,6 +70,8 @@
     std::atomic<std::int64_t> m_readAtMicros{0};
     std::optional<LogOffset> m_next;
     bool m_available = true;
+    std::uint64_t m_malformed = 0; ///< records left out and not yet logged
+    std::optional<MonoTime> m_malformedLoggedAt;
     std::mutex m_mutex; ///< leaf; guards m_stopping
     std::condition_variable m_changed;
     bool m_stopping = false;
