Compare the leases of each worker with the jobs, whichever planner started them

What callers would see: work of a cancelled job runs on for up to the run lease (120 s) in the product's own planner. The workers then refuse the reservations of others on slots that the scheduler counts as free, which also counts against them in quarantine.

Leases that no gang accounts for were ended by one pass, at the moment of the takeover, and by one order each. An order that was lost, a task that did not obey it, a worker that was out of reach at that moment, or a reservation under way left the lease to its expiry. Three more cases of one cause: a lease with the job and attempt of a known gang counted as its member's on any worker; the members of a cancelled gang ran on while the planner waited up to 30 s for the worker of another member; and a job that is cancelled before its attempt is on record is final at once, so that only this pass could end its attempt.

Evidence: domainplanner_test loses the planner before the stop, the first stop order, the worker at the takeover, and the worker of another member.

Change: each status of a worker, and each change of the jobs, is compared with the gangs and the jobs. A live lease that they do not call for is ended; the orders are repeated until the worker reports the end, and after the grace time the lease is cut short, by the same orders as for the members of a gang. What becomes of a job without a settled attempt stays open as before, unless it is cancelled.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -121,6 +121,7 @@
         noteStale(m_context.clock.mono());
     }
     syncWorker(id, m_context.clock.mono());
+    checkLeases(id, m_context.clock.mono());
 }
 
 auto DomainPlanner::noteStale(MonoTime now) -> void
@@ -293,22 +294,62 @@
     }
 }
 
-auto DomainPlanner::endStrays(const std::map<JobId, Found> &found) -> void
+/// @return whether a live lease may stay: it belongs to a member of a known gang, or what becomes of its job is still open.
+auto DomainPlanner::calledFor(const WorkerId &id, const WorkerLease &lease) -> bool
 {
-    for (auto &[id, worker] : m_workers) {
-        if (!worker.status) {
+    if (m_gangs.contains(lease.job)) {
+        return m_gangs.holds(lease.job, id, lease.lease);
+    }
+    const auto job = m_context.jobs->find(lease.job);
+    if (!job || job->spec.domain != m_domain || isTerminal(job->state) || job->cancelRequested || lease.attempt < job->attempt) {
+        return false;
+    }
+    if (m_unsettled.contains(lease.job)) {
+        return true;
+    }
+    const auto last = m_lastAttempt.find(lease.job);
+    if (last != m_lastAttempt.end() && lease.attempt <= last->second) {
+        return false; // an attempt that has ended here
+    }
+    m_jobsChanged = true; // syncJob() leaves the job to adoptJob()
+    return true;
+}
+
+auto DomainPlanner::checkLeases(const WorkerId &id, MonoTime now) -> void
+{
+    auto &worker = m_workers.at(id);
+    if (!m_claimed || !m_adopted || !worker.status) {
+        return;
+    }
+    auto ending = std::map<LeaseId, MonoTime>{};
+    for (const auto &lease : worker.status->leases) {
+        if (lease.state == LeaseState::Ended || calledFor(id, lease)) {
             continue;
         }
-        for (const auto &lease : worker.status->leases) {
-            const auto known = m_gangs.contains(lease.job) && found.contains(lease.job) && found.at(lease.job).attempt == lease.attempt;
-            if (lease.state == LeaseState::Ended || known || m_unsettled.contains(lease.job)) {
-                continue;
-            }
-            worker.strays.push_back({.op = OrderOp::Stop, .lease = lease.lease});
-            worker.strays.push_back({.op = OrderOp::Release, .lease = lease.lease});
+        const auto known = worker.ending.find(lease.lease);
+        if (known == worker.ending.end()) {
             logEvent(LogLevel::Warn, 2405, "ending lease " + lease.lease.str() + " of no known gang on " + id.str());
         }
+        ending.emplace(lease.lease, known == worker.ending.end() ? now : known->second);
+    }
+    worker.ending = std::move(ending);
+}
+
+auto DomainPlanner::endLeases(const WorkerId &id, MonoTime now) -> void
+{
+    auto &worker = m_workers.at(id);
+    auto orders = std::vector<WorkerOrder>{};
+    for (const auto &lease : worker.status->leases) {
+        const auto it = worker.ending.find(lease.lease);
+        if (it != worker.ending.end()) {
+            const auto own = endLeaseOrders(m_context.options.gangs, lease.lease, lease.state != LeaseState::Reserved, now - it->second);
+            orders.insert(orders.end(), own.begin(), own.end());
+        }
     }
+    worker.lastPoll = now; // the reply carries the status
+    worker.lastEnding = now;
+    m_gangs.pollStarted(id);
+    sendOrders(id, orders);
 }
 
 auto DomainPlanner::adoptGangs(MonoTime now) -> void
@@ -330,7 +371,6 @@
             const auto it = found.find(job.spec.id);
             adoptJob(job, it == found.end() ? nullptr : &it->second, reachedAll, now);
         }
-        endStrays(found);
         m_jobsChanged = true;
         return;
     }
@@ -404,6 +444,9 @@
             it = m_lastAttempt.erase(it); // it never starts again
         }
     }
+    for (const auto &[id, worker] : m_workers) {
+        checkLeases(id, now);
+    }
 }
 
 auto DomainPlanner::startGang(const Start &start, MonoTime now) -> void
@@ -589,11 +632,6 @@
     auto &worker = m_workers.at(id);
     worker.lastPoll = now;
     m_gangs.pollStarted(id);
-    if (!worker.strays.empty() && m_claimed) {
-        const auto strays = std::exchange(worker.strays, {});
-        sendOrders(id, strays);
-        return;
-    }
     const auto timeout = m_context.options.gangs.orderTimeout;
     const auto known = worker.status ? worker.status->tag : std::string{};
     const auto posted = m_context.pool->post([self = weak_from_this(), id, timeout, known, workers = m_context.workers, address = worker.listed.address] {
@@ -651,7 +689,13 @@
     }
     const auto period = pollPeriod();
     for (const auto &[id, it] : m_workers) {
-        if (!m_gangs.busy(id) && now - it.lastPoll >= period) {
+        if (m_gangs.busy(id)) {
+            continue;
+        }
+        const auto endingPeriod = m_gangs.unreachable(id) ? period : Micros{m_context.options.gangs.resendPeriod};
+        if (m_claimed && !it.ending.empty() && now - it.lastEnding >= endingPeriod) {
+            endLeases(id, now);
+        } else if (now - it.lastPoll >= period) {
             poll(id, now);
         }
     }
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -13,6 +13,10 @@
 /// A new planner first reads the status of every worker, claims a generation above the highest that it finds, and adopts
 /// the gangs that run when the workers answer the claim. Nothing is started or ended before that. A planner that reaches no worker at all may be cut off
 /// from a failure domain in which another planner goes on, so it claims and settles nothing until a worker answers.
+///
+/// Each status of a worker, and each change of the jobs, is compared with the gangs and the jobs: a live lease that they do not
+/// call for is ended, whoever started it and whenever its job ended. The orders are sent until the worker reports the end, so
+/// that no end depends on the planner that decided it.
 
 #include "daemon/configservice.h"
 #include "daemon/fleet.h"
@@ -126,7 +130,8 @@
         MonoTime lastPoll{};
         bool claimDue = false; ///< the claim of the present generation has not been answered
         bool claimSent = false;
-        std::vector<WorkerOrder> strays; ///< orders that end leases of no known gang
+        std::map<LeaseId, MonoTime> ending; ///< live leases that nothing calls for, with the time at which this was found
+        MonoTime lastEnding{}; ///< when their end was last ordered
     };
 
     /// Members of one attempt as found on the workers.
@@ -146,7 +151,9 @@
     auto foreignAttemptRuns(const JobId &job) const -> bool;
     auto adoptJob(const Job &job, const Found *found, bool complete, MonoTime now) -> void;
     auto settleLost(const Job &job) -> void;
-    auto endStrays(const std::map<JobId, Found> &found) -> void;
+    auto calledFor(const WorkerId &id, const WorkerLease &lease) -> bool;
+    auto checkLeases(const WorkerId &id, MonoTime now) -> void;
+    auto endLeases(const WorkerId &id, MonoTime now) -> void;
     auto syncJobs(MonoTime now) -> void;
     auto syncJob(const Job &job, MonoTime now) -> void;
     auto syncWorker(const WorkerId &id, MonoTime now) -> void;
--- a/packages/daemon/testing/domainplanner_test.cpp
+++ b/packages/daemon/testing/domainplanner_test.cpp
@@ -1,15 +1,19 @@
 #include "daemon/domainplanner.h"
 #include "daemon/plannerservice.h"
 
+#include "policy/testing/fakeworker.h"
 #include "state/records.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <map>
 #include <thread>
 
 using namespace Catkin;
+using Catkin::Testing::FakeWorker;
 
 namespace
 {
@@ -314,3 +318,304 @@
     REQUIRE(eventually([&] { return worker.count(&ContestedWorker::looks) >= seen + 2; }));
     CHECK(worker.count(&ContestedWorker::reservations) == 0);
 }
+
+namespace
+{
+
+/// Workers that follow the lease protocol, a planner that takes them over, and the records of the jobs. The job is the
+/// one of describeJob(); an earlier planner has started its first attempt.
+struct Takeover
+{
+    MemoryLog log;
+    std::mutex mutex;
+    std::map<std::string, FakeWorker> workers; ///< by address
+    std::optional<OrderOp> lose; ///< the next batch with such an order does not arrive
+    Clock clock = systemClock();
+    LogWriter writer{log.port(), clock, {}};
+    WorkPool pool{2, 16};
+    std::atomic<bool> jobsChanged{false};
+    JobService jobs{log.port(), writer, clock, {}, [this] { jobsChanged = true; }};
+    std::shared_ptr<DomainPlanner> planner;
+
+    explicit Takeover(int count, Millis claimWait = Millis{50})
+    {
+        auto context = PlannerContext{.workers = port(), .jobs = &jobs, .pool = &pool, .clock = clock, .options = {.instance = InstanceId{"new"}}};
+        context.options.claimWait = claimWait;
+        context.options.reconnectWait = Millis{50};
+        context.options.pollPeriod = Millis{50};
+        context.options.maxPollsPerSecond = 1'000;
+        context.wake = [] {};
+        planner = std::make_shared<DomainPlanner>(domain, context);
+        auto listed = std::vector<ListedInstance>{};
+        for (auto i = 1; i <= count; ++i) {
+            const auto id = "w-" + std::to_string(i);
+            workers.emplace(id, FakeWorker{id});
+            listed.push_back({.id = id, .role = InstanceRole::Worker, .domain = domain, .rack = RackId{"r"}, .slots = 8, .address = id});
+        }
+        planner->setWorkers(listed);
+        auto config = ActiveConfig{};
+        config.document.workspaces.push_back({.name = WorkspaceId{"gas"}});
+        planner->setConfig(config);
+    }
+
+    ~Takeover()
+    {
+        pool.stop();
+    }
+
+    Takeover(const Takeover &) = delete;
+    auto operator=(const Takeover &) -> Takeover & = delete;
+
+    auto port() -> WorkerPort
+    {
+        return {.status = [this](const std::string &address, Millis) -> Result<WorkerStatus> {
+                    const auto lock = std::lock_guard{mutex};
+                    workers.at(address).advance(clock.mono());
+                    return workers.at(address).status();
+                },
+                .orders
+                = [this](const std::string &address, const Generation &generation, const std::vector<WorkerOrder> &orders, Millis) -> Result<OrdersReply> {
+                    const auto lock = std::lock_guard{mutex};
+                    if (lose && std::any_of(orders.begin(), orders.end(), [&](const WorkerOrder &it) { return it.op == *lose; })) {
+                        lose.reset();
+                        return failure(ErrorCode::NotSent, "lost");
+                    }
+                    workers.at(address).advance(clock.mono());
+                    return workers.at(address).orders(generation, orders);
+                }};
+    }
+
+    /// The earlier planner starts a member of the job's first attempt with a run lease.
+    auto startMember(const std::string &worker, int member) -> void
+    {
+        const auto lock = std::lock_guard{mutex};
+        auto &it = workers.at(worker);
+        it.advance(clock.mono());
+        const auto lease = GangTable::leaseId(job, 1, member);
+        REQUIRE(it.orders({.counter = 1, .holder = "earlier"},
+                          {{.op = OrderOp::Reserve, .lease = lease, .job = job, .attempt = 1, .member = member, .slots = {member}, .ttl = Millis{10'000}},
+                           {.op = OrderOp::Start, .lease = lease, .ttl = GangOptions{}.runTtl}}));
+    }
+
+    auto set(const std::string &worker, bool FakeWorker::*property, bool value) -> void
+    {
+        const auto lock = std::lock_guard{mutex};
+        workers.at(worker).*property = value;
+    }
+
+    auto running(const std::string &worker, const JobId &id = job) -> int
+    {
+        const auto lock = std::lock_guard{mutex};
+        workers.at(worker).advance(clock.mono());
+        return workers.at(worker).running(id);
+    }
+
+    auto append(const JobRecord &record) -> void
+    {
+        const auto lock = std::lock_guard{log.mutex};
+        log.records.push_back(encodeRecord(record));
+    }
+
+    auto appendAccept(int tasks) -> void
+    {
+        auto spec = describeJob();
+        spec.tasks = tasks;
+        append(JobAcceptRecord{.spec = spec, .position = {.through = {}, .asOf = clock.wall()}});
+    }
+
+    auto appendAttempt() -> void
+    {
+        append(JobAttemptRecord{.job = job, .attempt = 1, .holder = InstanceId{"earlier"}, .generation = 1});
+    }
+
+    auto appendCancel() -> void
+    {
+        append(JobCancelRecord{.job = job, .by = "gas", .reason = "cancelled by its workspace"});
+    }
+
+    [[nodiscard]] auto state() const -> std::optional<JobState>
+    {
+        const auto it = jobs.find(job);
+        return it ? std::optional{it->state} : std::nullopt;
+    }
+
+    auto step() -> void
+    {
+        if (jobsChanged.exchange(false)) {
+            planner->jobsChanged();
+        }
+        (void)planner->step();
+        std::this_thread::sleep_for(Millis{2});
+    }
+
+    /// Steps the planner until @p holds. The limit is far below the run lease of 120 s, by whose end the work would stop anyway.
+    auto stepUntil(const std::function<bool()> &holds) -> bool
+    {
+        const auto limit = std::chrono::steady_clock::now() + Seconds{8};
+        while (!holds() && std::chrono::steady_clock::now() < limit) {
+            step();
+        }
+        return holds();
+    }
+
+    /// Lets the planner take over once the log has been read.
+    auto takeOver(std::optional<JobState> expected) -> void
+    {
+        const auto limit = std::chrono::steady_clock::now() + Seconds{8};
+        while (!(jobs.caughtUp() && state() == expected) && std::chrono::steady_clock::now() < limit) {
+            std::this_thread::sleep_for(Millis{2});
+        }
+        REQUIRE(state() == expected);
+        REQUIRE(stepUntil([&] { return planner->claimed(); }));
+        for (auto i = 0; i < 20; ++i) {
+            step();
+        }
+    }
+};
+
+}
+
+// Guards against work of a cancelled job that runs until its lease ends. The job was queued on record when it was cancelled, so
+// it is final although its attempt runs, and the planner that had started the attempt is gone.
+TEST_CASE("a new planner ends work of a job that was cancelled before its attempt was on record")
+{
+    struct Case
+    {
+        const char *name;
+        std::function<void(Takeover &)> before; ///< before the takeover
+        std::function<void(Takeover &)> after;
+    };
+    const auto cases = std::vector<Case>{
+        {"no fault", {}, {}},
+        {"the first order to stop is lost", [](auto &it) { it.lose = OrderOp::Stop; }, {}},
+        {"the task ignores the order", [](auto &it) { it.set("w-1", &FakeWorker::ignoreStop, true); }, {}},
+        {"the worker is out of reach at the takeover",
+         [](auto &it) { it.set("w-1", &FakeWorker::down, true); },
+         [](auto &it) { it.set("w-1", &FakeWorker::down, false); }},
+    };
+    for (const auto &it : cases) {
+        CAPTURE(it.name);
+        auto takeover = Takeover{2};
+        takeover.startMember("w-1", 0);
+        takeover.appendAccept(1);
+        takeover.appendCancel();
+        if (it.before) {
+            it.before(takeover);
+        }
+        takeover.takeOver(JobState::Cancelled);
+        if (it.after) {
+            CHECK(takeover.running("w-1") == 1);
+            it.after(takeover);
+        }
+        CHECK(takeover.stepUntil([&] { return takeover.running("w-1") == 0; }));
+    }
+}
+
+// Guards against the members of a cancelled gang that run on because the worker of another member is out of reach: the planner
+// waited up to 30 s for that worker before it ended the gang.
+TEST_CASE("a new planner stops the members of a cancelled gang that it finds, also while it does not find the others")
+{
+    for (const auto cancelledBefore : {true, false}) {
+        CAPTURE(cancelledBefore);
+        auto takeover = Takeover{2};
+        takeover.startMember("w-1", 0);
+        takeover.startMember("w-2", 1);
+        takeover.appendAccept(2);
+        takeover.appendAttempt();
+        takeover.set("w-2", &FakeWorker::down, true);
+        if (cancelledBefore) {
+            takeover.appendCancel();
+        }
+        takeover.takeOver(cancelledBefore ? JobState::Stopping : JobState::Starting);
+        if (!cancelledBefore) {
+            CHECK(takeover.running("w-1") == 1);
+            takeover.appendCancel();
+        }
+        CHECK(takeover.stepUntil([&] { return takeover.running("w-1") == 0; }));
+        // The other member may still run, so the job has not ended.
+        CHECK(takeover.state() == JobState::Stopping);
+        takeover.set("w-2", &FakeWorker::down, false);
+        CHECK(takeover.stepUntil([&] { return takeover.running("w-2") == 0; }));
+        CHECK(takeover.stepUntil([&] { return takeover.state() == JobState::Cancelled; }));
+    }
+}
+
+// Guards against two attempts of a job that run beside each other until the lease of the first ends: the new planner did not
+// find the first, started another one under the same number, and took the lease of the first for one of its own.
+TEST_CASE("an attempt that an earlier planner started on a worker out of reach ends when that worker answers again")
+{
+    auto takeover = Takeover{2};
+    takeover.startMember("w-1", 0);
+    takeover.appendAccept(1);
+    takeover.set("w-1", &FakeWorker::down, true);
+    takeover.takeOver(JobState::Queued);
+    REQUIRE(takeover.stepUntil([&] { return takeover.running("w-2") == 1; }));
+    takeover.set("w-1", &FakeWorker::down, false);
+    CHECK(takeover.stepUntil([&] { return takeover.running("w-1") == 0; }));
+    CHECK(takeover.running("w-2") == 1);
+}
+
+// Guards against slots that stay reserved for a job that has ended, when the order that reserved them was under way.
+TEST_CASE("a reservation that arrives after the end of its job is released")
+{
+    auto takeover = Takeover{1};
+    takeover.appendAccept(1);
+    takeover.appendCancel();
+    takeover.takeOver(JobState::Cancelled);
+    const auto reserved = [&] {
+        const auto lock = std::lock_guard{takeover.mutex};
+        const auto status = takeover.workers.at("w-1").status().value();
+        return std::count_if(status.leases.begin(), status.leases.end(), [](const WorkerLease &it) { return it.state == LeaseState::Reserved; });
+    };
+    {
+        const auto lock = std::lock_guard{takeover.mutex};
+        const auto lease = GangTable::leaseId(job, 1, 0);
+        REQUIRE(takeover.workers.at("w-1").orders(
+            takeover.planner->generation(),
+            {{.op = OrderOp::Reserve, .lease = lease, .job = job, .attempt = 1, .member = 0, .slots = {0}, .ttl = Millis{10'000}}}));
+    }
+    REQUIRE(reserved() == 1);
+    CHECK(takeover.stepUntil([&] { return reserved() == 0; }));
+}
+
+// Guards against members of a failed gang that run on when the planner is lost between the failure and its stop orders.
+TEST_CASE("a new planner stops the other members of a gang of which one failed while no planner was there")
+{
+    auto takeover = Takeover{2};
+    takeover.startMember("w-1", 0);
+    takeover.startMember("w-2", 1);
+    auto spec = describeJob();
+    spec.tasks = 2;
+    spec.restartable = false;
+    takeover.append(JobAcceptRecord{.spec = spec, .position = {.through = {}, .asOf = takeover.clock.wall()}});
+    takeover.appendAttempt();
+    takeover.append(JobStartedRecord{.job = job, .attempt = 1});
+    takeover.workers.at("w-1").finish(GangTable::leaseId(job, 1, 0), LeaseExit::Failed);
+    takeover.takeOver(JobState::Running);
+    CHECK(takeover.stepUntil([&] { return takeover.running("w-2") == 0; }));
+    CHECK(takeover.stepUntil([&] { return takeover.state() == JobState::Failed; }));
+}
+
+// Guards against a reclaim that is forgotten together with the planner that decided it.
+TEST_CASE("a new planner stops a borrower for the guarantee of a job that waits")
+{
+    auto takeover = Takeover{1};
+    auto config = ActiveConfig{};
+    config.document.workspaces.push_back({.name = WorkspaceId{"gas"}});
+    config.document.workspaces.push_back({.name = WorkspaceId{"owner"}, .guarantees = {{.domain = domain, .slots = SlotCount{8}, .count = 1}}});
+    takeover.planner->setConfig(config);
+    for (auto i = 0; i < 8; ++i) {
+        takeover.startMember("w-1", i);
+    }
+    takeover.appendAccept(8);
+    takeover.appendAttempt();
+    auto spec = describeJob();
+    spec.id = JobId{"owner-1"};
+    spec.workspace = WorkspaceId{"owner"};
+    spec.slotsPerTask = SlotCount{8};
+    takeover.append(JobAcceptRecord{.spec = spec, .position = {.through = {}, .asOf = takeover.clock.wall()}});
+    takeover.takeOver(JobState::Starting);
+    CHECK(takeover.stepUntil([&] { return takeover.running("w-1", spec.id) == 1; }));
+    CHECK(takeover.running("w-1") == 0);
+    CHECK(takeover.state() == JobState::Queued);
+}
--- a/packages/policy/gangs.cpp
+++ b/packages/policy/gangs.cpp
@@ -30,6 +30,18 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
+auto endLeaseOrders(const GangOptions &options, const LeaseId &lease, bool running, Micros asked) -> std::vector<WorkerOrder>
+{
+    if (!running) {
+        return {{.op = OrderOp::Release, .lease = lease}};
+    }
+    auto orders = std::vector<WorkerOrder>{{.op = OrderOp::Stop, .lease = lease}};
+    if (asked >= options.stopGrace) {
+        orders.push_back({.op = OrderOp::Renew, .lease = lease, .ttl = cutShortTtl});
+    }
+    return orders;
+}
+
 GangTable::GangTable(const GangOptions &options)
     : m_options(options)
 {
@@ -151,6 +163,14 @@
     return m_gangs.contains(job);
 }
 
+auto GangTable::holds(const JobId &job, const WorkerId &worker, const LeaseId &lease) const -> bool
+{
+    const auto it = m_gangs.find(job);
+    return it != m_gangs.end() && std::any_of(it->second.members.begin(), it->second.members.end(), [&](const Member &member) {
+               return member.worker == worker && member.lease == lease;
+           });
+}
+
 auto GangTable::phase(const JobId &job) const -> std::optional<GangPhase>
 {
     const auto it = m_gangs.find(job);
@@ -477,13 +497,10 @@
         }
         break;
     case GangPhase::Stopping:
-        if (member.state == MemberState::Running) {
-            send({.op = OrderOp::Stop});
-            if (now - gang.phaseSince >= m_options.stopGrace) {
-                send({.op = OrderOp::Renew, .ttl = cutShortTtl});
+        if (member.state != MemberState::Ended && member.state != MemberState::Gone) {
+            for (auto &it : endLeaseOrders(m_options, member.lease, member.state == MemberState::Running, now - gang.phaseSince)) {
+                send(std::move(it));
             }
-        } else if (member.state == MemberState::Reserved || member.state == MemberState::Unknown) {
-            send({.op = OrderOp::Release});
         }
         break;
     case GangPhase::AwaitingAttempt:
--- a/packages/policy/gangs.h
+++ b/packages/policy/gangs.h
@@ -95,6 +95,12 @@
 
 enum class GangPhase { Reserving, AwaitingAttempt, Starting, Running, Checkpointing, Stopping, Recovering };
 
+/// @param running whether the task of the lease may run; a lease that is only reserved is released
+/// @param asked time since the end of the lease was first ordered; a task that has not obeyed within GangOptions::stopGrace has
+/// its lease cut short
+/// @return the orders that end a lease, to be sent again until the worker reports its end.
+auto endLeaseOrders(const GangOptions &options, const LeaseId &lease, bool running, Micros asked) -> std::vector<WorkerOrder>;
+
 /// See the file comment. Not thread-safe.
 class GangTable
 {
@@ -134,6 +140,8 @@
     /// @return whether the last GangOptions::missedPolls exchanges with @p worker failed.
     [[nodiscard]] auto unreachable(const WorkerId &worker) const -> bool;
     [[nodiscard]] auto contains(const JobId &job) const -> bool;
+    /// @return whether the lease on this worker is one of a member of the job's gang.
+    [[nodiscard]] auto holds(const JobId &job, const WorkerId &worker, const LeaseId &lease) const -> bool;
     [[nodiscard]] auto phase(const JobId &job) const -> std::optional<GangPhase>;
     [[nodiscard]] auto size() const -> std::size_t;
 
