End a cancelled job only after its attempt has ended

What callers would see: a job is reported as cancelled while its tasks run.

Cause: a cancelled job without a gang was recorded as cancelled at once. It has no gang also when the records of the job, its attempt and the cancellation reach the planner after its takeover, or when the record of an attempt that was given up arrives late. The final record then stood in the log before anything had been stopped, and a planner that was lost in between left the rest to chance.

Evidence: domainplanner_test delivers the three records after the takeover to a planner whose worker runs the attempt and ignores a stop. Without the change the job is final while the task runs.

Change: the branch is gone. Such a job takes the way of every attempt that is on record and has no gang: what the workers list settles it, and the end of the gang, or the proof that nothing is left of it, writes the final record.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -403,13 +403,6 @@
         }
         return;
     }
-    if (job.cancelRequested) {
-        if (m_scheduler.cancel(id) != JobCancelResult::Running) {
-            m_context.jobs->record(
-                JobRecord{JobFinishRecord{.job = id, .attempt = job.attempt, .result = JobResult::Cancelled, .ran = job.attempt > 0, .detail = "cancelled"}});
-        }
-        return;
-    }
     if (job.state != JobState::Queued || foreignAttemptRuns(id)) {
         // The attempt's record arrived after the try had been given up, or the job's after the takeover: what the workers
         // list settles it, and until then the job must not start from the queue.
--- a/packages/daemon/testing/domainplanner_test.cpp
+++ b/packages/daemon/testing/domainplanner_test.cpp
@@ -555,6 +555,27 @@
     CHECK(takeover.running("w-2") == 1);
 }
 
+// Guards against a job that is reported as cancelled while its attempt runs: the records of the job, of its attempt and of the
+// cancellation reached the planner only after the takeover.
+TEST_CASE("a cancelled job is final only after its attempt has ended")
+{
+    auto takeover = Takeover{1};
+    takeover.startMember("w-1", 0);
+    takeover.set("w-1", &FakeWorker::ignoreStop, true);
+    takeover.takeOver(std::nullopt);
+    takeover.appendAccept(1);
+    takeover.appendAttempt();
+    takeover.appendCancel();
+    auto ranWhenFinal = false;
+    CHECK(takeover.stepUntil([&] {
+        const auto runs = takeover.running("w-1") > 0;
+        const auto ended = takeover.state() == JobState::Cancelled;
+        ranWhenFinal = ranWhenFinal || (ended && runs);
+        return ended && !runs;
+    }));
+    CHECK_FALSE(ranWhenFinal);
+}
+
 // Guards against slots that stay reserved for a job that has ended, when the order that reserved them was under way.
 TEST_CASE("a reservation that arrives after the end of its job is released")
 {
