Take a job that is cancelled while it waits out of the planner's queue

What callers would see: a cancelled job keeps its reservation and its place in /v1/queues, may preempt others, and is dropped only when it is about to start.

Cause: a cancellation makes a waiting job final at once, and the planner looked only at jobs that are not final. No code took it out of the scheduler.

Evidence: domainplanner_test cancels a job that waits behind one that fills the worker. Without the change it is still in the queue after 8 s.

Change: the queue is compared with the live jobs whenever the jobs change. Parked jobs stay listed, as they are final too.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -420,9 +420,17 @@
     if (!std::exchange(m_jobsChanged, false)) {
         return;
     }
+    auto live = std::set<JobId>{};
     for (const auto &it : m_context.jobs->liveIn(m_domain)) {
+        live.insert(it.spec.id);
         syncJob(it, now);
     }
+    // A job that was cancelled while it waited is final at once.
+    for (const auto &it : m_scheduler.queue()) {
+        if (!it.parked && !live.contains(it.job)) {
+            (void)m_scheduler.cancel(it.job);
+        }
+    }
     // A job that the log showed as queued, because its attempt could not be recorded yet, ends there at once when it is
     // cancelled from outside.
     for (auto it = m_lastAttempt.begin(); it != m_lastAttempt.end();) {
--- a/packages/daemon/testing/domainplanner_test.cpp
+++ b/packages/daemon/testing/domainplanner_test.cpp
@@ -576,6 +576,23 @@
     CHECK_FALSE(ranWhenFinal);
 }
 
+// Guards against a cancelled job that stays in the planner's queue, where it keeps a reservation and may preempt others.
+TEST_CASE("a job that is cancelled while it waits leaves the planner's queue")
+{
+    auto takeover = Takeover{1};
+    auto spec = describeJob();
+    spec.tasks = 8;
+    takeover.append(JobAcceptRecord{.spec = spec, .position = {.through = {}, .asOf = takeover.clock.wall()}});
+    takeover.takeOver(JobState::Queued);
+    REQUIRE(takeover.stepUntil([&] { return takeover.running("w-1") == 8; }));
+    spec.id = JobId{"waiting"};
+    takeover.append(JobAcceptRecord{.spec = spec, .position = {.through = {}, .asOf = takeover.clock.wall()}});
+    REQUIRE(takeover.stepUntil([&] { return takeover.planner->view().queue.size() == 1; }));
+    takeover.append(JobCancelRecord{.job = spec.id, .by = "gas", .reason = "cancelled by its workspace"});
+    CHECK(takeover.stepUntil([&] { return takeover.planner->view().queue.empty(); }));
+    CHECK(takeover.running("w-1") == 8);
+}
+
 // Guards against slots that stay reserved for a job that has ended, when the order that reserved them was under way.
 TEST_CASE("a reservation that arrives after the end of its job is released")
 {
