Send stop orders without waiting for the record of attempts

What callers would see: while the log of attempts is not served, no cancellation ends any work, for as long as that lasts, although its log of jobs and the workers can be reached and the leases are renewed.

Cause: orders of a planning pass went out after its records were stored, stop orders too, and the planner retried the append without looking at cancellations meanwhile. A stop needs no record: nothing starts elsewhere before the end of the attempt is recorded.

Change: stop orders of a pass go out first. While an append is retried, the planner takes in what has arrived and collects stop orders alone (PoolCore::planStops); what changes is recorded by the next pass.

Tests for the paths that had none: a published final state without a poll, a gang of which a recorded member is over, a whole gang.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -269,6 +269,7 @@
             auto lock = std::unique_lock{m_mutex};
             m_wake.wait(lock, [&] { return m_stopping || m_workersKnown; });
             m_workersDirty = true;
+            m_takenOver = true;
             logEvent(LogLevel::Info,
                      6007,
                      "term epoch=" + std::to_string(m_options.epoch) + " jobs=" + std::to_string(m_core.jobs().size())
@@ -421,6 +422,10 @@
     for (const auto &it : effects.logEntries) {
         logEvent(LogLevel::Info, 6010, std::string("decision=") + it.decision + " " + it.text);
     }
+    // A stop needs no record: nothing starts elsewhere before the attempt's end has been recorded.
+    const auto starts
+        = std::stable_partition(effects.orders.begin(), effects.orders.end(), [](const PoolOrder &it) { return it.kind == PoolOrder::Kind::Stop; });
+    std::for_each(effects.orders.begin(), starts, [&](const PoolOrder &it) { dispatch(it); });
     // The log of states may not be served; an append without records confirms the leadership as well.
     if (records.empty() && unconfirmed && !appendAttempts({})) {
         return;
@@ -428,9 +433,7 @@
     if (!record(effects, std::move(records))) {
         return;
     }
-    for (const auto &it : effects.orders) {
-        dispatch(it);
-    }
+    std::for_each(starts, effects.orders.end(), [&](const PoolOrder &it) { dispatch(it); });
     if (!effects.expired.empty()) {
         dropJobs(effects.expired);
     }
@@ -438,6 +441,21 @@
     pause(std::min(std::chrono::duration_cast<Millis>(decided - now) * restPerPass, maxRest));
 }
 
+/// Ends the work of jobs that are cancelled while the log of attempts is not served.
+auto PoolTerm::stopMeanwhile() -> void
+{
+    const auto now = m_clock.mono();
+    auto orders = std::vector<PoolOrder>{};
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        takeInbox(now);
+        orders = m_core.planStops(now);
+    }
+    for (const auto &it : orders) {
+        dispatch(it);
+    }
+}
+
 /// Drops expired jobs from the logs of jobs, and only then their states and attempts: a job that only a log of jobs holds
 /// would be taken for a new one.
 auto PoolTerm::dropJobs(const std::vector<JobId> &expired) -> void
@@ -560,6 +578,9 @@
             m_hooks.fenced("the record of attempts belongs to a newer planner");
             return false;
         }
+        if (m_takenOver) {
+            stopMeanwhile();
+        }
         pause(appendPause);
     }
     return false;
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -111,6 +111,7 @@
     auto adoptAttempts(const RecordPage &attempts, MonoTime now) -> void;
     auto takeInbox(MonoTime now) -> void;
     auto planOnce() -> void;
+    auto stopMeanwhile() -> void;
     auto attemptRecords(const PoolEffects &effects) -> std::vector<KeyedRecord>;
     auto record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool;
     auto appendAttempts(const std::vector<KeyedRecord> &records) -> bool;
@@ -171,6 +172,7 @@
     std::map<WorkerId, std::shared_ptr<OrderLink>> m_links; ///< and what they queue
 
     std::int64_t m_attemptsSequence = 0; ///< planner thread only
+    bool m_takenOver = false; ///< planner thread only
     MonoTime m_lastRenewal; ///< publisher thread only
     std::list<std::unique_ptr<WorkerPoller>> m_pollers; ///< planner thread only
     std::list<std::unique_ptr<WorkerPoller>> m_retired; ///< planner thread only
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -105,7 +105,8 @@
     if (completion.kind == CompletionKind::Failed) {
         failTask(state, completion.task, completion.attempt, now);
     }
-    if (specOf(state, completion.task).gang) {
+    // What a failed job leaves is stopped because the job is final.
+    if (specOf(state, completion.task).gang && !isFinal(state.phase)) {
         stopStep(state, completion.task.occurrence, completion.task.step, StopReason::GangBroken);
     }
 }
@@ -397,24 +398,37 @@
     });
 }
 
-auto PoolCore::emitOrders(PoolEffects &effects, MonoTime now) -> void
+/// Orders to an unreachable worker would only delay orders to others; its attempts end when its lease expires.
+auto PoolCore::getsOrders(const Worker &worker) -> bool
+{
+    return worker.reachable && !worker.info.address.empty();
+}
+
+auto PoolCore::emitStops(std::vector<PoolOrder> &orders, MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
-        // Orders to an unreachable worker would only delay orders to others; its attempts end when its lease expires.
-        if (worker.info.address.empty() || !worker.reachable) {
-            continue;
+        for (auto &[key, it] : worker.allocations) {
+            const auto due = it.stopSentAt == MonoTime{} || now - it.stopSentAt >= stopRetryInterval;
+            if (!getsOrders(worker) || !it.stopping || it.stopOpen || it.stopAnswered || !due) {
+                continue;
+            }
+            it.stopOpen = true;
+            it.stopSentAt = now;
+            orders.push_back({.kind = PoolOrder::Kind::Stop,
+                              .worker = id,
+                              .address = worker.info.address,
+                              .task = key.first,
+                              .attempt = key.second,
+                              .answerTimeout = stopTimeout});
         }
+    }
+}
+
+auto PoolCore::emitRepeatedStarts(PoolEffects &effects) -> void
+{
+    for (auto &[id, worker] : m_workers) {
         for (auto &[key, it] : worker.allocations) {
-            if (it.stopping && !it.stopOpen && !it.stopAnswered && (it.stopSentAt == MonoTime{} || now - it.stopSentAt >= stopRetryInterval)) {
-                it.stopOpen = true;
-                it.stopSentAt = now;
-                effects.orders.push_back({.kind = PoolOrder::Kind::Stop,
-                                          .worker = id,
-                                          .address = worker.info.address,
-                                          .task = key.first,
-                                          .attempt = key.second,
-                                          .answerTimeout = stopTimeout});
-            } else if (!it.stopping && it.startOutcomeUnknown && !it.orderOpen && m_jobs.contains(key.first.job)) {
+            if (getsOrders(worker) && !it.stopping && it.startOutcomeUnknown && !it.orderOpen && m_jobs.contains(key.first.job)) {
                 it.orderOpen = true;
                 ++it.startTries;
                 emitStart(effects, worker, key);
@@ -440,7 +454,10 @@
         return false;
     }
     const auto &[key, allocation] = *found;
-    return order.kind == PoolOrder::Kind::Start ? isWanted(worker->second, key, allocation) : allocation.stopping && !allocation.stopAnswered;
+    if (order.kind == PoolOrder::Kind::Start) {
+        return isWanted(worker->second, key, allocation);
+    }
+    return getsOrders(worker->second) && allocation.stopping && !allocation.stopAnswered;
 }
 
 auto PoolCore::leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -334,8 +334,9 @@
         for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
             for (auto s = 0; s < static_cast<int>(state.job.steps.size()); ++s) {
                 const auto &tasks = state.occurrences[static_cast<std::size_t>(o)].steps[static_cast<std::size_t>(s)].tasks;
-                const auto waits = [](const TaskState &it) { return it.phase == TaskPhase::Waiting; };
-                if (state.job.steps[static_cast<std::size_t>(s)].gang && std::any_of(tasks.begin(), tasks.end(), waits)) {
+                const auto is
+                    = [&](TaskPhase phase) { return std::any_of(tasks.begin(), tasks.end(), [&](const TaskState &it) { return it.phase == phase; }); };
+                if (state.job.steps[static_cast<std::size_t>(s)].gang && is(TaskPhase::Placed) && is(TaskPhase::Waiting)) {
                     stopStep(state, o, s, StopReason::GangBroken);
                 }
             }
@@ -368,7 +369,8 @@
     dropUnlisted();
     PoolPlacer{*this, now, wall}.place(effects);
     logStops(now);
-    emitOrders(effects, now);
+    emitStops(effects.orders, now);
+    emitRepeatedStarts(effects);
     logStoppedJobs(now);
     effects.changed.assign(m_changed.begin(), m_changed.end());
     effects.phaseChanged.assign(m_phaseChanged.begin(), m_phaseChanged.end());
@@ -388,13 +390,22 @@
     return effects;
 }
 
+auto PoolCore::planStops(MonoTime now) -> std::vector<PoolOrder>
+{
+    auto orders = std::vector<PoolOrder>{};
+    stopUnwanted();
+    logStops(now);
+    emitStops(orders, now);
+    return orders;
+}
+
 auto PoolCore::logStops(MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
         for (auto &[key, it] : worker.allocations) {
             if (it.stopping && it.stopRequestedAt == MonoTime{}) {
                 it.stopRequestedAt = now;
-                noteStop(m_stopReport.requested[{key.first.job, it.stopReason}], id, worker.reachable && !worker.info.address.empty());
+                noteStop(m_stopReport.requested[{key.first.job, it.stopReason}], id, getsOrders(worker));
             }
         }
     }
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -112,11 +112,15 @@
     /// @param wall wall-clock time, for scheduled jobs
     auto plan(MonoTime now, WallTime wall) -> PoolEffects;
 
+    /// Collects stop orders without placing anything, for the time in which no record can be stored: a stop needs none. What changes
+    /// is part of the effects of the next plan().
+    auto planStops(MonoTime now) -> std::vector<PoolOrder>;
+
     /// Reports that the records of @p effects are stored.
     auto recorded(const PoolEffects &effects) -> void;
 
     /// @return whether a queued order should still be sent; false for a start order whose attempt is to be stopped or was lost, and for a
-    /// stop order whose attempt is over or whose stop has been answered.
+    /// stop order whose attempt is over, whose stop has been answered, or whose worker has become unreachable.
     [[nodiscard]] auto isCurrent(const PoolOrder &order) const -> bool;
 
     /// Grants a lease to a worker and extends the worker's Worker::leaseEnd accordingly.
@@ -219,7 +223,9 @@
     auto stopHung(MonoTime now) -> void;
     auto expireJobs(MonoTime now) -> void;
     auto dropUnlisted() -> void;
-    auto emitOrders(PoolEffects &effects, MonoTime now) -> void;
+    static auto getsOrders(const Worker &worker) -> bool;
+    auto emitStops(std::vector<PoolOrder> &orders, MonoTime now) -> void;
+    auto emitRepeatedStarts(PoolEffects &effects) -> void;
     auto emitStart(PoolEffects &effects, const Worker &worker, const AttemptKey &key) -> void;
     auto logDecision(const char *decision, std::string text) -> void;
     static auto requestStop(Allocation &allocation, StopReason reason) -> void;
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -97,6 +97,58 @@
     return simulation;
 }
 
+/// A new planner and the record of a job with two tasks that run on one worker.
+struct Takeover
+{
+    explicit Takeover(bool gang)
+        : job(makeJob("a", "batch", {makeStep(2, 1, Millis{60'000}, gang)}))
+        , recorded(makeJobState(job))
+    {
+        recorded.phase = PoolJobPhase::Running;
+        for (auto i = 0; i < 2; ++i) {
+            const auto key = TaskKey{.job = job.id, .index = i};
+            auto &task = taskAt(recorded, key);
+            task.phase = TaskPhase::Placed;
+            task.attempt = 1;
+            task.worker = worker.id;
+            task.workerBorn = worker.born;
+            reply.running.push_back({.task = key, .attempt = 1, .percent = 10});
+        }
+    }
+
+    auto adopt() -> void
+    {
+        core.setRules(simulationRules());
+        core.addJob(job, now);
+        core.adoptRecord(job.id, recorded, now + Millis{12'000}, now);
+        core.setWorkers({worker}, now);
+    }
+
+    auto poll() -> void
+    {
+        core.applyPollReply(worker.id, reply, now, now);
+    }
+
+    /// @return the number of stop orders of a planning pass, which has no others; -1 if it has.
+    auto stops() -> int
+    {
+        const auto orders = core.plan(now, WallTime{}).orders;
+        const auto only = std::all_of(orders.begin(), orders.end(), [](const PoolOrder &it) { return it.kind == PoolOrder::Kind::Stop; });
+        return only ? static_cast<int>(orders.size()) : -1;
+    }
+
+    MonoTime now{Seconds{100}};
+    PoolWorkerInfo worker{.id = WorkerId{"w0"},
+                          .address = "10.0.0.1:1",
+                          .service = ServiceId{"s"},
+                          .capacity = {.cpuMillis = 32'000, .memoryMb = 128'000, .accelerators = 8},
+                          .born = Incarnation{1}};
+    PoolJob job;
+    PoolJobState recorded;
+    WorkerPollReply reply{.clock = {100'000}, .born = Incarnation{1}};
+    PoolCore core{PoolOptions{}};
+};
+
 auto text(const std::vector<std::string> &lines) -> std::string
 {
     return std::accumulate(lines.begin(), lines.end(), std::string{}, [](const auto &sum, const auto &it) { return sum + it + "\n"; });
@@ -253,42 +305,64 @@
 {
     for (const auto phase : {PoolJobPhase::Cancelled, PoolJobPhase::Failed}) {
         CAPTURE(phase);
-        const auto now = MonoTime{Seconds{100}};
-        const auto worker = PoolWorkerInfo{.id = WorkerId{"w0"},
-                                           .address = "10.0.0.1:1",
-                                           .service = ServiceId{"s"},
-                                           .capacity = {.cpuMillis = 32'000, .memoryMb = 128'000, .accelerators = 8},
-                                           .born = Incarnation{1}};
-        const auto job = makeJob("a", "batch", {makeStep(2, 1, Millis{60'000}, false)});
-        auto recorded = makeJobState(job);
-        recorded.phase = phase;
-        auto reply = WorkerPollReply{.clock = {1'000}, .born = Incarnation{1}};
-        for (auto i = 0; i < 2; ++i) {
-            const auto key = TaskKey{.job = job.id, .index = i};
-            auto &task = taskAt(recorded, key);
-            task.phase = TaskPhase::Placed;
-            task.attempt = 1;
-            task.worker = worker.id;
-            task.workerBorn = worker.born;
-            reply.running.push_back({.task = key, .attempt = 1, .percent = 10});
-        }
-        auto core = PoolCore{PoolOptions{}};
-        core.setRules(simulationRules());
-        core.addJob(job, now);
-        core.adoptRecord(job.id, recorded, now + Millis{12'000}, now);
+        auto takeover = Takeover{false};
+        takeover.recorded.phase = phase;
+        takeover.adopt();
         if (phase == PoolJobPhase::Cancelled) {
-            core.cancelJob(job.id, now);
+            takeover.core.cancelJob(takeover.job.id, takeover.now);
         }
-        core.setWorkers({worker}, now);
-        core.applyPollReply(worker.id, reply, now, now);
-        const auto effects = core.plan(now + Millis{20}, WallTime{});
-        CHECK(effects.orders.size() == 2);
-        for (const auto &it : effects.orders) {
-            CHECK(it.kind == PoolOrder::Kind::Stop);
+        takeover.poll();
+        CHECK(takeover.stops() == 2);
+    }
+}
+
+// Guards against work of a job that runs on because its end was published and the record behind it was not stored.
+TEST_CASE("a new planner stops what runs of a job whose published state is final, before any poll is answered")
+{
+    for (const auto phase : {PoolJobPhase::Completed, PoolJobPhase::Failed, PoolJobPhase::Cancelled}) {
+        CAPTURE(phase);
+        auto takeover = Takeover{false};
+        takeover.adopt();
+        takeover.core.adoptFinal(takeover.job.id, phase, takeover.now);
+        CHECK(takeover.stops() == 2);
+        CHECK(takeover.core.find(takeover.job.id)->phase == phase);
+    }
+}
+
+// Guards against members of a gang that hold their accelerators and wait for a member whose end is on record, because the planner that
+// recorded it was lost before it stopped the others.
+TEST_CASE("a new planner stops the rest of a gang of which a recorded member is over, and no whole gang")
+{
+    for (const auto broken : {true, false}) {
+        CAPTURE(broken);
+        auto takeover = Takeover{true};
+        if (broken) {
+            taskAt(takeover.recorded, {.job = takeover.job.id}).phase = TaskPhase::Waiting;
+            takeover.reply.running.erase(takeover.reply.running.begin());
         }
+        takeover.adopt();
+        takeover.poll();
+        CHECK(takeover.stops() == (broken ? 1 : 0));
     }
 }
 
+// Guards against cancellations that end no work while the log of attempts is not served: plan() has to wait for its records then.
+TEST_CASE("stop orders can be collected without placing anything")
+{
+    auto takeover = Takeover{false};
+    takeover.adopt();
+    takeover.poll();
+    CHECK(takeover.core.planStops(takeover.now).empty());
+    takeover.core.addJob(makeJob("b", "batch", {makeStep(1, 1, Millis{1'000}, false)}), takeover.now);
+    takeover.core.cancelJob(takeover.job.id, takeover.now);
+    CHECK(takeover.core.planStops(takeover.now).size() == 2);
+    CHECK(takeover.core.planStops(takeover.now).empty()); // both are under way
+    const auto effects = takeover.core.plan(takeover.now, WallTime{});
+    CHECK(effects.changed == std::vector{takeover.job.id, JobId{"b"}});
+    REQUIRE(effects.orders.size() == 1);
+    CHECK(effects.orders.front().task.job == JobId{"b"});
+}
+
 // Guards against guaranteed work that waits until long work ends.
 TEST_CASE("urgent work within its guarantee preempts work of lower priority")
 {
