Keep a published end of a job when a cancellation arrives before a takeover

What callers would see: a job that was shown as completed is shown as cancelled after a takeover.

Cause: a new planner looked at the cancellation before the published state. A completion may be published before its record is stored; with the planner lost in between and a cancellation stored after it, the job was cancelled.

Change: the published final state goes first, as in the view that answers callers.

Measured: the test printed {"state":"cancelled"} == {"state":"completed"} with the former order, and passes.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -244,10 +244,11 @@
     adoptAttempts(attempts, now);
     for (const auto &it : jobs) {
         const auto *state = m_core.find(it.job->id);
-        if (it.cancelled) {
-            m_core.cancelJob(it.job->id, now);
-        } else if (isFinal(it.phase)) {
+        // A job that was shown as completed or failed stays so, although a cancellation has arrived since.
+        if (isFinal(it.phase)) {
             m_core.adoptFinal(it.job->id, it.phase, now);
+        } else if (it.cancelled) {
+            m_core.cancelJob(it.job->id, now);
         }
         if (state->phase != it.phase) {
             m_unpublished.insert(it.job->id);
