Reset the gauges of stopping attempts when a term ends

They are set in planning passes only, so that an instance which no longer leads kept its last values, above the alert that OPERATIONS.md recommends.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -108,6 +108,7 @@
         m_retired.clear();
         m_orderPool->stop();
         m_workersTail->stop();
+        m_ports.metrics->setStoppingAttempts(0, Micros{0});
     }
 }
 
