Do not start a job whose final state was published before its record was read

What callers would see: a job that is shown as cancelled, failed or completed runs.

Cause: the final state of a job was taken over only when the term began. A leader publishes it beside the record of attempts; killed before the record is stored, it leaves the state alone. If the next leader reads the job after that, because its log of jobs was not served, it takes the job for a new one. A cancellation in the other log of jobs is not known either while that one is not served.

Evidence: the new test failed for each of the three states: "CHECK( world.starts(...) == 0 ) is NOT correct, values: CHECK( 1 == 0 )". A job whose cancellation was read before the job was not started.

Change: a job that is read later is compared with what is published, as at the beginning of a term.

Measured: the test passes for the three states and the cancellation.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -206,6 +206,16 @@
     }
 }
 
+/// Tells the planner that a job was cancelled, or which final state was published. The caller holds m_mutex.
+auto PoolTerm::applyEnd(const JobSummary &summary, MonoTime now) -> void
+{
+    if (summary.cancelled) {
+        m_core.cancelJob(summary.job->id, now);
+    } else if (isFinal(summary.phase)) {
+        m_core.adoptFinal(summary.job->id, summary.phase, now);
+    }
+}
+
 auto PoolTerm::loadJobs(const RecordPage &attempts) -> void
 {
     const auto now = m_clock.mono();
@@ -237,11 +247,7 @@
     adoptAttempts(attempts, now);
     for (const auto &it : jobs) {
         const auto *state = m_core.find(it.job->id);
-        if (it.cancelled) {
-            m_core.cancelJob(it.job->id, now);
-        } else if (isFinal(it.phase)) {
-            m_core.adoptFinal(it.job->id, it.phase, now);
-        }
+        applyEnd(it, now);
         if (state->phase != it.phase) {
             m_unpublished.insert(it.job->id);
         }
@@ -355,9 +361,7 @@
             continue;
         }
         m_core.addJob(*known->job, now);
-        if (known->cancelled) {
-            m_core.cancelJob(id, now);
-        }
+        applyEnd(*known, now);
     }
     findEarlierDepartures(now);
     for (const auto &id : takeDepartures(m_entries)) {
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -108,6 +108,7 @@
     auto plannerLoop() -> void;
     auto takeOver() -> bool;
     auto loadJobs(const RecordPage &attempts) -> void;
+    auto applyEnd(const JobSummary &summary, MonoTime now) -> void;
     auto adoptAttempts(const RecordPage &attempts, MonoTime now) -> void;
     auto takeInbox(MonoTime now) -> void;
     auto planOnce() -> void;
