Keep what an instance knows of a job until every log has dropped it

What callers would see: a job that has ended, or was cancelled, runs again after its retention.

Cause: expired jobs are dropped from one log of jobs after the other. An instance forgot the whole job with the first of them. When the other log was not served at that time, came back, and was read again from its newest records, the job was new to the instance; the planner had forgotten it too, and started it.

Evidence: the new test failed: "CHECK( world.starts(std::string(id) + ".0.0.0") == 1 ) is NOT correct, values: CHECK( 2 == 1 )".

Change: a tombstone drops what its own log held; the job goes with the last log, or with its published state, which is dropped after the logs of jobs.

Measured: the test passes; so do the tests of retention and of a log of jobs that is not served.

--- a/packages/daemon/poolview.cpp
+++ b/packages/daemon/poolview.cpp
@@ -53,6 +53,19 @@
     return summary;
 }
 
+auto PoolView::drop(RecordLog log, const JobId &id) -> void
+{
+    const auto it = m_jobs.find(id);
+    if (it == m_jobs.end()) {
+        return;
+    }
+    it->second.logs.erase(log);
+    // The states drop a job after the logs of jobs have dropped it.
+    if (log == RecordLog::States || it->second.logs.empty()) {
+        m_jobs.erase(it);
+    }
+}
+
 auto PoolView::apply(RecordLog log, const PoolRecord &record) -> bool
 {
     const auto lock = std::lock_guard{m_mutex};
@@ -70,7 +83,7 @@
     if (const auto *phase = std::get_if<PhaseRecord>(&record)) {
         summaryOf(log, phase->id).phase = phase->phase;
     } else if (const auto *tombstone = std::get_if<TombstoneRecord>(&record)) {
-        m_jobs.erase(tombstone->id);
+        drop(log, tombstone->id);
     }
     return false;
 }
--- a/packages/daemon/poolview.h
+++ b/packages/daemon/poolview.h
@@ -43,6 +43,8 @@
     /// What follows from @p log is a snapshot: jobs that it does not name, and no other log, are forgotten at its end.
     auto beginSnapshot(RecordLog log) -> void;
     auto endSnapshot(RecordLog log) -> void;
+    /// Takes a record. What a log drops is forgotten when no other log holds something of the job, so that a log that is read again does
+    /// not make an old job a new one.
     /// @return whether the planner should hear of it: a new job or a new cancellation.
     auto apply(RecordLog log, const PoolRecord &record) -> bool;
     [[nodiscard]] auto find(const JobId &id) const -> std::optional<JobSummary>;
@@ -53,6 +55,7 @@
     [[nodiscard]] static auto shownPhase(const JobSummary &summary) -> PoolJobPhase;
 
 private:
+    auto drop(RecordLog log, const JobId &id) -> void;
     auto summaryOf(RecordLog log, const JobId &id) -> JobSummary &;
 
     mutable std::mutex m_mutex;
