--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -214,6 +214,17 @@
     }
 }
 
+/// Tells the planner that a job was cancelled, or which final state was published. The caller holds m_mutex.
+auto PoolTerm::applyEnd(const JobSummary &summary, MonoTime now) -> void
+{
+    // A job that was shown as completed or failed stays so, although a cancellation has arrived since.
+    if (isFinal(summary.phase)) {
+        m_core.adoptFinal(summary.job->id, summary.phase, now);
+    } else if (summary.cancelled) {
+        m_core.cancelJob(summary.job->id, now);
+    }
+}
+
 auto PoolTerm::loadJobs(const RecordPage &attempts) -> void
 {
     const auto now = m_clock.mono();
@@ -245,12 +256,7 @@
     adoptAttempts(attempts, now);
     for (const auto &it : jobs) {
         const auto *state = m_core.find(it.job->id);
-        // A job that was shown as completed or failed stays so, although a cancellation has arrived since.
-        if (isFinal(it.phase)) {
-            m_core.adoptFinal(it.job->id, it.phase, now);
-        } else if (it.cancelled) {
-            m_core.cancelJob(it.job->id, now);
-        }
+        applyEnd(it, now);
         if (state->phase != it.phase) {
             m_unpublished.insert(it.job->id);
         }
@@ -367,9 +373,7 @@
             continue;
         }
         m_core.addJob(*known->job, now);
-        if (known->cancelled) {
-            m_core.cancelJob(id, now);
-        }
+        applyEnd(*known, now);
     }
     findEarlierDepartures(now);
     for (const auto &id : takeDepartures(m_entries)) {
