Refuse jobs that no planner can bear

Cause: a step had a limit of tasks and a job one of occurrences, and the two multiply: 64 steps of 10,000 tasks, 10,000 times over. The resources, estimates, times and labels of a job had no upper limits, though the planner adds and multiplies them in 64 bits.

Seen: {"steps":[{"count":10000}],"times":10000} was accepted, and the planner filled the memory when it made the job's tasks until the process was killed; each next leader reads the same job.

Change (jobProblem): at most 20,000 tasks in all occurrences, since the record of attempts has to fit into one record of the store (256 KiB; at least 10 bytes a task), resources up to 10^12, estimates and intervals up to a year, due times up to the year 2286, labels up to 255 bytes.

Measured: before, the process of "submissions out of range are refused and the others run" was killed (status 137); it passes now, run with 8 GB of address space.

--- a/packages/policy/pooljob.cpp
+++ b/packages/policy/pooljob.cpp
@@ -3,6 +3,7 @@
 #include "util/printable.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace Catkin
 {
@@ -14,6 +15,26 @@
 constexpr auto maxTasks = 10'000;
 constexpr auto maxOccurrences = 10'000;
 constexpr auto maxPayload = std::size_t{4'000};
+/// Tasks of all occurrences together. The record of attempts takes at least 10 bytes for each and has to fit into one record of the
+/// store, of 256 KiB; a planner cannot go on without it.
+constexpr auto maxAllTasks = std::int64_t{20'000};
+/// Far above any machine; sums over all tasks of a pool fit.
+constexpr auto maxResource = std::int64_t{1'000'000'000'000};
+/// Estimates of all steps, stretched, fit into a time in microseconds.
+constexpr auto maxSpan = std::chrono::duration_cast<Millis>(std::chrono::years{1});
+/// In the year 2286; the times of all occurrences fit.
+constexpr auto maxDue = WallTime{Millis{10'000'000'000'000}};
+constexpr auto maxLabel = std::size_t{255};
+
+auto isResource(std::int64_t amount) -> bool
+{
+    return amount >= 0 && amount <= maxResource;
+}
+
+auto isSpan(Millis span) -> bool
+{
+    return span.count() >= 0 && span <= maxSpan;
+}
 
 auto copiesOf(std::int64_t need, std::int64_t available, int limit) -> int
 {
@@ -30,11 +51,17 @@
     if (step.tasks < 1 || step.tasks > maxTasks) {
         return name + ": the number of tasks must be between 1 and " + std::to_string(maxTasks);
     }
-    if (step.perTask.cpuMillis < 0 || step.perTask.memoryMb < 0 || step.perTask.accelerators < 0) {
-        return name + ": a resource is negative";
+    if (!isResource(step.perTask.cpuMillis) || !isResource(step.perTask.memoryMb) || !isResource(step.perTask.accelerators)) {
+        return name + ": a resource must be between 0 and " + std::to_string(maxResource);
+    }
+    if (!isSpan(step.estimate) || step.maxPerWorker < 0) {
+        return name + ": an estimate above a year, or a limit below 0";
+    }
+    if (step.requiredLabel.size() > maxLabel || step.dataRack.size() > maxLabel) {
+        return name + ": a label is longer than " + std::to_string(maxLabel) + " bytes";
     }
     const auto isEarlier = [&](int it) { return it >= 0 && static_cast<std::size_t>(it) < number; };
-    if (!std::all_of(step.dependsOn.begin(), step.dependsOn.end(), isEarlier)) {
+    if (step.dependsOn.size() > maxSteps || !std::all_of(step.dependsOn.begin(), step.dependsOn.end(), isEarlier)) {
         return name + ": depends on a step that is not an earlier one";
     }
     return std::nullopt;
@@ -161,14 +188,22 @@
     if (job.steps.empty() || job.steps.size() > maxSteps) {
         return "a job has 1 to " + std::to_string(maxSteps) + " steps";
     }
-    if (job.occurrences < 1 || job.occurrences > maxOccurrences || job.interval.count() < 0) {
+    if (job.occurrences < 1 || job.occurrences > maxOccurrences || !isSpan(job.interval)) {
         return "the schedule is malformed";
     }
+    if (job.firstDue && (*job.firstDue < WallTime{} || *job.firstDue > maxDue)) {
+        return "the schedule begins at no usable time";
+    }
     for (auto i = std::size_t{0}; i < job.steps.size(); ++i) {
         if (auto problem = stepProblem(job, i)) {
             return problem;
         }
     }
+    const auto tasks
+        = std::accumulate(job.steps.begin(), job.steps.end(), std::int64_t{0}, [](std::int64_t sum, const PoolStep &it) { return sum + it.tasks; });
+    if (tasks * job.occurrences > maxAllTasks) {
+        return "a job has at most " + std::to_string(maxAllTasks) + " tasks in all its occurrences";
+    }
     return std::nullopt;
 }
 
