Check what the pool's own records hold

Cause: records were taken as written by this program. Another writer's job with a negative number of tasks, or with a step that depends on one that does not exist, reached the planner, whose vectors threw or were read out of bounds. Kinds and phases were cast unchecked, numbers converted unchecked. A leadership record may have named an epoch that no claim can exceed.

Seen: with such records in the logs the process ended (SIGSEGV), and so did each that read them.

Change: a record of a job is held to the limits that a submission is (jobProblem), other numbers to named limits, ids to what can be stored and sent. A leadership record other than a claim is left out (E6032) unless its epoch is before its own offset, as that of every claim is.

--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -216,6 +216,11 @@
 
 auto PoolNode::Impl::leadershipRecord(const LeadershipRecord &record, LogOffset offset) -> void
 {
+    // An epoch is the offset of its claim, which is before all records that name it. One from the future would shut out every claim.
+    if (record.kind != LeadershipRecordKind::Claim && record.epoch >= offset.value) {
+        logEvent(LogLevel::Error, 6032, "record at offset " + std::to_string(offset.value) + " left out: its epoch is that of no claim");
+        return;
+    }
     const auto lock = std::lock_guard{mutex};
     leadership.applyRecord(record, offset, clock.mono());
     const auto &holder = leadership.holder();
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -1,5 +1,8 @@
 #include "state/poolrecords.h"
 
+#include "util/jsonnumbers.h"
+#include "util/printable.h"
+
 #include <nlohmann/json.hpp>
 
 namespace Catkin
@@ -17,6 +20,11 @@
 constexpr auto memberPrefix = "m/";
 constexpr auto leadershipKey = "leader";
 constexpr auto prefixLength = std::size_t{2};
+/// Leaves room for the numbers of further attempts.
+constexpr auto maxAttempt = std::int64_t{1'000'000'000};
+/// In the year 2286; sums of such times fit.
+constexpr auto maxWallMs = std::int64_t{10'000'000'000'000};
+constexpr auto maxWorkerId = std::size_t{255};
 
 auto toJson(const PoolStep &it) -> json
 {
@@ -37,19 +45,21 @@
 
 auto stepFromJson(const json &it) -> PoolStep
 {
+    auto needed = std::vector<int>{};
+    for (const auto &number : it.at("after")) {
+        needed.push_back(toInteger<int>(number, "after"));
+    }
     return {
-        .tasks = it.at("tasks").get<int>(),
-        .perTask = {.cpuMillis = it.at("cpu").get<std::int64_t>(),
-                    .memoryMb = it.at("memory").get<std::int64_t>(),
-                    .accelerators = it.at("accelerators").get<std::int64_t>()},
-        .estimate = Millis{it.at("estimate").get<std::int64_t>()},
-        .dependsOn = it.at("after").get<std::vector<int>>(),
+        .tasks = intField<int>(it, "tasks"),
+        .perTask = {.cpuMillis = intField(it, "cpu"), .memoryMb = intField(it, "memory"), .accelerators = intField(it, "accelerators")},
+        .estimate = Millis{intField(it, "estimate")},
+        .dependsOn = std::move(needed),
         .checkpointing = it.at("checkpoints").get<bool>(),
         .gang = it.at("gang").get<bool>(),
         .sameRack = it.at("one_rack").get<bool>(),
         .requiredLabel = it.at("label").get<std::string>(),
         .dataRack = it.at("rack").get<std::string>(),
-        .maxPerWorker = it.at("per_worker").get<int>(),
+        .maxPerWorker = intField<int>(it, "per_worker"),
         .longRunning = it.at("endless").get<bool>(),
     };
 }
@@ -60,16 +70,20 @@
         .id = id,
         .queue = QueueId{it.at("queue").get<std::string>()},
         .workspace = WorkspaceId{it.at("workspace").get<std::string>()},
-        .acceptedAt = WallTime{Millis{it.at("accepted").get<std::int64_t>()}},
+        .acceptedAt = WallTime{Millis{intField(it, "accepted", 0, maxWallMs)}},
         .payload = it.at("payload").get<std::string>(),
-        .occurrences = it.at("occurrences").get<int>(),
-        .interval = Millis{it.at("interval").get<std::int64_t>()},
+        .occurrences = intField<int>(it, "occurrences"),
+        .interval = Millis{intField(it, "interval")},
     };
     for (const auto &step : it.at("steps")) {
         job.steps.push_back(stepFromJson(step));
     }
     if (it.contains("due")) {
-        job.firstDue = WallTime{Millis{it.at("due").get<std::int64_t>()}};
+        job.firstDue = WallTime{Millis{intField(it, "due")}};
+    }
+    // A job that no instance accepts comes from another writer; the planner relies on these limits.
+    if (const auto problem = jobProblem(job)) {
+        throw json::other_error::create(0, *problem, nullptr);
     }
     return job;
 }
@@ -77,9 +91,9 @@
 auto leadershipFromJson(const json &it) -> LeadershipRecord
 {
     return {
-        .kind = static_cast<LeadershipRecordKind>(it.at("kind").get<int>()),
+        .kind = static_cast<LeadershipRecordKind>(intField<int>(it, "kind", 0, static_cast<int>(LeadershipRecordKind::Resignation))),
         .holder = InstanceId{it.at("holder").get<std::string>()},
-        .epoch = it.at("epoch").get<std::int64_t>(),
+        .epoch = intField(it, "epoch"),
         .nonce = it.at("nonce").get<std::string>(),
         .address = it.at("address").get<std::string>(),
     };
@@ -87,11 +101,7 @@
 
 auto phaseFromJson(const json &it) -> PoolJobPhase
 {
-    const auto number = it.get<int>();
-    if (number < 0 || number > static_cast<int>(PoolJobPhase::Cancelled)) {
-        throw json::other_error::create(0, "unknown job phase", nullptr);
-    }
-    return static_cast<PoolJobPhase>(number);
+    return static_cast<PoolJobPhase>(toInteger<int>(it, "phase", 0, static_cast<int>(PoolJobPhase::Cancelled)));
 }
 
 /// @return [phase, attempt, failures, last failed attempt, worker, incarnation of the worker, checkpoint]. The last three are left
@@ -110,19 +120,18 @@
 auto taskFromJson(const json &it) -> TaskState
 {
     auto task = TaskState{};
-    const auto phase = it.at(0).get<int>();
-    if (phase < 0 || phase > static_cast<int>(TaskPhase::Done)) {
-        throw json::other_error::create(0, "unknown task phase", nullptr);
-    }
-    task.phase = static_cast<TaskPhase>(phase);
-    task.attempt = it.at(1).get<int>();
-    task.failures = it.at(2).get<int>();
-    task.lastFailedAttempt = it.at(3).get<int>();
+    task.phase = static_cast<TaskPhase>(toInteger<int>(it.at(0), "phase", 0, static_cast<int>(TaskPhase::Done)));
+    task.attempt = toInteger<int>(it.at(1), "attempt", 0, maxAttempt);
+    task.failures = toInteger<int>(it.at(2), "failures", 0, maxAttempt);
+    task.lastFailedAttempt = toInteger<int>(it.at(3), "last failed attempt", 0, maxAttempt);
     if (it.size() > 4) {
         task.worker = WorkerId{it.at(4).get<std::string>()};
-        task.workerBorn = Incarnation{it.at(5).get<std::int64_t>()};
+        task.workerBorn = Incarnation{toInteger(it.at(5), "incarnation")};
         task.checkpoint = it.at(6).get<std::string>();
     }
+    if (task.phase == TaskPhase::Placed && !isPrintableId(task.worker.str(), maxWorkerId)) {
+        throw json::other_error::create(0, "a placed task has no worker", nullptr);
+    }
     return task;
 }
 
@@ -193,10 +202,10 @@
         if (key == leadershipKey) {
             return PoolRecord{leadershipFromJson(json::parse(value))};
         }
-        if (key.size() <= prefixLength) {
-            return failure(ErrorCode::Protocol, "unknown key '" + key + "'");
+        const auto id = JobId{key.size() > prefixLength ? key.substr(prefixLength) : std::string{}};
+        if (!isJobId(id)) {
+            return failure(ErrorCode::Protocol, "unknown key '" + printable(key) + "'");
         }
-        const auto id = JobId{key.substr(prefixLength)};
         const auto prefix = key.substr(0, prefixLength);
         if (value.empty()) {
             return PoolRecord{TombstoneRecord{id}};
@@ -216,9 +225,9 @@
         if (prefix == phasePrefix) {
             return PoolRecord{PhaseRecord{.id = id, .phase = phaseFromJson(json::parse(value))}};
         }
-        return failure(ErrorCode::Protocol, "unknown key '" + key + "'");
+        return failure(ErrorCode::Protocol, "unknown key '" + printable(key) + "'");
     } catch (const json::exception &e) {
-        return failure(ErrorCode::Protocol, "record '" + key + "': " + e.what());
+        return failure(ErrorCode::Protocol, "record '" + printable(key) + "': " + printable(e.what()));
     }
 }
 
@@ -255,8 +264,8 @@
             }
             for (auto s = std::size_t{0}; s < steps.size(); ++s) {
                 const auto &record = occurrences[o][s];
-                steps[s].gangFailures = record.at("f").get<int>();
-                steps[s].lastFailedAttempt = record.at("l").get<int>();
+                steps[s].gangFailures = intField<int>(record, "f", 0, maxAttempt);
+                steps[s].lastFailedAttempt = intField<int>(record, "l", 0, maxAttempt);
                 steps[s].everStarted = record.at("b").get<bool>();
                 if (record.at("t").size() != steps[s].tasks.size()) {
                     return failure(ErrorCode::Protocol, "attempts record: its number of tasks differs from the step's");
@@ -268,7 +277,7 @@
         }
         return success();
     } catch (const json::exception &e) {
-        return failure(ErrorCode::Protocol, std::string("attempts record: ") + e.what());
+        return failure(ErrorCode::Protocol, "attempts record: " + printable(e.what()));
     }
 }
 
