Bound the length and the whole time of an answer on a kept connection

Cause: HttpChannel, which carries the calls to workers and to the store, gave the library a timeout that begins anew with each part of a body, and took bodies of any length. HttpCall::maxBody (4 MiB) held for httpExchange() alone.

Seen: a worker, or whatever answers at the address of an odd entry, that sends a byte every 20 ms held its poll of 300 ms for 4.1 s, as long as it sent; one that sends without end was read into memory without end.

Change: the parts of a body are counted and their time looked at: ErrorCode::Limit above maxBody, ErrorCode::Timeout after the deadline.

--- a/packages/ports/httpchannel.cpp
+++ b/packages/ports/httpchannel.cpp
@@ -14,12 +14,15 @@
 namespace
 {
 
-auto toError(httplib::Error error, bool expired) -> Error
+auto toError(httplib::Error error, bool expired, bool tooLong) -> Error
 {
     const auto text = httplib::to_string(error);
     if (error == httplib::Error::Connection || error == httplib::Error::BindIPAddress || error == httplib::Error::ConnectionTimeout) {
         return failure(ErrorCode::NotSent, "no connection: " + text);
     }
+    if (tooLong) {
+        return failure(ErrorCode::Limit, "the answer is longer than accepted");
+    }
     if (expired) {
         return failure(ErrorCode::Timeout, "no complete answer in time");
     }
@@ -66,13 +69,23 @@
     client.set_write_timeout(call.timeout);
     const auto deadline = std::chrono::steady_clock::now() + call.timeout;
     auto request = toRequest(call);
+    auto reply = HttpReply{};
+    auto tooLong = false;
+    // The library's timeout begins anew with each part of a body.
+    request.content_receiver = [&](const char *data, std::size_t n, std::uint64_t, std::uint64_t) {
+        tooLong = reply.body.size() + n > call.maxBody;
+        if (!tooLong) {
+            reply.body.append(data, n);
+        }
+        return !tooLong && std::chrono::steady_clock::now() < deadline;
+    };
     auto result = client.send(request);
     if (!result) {
-        const auto error = toError(result.error(), std::chrono::steady_clock::now() >= deadline);
+        const auto error = toError(result.error(), std::chrono::steady_clock::now() >= deadline, tooLong);
         client.stop();
         return error;
     }
-    auto reply = HttpReply{.status = result->status, .body = std::move(result->body)};
+    reply.status = result->status;
     for (const auto &[name, value] : result->headers) {
         reply.headers[lowerCase(name)] = value;
     }
