Read a worker's status and the instance list without copies and in range

Cause: decodeStatus() copied the list "usage", and the copy of a deeply nested value recurses until the stack ends.

Seen: a worker whose status has 200,000 nested lists in "usage" ended the planner (SIGSEGV).

Change: the list is read in place; slots are read as integers within the range of int. As docs/interfaces.md says, a malformed entry still makes the whole list invalid.

--- a/packages/ports/httpinstancelist.cpp
+++ b/packages/ports/httpinstancelist.cpp
@@ -2,6 +2,7 @@
 
 #include "ports/entitytag.h"
 #include "ports/httpclient.h"
+#include "util/jsonnumbers.h"
 
 #include <nlohmann/json.hpp>
 
@@ -49,7 +50,7 @@
             entry.domain = FailureDomainId{it.at("domain").get<std::string>()};
             entry.region = RegionId{it.at("region").get<std::string>()};
             entry.rack = RackId{it.value("rack", std::string{})};
-            entry.slots = it.value("slots", entry.role == InstanceRole::Worker ? defaultWorkerSlots : 0);
+            entry.slots = it.contains("slots") ? intField<int>(it, "slots") : entry.role == InstanceRole::Worker ? defaultWorkerSlots : 0;
             entry.address = it.at("address").get<std::string>();
             entry.peerAddress = it.value("peer_address", std::string{});
             // A state added by a later platform release gets no new work.
--- a/packages/ports/httpworker.cpp
+++ b/packages/ports/httpworker.cpp
@@ -71,6 +71,15 @@
     return {.counter = intField(in, "counter"), .holder = in.at("holder").get<std::string>()};
 }
 
+auto slotNumbers(const json &in) -> std::vector<int>
+{
+    auto out = std::vector<int>{};
+    for (const auto &it : in) {
+        out.push_back(toInteger<int>(it, "slots"));
+    }
+    return out;
+}
+
 auto decodeLease(const json &in) -> WorkerLease
 {
     auto lease = WorkerLease{
@@ -79,7 +88,7 @@
         .attempt = intField<int>(in, "attempt"),
         .member = intField<int>(in, "member"),
         .holder = in.value("holder", std::string{}),
-        .slots = in.at("slots").get<std::vector<int>>(),
+        .slots = slotNumbers(in.at("slots")),
         .remaining = Millis{intField(in, "remaining_ms")},
         .started = in.at("started").get<bool>(),
     };
@@ -112,7 +121,12 @@
     for (const auto &it : in.at("leases")) {
         status.leases.push_back(decodeLease(it));
     }
-    for (const auto &it : in.value("usage", json::array())) {
+    // Nothing is copied: the copy of a deeply nested value recurses.
+    const auto usage = in.find("usage");
+    if (usage == in.end()) {
+        return status;
+    }
+    for (const auto &it : *usage) {
         status.usage.push_back({
             .lease = LeaseId{it.at("lease").get<std::string>()},
             .busyPercent = intField<int>(it, "busy_percent"),
--- a/packages/ports/testing/httpinstancelist_test.cpp
+++ b/packages/ports/testing/httpinstancelist_test.cpp
@@ -86,3 +86,17 @@
     CHECK(list.fetch().value() == second);
     checkOutcome(makeHttpInstanceList(standin->address(), longTimeout).fetch(), std::nullopt);
 }
+
+// Guards against numbers of slots that wrap around or that differ between processors.
+TEST_CASE("a list with values out of range is an error")
+{
+    const auto nested = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const auto &slots :
+         {std::string("1e300"), std::string("-1"), std::string("4294967304"), std::string("18446744073709551615"), std::string("2.5"), nested}) {
+        CAPTURE(slots.substr(0, 30));
+        const auto body
+            = R"({"instances":[{"id":"w","role":"worker","domain":"d","region":"r","address":"127.0.0.1:9","state":"live","slots":)" + slots + "}]}";
+        const auto peer = RawPeer{"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body};
+        checkOutcome(makeHttpInstanceList(peer.address(), longTimeout).fetch(), ErrorCode::Protocol);
+    }
+}
--- a/packages/ports/testing/httpworker_test.cpp
+++ b/packages/ports/testing/httpworker_test.cpp
@@ -304,3 +304,31 @@
         checkOutcome(worker.send({order(OrderOp::Stop, "a")}), ErrorCode::Unknown);
     }
 }
+
+// Guards against a worker whose status ends the planner: its nested values were copied, which recursed until the stack ended.
+TEST_CASE("a status with nested or odd values is an error")
+{
+    const auto nested = std::string(200'000, '[') + std::string(200'000, ']');
+    const auto status = [](const std::string &fields) {
+        return R"({"worker":"w","boot":"b","rack":"r","domain":"d","generation":{"counter":3,"holder":"b"})" + fields + "}";
+    };
+    const auto answer = [](const std::string &body) { return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body; };
+    {
+        const auto sound = RawPeer{answer(status(R"(,"slots":8,"leases":[])"))};
+        checkOutcome(makeHttpWorker().status(sound.address(), longTimeout), std::nullopt);
+    }
+    for (
+        const auto &fields : {
+            R"(,"slots":8,"leases":[],"usage":)" + nested,
+            R"(,"slots":8,"leases":)" + nested,
+            std::string(R"(,"slots":1e300,"leases":[])"),
+            std::string(R"(,"slots":18446744073709551615,"leases":[])"),
+            R"(,"slots":8,"leases":[{"lease":"l","job":"j","attempt":1,"member":0,"slots":)" + nested + "}]",
+            std::string(
+                R"(,"slots":8,"leases":[{"lease":"l","job":"j","attempt":1,"member":0,"slots":[1e300],"state":"running","exit":null,"remaining_ms":5,"started":true}])"),
+        }) {
+        CAPTURE(fields.substr(0, 60));
+        const auto peer = RawPeer{answer(status(fields))};
+        checkOutcome(makeHttpWorker().status(peer.address(), longTimeout), ErrorCode::Protocol);
+    }
+}
