Confirm a cancellation only once the log has it

Cause: the answer was given as soon as the instance had the cancellation in its memory. The record was appended later: within about 50 ms, or for as long as the log is down. The planner of the same instance stops the gang at once, so that a loss in between leaves stopped tasks of a job that the log shows as running, and the next planner starts a restartable one again.

Evidence: the new case of system_jobs_test. Without the change the cancellation is answered with 202 while the log is cut, and one that was answered with 202 with the log in order is lost when every instance is killed right after it: the job did not become cancelled.

Change: the cancellation still takes effect at once, also while the log is down. The answer waits up to 1.5 s for the log to show it; without that it is 504, outcome_unknown, as for a submission, and the caller cancels again. A wait counts among the calls that wait, and when those are too many the answer is 504 at once unless the log has the record already. catkinctl cancel then exits with 4 instead of 1.

--- a/packages/cli/jobcommands.cpp
+++ b/packages/cli/jobcommands.cpp
@@ -82,6 +82,12 @@
     }
 }
 
+auto isOutcomeUnknown(const HttpReply &reply) -> bool
+{
+    const auto body = parseJson(reply.body);
+    return reply.status == 504 || (body.is_object() && body.value("result", json{}) == "outcome_unknown");
+}
+
 auto readJob(const Arguments &args, Environment &env, const char *name, const char *description, const char *method) -> ExitCode
 {
     auto line = CommandLine(description, name, Audience::Callers, env);
@@ -94,7 +100,7 @@
         return report(env, line.json(), exitCodeOf(reply.error()), reply.error().message);
     }
     if (exitCodeOf(reply.value()) != ExitCode::Ok) {
-        return report(env, line.json(), ExitCode::Failed, reasonOf(reply.value()));
+        return report(env, line.json(), isOutcomeUnknown(reply.value()) ? ExitCode::OutcomeUnknown : ExitCode::Failed, reasonOf(reply.value()));
     }
     print(reply.value(), line.json(), env);
     return ExitCode::Ok;
@@ -163,12 +169,6 @@
     return ExitCode::Ok;
 }
 
-auto isOutcomeUnknown(const HttpReply &reply) -> bool
-{
-    const auto body = parseJson(reply.body);
-    return reply.status == 504 || (body.is_object() && body.value("result", json{}) == "outcome_unknown");
-}
-
 /// Sends a job until an instance says what became of it. The key makes repetition safe: the first accepted record of a key wins.
 auto sendJob(const std::string &body, CommandLine &line, Environment &env) -> Result<HttpReply>
 {
--- a/packages/cli/testing/commands_test.cpp
+++ b/packages/cli/testing/commands_test.cpp
@@ -90,6 +90,7 @@
         {{"wait", "j-1"}, {{200, R"({"state":"unknown"})"}}, 4, "unknown"},
         {{"wait", "j-1", "--limit", "5s"}, {{200, R"({"state":"running"})"}}, 1, "state: running"},
         {{"cancel", "j-1"}, {{200, R"({"job":"j-1","state":"stopping"})"}}, 0, "stopping"},
+        {{"cancel", "j-1"}, {{504, R"({"result":"outcome_unknown","reason":"cancel the job again"})"}}, 4, "cancel the job again"},
         {{"jobs", "--state", "queued"},
          {{200, R"({"jobs":[{"job":"j-1","state":"queued"},{"job":"j-2","state":"running"}]})"}},
          0,
--- a/packages/daemon/callerapi.cpp
+++ b/packages/daemon/callerapi.cpp
@@ -26,6 +26,7 @@
 constexpr auto maxJobPayload = std::size_t{64} << 10U;
 constexpr auto maxWait = Millis{30'000};
 constexpr auto submitWait = Millis{3'000};
+constexpr auto cancelWait = Millis{1'500};
 /// Classes of calls that wait without being requests; identifiers of kinds cannot contain a blank.
 const auto submitClass = KindId{"job submission"};
 const auto waitClass = KindId{"job wait"};
@@ -488,8 +489,14 @@
     if (!cancelled) {
         return refuse(503, cancelled.error().message, Millis{1000});
     }
+    // The work ends at once, also while the log is down. The caller learns that it stays ended only when the log says so.
     context.noticeJob(cancelled.value());
-    return {.status = 202, .body = dump(jobToJson(cancelled.value()))};
+    const auto pass = context.gate->enter(who.workspace, waitClass, job->spec.caller, Bytes{0});
+    if (!context.jobs->waitCancelStored(job->spec.id, pass ? cancelWait : Millis{0})) {
+        const auto *reason = "the log has not confirmed the cancellation; cancel the job again";
+        return {.status = 504, .body = dump(failureBody("outcome_unknown", reason, Millis{1000}))};
+    }
+    return {.status = 202, .body = dump(jobToJson(*context.jobs->find(job->spec.id)))};
 }
 
 }
--- a/packages/daemon/jobservice.cpp
+++ b/packages/daemon/jobservice.cpp
@@ -198,6 +198,15 @@
     return *find(id);
 }
 
+auto JobService::waitCancelStored(const JobId &id, Millis limit) -> bool
+{
+    auto lock = std::unique_lock{m_mutex};
+    return m_folded.wait_for(lock, limit, [&] {
+        const auto *job = m_fold.find(id);
+        return job == nullptr || job->cancelRequested || isTerminal(job->state);
+    });
+}
+
 auto JobService::recordAttempt(const JobAttemptRecord &attempt, Millis wait) -> bool
 {
     const auto appended = m_writer.append("jobs", encodeRecord(JobRecord{attempt}));
--- a/packages/daemon/jobservice.h
+++ b/packages/daemon/jobservice.h
@@ -63,6 +63,11 @@
     /// @return the job; ErrorCode::NotFound, or ErrorCode::Limit when too many records are pending.
     auto cancel(const JobId &id, const std::string &by, const std::string &reason) -> Result<Job>;
 
+    /// Waits until the log shows that a job has been cancelled or has ended. Until then the cancellation is known to this process
+    /// alone, and is lost together with it.
+    /// @return whether it does; false after @p limit.
+    auto waitCancelStored(const JobId &id, Millis limit) -> bool;
+
     /// Records a planner's step: applied here at once, appended as soon as the log takes it.
     auto record(const JobRecord &record) -> void;
 
--- a/testing/system/testing/jobs_test.cpp
+++ b/testing/system/testing/jobs_test.cpp
@@ -232,3 +232,38 @@
     jobs.check(partialStartMs);
     CHECK(jobs.history.runs.size() == 2);
 }
+
+// Guards against a cancellation that is answered with 202 while only the instance that took it knows it: it was lost together
+// with that instance, and the job ran again.
+TEST_CASE("a cancellation is confirmed only once it survives the loss of every instance")
+{
+    auto site = Deployment{revisionesShape()};
+    site.start();
+    auto jobs = Jobs{.site = site, .history = {}, .ids = {}};
+    const auto id = jobs.submit(0, "sim-1", 2, 4, 600'000, true);
+    REQUIRE(jobs.waitState(0, id, "running"));
+    const auto cancel = [&] {
+        const auto reply = site.caller(0, "DELETE", "/v1/jobs/" + id, {}, Millis{4'000});
+        return reply ? reply.value().status : 0;
+    };
+    const auto replaceAll = [&] {
+        for (auto i = std::size_t{0}; i < site.entryCount(); ++i) {
+            site.entry(i).process->signal(SIGKILL);
+        }
+        site.platformRelay().setMode(RelayMode::Pass);
+        for (auto i = std::size_t{0}; i < site.entryCount(); ++i) {
+            (void)site.entry(i).process->waitExit(Millis{5'000});
+            site.startEntry(i);
+        }
+        for (auto i = std::size_t{0}; i < site.entryCount(); ++i) {
+            REQUIRE(site.waitReady(i));
+        }
+    };
+    site.platformRelay().setMode(RelayMode::Cut);
+    CHECK(cancel() == 504);
+    replaceAll();
+    CHECK(eventually([&] { return cancel() == 202; }));
+    replaceAll();
+    CHECK(jobs.waitState(0, id, "cancelled"));
+    jobs.check(partialStartMs);
+}
