--- a/testing/system/testing/leases_test.cpp
+++ b/testing/system/testing/leases_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -93,3 +94,52 @@
     }
     MESSAGE("slow clock: " << load.summary());
 }
+
+// Guards against work of a cancelled job that runs until its lease ends. The planner starts the job while the log is down and is
+// killed, so the log shows the job as queued, and its cancellation makes it final. The tasks do not obey the first order.
+TEST_CASE("work of a job that was cancelled before its attempt was on record ends after a takeover")
+{
+    auto site = Deployment{oneDomain("probation = \"1500ms\"\nrun = \"120s\"\nrenew = \"1s\"\n")};
+    site.start();
+    auto load = FaultLoad{site, {.seed = 11, .requests = false}};
+    const auto block = load.mustSubmit(0, {.key = "block", .tasks = 4, .slots = 6, .runMs = 4'000});
+    REQUIRE(load.waitState(0, block, "running"));
+    const auto sim = load.mustSubmit(0, {.key = "sim", .tasks = 4, .slots = 6, .runMs = 600'000});
+    for (auto i = std::size_t{0}; i < site.entryCount(); ++i) {
+        REQUIRE(load.waitState(i, sim, "queued"));
+    }
+    auto planner = std::optional<std::size_t>{};
+    REQUIRE(eventually([&] {
+        for (auto i = std::size_t{0}; i < site.entryCount() && !planner; ++i) {
+            planner = plannerOf(site, i, "oviedo");
+        }
+        return planner.has_value();
+    }));
+    site.platformRelay().setMode(RelayMode::Cut);
+    REQUIRE(eventually([&] { return load.runs(sim).size() == 4; }, {.tries = 1'000}));
+    for (auto i = std::size_t{0}; i < site.workerCount(); ++i) {
+        REQUIRE(control(*site.worker(i).process, R"({"ignore_stop":true})"));
+    }
+    site.entry(*planner).process->signal(SIGKILL);
+    (void)site.entry(*planner).process->waitExit(Millis{5'000});
+    site.platformRelay().setMode(RelayMode::Pass);
+    const auto other = (*planner + 1) % site.entryCount();
+    CHECK(eventually([&] {
+        const auto reply = site.caller(other, "DELETE", "/v1/jobs/" + sim, {}, Millis{4'000});
+        return reply && reply.value().status == 202;
+    }));
+    CHECK(load.waitState(other, sim, "cancelled"));
+    // The run lease of 120 s ends long after the limit.
+    CHECK(eventually(
+        [&] {
+            const auto runs = load.runs(sim);
+            return std::all_of(runs.begin(), runs.end(), [](const TaskRun &it) { return it.endMs + 500 < historyNowMs(); });
+        },
+        {.tries = 1'000}));
+    CHECK(load.runs(sim).size() == 4);
+    CHECK(load.waitState(other, block, "succeeded"));
+    for (const auto &it : load.finish({.partialStartMs = 2'500, .partialLossMs = 8'000})) {
+        FAIL_CHECK(it);
+    }
+    MESSAGE("cancelled without a record: " << load.summary());
+}
