--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -46,6 +46,11 @@
     return std::hash<std::string>{}(instance.str()) % jobLogs.size();
 }
 
+auto logLeftOut(LogOffset offset, const std::string &reason) -> void
+{
+    logEvent(LogLevel::Error, 6032, "record at offset " + std::to_string(offset.value) + " left out: " + reason);
+}
+
 auto seedOf(const InstanceId &instance, const Clock &clock) -> Random
 {
     return Random{std::hash<std::string>{}(instance.str()) ^ static_cast<std::uint64_t>(clock.wall().time_since_epoch().count())};
@@ -218,7 +223,7 @@
 {
     // An epoch is the offset of its claim, which is before all records that name it. One from the future would shut out every claim.
     if (record.kind != LeadershipRecordKind::Claim && record.epoch >= offset.value) {
-        logEvent(LogLevel::Error, 6032, "record at offset " + std::to_string(offset.value) + " left out: its epoch is that of no claim");
+        logLeftOut(offset, "its epoch is that of no claim");
         return;
     }
     const auto lock = std::lock_guard{mutex};
@@ -232,7 +237,7 @@
 {
     const auto decoded = decodePoolRecord(record.key, record.value);
     if (!decoded) {
-        logEvent(LogLevel::Error, 6032, "record at offset " + std::to_string(record.offset.value) + " left out: " + decoded.error().message);
+        logLeftOut(record.offset, decoded.error().message);
         return;
     }
     if (const auto *it = std::get_if<LeadershipRecord>(&decoded.value())) {
