Send stop orders before the record of attempts, and while it cannot be stored

What callers would see: work of a cancelled job runs on for as long as the log of attempts is not served, also when all workers can be reached.

Cause: all orders of a planning pass waited for the record of its changes, and the planner waited in its repeats of that append without reading cancellations. Start orders need the record, since a new planner must know where an attempt can be. Stop orders do not: a new planner derives them from the states of the jobs.

Change: a pass gives stop and start orders apart, and stop orders go out first. Between two tries of an append the planner reads what is new and sends the stop orders that are due. The simulation loses a planner either after its records and before its orders, as in the incident, or after its stop orders and before its records; the test of the incident has twice as many such takeovers.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -268,6 +268,7 @@
             auto lock = std::unique_lock{m_mutex};
             m_wake.wait(lock, [&] { return m_stopping || m_workersKnown; });
             m_workersDirty = true;
+            m_tookOver = true;
             logEvent(LogLevel::Info,
                      6007,
                      "term epoch=" + std::to_string(m_options.epoch) + " jobs=" + std::to_string(m_core.jobs().size())
@@ -412,6 +413,10 @@
         unconfirmed = now - m_confirmedAt >= m_options.renewInterval * 2;
     }
     const auto decided = m_clock.mono();
+    // Stop orders need no record: a new planner derives them from the states of the jobs.
+    for (const auto &it : effects.stops) {
+        dispatch(it);
+    }
     countEffects(effects);
     for (const auto &it : effects.logEntries) {
         logEvent(LogLevel::Info, 6010, std::string("decision=") + it.decision + " " + it.text);
@@ -423,7 +428,7 @@
     if (!record(effects, std::move(records))) {
         return;
     }
-    for (const auto &it : effects.orders) {
+    for (const auto &it : effects.starts) {
         dispatch(it);
     }
     if (!effects.expired.empty()) {
@@ -555,11 +560,29 @@
             m_hooks.fenced("the record of attempts belongs to a newer planner");
             return false;
         }
+        if (m_tookOver) {
+            stopUnwanted();
+        }
         pause(appendPause);
     }
     return false;
 }
 
+/// Sends the stop orders that are due while the planner waits for the log of attempts.
+auto PoolTerm::stopUnwanted() -> void
+{
+    auto stops = std::vector<PoolOrder>{};
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        const auto now = m_clock.mono();
+        takeInbox(now);
+        stops = m_core.planStops(now);
+    }
+    for (const auto &it : stops) {
+        dispatch(it);
+    }
+}
+
 auto PoolTerm::plannerLoop() -> void
 {
     nameThread("planner");
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -114,6 +114,7 @@
     auto planOnce() -> void;
     auto attemptRecords(const PoolEffects &effects) -> std::vector<KeyedRecord>;
     auto record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool;
+    auto stopUnwanted() -> void;
     auto appendAttempts(const std::vector<KeyedRecord> &records) -> bool;
     auto publisherLoop() -> void;
     auto nextPublication() -> std::vector<KeyedRecord>;
@@ -172,6 +173,7 @@
     std::map<WorkerId, std::shared_ptr<OrderLink>> m_links; ///< and what they queue
 
     std::int64_t m_attemptsSequence = 0; ///< planner thread only
+    bool m_tookOver = false; ///< planner thread only
     MonoTime m_lastRenewal; ///< publisher thread only
     std::list<std::unique_ptr<WorkerPoller>> m_pollers; ///< planner thread only
     std::list<std::unique_ptr<WorkerPoller>> m_retired; ///< planner thread only
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -385,7 +385,7 @@
 auto PoolCore::emitStart(PoolEffects &effects, const Worker &worker, const AttemptKey &key) -> void
 {
     const auto &state = m_jobs.at(key.first.job);
-    effects.orders.push_back({
+    effects.starts.push_back({
         .kind = PoolOrder::Kind::Start,
         .worker = worker.info.id,
         .address = worker.info.address,
@@ -397,7 +397,7 @@
     });
 }
 
-auto PoolCore::emitOrders(PoolEffects &effects, MonoTime now) -> void
+auto PoolCore::emitStops(std::vector<PoolOrder> &stops, MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
         // Orders to an unreachable worker would only delay orders to others; its attempts end when its lease expires.
@@ -408,13 +408,26 @@
             if (it.stopping && !it.stopOpen && !it.stopAnswered && (it.stopSentAt == MonoTime{} || now - it.stopSentAt >= stopRetryInterval)) {
                 it.stopOpen = true;
                 it.stopSentAt = now;
-                effects.orders.push_back({.kind = PoolOrder::Kind::Stop,
-                                          .worker = id,
-                                          .address = worker.info.address,
-                                          .task = key.first,
-                                          .attempt = key.second,
-                                          .answerTimeout = stopTimeout});
-            } else if (!it.stopping && it.startOutcomeUnknown && !it.orderOpen && m_jobs.contains(key.first.job)) {
+                stops.push_back({.kind = PoolOrder::Kind::Stop,
+                                 .worker = id,
+                                 .address = worker.info.address,
+                                 .task = key.first,
+                                 .attempt = key.second,
+                                 .answerTimeout = stopTimeout});
+            }
+        }
+    }
+}
+
+/// Repeats the start orders without an answer.
+auto PoolCore::emitStarts(PoolEffects &effects) -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        if (worker.info.address.empty() || !worker.reachable) {
+            continue;
+        }
+        for (auto &[key, it] : worker.allocations) {
+            if (!it.stopping && it.startOutcomeUnknown && !it.orderOpen && m_jobs.contains(key.first.job)) {
                 it.orderOpen = true;
                 ++it.startTries;
                 emitStart(effects, worker, key);
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -368,7 +368,8 @@
     dropUnlisted();
     PoolPlacer{*this, now, wall}.place(effects);
     logStops(now);
-    emitOrders(effects, now);
+    emitStops(effects.stops, now);
+    emitStarts(effects);
     logStoppedJobs(now);
     effects.changed.assign(m_changed.begin(), m_changed.end());
     effects.phaseChanged.assign(m_phaseChanged.begin(), m_phaseChanged.end());
@@ -388,6 +389,16 @@
     return effects;
 }
 
+auto PoolCore::planStops(MonoTime now) -> std::vector<PoolOrder>
+{
+    auto stops = std::vector<PoolOrder>{};
+    stopUnwanted();
+    stopBrokenGangs();
+    logStops(now);
+    emitStops(stops, now);
+    return stops;
+}
+
 auto PoolCore::logStops(MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -9,9 +9,10 @@
 ///   core.addJob(job, now);
 ///   core.applyPollReply(Catkin::WorkerId{"w-1"}, reply, sentAt, now);
 ///   auto effects = core.plan(now, wall);
+///   send(effects.stops);
 ///   write(effects.changed);                    // records are stored before
 ///   core.recorded(effects);                    // completions are acknowledged
-///   send(effects.orders);                      // and orders are sent
+///   send(effects.starts);                      // and start orders are sent
 /// @endcode
 ///
 /// A task never runs twice at the same time: each placed attempt has an allocation on its worker, and the task can be
@@ -66,10 +67,11 @@
 
 struct PoolEffects
 {
-    std::vector<JobId> changed; ///< jobs whose placement record must be stored before the orders are sent
+    std::vector<JobId> changed; ///< jobs whose placement record must be stored before the start orders are sent
     std::vector<JobId> phaseChanged; ///< jobs whose published state has changed
     std::vector<JobId> expired; ///< final jobs whose retention has passed
-    std::vector<PoolOrder> orders;
+    std::vector<PoolOrder> stops; ///< can be sent before the records are stored
+    std::vector<PoolOrder> starts;
     std::map<WorkerId, std::int64_t> completions; ///< highest number of each worker's completions that the records of @c changed include
     std::vector<PoolLogEntry> logEntries;
 };
@@ -112,6 +114,9 @@
     /// @param wall wall-clock time, for scheduled jobs
     auto plan(MonoTime now, WallTime wall) -> PoolEffects;
 
+    /// Collects only the stop orders to send; for use while the records of a planning pass cannot be stored.
+    auto planStops(MonoTime now) -> std::vector<PoolOrder>;
+
     /// Reports that the records of @p effects are stored.
     auto recorded(const PoolEffects &effects) -> void;
 
@@ -219,7 +224,8 @@
     auto stopHung(MonoTime now) -> void;
     auto expireJobs(MonoTime now) -> void;
     auto dropUnlisted() -> void;
-    auto emitOrders(PoolEffects &effects, MonoTime now) -> void;
+    auto emitStops(std::vector<PoolOrder> &stops, MonoTime now) -> void;
+    auto emitStarts(PoolEffects &effects) -> void;
     auto emitStart(PoolEffects &effects, const Worker &worker, const AttemptKey &key) -> void;
     auto logDecision(const char *decision, std::string text) -> void;
     static auto requestStop(Allocation &allocation, StopReason reason) -> void;
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -177,7 +177,7 @@
 TEST_CASE("a planner that is lost before its stop orders are sent leaves no work of cancelled jobs running")
 {
     for (auto seed = std::uint64_t{1}; seed <= 20; ++seed) {
-        const auto simulation = runLongJobs(seed, {.takeoversBeforeOrders = 6}, 3);
+        const auto simulation = runLongJobs(seed, {.takeoversBetweenSteps = 12}, 3);
         CAPTURE(seed);
         CHECK_MESSAGE(simulation.violations().empty(), text(simulation.violations()));
         CHECK(unfinished(simulation).empty());
@@ -197,7 +197,7 @@
         {"restarts", {.restarts = 40}},
         {"departures", {.departures = 40}},
         {"takeovers", {.takeovers = 6}},
-        {"takeovers before orders", {.takeoversBeforeOrders = 6}},
+        {"takeovers between steps", {.takeoversBetweenSteps = 6}},
         {"restarts and orders for the earlier incarnation", {.lateOrders = 30, .restarts = 80, .misdirectedOrders = true}},
         {"departures and orders for the earlier incarnation", {.lateOrders = 30, .departures = 80, .misdirectedOrders = true}},
         {"all",
@@ -207,7 +207,7 @@
           .cutWorkers = 15,
           .restarts = 20,
           .takeovers = 3,
-          .takeoversBeforeOrders = 3,
+          .takeoversBetweenSteps = 3,
           .departures = 20,
           .misdirectedOrders = true}},
     };
@@ -282,8 +282,9 @@
         core.setWorkers({worker}, now);
         core.applyPollReply(worker.id, reply, now, now);
         const auto effects = core.plan(now + Millis{20}, WallTime{});
-        CHECK(effects.orders.size() == 2);
-        for (const auto &it : effects.orders) {
+        CHECK(effects.starts.empty());
+        CHECK(effects.stops.size() == 2);
+        for (const auto &it : effects.stops) {
             CHECK(it.kind == PoolOrder::Kind::Stop);
         }
     }
@@ -366,12 +367,19 @@
         }
     }
 
+    /// Reports the effects as recorded.
+    auto allOrders(const PoolEffects &effects) -> std::vector<PoolOrder>
+    {
+        core.recorded(effects);
+        auto out = effects.stops;
+        out.insert(out.end(), effects.starts.begin(), effects.starts.end());
+        return out;
+    }
+
     auto plan() -> std::vector<PoolOrder>
     {
         now += Millis{100};
-        const auto effects = core.plan(now, WallTime{});
-        core.recorded(effects);
-        return effects.orders;
+        return allOrders(core.plan(now, WallTime{}));
     }
 
     PoolCore core{PoolOptions{}};
@@ -430,9 +438,7 @@
     pool.core.addJob(timed, pool.now);
     const auto ordersAt = [&](WallTime wall) {
         pool.now += Millis{100};
-        const auto effects = pool.core.plan(pool.now, wall);
-        pool.core.recorded(effects);
-        return effects.orders;
+        return pool.allOrders(pool.core.plan(pool.now, wall));
     };
     CHECK(ordersAt(due - Millis{1}).empty());
     const auto begun = ordersAt(due);
@@ -614,9 +620,10 @@
     }
     next.addJob(makeJob("u", "urgent", {makeStep(1, 8, Millis{2'000}, true)}), pool.now);
     const auto effects = next.plan(pool.now + Millis{100}, WallTime{});
-    REQUIRE(effects.orders.size() == 1);
-    CHECK(effects.orders[0].kind == PoolOrder::Kind::Stop);
-    CHECK(effects.orders[0].task.index == 1);
+    CHECK(effects.starts.empty());
+    REQUIRE(effects.stops.size() == 1);
+    CHECK(effects.stops[0].kind == PoolOrder::Kind::Stop);
+    CHECK(effects.stops[0].task.index == 1);
     for (const auto &[id, worker] : next.workers()) {
         for (const auto &[key, it] : worker.allocations) {
             CHECK(it.placedAt == pool.now);
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -77,10 +77,10 @@
         m_takeovers.push_back(m_start + Millis{3'000 + m_random(25'000)});
     }
     std::sort(m_takeovers.begin(), m_takeovers.end());
-    for (auto i = 0; i < m_faults.takeoversBeforeOrders; ++i) {
-        m_takeoversBeforeOrders.push_back(m_start + Millis{3'000 + m_random(25'000)});
+    for (auto i = 0; i < m_faults.takeoversBetweenSteps; ++i) {
+        m_takeoversBetweenSteps.push_back(m_start + Millis{3'000 + m_random(25'000)});
     }
-    std::sort(m_takeoversBeforeOrders.begin(), m_takeoversBeforeOrders.end());
+    std::sort(m_takeoversBetweenSteps.begin(), m_takeoversBetweenSteps.end());
     m_core.setRules(simulationRules());
     listWorkers();
 }
@@ -244,13 +244,12 @@
     }
 }
 
-auto PoolSimulation::isLostBeforeOrders(const PoolEffects &effects) -> bool
+auto PoolSimulation::isLostBetweenSteps(const PoolEffects &effects) -> bool
 {
-    const auto isStop = [](const PoolOrder &it) { return it.kind == PoolOrder::Kind::Stop; };
-    if (m_takeoversBeforeOrders.empty() || m_now < m_takeoversBeforeOrders.front() || std::none_of(effects.orders.begin(), effects.orders.end(), isStop)) {
+    if (m_takeoversBetweenSteps.empty() || m_now < m_takeoversBetweenSteps.front() || effects.stops.empty()) {
         return false;
     }
-    m_takeoversBeforeOrders.erase(m_takeoversBeforeOrders.begin());
+    m_takeoversBetweenSteps.erase(m_takeoversBetweenSteps.begin());
     return true;
 }
 
@@ -285,6 +284,29 @@
 auto PoolSimulation::plan() -> void
 {
     const auto effects = m_core.plan(m_now, WallTime{std::chrono::duration_cast<Millis>(m_now.time_since_epoch())});
+    const auto lost = isLostBetweenSteps(effects);
+    const auto isStored = !lost || chance(50);
+    if (!lost || !isStored) {
+        for (const auto &it : effects.stops) {
+            enqueueOrder(m_links[it.worker].queue, it);
+        }
+    }
+    if (isStored) {
+        store(effects);
+    }
+    if (lost) {
+        sendOrders();
+        takeOver();
+        return;
+    }
+    m_core.recorded(effects);
+    for (const auto &it : effects.starts) {
+        enqueueOrder(m_links[it.worker].queue, it);
+    }
+}
+
+auto PoolSimulation::store(const PoolEffects &effects) -> void
+{
     for (const auto &id : effects.changed) {
         auto state = *m_core.find(id);
         // These fields are not part of a stored record.
@@ -298,14 +320,6 @@
         }
         m_records[id] = std::move(state);
     }
-    if (isLostBeforeOrders(effects)) {
-        takeOver();
-        return;
-    }
-    m_core.recorded(effects);
-    for (const auto &it : effects.orders) {
-        enqueueOrder(m_links[it.worker].queue, it);
-    }
 }
 
 auto PoolSimulation::sendOrders() -> void
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -33,7 +33,8 @@
     int lostWorkers = 0; ///< percentage of workers that are cut off for good
     int restarts = 0; ///< percentage of workers that restart within 30 s, on average
     int takeovers = 0; ///< number of takeovers by a new planner
-    int takeoversBeforeOrders = 0; ///< further takeovers, each after a planner has stored its records and before its stop orders are sent
+    /// Further takeovers. The earlier planner has only stored its records, and sent no orders, or has only sent its stop orders.
+    int takeoversBetweenSteps = 0;
     int departures = 0; ///< percentage of workers that drain, leave, and come back under their id
     bool misdirectedOrders = false; ///< whether late orders are also carried out by the next incarnation of their worker
 };
@@ -122,6 +123,7 @@
     auto completeAttempt(SimulatedPoolWorker &worker, const TaskKey &key, CompletionKind kind) -> void;
     auto endGang(const TaskKey &key, int attempt) -> void;
     auto plan() -> void;
+    auto store(const PoolEffects &effects) -> void;
     auto sendOrders() -> void;
     auto send(Link &link, const PoolOrder &order) -> void;
     auto executeLateOrders() -> void;
@@ -135,7 +137,7 @@
     auto moveWorker(SimulatedPoolWorker &worker) -> void;
     auto finalSince(const JobId &id) const -> std::optional<MonoTime>;
     auto takeOver() -> void;
-    auto isLostBeforeOrders(const PoolEffects &effects) -> bool;
+    auto isLostBetweenSteps(const PoolEffects &effects) -> bool;
     auto checkFinalJobs() -> void;
     auto listWorkers() -> void;
     auto chance(int percent) -> bool;
@@ -168,7 +170,7 @@
     std::map<TaskKey, std::set<int>> m_failures; ///< failed attempts of a task, or of a gang under its first task
     std::vector<std::string> m_violations;
     std::vector<MonoTime> m_takeovers;
-    std::vector<MonoTime> m_takeoversBeforeOrders; ///< earliest time of each
+    std::vector<MonoTime> m_takeoversBetweenSteps; ///< earliest time of each
     MonoTime m_tookOverAt{Seconds{1'000}}; ///< when the planner in office began
     std::set<std::pair<TaskKey, int>> m_reportedFinal; ///< attempts that checkFinalJobs() has reported
     PoolCore m_core;
