Poll a worker that does not answer without a wait

What callers would see: work of a cancelled job runs on for 2 to 3 s longer than needed, close to the limit of 3 s, on a worker that lost a poll or was cut off.

Cause: a worker that has not answered a poll gets no orders until it answers one, and that poll let it hold its answer back for 2 s. Each poll that was lost took 2.9 s to be noticed.

Evidence: the unit test failed: the poll of such a worker had a wait of 2,000 ms.

Change: polls of such a worker ask for an answer at once. Its return is noticed within 1.1 s and the time of the answer.

Measured: the unit test passes. A silent worker is polled every 1.1 s instead of every 3.1 s.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -510,7 +510,8 @@
     // An unreachable worker gets no new lease: its lease would never expire, and its tasks could never be placed elsewhere.
     poll.request.leaseUntil = worker.reachable ? leaseFor(id, now) : WorkerTime{};
     poll.request.seenCompletions = worker.recordedCompletions;
-    poll.request.wait = !worker.answered ? Millis{0} : open ? shortPollWait : longPollWait;
+    // Until a worker answers, it gets no stop orders, so that nothing may hold its answer back.
+    poll.request.wait = !worker.answered || !worker.reachable ? Millis{0} : open ? shortPollWait : longPollWait;
     return poll;
 }
 
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -422,6 +422,19 @@
     CHECK(std::any_of(later.begin(), later.end(), [&](const PoolOrder &it) { return it.worker == silent && it.kind == PoolOrder::Kind::Stop; }));
 }
 
+// Guards against stop orders to a worker that answers again which wait until a long poll is over.
+TEST_CASE("a worker that does not answer is polled without a wait")
+{
+    auto pool = TwoWorkers{};
+    for (const auto &it : pool.starts) {
+        pool.core.applyOrder(it, OrderOutcome::Accepted, pool.now);
+    }
+    const auto worker = pool.starts[0].worker;
+    CHECK(pool.core.nextPoll(worker, pool.now).request.wait > Millis{0});
+    pool.core.pollFailed(worker);
+    CHECK(pool.core.nextPoll(worker, pool.now).request.wait == Millis{0});
+}
+
 // Guards against an occurrence that starts early or twice because the wall clock is set.
 TEST_CASE("a step of the wall clock neither repeats nor stops an occurrence that has started")
 {
