Count a lease for work that a worker lists although every known lease is over

What callers would see: work of a cancelled or forgotten job runs on for up to 7 s after its worker answers again, or after the first poll of a new leader.

Cause: the planner gives an attempt up when every lease that it knows of is over. A worker can list an attempt whose lease it does not know of: that of an order which came late to a restarted worker, or of an earlier planner without a record. Such an attempt was given up in the same pass as it was found, before its stop order, and the worker counted as idle until the next poll.

Evidence: the unit test failed: no stop order was issued, "CHECK( std::any_of(orders...) ) is NOT correct, values: CHECK( false )".

Change: when a worker lists running work after the last known lease, the planner counts one from the time of the answer. Work with a known lease is not affected, so that lost workers are given up as early as before.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -223,6 +223,10 @@
             worker.processedCompletions = completion.number;
         }
     }
+    // What runs has a lease, also one that this planner has not counted: of an order that came late, or of an earlier planner.
+    if (!reply.running.empty() && worker.leaseEnd <= now) {
+        extendLease(worker, now);
+    }
     for (const auto &running : reply.running) {
         applyRunning(worker, running, now);
     }
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -435,6 +435,26 @@
     CHECK(pool.core.nextPoll(worker, pool.now).request.wait == Millis{0});
 }
 
+// Guards against work that runs on because its job was forgotten after its retention while the worker could not be reached.
+TEST_CASE("work of a job that has been forgotten is stopped when its worker answers again")
+{
+    auto pool = TwoWorkers{};
+    for (const auto &it : pool.starts) {
+        pool.core.applyOrder(it, OrderOutcome::Accepted, pool.now);
+    }
+    const auto silent = pool.starts[0];
+    pool.core.pollFailed(silent.worker);
+    pool.core.cancelJob(JobId{"a"}, pool.now);
+    pool.plan();
+    pool.now += PoolOptions{}.retention + Seconds{1};
+    pool.plan();
+    REQUIRE(pool.core.find(JobId{"a"}) == nullptr);
+    const auto running = RunningAttempt{.task = silent.task, .attempt = 1};
+    pool.core.applyPollReply(silent.worker, {.clock = WorkerTime{150'000}, .born = Incarnation{1}, .running = {running}}, pool.now, pool.now);
+    const auto orders = pool.plan();
+    CHECK(std::any_of(orders.begin(), orders.end(), [&](const PoolOrder &it) { return it.task == silent.task && it.kind == PoolOrder::Kind::Stop; }));
+}
+
 // Guards against an occurrence that starts early or twice because the wall clock is set.
 TEST_CASE("a step of the wall clock neither repeats nor stops an occurrence that has started")
 {
