Refuse a deeply nested configuration before it is written again

Cause: putConfig() wrote the document of the body as text again before it was validated, and writing recurses for each level.

Seen: PUT /v1/config of an operator with 200,000 nested lists as the document (400 KB, below the limit of a body) got no answer: the instance had ended.

Change: a body nested more than 64 levels deep is refused with 400 (parseShallow in util/jsonnumbers.h).

--- a/packages/daemon/operatorapi.cpp
+++ b/packages/daemon/operatorapi.cpp
@@ -1,6 +1,7 @@
 #include "daemon/operatorapi.h"
 
 #include "util/digest.h"
+#include "util/jsonnumbers.h"
 
 #include <nlohmann/json.hpp>
 
@@ -17,6 +18,8 @@
 using nlohmann::json;
 
 constexpr auto viewWait = Millis{1'000};
+/// Above what a document may have, so that validation names the fault; below any depth at which writing it again ends the stack.
+constexpr auto maxConfigDepth = 64;
 
 auto dump(const json &body) -> std::string
 {
@@ -92,7 +95,7 @@
 
 auto putConfig(const OperatorContext &context, const HttpRequest &request, const std::string &author) -> HttpResponse
 {
-    auto body = json::parse(request.body, nullptr, false);
+    const auto body = parseShallow(request.body, maxConfigDepth);
     if (!body.is_object() || !body.contains("base") || !body["base"].is_number_unsigned() || !body.contains("document") || body.size() != 2) {
         return problem(400, "the body must be an object with only 'base', the version on which the change is based, and 'document'");
     }
--- a/packages/util/jsonnumbers.h
+++ b/packages/util/jsonnumbers.h
@@ -19,6 +19,19 @@
 namespace Catkin
 {
 
+/// For values that are copied or written again, which recurses for each level.
+/// @return the parsed value; of type discarded when the text cannot be parsed or is nested more than @p maxDepth levels deep
+inline auto parseShallow(const std::string &text, int maxDepth) -> nlohmann::json
+{
+    auto tooDeep = false;
+    const auto guard = [&](int depth, nlohmann::json::parse_event_t, nlohmann::json &) {
+        tooDeep = tooDeep || depth > maxDepth;
+        return !tooDeep;
+    };
+    auto value = nlohmann::json::parse(text, guard, false);
+    return tooDeep ? nlohmann::json(nlohmann::json::value_t::discarded) : value;
+}
+
 /// @param name of the number in the error
 /// @param lowest smallest valid value
 /// @param highest largest valid value
--- a/testing/system/testing/config_test.cpp
+++ b/testing/system/testing/config_test.cpp
@@ -164,3 +164,19 @@
     CHECK_FALSE(body["errors"].empty());
     CHECK(versionAt(site, 0) == 1);
 }
+
+// Guards against a document whose nesting ends the instance: it was written again before it was validated, which recurses.
+TEST_CASE("a deeply nested document is refused and the instance serves on")
+{
+    auto site = Deployment{barilocheShape()};
+    site.start();
+    const auto nested = std::string(200'000, '[') + std::string(200'000, ']');
+    const auto base = versionAt(site, 0);
+    for (const auto &body : {R"({"base":)" + std::to_string(base) + R"(,"document":)" + nested + "}", nested, R"({"base":1e300,"document":)" + nested + "}"}) {
+        const auto reply = site.operate(0, "PUT", "/v1/config", body);
+        REQUIRE(reply);
+        CHECK(reply.value().status == 400);
+    }
+    CHECK(versionAt(site, 0) == base);
+    CHECK(site.operate(0, "PUT", "/v1/config", change(site, base, 79)).value().status == 200);
+}
