--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -218,7 +218,7 @@
 {
     // An epoch is the offset of its claim, which is before all records that name it. One from the future would shut out every claim.
     if (record.kind != LeadershipRecordKind::Claim && record.epoch >= offset.value) {
-        logEvent(LogLevel::Error, 6032, "record at offset " + std::to_string(offset.value) + " left out: its epoch is that of no claim");
+        logEvent(LogLevel::Error, 6050, "record of the leadership at offset " + std::to_string(offset.value) + " left out: its epoch is that of no claim");
         return;
     }
     const auto lock = std::lock_guard{mutex};
