Remember what a worker listed before a claim that it does not answer

What callers would see: a second attempt of a restartable job starts while the first runs.

Cause: a worker that does not answer the claim of a new planner counts as not reached, and the planner dropped its status with all that it had listed a moment before. A job whose attempt the log does not show yet then looked like one that waits.

Change: the status stays and is marked as older than the claim. The worker still counts as not reached and nothing is adopted from the status, but a job of which it lists a live lease is not started until the worker answers, or until the lease can no longer last.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -117,6 +117,7 @@
     auto &worker = m_workers.at(id);
     worker.heard = true;
     worker.status = std::move(status);
+    worker.stale = false;
     if (m_claimed && worker.status->generation > m_generation) {
         noteStale(m_context.clock.mono());
     }
@@ -199,7 +200,7 @@
 {
     auto attempts = std::map<JobId, std::map<int, Found>>{};
     for (const auto &[id, worker] : m_workers) {
-        for (const auto &lease : worker.status ? worker.status->leases : std::vector<WorkerLease>{}) {
+        for (const auto &lease : worker.status && !worker.stale ? worker.status->leases : std::vector<WorkerLease>{}) {
             auto &found = attempts[lease.job][lease.attempt];
             found.attempt = lease.attempt;
             found.members[lease.member] = {.worker = id, .slots = lease.slots};
@@ -228,15 +229,17 @@
     return highest;
 }
 
-/// @return whether a worker runs an attempt of the job that this planner neither started nor took over.
+/// @return whether a worker runs an attempt of the job that this planner neither started nor took over, or ran one when it last answered
+/// before the claim.
 auto DomainPlanner::foreignAttemptRuns(const JobId &job) const -> bool
 {
     const auto last = m_lastAttempt.find(job);
     const auto own = last == m_lastAttempt.end() ? 0 : last->second;
     return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
         const auto &status = entry.second.status;
+        const auto stale = entry.second.stale;
         return status && std::any_of(status->leases.begin(), status->leases.end(), [&](const WorkerLease &it) {
-                   return it.job == job && it.attempt > own && it.state != LeaseState::Ended;
+                   return it.job == job && (stale || it.attempt > own) && it.state != LeaseState::Ended;
                });
     });
 }
@@ -363,7 +366,7 @@
     if (!m_adopted && claimDue) {
         return;
     }
-    const auto reachedAll = std::all_of(m_workers.begin(), m_workers.end(), [](const auto &it) { return it.second.status.has_value(); });
+    const auto reachedAll = std::all_of(m_workers.begin(), m_workers.end(), [](const auto &it) { return it.second.status.has_value() && !it.second.stale; });
     const auto found = findGangs();
     if (!m_adopted) {
         m_adopted = true;
@@ -377,6 +380,12 @@
     // Before a worker answered, another planner may have renewed what is not seen here.
     const auto waited = now - m_contact.value_or(now);
     const auto leasesOver = waited >= m_context.options.gangs.runTtl + m_context.options.gangs.runTtl / 10;
+    for (auto &[id, it] : m_workers) {
+        if (leasesOver && it.stale) {
+            it.status.reset();
+            it.ending.clear();
+        }
+    }
     const auto unsettled = std::exchange(m_unsettled, {});
     for (const auto &id : unsettled) {
         const auto job = m_context.jobs->find(id);
@@ -608,9 +617,7 @@
     m_gangs.ordersDone(id, orders, reply, now);
     if (it->second.claimSent && orders.front().op == OrderOp::Claim) {
         it->second.claimDue = false;
-        if (!reply) {
-            it->second.status.reset(); // counts as not reached until it answers again
-        }
+        it->second.stale = !reply;
     }
     if (!reply) {
         if (reply.error().code == ErrorCode::StaleGeneration) {
@@ -715,7 +722,7 @@
         .gangs = m_gangs.size(),
     };
     for (const auto &[id, it] : m_workers) {
-        auto worker = WorkerView{.worker = id, .rack = it.listed.rack, .reachable = it.status.has_value() && !m_gangs.unreachable(id)};
+        auto worker = WorkerView{.worker = id, .rack = it.listed.rack, .reachable = it.status.has_value() && !it.stale && !m_gangs.unreachable(id)};
         if (it.status) {
             worker.slots = it.status->slots;
             worker.leaving = it.status->leaving || it.listed.leaving;
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -126,6 +126,8 @@
     {
         ListedInstance listed;
         std::optional<WorkerStatus> status;
+        /// The claim was not answered, so the status is older than it and the worker counts as not reached. Its leases may still run.
+        bool stale = false;
         bool heard = false; ///< at least one exchange has ended, with or without success
         MonoTime lastPoll{};
         bool claimDue = false; ///< the claim of the present generation has not been answered
--- a/packages/daemon/testing/domainplanner_test.cpp
+++ b/packages/daemon/testing/domainplanner_test.cpp
@@ -330,6 +330,7 @@
     std::mutex mutex;
     std::map<std::string, FakeWorker> workers; ///< by address
     std::optional<OrderOp> lose; ///< the next batch with such an order does not arrive
+    std::string vanishAtClaim; ///< a worker that answers no more from the claim on
     Clock clock = systemClock();
     LogWriter writer{log.port(), clock, {}};
     WorkPool pool{2, 16};
@@ -337,10 +338,11 @@
     JobService jobs{log.port(), writer, clock, {}, [this] { jobsChanged = true; }};
     std::shared_ptr<DomainPlanner> planner;
 
-    explicit Takeover(int count, Millis claimWait = Millis{50})
+    explicit Takeover(int count, Millis runTtl = GangOptions{}.runTtl)
     {
         auto context = PlannerContext{.workers = port(), .jobs = &jobs, .pool = &pool, .clock = clock, .options = {.instance = InstanceId{"new"}}};
-        context.options.claimWait = claimWait;
+        context.options.claimWait = Millis{50};
+        context.options.gangs.runTtl = runTtl;
         context.options.reconnectWait = Millis{50};
         context.options.pollPeriod = Millis{50};
         context.options.maxPollsPerSecond = 1'000;
@@ -381,6 +383,9 @@
                         return failure(ErrorCode::NotSent, "lost");
                     }
                     workers.at(address).advance(clock.mono());
+                    if (address == vanishAtClaim && orders.front().op == OrderOp::Claim) {
+                        workers.at(address).down = true;
+                    }
                     return workers.at(address).orders(generation, orders);
                 }};
     }
@@ -555,6 +560,33 @@
     CHECK(takeover.running("w-2") == 1);
 }
 
+// Guards against a second start of a job beside its first attempt: the claim of that attempt's worker was not answered in time, and the
+// planner forgot what the worker had listed just before.
+TEST_CASE("a planner does not start a job that a worker ran just before it did not answer the claim")
+{
+    auto takeover = Takeover{2};
+    takeover.startMember("w-2", 0);
+    takeover.appendAccept(1);
+    takeover.vanishAtClaim = "w-2";
+    takeover.takeOver(JobState::Queued);
+    for (auto i = 0; i < 200; ++i) {
+        takeover.step();
+    }
+    CHECK(takeover.running("w-1") == 0);
+    takeover.set("w-2", &FakeWorker::down, false);
+    CHECK(takeover.stepUntil([&] { return takeover.planner->view().gangs == 1; }));
+    CHECK(takeover.running("w-1") == 0);
+    CHECK(takeover.running("w-2") == 1);
+
+    // A worker that stays away holds the job back only for as long as the lease can last.
+    auto lost = Takeover{2, Millis{600}};
+    lost.startMember("w-2", 0);
+    lost.appendAccept(1);
+    lost.vanishAtClaim = "w-2";
+    lost.takeOver(JobState::Queued);
+    CHECK(lost.stepUntil([&] { return lost.running("w-1") == 1; }));
+}
+
 // Guards against a job that is reported as cancelled while its attempt runs: the records of the job, of its attempt and of the
 // cancellation reached the planner only after the takeover.
 TEST_CASE("a cancelled job is final only after its attempt has ended")
