Avoid a worker that accepts start orders and does not list the attempts

What callers would see: a job that never completes, because it is placed again and again on a worker that runs nothing.

Cause: an accepted attempt that the worker's lists do not name is stopped and placed again, and nothing was held against the worker, which looks free.

Change: such an attempt counts as a failure of its worker, as an order that is refused or not answered does. Attempts that were taken over do not count, since their start was not seen.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -192,6 +192,9 @@
             // The accepted attempt is not listed. A stop order prevents it from starting later, so that a later poll can show that
             // it does not run.
             requestStop(it, StopReason::NotListed);
+            if (it.acceptedAt != MonoTime{}) {
+                recordFailure(worker, sentAt); // it accepts orders and runs nothing
+            }
             it.stopSentAt = MonoTime{};
         }
     }
