--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -19,10 +19,6 @@
 /// no further effect, so the first timeouts are short compared with the slack of urgent work. Their sum is less than the time for
 /// which the started members of a gang wait for the others.
 constexpr auto startTimeouts = std::array{Millis{300}, Millis{400}, Millis{700}};
-/// Answer timeout of each try of a stop order; other work may be waiting for the attempt's resources.
-constexpr auto stopTimeout = Millis{400};
-/// Interval between two stop orders for the same attempt; longer than a round trip between regions plus PoolOptions::stopGrace.
-constexpr auto stopRetryInterval = Millis{500};
 /// A task whose reported progress does not change for this long is considered hung; the slowest healthy task seen advances 1% in 2 s.
 constexpr auto hungTimeout = Millis{4'500};
 /// How long a worker is avoided after its first failure; doubles with each further failure up to the maximum.
@@ -153,10 +149,7 @@
                         describeAttempt(it.task, it.attempt) + " worker=" + worker.info.id.str() + " is not recorded on this worker; stopping it");
         }
     }
-    // The attempt still runs after its stop order was answered: the order is sent again.
-    if (allocation->second.stopAnswered && now - allocation->second.stopAnsweredAt > m_options.stopGrace + stopRetryInterval) {
-        allocation->second.stopAnswered = false;
-    }
+    repeatStop(allocation->second, now);
     if (!current) {
         requestStop(allocation->second, StopReason::NotRecorded);
         return;
@@ -294,33 +287,6 @@
     }
 }
 
-auto PoolCore::noteStopAnswer(Worker &worker, const AttemptKey &key, OrderOutcome outcome) -> void
-{
-    auto &allocation = worker.allocations.at(key);
-    const auto accepted = outcome == OrderOutcome::Accepted;
-    // Stop orders are repeated until one is answered; the log has the first that was not.
-    if (accepted || !std::exchange(allocation.stopRefusalLogged, true)) {
-        noteStop(m_stopReport.answered[{key.first.job, outcome}], worker.info.id, worker.reachable);
-    }
-}
-
-auto PoolCore::applyStop(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void
-{
-    auto &allocation = worker.allocations.at(key);
-    allocation.stopOpen = false;
-    if (allocation.stopAnswered && outcome == OrderOutcome::NotSent) {
-        return; // withdrawn
-    }
-    noteStopAnswer(worker, key, outcome);
-    if (outcome == OrderOutcome::Accepted) {
-        allocation.stopAnswered = true;
-        allocation.stopAnsweredAt = now;
-        allocation.startOutcomeUnknown = false; // the worker refuses a start order that arrives later
-    } else if (outcome == OrderOutcome::WorkerRestarted) {
-        loseAttempt(worker, key, outcomeName(outcome));
-    }
-}
-
 auto PoolCore::applyOrder(const PoolOrder &order, OrderOutcome outcome, MonoTime now) -> void
 {
     if (outcome == OrderOutcome::Fenced) {
@@ -405,33 +371,6 @@
     });
 }
 
-/// Orders to an unreachable worker would only delay orders to others; its attempts end when its lease expires.
-auto PoolCore::getsOrders(const Worker &worker) -> bool
-{
-    return worker.reachable && !worker.info.address.empty();
-}
-
-auto PoolCore::emitStops(std::vector<PoolOrder> &stops, MonoTime now) -> void
-{
-    for (auto &[id, worker] : m_workers) {
-        if (!getsOrders(worker)) {
-            continue;
-        }
-        for (auto &[key, it] : worker.allocations) {
-            if (it.stopping && !it.stopOpen && !it.stopAnswered && (it.stopSentAt == MonoTime{} || now - it.stopSentAt >= stopRetryInterval)) {
-                it.stopOpen = true;
-                it.stopSentAt = now;
-                stops.push_back({.kind = PoolOrder::Kind::Stop,
-                                 .worker = id,
-                                 .address = worker.info.address,
-                                 .task = key.first,
-                                 .attempt = key.second,
-                                 .answerTimeout = stopTimeout});
-            }
-        }
-    }
-}
-
 /// Repeats the start orders without an answer.
 auto PoolCore::emitStarts(PoolEffects &effects) -> void
 {
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -7,28 +7,6 @@
 namespace Catkin
 {
 
-namespace
-{
-
-auto phaseName(PoolJobPhase phase) -> const char *
-{
-    switch (phase) {
-    case PoolJobPhase::Queued:
-        return "queued";
-    case PoolJobPhase::Running:
-        return "running";
-    case PoolJobPhase::Completed:
-        return "completed";
-    case PoolJobPhase::Failed:
-        return "failed";
-    case PoolJobPhase::Cancelled:
-        return "cancelled";
-    }
-    return "unknown";
-}
-
-}
-
 PoolCore::PoolCore(const PoolOptions &options)
     : m_options(options)
 {
@@ -257,93 +235,6 @@
     }
 }
 
-auto PoolCore::requestStop(Allocation &allocation, StopReason reason) -> void
-{
-    if (!allocation.stopping) {
-        allocation.stopping = true;
-        allocation.stopReason = reason;
-    }
-}
-
-auto PoolCore::stopAttempt(const TaskKey &key, const TaskState &task, StopReason reason) -> void
-{
-    if (task.phase != TaskPhase::Placed) {
-        return;
-    }
-    const auto worker = m_workers.find(task.worker);
-    if (worker == m_workers.end()) {
-        return;
-    }
-    const auto allocation = worker->second.allocations.find({key, task.attempt});
-    if (allocation != worker->second.allocations.end()) {
-        requestStop(allocation->second, reason);
-    }
-}
-
-auto PoolCore::stopStep(const PoolJobState &state, int occurrence, int step, StopReason reason) -> void
-{
-    const auto &tasks = state.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].tasks;
-    for (auto i = 0; i < static_cast<int>(tasks.size()); ++i) {
-        stopAttempt({.job = state.job.id, .occurrence = occurrence, .step = step, .index = i}, tasks[static_cast<std::size_t>(i)], reason);
-    }
-}
-
-/// @return why the state of the job does not call for an attempt, or nothing if it does. A task that is done needs no stop: its worker
-/// reports the completion, and an attempt that is listed all the same is stopped by applyRunning().
-auto PoolCore::stopReasonOf(const Worker &worker, const AttemptKey &key) const -> std::optional<StopReason>
-{
-    const auto *state = find(key.first.job);
-    if (state == nullptr || !containsTask(*state, key.first)) {
-        return StopReason::NotRecorded;
-    }
-    const auto &task = taskAt(*state, key.first);
-    if (task.phase == TaskPhase::Done) {
-        return std::nullopt;
-    }
-    if (isFinal(state->phase)) {
-        return StopReason::JobFinal;
-    }
-    const auto current = task.phase == TaskPhase::Placed && task.attempt == key.second && task.worker == worker.info.id;
-    return current ? std::nullopt : std::optional{StopReason::NotRecorded};
-}
-
-auto PoolCore::isWanted(const Worker &worker, const AttemptKey &key, const Allocation &allocation) const -> bool
-{
-    return !allocation.stopping && !stopReasonOf(worker, key);
-}
-
-auto PoolCore::stopUnwanted() -> void
-{
-    for (auto &[id, worker] : m_workers) {
-        for (auto &[key, it] : worker.allocations) {
-            if (it.stopping) {
-                continue;
-            }
-            if (const auto reason = stopReasonOf(worker, key)) {
-                requestStop(it, *reason);
-            }
-        }
-    }
-}
-
-/// A gang of which a member is over cannot go on. An earlier planner may have recorded that member and not stopped the others.
-auto PoolCore::stopBrokenGangs() -> void
-{
-    for (const auto &id : m_active) {
-        const auto &state = m_jobs.at(id);
-        for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
-            for (auto s = 0; s < static_cast<int>(state.job.steps.size()); ++s) {
-                const auto &tasks = state.occurrences[static_cast<std::size_t>(o)].steps[static_cast<std::size_t>(s)].tasks;
-                const auto is
-                    = [&](TaskPhase phase) { return std::any_of(tasks.begin(), tasks.end(), [&](const TaskState &it) { return it.phase == phase; }); };
-                if (state.job.steps[static_cast<std::size_t>(s)].gang && is(TaskPhase::Placed) && is(TaskPhase::Waiting)) {
-                    stopStep(state, o, s, StopReason::GangBroken);
-                }
-            }
-        }
-    }
-}
-
 auto PoolCore::expireJobs(MonoTime now) -> void
 {
     auto old = std::vector<JobId>{};
@@ -390,77 +281,6 @@
     return effects;
 }
 
-auto PoolCore::planStops(MonoTime now) -> std::vector<PoolOrder>
-{
-    auto stops = std::vector<PoolOrder>{};
-    stopUnwanted();
-    stopBrokenGangs();
-    logStops(now);
-    emitStops(stops, now);
-    return stops;
-}
-
-auto PoolCore::logStops(MonoTime now) -> void
-{
-    for (auto &[id, worker] : m_workers) {
-        for (auto &[key, it] : worker.allocations) {
-            if (it.stopping && it.stopRequestedAt == MonoTime{}) {
-                it.stopRequestedAt = now;
-                noteStop(m_stopReport.requested[{key.first.job, it.stopReason}], id, getsOrders(worker));
-            }
-        }
-    }
-    for (auto &it : takeStopEntries(m_stopReport)) {
-        m_logEntries.push_back(std::move(it));
-    }
-}
-
-/// A job that ended while attempts of it ran gets a line when the last of them is over.
-auto PoolCore::logStoppedJobs(MonoTime now) -> void
-{
-    auto over = std::exchange(m_released, {});
-    std::erase_if(over, [&](const JobId &it) {
-        const auto *state = find(it);
-        return state == nullptr || !isFinal(state->phase) || state->phase == PoolJobPhase::Completed;
-    });
-    if (over.empty()) {
-        return;
-    }
-    for (const auto &[id, worker] : m_workers) {
-        for (const auto &[key, it] : worker.allocations) {
-            over.erase(key.first.job);
-        }
-    }
-    for (const auto &it : over) {
-        const auto &state = m_jobs.at(it);
-        logDecision("job_stopped",
-                    "job=" + it.str() + " state=" + phaseName(state.phase)
-                        + " took_ms=" + std::to_string(std::chrono::duration_cast<Millis>(now - state.finalSince).count()));
-    }
-}
-
-auto PoolCore::stoppingAttempts() const -> int
-{
-    auto n = 0;
-    for (const auto &[id, worker] : m_workers) {
-        n += static_cast<int>(std::count_if(worker.allocations.begin(), worker.allocations.end(), [](const auto &it) { return it.second.stopping; }));
-    }
-    return n;
-}
-
-auto PoolCore::oldestStop(MonoTime now) const -> Micros
-{
-    auto oldest = Micros{0};
-    for (const auto &[id, worker] : m_workers) {
-        for (const auto &[key, it] : worker.allocations) {
-            if (it.stopping && it.stopRequestedAt != MonoTime{}) {
-                oldest = std::max(oldest, now - it.stopRequestedAt);
-            }
-        }
-    }
-    return oldest;
-}
-
 auto PoolCore::recorded(const PoolEffects &effects) -> void
 {
     for (const auto &[id, number] : effects.completions) {
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -232,6 +232,7 @@
     static auto requestStop(Allocation &allocation, StopReason reason) -> void;
     auto logStops(MonoTime now) -> void;
     auto logStoppedJobs(MonoTime now) -> void;
+    auto repeatStop(Allocation &allocation, MonoTime now) const -> void;
     auto noteStopAnswer(Worker &worker, const AttemptKey &key, OrderOutcome outcome) -> void;
 
     PoolOptions m_options;
--- a/packages/policy/pooljob.cpp
+++ b/packages/policy/pooljob.cpp
@@ -97,6 +97,23 @@
     return isPrintableId(id.str(), maxJobId);
 }
 
+auto phaseName(PoolJobPhase phase) -> const char *
+{
+    switch (phase) {
+    case PoolJobPhase::Queued:
+        return "queued";
+    case PoolJobPhase::Running:
+        return "running";
+    case PoolJobPhase::Completed:
+        return "completed";
+    case PoolJobPhase::Failed:
+        return "failed";
+    case PoolJobPhase::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
 auto isFinal(PoolJobPhase phase) -> bool
 {
     return phase == PoolJobPhase::Completed || phase == PoolJobPhase::Failed || phase == PoolJobPhase::Cancelled;
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -76,6 +76,9 @@
 
 enum class PoolJobPhase { Queued, Running, Completed, Failed, Cancelled };
 
+/// @return the word for @p phase in log lines.
+auto phaseName(PoolJobPhase phase) -> const char *;
+
 /// @return whether a job in @p phase will never run again.
 auto isFinal(PoolJobPhase phase) -> bool;
 
