Answer a confirmed cancellation although the job's retention has passed

DELETE looked the job up again after the wait of up to 1.5 s for the log and used the result unchecked; a job that is forgotten meanwhile would have ended the process.

--- a/packages/daemon/callerapi.cpp
+++ b/packages/daemon/callerapi.cpp
@@ -496,7 +496,8 @@
         const auto *reason = "the log has not confirmed the cancellation; cancel the job again";
         return {.status = 504, .body = dump(failureBody("outcome_unknown", reason, Millis{1000}))};
     }
-    return {.status = 202, .body = dump(jobToJson(*context.jobs->find(job->spec.id)))};
+    const auto stored = context.jobs->find(job->spec.id); // nothing when its retention has passed meanwhile
+    return {.status = 202, .body = dump(jobToJson(stored ? *stored : cancelled.value()))};
 }
 
 }
