--- a/packages/policy/poolstops.cpp
+++ b/packages/policy/poolstops.cpp
@@ -15,6 +15,7 @@
 constexpr auto stopTimeout = Millis{400};
 /// Interval between two stop orders for the same attempt; longer than a round trip between regions plus PoolOptions::stopGrace.
 constexpr auto stopRetryInterval = Millis{500};
+
 }
 
 /// @return why the state of the job does not call for an attempt, or nothing if it does. A task that is done needs no stop: its worker
--- a/packages/policy/stopreport.h
+++ b/packages/policy/stopreport.h
@@ -26,7 +26,7 @@
     Preempted,
     NoProgress,
     NotListed, ///< its worker accepted the start order and does not list the attempt
-    NotRecorded, ///< its worker lists the attempt, which no record places there
+    NotRecorded, ///< its worker lists the attempt, and the task is elsewhere, done, or of a job that has been forgotten
     StartUnanswered, ///< no try of its start order was answered
     StartRefused, ///< a repeated start order was refused; the first may have been carried out
 };
