Make all calls to workers from one thread, and wake only the worker concerned

On the large deployment a planner had a thread for each of 1,100 workers and 64 for orders, and each answered order and each stored record woke all of them through one condition variable.

Now PollSchedule, without network or threads, says which polls are due; an event concerns one worker and costs one entry of an ordered set. WorkerCaller sends the polls and the orders over HttpLoop. Polls that are due together, as after a takeover, are sent in groups of 64. The threads for workers and orders go: 1,164 of a planner's 1,319 at 1,100 workers. A channel to a worker takes callbacks in place of a thread; the checks of workerclient_test are unchanged and wait for the callbacks.

Tests: pollschedule_test; the tests of whole nodes pass as before.

--- a/packages/daemon/poolcalls.cpp
+++ b/packages/daemon/poolcalls.cpp
@@ -1,115 +1,48 @@
 #include "daemon/poolterm.h"
 
 #include "util/logging.h"
-#include "util/threadname.h"
 
-/// A term's calls to workers: orders, one after the other for each worker, and looks.
+/// What a term's calls to workers carry, and what their answers change.
 
 namespace Catkin
 {
 
-namespace
+auto PoolTerm::callHandlers() -> WorkerCallHandlers
 {
-
-/// How long an order waits for the leadership to be confirmed again.
-constexpr auto orderPatience = Millis{1'500};
-constexpr auto orderPoll = Millis{20};
-/// Beyond the time that a worker may hold an answer back: the way there and back and a slow worker.
-constexpr auto pollTimeoutMargin = Millis{900};
-/// An idle worker is looked at this often, to keep the estimate of its clock.
-constexpr auto idlePollInterval = Millis{5'000};
-constexpr auto pollRetryDelay = Millis{200};
-/// How long a poller waits for its ends to be on record before it looks again.
-constexpr auto recordPatience = Millis{1'000};
-
-}
-
-/// The caller holds m_mutex.
-auto PoolTerm::linkTo(const PoolOrder &order) -> std::shared_ptr<OrderLink> &
-{
-    auto &link = m_links[order.worker];
-    if (!link || link->address != order.address) {
-        link = std::make_shared<OrderLink>();
-        link->address = order.address;
-        link->channel = m_ports.orders.open({.id = order.worker, .address = order.address});
-    }
-    return link;
+    return {
+        .token = m_options.epoch,
+        .mayOrder = m_hooks.mayOrder,
+        .prepare = [this](const PoolOrder &order) { return prepareOrder(order); },
+        .orderEnded = [this](const PoolOrder &order, OrderOutcome outcome) { orderEnded(order, outcome); },
+        .nextPoll =
+            [this](const WorkerId &id, MonoTime now) {
+                const auto lock = std::lock_guard{m_mutex};
+                return m_core.nextPoll(id, now).request;
+            },
+        .pollEnded = [this](const WorkerId &id, const Result<WorkerPollReply> &reply, MonoTime sentAt) { pollEnded(id, reply, sentAt); },
+        .pauseOf =
+            [this](const WorkerId &id) {
+                const auto lock = std::lock_guard{m_mutex};
+                return m_core.pollPause(id);
+            },
+    };
 }
 
-/// Orders to one worker go out one after the other, so that a silent worker holds up one thread and no other worker.
-auto PoolTerm::dispatch(const PoolOrder &order) -> void
+auto PoolTerm::prepareOrder(const PoolOrder &order) -> std::optional<WorkerTime>
 {
     const auto lock = std::lock_guard{m_mutex};
-    auto &link = linkTo(order);
-    enqueueOrder(link->queue, order);
-    if (link->busy) {
-        return;
-    }
-    link->busy = m_orderPool->post([this, link] { sendQueued(link); });
-    if (!link->busy) {
-        logEvent(LogLevel::Error, 6009, "order queue is full; job=" + order.task.job.str() + " worker=" + order.worker.str());
-        for (const auto &it : std::exchange(link->queue, {})) {
-            m_core.applyOrder(it, OrderOutcome::NotSent, m_clock.mono());
-        }
-    }
-}
-
-auto PoolTerm::sendQueued(const std::shared_ptr<OrderLink> &link) -> void
-{
-    while (true) {
-        auto order = PoolOrder{};
-        {
-            const auto lock = std::lock_guard{m_mutex};
-            if (link->queue.empty()) {
-                link->busy = false;
-                return;
-            }
-            order = std::move(link->queue.front());
-            link->queue.pop_front();
-        }
-        sendOrder(order, *link);
-    }
-}
-
-auto PoolTerm::outcomeOf(const PoolOrder &order, OrderLink &link) -> OrderOutcome
-{
-    auto lease = WorkerTime{};
-    {
-        const auto lock = std::lock_guard{m_mutex};
-        // The job may have been cancelled, its room given away, or the attempt may have ended since the order was queued.
-        if (!m_core.isCurrent(order)) {
-            return OrderOutcome::NotSent;
-        }
-        if (order.kind == PoolOrder::Kind::Start) {
-            lease = m_core.leaseFor(order.worker, m_clock.mono());
-        }
+    if (!m_core.isCurrent(order)) {
+        return std::nullopt;
     }
     if (order.kind == PoolOrder::Kind::Stop) {
-        return link.channel.stop({.task = order.task, .attempt = order.attempt, .token = m_options.epoch}, order.answerTimeout).outcome;
-    }
-    if (lease.value == 0) {
-        return OrderOutcome::NotSent;
+        return WorkerTime{};
     }
-    return link.channel
-        .start({.task = order.task,
-                .attempt = order.attempt,
-                .payload = order.payload,
-                .leaseUntil = lease,
-                .token = m_options.epoch,
-                .checkpoint = order.checkpoint},
-               order.answerTimeout)
-        .outcome;
+    const auto lease = m_core.leaseFor(order.worker, m_clock.mono());
+    return lease.value == 0 ? std::nullopt : std::optional{lease};
 }
 
-auto PoolTerm::sendOrder(const PoolOrder &order, OrderLink &link) -> void
+auto PoolTerm::orderEnded(const PoolOrder &order, OrderOutcome outcome) -> void
 {
-    auto outcome = OrderOutcome::NotSent;
-    for (auto waited = Millis{0}; waited < orderPatience && !stopped() && !m_hooks.mayOrder(); waited += orderPoll) {
-        std::this_thread::sleep_for(orderPoll);
-    }
-    if (!stopped() && m_hooks.mayOrder()) {
-        outcome = outcomeOf(order, link);
-    }
     if (outcome == OrderOutcome::Fenced) {
         m_hooks.fenced("a worker has seen a newer planner");
     }
@@ -119,97 +52,50 @@
                                                                            : MetricOrderResult::Refused);
     const auto lock = std::lock_guard{m_mutex};
     m_core.applyOrder(order, outcome, m_clock.mono());
-    m_progress.notify_all();
     if (outcome != OrderOutcome::Accepted) {
         m_dirty = true;
         m_wake.notify_all();
     }
 }
 
-auto PoolTerm::updatePollers() -> void
+auto PoolTerm::updateTargets() -> void
 {
-    auto targets = std::map<WorkerId, std::string>{};
+    auto targets = std::vector<std::pair<WorkerId, std::string>>{};
     {
         const auto lock = std::lock_guard{m_mutex};
-        for (const auto &[id, address] : m_core.pollTargets()) {
-            targets[id] = address;
-        }
-        std::erase_if(m_links, [&](const auto &it) { return !targets.contains(it.first); });
-    }
-    for (auto it = m_pollers.begin(); it != m_pollers.end();) {
-        const auto target = targets.find((*it)->id);
-        if (target != targets.end() && target->second == (*it)->address) {
-            targets.erase(target);
-            ++it;
-            continue;
-        }
-        (*it)->stopping = true;
-        (*it)->channel.interrupt();
-        m_retired.splice(m_retired.end(), m_pollers, it++);
+        targets = m_core.pollTargets();
     }
-    for (const auto &[id, address] : targets) {
-        auto &poller = *m_pollers.emplace_back(std::make_unique<WorkerPoller>());
-        poller.id = id;
-        poller.address = address;
-        poller.channel = m_ports.orders.open({.id = id, .address = address});
-        poller.thread = std::thread([this, &poller] { pollerLoop(poller); });
-    }
-}
-
-auto PoolTerm::pollerLoop(WorkerPoller &poller) -> void
-{
-    nameThread("worker-poller");
-    while (!poller.stopping && !stopped()) {
-        if (!m_hooks.mayOrder()) {
-            std::this_thread::sleep_for(orderPoll);
-            continue;
-        }
-        pollOnce(poller);
-        waitForWork(poller);
+    if (targets != m_targets) {
+        m_targets = targets;
+        m_caller->setTargets(std::move(targets));
     }
 }
 
-auto PoolTerm::waitForWork(const WorkerPoller &poller) -> void
-{
-    auto lock = std::unique_lock{m_mutex};
-    const auto ending = [&] { return m_stopping || poller.stopping.load(); };
-    m_progress.wait_for(lock, recordPatience, [&] { return ending() || !m_core.hasUnrecordedCompletions(poller.id); });
-    m_progress.wait_for(lock, idlePollInterval, [&] { return ending() || !m_core.isIdle(poller.id); });
-}
-
-auto PoolTerm::pollOnce(WorkerPoller &poller) -> void
+auto PoolTerm::pollEnded(const WorkerId &id, const Result<WorkerPollReply> &reply, MonoTime sentAt) -> void
 {
-    const auto sentAt = m_clock.mono();
-    auto request = WorkerPollRequest{};
-    {
-        const auto lock = std::lock_guard{m_mutex};
-        request = m_core.nextPoll(poller.id, sentAt).request;
-    }
-    request.token = m_options.epoch;
-    const auto answer = poller.channel.poll(request, request.wait + pollTimeoutMargin);
-    if (!answer && answer.error().code == ErrorCode::StaleGeneration) {
+    if (!reply && reply.error().code == ErrorCode::StaleGeneration) {
         m_hooks.fenced("a worker has seen a newer planner");
         return;
     }
-    const auto now = m_clock.mono();
-    auto lost = false;
+    auto address = std::string{};
     {
         const auto lock = std::lock_guard{m_mutex};
-        if (answer) {
-            if (m_core.applyPollReply(poller.id, answer.value(), sentAt, now)) {
+        if (reply) {
+            if (m_core.applyPollReply(id, reply.value(), sentAt, m_clock.mono())) {
                 m_dirty = true;
                 m_wake.notify_all();
             }
             return;
         }
-        const auto worker = m_core.workers().find(poller.id);
-        lost = worker != m_core.workers().end() && worker->second.reachable;
-        m_core.pollFailed(poller.id);
+        const auto worker = m_core.workers().find(id);
+        if (worker != m_core.workers().end() && worker->second.reachable) {
+            address = worker->second.info.address;
+        }
+        m_core.pollFailed(id);
     }
-    if (lost && !poller.stopping && !stopped()) {
-        logEvent(LogLevel::Warn, 6011, "worker=" + poller.id.str() + " address=" + poller.address + " does not answer: " + answer.error().message);
+    if (!address.empty()) {
+        logEvent(LogLevel::Warn, 6011, "worker=" + id.str() + " address=" + address + " does not answer: " + reply.error().message);
     }
-    std::this_thread::sleep_for(pollRetryDelay);
 }
 
 }
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -20,9 +20,9 @@
 /// One try of an append to the log of attempts or of states; its repeat has no second effect.
 constexpr auto appendTry = Millis{600};
 constexpr auto appendPause = Millis{60};
-/// One thread sends to one worker at a time; enough for a failure domain of 350 workers that has gone silent.
-constexpr auto orderThreads = std::size_t{64};
-constexpr auto maxQueuedOrders = std::size_t{20'000};
+/// For calls to the store that nothing waits for: one drops expired jobs, one reads earlier entries of workers.
+constexpr auto storeThreads = std::size_t{2};
+constexpr auto maxQueuedCalls = std::size_t{64};
 /// Bytes in one append; below the store's limit of a call.
 constexpr auto maxAppendBytes = std::size_t{1} << 20U;
 constexpr auto snapshotTimeout = Millis{2'000};
@@ -68,7 +68,8 @@
 
 auto PoolTerm::start() -> void
 {
-    m_orderPool = std::make_unique<WorkPool>(orderThreads, maxQueuedOrders, "orders");
+    m_storePool = std::make_unique<WorkPool>(storeThreads, maxQueuedCalls, "store-calls");
+    m_caller = std::make_unique<WorkerCaller>(m_ports.orders, m_clock, callHandlers());
     m_beganAt = m_clock.mono();
     m_workersTail = std::make_unique<RecordTail>(m_ports.store,
                                                  RecordLog::Workers,
@@ -92,21 +93,12 @@
         m_stopping = true;
     }
     m_wake.notify_all();
-    m_progress.notify_all();
     m_publish.notify_all();
     if (m_planner.joinable()) {
         m_planner.join();
         m_publisher.join();
-        for (auto &it : m_pollers) {
-            it->stopping = true;
-            it->channel.interrupt();
-        }
-        m_retired.splice(m_retired.end(), m_pollers);
-        for (auto &it : m_retired) {
-            it->thread.join();
-        }
-        m_retired.clear();
-        m_orderPool->stop();
+        m_caller->stop();
+        m_storePool->stop();
         m_workersTail->stop();
         m_ports.metrics->setStoppingAttempts(0, Micros{0});
     }
@@ -310,7 +302,7 @@
     if (!m_earlierAsked) {
         const auto writes = static_cast<std::int64_t>(m_core.workers().size()) * earlierHeartbeats;
         const auto from = LogOffset{std::max<std::int64_t>(m_writesBegin->value - writes, 0)};
-        m_earlierAsked = m_orderPool->post([this, from, end = *m_writesBegin] { readEarlierWrites(from, end); });
+        m_earlierAsked = m_storePool->post([this, from, end = *m_writesBegin] { readEarlierWrites(from, end); });
         return;
     }
     auto history = m_earlierWrites;
@@ -385,6 +377,7 @@
             listed.push_back(it.info);
         }
         m_core.setWorkers(listed, now);
+        m_caller->reconsiderAll(); // a worker may have restarted
     }
 }
 
@@ -425,9 +418,7 @@
     }
     const auto decided = m_clock.mono();
     // Stop orders need no record: a new planner derives them from the states of the jobs.
-    for (const auto &it : effects.stops) {
-        dispatch(it);
-    }
+    m_caller->send(std::move(effects.stops));
     countEffects(effects);
     for (const auto &it : effects.logEntries) {
         logEvent(LogLevel::Info, 6010, std::string("decision=") + it.decision + " " + it.text);
@@ -439,13 +430,11 @@
     if (!record(effects, std::move(records))) {
         return;
     }
-    for (const auto &it : effects.starts) {
-        dispatch(it);
-    }
+    m_caller->send(std::move(effects.starts));
     if (!effects.expired.empty()) {
         dropJobs(effects.expired);
     }
-    updatePollers();
+    updateTargets();
     pause(std::min(std::chrono::duration_cast<Millis>(decided - now) * restPerPass, maxRest));
 }
 
@@ -458,9 +447,9 @@
     if (m_dropping) {
         return;
     }
-    m_dropping = m_orderPool->post([this] { dropQueued(); });
+    m_dropping = m_storePool->post([this] { dropQueued(); });
     if (!m_dropping) {
-        logEvent(LogLevel::Error, 6014, "order queue is full; " + std::to_string(m_expired.size()) + " expired jobs stay in the logs for now");
+        logEvent(LogLevel::Error, 6014, "too many calls to the store wait; " + std::to_string(m_expired.size()) + " expired jobs stay in the logs for now");
     }
 }
 
@@ -536,9 +525,15 @@
     if (!batch.empty() && !appendAttempts(batch)) {
         return false;
     }
-    const auto lock = std::lock_guard{m_mutex};
-    m_core.recorded(effects);
-    m_progress.notify_all();
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        m_core.recorded(effects);
+    }
+    auto ids = std::vector<WorkerId>{};
+    for (const auto &[id, number] : effects.completions) {
+        ids.push_back(id);
+    }
+    m_caller->reconsider(std::move(ids));
     return true;
 }
 
@@ -589,9 +584,7 @@
         takeInbox(now);
         stops = m_core.planStops(now);
     }
-    for (const auto &it : stops) {
-        dispatch(it);
-    }
+    m_caller->send(std::move(stops));
 }
 
 auto PoolTerm::plannerLoop() -> void
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -9,9 +9,9 @@
 ///   term.stop();
 /// @endcode
 ///
-/// Threads: one plans and records attempts, one publishes the states of jobs and renews the leadership, one looks at each
-/// worker, a pool sends orders, and a tail follows the workers' entries. Lock order: m_mutex, then that of the pool; no call
-/// to the network is made while either is held.
+/// Threads: one plans and records attempts, one publishes the states of jobs and renews the leadership, one makes all calls to workers, two
+/// make calls to the store that nothing waits for, and a tail follows the workers' entries. Lock order: m_mutex, then that of the pool; no
+/// call to the network is made while either is held.
 ///
 /// The log of attempts repeats each job that was placed, so that a new planner needs no log of jobs to take over what
 /// runs. A final state may be published before the ends that led to it are recorded: it stands for them at a takeover,
@@ -21,6 +21,7 @@
 #include "daemon/metrics.h"
 #include "daemon/poolview.h"
 #include "daemon/recordtail.h"
+#include "daemon/workercaller.h"
 #include "daemon/workpool.h"
 #include "policy/poolcore.h"
 #include "policy/workerentries.h"
@@ -31,9 +32,7 @@
 
 #include <atomic>
 #include <condition_variable>
-#include <deque>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -87,22 +86,6 @@
     auto configChanged() -> void;
 
 private:
-    struct WorkerPoller
-    {
-        WorkerId id;
-        std::string address;
-        WorkerChannel channel;
-        std::atomic<bool> stopping{false};
-        std::thread thread;
-    };
-    struct OrderLink
-    {
-        std::string address;
-        WorkerChannel channel; ///< used by the one thread that sends to this worker
-        std::deque<PoolOrder> queue;
-        bool busy = false; ///< a thread sends what is queued
-    };
-
     auto stopped() const -> bool;
     auto pause(Millis span) -> void;
     auto plannerLoop() -> void;
@@ -123,15 +106,11 @@
     auto dropJobs(const std::vector<JobId> &expired) -> void;
     auto dropQueued() -> void;
     auto countEffects(const PoolEffects &effects) -> void;
-    auto dispatch(const PoolOrder &order) -> void;
-    auto sendQueued(const std::shared_ptr<OrderLink> &link) -> void;
-    auto sendOrder(const PoolOrder &order, OrderLink &link) -> void;
-    auto outcomeOf(const PoolOrder &order, OrderLink &link) -> OrderOutcome;
-    auto linkTo(const PoolOrder &order) -> std::shared_ptr<OrderLink> &;
-    auto updatePollers() -> void;
-    auto pollerLoop(WorkerPoller &poller) -> void;
-    auto pollOnce(WorkerPoller &poller) -> void;
-    auto waitForWork(const WorkerPoller &poller) -> void;
+    auto callHandlers() -> WorkerCallHandlers;
+    auto prepareOrder(const PoolOrder &order) -> std::optional<WorkerTime>;
+    auto orderEnded(const PoolOrder &order, OrderOutcome outcome) -> void;
+    auto pollEnded(const WorkerId &id, const Result<WorkerPollReply> &reply, MonoTime sentAt) -> void;
+    auto updateTargets() -> void;
     auto workerRecord(const KeyedRecord &record) -> void;
     auto workersReset() -> void;
     auto workersRead(LogOffset end, MonoTime sentAt) -> void;
@@ -148,7 +127,6 @@
     mutable std::mutex m_mutex; ///< guards everything below up to the threads
     std::condition_variable m_wake; ///< the planner has something to do
     std::condition_variable m_publish; ///< there is a state to publish
-    std::condition_variable m_progress; ///< records were written, or a poller has something to do
     bool m_stopping = false;
     bool m_dirty = true;
     bool m_workersDirty = false;
@@ -170,15 +148,14 @@
     std::vector<JobId> m_dropped; ///< jobs that the logs of jobs have dropped, and the log of attempts has not
     std::vector<JobId> m_droppedPhases; ///< jobs whose published phase is to be dropped
     MonoTime m_confirmedAt; ///< when the last append was sent that proves this planner to be the newest
-    std::map<WorkerId, std::shared_ptr<OrderLink>> m_links; ///< and what they queue
 
     std::int64_t m_attemptsSequence = 0; ///< planner thread only
     bool m_tookOver = false; ///< planner thread only
     MonoTime m_lastRenewal; ///< publisher thread only
-    std::list<std::unique_ptr<WorkerPoller>> m_pollers; ///< planner thread only
-    std::list<std::unique_ptr<WorkerPoller>> m_retired; ///< planner thread only
+    std::vector<std::pair<WorkerId, std::string>> m_targets; ///< planner thread only; what m_caller was told last
     std::unique_ptr<RecordTail> m_workersTail;
-    std::unique_ptr<WorkPool> m_orderPool;
+    std::unique_ptr<WorkPool> m_storePool;
+    std::unique_ptr<WorkerCaller> m_caller;
     std::thread m_planner;
     std::thread m_publisher;
 };
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -433,21 +433,19 @@
     return out;
 }
 
-auto PoolCore::isIdle(const WorkerId &id) const -> bool
+auto PoolCore::pollPause(const WorkerId &id) const -> PollPause
 {
     const auto it = m_workers.find(id);
     if (it == m_workers.end()) {
-        return true;
+        return PollPause::WhileIdle;
     }
     const auto &worker = it->second;
+    if (worker.processedCompletions > worker.recordedCompletions) {
+        return PollPause::UntilRecorded;
+    }
+    // An order that was meant for an earlier incarnation may still start work there.
     const auto earlierOrders = worker.listedBorn > worker.info.born || worker.clock < earlierOrdersEnd;
-    return worker.answered && worker.reachable && worker.allocations.empty() && worker.recordedCompletions >= worker.processedCompletions && !earlierOrders;
-}
-
-auto PoolCore::hasUnrecordedCompletions(const WorkerId &id) const -> bool
-{
-    const auto it = m_workers.find(id);
-    return it != m_workers.end() && it->second.processedCompletions > it->second.recordedCompletions;
+    return worker.answered && worker.reachable && worker.allocations.empty() && !earlierOrders ? PollPause::WhileIdle : PollPause::None;
 }
 
 auto PoolCore::nextPoll(const WorkerId &id, MonoTime now) -> WorkerPoll
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -26,6 +26,7 @@
 /// Each planning pass compares every allocation with the state of its job and stops the attempts that this state does not call for,
 /// whichever planner made the state and whether or not stop orders were sent for it before.
 
+#include "policy/pollschedule.h"
 #include "policy/poolfleet.h"
 #include "policy/pooljob.h"
 #include "policy/stopreport.h"
@@ -132,11 +133,8 @@
     [[nodiscard]] auto hasUnlistedWork() const -> bool;
     /// @return id and address of the workers to poll: those listed and those with allocations.
     [[nodiscard]] auto pollTargets() const -> std::vector<std::pair<WorkerId, std::string>>;
-    /// @return whether polling the worker can wait: it is reachable, has neither attempts nor unrecorded completions, and has run for
-    /// so long that no order meant for an earlier incarnation can reach it.
-    [[nodiscard]] auto isIdle(const WorkerId &id) const -> bool;
-    /// @return whether the worker has reported completions that are not yet recorded.
-    [[nodiscard]] auto hasUnrecordedCompletions(const WorkerId &id) const -> bool;
+    /// @return why the next poll of the worker can wait, or PollPause::None.
+    [[nodiscard]] auto pollPause(const WorkerId &id) const -> PollPause;
     /// @return the next poll of a worker; grants a lease if the worker is reachable.
     auto nextPoll(const WorkerId &id, MonoTime now) -> WorkerPoll;
 
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -17,7 +17,7 @@
 constexpr auto stopLimit = Millis{3'000};
 /// More time for work that a late order started, from its start, and for an attempt whose stop order is late.
 constexpr auto lateLimit = Millis{4'000};
-/// Times of the pollers in daemon/poolcalls.cpp.
+/// Times of daemon/workercaller.cpp and policy/pollschedule.cpp.
 constexpr auto pollTimeoutMargin = Millis{900};
 constexpr auto pollRetryDelay = Millis{200};
 constexpr auto idlePollInterval = Millis{5'000};
@@ -650,7 +650,7 @@
     for (const auto &[id, address] : m_core.pollTargets()) {
         auto &worker = m_workers.at(id);
         auto &poller = m_pollers[id];
-        if (!poller.open && (m_now < poller.pauseUntil || (m_now < poller.idleUntil && m_core.isIdle(id)))) {
+        if (!poller.open && (m_now < poller.pauseUntil || (m_now < poller.idleUntil && m_core.pollPause(id) == PollPause::WhileIdle))) {
             continue;
         }
         if (!poller.open) {
--- a/packages/ports/workerorders.h
+++ b/packages/ports/workerorders.h
@@ -3,8 +3,13 @@
 /// Port for orders to the workers of a pool.
 ///
 /// @code
-///   auto reply = orders.poll(target, {.token = epoch, .leaseUntil = until, .seenCompletions = 57, .wait = Catkin::Millis{2000}});
-///   auto result = orders.start(target, start);
+///   auto calls = orders.begin();
+///   calls.post([&] {
+///       channel = calls.open({.id = id, .address = address});
+///       channel.poll({.token = epoch, .leaseUntil = until, .seenCompletions = 57, .wait = Catkin::Millis{2000}}, timeout, [](auto reply) { ... });
+///       ...
+///   });
+///   calls.stop();
 /// @endcode
 ///
 /// Every order carries the planner's fencing token; a worker that has seen a higher one does nothing.
@@ -51,19 +56,27 @@
     std::int64_t token = 0;
 };
 
-/// A kept connection to one worker; one thread at a time.
+/// A kept connection to one worker, for one call at a time. A callback is called once, unless close() or WorkerCalls::stop() comes before.
 struct WorkerChannel
 {
-    std::function<Result<WorkerPollReply>(const WorkerPollRequest &request, Millis timeout)> poll;
-    std::function<OrderAnswer(const StartOrder &order, Millis timeout)> start;
-    std::function<OrderAnswer(const StopOrder &order, Millis timeout)> stop;
-    std::function<void()> interrupt; ///< breaks a call of another thread
+    std::function<void(const WorkerPollRequest &request, Millis timeout, std::function<void(Result<WorkerPollReply>)> done)> poll;
+    std::function<void(const StartOrder &order, Millis timeout, std::function<void(OrderAnswer)> done)> start;
+    std::function<void(const StopOrder &order, Millis timeout, std::function<void(OrderAnswer)> done)> stop;
+    std::function<void()> close; ///< drops the connection and the call under way
+};
+
+/// Calls to any number of workers, made by one thread: channels are used there, and callbacks and tasks run there.
+struct WorkerCalls
+{
+    std::function<WorkerChannel(const WorkerTarget &target)> open; ///< the connection is made with the first call
+    std::function<void(std::function<void()> task)> post; ///< runs a task; any thread may call
+    std::function<void(Millis delay, std::function<void()> task)> postAfter; ///< runs a task after a time; any thread may call
+    std::function<void()> stop; ///< drops what is under way and ends the thread
 };
 
-/// Opens channels; the connection is made with the first call.
 struct WorkerOrders
 {
-    std::function<WorkerChannel(const WorkerTarget &target)> open;
+    std::function<WorkerCalls()> begin; ///< starts the thread
 };
 
 }
