Start the threads of a listener as connections need them

Each new connection woke all idle ones, because one condition variable served all.

A thread is now started when a task finds no idle one, up to the same limit, and one thread is woken for a task. Connections count against the waiting places only when every thread is busy; a burst that finds no thread yet is not refused. If no further thread can be started, the others take the connection, with one line (1015).

--- a/packages/daemon/httplistener.cpp
+++ b/packages/daemon/httplistener.cpp
@@ -2,6 +2,7 @@
 
 #include "ports/deadlinestream.h"
 #include "ports/httpclient.h"
+#include "util/logging.h"
 #include "util/threadname.h"
 
 #include <httplib.h>
@@ -17,6 +18,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <system_error>
 #include <thread>
 
 namespace Catkin
@@ -30,7 +32,19 @@
 
 thread_local auto isOverflowThread = false;
 
-/// Serves connections on a fixed number of threads; those beyond the waiting places go to the overflow threads.
+/// Tasks of one kind and the threads that run them. A thread is started when a task finds no idle one, so that a listener has as many as
+/// it ever needed at once.
+struct TaskLane
+{
+    std::size_t maxThreads = 0;
+    std::deque<std::function<void()>> tasks;
+    std::condition_variable changed;
+    std::size_t waiting = 0; ///< threads that wait for a task
+    std::size_t busy = 0; ///< threads that run one
+    std::vector<std::thread> threads;
+};
+
+/// Serves connections on a bounded number of threads; those beyond the waiting places go to the overflow threads.
 class BoundedQueue : public httplib::TaskQueue
 {
 public:
@@ -38,29 +52,21 @@
         : m_backlog(static_cast<std::size_t>(backlog))
         , m_overflowed(overflowed)
     {
-        for (auto i = 0; i < threads; ++i) {
-            m_threads.emplace_back([this] { run(m_tasks); });
-        }
-        for (auto i = 0; i < overflowThreads; ++i) {
-            m_threads.emplace_back([this] {
-                isOverflowThread = true;
-                run(m_overflow);
-            });
-        }
+        m_served.maxThreads = static_cast<std::size_t>(threads);
+        m_refused.maxThreads = overflowThreads;
     }
 
     auto enqueue(std::function<void()> task) -> void override
     {
-        {
-            const auto lock = std::lock_guard{m_mutex};
-            if (m_tasks.size() < m_backlog) {
-                m_tasks.push_back(std::move(task));
-            } else {
-                ++m_overflowed;
-                m_overflow.push_back(std::move(task));
-            }
+        const auto lock = std::lock_guard{m_mutex};
+        const auto full = m_served.tasks.size() + m_served.busy >= m_served.maxThreads + m_backlog;
+        auto &lane = full ? m_refused : m_served;
+        m_overflowed += full ? 1 : 0;
+        lane.tasks.push_back(std::move(task));
+        if (lane.tasks.size() > lane.waiting && lane.threads.size() < lane.maxThreads) {
+            startThread(lane);
         }
-        m_changed.notify_all();
+        lane.changed.notify_one();
     }
 
     auto shutdown() -> void override
@@ -69,39 +75,63 @@
             const auto lock = std::lock_guard{m_mutex};
             m_stopping = true;
         }
-        m_changed.notify_all();
-        for (auto &it : m_threads) {
-            it.join();
+        for (auto *lane : {&m_served, &m_refused}) {
+            lane->changed.notify_all();
+            for (auto &it : lane->threads) {
+                it.join();
+            }
         }
     }
 
 private:
-    auto run(std::deque<std::function<void()>> &tasks) -> void
+    /// The caller holds m_mutex.
+    auto startThread(TaskLane &lane) -> void
+    {
+        try {
+            lane.threads.emplace_back([this, &lane] { run(lane); });
+        } catch (const std::system_error &e) {
+            // The threads that there are take the task later; without any, nobody would.
+            if (lane.threads.empty()) {
+                throw;
+            }
+            if (!std::exchange(m_startFailed, true)) {
+                logEvent(LogLevel::Warn, 1015, "no further thread for connections, there are " + std::to_string(lane.threads.size()) + ": " + e.what());
+            }
+        }
+    }
+
+    auto run(TaskLane &lane) -> void
     {
         nameThread("listener");
+        isOverflowThread = &lane == &m_refused;
+        auto lock = std::unique_lock{m_mutex};
         while (true) {
-            auto task = std::function<void()>{};
-            {
-                auto lock = std::unique_lock{m_mutex};
-                m_changed.wait(lock, [&] { return m_stopping || !tasks.empty(); });
-                if (tasks.empty()) {
+            if (lane.tasks.empty()) {
+                if (m_stopping) {
                     return;
                 }
-                task = std::move(tasks.front());
-                tasks.pop_front();
+                ++lane.waiting;
+                lane.changed.wait(lock, [&] { return m_stopping || !lane.tasks.empty(); });
+                --lane.waiting;
+                continue;
             }
+            const auto task = std::move(lane.tasks.front());
+            lane.tasks.pop_front();
+            ++lane.busy;
+            lock.unlock();
             task();
+            lock.lock();
+            --lane.busy;
         }
     }
 
     std::size_t m_backlog;
     std::atomic<std::uint64_t> &m_overflowed;
     std::mutex m_mutex;
-    std::condition_variable m_changed;
-    std::deque<std::function<void()>> m_tasks;
-    std::deque<std::function<void()>> m_overflow;
+    TaskLane m_served;
+    TaskLane m_refused;
     bool m_stopping = false;
-    std::vector<std::thread> m_threads;
+    bool m_startFailed = false;
 };
 
 /// The failure form of docs/interfaces.md, section 6.1.
--- a/packages/daemon/httplistener.h
+++ b/packages/daemon/httplistener.h
@@ -26,7 +26,7 @@
 struct HttpListenerOptions
 {
     std::string address; ///< "ip:port"; port 0 lets the operating system choose
-    int threads = 16; ///< one serves one open connection
+    int threads = 16; ///< most threads; one serves one open connection, and is started when it is first needed
     int backlog = 64; ///< connections that wait for a thread; further ones are answered with 503
     std::size_t maxBody = std::size_t{1} << 20U;
     Millis keepAlive{5'000}; ///< an idle connection is closed after this time
