Stop a gang whose members cannot all be started in time

Each pass, and each collection of stop orders while records cannot be stored, now stops a gang of which a member has run for half of that time while another one has no answered start order; queued start orders of the gang are withdrawn with it. The other half is for the stop orders, which go before start orders. New reason of a stop: gang_incomplete.

--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -343,7 +343,7 @@
     logEvent(LogLevel::Info, 6035, "term epoch=" + std::to_string(*epoch) + " begins");
     const auto options = PoolTermOptions{
         .epoch = *epoch,
-        .pool = {.leaseDuration = settings.lease, .stopGrace = settings.stopGrace, .retention = settings.retention},
+        .pool = {.leaseDuration = settings.lease, .stopGrace = settings.stopGrace, .retention = settings.retention, .gangTimeout = settings.gangTimeout},
         .workerHeartbeat = settings.workerHeartbeat,
     };
     auto fresh = std::make_shared<PoolTerm>(options, ports, clock, view, termHooks());
--- a/packages/daemon/poolsettings.cpp
+++ b/packages/daemon/poolsettings.cpp
@@ -38,6 +38,7 @@
     out.add("cores", std::to_string(inUse.cores), std::to_string(read.cores));
     out.add("lease", inUse.lease, read.lease);
     out.add("stop grace", inUse.stopGrace, read.stopGrace);
+    out.add("gang timeout", inUse.gangTimeout, read.gangTimeout);
     out.add("worker heartbeat", inUse.workerHeartbeat, read.workerHeartbeat);
     out.add("configuration apply", inUse.configApply, read.configApply);
     out.add("configuration stretch", inUse.configStretch, read.configStretch);
--- a/packages/daemon/poolsettings.h
+++ b/packages/daemon/poolsettings.h
@@ -25,6 +25,7 @@
     double cores = 1.0; ///< processor share of the instance, in cores
     Millis lease{10'000}; ///< longest time that a worker runs on without word from a planner
     Millis stopGrace{200}; ///< longest time that a stop of a task takes
+    Millis gangTimeout{3'000}; ///< how long a started member of a gang waits for the others; above 0
     Millis workerHeartbeat{1'500}; ///< between two writes of a worker's entry in the store
     Millis configApply{2'500}; ///< time within which a configuration must be in force
     Millis configStretch{6'000}; ///< added to configApply while the store turns instances away
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -255,6 +255,7 @@
     expireLeases(now);
     stopUnwanted();
     stopBrokenGangs();
+    stopIncompleteGangs(now);
     stopHung(now);
     expireJobs(now);
     dropUnlisted();
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -46,6 +46,7 @@
     Millis leaseDuration{10'000}; ///< how long a worker keeps running attempts after the last poll or start order of a planner
     Millis stopGrace{200}; ///< time that a worker has to stop an attempt
     Millis retention{120'000}; ///< a final job is forgotten after this time
+    Millis gangTimeout{3'000}; ///< a member of a gang that has started waits so long for the others, and ends if they do not start
 };
 
 /// An order to send to a worker.
@@ -207,6 +208,8 @@
     auto isWanted(const Worker &worker, const AttemptKey &key, const Allocation &allocation) const -> bool;
     auto stopUnwanted() -> void;
     auto stopBrokenGangs() -> void;
+    auto stopIncompleteGangs(MonoTime now) -> void;
+    auto lacksMembers(const PoolJobState &state, int occurrence, int step, MonoTime now) const -> bool;
     auto checkFinished(PoolJobState &state, MonoTime now) -> void;
     auto findTask(const TaskKey &key) -> TaskState *;
     auto allocate(Worker &worker, const PoolJobState &state, const AttemptKey &key) -> Allocation &;
--- a/packages/policy/poolstops.cpp
+++ b/packages/policy/poolstops.cpp
@@ -1,6 +1,8 @@
 #include "policy/poolcore.h"
 
 #include <algorithm>
+#include <chrono>
+#include <optional>
 #include <utility>
 
 /// Which attempts are to be stopped, their stop orders, and what is logged about both.
@@ -15,6 +17,8 @@
 constexpr auto stopTimeout = Millis{400};
 /// Interval between two stop orders for the same attempt; longer than a round trip between regions plus PoolOptions::stopGrace.
 constexpr auto stopRetryInterval = Millis{500};
+/// Part of PoolOptions::gangTimeout after which a gang with missing members is stopped; the rest is for the stop orders.
+constexpr auto gangStartPart = 0.5;
 
 }
 
@@ -74,6 +78,50 @@
     }
 }
 
+/// @return whether a member has run for so long without all the others that it might give up before they start.
+auto PoolCore::lacksMembers(const PoolJobState &state, int occurrence, int step, MonoTime now) const -> bool
+{
+    const auto &tasks = state.occurrences[static_cast<std::size_t>(occurrence)].steps[static_cast<std::size_t>(step)].tasks;
+    const auto isStarting = [](const TaskState &it) { return it.phase == TaskPhase::Placed && it.attemptPhase == AttemptPhase::Starting; };
+    if (std::none_of(tasks.begin(), tasks.end(), isStarting)) {
+        return false;
+    }
+    auto firstStart = std::optional<MonoTime>{};
+    for (auto i = 0; i < static_cast<int>(tasks.size()); ++i) {
+        const auto &task = tasks[static_cast<std::size_t>(i)];
+        if (task.phase != TaskPhase::Placed || task.attemptPhase == AttemptPhase::Unknown) {
+            return false;
+        }
+        const auto worker = m_workers.find(task.worker);
+        if (isStarting(task) || worker == m_workers.end()) {
+            continue;
+        }
+        const auto it = worker->second.allocations.find({{.job = state.job.id, .occurrence = occurrence, .step = step, .index = i}, task.attempt});
+        if (it != worker->second.allocations.end()) {
+            // An attempt whose order was not answered is known from the worker's list, at most a poll after its start.
+            const auto startedAt = it->second.acceptedAt == MonoTime{} ? it->second.placedAt : it->second.acceptedAt;
+            firstStart = std::min(firstStart.value_or(startedAt), startedAt);
+        }
+    }
+    const auto limit = std::chrono::duration_cast<Micros>(m_options.gangTimeout * gangStartPart);
+    return firstStart && now - *firstStart >= limit;
+}
+
+/// Members that wait for the others hold their accelerators without progress, and in the end each of them gives up alone.
+auto PoolCore::stopIncompleteGangs(MonoTime now) -> void
+{
+    for (const auto &id : m_active) {
+        const auto &state = m_jobs.at(id);
+        for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
+            for (auto s = 0; s < static_cast<int>(state.job.steps.size()); ++s) {
+                if (state.job.steps[static_cast<std::size_t>(s)].gang && lacksMembers(state, o, s, now)) {
+                    stopStep(state, o, s, StopReason::GangIncomplete);
+                }
+            }
+        }
+    }
+}
+
 auto PoolCore::requestStop(Allocation &allocation, StopReason reason) -> void
 {
     if (!allocation.stopping) {
@@ -137,6 +185,7 @@
     auto stops = std::vector<PoolOrder>{};
     stopUnwanted();
     stopBrokenGangs();
+    stopIncompleteGangs(now);
     logStops(now);
     emitStops(stops, now);
     return stops;
--- a/packages/policy/stopreport.cpp
+++ b/packages/policy/stopreport.cpp
@@ -24,6 +24,8 @@
         return "job_final";
     case StopReason::GangBroken:
         return "gang_broken";
+    case StopReason::GangIncomplete:
+        return "gang_incomplete";
     case StopReason::Preempted:
         return "preempted";
     case StopReason::NoProgress:
--- a/packages/policy/stopreport.h
+++ b/packages/policy/stopreport.h
@@ -23,6 +23,7 @@
 enum class StopReason {
     JobFinal, ///< its job was cancelled, has failed, or has completed without it
     GangBroken, ///< another member of its gang is over
+    GangIncomplete, ///< other members of its gang could not be started in time
     Preempted,
     NoProgress,
     NotListed, ///< its worker accepted the start order and does not list the attempt
