Bound what a planning pass searches and how many starts it issues

Where the planner's processor time went at 1,100 workers, by the profile of poolplan_figures: a pass over a backlog of jobs that differ a little searched all workers for each of them (550 searches a pass, most of them for attempts to preempt), because only jobs of exactly the same shape were skipped after one that did not fit. A pass took 218 ms in the mean and 600 ms at most with 3,340 jobs, and its time grew with jobs times workers.

- A group that needs at least as much as one that did not fit is skipped, whatever its exact shape. - After 32 searches in vain for one priority the rest of it waits for the next pass, which begins with the most urgent again.
Groups within a guarantee count by themselves. - The attempts of a worker and their losses are collected once a pass; an attempt to be preempted no longer leads to a walk over all attempts; racks are numbers within a pass. - A pass places no further groups while 512 start orders wait for an answer (PoolOptions::maxOpenStarts): urgent groups come first, gangs stay whole, the rest is left to later passes (starts_deferred).

--- a/bench/poolplan_figures.cpp
+++ b/bench/poolplan_figures.cpp
@@ -34,15 +34,16 @@
     return rules;
 }
 
-/// The mix of the users' days: urgent gangs, wide gangs of one rack, batches of single accelerators.
+/// The mix of the users' days: urgent gangs, wide gangs of one rack, batches of single accelerators. Hardly two jobs need the same.
 auto makeJob(Random &random, int number) -> PoolJob
 {
     const auto kind = static_cast<int>(random(3));
-    auto step = PoolStep{.tasks = 1 + static_cast<int>(random(kind == 2 ? 40 : 8)),
-                         .perTask = {.cpuMillis = 2'800, .memoryMb = 8'000, .accelerators = kind == 2 ? 1 : std::int64_t{1} << random(4)},
-                         .estimate = Millis{2'500 + random(8'000)},
-                         .gang = kind != 2,
-                         .sameRack = kind != 2 && random(2) == 0};
+    auto step = PoolStep{
+        .tasks = 1 + static_cast<int>(random(kind == 2 ? 40 : 8)),
+        .perTask = {.cpuMillis = 1'000 + random(4'000), .memoryMb = 4'000 + random(8'000), .accelerators = kind == 2 ? 1 : std::int64_t{1} << random(4)},
+        .estimate = Millis{2'500 + random(8'000)},
+        .gang = kind != 2,
+        .sameRack = kind != 2 && random(2) == 0};
     return {.id = JobId{"job" + std::to_string(number)},
             .queue = QueueId{"q" + std::to_string(kind)},
             .workspace = WorkspaceId{"w" + std::to_string(random(4))},
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -47,6 +47,7 @@
     Millis stopGrace{200}; ///< time that a worker has to stop an attempt
     Millis retention{120'000}; ///< a final job is forgotten after this time
     Millis gangTimeout{3'000}; ///< a member of a gang that has started waits so long for the others, and ends if they do not start
+    int maxOpenStarts = 512; ///< start orders without an answer at which a planning pass stops placing further groups
 };
 
 /// An order to send to a worker.
@@ -76,6 +77,9 @@
     std::vector<PoolOrder> starts;
     std::map<WorkerId, std::int64_t> completions; ///< highest number of each worker's completions that the records of @c changed include
     std::vector<PoolLogEntry> logEntries;
+    int searches = 0; ///< times that the pass looked for capacity on all workers
+    int openStarts = 0; ///< start orders without an answer, those of the pass included
+    int deferredGroups = 0; ///< groups that the pass left to the next one because of PoolOptions::maxOpenStarts
 };
 
 /// The next poll of a worker.
@@ -248,6 +252,7 @@
     StopReport m_stopReport;
     std::set<JobId> m_released; ///< jobs with an allocation released since the last planning pass
     std::deque<std::pair<MonoTime, std::int64_t>> m_urgentDemand; ///< accelerators that priority-0 work used or waited for at each planning pass
+    bool m_deferring = false; ///< the last planning pass deferred groups
     bool m_fenced = false;
 };
 
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <string_view>
 #include <tuple>
 
 namespace Catkin
@@ -24,6 +25,10 @@
 /// about 2.5 s.
 constexpr auto urgentDemandWindow = Millis{3'000};
 
+/// Groups of one priority for which a pass looks for capacity in vain before it leaves the rest of them to the next pass. Without a bound
+/// a pass over a backlog takes a time that grows with backlog times workers, and urgent work waits for the pass to end.
+constexpr auto maxFailedSearches = 32;
+
 auto seconds(Micros span) -> double
 {
     return std::chrono::duration<double>(span).count();
@@ -54,6 +59,12 @@
             .accelerators = std::max<std::int64_t>(it.accelerators, 0)};
 }
 
+/// @return whether @p part is at most @p whole in every resource.
+auto isWithin(const Resources &part, const Resources &whole) -> bool
+{
+    return part.cpuMillis <= whole.cpuMillis && part.memoryMb <= whole.memoryMb && part.accelerators <= whole.accelerators;
+}
+
 auto minimum(const Resources &a, const Resources &b) -> Resources
 {
     return {.cpuMillis = std::min(a.cpuMillis, b.cpuMillis),
@@ -85,37 +96,39 @@
     return group.job->job.steps[static_cast<std::size_t>(group.step)];
 }
 
-auto PoolPlacer::shapeOf(const TaskGroup &group, CapacityKind kind, Spread spread) const -> ShapeKey
-{
-    const auto &it = spec(group);
-    return {kind,
-            spread,
-            group.guaranteed,
-            group.queue->service,
-            it.perTask.cpuMillis,
-            it.perTask.memoryMb,
-            it.perTask.accelerators,
-            it.requiredLabel,
-            it.dataRack};
-}
-
 auto PoolPlacer::isRuledOut(const TaskGroup &group, CapacityKind kind, Spread spread) const -> bool
 {
-    const auto it = m_ruledOut.find(shapeOf(group, kind, spread));
+    const auto &wanted = spec(group);
     // The attempts that a group beyond its guarantee may preempt depend on the size of its own work.
     const auto byWork = kind == CapacityKind::Preemptible && !group.guaranteed;
-    return it != m_ruledOut.end() && it->second.tasks <= group.tasks.size() && (!byWork || workOf(group) <= it->second.work);
+    return std::any_of(m_ruledOut.begin(), m_ruledOut.end(), [&](const RuledOut &it) {
+        return it.kind == kind && it.spread == spread && it.guaranteed == group.guaranteed && it.tasks <= group.tasks.size()
+               && isWithin(it.step->perTask, wanted.perTask) && (!byWork || workOf(group) <= it.work) && *it.service == group.queue->service
+               && it.step->requiredLabel == wanted.requiredLabel && it.step->dataRack == wanted.dataRack;
+    });
 }
 
 /// Valid until the end of the pass, in which capacity only shrinks. FreeSoon is the exception: preempt() adds to it, and erases
 /// these entries.
 auto PoolPlacer::ruleOut(const TaskGroup &group, CapacityKind kind, Spread spread) -> void
 {
+    ++failedSearches(group);
     // With a limit of tasks for each worker, the usable capacity depends on the job.
     if (spec(group).maxPerWorker > 0) {
         return;
     }
-    m_ruledOut[shapeOf(group, kind, spread)] = {.tasks = group.tasks.size(), .work = workOf(group)};
+    m_ruledOut.push_back({.kind = kind,
+                          .spread = spread,
+                          .guaranteed = group.guaranteed,
+                          .service = &group.queue->service,
+                          .step = &spec(group),
+                          .tasks = group.tasks.size(),
+                          .work = workOf(group)});
+}
+
+auto PoolPlacer::failedSearches(const TaskGroup &group) -> int &
+{
+    return m_failedSearches[{group.queue->priority, group.guaranteed}];
 }
 
 auto PoolPlacer::workOf(const TaskGroup &group) const -> double
@@ -197,33 +210,40 @@
 
 auto PoolPlacer::sortGroups() -> void
 {
-    const auto rank
-        = [](const TaskGroup &it) { return std::tuple(it.queue->priority, !it.guaranteed, it.latestStart, it.job->job.id, it.occurrence, it.step); };
-    std::sort(m_groups.begin(), m_groups.end(), [&](const TaskGroup &a, const TaskGroup &b) { return rank(a) < rank(b); });
+    const auto goesBefore = [](const TaskGroup &a, const TaskGroup &b) {
+        return std::tie(a.queue->priority, b.guaranteed, a.latestStart, a.job->job.id, a.occurrence, a.step)
+               < std::tie(b.queue->priority, a.guaranteed, b.latestStart, b.job->job.id, b.occurrence, b.step);
+    };
+    std::sort(m_groups.begin(), m_groups.end(), goesBefore);
 }
 
 auto PoolPlacer::collectSlots() -> void
 {
+    auto racks = std::map<std::string_view, std::size_t>{};
+    m_slots.reserve(m_core.m_workers.size());
     for (auto &[id, worker] : m_core.m_workers) {
         auto slot = Slot{.worker = &worker, .free = worker.info.capacity, .freeSoon = {}};
         slot.free -= worker.used;
         slot.freeSoon = slot.free;
         for (const auto &[key, it] : worker.allocations) {
+            m_openStarts += it.orderOpen ? 1 : 0;
             if (it.stopping) {
                 slot.freeSoon += it.resources;
             }
         }
         slot.usable = worker.listed && worker.answered && worker.reachable && !worker.info.draining;
-        m_slots.push_back(slot);
+        slot.rack = racks.try_emplace(worker.info.rack, racks.size()).first->second;
+        m_slots.push_back(std::move(slot));
     }
+    m_racks = racks.size();
 }
 
-auto PoolPlacer::mayPreempt(const TaskGroup &group, const PoolCore::AttemptKey &key, const PoolCore::Allocation &victim) const -> bool
+auto PoolPlacer::mayPreempt(const TaskGroup &group, const Victim &victim) -> bool
 {
-    if (group.queue->priority != 0 || victim.stopping || !m_core.m_jobs.contains(key.first.job)) {
+    if (group.queue->priority != 0 || victim.allocation->stopping) {
         return false;
     }
-    return victim.priority > 0 || (group.guaranteed && !m_guaranteedJobs.contains(key.first.job));
+    return victim.allocation->priority > 0 || (group.guaranteed && !victim.guaranteed);
 }
 
 auto PoolPlacer::lossOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double
@@ -256,21 +276,30 @@
     return std::max(0.1, seconds(estimate) - seconds(m_now - it.placedAt));
 }
 
+auto PoolPlacer::attemptsOn(const Slot &slot) const -> const std::vector<Victim> &
+{
+    if (!slot.attempts) {
+        auto &out = slot.attempts.emplace();
+        for (const auto &[key, it] : slot.worker->allocations) {
+            if (m_core.m_jobs.contains(key.first.job)) {
+                out.push_back({.loss = lossOf(key, it), .key = &key, .allocation = &it, .guaranteed = m_guaranteedJobs.contains(key.first.job)});
+            }
+        }
+        std::sort(out.begin(), out.end(), [](const Victim &a, const Victim &b) { return std::tie(a.loss, *a.key) < std::tie(b.loss, *b.key); });
+    }
+    return *slot.attempts;
+}
+
 auto PoolPlacer::victimsOn(const TaskGroup &group, const Slot &slot) const -> std::vector<Victim>
 {
     const auto own = workOf(group);
     auto victims = std::vector<Victim>{};
-    for (const auto &[key, it] : slot.worker->allocations) {
-        if (!mayPreempt(group, key, it)) {
-            continue;
-        }
+    for (const auto &it : attemptsOn(slot)) {
         // Beyond its workspace's guarantee, a group may not preempt an attempt whose loss exceeds the group's own work.
-        const auto loss = lossOf(key, it);
-        if (group.guaranteed || loss <= own) {
-            victims.push_back({.priority = it.priority, .loss = loss, .key = key, .resources = it.resources});
+        if (mayPreempt(group, it) && (group.guaranteed || it.loss <= own)) {
+            victims.push_back(it);
         }
     }
-    std::sort(victims.begin(), victims.end(), [](const Victim &a, const Victim &b) { return std::tie(a.loss, a.key) < std::tie(b.loss, b.key); });
     return victims;
 }
 
@@ -291,20 +320,21 @@
         if (copiesThatFit(spec(group).perTask, clampToZero(candidate.available), 1) == 0) {
             candidate.cost += it.loss;
         }
-        candidate.available += it.resources;
+        candidate.available += it.allocation->resources;
     }
 }
 
 auto PoolPlacer::candidates(const TaskGroup &group, CapacityKind kind) const -> std::vector<WorkerCandidate>
 {
+    ++m_searches;
     const auto &wanted = spec(group);
     auto out = std::vector<WorkerCandidate>{};
     out.reserve(m_slots.size());
     for (auto i = std::size_t{0}; i < m_slots.size(); ++i) {
         const auto &slot = m_slots[i];
         const auto &info = slot.worker->info;
-        const auto fixed = kind == CapacityKind::Free || kind == CapacityKind::FreeSoon;
-        if (!slot.usable || (fixed && copiesThatFit(wanted.perTask, kind == CapacityKind::Free ? slot.free : slot.freeSoon, 1) == 0)) {
+        const auto &most = kind == CapacityKind::Free ? slot.free : kind == CapacityKind::FreeSoon ? slot.freeSoon : info.capacity;
+        if (!slot.usable || copiesThatFit(wanted.perTask, most, 1) == 0) {
             continue;
         }
         const auto labelled = wanted.requiredLabel.empty() || std::find(info.labels.begin(), info.labels.end(), wanted.requiredLabel) != info.labels.end();
@@ -337,10 +367,10 @@
     const auto key = std::tuple{group.queue->service, wanted.perTask.cpuMillis, wanted.perTask.memoryMb, wanted.perTask.accelerators, limit};
     const auto [most, isNew] = m_maxTasksInRack.try_emplace(key, 0);
     if (isNew) {
-        auto racks = std::map<std::string, int>{};
+        auto racks = std::vector<int>(m_racks);
         for (const auto &it : m_slots) {
             if (it.usable && it.worker->info.service == group.queue->service) {
-                auto &n = racks[it.worker->info.rack];
+                auto &n = racks[it.rack];
                 n += copiesThatFit(wanted.perTask, it.worker->info.capacity, limit);
                 most->second = std::max(most->second, n);
             }
@@ -381,6 +411,8 @@
         allocation.placedAt = m_now;
         slot.free -= wanted.perTask;
         slot.freeSoon -= wanted.perTask;
+        slot.attempts.reset();
+        ++m_openStarts;
         m_freeAccelerators -= wanted.perTask.accelerators;
         m_core.emitStart(effects, *slot.worker, {key, task.attempt});
     }
@@ -432,33 +464,44 @@
     return true;
 }
 
+/// Counts the capacity of an attempt that is to be stopped as free soon.
+auto PoolPlacer::addFreeSoon(const WorkerId &worker, const PoolCore::AttemptKey &key) -> void
+{
+    const auto slot = std::lower_bound(m_slots.begin(), m_slots.end(), worker, [](const Slot &it, const WorkerId &id) { return it.worker->info.id < id; });
+    if (slot == m_slots.end() || slot->worker->info.id != worker) {
+        return;
+    }
+    const auto it = slot->worker->allocations.find(key);
+    if (it != slot->worker->allocations.end() && !it->second.stopping) {
+        slot->freeSoon += it->second.resources;
+    }
+}
+
 auto PoolPlacer::preemptOn(const TaskGroup &group, Slot &slot, const Resources &need) -> void
 {
-    for (const auto &[priority, loss, key, resources] : victimsOn(group, slot)) {
+    for (const auto &victim : victimsOn(group, slot)) {
         if (copiesThatFit(need, clampToZero(slot.freeSoon), 1) == 1) {
             return;
         }
-        auto *task = m_core.findTask(key.first);
+        if (victim.allocation->stopping) {
+            continue; // with another member of its gang
+        }
+        const auto &key = *victim.key;
         const auto &state = m_core.m_jobs.at(key.first.job);
-        const auto gang = state.job.steps[static_cast<std::size_t>(key.first.step)].gang;
         m_core.logDecision("preempted",
-                           "job=" + key.first.job.str() + " step=" + std::to_string(key.first.step) + " task=" + std::to_string(key.first.index) + " worker="
-                               + slot.worker->info.id.str() + " for_job=" + group.job->job.id.str() + " loss_core_s=" + std::to_string(static_cast<int>(loss)));
-        auto before = std::vector<std::pair<PoolCore::Worker *, Resources>>{};
-        for (auto &it : m_slots) {
-            for (const auto &[other, allocation] : it.worker->allocations) {
-                const auto same = gang
-                                      ? other.first.job == key.first.job && other.first.occurrence == key.first.occurrence && other.first.step == key.first.step
-                                      : other == key;
-                if (same && !allocation.stopping) {
-                    it.freeSoon += allocation.resources;
-                }
+                           "job=" + key.first.job.str() + " step=" + std::to_string(key.first.step) + " task=" + std::to_string(key.first.index)
+                               + " worker=" + slot.worker->info.id.str() + " for_job=" + group.job->job.id.str()
+                               + " loss_core_s=" + std::to_string(static_cast<int>(victim.loss)));
+        if (state.job.steps[static_cast<std::size_t>(key.first.step)].gang) {
+            const auto &tasks = state.occurrences[static_cast<std::size_t>(key.first.occurrence)].steps[static_cast<std::size_t>(key.first.step)].tasks;
+            for (auto i = 0; i < static_cast<int>(tasks.size()); ++i) {
+                const auto &task = tasks[static_cast<std::size_t>(i)];
+                const auto member = TaskKey{.job = key.first.job, .occurrence = key.first.occurrence, .step = key.first.step, .index = i};
+                addFreeSoon(task.worker, {member, task.attempt});
             }
-        }
-        if (gang) {
             m_core.stopStep(state, key.first.occurrence, key.first.step, StopReason::Preempted);
         } else {
-            m_core.stopAttempt(key.first, *task, StopReason::Preempted);
+            addFreeSoon(slot.worker->info.id, key);
         }
         PoolCore::requestStop(slot.worker->allocations.at(key), StopReason::Preempted);
     }
@@ -476,7 +519,7 @@
         return false;
     }
     // The attempts stopped here add to the FreeSoon capacity.
-    std::erase_if(m_ruledOut, [](const auto &it) { return std::get<CapacityKind>(it.first) == CapacityKind::FreeSoon; });
+    std::erase_if(m_ruledOut, [](const RuledOut &it) { return it.kind == CapacityKind::FreeSoon; });
     for (const auto it : *chosen) {
         auto &slot = m_slots[reclaimable[it].worker];
         preemptOn(group, slot, spec(group).perTask);
@@ -567,6 +610,9 @@
 auto PoolPlacer::placeGroup(TaskGroup &group, PoolEffects &effects) -> bool
 {
     const auto &wanted = spec(group);
+    if (failedSearches(group) >= maxFailedSearches) {
+        return false;
+    }
     if (yieldsToUrgent(group)) {
         reserveCapacity(group);
         return false;
@@ -616,6 +662,18 @@
     return false;
 }
 
+/// Logs when passes begin and when they cease to defer groups.
+auto PoolPlacer::logDeferred(std::size_t groups) -> void
+{
+    if (m_core.m_deferring == (groups > 0)) {
+        return;
+    }
+    m_core.m_deferring = groups > 0;
+    m_core.logDecision(groups > 0 ? "starts_deferred" : "starts_resumed",
+                       "groups=" + std::to_string(groups) + " open_starts=" + std::to_string(m_openStarts)
+                           + " limit=" + std::to_string(m_core.m_options.maxOpenStarts));
+}
+
 auto PoolPlacer::place(PoolEffects &effects) -> void
 {
     collectGroups();
@@ -623,11 +681,17 @@
     sortGroups();
     collectSlots();
     measureUrgentDemand();
-    for (auto &it : m_groups) {
-        if (!placeGroup(it, effects)) {
-            logWait(it);
+    auto group = m_groups.begin();
+    for (; group != m_groups.end() && m_openStarts < m_core.m_options.maxOpenStarts; ++group) {
+        if (!placeGroup(*group, effects)) {
+            logWait(*group);
         }
     }
+    const auto deferred = static_cast<std::size_t>(m_groups.end() - group);
+    logDeferred(deferred);
+    effects.searches = m_searches;
+    effects.openStarts = m_openStarts;
+    effects.deferredGroups = static_cast<int>(deferred);
 }
 
 }
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -12,11 +12,15 @@
 /// A group of priority 0 that finds too little free capacity preempts work of lower priorities. Within a guarantee, it
 /// also preempts priority-0 work beyond a guarantee. Other groups wait. The first waiting group of each priority reserves
 /// the capacity on which it can start soonest, so that small work cannot starve a large gang.
+///
+/// A pass places no more groups than can be started soon (PoolOptions::maxOpenStarts): start orders that wait would hold capacity, and
+/// gangs of which some members have started would wait for the others. The order of the groups says whose start comes first.
 
 #include "policy/poolcore.h"
 #include "policy/poolplacement.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -54,6 +58,15 @@
         Preemptible, ///< FreeSoon and the capacity of attempts that the group may preempt
         Eventual, ///< FreeSoon and the capacity of all other attempts, once they end
     };
+    /// An attempt on a worker, and what stopping it would cost.
+    struct Victim
+    {
+        double loss = 0.0; ///< core-seconds of work that are lost when it is stopped
+        const PoolCore::AttemptKey *key = nullptr;
+        const PoolCore::Allocation *allocation = nullptr;
+        bool guaranteed = false; ///< its job is within its workspace's guarantee
+    };
+
     /// A worker's capacity that is left in this pass.
     struct Slot
     {
@@ -61,42 +74,40 @@
         Resources free;
         Resources freeSoon;
         bool usable = false;
+        std::size_t rack = 0; ///< index of the worker's rack in this pass
+        mutable std::optional<std::vector<Victim>> attempts; ///< those of known jobs, the smallest loss first; made when it is first needed
     };
 
-    /// An attempt that may be preempted.
-    struct Victim
-    {
-        int priority = 0;
-        double loss = 0.0; ///< core-seconds of work that are lost when it is stopped
-        PoolCore::AttemptKey key;
-        Resources resources;
-    };
-
-    /// Groups with the same key compete for the same capacity: after one does not fit, those that need at least as much are
-    /// skipped for the rest of the pass.
-    using ShapeKey = std::tuple<CapacityKind, Spread, bool, ServiceId, std::int64_t, std::int64_t, std::int64_t, std::string, std::string>;
-
-    /// Size of a group that did not fit.
+    /// A group that did not fit. Groups that need at least as much of the same capacity are skipped for the rest of the pass, so that a
+    /// long backlog of jobs which all differ a little costs one search for each size that matters, not one for each job.
     struct RuledOut
     {
+        CapacityKind kind = CapacityKind::Free;
+        Spread spread = Spread::Anywhere;
+        bool guaranteed = false;
+        const ServiceId *service = nullptr;
+        const PoolStep *step = nullptr;
         std::size_t tasks = 0;
         double work = 0.0; ///< in core-seconds
     };
 
-    auto shapeOf(const TaskGroup &group, CapacityKind kind, Spread spread) const -> ShapeKey;
     auto isRuledOut(const TaskGroup &group, CapacityKind kind, Spread spread) const -> bool;
     auto ruleOut(const TaskGroup &group, CapacityKind kind, Spread spread) -> void;
+    /// Searches in vain of this pass for groups like @p group: of its priority, and within a guarantee or not.
+    auto failedSearches(const TaskGroup &group) -> int &;
     auto collectGroups() -> void;
     auto collectStep(PoolJobState &state, const PoolQueue &queue, int occurrence, int step) -> void;
     auto markGuaranteed() -> void;
     auto sortGroups() -> void;
     auto collectSlots() -> void;
+    auto attemptsOn(const Slot &slot) const -> const std::vector<Victim> &;
     auto candidates(const TaskGroup &group, CapacityKind kind) const -> std::vector<WorkerCandidate>;
     auto addReclaimable(const TaskGroup &group, CapacityKind kind, const Slot &slot, WorkerCandidate &candidate) const -> void;
     auto placeGroup(TaskGroup &group, PoolEffects &effects) -> bool;
     auto placeGang(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool;
     auto reserveFreeSoon(const TaskGroup &group, Spread spread) -> bool;
     auto preempt(const TaskGroup &group, Spread spread) -> bool;
+    auto addFreeSoon(const WorkerId &worker, const PoolCore::AttemptKey &key) -> void;
     auto preemptOn(const TaskGroup &group, Slot &slot, const Resources &need) -> void;
     auto victimsOn(const TaskGroup &group, const Slot &slot) const -> std::vector<Victim>;
     auto measureUrgentDemand() -> void;
@@ -104,10 +115,11 @@
     auto yieldsToUrgent(const TaskGroup &group) const -> bool;
     auto hasAmpleSlack(const TaskGroup &group) const -> bool;
     auto logWait(const TaskGroup &group) -> void;
+    auto logDeferred(std::size_t groups) -> void;
     auto reserveCapacity(const TaskGroup &group) -> void;
     auto start(TaskGroup &group, const std::vector<int> &tasks, const std::vector<std::size_t> &slots, PoolEffects &effects) -> void;
     auto reserveOn(Slot &slot, const Resources &need) -> void;
-    auto mayPreempt(const TaskGroup &group, const PoolCore::AttemptKey &key, const PoolCore::Allocation &victim) const -> bool;
+    static auto mayPreempt(const TaskGroup &group, const Victim &victim) -> bool;
     auto lossOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double;
     auto workOf(const TaskGroup &group) const -> double;
     auto remainingOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double;
@@ -121,10 +133,14 @@
     std::vector<Slot> m_slots;
     std::set<JobId> m_guaranteedJobs;
     std::set<int> m_blockedPriorities;
-    std::map<ShapeKey, RuledOut> m_ruledOut;
+    std::vector<RuledOut> m_ruledOut;
+    std::map<std::pair<int, bool>, int> m_failedSearches; ///< by priority, and whether within a guarantee
     /// Most tasks of a shape that one rack of idle workers can take.
     std::map<std::tuple<ServiceId, std::int64_t, std::int64_t, std::int64_t, int>, int> m_maxTasksInRack;
+    std::size_t m_racks = 0; ///< number of racks
     std::int64_t m_freeAccelerators = 0;
+    int m_openStarts = 0; ///< start orders without an answer, those of this pass included
+    mutable int m_searches = 0; ///< calls of candidates()
     std::int64_t m_urgentReserve = 0; ///< accelerators kept free of work of lower priorities
 };
 
--- /dev/null
+++ b/packages/policy/testing/poolcore_scale_test.cpp
@@ -0,0 +1,208 @@
+#include "policy/poolcore.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+using namespace Catkin;
+
+/// Loads of a fleet of hundreds of workers: long backlogs, and many starts at once.
+
+namespace
+{
+
+auto makeJob(const std::string &id, const std::string &queue, const PoolStep &step) -> PoolJob
+{
+    return {.id = JobId{id}, .queue = QueueId{queue}, .workspace = WorkspaceId{"w"}, .payload = "p", .steps = {step}};
+}
+
+auto gangOf(int tasks, std::int64_t accelerators) -> PoolStep
+{
+    return {.tasks = tasks, .perTask = {.cpuMillis = 1'000, .memoryMb = 1'000, .accelerators = accelerators}, .estimate = Millis{4'000}, .gang = true};
+}
+
+auto batchOf(int tasks) -> PoolStep
+{
+    return {.tasks = tasks, .perTask = {.cpuMillis = 1'000, .memoryMb = 1'000, .accelerators = 1}, .estimate = Millis{4'000}};
+}
+
+/// A planner with idle workers of eight accelerators each.
+struct Fleet
+{
+    explicit Fleet(int workers, const PoolOptions &options = {})
+        : core(options)
+    {
+        auto rules = PoolRules{};
+        for (const auto &[name, priority] : {std::pair{"urgent", 0}, std::pair{"batch", 2}}) {
+            rules.queues[QueueId{name}]
+                = {.id = QueueId{name}, .service = ServiceId{"s"}, .priority = priority, .maxAttempts = 3, .stretch = 2.0, .targetRuntime = Millis{1'000}};
+        }
+        core.setRules(rules);
+        auto listed = std::vector<PoolWorkerInfo>{};
+        for (auto i = 0; i < workers; ++i) {
+            listed.push_back({.id = WorkerId{"w" + std::to_string(i)},
+                              .address = "10.0.0.1:" + std::to_string(i + 1),
+                              .service = ServiceId{"s"},
+                              .rack = "r" + std::to_string(i / 8),
+                              .capacity = {.cpuMillis = 32'000, .memoryMb = 128'000, .accelerators = 8},
+                              .born = Incarnation{1}});
+        }
+        core.setWorkers(listed, now);
+        for (const auto &it : listed) {
+            core.applyPollReply(it.id, {.clock = WorkerTime{100'000}, .born = Incarnation{1}}, now, now);
+        }
+    }
+
+    auto plan(Millis later = Millis{100}) -> PoolEffects
+    {
+        now += later;
+        auto effects = core.plan(now, WallTime{});
+        core.recorded(effects);
+        return effects;
+    }
+
+    auto answer(const std::vector<PoolOrder> &orders, OrderOutcome outcome) -> void
+    {
+        for (const auto &it : orders) {
+            if (it.kind == PoolOrder::Kind::Start) {
+                core.leaseFor(it.worker, now);
+            }
+            core.applyOrder(it, outcome, now);
+        }
+    }
+
+    PoolCore core;
+    MonoTime now{Seconds{1'000}};
+};
+
+auto tasksOf(const std::vector<PoolOrder> &orders, const std::string &job) -> int
+{
+    return static_cast<int>(std::count_if(orders.begin(), orders.end(), [&](const PoolOrder &it) { return it.task.job.str() == job; }));
+}
+
+auto hasDecision(const PoolEffects &effects, const std::string &decision, const std::string &text) -> bool
+{
+    return std::any_of(effects.logEntries.begin(), effects.logEntries.end(), [&](const PoolLogEntry &it) {
+        return it.decision == decision && it.text.find(text) != std::string::npos;
+    });
+}
+
+}
+
+// Guards against members of a gang that wait, without progress and in vain, for members whose orders are queued at the planner, until
+// each of them gives up alone.
+TEST_CASE("a gang of which a member cannot be started is stopped before its members give up, and placed again")
+{
+    auto fleet = Fleet{3, {.gangTimeout = Millis{3'000}}};
+    fleet.core.addJob(makeJob("g", "batch", gangOf(3, 8)), fleet.now);
+    const auto starts = fleet.plan().starts;
+    REQUIRE(starts.size() == 3);
+    fleet.answer({starts[0], starts[1]}, OrderOutcome::Accepted);
+    CHECK(fleet.plan(Millis{1'400}).stops.empty());
+    CHECK(fleet.core.isCurrent(starts[2]));
+    const auto effects = fleet.plan(Millis{200});
+    CHECK(tasksOf(effects.stops, "g") == 3);
+    CHECK(hasDecision(effects, "stopping", "reason=gang_incomplete"));
+    CHECK_FALSE(fleet.core.isCurrent(starts[2])); // withdrawn from its queue
+    fleet.answer({starts[2]}, OrderOutcome::NotSent);
+    fleet.answer(effects.stops, OrderOutcome::Accepted);
+    for (const auto &it : {starts[0], starts[1]}) {
+        const auto end = AttemptCompletion{.number = 1, .task = it.task, .attempt = 1, .kind = CompletionKind::Stopped};
+        fleet.core.applyPollReply(it.worker, {.clock = WorkerTime{103'000}, .born = Incarnation{1}, .completions = {end}}, fleet.now, fleet.now);
+    }
+    const auto again = fleet.plan().starts;
+    REQUIRE(again.size() == 3);
+    CHECK(again[0].attempt == 2);
+}
+
+TEST_CASE("a gang whose members have all started is not stopped, however long it runs")
+{
+    auto fleet = Fleet{3, {.gangTimeout = Millis{3'000}}};
+    fleet.core.addJob(makeJob("g", "batch", gangOf(3, 8)), fleet.now);
+    const auto starts = fleet.plan().starts;
+    for (const auto &it : starts) {
+        fleet.plan(Millis{400});
+        fleet.answer({it}, OrderOutcome::Accepted);
+    }
+    CHECK(fleet.plan(Millis{2'000}).stops.empty());
+}
+
+// Guards against thousands of start orders that wait at the planner: they hold capacity, urgent work waits behind them, and gangs
+// start in part.
+TEST_CASE("a pass starts no more than can be sent soon: urgent groups first, gangs whole, the rest in later passes")
+{
+    auto fleet = Fleet{200, {.maxOpenStarts = 150}};
+    for (auto i = 0; i < 10; ++i) {
+        fleet.core.addJob(makeJob("batch" + std::to_string(i), "batch", batchOf(60)), fleet.now);
+    }
+    fleet.core.addJob(makeJob("gang", "batch", gangOf(64, 1)), fleet.now);
+    fleet.core.addJob(makeJob("urgent", "urgent", gangOf(16, 8)), fleet.now);
+    auto started = std::map<std::string, int>{};
+    auto passes = 0;
+    for (auto total = 0; total < 10 * 60 + 64 + 16; ++passes) {
+        REQUIRE(passes < 20);
+        const auto effects = fleet.plan();
+        CHECK(effects.starts.size() < 150 + 64);
+        CHECK(hasDecision(effects, "starts_deferred", "limit=150") == (passes == 0));
+        if (passes == 0) {
+            CHECK(tasksOf(effects.starts, "urgent") == 16);
+            CHECK(effects.deferredGroups > 0);
+            CHECK(fleet.plan().starts.empty()); // none has been answered
+        }
+        const auto members = tasksOf(effects.starts, "gang");
+        CHECK((members == 0 || members == 64));
+        total += static_cast<int>(effects.starts.size());
+        fleet.answer(effects.starts, OrderOutcome::Accepted);
+    }
+    CHECK(passes >= 4);
+    CHECK(fleet.plan().deferredGroups == 0);
+}
+
+// Guards against a pass whose time grows with the backlog times the fleet: with 1,100 workers and 3,300 jobs that differ a little it took
+// more than 0.2 s, and urgent work waited for it.
+TEST_CASE("a pass over a long backlog of differing jobs looks for capacity a bounded number of times")
+{
+    auto fleet = Fleet{40, {.maxOpenStarts = 100'000}};
+    for (auto i = 0; i < 40; ++i) {
+        fleet.core.addJob(makeJob("full" + std::to_string(i), "urgent", gangOf(8, 1)), fleet.now);
+    }
+    fleet.answer(fleet.plan().starts, OrderOutcome::Accepted);
+    auto searches = std::vector<int>{};
+    for (const auto jobs : {500, 2'000}) {
+        for (auto i = 0; i < jobs; ++i) {
+            auto step = i % 2 == 0 ? gangOf(1 + i % 7, 1 + i % 8) : batchOf(1 + i % 50);
+            step.sameRack = i % 3 == 0;
+            step.perTask.cpuMillis += 100'000 - 17 * i;
+            step.perTask.memoryMb += 13 * i;
+            fleet.core.addJob(makeJob("job" + std::to_string(jobs) + "-" + std::to_string(i), i % 5 == 0 ? "urgent" : "batch", step), fleet.now);
+        }
+        const auto effects = fleet.plan();
+        CHECK(effects.starts.empty());
+        searches.push_back(effects.searches);
+    }
+    CHECK(searches[0] > 0);
+    CHECK(searches[1] <= 200);
+}
+
+// Guards against small work that is never placed because larger work before it finds no capacity.
+TEST_CASE("jobs that fit are placed although many larger ones of another priority wait")
+{
+    auto fleet = Fleet{20, {}};
+    for (auto i = 0; i < 20; ++i) {
+        fleet.core.addJob(makeJob("most" + std::to_string(i), "urgent", gangOf(1, 5)), fleet.now);
+    }
+    fleet.answer(fleet.plan().starts, OrderOutcome::Accepted);
+    for (auto i = 0; i < 300; ++i) {
+        auto step = gangOf(1 + i % 3, 8);
+        step.perTask.cpuMillis = 31'900 - 7 * i;
+        fleet.core.addJob(makeJob("large" + std::to_string(i), "urgent", step), fleet.now);
+    }
+    fleet.core.addJob(makeJob("small", "batch", batchOf(1)), fleet.now);
+    auto started = 0;
+    for (auto i = 0; i < 60 && started == 0; ++i) {
+        started = tasksOf(fleet.plan().starts, "small");
+    }
+    CHECK(started == 1);
+}
