Show what a planning pass costs in the metrics

An operator could not see that a planner's passes take long, or that it defers starts. New gauges: catkin_plan_pass_seconds, catkin_plan_searches, catkin_open_starts and catkin_deferred_groups.

--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -173,6 +173,10 @@
     GaugeFamily workers = gauge("workers", "Workers of the failure domain by state", {"state"});
     GaugeFamily stopping = gauge("stopping_attempts", "Attempts that are to be stopped and may still run");
     GaugeFamily oldestStop = gauge("oldest_stop_seconds", "How long the first of them has been stopping");
+    GaugeFamily planSeconds = gauge("plan_pass_seconds", "Duration of the last pass of the pool planner");
+    GaugeFamily planSearches = gauge("plan_searches", "Times that the last pass looked for capacity on all workers");
+    GaugeFamily openStarts = gauge("open_starts", "Start orders without an answer after the last pass");
+    GaugeFamily deferredGroups = gauge("deferred_groups", "Groups of tasks that the last pass left to the next because of open start orders");
     GaugeFamily slots = gauge("slots", "Slots of the failure domain by state", {"state"});
     GaugeFamily largestFree = gauge("largest_free_block_slots", "Largest block of adjacent free slots");
     GaugeFamily planner = gauge("planner", "1 while this instance plans a failure domain");
@@ -343,6 +347,14 @@
     m_families->oldestStop.at({}).Set(seconds(oldest));
 }
 
+auto Metrics::setPlanningPass(const PlanningPass &pass) -> void
+{
+    m_families->planSeconds.at({}).Set(seconds(pass.duration));
+    m_families->planSearches.at({}).Set(pass.searches);
+    m_families->openStarts.at({}).Set(pass.openStarts);
+    m_families->deferredGroups.at({}).Set(pass.deferredGroups);
+}
+
 auto Metrics::setSlots(SlotState state, SlotCount slots) -> void
 {
     m_families->slots.at({nameOf(slotStates, state)}).Set(static_cast<double>(slots.value));
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -46,6 +46,15 @@
     std::size_t maxHistogramSeries = 256;
 };
 
+/// One pass of a pool planner.
+struct PlanningPass
+{
+    Micros duration{0};
+    int searches = 0; ///< times that it looked for capacity on all workers
+    int openStarts = 0; ///< start orders without an answer
+    int deferredGroups = 0; ///< groups left to the next pass because of too many open start orders
+};
+
 class Metrics
 {
 public:
@@ -87,6 +96,7 @@
     /// @param count attempts that are to be stopped and may still run
     /// @param oldest how long the first of them has been stopping
     auto setStoppingAttempts(std::size_t count, Micros oldest) -> void;
+    auto setPlanningPass(const PlanningPass &pass) -> void;
     auto setSlots(SlotState state, SlotCount slots) -> void;
     auto setLargestFreeBlock(SlotCount slots) -> void;
     auto setPlanner(bool active) -> void;
