Let start orders wait at the planner, not on its link

Start orders without an answer now take at most 150 ms of what the link carries (limits.link_mbps of the settings): urgent groups first, gangs whole, of other groups as many tasks as fit. The time for an answer begins when the orders before have passed the link.

--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -39,6 +39,7 @@
 constexpr auto followerPace = Millis{200};
 /// Margin by which the view's age limit stays below the bound on visibility.
 constexpr auto viewMargin = Millis{1'000};
+constexpr auto bytesPerMegabit = 125'000.0;
 
 /// The log of jobs that an instance writes to first.
 auto homeLogOf(const InstanceId &instance) -> std::size_t
@@ -343,7 +344,11 @@
     logEvent(LogLevel::Info, 6035, "term epoch=" + std::to_string(*epoch) + " begins");
     const auto options = PoolTermOptions{
         .epoch = *epoch,
-        .pool = {.leaseDuration = settings.lease, .stopGrace = settings.stopGrace, .retention = settings.retention, .gangTimeout = settings.gangTimeout},
+        .pool = {.leaseDuration = settings.lease,
+                 .stopGrace = settings.stopGrace,
+                 .retention = settings.retention,
+                 .gangTimeout = settings.gangTimeout,
+                 .linkBytesPerSecond = static_cast<std::int64_t>(settings.linkMbps * bytesPerMegabit)},
         .workerHeartbeat = settings.workerHeartbeat,
     };
     auto fresh = std::make_shared<PoolTerm>(options, ports, clock, view, termHooks());
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -356,9 +356,17 @@
     }
 }
 
+auto PoolCore::linkTime(std::int64_t bytes) const -> Millis
+{
+    constexpr auto millisPerSecond = 1'000;
+    return Millis{bytes * millisPerSecond / std::max<std::int64_t>(m_options.linkBytesPerSecond, 1)};
+}
+
+/// The time for an answer begins when the orders before this one have passed the link.
 auto PoolCore::emitStart(PoolEffects &effects, const Worker &worker, const AttemptKey &key) -> void
 {
     const auto &state = m_jobs.at(key.first.job);
+    m_openStartBytes += startOrderBytes(state.job);
     effects.starts.push_back({
         .kind = PoolOrder::Kind::Start,
         .worker = worker.info.id,
@@ -367,7 +375,7 @@
         .attempt = key.second,
         .payload = state.job.payload,
         .checkpoint = findTask(key.first)->checkpoint,
-        .answerTimeout = startTimeouts.at(static_cast<std::size_t>(worker.allocations.at(key).startTries - 1)),
+        .answerTimeout = startTimeouts.at(static_cast<std::size_t>(worker.allocations.at(key).startTries - 1)) + linkTime(m_openStartBytes),
     });
 }
 
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -47,7 +47,8 @@
     Millis stopGrace{200}; ///< time that a worker has to stop an attempt
     Millis retention{120'000}; ///< a final job is forgotten after this time
     Millis gangTimeout{3'000}; ///< a member of a gang that has started waits so long for the others, and ends if they do not start
-    int maxOpenStarts = 512; ///< start orders without an answer at which a planning pass stops placing further groups
+    int maxOpenStarts = 512; ///< start orders without an answer at which a planning pass places nothing more
+    std::int64_t linkBytesPerSecond = 125'000'000; ///< what the planner's link carries; bounds the bytes of start orders without an answer
 };
 
 /// An order to send to a worker.
@@ -79,7 +80,7 @@
     std::vector<PoolLogEntry> logEntries;
     int searches = 0; ///< times that the pass looked for capacity on all workers
     int openStarts = 0; ///< start orders without an answer, those of the pass included
-    int deferredGroups = 0; ///< groups that the pass left to the next one because of PoolOptions::maxOpenStarts
+    int deferredGroups = 0; ///< groups that the pass left to the next one because of too many open start orders
 };
 
 /// The next poll of a worker.
@@ -232,6 +233,7 @@
     static auto getsOrders(const Worker &worker) -> bool;
     auto emitStops(std::vector<PoolOrder> &stops, MonoTime now) -> void;
     auto emitStarts(PoolEffects &effects) -> void;
+    auto linkTime(std::int64_t bytes) const -> Millis;
     auto emitStart(PoolEffects &effects, const Worker &worker, const AttemptKey &key) -> void;
     auto logDecision(const char *decision, std::string text) -> void;
     static auto requestStop(Allocation &allocation, StopReason reason) -> void;
@@ -252,6 +254,7 @@
     StopReport m_stopReport;
     std::set<JobId> m_released; ///< jobs with an allocation released since the last planning pass
     std::deque<std::pair<MonoTime, std::int64_t>> m_urgentDemand; ///< accelerators that priority-0 work used or waited for at each planning pass
+    std::int64_t m_openStartBytes = 0; ///< of the start orders without an answer; counted anew by each planning pass
     bool m_deferring = false; ///< the last planning pass deferred groups
     bool m_fenced = false;
 };
--- a/packages/policy/pooljob.cpp
+++ b/packages/policy/pooljob.cpp
@@ -194,6 +194,12 @@
     });
 }
 
+auto startOrderBytes(const PoolJob &job) -> std::int64_t
+{
+    constexpr auto headers = std::int64_t{600};
+    return headers + static_cast<std::int64_t>(job.payload.size());
+}
+
 auto jobProblem(const PoolJob &job) -> std::optional<std::string>
 {
     if (!isJobId(job.id)) {
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -178,6 +178,9 @@
 /// @return whether any task has been started.
 auto hasBegun(const PoolJobState &state) -> bool;
 
+/// @return about how many bytes the start order of one task takes on the wire, headers included.
+auto startOrderBytes(const PoolJob &job) -> std::int64_t;
+
 /// Checks a submitted job against the limits of the product.
 /// @return why the job is invalid; nothing if it is valid
 auto jobProblem(const PoolJob &job) -> std::optional<std::string>;
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -28,6 +28,9 @@
 /// Groups of one priority for which a pass looks for capacity in vain before it leaves the rest of them to the next pass. Without a bound
 /// a pass over a backlog takes a time that grows with backlog times workers, and urgent work waits for the pass to end.
 constexpr auto maxFailedSearches = 32;
+/// Start orders without an answer take at most this long on the planner's link: half of the time after which the first of them would be
+/// sent again.
+constexpr auto linkWindow = Millis{150};
 
 auto seconds(Micros span) -> double
 {
@@ -219,6 +222,7 @@
 
 auto PoolPlacer::collectSlots() -> void
 {
+    m_core.m_openStartBytes = 0;
     auto racks = std::map<std::string_view, std::size_t>{};
     m_slots.reserve(m_core.m_workers.size());
     for (auto &[id, worker] : m_core.m_workers) {
@@ -226,7 +230,11 @@
         slot.free -= worker.used;
         slot.freeSoon = slot.free;
         for (const auto &[key, it] : worker.allocations) {
-            m_openStarts += it.orderOpen ? 1 : 0;
+            if (it.orderOpen) {
+                ++m_openStarts;
+                const auto *state = m_core.find(key.first.job);
+                m_core.m_openStartBytes += state == nullptr ? 0 : startOrderBytes(state->job);
+            }
             if (it.stopping) {
                 slot.freeSoon += it.resources;
             }
@@ -619,7 +627,8 @@
     }
     if (!wanted.gang && !isRuledOut(group, CapacityKind::Free, Spread::Anywhere)) {
         const auto free = candidates(group, CapacityKind::Free);
-        const auto chosen = chooseForSome(free, wanted, static_cast<int>(group.tasks.size()));
+        const auto limit = std::min(static_cast<int>(group.tasks.size()), startsLeft(group));
+        const auto chosen = chooseForSome(free, wanted, limit);
         if (!chosen.empty()) {
             auto slots = std::vector<std::size_t>{};
             for (const auto it : chosen) {
@@ -632,6 +641,9 @@
         if (group.tasks.empty()) {
             return true;
         }
+        if (static_cast<int>(chosen.size()) == limit) {
+            return false; // the rest follows when these have been answered
+        }
         // Not even one of the remaining tasks fits.
         auto one = group;
         one.tasks.resize(1);
@@ -671,7 +683,21 @@
     m_core.m_deferring = groups > 0;
     m_core.logDecision(groups > 0 ? "starts_deferred" : "starts_resumed",
                        "groups=" + std::to_string(groups) + " open_starts=" + std::to_string(m_openStarts)
-                           + " limit=" + std::to_string(m_core.m_options.maxOpenStarts));
+                           + " open_bytes=" + std::to_string(m_core.m_openStartBytes));
+}
+
+auto PoolPlacer::mayStartMore() const -> bool
+{
+    return m_openStarts < m_core.m_options.maxOpenStarts && m_core.linkTime(m_core.m_openStartBytes) < linkWindow;
+}
+
+/// @return how many tasks of the group may be started, if any may; at least one.
+auto PoolPlacer::startsLeft(const TaskGroup &group) const -> int
+{
+    const auto left = linkWindow - m_core.linkTime(m_core.m_openStartBytes);
+    const auto bytes = m_core.m_options.linkBytesPerSecond * left.count() / Millis{Seconds{1}}.count();
+    const auto byLink = std::clamp<std::int64_t>(bytes / startOrderBytes(group.job->job), 1, m_core.m_options.maxOpenStarts);
+    return std::max(1, std::min(static_cast<int>(byLink), m_core.m_options.maxOpenStarts - m_openStarts));
 }
 
 auto PoolPlacer::place(PoolEffects &effects) -> void
@@ -682,7 +708,7 @@
     collectSlots();
     measureUrgentDemand();
     auto group = m_groups.begin();
-    for (; group != m_groups.end() && m_openStarts < m_core.m_options.maxOpenStarts; ++group) {
+    for (; group != m_groups.end() && mayStartMore(); ++group) {
         if (!placeGroup(*group, effects)) {
             logWait(*group);
         }
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -13,8 +13,9 @@
 /// also preempts priority-0 work beyond a guarantee. Other groups wait. The first waiting group of each priority reserves
 /// the capacity on which it can start soonest, so that small work cannot starve a large gang.
 ///
-/// A pass places no more groups than can be started soon (PoolOptions::maxOpenStarts): start orders that wait would hold capacity, and
-/// gangs of which some members have started would wait for the others. The order of the groups says whose start comes first.
+/// A pass places no more than can be started soon (PoolOptions::maxOpenStarts and linkBytesPerSecond): start orders that wait would hold
+/// capacity, gangs of which some members have started would wait for the others, and a full link delays stop orders, polls and renewals.
+/// The order of the groups says whose start comes first.
 
 #include "policy/poolcore.h"
 #include "policy/poolplacement.h"
@@ -104,6 +105,7 @@
     auto candidates(const TaskGroup &group, CapacityKind kind) const -> std::vector<WorkerCandidate>;
     auto addReclaimable(const TaskGroup &group, CapacityKind kind, const Slot &slot, WorkerCandidate &candidate) const -> void;
     auto placeGroup(TaskGroup &group, PoolEffects &effects) -> bool;
+    auto startsLeft(const TaskGroup &group) const -> int;
     auto placeGang(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool;
     auto reserveFreeSoon(const TaskGroup &group, Spread spread) -> bool;
     auto preempt(const TaskGroup &group, Spread spread) -> bool;
@@ -116,6 +118,7 @@
     auto hasAmpleSlack(const TaskGroup &group) const -> bool;
     auto logWait(const TaskGroup &group) -> void;
     auto logDeferred(std::size_t groups) -> void;
+    auto mayStartMore() const -> bool;
     auto reserveCapacity(const TaskGroup &group) -> void;
     auto start(TaskGroup &group, const std::vector<int> &tasks, const std::vector<std::size_t> &slots, PoolEffects &effects) -> void;
     auto reserveOn(Slot &slot, const Resources &need) -> void;
