Make the new sources clean for the linter

clang-tidy on the changed sources: a structured binding in a lambda, two implicit conversions in tests and a temporary text in the encoder of requests. No behaviour changes.

--- a/packages/policy/testing/poolcore_scale_test.cpp
+++ b/packages/policy/testing/poolcore_scale_test.cpp
@@ -208,8 +208,8 @@
         for (auto i = 0; i < jobs; ++i) {
             auto step = i % 2 == 0 ? gangOf(1 + i % 7, 1 + i % 8) : batchOf(1 + i % 50);
             step.sameRack = i % 3 == 0;
-            step.perTask.cpuMillis += 100'000 - 17 * i;
-            step.perTask.memoryMb += 13 * i;
+            step.perTask.cpuMillis += 100'000 - std::int64_t{17} * i;
+            step.perTask.memoryMb += std::int64_t{13} * i;
             fleet.core.addJob(makeJob("job" + std::to_string(jobs) + "-" + std::to_string(i), i % 5 == 0 ? "urgent" : "batch", step), fleet.now);
         }
         const auto effects = fleet.plan();
@@ -230,7 +230,7 @@
     fleet.answer(fleet.plan().starts, OrderOutcome::Accepted);
     for (auto i = 0; i < 300; ++i) {
         auto step = gangOf(1 + i % 3, 8);
-        step.perTask.cpuMillis = 31'900 - 7 * i;
+        step.perTask.cpuMillis = 31'900 - std::int64_t{7} * i;
         fleet.core.addJob(makeJob("large" + std::to_string(i), "urgent", step), fleet.now);
     }
     fleet.core.addJob(makeJob("small", "batch", batchOf(1)), fleet.now);
--- a/packages/ports/httploop.cpp
+++ b/packages/ports/httploop.cpp
@@ -56,7 +56,7 @@
     auto sound = isHeaderText(call.method) && isHeaderText(call.path) && isHeaderText(call.contentType);
     for (const auto &[name, value] : call.headers) {
         sound = sound && isHeaderText(name) && isHeaderText(value);
-        out += name + ": " + value + "\r\n";
+        out.append(name).append(": ").append(value).append("\r\n");
     }
     out += "\r\n" + call.body;
     return sound ? std::optional{std::move(out)} : std::nullopt;
--- a/packages/ports/testing/httploop_test.cpp
+++ b/packages/ports/testing/httploop_test.cpp
@@ -275,7 +275,13 @@
 
 TEST_CASE("odd answers end an exchange and its connection, not the loop")
 {
-    const auto cases = std::vector<std::tuple<std::string, bool, std::optional<ErrorCode>>>{
+    struct Case
+    {
+        std::string text;
+        bool closes = false;
+        std::optional<ErrorCode> error;
+    };
+    const auto cases = std::vector<Case>{
         {"", true, ErrorCode::Unknown},
         {"nonsense\r\n\r\n", false, ErrorCode::Unknown},
         {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", true, ErrorCode::Unknown},
@@ -284,16 +290,16 @@
         {"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", false, ErrorCode::Limit},
         {"HTTP/1.1 200 OK\r\nX: " + std::string(20'000, 'x'), false, ErrorCode::Limit},
     };
-    for (const auto &[text, closes, error] : cases) {
-        CAPTURE(text.substr(0, 60));
-        auto server = RawServer{text, closes};
+    for (const auto &it : cases) {
+        CAPTURE(it.text.substr(0, 60));
+        auto server = RawServer{it.text, it.closes};
         auto loop = TestLoop{};
         auto channel = loop.open(server.address());
         for (auto i = 1; i <= 2; ++i) {
             const auto reply = loop.exchange(channel, post("/x"));
-            CHECK(reply.has_value() == !error);
-            if (error && !reply) {
-                CHECK(reply.error().code == *error);
+            CHECK(reply.has_value() == !it.error);
+            if (it.error && !reply) {
+                CHECK(reply.error().code == *it.error);
             } else if (reply) {
                 CHECK(reply.value().body == "ab");
             }
