Read pages of the store to their end when they arrive slowly

After all instances lose power, each reads all logs anew. A page is up to a megabyte; on a slow link, or on the link between two regions that many instances use at once, it takes longer than the time-out of 1.4 or 2 s.

That each instance reads every payload stays (docs/platform.md, Open).

--- a/packages/ports/httpchannel.cpp
+++ b/packages/ports/httpchannel.cpp
@@ -65,7 +65,7 @@
     }
     auto &client = *m_impl->client;
     client.set_connection_timeout(std::clamp(call.connectTimeout, Millis{1}, call.timeout));
-    client.set_read_timeout(call.timeout);
+    client.set_read_timeout(call.stallTimeout.count() > 0 ? std::min(call.stallTimeout, call.timeout) : call.timeout);
     client.set_write_timeout(call.timeout);
     const auto deadline = std::chrono::steady_clock::now() + call.timeout;
     auto request = toRequest(call);
--- a/packages/ports/httpclient.h
+++ b/packages/ports/httpclient.h
@@ -39,6 +39,7 @@
     std::string contentType = "application/json";
     Millis connectTimeout{500}; ///< for the connection, and once more for its TLS handshake, within @c timeout
     Millis timeout{2000}; ///< for the whole exchange, however slowly the peer sends or receives
+    Millis stallTimeout{0}; ///< longest time without a byte of the answer; 0: no limit but @c timeout. Only kept channels (HttpChannel) use it
     std::size_t maxBody = std::size_t{4} << 20U; ///< longest answer accepted, in bytes
     HttpTls tls;
 };
