Do not fail a job by a limit that is not known

A planner that takes over before it has read a configuration knows no rules of any queue, and took 1 for the limit of failures. After a restart of all on slow links the configuration, with 1,126 queues then, comes later than the workers' lists.

A queue that was removed from the configuration keeps its jobs from failing in a later planner, which does not place them either.

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -3,6 +3,9 @@
 #include "policy/poolplacer.h"
 
 #include <algorithm>
+#include <numeric>
+#include <tuple>
+#include <utility>
 
 namespace Catkin
 {
@@ -23,6 +26,7 @@
     auto queues = std::move(m_rules.queues);
     m_rules = rules;
     m_rules.queues.merge(queues);
+    m_rulesChanged = true;
 }
 
 auto PoolCore::addJob(const PoolJob &job, MonoTime now) -> void
@@ -226,15 +230,50 @@
     }
     lastFailed = attempt;
     ++failures;
-    const auto queue = m_rules.queues.find(state.job.queue);
-    const auto limit = queue == m_rules.queues.end() ? 1 : queue->second.maxAttempts;
-    logDecision("task_failed", describeAttempt(key, attempt) + " failures=" + std::to_string(failures) + " of=" + std::to_string(limit));
-    if (failures >= limit && !spec.longRunning) {
+    const auto limit = attemptLimit(state);
+    logDecision("task_failed",
+                describeAttempt(key, attempt) + " failures=" + std::to_string(failures) + " of=" + (limit ? std::to_string(*limit) : std::string("unknown")));
+    if (limit && failures >= *limit && !spec.longRunning) {
         state.finalSince = now;
         setPhase(state, PoolJobPhase::Failed);
     }
 }
 
+/// A planner may take over before it has read a configuration, and a queue may have been removed from it.
+auto PoolCore::attemptLimit(const PoolJobState &state) const -> std::optional<int>
+{
+    const auto queue = m_rules.queues.find(state.job.queue);
+    return queue == m_rules.queues.end() ? std::nullopt : std::optional{queue->second.maxAttempts};
+}
+
+/// Fails the jobs that had failed too often when the limit of their queue was not known.
+auto PoolCore::failExhausted(MonoTime now) -> void
+{
+    if (!std::exchange(m_rulesChanged, false)) {
+        return;
+    }
+    const auto active = m_active;
+    for (const auto &id : active) {
+        auto &state = m_jobs.at(id);
+        const auto limit = attemptLimit(state);
+        const auto exhausted = [&](const OccurrenceState &occurrence) {
+            for (auto s = std::size_t{0}; s < occurrence.steps.size(); ++s) {
+                const auto &[spec, step] = std::tie(state.job.steps[s], occurrence.steps[s]);
+                const auto failures = std::accumulate(
+                    step.tasks.begin(), step.tasks.end(), step.gangFailures, [](int most, const TaskState &it) { return std::max(most, it.failures); });
+                if (failures >= *limit && !spec.longRunning) {
+                    return true;
+                }
+            }
+            return false;
+        };
+        if (limit && std::any_of(state.occurrences.begin(), state.occurrences.end(), exhausted)) {
+            state.finalSince = now;
+            setPhase(state, PoolJobPhase::Failed);
+        }
+    }
+}
+
 auto PoolCore::expireJobs(MonoTime now) -> void
 {
     auto old = std::vector<JobId>{};
@@ -252,6 +291,7 @@
 auto PoolCore::plan(MonoTime now, WallTime wall) -> PoolEffects
 {
     auto effects = PoolEffects{};
+    failExhausted(now);
     expireLeases(now);
     stopUnwanted();
     stopBrokenGangs();
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -34,6 +34,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -204,6 +205,8 @@
     auto applyCompletion(Worker &worker, const AttemptCompletion &completion, MonoTime now) -> void;
     auto finishTask(PoolJobState &state, const TaskKey &key, MonoTime now) -> void;
     auto failTask(PoolJobState &state, const TaskKey &key, int attempt, MonoTime now) -> void;
+    auto attemptLimit(const PoolJobState &state) const -> std::optional<int>;
+    auto failExhausted(MonoTime now) -> void;
     auto recordFailure(Worker &worker, MonoTime now) -> void;
     auto loseAttempt(Worker &worker, const AttemptKey &key, const char *reason) -> void;
     auto saveCheckpoint(PoolJobState &state, const TaskKey &key, const std::string &checkpoint) -> void;
@@ -244,6 +247,7 @@
 
     PoolOptions m_options;
     PoolRules m_rules;
+    bool m_rulesChanged = false; ///< since the last planning pass
     std::map<JobId, PoolJobState> m_jobs;
     std::set<JobId> m_active; ///< jobs that are not final
     std::map<WorkerId, Worker> m_workers;
