--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -356,9 +356,17 @@
     }
 }
 
+auto PoolCore::linkTime(std::int64_t bytes) const -> Millis
+{
+    constexpr auto millisPerSecond = 1'000;
+    return Millis{bytes * millisPerSecond / std::max<std::int64_t>(m_options.linkBytesPerSecond, 1)};
+}
+
+/// The time for an answer begins when the orders before this one have passed the link.
 auto PoolCore::emitStart(PoolEffects &effects, const Worker &worker, const AttemptKey &key) -> void
 {
     const auto &state = m_jobs.at(key.first.job);
+    m_openStartBytes += startOrderBytes(state.job);
     effects.starts.push_back({
         .kind = PoolOrder::Kind::Start,
         .worker = worker.info.id,
@@ -367,7 +375,7 @@
         .attempt = key.second,
         .payload = state.job.payload,
         .checkpoint = findTask(key.first)->checkpoint,
-        .answerTimeout = startTimeouts.at(static_cast<std::size_t>(worker.allocations.at(key).startTries - 1)),
+        .answerTimeout = startTimeouts.at(static_cast<std::size_t>(worker.allocations.at(key).startTries - 1)) + linkTime(m_openStartBytes),
     });
 }
 
@@ -433,21 +441,19 @@
     return out;
 }
 
-auto PoolCore::isIdle(const WorkerId &id) const -> bool
+auto PoolCore::pollPause(const WorkerId &id) const -> PollPause
 {
     const auto it = m_workers.find(id);
     if (it == m_workers.end()) {
-        return true;
+        return PollPause::WhileIdle;
     }
     const auto &worker = it->second;
+    if (worker.processedCompletions > worker.recordedCompletions) {
+        return PollPause::UntilRecorded;
+    }
+    // An order that was meant for an earlier incarnation may still start work there.
     const auto earlierOrders = worker.listedBorn > worker.info.born || worker.clock < earlierOrdersEnd;
-    return worker.answered && worker.reachable && worker.allocations.empty() && worker.recordedCompletions >= worker.processedCompletions && !earlierOrders;
-}
-
-auto PoolCore::hasUnrecordedCompletions(const WorkerId &id) const -> bool
-{
-    const auto it = m_workers.find(id);
-    return it != m_workers.end() && it->second.processedCompletions > it->second.recordedCompletions;
+    return worker.answered && worker.reachable && worker.allocations.empty() && !earlierOrders ? PollPause::WhileIdle : PollPause::None;
 }
 
 auto PoolCore::nextPoll(const WorkerId &id, MonoTime now) -> WorkerPoll
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -26,6 +26,7 @@
 /// Each planning pass compares every allocation with the state of its job and stops the attempts that this state does not call for,
 /// whichever planner made the state and whether or not stop orders were sent for it before.
 
+#include "policy/pollschedule.h"
 #include "policy/poolfleet.h"
 #include "policy/pooljob.h"
 #include "policy/stopreport.h"
@@ -33,6 +34,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -45,6 +47,9 @@
     Millis leaseDuration{10'000}; ///< how long a worker keeps running attempts after the last poll or start order of a planner
     Millis stopGrace{200}; ///< time that a worker has to stop an attempt
     Millis retention{120'000}; ///< a final job is forgotten after this time
+    Millis gangTimeout{3'000}; ///< a member of a gang that has started waits so long for the others, and ends if they do not start
+    int maxOpenStarts = 512; ///< start orders without an answer at which a planning pass places nothing more
+    std::int64_t linkBytesPerSecond = 125'000'000; ///< what the planner's link carries; bounds the bytes of start orders without an answer
 };
 
 /// An order to send to a worker.
@@ -74,6 +79,9 @@
     std::vector<PoolOrder> starts;
     std::map<WorkerId, std::int64_t> completions; ///< highest number of each worker's completions that the records of @c changed include
     std::vector<PoolLogEntry> logEntries;
+    int searches = 0; ///< times that the pass looked for capacity on all workers
+    int openStarts = 0; ///< start orders without an answer, those of the pass included
+    int deferredGroups = 0; ///< groups that the pass left to the next one because of too many open start orders
 };
 
 /// The next poll of a worker.
@@ -132,11 +140,8 @@
     [[nodiscard]] auto hasUnlistedWork() const -> bool;
     /// @return id and address of the workers to poll: those listed and those with allocations.
     [[nodiscard]] auto pollTargets() const -> std::vector<std::pair<WorkerId, std::string>>;
-    /// @return whether polling the worker can wait: it is reachable, has neither attempts nor unrecorded completions, and has run for
-    /// so long that no order meant for an earlier incarnation can reach it.
-    [[nodiscard]] auto isIdle(const WorkerId &id) const -> bool;
-    /// @return whether the worker has reported completions that are not yet recorded.
-    [[nodiscard]] auto hasUnrecordedCompletions(const WorkerId &id) const -> bool;
+    /// @return why the next poll of the worker can wait, or PollPause::None.
+    [[nodiscard]] auto pollPause(const WorkerId &id) const -> PollPause;
     /// @return the next poll of a worker; grants a lease if the worker is reachable.
     auto nextPoll(const WorkerId &id, MonoTime now) -> WorkerPoll;
 
@@ -200,6 +205,8 @@
     auto applyCompletion(Worker &worker, const AttemptCompletion &completion, MonoTime now) -> void;
     auto finishTask(PoolJobState &state, const TaskKey &key, MonoTime now) -> void;
     auto failTask(PoolJobState &state, const TaskKey &key, int attempt, MonoTime now) -> void;
+    auto attemptLimit(const PoolJobState &state) const -> std::optional<int>;
+    auto failExhausted(MonoTime now) -> void;
     auto recordFailure(Worker &worker, MonoTime now) -> void;
     auto loseAttempt(Worker &worker, const AttemptKey &key, const char *reason) -> void;
     auto saveCheckpoint(PoolJobState &state, const TaskKey &key, const std::string &checkpoint) -> void;
@@ -209,6 +216,8 @@
     auto isWanted(const Worker &worker, const AttemptKey &key, const Allocation &allocation) const -> bool;
     auto stopUnwanted() -> void;
     auto stopBrokenGangs() -> void;
+    auto stopIncompleteGangs(MonoTime now) -> void;
+    auto lacksMembers(const PoolJobState &state, int occurrence, int step, MonoTime now) const -> bool;
     auto checkFinished(PoolJobState &state, MonoTime now) -> void;
     auto findTask(const TaskKey &key) -> TaskState *;
     auto allocate(Worker &worker, const PoolJobState &state, const AttemptKey &key) -> Allocation &;
@@ -227,6 +236,7 @@
     static auto getsOrders(const Worker &worker) -> bool;
     auto emitStops(std::vector<PoolOrder> &stops, MonoTime now) -> void;
     auto emitStarts(PoolEffects &effects) -> void;
+    auto linkTime(std::int64_t bytes) const -> Millis;
     auto emitStart(PoolEffects &effects, const Worker &worker, const AttemptKey &key) -> void;
     auto logDecision(const char *decision, std::string text) -> void;
     static auto requestStop(Allocation &allocation, StopReason reason) -> void;
@@ -237,6 +247,7 @@
 
     PoolOptions m_options;
     PoolRules m_rules;
+    bool m_rulesChanged = false; ///< since the last planning pass
     std::map<JobId, PoolJobState> m_jobs;
     std::set<JobId> m_active; ///< jobs that are not final
     std::map<WorkerId, Worker> m_workers;
@@ -247,6 +258,8 @@
     StopReport m_stopReport;
     std::set<JobId> m_released; ///< jobs with an allocation released since the last planning pass
     std::deque<std::pair<MonoTime, std::int64_t>> m_urgentDemand; ///< accelerators that priority-0 work used or waited for at each planning pass
+    std::int64_t m_openStartBytes = 0; ///< of the start orders without an answer; counted anew by each planning pass
+    bool m_deferring = false; ///< the last planning pass deferred groups
     bool m_fenced = false;
 };
 
