Follow each end in the log from its worker's list to its acknowledgement

Callers saw a task start again after it was done. No line told which end a worker listed, what it changed, in which append it was recorded and when the worker was told to forget it, so that the ways to such a start could not be told apart: an end that changes nothing had no line at all.

Decisions ends_listed, ends_acknowledged, end_superseded and worker_reborn, event E6018 with the offset after the append, and the silence and last lease of a worker in leases_expired. The lines of a pass are grouped by worker, 16 ends or 32 workers in each.

Measured: policy_test passes.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -36,6 +36,8 @@
 constexpr auto earlierHeartbeats = std::int64_t{10};
 /// Between two searches, each of which goes over all these writes; short against the leases that are saved.
 constexpr auto departuresPeriod = Millis{500};
+/// Workers in one line about recorded ends.
+constexpr auto maxRecordedEndsInLine = std::size_t{32};
 constexpr auto leaseStretch = 1.03;
 constexpr auto takeoverSlack = Millis{500};
 
@@ -531,6 +533,7 @@
         const auto lock = std::lock_guard{m_mutex};
         m_core.recorded(effects);
     }
+    logRecordedEnds(effects);
     auto ids = std::vector<WorkerId>{};
     for (const auto &[id, number] : effects.completions) {
         ids.push_back(id);
@@ -539,6 +542,27 @@
     return true;
 }
 
+/// Up to which number the ends of each worker are in the log of attempts now.
+auto PoolTerm::logRecordedEnds(const PoolEffects &effects) const -> void
+{
+    auto text = std::string{};
+    auto items = std::size_t{0};
+    const auto flush = [&] {
+        if (items > 0) {
+            logEvent(LogLevel::Info, 6018, "ends recorded end_offset=" + std::to_string(m_attemptsEnd.value) + " upto=" + text);
+        }
+        text.clear();
+        items = 0;
+    };
+    for (const auto &[id, number] : effects.completions) {
+        text += (items == 0 ? "" : ",") + id.str() + ":" + std::to_string(number);
+        if (++items == maxRecordedEndsInLine) {
+            flush();
+        }
+    }
+    flush();
+}
+
 /// An append that was sent at @p sentAt and stored shows that no newer planner has begun before.
 auto PoolTerm::confirmed(MonoTime sentAt) -> void
 {
@@ -556,6 +580,7 @@
         if (done) {
             if (!records.empty()) {
                 ++m_attemptsSequence;
+                m_attemptsEnd = done.value();
             }
             confirmed(sentAt);
             return true;
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -97,6 +97,7 @@
     auto planOnce() -> void;
     auto attemptRecords(const PoolEffects &effects) -> std::vector<KeyedRecord>;
     auto record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool;
+    auto logRecordedEnds(const PoolEffects &effects) const -> void;
     auto stopUnwanted() -> void;
     auto appendAttempts(const std::vector<KeyedRecord> &records) -> bool;
     auto publisherLoop() -> void;
@@ -150,6 +151,7 @@
     MonoTime m_confirmedAt; ///< when the last append was sent that proves this planner to be the newest
 
     std::int64_t m_attemptsSequence = 0; ///< planner thread only
+    LogOffset m_attemptsEnd; ///< planner thread only; where the log of attempts ended after the last append of records
     bool m_tookOver = false; ///< planner thread only
     MonoTime m_lastRenewal; ///< publisher thread only
     std::vector<std::pair<WorkerId, std::string>> m_targets; ///< planner thread only; what m_caller was told last
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -66,13 +66,16 @@
     worker.suspectUntil = std::max(worker.suspectUntil, now + std::min(suspectPeriod * (1 << doublings), maxSuspectPeriod));
 }
 
-auto PoolCore::applyCompletion(Worker &worker, const AttemptCompletion &completion, MonoTime now) -> void
+auto PoolCore::applyCompletion(Worker &worker, const AttemptCompletion &completion, MonoTime now) -> EndUse
 {
     const auto key = AttemptKey{completion.task, completion.attempt};
     release(worker, key);
     auto *task = findTask(completion.task);
-    if (task == nullptr || task->attempt != completion.attempt) {
-        return;
+    if (task == nullptr) {
+        return EndUse::Unknown;
+    }
+    if (task->attempt != completion.attempt) {
+        return EndUse::Superseded;
     }
     auto &state = m_jobs.at(completion.task.job);
     if (completion.kind == CompletionKind::Done) {
@@ -85,16 +88,16 @@
     // The attempt was given up, for example when its lease expired, and the task has not been placed again.
     const auto late = task->phase == TaskPhase::Waiting && (completion.kind == CompletionKind::Done || completion.kind == CompletionKind::Failed);
     if (!placedHere && !late) {
-        return;
+        return task->phase == TaskPhase::Done ? EndUse::TaskDone : EndUse::Superseded;
     }
     m_changed.insert(completion.task.job);
     if (isFinal(state.phase)) {
         task->phase = TaskPhase::Waiting;
-        return;
+        return EndUse::JobFinal;
     }
     if (completion.kind == CompletionKind::Done && !specOf(state, completion.task).longRunning) {
         finishTask(state, completion.task, now);
-        return;
+        return EndUse::Applied;
     }
     task->phase = TaskPhase::Waiting;
     saveCheckpoint(state, completion.task, completion.checkpoint);
@@ -105,6 +108,22 @@
     if (specOf(state, completion.task).gang && !isFinal(state.phase)) {
         stopStep(state, completion.task.occurrence, completion.task.step, StopReason::GangBroken);
     }
+    return EndUse::Applied;
+}
+
+/// An end that changes nothing although its task has a later attempt has a line of its own: the task may have run twice.
+auto PoolCore::noteListedEnd(const Worker &worker, const AttemptCompletion &completion, EndUse use) -> void
+{
+    noteEnd(m_endReport, {.worker = worker.info.id, .born = worker.info.born}, {.completion = completion, .use = use});
+    const auto *task = findTask(completion.task);
+    if (use != EndUse::Superseded || completion.kind != CompletionKind::Done || task == nullptr) {
+        return;
+    }
+    logDecision("end_superseded",
+                describeAttempt(completion.task, completion.attempt) + " worker=" + describeLifetime({.worker = worker.info.id, .born = worker.info.born})
+                    + " number=" + std::to_string(completion.number) + " how=" + completionName(completion.kind) + " present_attempt="
+                    + std::to_string(task->attempt) + " on=" + (task->phase == TaskPhase::Placed ? task->worker.str() : std::string("none"))
+                    + " lease_left_ms=" + std::to_string(worker.grantedUntil.value - worker.clock.value));
 }
 
 auto PoolCore::applyRestart(Worker &worker, const WorkerPollReply &reply) -> void
@@ -114,6 +133,8 @@
     worker.info.born = reply.born;
     worker.processedCompletions = 0;
     worker.recordedCompletions = 0;
+    worker.acknowledgedCompletions = 0;
+    worker.grantedUntil = {};
     auto running = std::set<AttemptKey>{};
     for (const auto &it : reply.running) {
         running.emplace(it.task, it.attempt);
@@ -216,7 +237,7 @@
     worker.clockAt = now;
     for (const auto &completion : reply.completions) {
         if (completion.number > worker.processedCompletions) {
-            applyCompletion(worker, completion, now);
+            noteListedEnd(worker, completion, applyCompletion(worker, completion, now));
             worker.processedCompletions = completion.number;
         }
     }
@@ -326,7 +347,8 @@
         }
         logDecision("leases_expired",
                     "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size())
-                        + " every lease has expired without an answer; its attempts count as lost");
+                        + " silent_ms=" + std::to_string(std::chrono::duration_cast<Millis>(now - worker.answeredAt).count()) + " granted_until="
+                        + std::to_string(worker.grantedUntil.value) + " every lease has expired without an answer; its attempts count as lost");
         loseAllAttempts(worker, "lease expired");
     }
 }
@@ -427,7 +449,8 @@
     }
     auto &worker = it->second;
     extendLease(worker, now);
-    return worker.clock + WorkerTime{std::chrono::duration_cast<Millis>(now - worker.clockAt).count() + m_options.leaseDuration.count()};
+    worker.grantedUntil = worker.clock + WorkerTime{std::chrono::duration_cast<Millis>(now - worker.clockAt).count() + m_options.leaseDuration.count()};
+    return worker.grantedUntil;
 }
 
 auto PoolCore::pollTargets() const -> std::vector<std::pair<WorkerId, std::string>>
@@ -462,7 +485,7 @@
     if (it == m_workers.end()) {
         return {};
     }
-    const auto &worker = it->second;
+    auto &worker = it->second;
     const auto open = std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto &entry) {
         const auto *task = findTask(entry.first.first);
         return entry.second.stopping || (task != nullptr && task->attemptPhase == AttemptPhase::Unknown);
@@ -471,6 +494,10 @@
     // An unreachable worker gets no new lease: its lease would never expire, and its tasks could never be placed elsewhere.
     poll.request.leaseUntil = worker.reachable ? leaseFor(id, now) : WorkerTime{};
     poll.request.seenCompletions = worker.recordedCompletions;
+    if (worker.recordedCompletions > worker.acknowledgedCompletions) {
+        worker.acknowledgedCompletions = worker.recordedCompletions;
+        noteAcknowledgement(m_endReport, {.worker = id, .born = worker.info.born}, worker.recordedCompletions);
+    }
     // Until a worker answers, it gets no stop orders, so that nothing may hold its answer back.
     poll.request.wait = !worker.answered || !worker.reachable ? Millis{0} : open ? shortPollWait : longPollWait;
     return poll;
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -107,6 +107,11 @@
         auto &worker = m_workers[it.id];
         const auto moved = worker.info.address != it.address;
         const auto born = worker.info.born;
+        if (!worker.info.id.empty() && worker.listedBorn.value != 0 && worker.listedBorn != it.born) {
+            logDecision("worker_reborn",
+                        "worker=" + it.id.str() + " listed_born=" + std::to_string(it.born.value) + " before=" + std::to_string(worker.listedBorn.value)
+                            + " answered_born=" + (worker.answered ? std::to_string(born.value) : std::string("none")));
+        }
         worker.info = it;
         worker.listedBorn = it.born;
         worker.listed = true;
@@ -309,6 +314,9 @@
     effects.expired.assign(m_expired.begin(), m_expired.end());
     std::erase_if(effects.changed, [&](const JobId &it) { return !m_jobs.contains(it); });
     std::erase_if(effects.phaseChanged, [&](const JobId &it) { return !m_jobs.contains(it); });
+    for (auto &it : takeEndEntries(m_endReport)) {
+        m_logEntries.push_back(std::move(it));
+    }
     effects.logEntries = std::move(m_logEntries);
     for (const auto &[id, worker] : m_workers) {
         if (worker.processedCompletions > worker.recordedCompletions) {
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -26,6 +26,7 @@
 /// Each planning pass compares every allocation with the state of its job and stops the attempts that this state does not call for,
 /// whichever planner made the state and whether or not stop orders were sent for it before.
 
+#include "policy/endreport.h"
 #include "policy/pollschedule.h"
 #include "policy/poolfleet.h"
 #include "policy/pooljob.h"
@@ -187,10 +188,12 @@
         WorkerTime clock; ///< worker's clock in the last poll reply
         MonoTime clockAt; ///< time at which this reply arrived
         MonoTime leaseEnd; ///< every lease granted to the worker, by any planner, has expired by then
+        WorkerTime grantedUntil; ///< end of the last lease that this planner granted, on the worker's clock
         MonoTime answeredAt;
         bool reachable = true; ///< the last poll was answered
         std::int64_t processedCompletions = 0;
         std::int64_t recordedCompletions = 0;
+        std::int64_t acknowledgedCompletions = 0; ///< highest number that a poll has carried
         int failures = 0; ///< since the last success
         MonoTime suspectUntil; ///< until then the worker is chosen only if no other fits
     };
@@ -202,7 +205,9 @@
 
     auto setPhase(PoolJobState &state, PoolJobPhase phase) -> void;
     auto release(Worker &worker, const AttemptKey &key) -> void;
-    auto applyCompletion(Worker &worker, const AttemptCompletion &completion, MonoTime now) -> void;
+    /// @return what the end changed.
+    auto applyCompletion(Worker &worker, const AttemptCompletion &completion, MonoTime now) -> EndUse;
+    auto noteListedEnd(const Worker &worker, const AttemptCompletion &completion, EndUse use) -> void;
     auto finishTask(PoolJobState &state, const TaskKey &key, MonoTime now) -> void;
     auto failTask(PoolJobState &state, const TaskKey &key, int attempt, MonoTime now) -> void;
     auto attemptLimit(const PoolJobState &state) const -> std::optional<int>;
@@ -256,6 +261,7 @@
     std::set<JobId> m_expired;
     std::vector<PoolLogEntry> m_logEntries;
     StopReport m_stopReport;
+    EndReport m_endReport;
     std::set<JobId> m_released; ///< jobs with an allocation released since the last planning pass
     std::deque<std::pair<MonoTime, std::int64_t>> m_urgentDemand; ///< accelerators that priority-0 work used or waited for at each planning pass
     std::int64_t m_openStartBytes = 0; ///< of the start orders without an answer; counted anew by each planning pass
