Acknowledge ends only in the lifetime in which they were counted

What callers could see: a task runs again although it was done (TWICE).

Cause: the number up to which a worker may forget its ends was used outside the lifetime that gives it a meaning. recorded() took the numbers of a pass that was planned before an append, although the worker had restarted meanwhile and its new ends had reached the same number. Each poll repeated the last recorded number, also the first one after a restart; the restarted worker then forgot ends that nobody had read, or that no record held yet.

Evidence: poolcore_ends_test on the code before fails three of three cases (nextPoll carries 2 instead of 0).

Change: the numbers of a pass carry the lifetime. A poll carries a number only until a poll with it has been answered, and only while the worker answers. The simulation acknowledges what arrives, stores records slowly if asked to, and restarts workers behind a cut.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -535,8 +535,8 @@
     }
     logRecordedEnds(effects);
     auto ids = std::vector<WorkerId>{};
-    for (const auto &[id, number] : effects.completions) {
-        ids.push_back(id);
+    for (const auto &[lifetime, number] : effects.completions) {
+        ids.push_back(lifetime.worker);
     }
     m_caller->reconsider(std::move(ids));
     return true;
@@ -554,8 +554,8 @@
         text.clear();
         items = 0;
     };
-    for (const auto &[id, number] : effects.completions) {
-        text += (items == 0 ? "" : ",") + id.str() + ":" + std::to_string(number);
+    for (const auto &[lifetime, number] : effects.completions) {
+        text += (items == 0 ? "" : ",") + describeLifetime(lifetime) + ":" + std::to_string(number);
         if (++items == maxRecordedEndsInLine) {
             flush();
         }
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 /// Attempts on workers: evaluates poll replies and answers to orders, decides when an attempt is over, and issues orders.
 
@@ -134,6 +135,7 @@
     worker.processedCompletions = 0;
     worker.recordedCompletions = 0;
     worker.acknowledgedCompletions = 0;
+    worker.loggedAcknowledgement = 0;
     worker.grantedUntil = {};
     auto running = std::set<AttemptKey>{};
     for (const auto &it : reply.running) {
@@ -228,6 +230,8 @@
     const auto before = worker.allocations.size();
     if (worker.answered && worker.info.born != reply.born) {
         applyRestart(worker, reply);
+    } else {
+        worker.acknowledgedCompletions = std::max(worker.acknowledgedCompletions, reply.acknowledged);
     }
     worker.info.born = reply.born;
     worker.answered = true;
@@ -345,10 +349,11 @@
         if (worker.allocations.empty() || orderOpen || now <= worker.leaseEnd) {
             continue;
         }
+        const auto silence = std::chrono::duration_cast<Millis>(now - worker.answeredAt).count();
         logDecision("leases_expired",
-                    "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size())
-                        + " silent_ms=" + std::to_string(std::chrono::duration_cast<Millis>(now - worker.answeredAt).count()) + " granted_until="
-                        + std::to_string(worker.grantedUntil.value) + " every lease has expired without an answer; its attempts count as lost");
+                    "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size()) + " silent_ms="
+                        + (worker.answered ? std::to_string(silence) : std::string("always")) + " granted_until=" + std::to_string(worker.grantedUntil.value)
+                        + " every lease has expired without an answer; its attempts count as lost");
         loseAllAttempts(worker, "lease expired");
     }
 }
@@ -493,10 +498,13 @@
     auto poll = WorkerPoll{.worker = id, .address = worker.info.address};
     // An unreachable worker gets no new lease: its lease would never expire, and its tasks could never be placed elsewhere.
     poll.request.leaseUntil = worker.reachable ? leaseFor(id, now) : WorkerTime{};
-    poll.request.seenCompletions = worker.recordedCompletions;
-    if (worker.recordedCompletions > worker.acknowledgedCompletions) {
-        worker.acknowledgedCompletions = worker.recordedCompletions;
-        noteAcknowledgement(m_endReport, {.worker = id, .born = worker.info.born}, worker.recordedCompletions);
+    // A poll may reach the next incarnation, whose completions are numbered from the beginning. So it carries a number only as long as this
+    // is needed, and only while the incarnation that has counted is known to answer.
+    if (worker.reachable && worker.recordedCompletions > worker.acknowledgedCompletions) {
+        poll.request.seenCompletions = worker.recordedCompletions;
+        if (std::exchange(worker.loggedAcknowledgement, worker.recordedCompletions) != worker.recordedCompletions) {
+            noteAcknowledgement(m_endReport, {.worker = id, .born = worker.info.born}, worker.recordedCompletions);
+        }
     }
     // Until a worker answers, it gets no stop orders, so that nothing may hold its answer back.
     poll.request.wait = !worker.answered || !worker.reachable ? Millis{0} : open ? shortPollWait : longPollWait;
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -320,7 +320,7 @@
     effects.logEntries = std::move(m_logEntries);
     for (const auto &[id, worker] : m_workers) {
         if (worker.processedCompletions > worker.recordedCompletions) {
-            effects.completions[id] = worker.processedCompletions;
+            effects.completions[{.worker = id, .born = worker.info.born}] = worker.processedCompletions;
         }
     }
     m_changed.clear();
@@ -332,10 +332,10 @@
 
 auto PoolCore::recorded(const PoolEffects &effects) -> void
 {
-    for (const auto &[id, number] : effects.completions) {
-        const auto it = m_workers.find(id);
+    for (const auto &[lifetime, number] : effects.completions) {
+        const auto it = m_workers.find(lifetime.worker);
         // A worker that has restarted meanwhile numbers its completions from the beginning.
-        if (it != m_workers.end() && number <= it->second.processedCompletions) {
+        if (it != m_workers.end() && it->second.info.born == lifetime.born) {
             it->second.recordedCompletions = std::max(it->second.recordedCompletions, number);
         }
     }
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -78,7 +78,7 @@
     std::vector<JobId> expired; ///< final jobs whose retention has passed
     std::vector<PoolOrder> stops; ///< can be sent before the records are stored
     std::vector<PoolOrder> starts;
-    std::map<WorkerId, std::int64_t> completions; ///< highest number of each worker's completions that the records of @c changed include
+    std::map<WorkerLifetime, std::int64_t> completions; ///< highest number of the completions that the records of @c changed include
     std::vector<PoolLogEntry> logEntries;
     int searches = 0; ///< times that the pass looked for capacity on all workers
     int openStarts = 0; ///< start orders without an answer, those of the pass included
@@ -193,7 +193,8 @@
         bool reachable = true; ///< the last poll was answered
         std::int64_t processedCompletions = 0;
         std::int64_t recordedCompletions = 0;
-        std::int64_t acknowledgedCompletions = 0; ///< highest number that a poll has carried
+        std::int64_t acknowledgedCompletions = 0; ///< highest number that an answered poll has carried
+        std::int64_t loggedAcknowledgement = 0; ///< highest number that a logged poll has carried
         int failures = 0; ///< since the last success
         MonoTime suspectUntil; ///< until then the worker is chosen only if no other fits
     };
--- /dev/null
+++ b/packages/policy/testing/poolcore_ends_test.cpp
@@ -0,0 +1,124 @@
+#include "policy/poolcore.h"
+
+#include <doctest/doctest.h>
+
+using namespace Catkin;
+
+namespace
+{
+
+const auto workerId = WorkerId{"w1"};
+constexpr auto leaseDuration = Millis{10'000};
+
+/// One worker whose lists and clock the test sets, and a job of several tasks that run on it.
+struct Planner
+{
+    explicit Planner(int tasks)
+        : core(PoolOptions{.leaseDuration = leaseDuration})
+    {
+        auto rules = PoolRules{.version = {1}};
+        rules.queues[QueueId{"q"}] = {.id = QueueId{"q"}, .service = ServiceId{"s"}, .maxAttempts = 3};
+        core.setRules(rules);
+        core.setWorkers({{.id = workerId,
+                          .address = "10.0.0.1:1",
+                          .service = ServiceId{"s"},
+                          .capacity = {.cpuMillis = 32'000, .memoryMb = 64'000, .accelerators = 8},
+                          .born = Incarnation{1}}},
+                        now);
+        answer(1, {}, {});
+        core.addJob({.id = JobId{"a"},
+                     .queue = QueueId{"q"},
+                     .workspace = WorkspaceId{"w"},
+                     .steps = {{.tasks = tasks, .perTask = {.cpuMillis = 1'000, .memoryMb = 1'000}, .estimate = Millis{1'000}}}},
+                    now);
+        const auto effects = core.plan(now, WallTime{});
+        core.recorded(effects);
+        for (const auto &it : effects.starts) {
+            core.applyOrder(it, OrderOutcome::Accepted, now);
+        }
+    }
+
+    /// A poll that is sent and answered now; the list has the ends that the worker has not been told to forget.
+    auto answer(std::int64_t born, const std::vector<int> &running, const std::vector<AttemptCompletion> &ends) -> std::int64_t
+    {
+        now += Millis{10};
+        const auto poll = core.nextPoll(workerId, now);
+        auto reply = WorkerPollReply{.clock = WorkerTime{std::chrono::duration_cast<Millis>(now.time_since_epoch()).count()},
+                                     .born = Incarnation{born},
+                                     .completions = ends,
+                                     .acknowledged = poll.request.seenCompletions};
+        for (const auto it : running) {
+            reply.running.push_back({.task = task(it), .attempt = 1, .percent = 1});
+        }
+        core.applyPollReply(workerId, reply, now, now);
+        return poll.request.seenCompletions;
+    }
+
+    auto plan() -> PoolEffects
+    {
+        return core.plan(now, WallTime{});
+    }
+
+    [[nodiscard]] static auto task(int index) -> TaskKey
+    {
+        return {.job = JobId{"a"}, .index = index};
+    }
+
+    [[nodiscard]] static auto done(std::int64_t number, int index) -> AttemptCompletion
+    {
+        return {.number = number, .task = task(index), .attempt = 1, .kind = CompletionKind::Done};
+    }
+
+    [[nodiscard]] auto phaseOf(int index) const -> TaskPhase
+    {
+        return taskAt(*core.find(JobId{"a"}), task(index)).phase;
+    }
+
+    MonoTime now{Seconds{1'000}};
+    PoolCore core;
+};
+
+}
+
+// Guards against a done task that runs again: a worker forgets ends of its new lifetime, counted by a record of the earlier one, and the
+// planner is lost before it records them.
+TEST_CASE("a record that was under way when a worker restarted acknowledges no end of the new lifetime")
+{
+    auto planner = Planner{4};
+    planner.answer(1, {2, 3}, {Planner::done(1, 0), Planner::done(2, 1)});
+    const auto effects = planner.plan();
+    planner.answer(2, {}, {Planner::done(1, 2), Planner::done(2, 3)});
+    planner.core.recorded(effects);
+    CHECK(planner.core.nextPoll(workerId, planner.now).request.seenCompletions == 0);
+    planner.core.recorded(planner.plan());
+    CHECK(planner.core.nextPoll(workerId, planner.now).request.seenCompletions == 2);
+}
+
+// Guards against a done task that runs again: after a restart under the same id, the numbers of the ends begin anew.
+TEST_CASE("a worker that has not answered the last poll is told to forget nothing until it answers")
+{
+    auto planner = Planner{4};
+    planner.answer(1, {2, 3}, {Planner::done(1, 0), Planner::done(2, 1)});
+    planner.core.recorded(planner.plan());
+    planner.core.pollFailed(workerId);
+    CHECK(planner.answer(2, {}, {Planner::done(1, 2), Planner::done(2, 3)}) == 0);
+    CHECK(planner.phaseOf(2) == TaskPhase::Done);
+    CHECK(planner.phaseOf(3) == TaskPhase::Done);
+}
+
+// A poll may reach the next lifetime of its worker, so that no poll carries a number that is needed no more.
+TEST_CASE("an acknowledgement is repeated until a poll that carried it is answered, and not sent after that")
+{
+    auto planner = Planner{4};
+    const auto ends = std::vector{Planner::done(1, 0), Planner::done(2, 1)};
+    planner.answer(1, {2, 3}, ends);
+    planner.core.recorded(planner.plan());
+    CHECK(planner.core.nextPoll(workerId, planner.now).request.seenCompletions == 2);
+    planner.core.pollFailed(workerId);
+    CHECK(planner.answer(1, {2, 3}, ends) == 0);
+    CHECK(planner.answer(1, {2, 3}, {}) == 2);
+    CHECK(planner.answer(1, {2, 3}, {}) == 0);
+    planner.answer(1, {3}, {Planner::done(3, 2)});
+    planner.core.recorded(planner.plan());
+    CHECK(planner.answer(1, {3}, {}) == 3);
+}
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -201,6 +201,25 @@
     }
 }
 
+// Guards against a done task that runs again because a restarted worker is told to forget ends that nobody has read: the numbers of its
+// ends begin anew, and a poll or a record under way carries a number of the earlier incarnation.
+TEST_CASE("an end of a restarted worker is not forgotten before it is recorded")
+{
+    const auto faults = std::array{
+        PoolFaults{.restarts = 100, .slowRecords = 20},
+        PoolFaults{.lostAnswers = 20, .restarts = 100, .takeovers = 6, .slowRecords = 20},
+        PoolFaults{.lateOrders = 30, .takeovers = 6, .slowRecords = 20, .rebornWorkers = 80, .misdirectedOrders = true},
+    };
+    for (const auto &it : faults) {
+        for (auto seed = std::uint64_t{1}; seed <= 20; ++seed) {
+            const auto simulation = runRandomJobs(seed, it);
+            CAPTURE(seed);
+            CHECK_MESSAGE(simulation.violations().empty(), text(simulation.violations()));
+            CHECK(unfinished(simulation).empty());
+        }
+    }
+}
+
 // Guards against jobs that fail because one failure is counted twice: its worker reports it again to a later planner.
 TEST_CASE("a job fails only after a task has failed as often as its queue allows")
 {
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -1,6 +1,7 @@
 #include "policy/testing/poolsimulation.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Catkin::Testing
 {
@@ -69,6 +70,11 @@
             worker.cutFrom = m_start + Millis{2'000 + m_random(15'000)};
             worker.cutUntil = MonoTime::max();
         }
+        if (m_faults.rebornWorkers > 0 && chance(m_faults.rebornWorkers)) {
+            worker.cutFrom = m_start + Millis{2'000 + m_random(20'000)};
+            worker.cutUntil = worker.cutFrom + Millis{1'000 + m_random(8'000)};
+            worker.restartsAt = worker.cutFrom + (worker.cutUntil - worker.cutFrom) * m_random(100) / 100;
+        }
         if (chance(m_faults.departures)) {
             worker.drainsAt = m_start + Millis{2'000 + m_random(25'000)};
         }
@@ -262,6 +268,11 @@
         applyCancellations();
         advanceWorkers();
     }
+    if (m_openPass && chance(50)) {
+        m_openPass->records.merge(m_records);
+        m_records = std::move(m_openPass->records);
+    }
+    m_openPass.reset();
     m_links.clear();
     m_pollers.clear();
     ++m_token;
@@ -283,7 +294,12 @@
 
 auto PoolSimulation::plan() -> void
 {
-    const auto effects = m_core.plan(m_now, WallTime{std::chrono::duration_cast<Millis>(m_now.time_since_epoch())});
+    if (m_openPass) {
+        finishPass();
+        return;
+    }
+    auto effects = m_core.plan(m_now, WallTime{std::chrono::duration_cast<Millis>(m_now.time_since_epoch())});
+    auto records = recordsOf(effects);
     const auto lost = isLostBetweenSteps(effects);
     const auto isStored = !lost || chance(50);
     if (!lost || !isStored) {
@@ -291,22 +307,37 @@
             enqueueOrder(m_links[it.worker].queue, it);
         }
     }
-    if (isStored) {
-        store(effects);
-    }
     if (lost) {
+        if (isStored) {
+            records.merge(m_records);
+            m_records = std::move(records);
+        }
         sendOrders();
         takeOver();
         return;
     }
-    m_core.recorded(effects);
-    for (const auto &it : effects.starts) {
+    const auto delay = m_faults.slowRecords > 0 && chance(m_faults.slowRecords) ? Millis{500 + m_random(2'500)} : Millis{0};
+    m_openPass = OpenPass{.effects = std::move(effects), .records = std::move(records), .storedAt = m_now + delay};
+    finishPass();
+}
+
+auto PoolSimulation::finishPass() -> void
+{
+    if (m_now < m_openPass->storedAt) {
+        return;
+    }
+    auto pass = *std::exchange(m_openPass, std::nullopt);
+    pass.records.merge(m_records);
+    m_records = std::move(pass.records);
+    m_core.recorded(pass.effects);
+    for (const auto &it : pass.effects.starts) {
         enqueueOrder(m_links[it.worker].queue, it);
     }
 }
 
-auto PoolSimulation::store(const PoolEffects &effects) -> void
+auto PoolSimulation::recordsOf(const PoolEffects &effects) const -> std::map<JobId, PoolJobState>
 {
+    auto out = std::map<JobId, PoolJobState>{};
     for (const auto &id : effects.changed) {
         auto state = *m_core.find(id);
         // These fields are not part of a stored record.
@@ -318,8 +349,9 @@
                 }
             }
         }
-        m_records[id] = std::move(state);
+        out[id] = std::move(state);
     }
+    return out;
 }
 
 auto PoolSimulation::sendOrders() -> void
@@ -612,6 +644,10 @@
             advanceWorker(worker);
         }
         moveWorker(worker);
+        if (worker.restartsAt && m_now >= *worker.restartsAt) {
+            lifetimeEnds(worker);
+            listWorkers();
+        }
         // On average, the given percentage of workers restarts within 30 s.
         if (m_faults.restarts > 0 && !worker.gone && m_random(150'000) < static_cast<std::uint32_t>(m_faults.restarts)) {
             lifetimeEnds(worker);
@@ -627,16 +663,14 @@
         const auto until = worker.bornAt + Millis{request.leaseUntil.value - 1};
         worker.leaseUntil = std::max(worker.leaseUntil, std::min(until, m_now + m_options.leaseDuration));
     }
-    // The core may still hold the number of a completion of an earlier incarnation, which must not be acknowledged here.
-    const auto &known = m_core.workers().at(worker.info.id);
-    if (known.answered && known.info.born == worker.info.born) {
-        acknowledge(worker, request.seenCompletions);
-    }
+    // A worker forgets its completions up to that number, whichever incarnation the number was meant for.
+    acknowledge(worker, request.seenCompletions);
 }
 
 auto PoolSimulation::answerPoll(const SimulatedPoolWorker &worker, const Poller &poller) -> void
 {
-    auto reply = WorkerPollReply{.clock = workerTime(m_now, worker), .born = worker.info.born, .completions = worker.completions};
+    auto reply = WorkerPollReply{
+        .clock = workerTime(m_now, worker), .born = worker.info.born, .completions = worker.completions, .acknowledged = poller.open->seenCompletions};
     for (const auto &[key, it] : worker.running) {
         const auto spent = std::chrono::duration_cast<Millis>(m_now - it.begin).count();
         reply.running.push_back({.task = key, .attempt = it.attempt, .percent = static_cast<int>(spent / 50)});
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -36,6 +36,8 @@
     /// Further takeovers. The earlier planner has only stored its records, and sent no orders, or has only sent its stop orders.
     int takeoversBetweenSteps = 0;
     int departures = 0; ///< percentage of workers that drain, leave, and come back under their id
+    int slowRecords = 0; ///< percentage of planning passes whose records take 0.5 to 3 s to store
+    int rebornWorkers = 0; ///< percentage of workers that are cut off once, and restart within that time
     bool misdirectedOrders = false; ///< whether late orders are also carried out by the next incarnation of their worker
 };
 
@@ -65,6 +67,7 @@
     MonoTime bornAt;
     MonoTime cutFrom; ///< the worker is cut off from here until cutUntil
     MonoTime cutUntil;
+    std::optional<MonoTime> restartsAt; ///< within the time for which it is cut off
     std::optional<MonoTime> drainsAt; ///< the worker leaves drainDuration later
     bool gone = false; ///< has left and not come back yet
 };
@@ -123,7 +126,8 @@
     auto completeAttempt(SimulatedPoolWorker &worker, const TaskKey &key, CompletionKind kind) -> void;
     auto endGang(const TaskKey &key, int attempt) -> void;
     auto plan() -> void;
-    auto store(const PoolEffects &effects) -> void;
+    auto recordsOf(const PoolEffects &effects) const -> std::map<JobId, PoolJobState>;
+    auto finishPass() -> void;
     auto sendOrders() -> void;
     auto send(Link &link, const PoolOrder &order) -> void;
     auto executeLateOrders() -> void;
@@ -160,6 +164,14 @@
     std::vector<std::pair<MonoTime, JobId>> m_cancellations; ///< still to come
     std::map<JobId, MonoTime> m_failed; ///< when a planner first found the job failed
     std::map<JobId, PoolJobState> m_records;
+    /// A planning pass whose records are being stored. As in the daemon, no other pass begins meanwhile.
+    struct OpenPass
+    {
+        PoolEffects effects;
+        std::map<JobId, PoolJobState> records;
+        MonoTime storedAt;
+    };
+    std::optional<OpenPass> m_openPass;
     std::map<WorkerId, std::int64_t> m_acknowledged;
     std::vector<LateOrder> m_lateOrders;
     std::map<WorkerId, Link> m_links;
