Count the leases that late orders grant to a restarted worker

What callers could see: a task starts again after it was done, or runs twice (TWICE).

Cause: an order that is carried out late, by the next incarnation of its worker under the same id, names a lease end on the clock of the earlier one. On the new clock that is far ahead, and the worker cuts it to the longest lease from the arrival. The planner counts leases from when it sends; so a worker that it could not reach kept its lease, and with it a done and unread task, for up to 12 s longer than counted, and the task was placed again.

Change: after a restart every lease counts from the time until which an order for the earlier incarnation can be carried out.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -127,7 +127,7 @@
                     + " lease_left_ms=" + std::to_string(worker.grantedUntil.value - worker.clock.value));
 }
 
-auto PoolCore::applyRestart(Worker &worker, const WorkerPollReply &reply) -> void
+auto PoolCore::applyRestart(Worker &worker, const WorkerPollReply &reply, MonoTime now) -> void
 {
     logDecision("worker_restarted",
                 "worker=" + worker.info.id.str() + " born=" + std::to_string(reply.born.value) + " before=" + std::to_string(worker.info.born.value));
@@ -137,6 +137,8 @@
     worker.acknowledgedCompletions = 0;
     worker.loggedAcknowledgement = 0;
     worker.grantedUntil = {};
+    // An order for the earlier incarnation names a time far ahead on the new clock, and is cut to the longest lease when it arrives.
+    extendLease(worker, now + std::max(Millis{earlierOrdersEnd.value - reply.clock.value}, Millis{0}));
     auto running = std::set<AttemptKey>{};
     for (const auto &it : reply.running) {
         running.emplace(it.task, it.attempt);
@@ -229,7 +231,7 @@
     const auto wasUsable = worker.answered && worker.reachable;
     const auto before = worker.allocations.size();
     if (worker.answered && worker.info.born != reply.born) {
-        applyRestart(worker, reply);
+        applyRestart(worker, reply, now);
     } else {
         worker.acknowledgedCompletions = std::max(worker.acknowledgedCompletions, reply.acknowledged);
     }
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -227,7 +227,7 @@
     auto checkFinished(PoolJobState &state, MonoTime now) -> void;
     auto findTask(const TaskKey &key) -> TaskState *;
     auto allocate(Worker &worker, const PoolJobState &state, const AttemptKey &key) -> Allocation &;
-    auto applyRestart(Worker &worker, const WorkerPollReply &reply) -> void;
+    auto applyRestart(Worker &worker, const WorkerPollReply &reply, MonoTime now) -> void;
     auto applyRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void;
     auto resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt) -> void;
     auto applyStart(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -220,6 +220,19 @@
     }
 }
 
+// Guards against a done task that runs again, and against one that runs twice: a late order for the earlier incarnation of a worker grants
+// the next one a lease that ends after all those that the planner has granted.
+TEST_CASE("a worker that restarts keeps its attempts until the leases of late orders for its earlier incarnation are over")
+{
+    const auto faults = PoolFaults{.lateOrders = 40, .cutWorkers = 60, .restarts = 100, .misdirectedOrders = true};
+    for (auto seed = std::uint64_t{1}; seed <= 40; ++seed) {
+        const auto simulation = runRandomJobs(seed, faults);
+        CAPTURE(seed);
+        CHECK_MESSAGE(simulation.violations().empty(), text(simulation.violations()));
+        CHECK(unfinished(simulation).empty());
+    }
+}
+
 // Guards against jobs that fail because one failure is counted twice: its worker reports it again to a later planner.
 TEST_CASE("a job fails only after a task has failed as often as its queue allows")
 {
