Wait for the list of a worker that runs before a task is placed again

Cause: an expired lease was taken as proof that an attempt has not succeeded. It only proves that the attempt does not run any more. On a path slower than the time limit of a poll no list arrives for seconds, although the worker runs, gets the polls and lists the end; the planner's leases run out by its own account, and it places the task again.

Change: attempts whose leases have expired are released one more lease later if their worker still writes its entry and they may have succeeded. A member of a gang of which another member is over cannot have succeeded. A worker whose entry is not written any more is treated as before.

--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -345,6 +345,7 @@
     const auto options = PoolTermOptions{
         .epoch = *epoch,
         .pool = {.leaseDuration = settings.lease,
+                 .heartbeat = settings.workerHeartbeat,
                  .stopGrace = settings.stopGrace,
                  .retention = settings.retention,
                  .gangTimeout = settings.gangTimeout,
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -163,6 +163,7 @@
     const auto lock = std::lock_guard{m_mutex};
     const auto &info = entry.value();
     noteWrite({.id = id, .draining = info.draining, .born = info.born, .clock = info.clock});
+    m_core.workerWrote(info.id, m_clock.mono());
     if (noteEntry(m_entries, info)) {
         m_workersDirty = true;
         m_dirty = true;
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -29,6 +29,8 @@
 /// How long a worker may delay its poll reply: normally, and while an attempt is being stopped or has an unknown state.
 constexpr auto longPollWait = Millis{2'000};
 constexpr auto shortPollWait = Millis{100};
+/// Silence after which a worker's entry is dropped, in heartbeats.
+constexpr auto entryHeartbeats = 3;
 /// A start order meant for the earlier incarnation of a restarted worker can be carried out until the worker's clock shows this: it is
 /// sent at most 3 s after the restart, before a poll has shown it, and carried out up to 12 s later.
 constexpr auto earlierOrdersEnd = WorkerTime{16'000};
@@ -238,6 +240,7 @@
     worker.info.born = reply.born;
     worker.answered = true;
     worker.reachable = true;
+    worker.reportAwaited = false;
     worker.answeredAt = now;
     worker.clock = reply.clock;
     worker.clockAt = now;
@@ -343,6 +346,29 @@
     }
 }
 
+/// @return whether a worker that does not answer is known to run, so that its completions can still arrive.
+auto PoolCore::mayReport(const Worker &worker, MonoTime now) const -> bool
+{
+    return worker.listed && worker.wroteAt != MonoTime{} && now - worker.wroteAt <= m_options.heartbeat * entryHeartbeats
+           && now <= worker.leaseEnd + m_options.leaseDuration;
+}
+
+/// @return whether the task would be done if the attempt had succeeded. The members of a gang succeed together, so that one that is over
+/// without success shows that none has.
+auto PoolCore::mayHaveSucceeded(const Worker &worker, const AttemptKey &key) const -> bool
+{
+    const auto *state = find(key.first.job);
+    if (state == nullptr || !containsTask(*state, key.first) || isFinal(state->phase)) {
+        return false;
+    }
+    const auto &task = taskAt(*state, key.first);
+    if (task.phase != TaskPhase::Placed || task.attempt != key.second || task.worker != worker.info.id) {
+        return false;
+    }
+    const auto &members = state->occurrences[static_cast<std::size_t>(key.first.occurrence)].steps[static_cast<std::size_t>(key.first.step)].tasks;
+    return !specOf(*state, key.first).gang || std::all_of(members.begin(), members.end(), [](const TaskState &it) { return it.phase == TaskPhase::Placed; });
+}
+
 auto PoolCore::expireLeases(MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
@@ -351,12 +377,32 @@
         if (worker.allocations.empty() || orderOpen || now <= worker.leaseEnd) {
             continue;
         }
-        const auto silence = std::chrono::duration_cast<Millis>(now - worker.answeredAt).count();
-        logDecision("leases_expired",
-                    "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size()) + " silent_ms="
-                        + (worker.answered ? std::to_string(silence) : std::string("always")) + " granted_until=" + std::to_string(worker.grantedUntil.value)
-                        + " every lease has expired without an answer; its attempts count as lost");
-        loseAllAttempts(worker, "lease expired");
+        expireLeases(worker, now);
+    }
+}
+
+/// Releases the attempts of a worker whose leases have expired, but for those whose completions it may still list.
+auto PoolCore::expireLeases(Worker &worker, MonoTime now) -> void
+{
+    const auto awaited = mayReport(worker, now);
+    auto over = std::vector<AttemptKey>{};
+    for (const auto &[key, it] : worker.allocations) {
+        if (!awaited || !mayHaveSucceeded(worker, key)) {
+            over.push_back(key);
+        }
+    }
+    const auto silence = std::chrono::duration_cast<Millis>(now - worker.answeredAt).count();
+    const auto text = "worker=" + worker.info.id.str() + " silent_ms=" + (worker.answered ? std::to_string(silence) : std::string("always"))
+                      + " granted_until=" + std::to_string(worker.grantedUntil.value) + " attempts=";
+    if (!over.empty()) {
+        logDecision("leases_expired", text + std::to_string(over.size()) + " every lease has expired without an answer; these attempts count as lost");
+    }
+    for (const auto &it : over) {
+        loseAttempt(worker, it, "lease expired");
+    }
+    if (!worker.allocations.empty() && !std::exchange(worker.reportAwaited, true)) {
+        logDecision("report_awaited",
+                    text + std::to_string(worker.allocations.size()) + " every lease has expired, and the worker writes its entry; it may list them as done");
     }
 }
 
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -126,6 +126,14 @@
     dropUnlisted();
 }
 
+auto PoolCore::workerWrote(const WorkerId &id, MonoTime now) -> void
+{
+    const auto it = m_workers.find(id);
+    if (it != m_workers.end()) {
+        it->second.wroteAt = now;
+    }
+}
+
 auto PoolCore::workerLeft(const WorkerId &id) -> void
 {
     const auto it = m_workers.find(id);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -21,7 +21,10 @@
 /// - the reply to a poll that was sent after every open order had been answered does not list the attempt,
 /// - the worker has restarted,
 /// - the worker's process has shut down by itself, or
-/// - every lease that any planner can have granted has expired.
+/// - every lease that any planner can have granted has expired, and the worker cannot list the attempt's completion soon.
+///
+/// An expired lease shows that an attempt does not run any more, but not that it has not succeeded. A worker that still writes its entry runs,
+/// and may hold a completion that no reply has brought on a slow path. Its attempts are released one more lease later.
 ///
 /// Each planning pass compares every allocation with the state of its job and stops the attempts that this state does not call for,
 /// whichever planner made the state and whether or not stop orders were sent for it before.
@@ -46,6 +49,7 @@
 struct PoolOptions
 {
     Millis leaseDuration{10'000}; ///< how long a worker keeps running attempts after the last poll or start order of a planner
+    Millis heartbeat{1'500}; ///< between two writes of a worker's entry
     Millis stopGrace{200}; ///< time that a worker has to stop an attempt
     Millis retention{120'000}; ///< a final job is forgotten after this time
     Millis gangTimeout{3'000}; ///< a member of a gang that has started waits so long for the others, and ends if they do not start
@@ -109,6 +113,8 @@
     /// Takes over a final state that an earlier planner published; attempts of the job that still run are stopped.
     auto adoptFinal(const JobId &id, PoolJobPhase phase, MonoTime now) -> void;
     auto setWorkers(const std::vector<PoolWorkerInfo> &listed, MonoTime now) -> void;
+    /// Reports that the worker has written its entry, so that its process runs.
+    auto workerWrote(const WorkerId &id, MonoTime now) -> void;
     /// Reports that the worker's process has certainly ended, so that none of its attempts can be running.
     auto workerLeft(const WorkerId &id) -> void;
     /// @param sentAt time at which the poll was sent
@@ -190,6 +196,8 @@
         MonoTime leaseEnd; ///< every lease granted to the worker, by any planner, has expired by then
         WorkerTime grantedUntil; ///< end of the last lease that this planner granted, on the worker's clock
         MonoTime answeredAt;
+        MonoTime wroteAt; ///< last write of its entry that was read; MonoTime{} before the first
+        bool reportAwaited = false; ///< its leases have expired, and it may list completions of attempts
         bool reachable = true; ///< the last poll was answered
         std::int64_t processedCompletions = 0;
         std::int64_t recordedCompletions = 0;
@@ -235,7 +243,10 @@
     auto startRefused(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
     auto extendLease(Worker &worker, MonoTime now) const -> void;
     auto loseAllAttempts(Worker &worker, const char *reason) -> void;
+    auto mayReport(const Worker &worker, MonoTime now) const -> bool;
+    auto mayHaveSucceeded(const Worker &worker, const AttemptKey &key) const -> bool;
     auto expireLeases(MonoTime now) -> void;
+    auto expireLeases(Worker &worker, MonoTime now) -> void;
     auto stopHung(MonoTime now) -> void;
     auto expireJobs(MonoTime now) -> void;
     auto dropUnlisted() -> void;
--- a/packages/policy/testing/poolcore_ends_test.cpp
+++ b/packages/policy/testing/poolcore_ends_test.cpp
@@ -13,27 +13,37 @@
 /// One worker whose lists and clock the test sets, and a job of several tasks that run on it.
 struct Planner
 {
-    explicit Planner(int tasks)
+    /// @param gang whether the tasks are a gang, each member of which needs a whole worker; a second worker then has the second one
+    explicit Planner(int tasks, bool gang = false)
         : core(PoolOptions{.leaseDuration = leaseDuration})
     {
         auto rules = PoolRules{.version = {1}};
         rules.queues[QueueId{"q"}] = {.id = QueueId{"q"}, .service = ServiceId{"s"}, .maxAttempts = 3};
         core.setRules(rules);
-        core.setWorkers({{.id = workerId,
-                          .address = "10.0.0.1:1",
-                          .service = ServiceId{"s"},
-                          .capacity = {.cpuMillis = 32'000, .memoryMb = 64'000, .accelerators = 8},
-                          .born = Incarnation{1}}},
-                        now);
-        answer(1, {}, {});
+        auto info = PoolWorkerInfo{.id = workerId,
+                                   .address = "10.0.0.1:1",
+                                   .service = ServiceId{"s"},
+                                   .capacity = {.cpuMillis = 32'000, .memoryMb = 64'000, .accelerators = 8},
+                                   .born = Incarnation{1}};
+        auto listed = std::vector{info};
+        if (gang) {
+            info.id = WorkerId{"w2"};
+            info.address = "10.0.0.2:1";
+            listed.push_back(info);
+        }
+        core.setWorkers(listed, now);
+        for (const auto &it : listed) {
+            core.applyPollReply(it.id, {.clock = WorkerTime{1}, .born = Incarnation{1}}, now, now);
+        }
         core.addJob({.id = JobId{"a"},
                      .queue = QueueId{"q"},
                      .workspace = WorkspaceId{"w"},
-                     .steps = {{.tasks = tasks, .perTask = {.cpuMillis = 1'000, .memoryMb = 1'000}, .estimate = Millis{1'000}}}},
+                     .steps = {{.tasks = tasks, .perTask = {.cpuMillis = gang ? 32'000 : 1'000, .memoryMb = 1'000}, .estimate = Millis{1'000}, .gang = gang}}},
                     now);
         const auto effects = core.plan(now, WallTime{});
         core.recorded(effects);
         for (const auto &it : effects.starts) {
+            core.leaseFor(it.worker, now);
             core.applyOrder(it, OrderOutcome::Accepted, now);
         }
     }
@@ -122,3 +132,57 @@
     planner.core.recorded(planner.plan());
     CHECK(planner.answer(1, {3}, {}) == 3);
 }
+
+// Guards against a done task that runs again: on a slow path the planner gets no list of a worker that runs, until its leases are over.
+TEST_CASE("a task whose leases are over is not placed again while its worker still writes its entry and may list it as done")
+{
+    auto planner = Planner{1};
+    planner.core.pollFailed(workerId);
+    for (auto i = 0; i < 130; ++i) {
+        planner.now += Millis{100};
+        planner.core.workerWrote(workerId, planner.now);
+        CHECK(planner.plan().starts.empty());
+    }
+    CHECK(planner.phaseOf(0) == TaskPhase::Placed);
+    planner.answer(1, {}, {Planner::done(1, 0)});
+    CHECK(planner.phaseOf(0) == TaskPhase::Done);
+}
+
+TEST_CASE("a task whose leases are over is placed again when its worker has ceased to write its entry")
+{
+    auto planner = Planner{1};
+    planner.core.pollFailed(workerId);
+    planner.core.workerWrote(workerId, planner.now);
+    planner.now += leaseDuration + Millis{1'000};
+    planner.plan();
+    CHECK(planner.phaseOf(0) == TaskPhase::Waiting);
+}
+
+TEST_CASE("a task whose worker writes its entry and does not answer is placed again after twice the lease")
+{
+    auto planner = Planner{1};
+    planner.core.pollFailed(workerId);
+    auto waited = Millis{0};
+    while (planner.phaseOf(0) == TaskPhase::Placed && waited < Millis{60'000}) {
+        planner.now += Millis{100};
+        waited += Millis{100};
+        planner.core.workerWrote(workerId, planner.now);
+        planner.plan();
+    }
+    CHECK(waited > leaseDuration * 2);
+    CHECK(waited < leaseDuration * 2 + Millis{1'500});
+}
+
+TEST_CASE("a member of a gang whose attempt is over elsewhere is not waited for")
+{
+    auto planner = Planner{2, true};
+    const auto others = std::vector{WorkerId{"w2"}};
+    planner.core.pollFailed(workerId);
+    planner.now += Millis{100};
+    const auto broken = AttemptCompletion{.number = 1, .task = Planner::task(1), .attempt = 1, .kind = CompletionKind::GangMemberEnded};
+    planner.core.applyPollReply(others[0], {.clock = WorkerTime{100}, .born = Incarnation{1}, .completions = {broken}}, planner.now, planner.now);
+    planner.now += leaseDuration + Millis{1'000};
+    planner.core.workerWrote(workerId, planner.now);
+    planner.plan();
+    CHECK(planner.phaseOf(0) == TaskPhase::Waiting);
+}
