Tell silence from proof when the leases of an attempt are over

* The silence of a worker's entry was judged by the clock, so that all workers counted as gone when the planner could not read the entries.
* A member of a gang that was lost by silence or by a departure counted as the end of the gang's attempt.
* A poll acknowledges nothing once the worker's entry names a later lifetime.
* A list has 500 ends at most; an attempt that is neither running nor among them counted as not running.
* A late answer has an old reading of the worker's clock, from which leases would end early.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -164,7 +164,8 @@
     const auto &info = entry.value();
     noteWrite({.id = id, .draining = info.draining, .born = info.born, .clock = info.clock});
     m_core.workerWrote(info.id, m_clock.mono());
-    if (noteEntry(m_entries, info)) {
+    // The entries of a snapshot are listed when all of them have been read.
+    if (noteEntry(m_entries, info) && m_writesBegin) {
         m_workersDirty = true;
         m_dirty = true;
     }
@@ -184,6 +185,9 @@
 {
     const auto lock = std::lock_guard{m_mutex};
     noteRead(m_entries, sentAt);
+    m_core.entriesRead(sentAt);
+    m_workersDirty = m_workersDirty || !m_writesBegin;
+    m_dirty = m_dirty || m_workersDirty;
     m_writesBegin = m_writesBegin.value_or(end);
     m_workersKnown = true;
     m_wake.notify_all();
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -15,6 +15,8 @@
 /// A worker's clock may be 2% slow, so that a lease lasts longer on the planner's clock; the remaining 1% and leaseSlack cover
 /// the error of the clock estimate.
 constexpr auto leaseStretch = 1.03;
+/// Rate of the slowest clock of a worker.
+constexpr auto slowestClock = 0.98;
 constexpr auto leaseSlack = Millis{500};
 /// Answer timeout of each try of a start order. A lost answer is more frequent than a slow or lost worker, and a repeated order has
 /// no further effect, so the first timeouts are short compared with the slack of urgent work. Their sum is less than the time for
@@ -62,6 +64,14 @@
     }
 }
 
+/// Notes that an attempt of a gang is over without success, by the end of a member or because a member was never started.
+auto PoolCore::noteUnsuccessful(PoolJobState &state, const AttemptKey &key) -> void
+{
+    if (specOf(state, key.first).gang) {
+        stepAt(state, key.first).unsuccessfulAttempt = key.second;
+    }
+}
+
 auto PoolCore::recordFailure(Worker &worker, MonoTime now) -> void
 {
     ++worker.failures;
@@ -103,6 +113,7 @@
         return EndUse::Applied;
     }
     task->phase = TaskPhase::Waiting;
+    noteUnsuccessful(state, key);
     saveCheckpoint(state, completion.task, completion.checkpoint);
     if (completion.kind == CompletionKind::Failed) {
         failTask(state, completion.task, completion.attempt, now);
@@ -195,6 +206,9 @@
 
 auto PoolCore::resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt) -> void
 {
+    if (!reply.complete) {
+        return; // the attempt may be among the completions that were left out
+    }
     auto running = std::set<AttemptKey>{};
     for (const auto &it : reply.running) {
         running.emplace(it.task, it.attempt);
@@ -232,7 +246,8 @@
     auto &worker = it->second;
     const auto wasUsable = worker.answered && worker.reachable;
     const auto before = worker.allocations.size();
-    if (worker.answered && worker.info.born != reply.born) {
+    const auto restarted = worker.answered && worker.info.born != reply.born;
+    if (restarted) {
         applyRestart(worker, reply, now);
     } else {
         worker.acknowledgedCompletions = std::max(worker.acknowledgedCompletions, reply.acknowledged);
@@ -242,7 +257,10 @@
     worker.reachable = true;
     worker.reportAwaited = false;
     worker.answeredAt = now;
-    worker.clock = reply.clock;
+    // A late answer has an old reading; the clock has gone on since, at least as fast as the slowest clock.
+    const auto elapsed = std::chrono::duration_cast<Millis>(now - worker.clockAt);
+    const auto least = WorkerTime{worker.clock.value + static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * slowestClock)};
+    worker.clock = restarted || worker.clock.value == 0 ? reply.clock : std::max(reply.clock, least);
     worker.clockAt = now;
     for (const auto &completion : reply.completions) {
         if (completion.number > worker.processedCompletions) {
@@ -286,6 +304,9 @@
         requestStop(allocation, StopReason::StartRefused);
         return;
     }
+    if (const auto job = m_jobs.find(key.first.job); job != m_jobs.end()) {
+        noteUnsuccessful(job->second, key); // it was never started
+    }
     loseAttempt(worker, key, outcomeName(outcome));
 }
 
@@ -349,11 +370,12 @@
 /// @return whether a worker that does not answer is known to run, so that its completions can still arrive.
 auto PoolCore::mayReport(const Worker &worker, MonoTime now) const -> bool
 {
-    return worker.listed && worker.wroteAt != MonoTime{} && now - worker.wroteAt <= m_options.heartbeat * entryHeartbeats
+    // The last read counts, not the present: without reads nothing shows that the worker has ceased to write.
+    return worker.listed && worker.wroteAt != MonoTime{} && m_entriesReadAt <= worker.wroteAt + m_options.heartbeat * entryHeartbeats
            && now <= worker.leaseEnd + m_options.leaseDuration;
 }
 
-/// @return whether the task would be done if the attempt had succeeded. The members of a gang succeed together, so that one that is over
+/// @return whether the attempt may have succeeded as far as this planner knows. The members of a gang succeed together, so that the end of one
 /// without success shows that none has.
 auto PoolCore::mayHaveSucceeded(const Worker &worker, const AttemptKey &key) const -> bool
 {
@@ -365,8 +387,8 @@
     if (task.phase != TaskPhase::Placed || task.attempt != key.second || task.worker != worker.info.id) {
         return false;
     }
-    const auto &members = state->occurrences[static_cast<std::size_t>(key.first.occurrence)].steps[static_cast<std::size_t>(key.first.step)].tasks;
-    return !specOf(*state, key.first).gang || std::all_of(members.begin(), members.end(), [](const TaskState &it) { return it.phase == TaskPhase::Placed; });
+    const auto &step = state->occurrences[static_cast<std::size_t>(key.first.occurrence)].steps[static_cast<std::size_t>(key.first.step)];
+    return step.unsuccessfulAttempt != key.second;
 }
 
 auto PoolCore::expireLeases(MonoTime now) -> void
@@ -548,7 +570,7 @@
     poll.request.leaseUntil = worker.reachable ? leaseFor(id, now) : WorkerTime{};
     // A poll may reach the next incarnation, whose completions are numbered from the beginning. So it carries a number only as long as this
     // is needed, and only while the incarnation that has counted is known to answer.
-    if (worker.reachable && worker.recordedCompletions > worker.acknowledgedCompletions) {
+    if (worker.reachable && worker.listedBorn <= worker.info.born && worker.recordedCompletions > worker.acknowledgedCompletions) {
         poll.request.seenCompletions = worker.recordedCompletions;
         if (std::exchange(worker.loggedAcknowledgement, worker.recordedCompletions) != worker.recordedCompletions) {
             noteAcknowledgement(m_endReport, {.worker = id, .born = worker.info.born}, worker.recordedCompletions);
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -134,6 +134,11 @@
     }
 }
 
+auto PoolCore::entriesRead(MonoTime sentAt) -> void
+{
+    m_entriesReadAt = sentAt;
+}
+
 auto PoolCore::workerLeft(const WorkerId &id) -> void
 {
     const auto it = m_workers.find(id);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -21,10 +21,10 @@
 /// - the reply to a poll that was sent after every open order had been answered does not list the attempt,
 /// - the worker has restarted,
 /// - the worker's process has shut down by itself, or
-/// - every lease that any planner can have granted has expired, and the worker cannot list the attempt's completion soon.
+/// - every lease that any planner can have granted has expired, and the worker is not known to run.
 ///
 /// An expired lease shows that an attempt does not run any more, but not that it has not succeeded. A worker that still writes its entry runs,
-/// and may hold a completion that no reply has brought on a slow path. Its attempts are released one more lease later.
+/// and may hold a completion that no reply has brought on a slow path. Its attempts are released when one more lease duration has passed.
 ///
 /// Each planning pass compares every allocation with the state of its job and stops the attempts that this state does not call for,
 /// whichever planner made the state and whether or not stop orders were sent for it before.
@@ -115,6 +115,8 @@
     auto setWorkers(const std::vector<PoolWorkerInfo> &listed, MonoTime now) -> void;
     /// Reports that the worker has written its entry, so that its process runs.
     auto workerWrote(const WorkerId &id, MonoTime now) -> void;
+    /// Reports that the workers' entries have been read up to what was stored at @p sentAt.
+    auto entriesRead(MonoTime sentAt) -> void;
     /// Reports that the worker's process has certainly ended, so that none of its attempts can be running.
     auto workerLeft(const WorkerId &id) -> void;
     /// @param sentAt time at which the poll was sent
@@ -221,6 +223,7 @@
     auto failTask(PoolJobState &state, const TaskKey &key, int attempt, MonoTime now) -> void;
     auto attemptLimit(const PoolJobState &state) const -> std::optional<int>;
     auto failExhausted(MonoTime now) -> void;
+    static auto noteUnsuccessful(PoolJobState &state, const AttemptKey &key) -> void;
     auto recordFailure(Worker &worker, MonoTime now) -> void;
     auto loseAttempt(Worker &worker, const AttemptKey &key, const char *reason) -> void;
     auto saveCheckpoint(PoolJobState &state, const TaskKey &key, const std::string &checkpoint) -> void;
@@ -268,6 +271,7 @@
     std::map<JobId, PoolJobState> m_jobs;
     std::set<JobId> m_active; ///< jobs that are not final
     std::map<WorkerId, Worker> m_workers;
+    MonoTime m_entriesReadAt;
     std::set<JobId> m_changed;
     std::set<JobId> m_phaseChanged;
     std::set<JobId> m_expired;
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -115,6 +115,7 @@
     std::vector<TaskState> tasks;
     int gangFailures = 0; ///< failed attempts of a gang as a whole
     int lastFailedAttempt = 0; ///< of a gang; a second failing member of the same attempt is not counted
+    int unsuccessfulAttempt = 0; ///< last attempt of a gang that is known to be over without success; never stored
     bool everStarted = false;
     bool waitLogged = false; ///< whether the reason of its waiting has been logged; never stored
 };
--- a/packages/policy/testing/poolcore_ends_test.cpp
+++ b/packages/policy/testing/poolcore_ends_test.cpp
@@ -154,10 +154,22 @@
     planner.core.pollFailed(workerId);
     planner.core.workerWrote(workerId, planner.now);
     planner.now += leaseDuration + Millis{1'000};
+    planner.core.entriesRead(planner.now);
     planner.plan();
     CHECK(planner.phaseOf(0) == TaskPhase::Waiting);
 }
 
+TEST_CASE("a worker does not count as gone because the planner cannot read the entries")
+{
+    auto planner = Planner{1};
+    planner.core.pollFailed(workerId);
+    planner.core.workerWrote(workerId, planner.now);
+    planner.core.entriesRead(planner.now);
+    planner.now += leaseDuration + Millis{1'000};
+    planner.plan();
+    CHECK(planner.phaseOf(0) == TaskPhase::Placed);
+}
+
 TEST_CASE("a task whose worker writes its entry and does not answer is placed again after twice the lease")
 {
     auto planner = Planner{1};
@@ -186,3 +198,39 @@
     planner.plan();
     CHECK(planner.phaseOf(0) == TaskPhase::Waiting);
 }
+
+// Guards against a done gang that runs again: the silence of one member's worker was taken for the end of the gang's attempt.
+TEST_CASE("a gang with a member whose worker is gone may have succeeded and is waited for")
+{
+    auto planner = Planner{2, true};
+    planner.core.pollFailed(workerId);
+    planner.now += Millis{100};
+    planner.core.workerLeft(WorkerId{"w2"});
+    planner.now += leaseDuration + Millis{1'000};
+    planner.core.workerWrote(workerId, planner.now);
+    planner.plan();
+    CHECK(planner.phaseOf(0) == TaskPhase::Placed);
+    planner.answer(1, {}, {Planner::done(1, 0)});
+    CHECK(planner.phaseOf(1) == TaskPhase::Done);
+}
+
+TEST_CASE("an attempt is not missing from a list that has no room for all ends")
+{
+    auto planner = Planner{1};
+    planner.now += Millis{10};
+    planner.core.applyPollReply(workerId, {.clock = WorkerTime{2'000}, .born = Incarnation{1}, .complete = false}, planner.now, planner.now);
+    CHECK(planner.plan().stops.empty());
+    planner.core.applyPollReply(workerId, {.clock = WorkerTime{2'000}, .born = Incarnation{1}}, planner.now, planner.now);
+    CHECK(planner.plan().stops.size() == 1);
+}
+
+TEST_CASE("a poll acknowledges nothing once the worker's entry names a later lifetime")
+{
+    auto planner = Planner{4};
+    planner.answer(1, {2, 3}, {Planner::done(1, 0), Planner::done(2, 1)});
+    planner.core.recorded(planner.plan());
+    auto info = planner.core.workers().at(workerId).info;
+    info.born = Incarnation{2};
+    planner.core.setWorkers({info}, planner.now);
+    CHECK(planner.core.nextPoll(workerId, planner.now).request.seenCompletions == 0);
+}
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -343,6 +343,7 @@
         // These fields are not part of a stored record.
         for (auto &occurrence : state.occurrences) {
             for (auto &it : occurrence.steps) {
+                it.unsuccessfulAttempt = 0;
                 for (auto &task : it.tasks) {
                     task.attemptPhase = AttemptPhase::Unknown;
                     task.percent = -1;
--- a/packages/policy/workermessages.h
+++ b/packages/policy/workermessages.h
@@ -53,7 +53,8 @@
     Incarnation born; ///< changes when the worker restarts
     std::vector<RunningAttempt> running;
     std::vector<AttemptCompletion> completions; ///< those not yet acknowledged by WorkerPollRequest::seenCompletions
-    std::int64_t acknowledged = 0; ///< the number with which the poll was sent; below WorkerPollRequest::seenCompletions if it was held back
+    std::int64_t acknowledged = 0; ///< WorkerPollRequest::seenCompletions of the poll that is answered
+    bool complete = true; ///< whether no completion was left out for want of space
 };
 
 enum class OrderOutcome {
