Use the answers of workers that come after the time limit of a poll

Callers saw a task start again after it was done (TWICE), on a congested path between the regions.

Cause: a poll without an answer in time was given up with its connection and begun anew with the same limits: 400 ms for the connection, 900 ms for the answer. On a path slower than that no poll ever succeeds, although the worker runs, and each try adds to the load. The worker counts as unreachable until the congestion is over, its leases run out, and its work, done or not, is placed again. The class is that of (pages of the store given up and begun anew on slow links).

Change: a poll that is not answered in time counts as failed as before, and the worker is tried on another connection; the first one stays open for as long as its answer can be used. A late answer is applied, its connection replaces the other one, and later polls get as much time as it took, without a wait at the worker, until one is answered quickly again.

Measured: workercaller_test, four cases, passes; it does not compile on the code before, which had no such handling.

--- a/packages/daemon/poolcalls.cpp
+++ b/packages/daemon/poolcalls.cpp
@@ -11,6 +11,7 @@
 {
     return {
         .token = m_options.epoch,
+        .lateAnswers = m_options.pool.leaseDuration,
         .mayOrder = m_hooks.mayOrder,
         .prepare = [this](const PoolOrder &order) { return prepareOrder(order); },
         .orderEnded = [this](const PoolOrder &order, OrderOutcome outcome) { orderEnded(order, outcome); },
--- /dev/null
+++ b/packages/daemon/testing/workercaller_test.cpp
@@ -0,0 +1,178 @@
+#include "daemon/workercaller.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace Catkin;
+
+namespace
+{
+
+const auto workerId = WorkerId{"w1"};
+
+/// One worker behind channels whose polls the test answers, and a clock that the test moves.
+struct Network
+{
+    struct Poll
+    {
+        int channel = 0;
+        Millis timeout{0};
+        std::function<void(Result<WorkerPollReply>)> done; ///< empty once answered or closed
+    };
+    struct Task
+    {
+        MonoTime at;
+        std::function<void()> run;
+    };
+
+    auto calls() -> WorkerCalls
+    {
+        return {
+            .open = [this](const WorkerTarget &) { return openChannel(); },
+            .post = [](const std::function<void()> &task) { task(); },
+            .postAfter = [this](Millis delay, std::function<void()> task) { tasks.push_back({.at = clock.now() + delay, .run = std::move(task)}); },
+            .stop = [] {},
+        };
+    }
+
+    auto openChannel() -> WorkerChannel
+    {
+        const auto channel = ++channels;
+        return {
+            .poll =
+                [this, channel](const WorkerPollRequest &, Millis timeout, auto done) {
+                    polls.push_back({channel, timeout, std::move(done)});
+                },
+            .start = [](const StartOrder &, Millis, auto) {},
+            .stop = [](const StopOrder &, Millis, auto) {},
+            .close =
+                [this, channel] {
+                    for (auto &it : polls) {
+                        if (it.channel == channel) {
+                            it.done = nullptr;
+                        }
+                    }
+                },
+        };
+    }
+
+    auto answer(std::size_t poll) -> void
+    {
+        std::exchange(polls.at(poll).done, nullptr)(WorkerPollReply{});
+    }
+
+    /// Moves the clock in steps and runs the tasks that become due.
+    auto pass(Millis span) -> void
+    {
+        constexpr auto step = Millis{10};
+        for (auto passed = Millis{0}; passed < span; passed += step) {
+            clock.advance(step);
+            for (auto i = std::size_t{0}; i < tasks.size(); ++i) {
+                if (tasks[i].run && tasks[i].at <= clock.now()) {
+                    std::exchange(tasks[i].run, nullptr)();
+                }
+            }
+        }
+    }
+
+    [[nodiscard]] auto open() const -> std::vector<int>
+    {
+        auto out = std::vector<int>{};
+        for (const auto &it : polls) {
+            if (it.done) {
+                out.push_back(it.channel);
+            }
+        }
+        return out;
+    }
+
+    ManualClock clock;
+    int channels = 0;
+    std::vector<Poll> polls;
+    std::vector<Task> tasks;
+};
+
+struct Fixture
+{
+    Fixture()
+        : caller({.begin = [this] { return network.calls(); }},
+                 network.clock.clock(),
+                 {
+                     .lateAnswers = Millis{6'000},
+                     .mayOrder = [] { return true; },
+                     .prepare = [](const PoolOrder &) { return std::nullopt; },
+                     .orderEnded = [](const PoolOrder &, OrderOutcome) {},
+                     .nextPoll = [](const WorkerId &, MonoTime) { return WorkerPollRequest{}; },
+                     .pollEnded =
+                         [this](const WorkerId &, const Result<WorkerPollReply> &reply, MonoTime sentAt) {
+                             (reply ? answered : failed) += 1;
+                             lastSentAt = sentAt;
+                         },
+                     .pauseOf = [](const WorkerId &) { return PollPause::WhileIdle; },
+                 })
+    {
+        caller.setTargets({{workerId, "10.0.0.1:1"}});
+        network.pass(Millis{20});
+    }
+
+    Network network;
+    int answered = 0;
+    int failed = 0;
+    MonoTime lastSentAt;
+    WorkerCaller caller;
+};
+
+}
+
+// Guards against a worker that counts as lost on a congested path: each poll was given up and begun anew with the same time limit, so that
+// no answer that took longer was ever read.
+TEST_CASE("the late answer to a poll is used, and its connection replaces the one that was opened meanwhile")
+{
+    auto fixture = Fixture{};
+    REQUIRE(fixture.network.polls.size() == 1);
+    const auto sentAt = fixture.network.clock.now();
+    fixture.network.pass(Millis{4'000});
+    CHECK(fixture.failed >= 3);
+    CHECK(fixture.answered == 0);
+    CHECK(fixture.network.open().front() == 1);
+    fixture.network.answer(0);
+    CHECK(fixture.answered == 1);
+    CHECK(fixture.lastSentAt <= sentAt);
+    CHECK(fixture.network.open().empty());
+    fixture.network.pass(Millis{5'100});
+    CHECK(fixture.network.open() == std::vector<int>{1});
+}
+
+TEST_CASE("after a late answer, polls are given as much time as that answer took")
+{
+    auto fixture = Fixture{};
+    fixture.network.pass(Millis{2'500});
+    fixture.network.answer(0);
+    fixture.network.pass(Millis{5'100});
+    const auto failed = fixture.failed;
+    fixture.network.pass(Millis{2'000});
+    CHECK(fixture.failed == failed);
+    fixture.network.pass(Millis{1'000});
+    CHECK(fixture.failed == failed + 1);
+}
+
+TEST_CASE("a worker with a silent connection is tried on another one, and that answer ends the wait for the late one")
+{
+    auto fixture = Fixture{};
+    fixture.network.pass(Millis{1'200});
+    CHECK(fixture.failed == 1);
+    REQUIRE(fixture.network.polls.size() == 2);
+    fixture.network.answer(1);
+    CHECK(fixture.answered == 1);
+    CHECK(fixture.network.open().empty());
+}
+
+TEST_CASE("a worker has two connections for polls at most")
+{
+    auto fixture = Fixture{};
+    for (auto i = 0; i < 200; ++i) {
+        fixture.network.pass(Millis{50});
+        CHECK(fixture.network.open().size() <= 2);
+    }
+}
--- a/packages/daemon/workercaller.cpp
+++ b/packages/daemon/workercaller.cpp
@@ -3,6 +3,7 @@
 #include "util/logging.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Catkin
 {
@@ -86,20 +87,22 @@
 auto WorkerCaller::updatePollers(const std::vector<std::pair<WorkerId, std::string>> &targets) -> void
 {
     const auto wanted = std::map<WorkerId, std::string>(targets.begin(), targets.end());
-    std::erase_if(m_pollers, [&](auto &it) {
-        const auto target = wanted.find(it.first);
-        const auto stays = target != wanted.end() && target->second == it.second.address;
-        if (!stays) {
-            it.second.channel.close();
-            m_schedule.remove(it.first);
+    for (auto it = m_pollers.begin(); it != m_pollers.end();) {
+        const auto target = wanted.find(it->first);
+        if (target != wanted.end() && target->second == it->second.address) {
+            ++it;
+            continue;
         }
-        return !stays;
-    });
+        it->second.channel.close();
+        closeLate(it->second);
+        m_schedule.remove(it->first);
+        it = m_pollers.erase(it);
+    }
     std::erase_if(m_links, [&](const auto &it) { return !wanted.contains(it.first) && !it.second->busy; });
     const auto now = m_clock.mono();
     for (const auto &[id, address] : wanted) {
         if (!m_pollers.contains(id)) {
-            m_pollers[id] = {.address = address, .channel = m_calls.open({.id = id, .address = address})};
+            m_pollers[id] = {.address = address, .channel = m_calls.open({.id = id, .address = address}), .margin = pollTimeoutMargin};
             m_schedule.add(id, now);
         }
     }
@@ -156,17 +159,90 @@
 
 auto WorkerCaller::sendPoll(const WorkerId &id) -> void
 {
+    auto &poller = m_pollers.at(id);
     const auto sentAt = m_clock.mono();
     auto request = m_handlers.nextPoll(id, sentAt);
     request.token = m_handlers.token;
-    const auto &channel = m_pollers.at(id).channel;
-    channel.poll(request, request.wait + pollTimeoutMargin, [this, id, sentAt](const Result<WorkerPollReply> &reply) { pollAnswered(id, reply, sentAt); });
+    if (poller.margin > pollTimeoutMargin) {
+        request.wait = Millis{0}; // on a slow path the wait would delay the renewal of the lease even more
+    }
+    const auto poll = SentPoll{.id = id, .number = ++m_polls, .sentAt = sentAt};
+    poller.number = poll.number;
+    poller.channel.poll(request, request.wait + std::max(m_handlers.lateAnswers, poller.margin), [this, poll](const Result<WorkerPollReply> &reply) {
+        pollAnswered(poll, reply);
+    });
+    m_calls.postAfter(request.wait + poller.margin, [this, poll] { pollOverdue(poll); });
+}
+
+auto WorkerCaller::pollAnswered(const SentPoll &poll, const Result<WorkerPollReply> &reply) -> void
+{
+    const auto it = m_pollers.find(poll.id);
+    if (it == m_pollers.end()) {
+        return;
+    }
+    auto &poller = it->second;
+    if (poller.late && poller.lateNumber == poll.number) {
+        lateAnswered(poll, reply);
+    } else if (poller.number == poll.number) {
+        poller.number = 0;
+        if (reply) {
+            closeLate(poller); // its answer would be older
+            if (m_clock.mono() - poll.sentAt <= pollTimeoutMargin) {
+                poller.margin = pollTimeoutMargin;
+            }
+        }
+        pollFinished(poll, reply);
+    }
+}
+
+/// The connection of a late answer replaces the one that was opened meanwhile.
+auto WorkerCaller::lateAnswered(const SentPoll &poll, const Result<WorkerPollReply> &reply) -> void
+{
+    auto &poller = m_pollers.at(poll.id);
+    if (!reply) {
+        closeLate(poller);
+        if (reply.error().code == ErrorCode::StaleGeneration) {
+            m_handlers.pollEnded(poll.id, reply, poll.sentAt);
+        }
+        return;
+    }
+    poller.channel.close();
+    poller.channel = *std::exchange(poller.late, std::nullopt);
+    poller.number = 0;
+    const auto took = std::chrono::ceil<Millis>(m_clock.mono() - poll.sentAt);
+    poller.margin = std::clamp(took, pollTimeoutMargin, std::max(pollTimeoutMargin, m_handlers.lateAnswers / 2));
+    pollFinished(poll, reply);
+}
+
+auto WorkerCaller::pollOverdue(const SentPoll &poll) -> void
+{
+    const auto it = m_pollers.find(poll.id);
+    if (it == m_pollers.end() || it->second.number != poll.number) {
+        return;
+    }
+    auto &poller = it->second;
+    poller.number = 0;
+    if (poller.late) {
+        poller.channel.close();
+    } else {
+        poller.late = std::exchange(poller.channel, m_calls.open({.id = poll.id, .address = poller.address}));
+        poller.lateNumber = poll.number;
+    }
+    pollFinished(poll, failure(ErrorCode::Timeout, "no complete answer in time"));
+}
+
+auto WorkerCaller::closeLate(Poller &poller) -> void
+{
+    if (poller.late) {
+        poller.late->close();
+        poller.late.reset();
+    }
 }
 
-auto WorkerCaller::pollAnswered(const WorkerId &id, const Result<WorkerPollReply> &reply, MonoTime sentAt) -> void
+auto WorkerCaller::pollFinished(const SentPoll &poll, const Result<WorkerPollReply> &reply) -> void
 {
-    m_handlers.pollEnded(id, reply, sentAt);
-    m_schedule.ended(id, reply ? m_handlers.pauseOf(id) : PollPause::AfterFailure, m_clock.mono());
+    m_handlers.pollEnded(poll.id, reply, poll.sentAt);
+    m_schedule.ended(poll.id, reply ? m_handlers.pauseOf(poll.id) : PollPause::AfterFailure, m_clock.mono());
     pollDue();
 }
 
--- a/packages/daemon/workercaller.h
+++ b/packages/daemon/workercaller.h
@@ -11,6 +11,9 @@
 ///   caller.stop();
 /// @endcode
 ///
+/// A poll without an answer in time counts as failed, and its worker is tried again on another connection. The first connection stays open
+/// for a while: on a congested path the answer arrives late, and new connections take even longer.
+///
 /// The handlers decide what is sent and take the answers; they are called on the thread of the calls and may lock, but not wait for the
 /// network.
 
@@ -20,6 +23,7 @@
 #include "util/clock.h"
 
 #include <atomic>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -35,6 +39,7 @@
 struct WorkerCallHandlers
 {
     std::int64_t token = 0; ///< fencing token of all calls
+    Millis lateAnswers{10'000}; ///< how long the answer to a poll can still be used
     std::function<bool()> mayOrder; ///< whether the planner's leadership is confirmed; without it nothing is sent
     /// @return the end of the lease that a start order grants, 0 for a stop order; nothing if the order must not be sent any more.
     std::function<std::optional<WorkerTime>(const PoolOrder &order)> prepare;
@@ -69,6 +74,10 @@
     {
         std::string address;
         WorkerChannel channel;
+        std::uint64_t number = 0; ///< of the last poll on @c channel
+        Millis margin{0}; ///< time for an answer beyond the wait at the worker
+        std::optional<WorkerChannel> late; ///< has a poll that was not answered in time
+        std::uint64_t lateNumber = 0; ///< of that poll
     };
     struct OrderLink
     {
@@ -84,7 +93,17 @@
     auto pollDue() -> void;
     auto wakeAt(MonoTime time) -> void;
     auto sendPoll(const WorkerId &id) -> void;
-    auto pollAnswered(const WorkerId &id, const Result<WorkerPollReply> &reply, MonoTime sentAt) -> void;
+    struct SentPoll
+    {
+        WorkerId id;
+        std::uint64_t number = 0;
+        MonoTime sentAt;
+    };
+    auto pollAnswered(const SentPoll &poll, const Result<WorkerPollReply> &reply) -> void;
+    auto lateAnswered(const SentPoll &poll, const Result<WorkerPollReply> &reply) -> void;
+    auto pollOverdue(const SentPoll &poll) -> void;
+    auto pollFinished(const SentPoll &poll, const Result<WorkerPollReply> &reply) -> void;
+    static auto closeLate(Poller &poller) -> void;
     auto linkTo(const PoolOrder &order) -> LinkPtr &;
     auto enqueue(PoolOrder order) -> void;
     auto sendNext(const LinkPtr &link) -> void;
@@ -100,6 +119,7 @@
     // All that follows belongs to the thread of the calls.
     PollSchedule m_schedule;
     std::map<WorkerId, Poller> m_pollers;
+    std::uint64_t m_polls = 0; ///< number of the last poll
     std::map<WorkerId, LinkPtr> m_links;
     std::size_t m_queued = 0; ///< orders in the queues of all links
     MonoTime m_nextGroup; ///< no polls are sent before
