Simulate slow paths between the planner and its workers

Cause: the simulation had workers that are cut off, but none that run on, write their entries and list successes while the planner gets no answer from them. The wait for the list of such a worker was covered by direct calls of the core only.

Change: the fault slowPaths makes the path to some workers slow once for 8 to 11 s. Polls sent or open in that time are given up and their answers dropped; three of four polls and orders arrive 1 to 4 s late, the others never. Every worker that is neither gone nor cut off writes its entry each heartbeat, under all faults. For workers with a slow path, a success that has been listed for 100 ms while the lease held counts as recorded, also after the lease has expired. Random numbers are drawn only with the new fault.

Whether workers of the platform end gangs like the simulated ones was not checked.

--- a/packages/policy/testing/poolcore_test.cpp
+++ b/packages/policy/testing/poolcore_test.cpp
@@ -39,12 +39,16 @@
 }
 
 /// Runs 40 random jobs on 12 workers under faults, until they should all have finished.
-auto runRandomJobs(std::uint64_t seed, const PoolFaults &faults) -> PoolSimulation
+/// @param gangs whether some of the jobs are gangs
+auto runRandomJobs(std::uint64_t seed, const PoolFaults &faults, bool gangs = true) -> PoolSimulation
 {
     auto simulation = PoolSimulation{seed, 12, faults};
     auto random = Random{seed + 1};
     for (auto i = 0; i < 40; ++i) {
-        simulation.submit(randomJob(random, i));
+        auto job = randomJob(random, i);
+        job.steps.front().gang = gangs && job.steps.front().gang;
+        job.steps.front().sameRack = gangs && job.steps.front().sameRack;
+        simulation.submit(job);
         if (random(10) == 0) {
             simulation.cancel(JobId{"job" + std::to_string(i)});
         }
@@ -97,6 +101,12 @@
     return simulation;
 }
 
+/// Slow paths alone, and with other faults that do not end a worker's process or cut it off.
+constexpr auto slowPathFaults = std::array{
+    PoolFaults{.slowPaths = 50},
+    PoolFaults{.lostAnswers = 5, .lateOrders = 4, .failedTasks = 5, .slowRecords = 20, .slowPaths = 50},
+};
+
 /// A new planner and the record of a job with two tasks that run on one worker.
 struct Takeover
 {
@@ -233,6 +243,34 @@
     }
 }
 
+// Guards against a done task that runs again: on a slow path the planner gets no list of a worker that runs, until its leases are over.
+TEST_CASE("a task that is listed as done behind a slow path does not start again")
+{
+    for (const auto &it : slowPathFaults) {
+        for (auto seed = std::uint64_t{1}; seed <= 40; ++seed) {
+            const auto simulation = runRandomJobs(seed, it, false);
+            CAPTURE(it.failedTasks);
+            CAPTURE(seed);
+            CHECK_MESSAGE(simulation.violations().empty(), text(simulation.violations()));
+            CHECK(unfinished(simulation).empty());
+        }
+    }
+}
+
+// Guards against a done gang that runs again: the member that was done is listed on a slow path, after the members that ended with it.
+TEST_CASE("a gang with a member that is listed as done behind a slow path does not start again")
+{
+    for (const auto &it : slowPathFaults) {
+        for (auto seed = std::uint64_t{1}; seed <= 40; ++seed) {
+            const auto simulation = runRandomJobs(seed, it);
+            CAPTURE(it.failedTasks);
+            CAPTURE(seed);
+            CHECK_MESSAGE(simulation.violations().empty(), text(simulation.violations()));
+            CHECK(unfinished(simulation).empty());
+        }
+    }
+}
+
 // Guards against jobs that fail because one failure is counted twice: its worker reports it again to a later planner.
 TEST_CASE("a job fails only after a task has failed as often as its queue allows")
 {
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -22,6 +22,10 @@
 constexpr auto pollTimeoutMargin = Millis{900};
 constexpr auto pollRetryDelay = Millis{200};
 constexpr auto idlePollInterval = Millis{5'000};
+/// A success counts as recorded once its worker has listed it for this long with a lease, as the platform counts it.
+constexpr auto listedLimit = Millis{100};
+/// Percentage of the polls and orders on a slow path that arrive at all.
+constexpr auto slowArrivals = 75;
 constexpr auto drainDuration = Millis{2'500};
 constexpr auto absence = Millis{2'000};
 
@@ -78,6 +82,10 @@
         if (chance(m_faults.departures)) {
             worker.drainsAt = m_start + Millis{2'000 + m_random(25'000)};
         }
+        if (m_faults.slowPaths > 0 && chance(m_faults.slowPaths)) {
+            worker.slowFrom = m_start + Millis{2'000 + m_random(15'000)};
+            worker.slowUntil = worker.slowFrom + Millis{8'000 + m_random(3'000)};
+        }
     }
     for (auto i = 0; i < m_faults.takeovers; ++i) {
         m_takeovers.push_back(m_start + Millis{3'000 + m_random(25'000)});
@@ -101,6 +109,11 @@
     return worker.gone || (m_now >= worker.cutFrom && m_now < worker.cutUntil);
 }
 
+auto PoolSimulation::hasSlowPath(const SimulatedPoolWorker &worker) const -> bool
+{
+    return m_now >= worker.slowFrom && m_now < worker.slowUntil;
+}
+
 auto PoolSimulation::core() const -> const PoolCore &
 {
     return m_core;
@@ -211,6 +224,17 @@
     }
 }
 
+auto PoolSimulation::receiveLatePolls() -> void
+{
+    std::erase_if(m_latePolls, [&](const LatePoll &it) {
+        auto &worker = m_workers.at(it.worker);
+        if (it.at <= m_now && !worker.gone && it.born == worker.info.born && it.request.token >= worker.token) {
+            receivePoll(worker, it.request);
+        }
+        return it.at <= m_now;
+    });
+}
+
 /// @return when the job was cancelled, or was first found to have failed; nothing if neither.
 auto PoolSimulation::finalSince(const JobId &id) const -> std::optional<MonoTime>
 {
@@ -239,7 +263,8 @@
                 continue;
             }
             const auto reachableSince = isCutOff(worker) ? m_now : worker.cutUntil <= m_now ? worker.cutUntil : m_start;
-            const auto inTime = std::max({*final, m_tookOverAt, reachableSince}) + stopLimit;
+            const auto promptSince = hasSlowPath(worker) ? m_now : worker.slowUntil <= m_now ? worker.slowUntil : m_start;
+            const auto inTime = std::max({*final, m_tookOverAt, reachableSince, promptSince}) + stopLimit;
             const auto limit = (it.late ? std::max(inTime, it.begin + lateLimit) : inTime) + (it.stopHeldUp ? lateLimit : Millis{0}) + m_options.stopGrace;
             if (m_now > limit && m_reportedFinal.emplace(key, it.attempt).second) {
                 m_violations.push_back(key.job.str() + "." + std::to_string(key.step) + "." + std::to_string(key.index) + " attempt "
@@ -380,7 +405,11 @@
         m_core.applyOrder(order, OrderOutcome::NotSent, m_now);
         return;
     }
-    if (!isCutOff(worker)) {
+    if (!isCutOff(worker) && hasSlowPath(worker)) {
+        if (chance(slowArrivals)) {
+            sendLate(order, lease, m_now + Millis{1'000 + m_random(3'000)});
+        }
+    } else if (!isCutOff(worker)) {
         if (!chance(m_faults.lateOrders)) {
             const auto outcome = execute(order, lease, m_token, nullptr);
             if (!chance(m_faults.lostAnswers)) {
@@ -388,18 +417,23 @@
                 return;
             }
         } else {
-            m_lateOrders.push_back(
-                {.at = m_now + Millis{2'000 + m_random(10'000)}, .order = order, .leaseUntil = lease, .token = m_token, .born = worker.info.born});
-            const auto it = worker.running.find(order.task);
-            if (order.kind == PoolOrder::Kind::Stop && it != worker.running.end()) {
-                it->second.stopHeldUp = true;
-            }
+            sendLate(order, lease, m_now + Millis{2'000 + m_random(10'000)});
         }
     }
     link.unanswered = order;
     link.answerDue = m_now + order.answerTimeout;
 }
 
+auto PoolSimulation::sendLate(const PoolOrder &order, WorkerTime lease, MonoTime at) -> void
+{
+    auto &worker = m_workers.at(order.worker);
+    m_lateOrders.push_back({.at = at, .order = order, .leaseUntil = lease, .token = m_token, .born = worker.info.born});
+    const auto it = worker.running.find(order.task);
+    if (order.kind == PoolOrder::Kind::Stop && it != worker.running.end()) {
+        it->second.stopHeldUp = true;
+    }
+}
+
 auto PoolSimulation::execute(const PoolOrder &order, WorkerTime leaseUntil, std::int64_t token, const LateOrder *late) -> OrderOutcome
 {
     auto &worker = m_workers.at(order.worker);
@@ -502,7 +536,7 @@
     return a == b || (gang && a.job == b.job && a.occurrence == b.occurrence && a.step == b.step);
 }
 
-/// A success counts once it is recorded. Before that it counts as long as the worker's lease has not expired since.
+/// A success counts once it is recorded, see also countListed(). Before that it counts as long as the worker's lease has not expired since.
 auto PoolSimulation::hasSucceeded(const TaskKey &key) const -> bool
 {
     if (std::any_of(m_recordedSuccesses.begin(), m_recordedSuccesses.end(), [&](const TaskKey &it) { return sameUnit(key, it); })) {
@@ -542,6 +576,7 @@
         unit.index = m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].gang ? 0 : key.index;
         m_failures[unit].insert(attempt);
     }
+    worker.listedAt[worker.nextCompletion] = m_now;
     worker.completions.push_back({.number = worker.nextCompletion++, .task = key, .attempt = attempt, .kind = kind});
 }
 
@@ -560,8 +595,30 @@
     }
 }
 
+/// Counts the successes that a worker with a slow path has listed for long enough, whatever happens to its lease afterwards.
+auto PoolSimulation::countListed(const SimulatedPoolWorker &worker) -> void
+{
+    if (worker.slowUntil == MonoTime{} || m_now >= worker.leaseUntil) {
+        return;
+    }
+    for (const auto &it : worker.completions) {
+        if (it.kind == CompletionKind::Done && !worker.voidCompletions.contains(it.number) && m_now - worker.listedAt.at(it.number) >= listedLimit) {
+            m_recordedSuccesses.insert(it.task);
+        }
+    }
+}
+
+auto PoolSimulation::writeEntry(SimulatedPoolWorker &worker) -> void
+{
+    if (!isCutOff(worker) && m_now - worker.wroteAt >= m_options.heartbeat) {
+        worker.wroteAt = m_now;
+        m_core.workerWrote(worker.info.id, m_now);
+    }
+}
+
 auto PoolSimulation::advanceWorker(SimulatedPoolWorker &worker) -> void
 {
+    countListed(worker);
     if (m_now >= worker.leaseUntil) {
         for (const auto &it : worker.completions) {
             worker.voidCompletions.insert(it.number);
@@ -609,7 +666,12 @@
         }
     }
     const auto before = worker;
-    worker = SimulatedPoolWorker{.info = before.info, .bornAt = m_now, .cutFrom = before.cutFrom, .cutUntil = before.cutUntil};
+    worker = SimulatedPoolWorker{.info = before.info,
+                                 .bornAt = m_now,
+                                 .cutFrom = before.cutFrom,
+                                 .cutUntil = before.cutUntil,
+                                 .slowFrom = before.slowFrom,
+                                 .slowUntil = before.slowUntil};
     ++worker.info.born;
     worker.info.draining = false;
 }
@@ -639,7 +701,9 @@
 auto PoolSimulation::advanceWorkers() -> void
 {
     executeLateOrders();
+    receiveLatePolls();
     for (auto &[id, worker] : m_workers) {
+        writeEntry(worker);
         if (!worker.gone) {
             advanceWorker(worker);
         }
@@ -658,7 +722,7 @@
 
 auto PoolSimulation::receivePoll(SimulatedPoolWorker &worker, const WorkerPollRequest &request) -> void
 {
-    worker.token = std::max(worker.token, m_token);
+    worker.token = std::max(worker.token, request.token);
     if (request.leaseUntil.value > 0) {
         const auto until = worker.bornAt + Millis{request.leaseUntil.value - 1};
         worker.leaseUntil = std::max(worker.leaseUntil, std::min(until, m_now + m_options.leaseDuration));
@@ -678,6 +742,22 @@
     m_core.applyPollReply(worker.info.id, reply, poller.sentAt, m_now);
 }
 
+auto PoolSimulation::sendPoll(const SimulatedPoolWorker &worker) -> Poller
+{
+    const auto &id = worker.info.id;
+    auto poller = Poller{.open = m_core.nextPoll(id, m_now).request, .sentAt = m_now, .born = worker.info.born, .lost = isCutOff(worker)};
+    poller.open->token = m_token;
+    if (poller.lost) {
+        return poller;
+    }
+    if (!hasSlowPath(worker)) {
+        receivePoll(m_workers.at(id), *poller.open);
+    } else if (chance(slowArrivals)) {
+        m_latePolls.push_back({.at = m_now + Millis{1'000 + m_random(3'000)}, .worker = id, .request = *poller.open, .born = worker.info.born});
+    }
+    return poller;
+}
+
 auto PoolSimulation::pollWorkers() -> void
 {
     std::erase_if(m_pollers, [&](const auto &it) { return !m_core.workers().contains(it.first); });
@@ -688,13 +768,10 @@
             continue;
         }
         if (!poller.open) {
-            poller = {.open = m_core.nextPoll(id, m_now).request, .sentAt = m_now, .born = worker.info.born, .lost = isCutOff(worker)};
-            if (!poller.lost) {
-                receivePoll(worker, *poller.open);
-            }
+            poller = sendPoll(worker);
         }
         const auto reset = poller.born != worker.info.born;
-        poller.lost = poller.lost || isCutOff(worker);
+        poller.lost = poller.lost || isCutOff(worker) || hasSlowPath(worker);
         if (reset || (poller.lost && m_now - poller.sentAt >= poller.open->wait + pollTimeoutMargin)) {
             poller = {.pauseUntil = m_now + pollRetryDelay};
             m_core.pollFailed(id);
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -38,6 +38,9 @@
     int departures = 0; ///< percentage of workers that drain, leave, and come back under their id
     int slowRecords = 0; ///< percentage of planning passes whose records take 0.5 to 3 s to store
     int rebornWorkers = 0; ///< percentage of workers that are cut off once, and restart within that time
+    /// Percentage of workers whose path to the planner is slow once for 8 to 11 s: the planner gives up their polls and orders, which arrive
+    /// late or not at all. Not for use with faults that end or cut off workers, which lose successes that count.
+    int slowPaths = 0;
     bool misdirectedOrders = false; ///< whether late orders are also carried out by the next incarnation of their worker
 };
 
@@ -59,6 +62,7 @@
     PoolWorkerInfo info;
     std::map<TaskKey, SimulatedAttempt> running;
     std::vector<AttemptCompletion> completions;
+    std::map<std::int64_t, MonoTime> listedAt; ///< by the number of the completion
     std::set<std::int64_t> voidCompletions; ///< completions that were not recorded before the worker's lease expired
     std::map<TaskKey, int> lastClosed; ///< highest attempt that was stopped or has ended; starts up to it are refused
     std::int64_t nextCompletion = 1;
@@ -67,6 +71,9 @@
     MonoTime bornAt;
     MonoTime cutFrom; ///< the worker is cut off from here until cutUntil
     MonoTime cutUntil;
+    MonoTime slowFrom; ///< the path to the planner is slow from here until slowUntil
+    MonoTime slowUntil; ///< MonoTime{} if it never is
+    MonoTime wroteAt; ///< last write of its entry
     std::optional<MonoTime> restartsAt; ///< within the time for which it is cut off
     std::optional<MonoTime> drainsAt; ///< the worker leaves drainDuration later
     bool gone = false; ///< has left and not come back yet
@@ -103,6 +110,13 @@
         std::int64_t token = 0;
         Incarnation born; ///< incarnation of the worker that the order is meant for
     };
+    struct LatePoll
+    {
+        MonoTime at;
+        WorkerId worker;
+        WorkerPollRequest request;
+        Incarnation born; ///< incarnation of the worker that the poll is meant for
+    };
     /// Orders to one worker.
     struct Link
     {
@@ -131,6 +145,9 @@
     auto sendOrders() -> void;
     auto send(Link &link, const PoolOrder &order) -> void;
     auto executeLateOrders() -> void;
+    auto receiveLatePolls() -> void;
+    auto writeEntry(SimulatedPoolWorker &worker) -> void;
+    auto countListed(const SimulatedPoolWorker &worker) -> void;
     auto execute(const PoolOrder &order, WorkerTime leaseUntil, std::int64_t token, const LateOrder *late) -> OrderOutcome;
     auto startAt(SimulatedPoolWorker &worker, const PoolOrder &order, WorkerTime leaseUntil, const LateOrder *late) -> OrderOutcome;
     auto pollWorkers() -> void;
@@ -146,6 +163,9 @@
     auto listWorkers() -> void;
     auto chance(int percent) -> bool;
     auto isCutOff(const SimulatedPoolWorker &worker) const -> bool;
+    auto hasSlowPath(const SimulatedPoolWorker &worker) const -> bool;
+    auto sendLate(const PoolOrder &order, WorkerTime lease, MonoTime at) -> void;
+    auto sendPoll(const SimulatedPoolWorker &worker) -> Poller;
     auto checkStart(const SimulatedPoolWorker &worker, const PoolOrder &order) -> void;
     auto sameUnit(const TaskKey &a, const TaskKey &b) const -> bool;
     auto hasSucceeded(const TaskKey &key) const -> bool;
@@ -174,10 +194,11 @@
     std::optional<OpenPass> m_openPass;
     std::map<WorkerId, std::int64_t> m_acknowledged;
     std::vector<LateOrder> m_lateOrders;
+    std::vector<LatePoll> m_latePolls;
     std::map<WorkerId, Link> m_links;
     std::map<WorkerId, Poller> m_pollers;
     std::set<TaskKey> m_everSucceeded; ///< tasks that have succeeded, recorded or not
-    std::set<TaskKey> m_recordedSuccesses; ///< tasks whose success is recorded
+    std::set<TaskKey> m_recordedSuccesses; ///< tasks whose success is recorded, or counts as such
     std::map<JobId, MonoTime> m_startedAt;
     std::map<TaskKey, std::set<int>> m_failures; ///< failed attempts of a task, or of a gang under its first task
     std::vector<std::string> m_violations;
