--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -581,8 +581,10 @@
     worker.completions.push_back({.number = worker.nextCompletion++, .task = key, .attempt = attempt, .kind = kind});
 }
 
-auto PoolSimulation::endGang(const TaskKey &key, int attempt) -> void
+/// The members of a gang succeed together; otherwise the end of one ends the others.
+auto PoolSimulation::endGang(const TaskKey &key, int attempt, CompletionKind first) -> void
 {
+    const auto kind = first == CompletionKind::Done ? CompletionKind::Done : CompletionKind::GangMemberEnded;
     for (auto &[id, worker] : m_workers) {
         auto members = std::vector<TaskKey>{};
         for (const auto &[other, it] : worker.running) {
@@ -591,7 +593,7 @@
             }
         }
         for (const auto &it : members) {
-            completeAttempt(worker, it, CompletionKind::GangMemberEnded);
+            completeAttempt(worker, it, kind);
         }
     }
 }
@@ -635,23 +637,25 @@
             continue;
         }
         const auto attempt = it->second.attempt;
+        auto kind = CompletionKind::Done;
         const auto gang = m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].gang;
         if (m_now >= worker.leaseUntil) {
-            completeAttempt(worker, key, CompletionKind::LeaseExpired);
+            kind = CompletionKind::LeaseExpired;
         } else if (it->second.stopping && m_now >= it->second.stopAt) {
-            completeAttempt(worker, key, CompletionKind::Stopped);
+            kind = CompletionKind::Stopped;
         } else if (gang && !isGangComplete(key, attempt)) {
             if (m_now - it->second.begin > gangTimeout) {
                 completeAttempt(worker, key, CompletionKind::GangIncomplete);
             }
             continue;
         } else if (m_now >= it->second.end) {
-            completeAttempt(worker, key, chance(m_faults.failedTasks) ? CompletionKind::Failed : CompletionKind::Done);
+            kind = chance(m_faults.failedTasks) ? CompletionKind::Failed : CompletionKind::Done;
         } else {
             continue;
         }
+        completeAttempt(worker, key, kind);
         if (gang) {
-            endGang(key, attempt);
+            endGang(key, attempt, kind);
         }
     }
 }
@@ -663,7 +667,7 @@
         const auto attempt = it.attempt;
         worker.running.erase(key);
         if (m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].gang) {
-            endGang(key, attempt);
+            endGang(key, attempt, CompletionKind::LeaseExpired);
         }
     }
     const auto before = worker;
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -138,7 +138,7 @@
     auto advanceWorkers() -> void;
     auto advanceWorker(SimulatedPoolWorker &worker) -> void;
     auto completeAttempt(SimulatedPoolWorker &worker, const TaskKey &key, CompletionKind kind) -> void;
-    auto endGang(const TaskKey &key, int attempt) -> void;
+    auto endGang(const TaskKey &key, int attempt, CompletionKind first) -> void;
     auto plan() -> void;
     auto recordsOf(const PoolEffects &effects) const -> std::map<JobId, PoolJobState>;
     auto finishPass() -> void;
