Let a job wait for the end of its planner's own earlier attempt

What callers see: a second attempt of a restartable job starts while an earlier one still runs.

Cause: a superseded planner hands its attempt numbers to its successor, which took a live lease with such a number for one of an attempt that had ended. If the log shows a later try of the other planner, the attempt is not adopted; its lease is ended, and the job started before that end. A number says which attempt is meant, not whether it still runs.

Evidence: the new case of domainplanner_test fails without the change (two attempts at once).

Change: a job without a gang starts only when no worker that has answered the claim lists a live lease of it, of a silent worker only while the lease can last. The end of a gang marks its leases in the last status of its workers, because a silent worker's status is older. A lease that is found to be of no gang takes its job out of the queue.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -4,6 +4,7 @@
 #include "util/logging.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace Catkin
@@ -117,6 +118,7 @@
     auto &worker = m_workers.at(id);
     worker.heard = true;
     worker.status = std::move(status);
+    worker.answeredAt = m_context.clock.mono();
     worker.stale = false;
     if (m_claimed && worker.status->generation > m_generation) {
         noteStale(m_context.clock.mono());
@@ -244,6 +246,24 @@
     });
 }
 
+/// @return whether a worker that has answered the claim lists a live lease of the job; of a silent worker only while the lease can last.
+auto DomainPlanner::leaseLasts(const JobId &job, MonoTime now) const -> bool
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
+        const auto &worker = entry.second;
+        return worker.status && !worker.stale && now - worker.answeredAt < longestLease()
+               && std::any_of(worker.status->leases.begin(), worker.status->leases.end(), [&](const WorkerLease &it) {
+                      return it.job == job && it.state != LeaseState::Ended;
+                  });
+    });
+}
+
+/// @return a time after which a lease that is not renewed is over on every worker.
+auto DomainPlanner::longestLease() const -> Millis
+{
+    return m_context.options.gangs.runTtl + m_context.options.gangs.runTtl / 10;
+}
+
 auto DomainPlanner::settleLost(const Job &job) -> void
 {
     // No worker holds a lease of the attempt any more, and whether its tasks did their work is not known.
@@ -332,6 +352,7 @@
         const auto known = worker.ending.find(lease.lease);
         if (known == worker.ending.end()) {
             logEvent(LogLevel::Warn, 2405, "ending lease " + lease.lease.str() + " of no known gang on " + id.str());
+            m_jobsChanged = true; // its job may wait in the queue
         }
         ending.emplace(lease.lease, known == worker.ending.end() ? now : known->second);
     }
@@ -379,7 +400,7 @@
     }
     // Before a worker answered, another planner may have renewed what is not seen here.
     const auto waited = now - m_contact.value_or(now);
-    const auto leasesOver = waited >= m_context.options.gangs.runTtl + m_context.options.gangs.runTtl / 10;
+    const auto leasesOver = waited >= longestLease();
     for (auto &[id, it] : m_workers) {
         if (leasesOver && it.stale) {
             it.status.reset();
@@ -420,6 +441,12 @@
         }
         return;
     }
+    if (leaseLasts(id, now)) {
+        // checkLeases() ends an earlier attempt of this planner, and the job must not start from the queue until it is over.
+        (void)m_scheduler.cancel(id);
+        m_jobsChanged = true;
+        return;
+    }
     const auto waited = std::max(Millis{0}, m_context.clock.wall() - job.accepted);
     m_scheduler.resubmit(toScheduled(job.spec), now - waited);
 }
@@ -543,6 +570,12 @@
 auto DomainPlanner::handleEnd(const GangEvent &event, MonoTime now) -> void
 {
     m_jobsChanged = true;
+    // The last status of a silent worker is older than the end of the gang.
+    for (auto &[id, worker] : m_workers) {
+        for (auto &it : worker.status ? std::span{worker.status->leases} : std::span<WorkerLease>{}) {
+            it.state = it.job == event.job && it.attempt == event.attempt ? LeaseState::Ended : it.state;
+        }
+    }
     const auto job = m_context.jobs->find(event.job);
     logEvent(
         LogLevel::Info, 2407, "job " + event.job.str() + " attempt " + std::to_string(event.attempt) + " " + outcomeName(event.outcome) + " " + event.reason);
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -126,6 +126,7 @@
     {
         ListedInstance listed;
         std::optional<WorkerStatus> status;
+        MonoTime answeredAt{}; ///< when the status arrived
         /// The claim was not answered, so the status is older than it and the worker counts as not reached. Its leases may still run.
         bool stale = false;
         bool heard = false; ///< at least one exchange has ended, with or without success
@@ -151,6 +152,8 @@
     auto findGangs() const -> std::map<JobId, Found>;
     auto highestListed(const JobId &job) const -> int;
     auto foreignAttemptRuns(const JobId &job) const -> bool;
+    auto leaseLasts(const JobId &job, MonoTime now) const -> bool;
+    auto longestLease() const -> Millis;
     auto adoptJob(const Job &job, const Found *found, bool complete, MonoTime now) -> void;
     auto settleLost(const Job &job) -> void;
     auto calledFor(const WorkerId &id, const WorkerLease &lease) -> bool;
--- a/packages/daemon/testing/domainplanner_test.cpp
+++ b/packages/daemon/testing/domainplanner_test.cpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <map>
 #include <thread>
+#include <utility>
 
 using namespace Catkin;
 using Catkin::Testing::FakeWorker;
@@ -336,24 +337,36 @@
     WorkPool pool{2, 16};
     std::atomic<bool> jobsChanged{false};
     JobService jobs{log.port(), writer, clock, {}, [this] { jobsChanged = true; }};
+    PlannerContext context;
+    std::vector<ListedInstance> listed;
     std::shared_ptr<DomainPlanner> planner;
 
-    explicit Takeover(int count, Millis runTtl = GangOptions{}.runTtl)
+    explicit Takeover(int count, Millis runTtl = GangOptions{}.runTtl, Millis adoptWait = PlannerOptions{}.adoptWait)
     {
-        auto context = PlannerContext{.workers = port(), .jobs = &jobs, .pool = &pool, .clock = clock, .options = {.instance = InstanceId{"new"}}};
+        context = PlannerContext{.workers = port(), .jobs = &jobs, .pool = &pool, .clock = clock, .options = {.instance = InstanceId{"new"}}};
         context.options.claimWait = Millis{50};
         context.options.gangs.runTtl = runTtl;
+        context.options.adoptWait = adoptWait;
+        context.options.staleBackoff = Millis{20};
         context.options.reconnectWait = Millis{50};
         context.options.pollPeriod = Millis{50};
         context.options.maxPollsPerSecond = 1'000;
         context.wake = [] {};
-        planner = std::make_shared<DomainPlanner>(domain, context);
-        auto listed = std::vector<ListedInstance>{};
         for (auto i = 1; i <= count; ++i) {
             const auto id = "w-" + std::to_string(i);
             workers.emplace(id, FakeWorker{id});
             listed.push_back({.id = id, .role = InstanceRole::Worker, .domain = domain, .rack = RackId{"r"}, .slots = 8, .address = id});
         }
+        newPlanner();
+    }
+
+    /// Replaces the planner, as the planner service does with a superseded one.
+    auto newPlanner() -> void
+    {
+        const auto before = std::exchange(planner, std::make_shared<DomainPlanner>(domain, context));
+        if (before) {
+            planner->succeed(*before);
+        }
         planner->setWorkers(listed);
         auto config = ActiveConfig{};
         config.document.workspaces.push_back({.name = WorkspaceId{"gas"}});
@@ -391,7 +404,7 @@
     }
 
     /// The earlier planner starts a member of the job's first attempt with a run lease.
-    auto startMember(const std::string &worker, int member) -> void
+    auto startMember(const std::string &worker, int member, Millis ttl = GangOptions{}.runTtl) -> void
     {
         const auto lock = std::lock_guard{mutex};
         auto &it = workers.at(worker);
@@ -399,7 +412,7 @@
         const auto lease = GangTable::leaseId(job, 1, member);
         REQUIRE(it.orders({.counter = 1, .holder = "earlier"},
                           {{.op = OrderOp::Reserve, .lease = lease, .job = job, .attempt = 1, .member = member, .slots = {member}, .ttl = Millis{10'000}},
-                           {.op = OrderOp::Start, .lease = lease, .ttl = GangOptions{}.runTtl}}));
+                           {.op = OrderOp::Start, .lease = lease, .ttl = ttl}}));
     }
 
     auto set(const std::string &worker, bool FakeWorker::*property, bool value) -> void
@@ -587,6 +600,37 @@
     CHECK(lost.stepUntil([&] { return lost.running("w-1") == 1; }));
 }
 
+// Guards against a second start of a job beside an attempt that its planner had started before it was superseded, and that is being
+// ended because the log shows a later attempt of the other planner.
+TEST_CASE("a planner that claims again waits for the end of its own earlier attempt")
+{
+    auto takeover = Takeover{2};
+    takeover.appendAccept(1);
+    takeover.takeOver(JobState::Queued);
+    const auto running = [&] { return takeover.running("w-1") + takeover.running("w-2"); };
+    REQUIRE(takeover.stepUntil([&] { return running() == 1 && takeover.state() == JobState::Running; }));
+    takeover.set("w-1", &FakeWorker::ignoreStop, true);
+    takeover.set("w-2", &FakeWorker::ignoreStop, true);
+    // The other planner claims the workers, and the records of a try that it gave up arrive.
+    {
+        const auto lock = std::lock_guard{takeover.mutex};
+        const auto other = Generation{.counter = takeover.planner->generation().counter + 1, .holder = "other"};
+        REQUIRE(takeover.workers.at("w-1").orders(other, {{.op = OrderOp::Claim}}));
+        REQUIRE(takeover.workers.at("w-2").orders(other, {{.op = OrderOp::Claim}}));
+    }
+    takeover.append(JobAttemptRecord{.job = job, .attempt = 7, .holder = InstanceId{"other"}, .generation = 2});
+    takeover.append(JobFinishRecord{.job = job, .attempt = 7, .result = JobResult::Requeue, .detail = "refused"});
+    REQUIRE(takeover.stepUntil([&] { return takeover.planner->superseded(); }));
+    REQUIRE(takeover.stepUntil([&] { return takeover.jobs.find(job)->attempt == 7 && takeover.state() == JobState::Queued; }));
+    takeover.newPlanner();
+    auto most = 0;
+    REQUIRE(takeover.stepUntil([&] {
+        most = std::max(most, running());
+        return takeover.jobs.find(job)->attempt > 7 && takeover.state() == JobState::Running;
+    }));
+    CHECK(most == 1);
+}
+
 // Guards against a job that is reported as cancelled while its attempt runs: the records of the job, of its attempt and of the
 // cancellation reached the planner only after the takeover.
 TEST_CASE("a cancelled job is final only after its attempt has ended")
