Start a gang again only when a member that was not found is certainly over

What callers see: a gang starts again while one of its members still runs on a worker that does not answer.

Cause: adoptWait (30 s) after a takeover, a gang of which only some members were found was ended, and its end was reported when the found members had ended. The member on the silent worker has a run lease of up to 120 s. Silence was taken as proof that it does not run.

Evidence: the new case of domainplanner_test (adoptWait of 100 ms, run lease of 3 s) has both at once without the change.

Change: after adoptWait the found members are still ended, but the job waits until every worker has answered or no lease can last. A job with a silent worker at the takeover therefore starts again up to 132 s after it instead of 30 s with the usual settings.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -328,7 +328,7 @@
         return false;
     }
     if (m_unsettled.contains(lease.job)) {
-        return true;
+        return !m_abandoned.contains(lease.job);
     }
     const auto last = m_lastAttempt.find(lease.job);
     if (last != m_lastAttempt.end() && lease.attempt <= last->second) {
@@ -415,10 +415,14 @@
         }
         const auto it = found.find(id);
         const auto partlyFound = it != found.end() && it->second.live;
-        const auto complete = reachedAll || leasesOver || (partlyFound && waited >= m_context.options.adoptWait);
-        adoptJob(*job, it == found.end() ? nullptr : &it->second, complete, now);
+        // The members that are found end now. The job waits, because a member on a silent worker may run until its lease is over.
+        if (partlyFound && waited >= m_context.options.adoptWait) {
+            m_abandoned.insert(id);
+        }
+        adoptJob(*job, it == found.end() ? nullptr : &it->second, reachedAll || leasesOver, now);
         m_jobsChanged = true;
     }
+    std::erase_if(m_abandoned, [&](const JobId &it) { return !m_unsettled.contains(it); });
 }
 
 auto DomainPlanner::syncJob(const Job &job, MonoTime now) -> void
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -50,7 +50,7 @@
     /// Pause before claiming when the first worker answers only after claimWait, as at the end of a partition: longer
     /// than peers need to connect again (backoff of at most 4 s), so that the planner inside is known first.
     Millis reconnectWait{5'000};
-    Millis adoptWait{30'000}; ///< longest wait for unreachable workers before an incomplete gang is ended
+    Millis adoptWait{30'000}; ///< longest wait for unreachable workers before the members of an incomplete gang that are found are ended
     Millis attemptWait{3'000}; ///< longest wait for the log to confirm an attempt
     Millis staleBackoff{1'000}; ///< pause before claiming again after another planner has claimed a worker
 };
@@ -191,6 +191,7 @@
     MonoTime m_claimAfter; ///< no claim before this time
     std::map<JobId, int> m_lastAttempt; ///< highest attempt number used here
     std::set<JobId> m_unsettled; ///< jobs of an earlier planner whose members have not been found yet
+    std::set<JobId> m_abandoned; ///< those of m_unsettled that were not found whole in time; their members are ended
     std::mutex m_inboxMutex;
     std::deque<std::function<void()>> m_inbox;
 };
--- a/packages/daemon/testing/domainplanner_test.cpp
+++ b/packages/daemon/testing/domainplanner_test.cpp
@@ -631,6 +631,28 @@
     CHECK(most == 1);
 }
 
+// Guards against a second start of a gang beside a member that was not found at the takeover: its worker was out of reach, and its
+// lease can last longer than the planner waits before it ends the rest of the gang.
+TEST_CASE("a gang is not started again while a member that was not found may still run")
+{
+    auto takeover = Takeover{3, Millis{3'000}, Millis{100}};
+    takeover.startMember("w-1", 0, Millis{3'000});
+    takeover.startMember("w-2", 1, Millis{3'000});
+    takeover.appendAccept(2);
+    takeover.appendAttempt();
+    takeover.set("w-2", &FakeWorker::down, true);
+    takeover.takeOver(JobState::Starting);
+    // The found member is ended soon, and the job starts again only after the lease on the silent worker.
+    CHECK(takeover.stepUntil([&] { return takeover.running("w-1") == 0; }));
+    auto together = false;
+    CHECK(takeover.stepUntil([&] {
+        const auto next = takeover.running("w-1") + takeover.running("w-3");
+        together = together || (next > 0 && takeover.running("w-2") > 0);
+        return next == 2;
+    }));
+    CHECK_FALSE(together);
+}
+
 // Guards against a job that is reported as cancelled while its attempt runs: the records of the job, of its attempt and of the
 // cancellation reached the planner only after the takeover.
 TEST_CASE("a cancelled job is final only after its attempt has ended")
