Record a success under a number that the log takes

What callers see: a restartable job runs again after it has succeeded.

Cause: attempt numbers are counted by each planner. Records of tries that a superseded planner gave up can reach the log after the rightful planner has started an attempt with a lower number. The log then takes the end of the latest number only, and dropped the success of the attempt that ran; the job counted as waiting or as lost with its planner, and was started again.

Evidence: the new case of domainplanner_test runs the job twice without the change, whether or not the end of the late try is on record.

Change: if the log shows a later number at the end of a gang that has succeeded, the success is recorded under a new attempt number. A job that must not run twice is not affected, as its attempt is on record before it starts.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -559,11 +559,25 @@
     }
 }
 
+/// @return the number under which the log takes the success of an attempt.
+auto DomainPlanner::successNumber(const Job &job, const GangEvent &event) -> int
+{
+    if (job.attempt <= event.attempt) {
+        return event.attempt;
+    }
+    // Tries that a superseded planner gave up reached the log late, and the log takes the end of the latest attempt only.
+    const auto number = std::max(job.attempt, m_lastAttempt[event.job]) + 1;
+    m_lastAttempt[event.job] = number;
+    m_context.jobs->record(
+        JobRecord{JobAttemptRecord{.job = event.job, .attempt = number, .holder = m_context.options.instance, .generation = m_generation.counter}});
+    return number;
+}
+
 auto DomainPlanner::finishJob(const Job &job, const GangEvent &event, JobResult result, bool ran) -> void
 {
     m_context.jobs->record(JobRecord{JobFinishRecord{
         .job = event.job,
-        .attempt = event.attempt,
+        .attempt = result == JobResult::Succeeded ? successNumber(job, event) : event.attempt,
         .result = result,
         .ran = ran,
         .detail = event.reason,
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -166,6 +166,7 @@
     auto startGang(const Start &start, MonoTime now) -> void;
     auto handleEvent(const GangEvent &event, MonoTime now) -> void;
     auto handleEnd(const GangEvent &event, MonoTime now) -> void;
+    auto successNumber(const Job &job, const GangEvent &event) -> int;
     auto finishJob(const Job &job, const GangEvent &event, JobResult result, bool ran) -> void;
     auto confirmAttempt(const GangEvent &event) -> void;
     auto sendOrders(const WorkerId &id, const std::vector<WorkerOrder> &orders) -> void;
--- a/packages/daemon/testing/domainplanner_test.cpp
+++ b/packages/daemon/testing/domainplanner_test.cpp
@@ -653,6 +653,35 @@
     CHECK_FALSE(together);
 }
 
+// Guards against a job that runs again after it has succeeded: late records of another planner's tries had given it a higher attempt number
+// in the log, which then refused the end of the attempt that ran.
+TEST_CASE("an attempt succeeds although the log shows a later try of another planner")
+{
+    for (const auto requeued : {true, false}) {
+        CAPTURE(requeued);
+        auto takeover = Takeover{1};
+        takeover.appendAccept(1);
+        takeover.takeOver(JobState::Queued);
+        REQUIRE(takeover.stepUntil([&] { return takeover.running("w-1") == 1 && takeover.state() == JobState::Running; }));
+        takeover.append(JobAttemptRecord{.job = job, .attempt = 7, .holder = InstanceId{"other"}, .generation = 0});
+        if (requeued) {
+            takeover.append(JobFinishRecord{.job = job, .attempt = 7, .result = JobResult::Requeue, .detail = "refused"});
+        }
+        REQUIRE(takeover.stepUntil([&] { return takeover.jobs.find(job)->attempt == 7; }));
+        CHECK(takeover.running("w-1") == 1);
+        {
+            const auto lock = std::lock_guard{takeover.mutex};
+            takeover.workers.at("w-1").finish(GangTable::leaseId(job, 1, 0), LeaseExit::Ok);
+        }
+        auto ranAgain = false;
+        CHECK(takeover.stepUntil([&] {
+            ranAgain = ranAgain || takeover.running("w-1") > 0;
+            return ranAgain || takeover.state() == JobState::Succeeded;
+        }));
+        CHECK_FALSE(ranAgain);
+    }
+}
+
 // Guards against a job that is reported as cancelled while its attempt runs: the records of the job, of its attempt and of the
 // cancellation reached the planner only after the takeover.
 TEST_CASE("a cancelled job is final only after its attempt has ended")
