Count the success that workers list of an attempt that is not on record

What callers see: a restartable job runs again, at times twice, after every one of its tasks had ended as done.

Cause: when a planner is lost before the log has the record of an attempt, the log shows the job as waiting. The next planner adopts the attempt if it runs, but the log refuses its success, as it belongs to no attempt on record; if it has ended, the job is taken for one that waits. In both cases the job starts again, although the workers list the attempt as ended with success.

Change: a success is recorded under a number that the log takes, also if the attempt is not on record. A job of which the workers list an attempt as ended with success in all members is settled as succeeded, at the takeover and before it could start from the queue.

--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -264,6 +264,34 @@
     return m_context.options.gangs.runTtl + m_context.options.gangs.runTtl / 10;
 }
 
+/// @return the highest attempt of which every member is listed as ended with success.
+auto DomainPlanner::succeededAttempt(const Job &job) const -> std::optional<int>
+{
+    auto members = std::map<int, std::set<int>>{};
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &lease : worker.status && !worker.stale ? std::span{worker.status->leases} : std::span<const WorkerLease>{}) {
+            if (lease.job == job.spec.id && lease.state == LeaseState::Ended && lease.exit == LeaseExit::Ok) {
+                members[lease.attempt].insert(lease.member);
+            }
+        }
+    }
+    const auto whole = [&](const auto &it) { return static_cast<int>(it.second.size()) == job.spec.tasks; };
+    const auto it = std::find_if(members.rbegin(), members.rend(), whole);
+    return it == members.rend() ? std::nullopt : std::optional{it->first};
+}
+
+auto DomainPlanner::settleSucceeded(const Job &job, int attempt) -> void
+{
+    m_context.jobs->record(JobRecord{JobFinishRecord{
+        .job = job.spec.id,
+        .attempt = successNumber(job, attempt),
+        .result = JobResult::Succeeded,
+        .ran = true,
+        .checkpoint = job.checkpoint,
+    }});
+    m_jobsChanged = true;
+}
+
 auto DomainPlanner::settleLost(const Job &job) -> void
 {
     // No worker holds a lease of the attempt any more, and whether its tasks did their work is not known.
@@ -281,6 +309,11 @@
 auto DomainPlanner::adoptJob(const Job &job, const Found *found, bool complete, MonoTime now) -> void
 {
     const auto id = job.spec.id;
+    const auto succeeded = found != nullptr && !found->live ? succeededAttempt(job) : std::nullopt;
+    if (succeeded) {
+        settleSucceeded(job, *succeeded);
+        return;
+    }
     const auto current = found != nullptr && found->attempt >= job.attempt && (found->live || found->attempt == job.attempt);
     const auto active = job.state == JobState::Starting || job.state == JobState::Running || job.state == JobState::Stopping;
     if (!current || (!found->live && !active)) {
@@ -437,9 +470,9 @@
         }
         return;
     }
-    if (job.state != JobState::Queued || foreignAttemptRuns(id)) {
-        // The attempt's record arrived after the try had been given up, or the job's after the takeover: what the workers
-        // list settles it, and until then the job must not start from the queue.
+    if (job.state != JobState::Queued || foreignAttemptRuns(id) || succeededAttempt(job)) {
+        // The attempt's record arrived after the try had been given up or never, or the job's after the takeover: what the
+        // workers list settles it, and until then the job must not start from the queue.
         if (m_scheduler.cancel(id) != JobCancelResult::Running) {
             m_unsettled.insert(id);
         }
@@ -560,16 +593,17 @@
 }
 
 /// @return the number under which the log takes the success of an attempt.
-auto DomainPlanner::successNumber(const Job &job, const GangEvent &event) -> int
+auto DomainPlanner::successNumber(const Job &job, int attempt) -> int
 {
-    if (job.attempt <= event.attempt) {
-        return event.attempt;
+    if (job.attempt == attempt && job.state != JobState::Queued) {
+        return attempt;
     }
-    // Tries that a superseded planner gave up reached the log late, and the log takes the end of the latest attempt only.
-    const auto number = std::max(job.attempt, m_lastAttempt[event.job]) + 1;
-    m_lastAttempt[event.job] = number;
+    // The log takes the end of the latest attempt only. It may show later tries, whose records arrived late, or not this attempt, whose
+    // planner was lost before it could record it.
+    const auto number = job.attempt < attempt ? attempt : std::max(job.attempt, m_lastAttempt[job.spec.id]) + 1;
+    m_lastAttempt[job.spec.id] = std::max(m_lastAttempt[job.spec.id], number);
     m_context.jobs->record(
-        JobRecord{JobAttemptRecord{.job = event.job, .attempt = number, .holder = m_context.options.instance, .generation = m_generation.counter}});
+        JobRecord{JobAttemptRecord{.job = job.spec.id, .attempt = number, .holder = m_context.options.instance, .generation = m_generation.counter}});
     return number;
 }
 
@@ -577,7 +611,7 @@
 {
     m_context.jobs->record(JobRecord{JobFinishRecord{
         .job = event.job,
-        .attempt = result == JobResult::Succeeded ? successNumber(job, event) : event.attempt,
+        .attempt = result == JobResult::Succeeded ? successNumber(job, event.attempt) : event.attempt,
         .result = result,
         .ran = ran,
         .detail = event.reason,
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -155,6 +155,8 @@
     auto leaseLasts(const JobId &job, MonoTime now) const -> bool;
     auto longestLease() const -> Millis;
     auto adoptJob(const Job &job, const Found *found, bool complete, MonoTime now) -> void;
+    auto succeededAttempt(const Job &job) const -> std::optional<int>;
+    auto settleSucceeded(const Job &job, int attempt) -> void;
     auto settleLost(const Job &job) -> void;
     auto calledFor(const WorkerId &id, const WorkerLease &lease) -> bool;
     auto checkLeases(const WorkerId &id, MonoTime now) -> void;
@@ -166,7 +168,7 @@
     auto startGang(const Start &start, MonoTime now) -> void;
     auto handleEvent(const GangEvent &event, MonoTime now) -> void;
     auto handleEnd(const GangEvent &event, MonoTime now) -> void;
-    auto successNumber(const Job &job, const GangEvent &event) -> int;
+    auto successNumber(const Job &job, int attempt) -> int;
     auto finishJob(const Job &job, const GangEvent &event, JobResult result, bool ran) -> void;
     auto confirmAttempt(const GangEvent &event) -> void;
     auto sendOrders(const WorkerId &id, const std::vector<WorkerOrder> &orders) -> void;
--- a/packages/daemon/testing/domainplanner_test.cpp
+++ b/packages/daemon/testing/domainplanner_test.cpp
@@ -682,6 +682,37 @@
     }
 }
 
+// Guards against a job that runs again after it has succeeded: its planner was lost before the log had the attempt's record, and the next
+// planner, which adopted the attempt or found it ended, could not record the success or took the job for one that waits.
+TEST_CASE("a job whose unrecorded attempt succeeds around a takeover does not run again")
+{
+    for (const auto endsBefore : {true, false}) {
+        CAPTURE(endsBefore);
+        auto takeover = Takeover{2};
+        const auto running = [&] { return takeover.running("w-1") + takeover.running("w-2"); };
+        const auto finish = [&] {
+            const auto lock = std::lock_guard{takeover.mutex};
+            takeover.workers.at("w-1").finish(GangTable::leaseId(job, 1, 0), LeaseExit::Ok);
+        };
+        takeover.startMember("w-1", 0);
+        takeover.appendAccept(1);
+        if (endsBefore) {
+            finish();
+        }
+        takeover.takeOver(JobState::Queued);
+        if (!endsBefore) {
+            CHECK(running() == 1);
+            finish();
+        }
+        auto ranAgain = false;
+        CHECK(takeover.stepUntil([&] {
+            ranAgain = ranAgain || running() > 0;
+            return ranAgain || takeover.state() == JobState::Succeeded;
+        }));
+        CHECK_FALSE(ranAgain);
+    }
+}
+
 // Guards against a job that is reported as cancelled while its attempt runs: the records of the job, of its attempt and of the
 // cancellation reached the planner only after the takeover.
 TEST_CASE("a cancelled job is final only after its attempt has ended")
