--- a/packages/daemon/domainplanner.cpp
+++ b/packages/daemon/domainplanner.cpp
@@ -4,6 +4,7 @@
 #include "util/logging.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace Catkin
@@ -117,6 +118,7 @@
     auto &worker = m_workers.at(id);
     worker.heard = true;
     worker.status = std::move(status);
+    worker.answeredAt = m_context.clock.mono();
     worker.stale = false;
     if (m_claimed && worker.status->generation > m_generation) {
         noteStale(m_context.clock.mono());
@@ -244,6 +246,52 @@
     });
 }
 
+/// @return whether a worker that has answered the claim lists a live lease of the job; of a silent worker only while the lease can last.
+auto DomainPlanner::leaseLasts(const JobId &job, MonoTime now) const -> bool
+{
+    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
+        const auto &worker = entry.second;
+        return worker.status && !worker.stale && now - worker.answeredAt < longestLease()
+               && std::any_of(worker.status->leases.begin(), worker.status->leases.end(), [&](const WorkerLease &it) {
+                      return it.job == job && it.state != LeaseState::Ended;
+                  });
+    });
+}
+
+/// @return a time after which a lease that is not renewed is over on every worker.
+auto DomainPlanner::longestLease() const -> Millis
+{
+    return m_context.options.gangs.runTtl + m_context.options.gangs.runTtl / 10;
+}
+
+/// @return the highest attempt of which every member is listed as ended with success.
+auto DomainPlanner::succeededAttempt(const Job &job) const -> std::optional<int>
+{
+    auto members = std::map<int, std::set<int>>{};
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &lease : worker.status && !worker.stale ? std::span{worker.status->leases} : std::span<const WorkerLease>{}) {
+            if (lease.job == job.spec.id && lease.state == LeaseState::Ended && lease.exit == LeaseExit::Ok) {
+                members[lease.attempt].insert(lease.member);
+            }
+        }
+    }
+    const auto whole = [&](const auto &it) { return static_cast<int>(it.second.size()) == job.spec.tasks; };
+    const auto it = std::find_if(members.rbegin(), members.rend(), whole);
+    return it == members.rend() ? std::nullopt : std::optional{it->first};
+}
+
+auto DomainPlanner::settleSucceeded(const Job &job, int attempt) -> void
+{
+    m_context.jobs->record(JobRecord{JobFinishRecord{
+        .job = job.spec.id,
+        .attempt = successNumber(job, attempt),
+        .result = JobResult::Succeeded,
+        .ran = true,
+        .checkpoint = job.checkpoint,
+    }});
+    m_jobsChanged = true;
+}
+
 auto DomainPlanner::settleLost(const Job &job) -> void
 {
     // No worker holds a lease of the attempt any more, and whether its tasks did their work is not known.
@@ -261,6 +309,11 @@
 auto DomainPlanner::adoptJob(const Job &job, const Found *found, bool complete, MonoTime now) -> void
 {
     const auto id = job.spec.id;
+    const auto succeeded = found != nullptr && !found->live ? succeededAttempt(job) : std::nullopt;
+    if (succeeded) {
+        settleSucceeded(job, *succeeded);
+        return;
+    }
     const auto current = found != nullptr && found->attempt >= job.attempt && (found->live || found->attempt == job.attempt);
     const auto active = job.state == JobState::Starting || job.state == JobState::Running || job.state == JobState::Stopping;
     if (!current || (!found->live && !active)) {
@@ -308,7 +361,7 @@
         return false;
     }
     if (m_unsettled.contains(lease.job)) {
-        return true;
+        return !m_abandoned.contains(lease.job);
     }
     const auto last = m_lastAttempt.find(lease.job);
     if (last != m_lastAttempt.end() && lease.attempt <= last->second) {
@@ -332,6 +385,7 @@
         const auto known = worker.ending.find(lease.lease);
         if (known == worker.ending.end()) {
             logEvent(LogLevel::Warn, 2405, "ending lease " + lease.lease.str() + " of no known gang on " + id.str());
+            m_jobsChanged = true; // its job may wait in the queue
         }
         ending.emplace(lease.lease, known == worker.ending.end() ? now : known->second);
     }
@@ -379,7 +433,7 @@
     }
     // Before a worker answered, another planner may have renewed what is not seen here.
     const auto waited = now - m_contact.value_or(now);
-    const auto leasesOver = waited >= m_context.options.gangs.runTtl + m_context.options.gangs.runTtl / 10;
+    const auto leasesOver = waited >= longestLease();
     for (auto &[id, it] : m_workers) {
         if (leasesOver && it.stale) {
             it.status.reset();
@@ -394,10 +448,14 @@
         }
         const auto it = found.find(id);
         const auto partlyFound = it != found.end() && it->second.live;
-        const auto complete = reachedAll || leasesOver || (partlyFound && waited >= m_context.options.adoptWait);
-        adoptJob(*job, it == found.end() ? nullptr : &it->second, complete, now);
+        // The members that are found end now. The job waits, because a member on a silent worker may run until its lease is over.
+        if (partlyFound && waited >= m_context.options.adoptWait) {
+            m_abandoned.insert(id);
+        }
+        adoptJob(*job, it == found.end() ? nullptr : &it->second, reachedAll || leasesOver, now);
         m_jobsChanged = true;
     }
+    std::erase_if(m_abandoned, [&](const JobId &it) { return !m_unsettled.contains(it); });
 }
 
 auto DomainPlanner::syncJob(const Job &job, MonoTime now) -> void
@@ -412,14 +470,20 @@
         }
         return;
     }
-    if (job.state != JobState::Queued || foreignAttemptRuns(id)) {
-        // The attempt's record arrived after the try had been given up, or the job's after the takeover: what the workers
-        // list settles it, and until then the job must not start from the queue.
+    if (job.state != JobState::Queued || foreignAttemptRuns(id) || succeededAttempt(job)) {
+        // The attempt's record arrived after the try had been given up or never, or the job's after the takeover: what the
+        // workers list settles it, and until then the job must not start from the queue.
         if (m_scheduler.cancel(id) != JobCancelResult::Running) {
             m_unsettled.insert(id);
         }
         return;
     }
+    if (leaseLasts(id, now)) {
+        // checkLeases() ends an earlier attempt of this planner, and the job must not start from the queue until it is over.
+        (void)m_scheduler.cancel(id);
+        m_jobsChanged = true;
+        return;
+    }
     const auto waited = std::max(Millis{0}, m_context.clock.wall() - job.accepted);
     m_scheduler.resubmit(toScheduled(job.spec), now - waited);
 }
@@ -528,11 +592,26 @@
     }
 }
 
+/// @return the number under which the log takes the success of an attempt.
+auto DomainPlanner::successNumber(const Job &job, int attempt) -> int
+{
+    if (job.attempt == attempt && job.state != JobState::Queued) {
+        return attempt;
+    }
+    // The log takes the end of the latest attempt only. It may show later tries, whose records arrived late, or not this attempt, whose
+    // planner was lost before it could record it.
+    const auto number = job.attempt < attempt ? attempt : std::max(job.attempt, m_lastAttempt[job.spec.id]) + 1;
+    m_lastAttempt[job.spec.id] = std::max(m_lastAttempt[job.spec.id], number);
+    m_context.jobs->record(
+        JobRecord{JobAttemptRecord{.job = job.spec.id, .attempt = number, .holder = m_context.options.instance, .generation = m_generation.counter}});
+    return number;
+}
+
 auto DomainPlanner::finishJob(const Job &job, const GangEvent &event, JobResult result, bool ran) -> void
 {
     m_context.jobs->record(JobRecord{JobFinishRecord{
         .job = event.job,
-        .attempt = event.attempt,
+        .attempt = result == JobResult::Succeeded ? successNumber(job, event.attempt) : event.attempt,
         .result = result,
         .ran = ran,
         .detail = event.reason,
@@ -543,6 +622,12 @@
 auto DomainPlanner::handleEnd(const GangEvent &event, MonoTime now) -> void
 {
     m_jobsChanged = true;
+    // The last status of a silent worker is older than the end of the gang.
+    for (auto &[id, worker] : m_workers) {
+        for (auto &it : worker.status ? std::span{worker.status->leases} : std::span<WorkerLease>{}) {
+            it.state = it.job == event.job && it.attempt == event.attempt ? LeaseState::Ended : it.state;
+        }
+    }
     const auto job = m_context.jobs->find(event.job);
     logEvent(
         LogLevel::Info, 2407, "job " + event.job.str() + " attempt " + std::to_string(event.attempt) + " " + outcomeName(event.outcome) + " " + event.reason);
--- a/packages/daemon/domainplanner.h
+++ b/packages/daemon/domainplanner.h
@@ -50,7 +50,7 @@
     /// Pause before claiming when the first worker answers only after claimWait, as at the end of a partition: longer
     /// than peers need to connect again (backoff of at most 4 s), so that the planner inside is known first.
     Millis reconnectWait{5'000};
-    Millis adoptWait{30'000}; ///< longest wait for unreachable workers before an incomplete gang is ended
+    Millis adoptWait{30'000}; ///< longest wait for unreachable workers before the members of an incomplete gang that are found are ended
     Millis attemptWait{3'000}; ///< longest wait for the log to confirm an attempt
     Millis staleBackoff{1'000}; ///< pause before claiming again after another planner has claimed a worker
 };
@@ -126,6 +126,7 @@
     {
         ListedInstance listed;
         std::optional<WorkerStatus> status;
+        MonoTime answeredAt{}; ///< when the status arrived
         /// The claim was not answered, so the status is older than it and the worker counts as not reached. Its leases may still run.
         bool stale = false;
         bool heard = false; ///< at least one exchange has ended, with or without success
@@ -151,7 +152,11 @@
     auto findGangs() const -> std::map<JobId, Found>;
     auto highestListed(const JobId &job) const -> int;
     auto foreignAttemptRuns(const JobId &job) const -> bool;
+    auto leaseLasts(const JobId &job, MonoTime now) const -> bool;
+    auto longestLease() const -> Millis;
     auto adoptJob(const Job &job, const Found *found, bool complete, MonoTime now) -> void;
+    auto succeededAttempt(const Job &job) const -> std::optional<int>;
+    auto settleSucceeded(const Job &job, int attempt) -> void;
     auto settleLost(const Job &job) -> void;
     auto calledFor(const WorkerId &id, const WorkerLease &lease) -> bool;
     auto checkLeases(const WorkerId &id, MonoTime now) -> void;
@@ -163,6 +168,7 @@
     auto startGang(const Start &start, MonoTime now) -> void;
     auto handleEvent(const GangEvent &event, MonoTime now) -> void;
     auto handleEnd(const GangEvent &event, MonoTime now) -> void;
+    auto successNumber(const Job &job, int attempt) -> int;
     auto finishJob(const Job &job, const GangEvent &event, JobResult result, bool ran) -> void;
     auto confirmAttempt(const GangEvent &event) -> void;
     auto sendOrders(const WorkerId &id, const std::vector<WorkerOrder> &orders) -> void;
@@ -188,6 +194,7 @@
     MonoTime m_claimAfter; ///< no claim before this time
     std::map<JobId, int> m_lastAttempt; ///< highest attempt number used here
     std::set<JobId> m_unsettled; ///< jobs of an earlier planner whose members have not been found yet
+    std::set<JobId> m_abandoned; ///< those of m_unsettled that were not found whole in time; their members are ended
     std::mutex m_inboxMutex;
     std::deque<std::function<void()>> m_inbox;
 };
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 /// Attempts on workers: evaluates poll replies and answers to orders, decides when an attempt is over, and issues orders.
 
@@ -14,6 +15,8 @@
 /// A worker's clock may be 2% slow, so that a lease lasts longer on the planner's clock; the remaining 1% and leaseSlack cover
 /// the error of the clock estimate.
 constexpr auto leaseStretch = 1.03;
+/// Rate of the slowest clock of a worker.
+constexpr auto slowestClock = 0.98;
 constexpr auto leaseSlack = Millis{500};
 /// Answer timeout of each try of a start order. A lost answer is more frequent than a slow or lost worker, and a repeated order has
 /// no further effect, so the first timeouts are short compared with the slack of urgent work. Their sum is less than the time for
@@ -28,6 +31,8 @@
 /// How long a worker may delay its poll reply: normally, and while an attempt is being stopped or has an unknown state.
 constexpr auto longPollWait = Millis{2'000};
 constexpr auto shortPollWait = Millis{100};
+/// Silence after which a worker's entry is dropped, in heartbeats.
+constexpr auto entryHeartbeats = 3;
 /// A start order meant for the earlier incarnation of a restarted worker can be carried out until the worker's clock shows this: it is
 /// sent at most 3 s after the restart, before a poll has shown it, and carried out up to 12 s later.
 constexpr auto earlierOrdersEnd = WorkerTime{16'000};
@@ -59,6 +64,14 @@
     }
 }
 
+/// Notes that an attempt of a gang is over without success, by the end of a member or because a member was never started.
+auto PoolCore::noteUnsuccessful(PoolJobState &state, const AttemptKey &key) -> void
+{
+    if (specOf(state, key.first).gang) {
+        stepAt(state, key.first).unsuccessfulAttempt = key.second;
+    }
+}
+
 auto PoolCore::recordFailure(Worker &worker, MonoTime now) -> void
 {
     ++worker.failures;
@@ -66,13 +79,16 @@
     worker.suspectUntil = std::max(worker.suspectUntil, now + std::min(suspectPeriod * (1 << doublings), maxSuspectPeriod));
 }
 
-auto PoolCore::applyCompletion(Worker &worker, const AttemptCompletion &completion, MonoTime now) -> void
+auto PoolCore::applyCompletion(Worker &worker, const AttemptCompletion &completion, MonoTime now) -> EndUse
 {
     const auto key = AttemptKey{completion.task, completion.attempt};
     release(worker, key);
     auto *task = findTask(completion.task);
-    if (task == nullptr || task->attempt != completion.attempt) {
-        return;
+    if (task == nullptr) {
+        return EndUse::Unknown;
+    }
+    if (task->attempt != completion.attempt) {
+        return EndUse::Superseded;
     }
     auto &state = m_jobs.at(completion.task.job);
     if (completion.kind == CompletionKind::Done) {
@@ -85,18 +101,19 @@
     // The attempt was given up, for example when its lease expired, and the task has not been placed again.
     const auto late = task->phase == TaskPhase::Waiting && (completion.kind == CompletionKind::Done || completion.kind == CompletionKind::Failed);
     if (!placedHere && !late) {
-        return;
+        return task->phase == TaskPhase::Done ? EndUse::TaskDone : EndUse::Superseded;
     }
     m_changed.insert(completion.task.job);
     if (isFinal(state.phase)) {
         task->phase = TaskPhase::Waiting;
-        return;
+        return EndUse::JobFinal;
     }
     if (completion.kind == CompletionKind::Done && !specOf(state, completion.task).longRunning) {
         finishTask(state, completion.task, now);
-        return;
+        return EndUse::Applied;
     }
     task->phase = TaskPhase::Waiting;
+    noteUnsuccessful(state, key);
     saveCheckpoint(state, completion.task, completion.checkpoint);
     if (completion.kind == CompletionKind::Failed) {
         failTask(state, completion.task, completion.attempt, now);
@@ -105,15 +122,36 @@
     if (specOf(state, completion.task).gang && !isFinal(state.phase)) {
         stopStep(state, completion.task.occurrence, completion.task.step, StopReason::GangBroken);
     }
+    return EndUse::Applied;
+}
+
+/// An end that changes nothing although its task has a later attempt has a line of its own: the task may have run twice.
+auto PoolCore::noteListedEnd(const Worker &worker, const AttemptCompletion &completion, EndUse use) -> void
+{
+    noteEnd(m_endReport, {.worker = worker.info.id, .born = worker.info.born}, {.completion = completion, .use = use});
+    const auto *task = findTask(completion.task);
+    if (use != EndUse::Superseded || completion.kind != CompletionKind::Done || task == nullptr) {
+        return;
+    }
+    logDecision("end_superseded",
+                describeAttempt(completion.task, completion.attempt) + " worker=" + describeLifetime({.worker = worker.info.id, .born = worker.info.born})
+                    + " number=" + std::to_string(completion.number) + " how=" + completionName(completion.kind) + " present_attempt="
+                    + std::to_string(task->attempt) + " on=" + (task->phase == TaskPhase::Placed ? task->worker.str() : std::string("none"))
+                    + " lease_left_ms=" + std::to_string(worker.grantedUntil.value - worker.clock.value));
 }
 
-auto PoolCore::applyRestart(Worker &worker, const WorkerPollReply &reply) -> void
+auto PoolCore::applyRestart(Worker &worker, const WorkerPollReply &reply, MonoTime now) -> void
 {
     logDecision("worker_restarted",
                 "worker=" + worker.info.id.str() + " born=" + std::to_string(reply.born.value) + " before=" + std::to_string(worker.info.born.value));
     worker.info.born = reply.born;
     worker.processedCompletions = 0;
     worker.recordedCompletions = 0;
+    worker.acknowledgedCompletions = 0;
+    worker.loggedAcknowledgement = 0;
+    worker.grantedUntil = {};
+    // An order for the earlier incarnation names a time far ahead on the new clock, and is cut to the longest lease when it arrives.
+    extendLease(worker, now + std::max(Millis{earlierOrdersEnd.value - reply.clock.value}, Millis{0}));
     auto running = std::set<AttemptKey>{};
     for (const auto &it : reply.running) {
         running.emplace(it.task, it.attempt);
@@ -168,6 +206,9 @@
 
 auto PoolCore::resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt) -> void
 {
+    if (!reply.complete) {
+        return; // the attempt may be among the completions that were left out
+    }
     auto running = std::set<AttemptKey>{};
     for (const auto &it : reply.running) {
         running.emplace(it.task, it.attempt);
@@ -205,18 +246,25 @@
     auto &worker = it->second;
     const auto wasUsable = worker.answered && worker.reachable;
     const auto before = worker.allocations.size();
-    if (worker.answered && worker.info.born != reply.born) {
-        applyRestart(worker, reply);
+    const auto restarted = worker.answered && worker.info.born != reply.born;
+    if (restarted) {
+        applyRestart(worker, reply, now);
+    } else {
+        worker.acknowledgedCompletions = std::max(worker.acknowledgedCompletions, reply.acknowledged);
     }
     worker.info.born = reply.born;
     worker.answered = true;
     worker.reachable = true;
+    worker.reportAwaited = false;
     worker.answeredAt = now;
-    worker.clock = reply.clock;
+    // A late answer has an old reading; the clock has gone on since, at least as fast as the slowest clock.
+    const auto elapsed = std::chrono::duration_cast<Millis>(now - worker.clockAt);
+    const auto least = WorkerTime{worker.clock.value + static_cast<std::int64_t>(static_cast<double>(elapsed.count()) * slowestClock)};
+    worker.clock = restarted || worker.clock.value == 0 ? reply.clock : std::max(reply.clock, least);
     worker.clockAt = now;
     for (const auto &completion : reply.completions) {
         if (completion.number > worker.processedCompletions) {
-            applyCompletion(worker, completion, now);
+            noteListedEnd(worker, completion, applyCompletion(worker, completion, now));
             worker.processedCompletions = completion.number;
         }
     }
@@ -256,6 +304,9 @@
         requestStop(allocation, StopReason::StartRefused);
         return;
     }
+    if (const auto job = m_jobs.find(key.first.job); job != m_jobs.end()) {
+        noteUnsuccessful(job->second, key); // it was never started
+    }
     loseAttempt(worker, key, outcomeName(outcome));
 }
 
@@ -316,6 +367,30 @@
     }
 }
 
+/// @return whether a worker that does not answer is known to run, so that its completions can still arrive.
+auto PoolCore::mayReport(const Worker &worker, MonoTime now) const -> bool
+{
+    // The last read counts, not the present: without reads nothing shows that the worker has ceased to write.
+    return worker.listed && worker.wroteAt != MonoTime{} && m_entriesReadAt <= worker.wroteAt + m_options.heartbeat * entryHeartbeats
+           && now <= worker.leaseEnd + m_options.leaseDuration;
+}
+
+/// @return whether the attempt may have succeeded as far as this planner knows. The members of a gang succeed together, so that the end of one
+/// without success shows that none has.
+auto PoolCore::mayHaveSucceeded(const Worker &worker, const AttemptKey &key) const -> bool
+{
+    const auto *state = find(key.first.job);
+    if (state == nullptr || !containsTask(*state, key.first) || isFinal(state->phase)) {
+        return false;
+    }
+    const auto &task = taskAt(*state, key.first);
+    if (task.phase != TaskPhase::Placed || task.attempt != key.second || task.worker != worker.info.id) {
+        return false;
+    }
+    const auto &step = state->occurrences[static_cast<std::size_t>(key.first.occurrence)].steps[static_cast<std::size_t>(key.first.step)];
+    return step.unsuccessfulAttempt != key.second;
+}
+
 auto PoolCore::expireLeases(MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
@@ -324,10 +399,32 @@
         if (worker.allocations.empty() || orderOpen || now <= worker.leaseEnd) {
             continue;
         }
-        logDecision("leases_expired",
-                    "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size())
-                        + " every lease has expired without an answer; its attempts count as lost");
-        loseAllAttempts(worker, "lease expired");
+        expireLeases(worker, now);
+    }
+}
+
+/// Releases the attempts of a worker whose leases have expired, but for those whose completions it may still list.
+auto PoolCore::expireLeases(Worker &worker, MonoTime now) -> void
+{
+    const auto awaited = mayReport(worker, now);
+    auto over = std::vector<AttemptKey>{};
+    for (const auto &[key, it] : worker.allocations) {
+        if (!awaited || !mayHaveSucceeded(worker, key)) {
+            over.push_back(key);
+        }
+    }
+    const auto silence = std::chrono::duration_cast<Millis>(now - worker.answeredAt).count();
+    const auto text = "worker=" + worker.info.id.str() + " silent_ms=" + (worker.answered ? std::to_string(silence) : std::string("always"))
+                      + " granted_until=" + std::to_string(worker.grantedUntil.value) + " attempts=";
+    if (!over.empty()) {
+        logDecision("leases_expired", text + std::to_string(over.size()) + " every lease has expired without an answer; these attempts count as lost");
+    }
+    for (const auto &it : over) {
+        loseAttempt(worker, it, "lease expired");
+    }
+    if (!worker.allocations.empty() && !std::exchange(worker.reportAwaited, true)) {
+        logDecision("report_awaited",
+                    text + std::to_string(worker.allocations.size()) + " every lease has expired, and the worker writes its entry; it may list them as done");
     }
 }
 
@@ -427,7 +524,8 @@
     }
     auto &worker = it->second;
     extendLease(worker, now);
-    return worker.clock + WorkerTime{std::chrono::duration_cast<Millis>(now - worker.clockAt).count() + m_options.leaseDuration.count()};
+    worker.grantedUntil = worker.clock + WorkerTime{std::chrono::duration_cast<Millis>(now - worker.clockAt).count() + m_options.leaseDuration.count()};
+    return worker.grantedUntil;
 }
 
 auto PoolCore::pollTargets() const -> std::vector<std::pair<WorkerId, std::string>>
@@ -462,7 +560,7 @@
     if (it == m_workers.end()) {
         return {};
     }
-    const auto &worker = it->second;
+    auto &worker = it->second;
     const auto open = std::any_of(worker.allocations.begin(), worker.allocations.end(), [&](const auto &entry) {
         const auto *task = findTask(entry.first.first);
         return entry.second.stopping || (task != nullptr && task->attemptPhase == AttemptPhase::Unknown);
@@ -470,7 +568,14 @@
     auto poll = WorkerPoll{.worker = id, .address = worker.info.address};
     // An unreachable worker gets no new lease: its lease would never expire, and its tasks could never be placed elsewhere.
     poll.request.leaseUntil = worker.reachable ? leaseFor(id, now) : WorkerTime{};
-    poll.request.seenCompletions = worker.recordedCompletions;
+    // A poll may reach the next incarnation, whose completions are numbered from the beginning. So it carries a number only as long as this
+    // is needed, and only while the incarnation that has counted is known to answer.
+    if (worker.reachable && worker.listedBorn <= worker.info.born && worker.recordedCompletions > worker.acknowledgedCompletions) {
+        poll.request.seenCompletions = worker.recordedCompletions;
+        if (std::exchange(worker.loggedAcknowledgement, worker.recordedCompletions) != worker.recordedCompletions) {
+            noteAcknowledgement(m_endReport, {.worker = id, .born = worker.info.born}, worker.recordedCompletions);
+        }
+    }
     // Until a worker answers, it gets no stop orders, so that nothing may hold its answer back.
     poll.request.wait = !worker.answered || !worker.reachable ? Millis{0} : open ? shortPollWait : longPollWait;
     return poll;
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -107,6 +107,11 @@
         auto &worker = m_workers[it.id];
         const auto moved = worker.info.address != it.address;
         const auto born = worker.info.born;
+        if (!worker.info.id.empty() && worker.listedBorn.value != 0 && worker.listedBorn != it.born) {
+            logDecision("worker_reborn",
+                        "worker=" + it.id.str() + " listed_born=" + std::to_string(it.born.value) + " before=" + std::to_string(worker.listedBorn.value)
+                            + " answered_born=" + (worker.answered ? std::to_string(born.value) : std::string("none")));
+        }
         worker.info = it;
         worker.listedBorn = it.born;
         worker.listed = true;
@@ -121,6 +126,19 @@
     dropUnlisted();
 }
 
+auto PoolCore::workerWrote(const WorkerId &id, MonoTime now) -> void
+{
+    const auto it = m_workers.find(id);
+    if (it != m_workers.end()) {
+        it->second.wroteAt = now;
+    }
+}
+
+auto PoolCore::entriesRead(MonoTime sentAt) -> void
+{
+    m_entriesReadAt = sentAt;
+}
+
 auto PoolCore::workerLeft(const WorkerId &id) -> void
 {
     const auto it = m_workers.find(id);
@@ -309,10 +327,13 @@
     effects.expired.assign(m_expired.begin(), m_expired.end());
     std::erase_if(effects.changed, [&](const JobId &it) { return !m_jobs.contains(it); });
     std::erase_if(effects.phaseChanged, [&](const JobId &it) { return !m_jobs.contains(it); });
+    for (auto &it : takeEndEntries(m_endReport)) {
+        m_logEntries.push_back(std::move(it));
+    }
     effects.logEntries = std::move(m_logEntries);
     for (const auto &[id, worker] : m_workers) {
         if (worker.processedCompletions > worker.recordedCompletions) {
-            effects.completions[id] = worker.processedCompletions;
+            effects.completions[{.worker = id, .born = worker.info.born}] = worker.processedCompletions;
         }
     }
     m_changed.clear();
@@ -324,10 +345,10 @@
 
 auto PoolCore::recorded(const PoolEffects &effects) -> void
 {
-    for (const auto &[id, number] : effects.completions) {
-        const auto it = m_workers.find(id);
+    for (const auto &[lifetime, number] : effects.completions) {
+        const auto it = m_workers.find(lifetime.worker);
         // A worker that has restarted meanwhile numbers its completions from the beginning.
-        if (it != m_workers.end() && number <= it->second.processedCompletions) {
+        if (it != m_workers.end() && it->second.info.born == lifetime.born) {
             it->second.recordedCompletions = std::max(it->second.recordedCompletions, number);
         }
     }
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -21,11 +21,15 @@
 /// - the reply to a poll that was sent after every open order had been answered does not list the attempt,
 /// - the worker has restarted,
 /// - the worker's process has shut down by itself, or
-/// - every lease that any planner can have granted has expired.
+/// - every lease that any planner can have granted has expired, and the worker is not known to run.
+///
+/// An expired lease shows that an attempt does not run any more, but not that it has not succeeded. A worker that still writes its entry runs,
+/// and may hold a completion that no reply has brought on a slow path. Its attempts are released when one more lease duration has passed.
 ///
 /// Each planning pass compares every allocation with the state of its job and stops the attempts that this state does not call for,
 /// whichever planner made the state and whether or not stop orders were sent for it before.
 
+#include "policy/endreport.h"
 #include "policy/pollschedule.h"
 #include "policy/poolfleet.h"
 #include "policy/pooljob.h"
@@ -45,6 +49,7 @@
 struct PoolOptions
 {
     Millis leaseDuration{10'000}; ///< how long a worker keeps running attempts after the last poll or start order of a planner
+    Millis heartbeat{1'500}; ///< between two writes of a worker's entry
     Millis stopGrace{200}; ///< time that a worker has to stop an attempt
     Millis retention{120'000}; ///< a final job is forgotten after this time
     Millis gangTimeout{3'000}; ///< a member of a gang that has started waits so long for the others, and ends if they do not start
@@ -77,7 +82,7 @@
     std::vector<JobId> expired; ///< final jobs whose retention has passed
     std::vector<PoolOrder> stops; ///< can be sent before the records are stored
     std::vector<PoolOrder> starts;
-    std::map<WorkerId, std::int64_t> completions; ///< highest number of each worker's completions that the records of @c changed include
+    std::map<WorkerLifetime, std::int64_t> completions; ///< highest number of the completions that the records of @c changed include
     std::vector<PoolLogEntry> logEntries;
     int searches = 0; ///< times that the pass looked for capacity on all workers
     int openStarts = 0; ///< start orders without an answer, those of the pass included
@@ -108,6 +113,10 @@
     /// Takes over a final state that an earlier planner published; attempts of the job that still run are stopped.
     auto adoptFinal(const JobId &id, PoolJobPhase phase, MonoTime now) -> void;
     auto setWorkers(const std::vector<PoolWorkerInfo> &listed, MonoTime now) -> void;
+    /// Reports that the worker has written its entry, so that its process runs.
+    auto workerWrote(const WorkerId &id, MonoTime now) -> void;
+    /// Reports that the workers' entries have been read up to what was stored at @p sentAt.
+    auto entriesRead(MonoTime sentAt) -> void;
     /// Reports that the worker's process has certainly ended, so that none of its attempts can be running.
     auto workerLeft(const WorkerId &id) -> void;
     /// @param sentAt time at which the poll was sent
@@ -187,10 +196,15 @@
         WorkerTime clock; ///< worker's clock in the last poll reply
         MonoTime clockAt; ///< time at which this reply arrived
         MonoTime leaseEnd; ///< every lease granted to the worker, by any planner, has expired by then
+        WorkerTime grantedUntil; ///< end of the last lease that this planner granted, on the worker's clock
         MonoTime answeredAt;
+        MonoTime wroteAt; ///< last write of its entry that was read; MonoTime{} before the first
+        bool reportAwaited = false; ///< its leases have expired, and it may list completions of attempts
         bool reachable = true; ///< the last poll was answered
         std::int64_t processedCompletions = 0;
         std::int64_t recordedCompletions = 0;
+        std::int64_t acknowledgedCompletions = 0; ///< highest number that an answered poll has carried
+        std::int64_t loggedAcknowledgement = 0; ///< highest number that a logged poll has carried
         int failures = 0; ///< since the last success
         MonoTime suspectUntil; ///< until then the worker is chosen only if no other fits
     };
@@ -202,11 +216,14 @@
 
     auto setPhase(PoolJobState &state, PoolJobPhase phase) -> void;
     auto release(Worker &worker, const AttemptKey &key) -> void;
-    auto applyCompletion(Worker &worker, const AttemptCompletion &completion, MonoTime now) -> void;
+    /// @return what the end changed.
+    auto applyCompletion(Worker &worker, const AttemptCompletion &completion, MonoTime now) -> EndUse;
+    auto noteListedEnd(const Worker &worker, const AttemptCompletion &completion, EndUse use) -> void;
     auto finishTask(PoolJobState &state, const TaskKey &key, MonoTime now) -> void;
     auto failTask(PoolJobState &state, const TaskKey &key, int attempt, MonoTime now) -> void;
     auto attemptLimit(const PoolJobState &state) const -> std::optional<int>;
     auto failExhausted(MonoTime now) -> void;
+    static auto noteUnsuccessful(PoolJobState &state, const AttemptKey &key) -> void;
     auto recordFailure(Worker &worker, MonoTime now) -> void;
     auto loseAttempt(Worker &worker, const AttemptKey &key, const char *reason) -> void;
     auto saveCheckpoint(PoolJobState &state, const TaskKey &key, const std::string &checkpoint) -> void;
@@ -221,7 +238,7 @@
     auto checkFinished(PoolJobState &state, MonoTime now) -> void;
     auto findTask(const TaskKey &key) -> TaskState *;
     auto allocate(Worker &worker, const PoolJobState &state, const AttemptKey &key) -> Allocation &;
-    auto applyRestart(Worker &worker, const WorkerPollReply &reply) -> void;
+    auto applyRestart(Worker &worker, const WorkerPollReply &reply, MonoTime now) -> void;
     auto applyRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void;
     auto resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt) -> void;
     auto applyStart(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
@@ -229,7 +246,10 @@
     auto startRefused(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
     auto extendLease(Worker &worker, MonoTime now) const -> void;
     auto loseAllAttempts(Worker &worker, const char *reason) -> void;
+    auto mayReport(const Worker &worker, MonoTime now) const -> bool;
+    auto mayHaveSucceeded(const Worker &worker, const AttemptKey &key) const -> bool;
     auto expireLeases(MonoTime now) -> void;
+    auto expireLeases(Worker &worker, MonoTime now) -> void;
     auto stopHung(MonoTime now) -> void;
     auto expireJobs(MonoTime now) -> void;
     auto dropUnlisted() -> void;
@@ -251,11 +271,13 @@
     std::map<JobId, PoolJobState> m_jobs;
     std::set<JobId> m_active; ///< jobs that are not final
     std::map<WorkerId, Worker> m_workers;
+    MonoTime m_entriesReadAt;
     std::set<JobId> m_changed;
     std::set<JobId> m_phaseChanged;
     std::set<JobId> m_expired;
     std::vector<PoolLogEntry> m_logEntries;
     StopReport m_stopReport;
+    EndReport m_endReport;
     std::set<JobId> m_released; ///< jobs with an allocation released since the last planning pass
     std::deque<std::pair<MonoTime, std::int64_t>> m_urgentDemand; ///< accelerators that priority-0 work used or waited for at each planning pass
     std::int64_t m_openStartBytes = 0; ///< of the start orders without an answer; counted anew by each planning pass
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -1,6 +1,7 @@
 #include "policy/testing/poolsimulation.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Catkin::Testing
 {
@@ -21,6 +22,10 @@
 constexpr auto pollTimeoutMargin = Millis{900};
 constexpr auto pollRetryDelay = Millis{200};
 constexpr auto idlePollInterval = Millis{5'000};
+/// A success counts as recorded once its worker has listed it for this long with a lease, as the platform counts it.
+constexpr auto listedLimit = Millis{100};
+/// Percentage of the polls and orders on a slow path that arrive at all.
+constexpr auto slowArrivals = 75;
 constexpr auto drainDuration = Millis{2'500};
 constexpr auto absence = Millis{2'000};
 
@@ -69,9 +74,18 @@
             worker.cutFrom = m_start + Millis{2'000 + m_random(15'000)};
             worker.cutUntil = MonoTime::max();
         }
+        if (m_faults.rebornWorkers > 0 && chance(m_faults.rebornWorkers)) {
+            worker.cutFrom = m_start + Millis{2'000 + m_random(20'000)};
+            worker.cutUntil = worker.cutFrom + Millis{1'000 + m_random(8'000)};
+            worker.restartsAt = worker.cutFrom + (worker.cutUntil - worker.cutFrom) * m_random(100) / 100;
+        }
         if (chance(m_faults.departures)) {
             worker.drainsAt = m_start + Millis{2'000 + m_random(25'000)};
         }
+        if (m_faults.slowPaths > 0 && chance(m_faults.slowPaths)) {
+            worker.slowFrom = m_start + Millis{2'000 + m_random(15'000)};
+            worker.slowUntil = worker.slowFrom + Millis{8'000 + m_random(3'000)};
+        }
     }
     for (auto i = 0; i < m_faults.takeovers; ++i) {
         m_takeovers.push_back(m_start + Millis{3'000 + m_random(25'000)});
@@ -95,6 +109,11 @@
     return worker.gone || (m_now >= worker.cutFrom && m_now < worker.cutUntil);
 }
 
+auto PoolSimulation::hasSlowPath(const SimulatedPoolWorker &worker) const -> bool
+{
+    return m_now >= worker.slowFrom && m_now < worker.slowUntil;
+}
+
 auto PoolSimulation::core() const -> const PoolCore &
 {
     return m_core;
@@ -205,6 +224,17 @@
     }
 }
 
+auto PoolSimulation::receiveLatePolls() -> void
+{
+    std::erase_if(m_latePolls, [&](const LatePoll &it) {
+        auto &worker = m_workers.at(it.worker);
+        if (it.at <= m_now && !worker.gone && it.born == worker.info.born && it.request.token >= worker.token) {
+            receivePoll(worker, it.request);
+        }
+        return it.at <= m_now;
+    });
+}
+
 /// @return when the job was cancelled, or was first found to have failed; nothing if neither.
 auto PoolSimulation::finalSince(const JobId &id) const -> std::optional<MonoTime>
 {
@@ -233,7 +263,8 @@
                 continue;
             }
             const auto reachableSince = isCutOff(worker) ? m_now : worker.cutUntil <= m_now ? worker.cutUntil : m_start;
-            const auto inTime = std::max({*final, m_tookOverAt, reachableSince}) + stopLimit;
+            const auto promptSince = hasSlowPath(worker) ? m_now : worker.slowUntil <= m_now ? worker.slowUntil : m_start;
+            const auto inTime = std::max({*final, m_tookOverAt, reachableSince, promptSince}) + stopLimit;
             const auto limit = (it.late ? std::max(inTime, it.begin + lateLimit) : inTime) + (it.stopHeldUp ? lateLimit : Millis{0}) + m_options.stopGrace;
             if (m_now > limit && m_reportedFinal.emplace(key, it.attempt).second) {
                 m_violations.push_back(key.job.str() + "." + std::to_string(key.step) + "." + std::to_string(key.index) + " attempt "
@@ -262,6 +293,11 @@
         applyCancellations();
         advanceWorkers();
     }
+    if (m_openPass && chance(50)) {
+        m_openPass->records.merge(m_records);
+        m_records = std::move(m_openPass->records);
+    }
+    m_openPass.reset();
     m_links.clear();
     m_pollers.clear();
     ++m_token;
@@ -283,7 +319,12 @@
 
 auto PoolSimulation::plan() -> void
 {
-    const auto effects = m_core.plan(m_now, WallTime{std::chrono::duration_cast<Millis>(m_now.time_since_epoch())});
+    if (m_openPass) {
+        finishPass();
+        return;
+    }
+    auto effects = m_core.plan(m_now, WallTime{std::chrono::duration_cast<Millis>(m_now.time_since_epoch())});
+    auto records = recordsOf(effects);
     const auto lost = isLostBetweenSteps(effects);
     const auto isStored = !lost || chance(50);
     if (!lost || !isStored) {
@@ -291,35 +332,52 @@
             enqueueOrder(m_links[it.worker].queue, it);
         }
     }
-    if (isStored) {
-        store(effects);
-    }
     if (lost) {
+        if (isStored) {
+            records.merge(m_records);
+            m_records = std::move(records);
+        }
         sendOrders();
         takeOver();
         return;
     }
-    m_core.recorded(effects);
-    for (const auto &it : effects.starts) {
+    const auto delay = m_faults.slowRecords > 0 && chance(m_faults.slowRecords) ? Millis{500 + m_random(2'500)} : Millis{0};
+    m_openPass = OpenPass{.effects = std::move(effects), .records = std::move(records), .storedAt = m_now + delay};
+    finishPass();
+}
+
+auto PoolSimulation::finishPass() -> void
+{
+    if (m_now < m_openPass->storedAt) {
+        return;
+    }
+    auto pass = *std::exchange(m_openPass, std::nullopt);
+    pass.records.merge(m_records);
+    m_records = std::move(pass.records);
+    m_core.recorded(pass.effects);
+    for (const auto &it : pass.effects.starts) {
         enqueueOrder(m_links[it.worker].queue, it);
     }
 }
 
-auto PoolSimulation::store(const PoolEffects &effects) -> void
+auto PoolSimulation::recordsOf(const PoolEffects &effects) const -> std::map<JobId, PoolJobState>
 {
+    auto out = std::map<JobId, PoolJobState>{};
     for (const auto &id : effects.changed) {
         auto state = *m_core.find(id);
         // These fields are not part of a stored record.
         for (auto &occurrence : state.occurrences) {
             for (auto &it : occurrence.steps) {
+                it.unsuccessfulAttempt = 0;
                 for (auto &task : it.tasks) {
                     task.attemptPhase = AttemptPhase::Unknown;
                     task.percent = -1;
                 }
             }
         }
-        m_records[id] = std::move(state);
+        out[id] = std::move(state);
     }
+    return out;
 }
 
 auto PoolSimulation::sendOrders() -> void
@@ -348,7 +406,11 @@
         m_core.applyOrder(order, OrderOutcome::NotSent, m_now);
         return;
     }
-    if (!isCutOff(worker)) {
+    if (!isCutOff(worker) && hasSlowPath(worker)) {
+        if (chance(slowArrivals)) {
+            sendLate(order, lease, m_now + Millis{1'000 + m_random(3'000)});
+        }
+    } else if (!isCutOff(worker)) {
         if (!chance(m_faults.lateOrders)) {
             const auto outcome = execute(order, lease, m_token, nullptr);
             if (!chance(m_faults.lostAnswers)) {
@@ -356,18 +418,23 @@
                 return;
             }
         } else {
-            m_lateOrders.push_back(
-                {.at = m_now + Millis{2'000 + m_random(10'000)}, .order = order, .leaseUntil = lease, .token = m_token, .born = worker.info.born});
-            const auto it = worker.running.find(order.task);
-            if (order.kind == PoolOrder::Kind::Stop && it != worker.running.end()) {
-                it->second.stopHeldUp = true;
-            }
+            sendLate(order, lease, m_now + Millis{2'000 + m_random(10'000)});
         }
     }
     link.unanswered = order;
     link.answerDue = m_now + order.answerTimeout;
 }
 
+auto PoolSimulation::sendLate(const PoolOrder &order, WorkerTime lease, MonoTime at) -> void
+{
+    auto &worker = m_workers.at(order.worker);
+    m_lateOrders.push_back({.at = at, .order = order, .leaseUntil = lease, .token = m_token, .born = worker.info.born});
+    const auto it = worker.running.find(order.task);
+    if (order.kind == PoolOrder::Kind::Stop && it != worker.running.end()) {
+        it->second.stopHeldUp = true;
+    }
+}
+
 auto PoolSimulation::execute(const PoolOrder &order, WorkerTime leaseUntil, std::int64_t token, const LateOrder *late) -> OrderOutcome
 {
     auto &worker = m_workers.at(order.worker);
@@ -470,7 +537,7 @@
     return a == b || (gang && a.job == b.job && a.occurrence == b.occurrence && a.step == b.step);
 }
 
-/// A success counts once it is recorded. Before that it counts as long as the worker's lease has not expired since.
+/// A success counts once it is recorded, see also countListed(). Before that it counts as long as the worker's lease has not expired since.
 auto PoolSimulation::hasSucceeded(const TaskKey &key) const -> bool
 {
     if (std::any_of(m_recordedSuccesses.begin(), m_recordedSuccesses.end(), [&](const TaskKey &it) { return sameUnit(key, it); })) {
@@ -510,11 +577,14 @@
         unit.index = m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].gang ? 0 : key.index;
         m_failures[unit].insert(attempt);
     }
+    worker.listedAt[worker.nextCompletion] = m_now;
     worker.completions.push_back({.number = worker.nextCompletion++, .task = key, .attempt = attempt, .kind = kind});
 }
 
-auto PoolSimulation::endGang(const TaskKey &key, int attempt) -> void
+/// The members of a gang succeed together; otherwise the end of one ends the others.
+auto PoolSimulation::endGang(const TaskKey &key, int attempt, CompletionKind first) -> void
 {
+    const auto kind = first == CompletionKind::Done ? CompletionKind::Done : CompletionKind::GangMemberEnded;
     for (auto &[id, worker] : m_workers) {
         auto members = std::vector<TaskKey>{};
         for (const auto &[other, it] : worker.running) {
@@ -523,13 +593,35 @@
             }
         }
         for (const auto &it : members) {
-            completeAttempt(worker, it, CompletionKind::GangMemberEnded);
+            completeAttempt(worker, it, kind);
         }
     }
 }
 
+/// Counts the successes that a worker with a slow path has listed for long enough, whatever happens to its lease afterwards.
+auto PoolSimulation::countListed(const SimulatedPoolWorker &worker) -> void
+{
+    if (worker.slowUntil == MonoTime{} || m_now >= worker.leaseUntil) {
+        return;
+    }
+    for (const auto &it : worker.completions) {
+        if (it.kind == CompletionKind::Done && !worker.voidCompletions.contains(it.number) && m_now - worker.listedAt.at(it.number) >= listedLimit) {
+            m_recordedSuccesses.insert(it.task);
+        }
+    }
+}
+
+auto PoolSimulation::writeEntry(SimulatedPoolWorker &worker) -> void
+{
+    if (!isCutOff(worker) && m_now - worker.wroteAt >= m_options.heartbeat) {
+        worker.wroteAt = m_now;
+        m_core.workerWrote(worker.info.id, m_now);
+    }
+}
+
 auto PoolSimulation::advanceWorker(SimulatedPoolWorker &worker) -> void
 {
+    countListed(worker);
     if (m_now >= worker.leaseUntil) {
         for (const auto &it : worker.completions) {
             worker.voidCompletions.insert(it.number);
@@ -545,23 +637,25 @@
             continue;
         }
         const auto attempt = it->second.attempt;
+        auto kind = CompletionKind::Done;
         const auto gang = m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].gang;
         if (m_now >= worker.leaseUntil) {
-            completeAttempt(worker, key, CompletionKind::LeaseExpired);
+            kind = CompletionKind::LeaseExpired;
         } else if (it->second.stopping && m_now >= it->second.stopAt) {
-            completeAttempt(worker, key, CompletionKind::Stopped);
+            kind = CompletionKind::Stopped;
         } else if (gang && !isGangComplete(key, attempt)) {
             if (m_now - it->second.begin > gangTimeout) {
                 completeAttempt(worker, key, CompletionKind::GangIncomplete);
             }
             continue;
         } else if (m_now >= it->second.end) {
-            completeAttempt(worker, key, chance(m_faults.failedTasks) ? CompletionKind::Failed : CompletionKind::Done);
+            kind = chance(m_faults.failedTasks) ? CompletionKind::Failed : CompletionKind::Done;
         } else {
             continue;
         }
+        completeAttempt(worker, key, kind);
         if (gang) {
-            endGang(key, attempt);
+            endGang(key, attempt, kind);
         }
     }
 }
@@ -573,11 +667,16 @@
         const auto attempt = it.attempt;
         worker.running.erase(key);
         if (m_jobs.at(key.job).steps[static_cast<std::size_t>(key.step)].gang) {
-            endGang(key, attempt);
+            endGang(key, attempt, CompletionKind::LeaseExpired);
         }
     }
     const auto before = worker;
-    worker = SimulatedPoolWorker{.info = before.info, .bornAt = m_now, .cutFrom = before.cutFrom, .cutUntil = before.cutUntil};
+    worker = SimulatedPoolWorker{.info = before.info,
+                                 .bornAt = m_now,
+                                 .cutFrom = before.cutFrom,
+                                 .cutUntil = before.cutUntil,
+                                 .slowFrom = before.slowFrom,
+                                 .slowUntil = before.slowUntil};
     ++worker.info.born;
     worker.info.draining = false;
 }
@@ -607,11 +706,17 @@
 auto PoolSimulation::advanceWorkers() -> void
 {
     executeLateOrders();
+    receiveLatePolls();
     for (auto &[id, worker] : m_workers) {
+        writeEntry(worker);
         if (!worker.gone) {
             advanceWorker(worker);
         }
         moveWorker(worker);
+        if (worker.restartsAt && m_now >= *worker.restartsAt) {
+            lifetimeEnds(worker);
+            listWorkers();
+        }
         // On average, the given percentage of workers restarts within 30 s.
         if (m_faults.restarts > 0 && !worker.gone && m_random(150'000) < static_cast<std::uint32_t>(m_faults.restarts)) {
             lifetimeEnds(worker);
@@ -622,21 +727,19 @@
 
 auto PoolSimulation::receivePoll(SimulatedPoolWorker &worker, const WorkerPollRequest &request) -> void
 {
-    worker.token = std::max(worker.token, m_token);
+    worker.token = std::max(worker.token, request.token);
     if (request.leaseUntil.value > 0) {
         const auto until = worker.bornAt + Millis{request.leaseUntil.value - 1};
         worker.leaseUntil = std::max(worker.leaseUntil, std::min(until, m_now + m_options.leaseDuration));
     }
-    // The core may still hold the number of a completion of an earlier incarnation, which must not be acknowledged here.
-    const auto &known = m_core.workers().at(worker.info.id);
-    if (known.answered && known.info.born == worker.info.born) {
-        acknowledge(worker, request.seenCompletions);
-    }
+    // A worker forgets its completions up to that number, whichever incarnation the number was meant for.
+    acknowledge(worker, request.seenCompletions);
 }
 
 auto PoolSimulation::answerPoll(const SimulatedPoolWorker &worker, const Poller &poller) -> void
 {
-    auto reply = WorkerPollReply{.clock = workerTime(m_now, worker), .born = worker.info.born, .completions = worker.completions};
+    auto reply = WorkerPollReply{
+        .clock = workerTime(m_now, worker), .born = worker.info.born, .completions = worker.completions, .acknowledged = poller.open->seenCompletions};
     for (const auto &[key, it] : worker.running) {
         const auto spent = std::chrono::duration_cast<Millis>(m_now - it.begin).count();
         reply.running.push_back({.task = key, .attempt = it.attempt, .percent = static_cast<int>(spent / 50)});
@@ -644,6 +747,22 @@
     m_core.applyPollReply(worker.info.id, reply, poller.sentAt, m_now);
 }
 
+auto PoolSimulation::sendPoll(const SimulatedPoolWorker &worker) -> Poller
+{
+    const auto &id = worker.info.id;
+    auto poller = Poller{.open = m_core.nextPoll(id, m_now).request, .sentAt = m_now, .born = worker.info.born, .lost = isCutOff(worker)};
+    poller.open->token = m_token;
+    if (poller.lost) {
+        return poller;
+    }
+    if (!hasSlowPath(worker)) {
+        receivePoll(m_workers.at(id), *poller.open);
+    } else if (chance(slowArrivals)) {
+        m_latePolls.push_back({.at = m_now + Millis{1'000 + m_random(3'000)}, .worker = id, .request = *poller.open, .born = worker.info.born});
+    }
+    return poller;
+}
+
 auto PoolSimulation::pollWorkers() -> void
 {
     std::erase_if(m_pollers, [&](const auto &it) { return !m_core.workers().contains(it.first); });
@@ -654,13 +773,10 @@
             continue;
         }
         if (!poller.open) {
-            poller = {.open = m_core.nextPoll(id, m_now).request, .sentAt = m_now, .born = worker.info.born, .lost = isCutOff(worker)};
-            if (!poller.lost) {
-                receivePoll(worker, *poller.open);
-            }
+            poller = sendPoll(worker);
         }
         const auto reset = poller.born != worker.info.born;
-        poller.lost = poller.lost || isCutOff(worker);
+        poller.lost = poller.lost || isCutOff(worker) || hasSlowPath(worker);
         if (reset || (poller.lost && m_now - poller.sentAt >= poller.open->wait + pollTimeoutMargin)) {
             poller = {.pauseUntil = m_now + pollRetryDelay};
             m_core.pollFailed(id);
