--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -282,6 +282,7 @@
     std::deque<std::pair<MonoTime, std::int64_t>> m_urgentDemand; ///< accelerators that priority-0 work used or waited for at each planning pass
     std::int64_t m_openStartBytes = 0; ///< of the start orders without an answer; counted anew by each planning pass
     bool m_deferring = false; ///< the last planning pass deferred groups
+    std::map<std::pair<int, bool>, MonoTime> m_searchLimitLogged; ///< by priority and guarantee: when the log last had that groups were left out
     bool m_fenced = false;
 };
 
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -118,6 +118,7 @@
     int unsuccessfulAttempt = 0; ///< last attempt of a gang that is known to be over without success; never stored
     bool everStarted = false;
     bool waitLogged = false; ///< whether the reason of its waiting has been logged; never stored
+    bool reservationLogged = false; ///< whether its reservation has been logged; never stored
 };
 
 /// One run of all steps; jobs without a schedule have one.
@@ -131,6 +132,7 @@
     PoolJob job;
     PoolJobPhase phase = PoolJobPhase::Queued;
     bool cancelRequested = false;
+    bool removalLogged = false; ///< whether the removal of its queue has been logged; never stored
     std::vector<OccurrenceState> occurrences;
     MonoTime knownSince; ///< when this planner first saw the job
     MonoTime finalSince; ///< when this planner saw the job become final
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <string_view>
 #include <tuple>
+#include <utility>
 
 namespace Catkin
 {
@@ -31,6 +32,10 @@
 /// Start orders without an answer take at most this long on the planner's link: half of the time after which the first of them would be
 /// sent again.
 constexpr auto linkWindow = Millis{150};
+/// Between two log lines about groups of a class that are left to the next pass.
+constexpr auto searchLimitPeriod = Millis{10'000};
+/// A reservation is logged when its group has waited for this long.
+constexpr auto reservationLogDelay = Millis{5'000};
 
 auto seconds(Micros span) -> double
 {
@@ -170,6 +175,11 @@
         auto &state = m_core.m_jobs.at(id);
         const auto queue = m_core.m_rules.queues.find(state.job.queue);
         if (queue == m_core.m_rules.queues.end()) {
+            if (m_core.m_rules.version.value != 0 && !std::exchange(state.removalLogged, true)) {
+                m_core.logDecision("set_aside",
+                                   "job=" + id.str() + " queue=" + state.job.queue.str() + " version=" + std::to_string(m_core.m_rules.version.value)
+                                       + " reason=queue_unknown");
+            }
             continue;
         }
         for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
@@ -549,9 +559,26 @@
     if (!chosen) {
         return;
     }
+    auto slots = std::set<std::size_t>{};
     for (const auto it : *chosen) {
         reserveOn(m_slots[eventual[it].worker], wanted.perTask);
+        slots.insert(eventual[it].worker);
     }
+    logReservation(group, slots);
+}
+
+/// Logs once that the group has waited for a while and keeps capacity from others.
+auto PoolPlacer::logReservation(const TaskGroup &group, const std::set<std::size_t> &slots) -> void
+{
+    auto &step = group.job->occurrences[static_cast<std::size_t>(group.occurrence)].steps[static_cast<std::size_t>(group.step)];
+    if (m_now - group.since < reservationLogDelay || std::exchange(step.reservationLogged, true)) {
+        return;
+    }
+    m_core.logDecision("reserves",
+                       "job=" + group.job->job.id.str() + " occurrence=" + std::to_string(group.occurrence) + " step=" + std::to_string(group.step)
+                           + " tasks=" + std::to_string(group.tasks.size()) + " workers=" + std::to_string(slots.size())
+                           + " free_accelerators=" + std::to_string(m_freeAccelerators)
+                           + " waited_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_now - group.since).count()));
 }
 
 /// Sets the urgent reserve. Urgent work arrives in bursts: the accelerators that it needed within urgentDemandWindow are kept free
@@ -615,10 +642,24 @@
                            + " free_accelerators=" + std::to_string(m_freeAccelerators) + " urgent_reserve=" + std::to_string(m_urgentReserve));
 }
 
+/// Logs that the pass leaves this group of a class, and those behind it, to the next one.
+auto PoolPlacer::logSearchLimit(const TaskGroup &group) -> void
+{
+    auto &loggedAt = m_core.m_searchLimitLogged[{group.queue->priority, group.guaranteed}];
+    if (loggedAt != MonoTime{} && m_now - loggedAt < searchLimitPeriod) {
+        return;
+    }
+    loggedAt = m_now;
+    m_core.logDecision("searches_limited",
+                       "priority=" + std::to_string(group.queue->priority) + " guaranteed=" + (group.guaranteed ? "yes" : "no")
+                           + " searches=" + std::to_string(failedSearches(group)) + " next_job=" + group.job->job.id.str());
+}
+
 auto PoolPlacer::placeGroup(TaskGroup &group, PoolEffects &effects) -> bool
 {
     const auto &wanted = spec(group);
     if (failedSearches(group) >= maxFailedSearches) {
+        logSearchLimit(group);
         return false;
     }
     if (yieldsToUrgent(group)) {
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -120,6 +120,8 @@
     auto logDeferred(std::size_t groups) -> void;
     auto mayStartMore() const -> bool;
     auto reserveCapacity(const TaskGroup &group) -> void;
+    auto logReservation(const TaskGroup &group, const std::set<std::size_t> &slots) -> void;
+    auto logSearchLimit(const TaskGroup &group) -> void;
     auto start(TaskGroup &group, const std::vector<int> &tasks, const std::vector<std::size_t> &slots, PoolEffects &effects) -> void;
     auto reserveOn(Slot &slot, const Resources &need) -> void;
     static auto mayPreempt(const TaskGroup &group, const Victim &victim) -> bool;
