Keep the progress of a job in records that the store takes

Cause: the record of attempts of a job was one record of the store and grew with the job. Over 262,144 bytes the store refuses the append with 413; the planner repeated it without end, and nothing else was planned meanwhile. The bound on the size of a job counted 10 bytes a task, a placed task takes about 55.

Change: the record has parts of 64 tasks that fit whatever their worker ids and checkpoints are; only changed parts are written, and records of earlier versions are read. A refusal of the records themselves is told from a busy store: the append is split by job, and a job whose own record is refused, while the store takes the record of its end, ends as failed with a reason that the log (E6051) and its caller show. A job whose own record would be too long gets 400. States and removals go out in batches below the limit of a call.

Why this works: no record grows with its job, and no append that cannot succeed is repeated in the place where all jobs wait.

Longest id of a job: 248 instead of 253 bytes, for the longer key of the later parts.

--- a/packages/daemon/poolfront.cpp
+++ b/packages/daemon/poolfront.cpp
@@ -111,6 +111,9 @@
         if (done) {
             return done;
         }
+        if (done.error().code == ErrorCode::Limit || done.error().code == ErrorCode::InvalidInput) {
+            return inDoubt ? *inDoubt : done.error(); // no later try ends otherwise
+        }
         // The other log may be served although this one is not.
         m_preferredLog = (preferred + 1) % jobLogs.size();
         ++failures;
@@ -132,19 +135,27 @@
     job.queue = access.queue;
     job.workspace = access.workspace;
     job.acceptedAt = m_clock.wall();
-    const auto problem = access.unsupported.empty() ? jobProblem(job) : std::optional{access.unsupported};
-    if (problem) {
-        logEvent(LogLevel::Warn, 6020, "job=" + printable(job.id.str()) + " queue=" + job.queue.str() + " refused as malformed: " + *problem);
+    const auto refuse = [&](const std::string &reason) {
+        logEvent(LogLevel::Warn, 6020, "job=" + printable(job.id.str()) + " queue=" + job.queue.str() + " refused as malformed: " + reason);
         m_metrics.requestRefused(MetricRefusal::BadInput);
-        return {.outcome = SubmitOutcome::Malformed, .reason = *problem};
+        return SubmitAnswer{.outcome = SubmitOutcome::Malformed, .reason = reason};
+    };
+    if (const auto problem = access.unsupported.empty() ? jobProblem(job) : std::optional{access.unsupported}) {
+        return refuse(*problem);
     }
     const auto known = m_view.find(job.id);
     if (known && known->job) {
         return {.outcome = SubmitOutcome::Accepted};
     }
     const auto [key, value] = encodeJob(job);
+    if (const auto size = 1 + key.size() + value.size(); size > m_options.recordBytes) {
+        return refuse("the job takes " + std::to_string(size) + " bytes as a record, and the store takes " + std::to_string(m_options.recordBytes));
+    }
     const auto begin = m_clock.mono();
     const auto done = append({.key = key, .value = value}, limit);
+    if (!done && (done.error().code == ErrorCode::Limit || done.error().code == ErrorCode::InvalidInput)) {
+        return refuse(done.error().message);
+    }
     const auto took = std::chrono::duration_cast<Millis>(m_clock.mono() - begin).count();
     const auto latency = std::chrono::duration_cast<Micros>(m_clock.mono() - begin);
     const auto triedBefore = limit + firstTryDelay < access.callTimeout;
@@ -171,7 +182,7 @@
     return {.outcome = refused ? SubmitOutcome::NotRun : SubmitOutcome::OutcomeUnknown, .reason = done.error().message, .retryAfter = retryElsewhere};
 }
 
-auto PoolFront::state(const QueueAccess &access, const JobId &id) const -> Result<PoolJobPhase>
+auto PoolFront::state(const QueueAccess &access, const JobId &id) const -> Result<JobAnswer>
 {
     // Freshness before the lookup: a job accepted before that read is then certainly in the view.
     const auto fresh = allJobsKnown();
@@ -180,7 +191,8 @@
         if (known->job->workspace != access.workspace) {
             return failure(ErrorCode::NotFound, "no such job");
         }
-        return PoolView::shownPhase(*known);
+        const auto phase = PoolView::shownPhase(*known);
+        return JobAnswer{.phase = phase, .reason = phase == known->phase ? known->reason : std::string{}};
     }
     if (!fresh) {
         return failure(ErrorCode::Unavailable, "a log of jobs cannot be read");
--- a/packages/daemon/poolfront.h
+++ b/packages/daemon/poolfront.h
@@ -44,11 +44,19 @@
     Seconds retryAfter{0};
 };
 
+/// What a caller is told of its job.
+struct JobAnswer
+{
+    PoolJobPhase phase = PoolJobPhase::Queued;
+    std::string reason; ///< why the job cannot go on; empty: none
+};
+
 struct PoolFrontOptions
 {
     Millis configLimit{5'500}; ///< a configuration unconfirmed for longer is not acted on
     Millis viewLimit{2'000}; ///< a job unknown to a view older than this may exist
     std::size_t homeLog = 0; ///< index in jobLogs of the log to write to first; instances differ, so that the load is spread
+    std::size_t recordBytes = defaultRecordBytes; ///< longest record that the store takes, its key included
 };
 
 /// How old the instance's knowledge is.
@@ -73,7 +81,7 @@
     auto submit(const QueueAccess &access, PoolJob job, Millis limit) -> SubmitAnswer;
 
     /// @return ErrorCode::NotFound when no such job exists, ErrorCode::Unavailable when that cannot be told now.
-    auto state(const QueueAccess &access, const JobId &id) const -> Result<PoolJobPhase>;
+    auto state(const QueueAccess &access, const JobId &id) const -> Result<JobAnswer>;
 
     /// @return ErrorCode::NotFound when the job belongs to somebody else, ErrorCode::NotSent or ErrorCode::Unknown when the cancellation
     /// is not or may not be stored.
--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -71,7 +71,8 @@
         , jobTails{tailOf(RecordLog::Jobs, "jobs"), tailOf(RecordLog::JobsSpare, "jobs spare")}
         , front(PoolFrontOptions{.configLimit = settings.configApply + settings.configStretch / 2,
                                  .viewLimit = settings.visibility - viewMargin,
-                                 .homeLog = homeLogOf(settings.instance)},
+                                 .homeLog = homeLogOf(settings.instance),
+                                 .recordBytes = settings.recordBytes},
                 view,
                 ports.store,
                 clock,
@@ -351,6 +352,7 @@
                  .gangTimeout = settings.gangTimeout,
                  .linkBytesPerSecond = static_cast<std::int64_t>(settings.linkMbps * bytesPerMegabit)},
         .workerHeartbeat = settings.workerHeartbeat,
+        .recordBytes = settings.recordBytes,
     };
     auto fresh = std::make_shared<PoolTerm>(options, ports, clock, view, termHooks());
     const auto lock = std::lock_guard{termMutex};
--- a/packages/daemon/poolsettings.cpp
+++ b/packages/daemon/poolsettings.cpp
@@ -37,6 +37,7 @@
     out.add("store address", inUse.storeAddress, read.storeAddress);
     out.add("cores", std::to_string(inUse.cores), std::to_string(read.cores));
     out.add("link", std::to_string(inUse.linkMbps), std::to_string(read.linkMbps));
+    out.add("record limit", std::to_string(inUse.recordBytes), std::to_string(read.recordBytes));
     out.add("lease", inUse.lease, read.lease);
     out.add("stop grace", inUse.stopGrace, read.stopGrace);
     out.add("gang timeout", inUse.gangTimeout, read.gangTimeout);
--- a/packages/daemon/poolsettings.h
+++ b/packages/daemon/poolsettings.h
@@ -4,6 +4,7 @@
 ///
 /// Filled by the adapter of a deployment; checked there.
 
+#include "state/poolrecords.h"
 #include "util/ids.h"
 #include "util/units.h"
 
@@ -24,6 +25,7 @@
     std::string storeAddress; ///< "ip:port" of the record store
     double cores = 1.0; ///< processor share of the instance, in cores
     double linkMbps = 1'000.0; ///< what the instance's link carries each way, in Mbit/s
+    std::size_t recordBytes = defaultRecordBytes; ///< longest record that the store takes, its key included
     Millis lease{10'000}; ///< longest time that a worker runs on without word from a planner
     Millis stopGrace{200}; ///< longest time that a stop of a task takes
     Millis gangTimeout{3'000}; ///< how long a started member of a gang waits for the others; above 0
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -5,6 +5,8 @@
 #include "util/threadname.h"
 
 #include <algorithm>
+#include <iterator>
+#include <numeric>
 
 namespace Catkin
 {
@@ -20,11 +22,17 @@
 /// One try of an append to the log of attempts or of states; its repeat has no second effect.
 constexpr auto appendTry = Millis{600};
 constexpr auto appendPause = Millis{60};
+/// Before a job's records are tried again while the store refuses every record.
+constexpr auto refusedPause = Millis{500};
 /// For calls to the store that nothing waits for: one drops expired jobs, one reads earlier entries of workers.
 constexpr auto storeThreads = std::size_t{2};
 constexpr auto maxQueuedCalls = std::size_t{64};
 /// Bytes in one append; below the store's limit of a call.
 constexpr auto maxAppendBytes = std::size_t{1} << 20U;
+/// States of jobs in one append; with ids of the longest kind below the store's limit of a call.
+constexpr auto maxPublished = std::size_t{2'000};
+/// Expired jobs that are dropped in one append.
+constexpr auto maxDroppedJobs = std::size_t{1'000};
 constexpr auto snapshotTimeout = Millis{2'000};
 /// One try to drop expired jobs from a log of jobs; nothing waits for it.
 constexpr auto dropTry = Millis{1'000};
@@ -51,6 +59,22 @@
     return {.key = it.first, .value = it.second};
 }
 
+auto sizeOf(const KeyedRecord &it) -> std::size_t
+{
+    return it.key.size() + it.value.size();
+}
+
+auto sizeOf(const std::vector<KeyedRecord> &records) -> std::size_t
+{
+    return std::accumulate(records.begin(), records.end(), std::size_t{0}, [](std::size_t sum, const KeyedRecord &it) { return sum + sizeOf(it); });
+}
+
+/// @return whether the store refuses the records whenever they are sent.
+auto isLasting(ErrorCode code) -> bool
+{
+    return code == ErrorCode::Limit || code == ErrorCode::InvalidInput;
+}
+
 }
 
 PoolTerm::PoolTerm(const PoolTermOptions &options, PoolPorts ports, Clock clock, PoolView &view, PoolTermHooks hooks)
@@ -193,10 +217,12 @@
     m_wake.notify_all();
 }
 
+/// The caller holds m_mutex.
 auto PoolTerm::adoptAttempts(const RecordPage &attempts, MonoTime now) -> void
 {
     const auto stretched = Millis{static_cast<std::int64_t>(static_cast<double>(m_options.pool.leaseDuration.count()) * leaseStretch)};
     const auto takenOverUntil = now + m_options.takeoverTimeout + stretched + takeoverSlack;
+    auto states = std::map<JobId, PoolJobState>{};
     for (const auto &it : attempts.records) {
         const auto record = decodePoolRecord(it.key, it.value);
         const auto *found = record ? std::get_if<AttemptsRecord>(&record.value()) : nullptr;
@@ -204,12 +230,22 @@
         if (known == nullptr) {
             continue;
         }
-        auto state = makeJobState(known->job);
-        if (const auto read = decodeAttempts(found->value, state); !read) {
-            logEvent(LogLevel::Error, 6006, "job=" + found->id.str() + " record of attempts cannot be used: " + read.error().message);
-            continue;
+        auto &parts = m_recorded[found->id];
+        parts.resize(std::max(parts.size(), static_cast<std::size_t>(found->part) + 1));
+        parts[static_cast<std::size_t>(found->part)] = std::hash<std::string>{}(it.value);
+        const auto [state, isNew] = states.try_emplace(found->id);
+        if (isNew) {
+            state->second = makeJobState(known->job);
+        }
+        if (const auto read = decodeAttempts(*found, state->second); !read) {
+            logEvent(LogLevel::Error,
+                     6006,
+                     "job=" + found->id.str() + " part=" + std::to_string(found->part) + " record of attempts cannot be used: " + read.error().message);
         }
-        m_core.adoptRecord(found->id, state, takenOverUntil, now);
+    }
+    for (auto &[id, state] : states) {
+        completeGangs(state);
+        m_core.adoptRecord(id, state, takenOverUntil, now);
     }
 }
 
@@ -234,7 +270,7 @@
             logEvent(LogLevel::Error, 6015, "record of attempts at offset " + std::to_string(it.offset.value) + " left out: " + record.error().message);
         } else if (const auto *job = std::get_if<PoolJob>(&record.value())) {
             m_view.apply(RecordLog::Attempts, record.value()); // its own log may not be served
-            m_recorded.insert(job->id);
+            m_recorded.try_emplace(job->id);
         }
     }
     auto jobs = std::vector<JobSummary>{};
@@ -266,7 +302,7 @@
 {
     const auto begin = m_clock.mono();
     // The epoch in the log of attempts shuts earlier planners out before it is read.
-    if (!appendAttempts({})) {
+    if (appendAttempts({}) != AppendOutcome::Stored) {
         return false;
     }
     while (!stopped()) {
@@ -388,22 +424,46 @@
     }
 }
 
+/// Adds the parts of a job's progress that have changed since they were recorded; the caller holds m_mutex.
+auto PoolTerm::attemptRecordsOf(const PoolJobState &state, std::vector<JobRecord> &out) -> void
+{
+    const auto &id = state.job.id;
+    if (m_setAside.contains(id)) {
+        return;
+    }
+    const auto [recorded, isNew] = m_recorded.try_emplace(id);
+    if (isNew) {
+        out.push_back({.job = id, .record = toRecord(encodeJob(state.job))});
+    }
+    auto encoded = encodeAttempts(state, m_options.recordBytes);
+    auto &hashes = recorded->second;
+    hashes.resize(std::max(hashes.size(), encoded.parts.size()));
+    for (auto i = std::size_t{0}; i < encoded.parts.size(); ++i) {
+        const auto hash = std::hash<std::string>{}(encoded.parts[i].second);
+        if (std::exchange(hashes[i], hash) != hash) {
+            out.push_back({.job = id, .record = toRecord(encoded.parts[i])});
+        }
+    }
+    if (encoded.checkpointsLeftOut > 0 && m_longCheckpoints.insert(id).second) {
+        logEvent(LogLevel::Warn, 6019, "job=" + id.str() + " checkpoints=" + std::to_string(encoded.checkpointsLeftOut) + " too long to be recorded");
+    }
+}
+
 /// What a pass of the planner has to record before its orders go out; the caller holds m_mutex.
-auto PoolTerm::attemptRecords(const PoolEffects &effects) -> std::vector<KeyedRecord>
+auto PoolTerm::attemptRecords(const PoolEffects &effects) -> std::vector<JobRecord>
 {
-    auto records = std::vector<KeyedRecord>{};
+    auto records = std::vector<JobRecord>{};
     for (const auto &id : effects.changed) {
-        const auto *state = m_core.find(id);
-        if (m_recorded.insert(id).second) {
-            records.push_back(toRecord(encodeJob(state->job)));
-        }
-        records.push_back(toRecord(encodeAttempts(*state)));
+        attemptRecordsOf(*m_core.find(id), records);
     }
     for (const auto &id : std::exchange(m_dropped, {})) {
-        m_recorded.erase(id);
-        for (const auto &it : encodeAttemptTombstones(id)) {
-            records.push_back(toRecord(it));
+        const auto recorded = m_recorded.find(id);
+        for (const auto &it : encodeAttemptTombstones(id, recorded == m_recorded.end() ? 0 : recorded->second.size())) {
+            records.push_back({.job = id, .record = toRecord(it)});
         }
+        m_recorded.erase(id);
+        m_setAside.erase(id);
+        m_longCheckpoints.erase(id);
     }
     return records;
 }
@@ -412,7 +472,7 @@
 {
     const auto now = m_clock.mono();
     auto effects = PoolEffects{};
-    auto records = std::vector<KeyedRecord>{};
+    auto records = std::vector<JobRecord>{};
     auto unconfirmed = false;
     {
         const auto lock = std::lock_guard{m_mutex};
@@ -433,7 +493,7 @@
         logEvent(LogLevel::Info, 6010, std::string("decision=") + it.decision + " " + it.text);
     }
     // The log of states may not be served; an append without records confirms the leadership as well.
-    if (records.empty() && unconfirmed && !appendAttempts({})) {
+    if (records.empty() && unconfirmed && appendAttempts({}) != AppendOutcome::Stored) {
         return;
     }
     if (!record(effects, std::move(records))) {
@@ -469,7 +529,9 @@
         auto expired = std::vector<JobId>{};
         {
             const auto lock = std::lock_guard{m_mutex};
-            expired.swap(m_expired);
+            const auto rest = m_expired.begin() + static_cast<std::ptrdiff_t>(std::min(m_expired.size(), maxDroppedJobs));
+            expired.assign(m_expired.begin(), rest);
+            m_expired.erase(m_expired.begin(), rest);
             m_dropping = !expired.empty() && !m_stopping;
             if (!m_dropping) {
                 return;
@@ -515,14 +577,67 @@
     m_ports.metrics->setStoppingAttempts(static_cast<std::size_t>(m_core.stoppingAttempts()), m_core.oldestStop(m_clock.mono()));
 }
 
-auto PoolTerm::record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool
+/// Ends a job whose progress the store refuses, so that its orders are withdrawn and the records of other jobs go on.
+auto PoolTerm::setAside(const JobId &id) -> void
+{
+    logEvent(LogLevel::Error, 6051, "job=" + id.str() + " ends as failed: the store refuses the record of its attempts, and takes others");
+    const auto lock = std::lock_guard{m_mutex};
+    m_setAside.insert(id);
+    m_core.failJob(id, "the progress of the job cannot be recorded", m_clock.mono());
+    m_unpublished.insert(id);
+}
+
+/// Records what concerns one job. A refusal counts against the job only when the store takes another record in its place.
+/// @return false when the term has ended
+auto PoolTerm::recordAlone(const JobId &id, const std::vector<KeyedRecord> &records) -> bool
+{
+    while (true) {
+        auto outcome = appendAttempts(records);
+        if (outcome == AppendOutcome::Refused) {
+            outcome = appendAttempts({toRecord(encodeEnd(id, PoolJobPhase::Failed))});
+            if (outcome == AppendOutcome::Stored) {
+                setAside(id);
+            }
+        }
+        if (outcome != AppendOutcome::Refused) {
+            return outcome == AppendOutcome::Stored;
+        }
+        pause(refusedPause);
+    }
+}
+
+/// Records a batch, or each job of it alone if the store refuses the whole. The records of a job are next to each other.
+/// @return false when the term has ended
+auto PoolTerm::recordBatch(const std::vector<JobRecord> &batch) -> bool
 {
-    auto batch = std::vector<KeyedRecord>{};
+    auto all = std::vector<KeyedRecord>{};
+    for (const auto &it : batch) {
+        all.push_back(it.record);
+    }
+    const auto outcome = appendAttempts(all);
+    if (outcome != AppendOutcome::Refused) {
+        return outcome == AppendOutcome::Stored;
+    }
+    for (auto begin = batch.begin(); begin != batch.end();) {
+        const auto end = std::find_if(begin, batch.end(), [&](const JobRecord &it) { return it.job != begin->job; });
+        auto own = std::vector<KeyedRecord>{};
+        std::transform(begin, end, std::back_inserter(own), [](const JobRecord &it) { return it.record; });
+        if (!recordAlone(begin->job, own)) {
+            return false;
+        }
+        begin = end;
+    }
+    return true;
+}
+
+auto PoolTerm::record(const PoolEffects &effects, std::vector<JobRecord> records) -> bool
+{
+    auto batch = std::vector<JobRecord>{};
     auto bytes = std::size_t{0};
     for (auto &it : records) {
-        const auto size = it.key.size() + it.value.size();
+        const auto size = sizeOf(it.record);
         if (!batch.empty() && bytes + size > maxAppendBytes) {
-            if (!appendAttempts(batch)) {
+            if (!recordBatch(batch)) {
                 return false;
             }
             batch.clear();
@@ -531,7 +646,7 @@
         bytes += size;
         batch.push_back(std::move(it));
     }
-    if (!batch.empty() && !appendAttempts(batch)) {
+    if (!batch.empty() && !recordBatch(batch)) {
         return false;
     }
     {
@@ -576,7 +691,8 @@
     m_confirmedAt = std::max(m_confirmedAt, sentAt);
 }
 
-auto PoolTerm::appendAttempts(const std::vector<KeyedRecord> &records) -> bool
+/// Tries until the records are stored, the store refuses them for good, or the term ends.
+auto PoolTerm::appendAttempts(const std::vector<KeyedRecord> &records) -> AppendOutcome
 {
     const auto guard = AppendGuard{.epoch = m_options.epoch, .sequence = m_attemptsSequence};
     while (!stopped()) {
@@ -588,22 +704,29 @@
                 m_attemptsEnd = done.value();
             }
             confirmed(sentAt);
-            return true;
+            return AppendOutcome::Stored;
         }
+        const auto longest = std::max_element(records.begin(), records.end(), [](const auto &a, const auto &b) { return sizeOf(a) < sizeOf(b); });
         logEvent(LogLevel::Warn,
                  6008,
                  "record of attempts not stored epoch=" + std::to_string(m_options.epoch) + " sequence=" + std::to_string(guard.sequence)
-                     + " try_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_clock.mono() - sentAt).count()) + " reason=" + done.error().message);
+                     + " try_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_clock.mono() - sentAt).count()) + " records="
+                     + std::to_string(records.size()) + " bytes=" + std::to_string(sizeOf(records)) + " longest="
+                     + (longest == records.end() ? std::string("none") : longest->key + ":" + std::to_string(sizeOf(*longest)))
+                     + " reason=" + done.error().message);
         if (done.error().code == ErrorCode::StaleGeneration || done.error().code == ErrorCode::Conflict) {
             m_hooks.fenced("the record of attempts belongs to a newer planner");
-            return false;
+            return AppendOutcome::Ended;
         }
         if (m_tookOver) {
             stopUnwanted();
         }
+        if (isLasting(done.error().code) && !records.empty()) {
+            return AppendOutcome::Refused;
+        }
         pause(appendPause);
     }
-    return false;
+    return AppendOutcome::Ended;
 }
 
 /// Sends the stop orders that are due while the planner waits for the log of attempts.
@@ -647,13 +770,14 @@
         m_publish.wait_for(lock, left, [&] { return m_stopping || !m_unpublished.empty() || !m_droppedPhases.empty() || due(); });
     }
     auto records = std::vector<KeyedRecord>{};
-    for (const auto &id : std::exchange(m_unpublished, {})) {
-        if (const auto *state = m_core.find(id)) {
-            records.push_back(toRecord(encodePhase(id, state->phase)));
+    for (auto it = m_unpublished.begin(); it != m_unpublished.end() && records.size() < maxPublished; it = m_unpublished.erase(it)) {
+        if (const auto *state = m_core.find(*it)) {
+            records.push_back(toRecord(encodePhase(*it, state->phase, state->reason)));
         }
     }
-    for (const auto &id : std::exchange(m_droppedPhases, {})) {
-        records.push_back(toRecord(encodePhaseTombstone(id)));
+    while (!m_droppedPhases.empty() && records.size() < maxPublished) {
+        records.push_back(toRecord(encodePhaseTombstone(m_droppedPhases.back())));
+        m_droppedPhases.pop_back();
     }
     if (!records.empty() || due()) {
         records.push_back(toRecord(encodeLeadership(m_hooks.renewal())));
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -49,6 +49,7 @@
     Millis renewInterval{400};
     Millis takeoverTimeout{2'000}; ///< an earlier planner gives no orders for longer than this
     Millis workerHeartbeat{1'500}; ///< between two writes of a worker's entry
+    std::size_t recordBytes = defaultRecordBytes; ///< longest record that the store takes, its key included
 };
 
 struct PoolPorts
@@ -86,6 +87,18 @@
     auto configChanged() -> void;
 
 private:
+    enum class AppendOutcome {
+        Stored,
+        Refused, ///< the store refuses these records whenever they are sent
+        Ended, ///< the term has ended
+    };
+    /// A record in the log of attempts and the job that it is about.
+    struct JobRecord
+    {
+        JobId job;
+        KeyedRecord record;
+    };
+
     auto stopped() const -> bool;
     auto pause(Millis span) -> void;
     auto plannerLoop() -> void;
@@ -95,11 +108,15 @@
     auto adoptAttempts(const RecordPage &attempts, MonoTime now) -> void;
     auto takeInbox(MonoTime now) -> void;
     auto planOnce() -> void;
-    auto attemptRecords(const PoolEffects &effects) -> std::vector<KeyedRecord>;
-    auto record(const PoolEffects &effects, std::vector<KeyedRecord> records) -> bool;
+    auto attemptRecords(const PoolEffects &effects) -> std::vector<JobRecord>;
+    auto attemptRecordsOf(const PoolJobState &state, std::vector<JobRecord> &out) -> void;
+    auto record(const PoolEffects &effects, std::vector<JobRecord> records) -> bool;
+    auto recordBatch(const std::vector<JobRecord> &batch) -> bool;
+    auto recordAlone(const JobId &id, const std::vector<KeyedRecord> &records) -> bool;
+    auto setAside(const JobId &id) -> void;
     auto logRecordedEnds(const PoolEffects &effects) const -> void;
     auto stopUnwanted() -> void;
-    auto appendAttempts(const std::vector<KeyedRecord> &records) -> bool;
+    auto appendAttempts(const std::vector<KeyedRecord> &records) -> AppendOutcome;
     auto publisherLoop() -> void;
     auto nextPublication() -> std::vector<KeyedRecord>;
     auto publish(const std::vector<KeyedRecord> &records, std::int64_t sequence) -> bool;
@@ -143,7 +160,10 @@
     MonoTime m_beganAt;
     PoolCore m_core;
     std::set<JobId> m_unpublished; ///< jobs whose phase is to be published
-    std::set<JobId> m_recorded; ///< jobs that the log of attempts holds
+    /// Jobs that the log of attempts holds, with the hash of each part of their progress there; 0: a part that is not there.
+    std::map<JobId, std::vector<std::size_t>> m_recorded;
+    std::set<JobId> m_longCheckpoints; ///< jobs with a checkpoint too long to be recorded
+    std::set<JobId> m_setAside; ///< jobs whose progress the store refuses
     std::vector<JobId> m_expired; ///< jobs to drop from the logs of jobs
     bool m_dropping = false; ///< a thread of the pool drops them
     std::vector<JobId> m_dropped; ///< jobs that the logs of jobs have dropped, and the log of attempts has not
--- a/packages/daemon/poolview.cpp
+++ b/packages/daemon/poolview.cpp
@@ -81,7 +81,9 @@
         return !std::exchange(summaryOf(log, cancel->id).cancelled, true);
     }
     if (const auto *phase = std::get_if<PhaseRecord>(&record)) {
-        summaryOf(log, phase->id).phase = phase->phase;
+        auto &summary = summaryOf(log, phase->id);
+        summary.phase = phase->phase;
+        summary.reason = phase->reason;
     } else if (const auto *tombstone = std::get_if<TombstoneRecord>(&record)) {
         drop(log, tombstone->id);
     }
--- a/packages/daemon/poolview.h
+++ b/packages/daemon/poolview.h
@@ -28,6 +28,7 @@
 {
     std::shared_ptr<const PoolJob> job; ///< null when only a cancellation or a phase has been seen
     PoolJobPhase phase = PoolJobPhase::Queued;
+    std::string reason; ///< why the job cannot go on; empty: none
     bool cancelled = false; ///< by the caller; final whatever the phase says
     std::set<RecordLog> logs; ///< that hold something of it
 };
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -51,6 +51,17 @@
     setPhase(it->second, PoolJobPhase::Cancelled);
 }
 
+auto PoolCore::failJob(const JobId &id, const std::string &reason, MonoTime now) -> void
+{
+    const auto it = m_jobs.find(id);
+    if (it == m_jobs.end() || isFinal(it->second.phase)) {
+        return;
+    }
+    it->second.reason = reason;
+    it->second.finalSince = now;
+    setPhase(it->second, PoolJobPhase::Failed);
+}
+
 auto PoolCore::adoptRecord(const JobId &id, const PoolJobState &recorded, MonoTime earlierLeasesEnd, MonoTime now) -> void
 {
     const auto it = m_jobs.find(id);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -107,6 +107,9 @@
     auto setRules(const PoolRules &rules) -> void;
     auto addJob(const PoolJob &job, MonoTime now) -> void;
     auto cancelJob(const JobId &id, MonoTime now) -> void;
+    /// Ends a job that cannot go on as failed; its attempts are stopped.
+    /// @param reason shown to callers
+    auto failJob(const JobId &id, const std::string &reason, MonoTime now) -> void;
     /// Takes over a job with the record of an earlier planner; addJob() must have been called.
     /// @param earlierLeasesEnd time at which every lease granted by earlier planners has expired
     auto adoptRecord(const JobId &id, const PoolJobState &recorded, MonoTime earlierLeasesEnd, MonoTime now) -> void;
--- a/packages/policy/pooljob.cpp
+++ b/packages/policy/pooljob.cpp
@@ -15,8 +15,7 @@
 constexpr auto maxTasks = 10'000;
 constexpr auto maxOccurrences = 10'000;
 constexpr auto maxPayload = std::size_t{4'000};
-/// Tasks of all occurrences together. The record of attempts takes at least 10 bytes for each and has to fit into one record of the
-/// store, of 256 KiB; a planner cannot go on without it.
+/// Tasks of all occurrences together; bounds what one job takes of a planner's memory and of the log of attempts.
 constexpr auto maxAllTasks = std::int64_t{20'000};
 /// Far above any machine; sums over all tasks of a pool fit.
 constexpr auto maxResource = std::int64_t{1'000'000'000'000};
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -68,8 +68,8 @@
     Millis interval{0}; ///< between two occurrences of a scheduled job
 };
 
-/// Longest id of a job: with its prefix it is a key of the record store, of at most 255 bytes.
-constexpr auto maxJobId = std::size_t{253};
+/// Longest id of a job: with its longest prefix, of seven bytes, it is a key of the record store, of at most 255 bytes.
+constexpr auto maxJobId = std::size_t{248};
 
 /// @return whether the id can be stored and sent: 1 to maxJobId visible ASCII characters.
 auto isJobId(const JobId &id) -> bool;
@@ -131,6 +131,7 @@
 {
     PoolJob job;
     PoolJobPhase phase = PoolJobPhase::Queued;
+    std::string reason; ///< why the job cannot go on, for its caller; empty: it can, or its tasks have decided its end
     bool cancelRequested = false;
     bool removalLogged = false; ///< whether the removal of its queue has been logged; never stored
     std::vector<OccurrenceState> occurrences;
--- a/packages/ports/recordstore.h
+++ b/packages/ports/recordstore.h
@@ -60,7 +60,8 @@
 {
     /// Appends all records or none; without records, only the guard's epoch takes effect.
     /// @return where the log ends now; ErrorCode::NotSent when nothing was done, ErrorCode::Conflict when the guard's offset did not
-    /// match, ErrorCode::StaleGeneration when a higher epoch exists, ErrorCode::Unknown when the append may take or have taken effect.
+    /// match, ErrorCode::StaleGeneration when a higher epoch exists, ErrorCode::Limit or ErrorCode::InvalidInput when the store refuses these
+    /// records whenever they are sent, ErrorCode::Unknown when the append may take or have taken effect.
     std::function<Result<LogOffset>(RecordLog log, const std::vector<KeyedRecord> &records, const AppendGuard &guard, Millis timeout)> append;
 
     /// Reads from an offset, waiting up to @c wait for a record.
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -5,6 +5,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <type_traits>
+
 namespace Catkin
 {
 
@@ -16,7 +19,13 @@
 constexpr auto jobPrefix = "j/";
 constexpr auto cancelPrefix = "x/";
 constexpr auto phasePrefix = "s/";
-constexpr auto attemptsPrefix = "t/";
+constexpr auto attemptsPrefix = "t/"; // the first part
+constexpr auto laterPartPrefix = "u/"; // followed by the number of the part, of a fixed length, and a slash
+constexpr auto partDigits = std::size_t{4};
+/// Tasks in one record of a job's progress. Fixed, so that a task stays in its part.
+constexpr auto tasksInPart = std::size_t{64};
+/// Upper bound on the bytes of a part beside its tasks: its key, the state of the job, and for each of its tasks the step that it begins.
+constexpr auto partFrameBytes = std::size_t{400} + tasksInPart * 32;
 constexpr auto memberPrefix = "m/";
 constexpr auto leadershipKey = "leader";
 constexpr auto prefixLength = std::size_t{2};
@@ -104,6 +113,15 @@
     return static_cast<PoolJobPhase>(toInteger<int>(it, "phase", 0, static_cast<int>(PoolJobPhase::Cancelled)));
 }
 
+/// A phase alone is a number.
+auto publishedFromJson(const JobId &id, const json &it) -> PhaseRecord
+{
+    if (!it.is_object()) {
+        return {.id = id, .phase = phaseFromJson(it)};
+    }
+    return {.id = id, .phase = phaseFromJson(it.at("phase")), .reason = it.at("reason").get<std::string>()};
+}
+
 /// @return [phase, attempt, failures, last failed attempt, worker, incarnation of the worker, checkpoint]. The last three are left
 /// out for a task that is not placed and has no checkpoint.
 auto toJson(const TaskState &it) -> json
@@ -117,6 +135,62 @@
     return out;
 }
 
+/// Like toJson(), within @p maxBytes. A checkpoint that does not fit is left out and counted in @p leftOut.
+auto toBoundedJson(const TaskState &it, std::size_t maxBytes, int &leftOut) -> json
+{
+    auto out = toJson(it);
+    // Shorter checkpoints need no look: an escaped character takes six bytes at most.
+    constexpr auto escapedBytes = std::size_t{6};
+    if (it.checkpoint.size() * escapedBytes < maxBytes / 2 || out.dump().size() <= maxBytes) {
+        return out;
+    }
+    ++leftOut;
+    auto shorter = it;
+    shorter.checkpoint.clear();
+    return toJson(shorter);
+}
+
+/// The tasks of all occurrences and steps, one after the other.
+template<typename State>
+struct TaskList
+{
+    using Task = std::remove_reference_t<decltype(std::declval<State &>().occurrences[0].steps[0].tasks[0])>;
+    using Step = std::remove_reference_t<decltype(std::declval<State &>().occurrences[0].steps[0])>;
+
+    explicit TaskList(State &state)
+    {
+        for (auto &occurrence : state.occurrences) {
+            for (auto &step : occurrence.steps) {
+                for (auto i = std::size_t{0}; i < step.tasks.size(); ++i) {
+                    tasks.push_back(&step.tasks[i]);
+                    begins.push_back(i == 0 ? &step : nullptr);
+                }
+            }
+        }
+    }
+
+    std::vector<Task *> tasks;
+    std::vector<Step *> begins; ///< the step that the task of the same index is the first of, or null
+};
+
+auto partKey(const JobId &id, std::size_t part) -> std::string
+{
+    if (part == 0) {
+        return attemptsPrefix + id.str();
+    }
+    const auto digits = std::to_string(part);
+    return laterPartPrefix + std::string(partDigits - digits.size(), '0') + digits + "/" + id.str();
+}
+
+/// @param rest key of a later part without its prefix
+/// @return id and number of the part; an empty id if there is none.
+auto splitPartKey(const std::string &rest) -> std::pair<JobId, int>
+{
+    const auto isNumber = rest.size() > partDigits + 1 && rest[partDigits] == '/'
+                          && std::all_of(rest.begin(), rest.begin() + partDigits, [](char c) { return c >= '0' && c <= '9'; });
+    return isNumber ? std::pair{JobId{rest.substr(partDigits + 1)}, std::stoi(rest.substr(0, partDigits))} : std::pair{JobId{}, 0};
+}
+
 auto taskFromJson(const json &it) -> TaskState
 {
     auto task = TaskState{};
@@ -160,9 +234,10 @@
     return {cancelPrefix + id.str(), "{}"};
 }
 
-auto encodePhase(const JobId &id, PoolJobPhase phase) -> EncodedRecord
+auto encodePhase(const JobId &id, PoolJobPhase phase, const std::string &reason) -> EncodedRecord
 {
-    return {phasePrefix + id.str(), std::to_string(static_cast<int>(phase))};
+    const auto number = static_cast<int>(phase);
+    return {phasePrefix + id.str(), reason.empty() ? std::to_string(number) : json{{"phase", number}, {"reason", reason}}.dump()};
 }
 
 auto encodeMember(const MemberRecord &record) -> EncodedRecord
@@ -186,9 +261,13 @@
     return {{jobPrefix + id.str(), {}}, {cancelPrefix + id.str(), {}}};
 }
 
-auto encodeAttemptTombstones(const JobId &id) -> std::vector<EncodedRecord>
+auto encodeAttemptTombstones(const JobId &id, std::size_t parts) -> std::vector<EncodedRecord>
 {
-    return {{jobPrefix + id.str(), {}}, {attemptsPrefix + id.str(), {}}};
+    auto out = std::vector<EncodedRecord>{{jobPrefix + id.str(), {}}};
+    for (auto i = std::size_t{0}; i < std::max(parts, std::size_t{1}); ++i) {
+        out.emplace_back(partKey(id, i), std::string{});
+    }
+    return out;
 }
 
 auto encodePhaseTombstone(const JobId &id) -> EncodedRecord
@@ -202,11 +281,12 @@
         if (key == leadershipKey) {
             return PoolRecord{leadershipFromJson(json::parse(value))};
         }
-        const auto id = JobId{key.size() > prefixLength ? key.substr(prefixLength) : std::string{}};
+        const auto prefix = key.substr(0, prefixLength);
+        const auto rest = key.size() > prefixLength ? key.substr(prefixLength) : std::string{};
+        const auto [id, part] = prefix == laterPartPrefix ? splitPartKey(rest) : std::pair{JobId{rest}, 0};
         if (!isJobId(id)) {
             return failure(ErrorCode::Protocol, "unknown key '" + printable(key) + "'");
         }
-        const auto prefix = key.substr(0, prefixLength);
         if (value.empty()) {
             return PoolRecord{TombstoneRecord{id}};
         }
@@ -219,11 +299,11 @@
         if (prefix == cancelPrefix) {
             return PoolRecord{CancelRecord{id}};
         }
-        if (prefix == attemptsPrefix) {
-            return PoolRecord{AttemptsRecord{.id = id, .value = value}};
+        if (prefix == attemptsPrefix || prefix == laterPartPrefix) {
+            return PoolRecord{AttemptsRecord{.id = id, .part = part, .value = value}};
         }
         if (prefix == phasePrefix) {
-            return PoolRecord{PhaseRecord{.id = id, .phase = phaseFromJson(json::parse(value))}};
+            return PoolRecord{publishedFromJson(id, json::parse(value))};
         }
         return failure(ErrorCode::Protocol, "unknown key '" + printable(key) + "'");
     } catch (const json::exception &e) {
@@ -231,54 +311,125 @@
     }
 }
 
-auto encodeAttempts(const PoolJobState &state) -> EncodedRecord
+auto encodeAttempts(const PoolJobState &state, std::size_t maxRecord) -> EncodedAttempts
 {
-    auto occurrences = json::array();
-    for (const auto &occurrence : state.occurrences) {
+    const auto list = TaskList{state};
+    const auto maxTask = (std::max(maxRecord, leastRecordBytes) - partFrameBytes) / tasksInPart;
+    auto out = EncodedAttempts{};
+    for (auto begin = std::size_t{0}; begin < list.tasks.size(); begin += tasksInPart) {
         auto steps = json::array();
-        for (const auto &step : occurrence.steps) {
-            auto tasks = json::array();
-            for (const auto &it : step.tasks) {
-                tasks.push_back(toJson(it));
+        auto tasks = json::array();
+        for (auto i = begin; i < std::min(begin + tasksInPart, list.tasks.size()); ++i) {
+            if (const auto *step = list.begins[i]) {
+                steps.push_back({step->gangFailures, step->lastFailedAttempt, step->everStarted});
             }
-            steps.push_back({{"f", step.gangFailures}, {"l", step.lastFailedAttempt}, {"b", step.everStarted}, {"t", std::move(tasks)}});
+            tasks.push_back(toBoundedJson(*list.tasks[i], maxTask, out.checkpointsLeftOut));
         }
-        occurrences.push_back(std::move(steps));
+        auto value = json{{"s", std::move(steps)}, {"t", std::move(tasks)}};
+        if (begin == 0) {
+            value["p"] = static_cast<int>(state.phase);
+        }
+        out.parts.emplace_back(partKey(state.job.id, begin / tasksInPart), value.dump());
     }
-    return {attemptsPrefix + state.job.id.str(), json{{"p", static_cast<int>(state.phase)}, {"o", std::move(occurrences)}}.dump()};
+    return out;
 }
 
-auto decodeAttempts(const std::string &value, PoolJobState &state) -> Result<void>
+auto encodeEnd(const JobId &id, PoolJobPhase phase) -> EncodedRecord
 {
-    try {
-        const auto root = json::parse(value);
-        state.phase = phaseFromJson(root.at("p"));
-        const auto &occurrences = root.at("o");
-        if (occurrences.size() != state.occurrences.size()) {
-            return failure(ErrorCode::Protocol, "attempts record: its number of occurrences differs from the job's");
+    return {partKey(id, 0), json{{"p", static_cast<int>(phase)}}.dump()};
+}
+
+namespace
+{
+
+/// Reads a record of an earlier version, which has all tasks by occurrence and step.
+auto decodeWhole(const json &occurrences, PoolJobState &state) -> Result<void>
+{
+    if (occurrences.size() != state.occurrences.size()) {
+        return failure(ErrorCode::Protocol, "attempts record: its number of occurrences differs from the job's");
+    }
+    for (auto o = std::size_t{0}; o < occurrences.size(); ++o) {
+        auto &steps = state.occurrences[o].steps;
+        if (occurrences[o].size() != steps.size()) {
+            return failure(ErrorCode::Protocol, "attempts record: its number of steps differs from the job's");
         }
-        for (auto o = std::size_t{0}; o < occurrences.size(); ++o) {
-            auto &steps = state.occurrences[o].steps;
-            if (occurrences[o].size() != steps.size()) {
-                return failure(ErrorCode::Protocol, "attempts record: its number of steps differs from the job's");
+        for (auto s = std::size_t{0}; s < steps.size(); ++s) {
+            const auto &record = occurrences[o][s];
+            steps[s].gangFailures = intField<int>(record, "f", 0, maxAttempt);
+            steps[s].lastFailedAttempt = intField<int>(record, "l", 0, maxAttempt);
+            steps[s].everStarted = record.at("b").get<bool>();
+            if (record.at("t").size() != steps[s].tasks.size()) {
+                return failure(ErrorCode::Protocol, "attempts record: its number of tasks differs from the step's");
             }
-            for (auto s = std::size_t{0}; s < steps.size(); ++s) {
-                const auto &record = occurrences[o][s];
-                steps[s].gangFailures = intField<int>(record, "f", 0, maxAttempt);
-                steps[s].lastFailedAttempt = intField<int>(record, "l", 0, maxAttempt);
-                steps[s].everStarted = record.at("b").get<bool>();
-                if (record.at("t").size() != steps[s].tasks.size()) {
-                    return failure(ErrorCode::Protocol, "attempts record: its number of tasks differs from the step's");
-                }
-                for (auto i = std::size_t{0}; i < steps[s].tasks.size(); ++i) {
-                    steps[s].tasks[i] = taskFromJson(record.at("t")[i]);
-                }
+            for (auto i = std::size_t{0}; i < steps[s].tasks.size(); ++i) {
+                steps[s].tasks[i] = taskFromJson(record.at("t")[i]);
+            }
+        }
+    }
+    return success();
+}
+
+auto decodePart(const json &root, std::size_t part, PoolJobState &state) -> Result<void>
+{
+    const auto list = TaskList{state};
+    const auto begin = part * tasksInPart;
+    const auto end = std::min(begin + tasksInPart, list.tasks.size());
+    const auto &tasks = root.at("t");
+    const auto &steps = root.at("s");
+    if (begin >= end || !tasks.is_array() || tasks.size() != end - begin) {
+        return failure(ErrorCode::Protocol, "attempts record: its number of tasks differs from the job's");
+    }
+    const auto first = list.begins.begin() + static_cast<std::ptrdiff_t>(begin);
+    const auto last = list.begins.begin() + static_cast<std::ptrdiff_t>(end);
+    if (!steps.is_array() || static_cast<std::ptrdiff_t>(steps.size()) != std::count_if(first, last, [](const auto *it) { return it != nullptr; })) {
+        return failure(ErrorCode::Protocol, "attempts record: its number of steps differs from the job's");
+    }
+    auto step = steps.begin();
+    for (auto i = begin; i < end; ++i) {
+        if (auto *it = list.begins[i]) {
+            it->gangFailures = toInteger<int>(step->at(0), "failures", 0, maxAttempt);
+            it->lastFailedAttempt = toInteger<int>(step->at(1), "last failed attempt", 0, maxAttempt);
+            it->everStarted = step->at(2).get<bool>();
+            ++step;
+        }
+        *list.tasks[i] = taskFromJson(tasks[i - begin]);
+    }
+    return success();
+}
+
+}
+
+auto decodeAttempts(const AttemptsRecord &record, PoolJobState &state) -> Result<void>
+{
+    try {
+        const auto root = json::parse(record.value);
+        if (record.part == 0) {
+            state.phase = phaseFromJson(root.at("p"));
+            if (isFinal(state.phase) && !root.contains("t") && !root.contains("o")) {
+                return success(); // see encodeEnd()
+            }
+            if (root.contains("o")) {
+                return decodeWhole(root.at("o"), state);
             }
         }
-        return success();
+        return decodePart(root, static_cast<std::size_t>(record.part), state);
     } catch (const json::exception &e) {
         return failure(ErrorCode::Protocol, "attempts record: " + printable(e.what()));
     }
 }
 
+auto completeGangs(PoolJobState &state) -> void
+{
+    for (auto &occurrence : state.occurrences) {
+        for (auto s = std::size_t{0}; s < occurrence.steps.size(); ++s) {
+            auto &tasks = occurrence.steps[s].tasks;
+            if (state.job.steps[s].gang && std::any_of(tasks.begin(), tasks.end(), [](const TaskState &it) { return it.phase == TaskPhase::Done; })) {
+                for (auto &it : tasks) {
+                    it.phase = TaskPhase::Done;
+                }
+            }
+        }
+    }
+}
+
 }
--- a/packages/state/testing/poolrecords_test.cpp
+++ b/packages/state/testing/poolrecords_test.cpp
@@ -93,20 +93,48 @@
     CHECK_FALSE(decodePoolRecord("s/17", std::string(200'000, '[')));
 }
 
-// Guards against a record of attempts whose numbers wrap around, so that an attempt gets the number of an earlier one.
-TEST_CASE("records of attempts out of range cannot be read")
+namespace
+{
+
+/// @return the state of job() with one task placed, whose numbers differ from all others.
+auto placedState() -> PoolJobState
 {
     auto state = makeJobState(job());
-    auto &task = state.occurrences[0].steps[0].tasks[0];
+    auto &step = state.occurrences[0].steps[0];
+    step.gangFailures = 14;
+    step.lastFailedAttempt = 15;
+    auto &task = step.tasks[0];
     task.phase = TaskPhase::Placed;
     task.attempt = 11;
     task.failures = 12;
     task.worker = WorkerId{"i-1"};
     task.workerBorn = Incarnation{13};
-    const auto value = encodeAttempts(state).second;
+    return state;
+}
+
+/// @return placedState() as versions wrote it that kept all tasks in one record.
+auto wholeRecord() -> std::string
+{
+    constexpr auto idle = R"({"b":false,"f":0,"l":0,"t":[[0,0,0,0]]})";
+    return std::string(R"({"o":[[{"b":false,"f":14,"l":15,"t":[[1,11,12,0,"i-1",13,""],[0,0,0,0]]},)") + idle
+           + R"(],[{"b":false,"f":0,"l":0,"t":[[0,0,0,0],[0,0,0,0]]},)" + idle + R"(]],"p":0})";
+}
+
+auto decode(const std::string &value, PoolJobState &state, int part = 0) -> Result<void>
+{
+    return decodeAttempts({.id = state.job.id, .part = part, .value = value}, state);
+}
+
+}
+
+// Guards against a record of attempts whose numbers wrap around, so that an attempt gets the number of an earlier one.
+TEST_CASE("records of attempts out of range cannot be read")
+{
+    const auto value = encodeAttempts(placedState()).parts.at(0).second;
     auto read = makeJobState(job());
-    REQUIRE(decodeAttempts(value, read));
+    REQUIRE(decode(value, read));
     CHECK(read.occurrences[0].steps[0].tasks[0].attempt == 11);
+    CHECK(read.occurrences[0].steps[0].gangFailures == 14);
     for (const auto &it : std::vector<std::pair<std::string, std::string>>{
              {"11", "-11"},
              {"11", "2147483647"},
@@ -118,14 +146,92 @@
              {"13", "18446744073709551615"},
              {R"("i-1")", R"("")"},
              {R"("i-1")", R"("i\n1")"},
-             {R"("f":0)", R"("f":-1)"},
-             {R"("l":0)", R"("l":1e300)"},
+             {"14", "-1"},
+             {"15", "1e300"},
              {R"("p":0)", R"("p":4294967296)"},
          }) {
         CAPTURE(it.second);
         auto other = makeJobState(job());
-        CHECK_FALSE(decodeAttempts(replaced(value, it.first, it.second), other));
+        CHECK_FALSE(decode(replaced(value, it.first, it.second), other));
+        CHECK_FALSE(decode(replaced(wholeRecord(), it.first, it.second), other));
+    }
+    for (const auto &it : std::vector<std::pair<std::string, std::string>>{{"[0,0,0,0],", ""}, {"[0,0,0,0],", "[0,0,0,0],[0,0,0,0],"}, {"[14,", "[0,0,false],[14,"}}) {
+        auto other = makeJobState(job());
+        CHECK_FALSE(decode(replaced(value, it.first, it.second), other));
+    }
+    for (const auto part : {-1, 1, 9'999}) {
+        CHECK_FALSE(decode(value, read, part));
+    }
+    CHECK_FALSE(decode(std::string(200'000, '[') + std::string(200'000, ']'), read));
+    CHECK_FALSE(decode("\xff", read));
+}
+
+// Guards against a record longer than the store takes, which ended all planning: one job, however large, is recorded in parts that fit.
+TEST_CASE("the progress of a large job takes records that the store accepts")
+{
+    auto large = job();
+    large.steps = {{.tasks = 9'000}, {.tasks = 1'000, .dependsOn = {0}, .gang = true}};
+    auto state = makeJobState(large);
+    auto n = 0;
+    for (auto &occurrence : state.occurrences) {
+        for (auto &step : occurrence.steps) {
+            step.gangFailures = ++n;
+            for (auto &it : step.tasks) {
+                it = {.phase = TaskPhase::Placed, .attempt = ++n, .worker = WorkerId{std::string(255, '"')}, .checkpoint = std::string(300, '\x01')};
+            }
+        }
+    }
+    for (const auto limit : {defaultRecordBytes, leastRecordBytes}) {
+        const auto encoded = encodeAttempts(state, limit);
+        auto read = makeJobState(large);
+        for (auto it = encoded.parts.rbegin(); it != encoded.parts.rend(); ++it) {
+            CHECK(1 + it->first.size() + it->second.size() <= limit);
+            const auto record = decodePoolRecord(it->first, it->second);
+            REQUIRE(record);
+            REQUIRE(decodeAttempts(std::get<AttemptsRecord>(record.value()), read));
+        }
+        CHECK((encoded.checkpointsLeftOut > 0) == (limit == leastRecordBytes));
+        CHECK(read.occurrences[1].steps[1].gangFailures == state.occurrences[1].steps[1].gangFailures);
+        CHECK(read.occurrences[1].steps[1].tasks[999].attempt == n);
+        CHECK(read.occurrences[0].steps[0].tasks[63].attempt == state.occurrences[0].steps[0].tasks[63].attempt);
+        CHECK(encodeAttemptTombstones(large.id, encoded.parts.size()).size() == encoded.parts.size() + 1);
+    }
+}
+
+// Guards against jobs that are lost with an update: their records have all tasks in one.
+TEST_CASE("records of attempts of earlier versions can be read")
+{
+    auto read = makeJobState(job());
+    REQUIRE(decode(wholeRecord(), read));
+    CHECK(encodeAttempts(read).parts == encodeAttempts(placedState()).parts);
+    REQUIRE(decode(encodeEnd(job().id, PoolJobPhase::Failed).second, read));
+    CHECK(read.phase == PoolJobPhase::Failed);
+    const auto [key, value] = encodePhase(job().id, PoolJobPhase::Queued);
+    CHECK(value == "0");
+}
+
+// Guards against a gang that never starts again: its planner ended after it had recorded the success of some of the members.
+TEST_CASE("a gang of which one member is recorded as done is done")
+{
+    auto state = makeJobState(job());
+    state.job.steps[0].gang = true;
+    state.occurrences[1].steps[0].tasks[1].phase = TaskPhase::Done;
+    completeGangs(state);
+    CHECK(stepDone(state.occurrences[1].steps[0]));
+    CHECK_FALSE(stepDone(state.occurrences[0].steps[0]));
+    CHECK_FALSE(stepDone(state.occurrences[1].steps[1]));
+}
+
+// Guards against a reason that callers do not get, or that does not end when the job goes on.
+TEST_CASE("the published state of a job has its reason")
+{
+    for (const auto *reason : {"", "no worker has what step 0 needs"}) {
+        const auto [key, value] = encodePhase(job().id, PoolJobPhase::Running, reason);
+        const auto read = decodePoolRecord(key, value);
+        REQUIRE(read);
+        CHECK(std::get<PhaseRecord>(read.value()).phase == PoolJobPhase::Running);
+        CHECK(std::get<PhaseRecord>(read.value()).reason == reason);
     }
-    CHECK_FALSE(decodeAttempts(std::string(200'000, '[') + std::string(200'000, ']'), read));
-    CHECK_FALSE(decodeAttempts("\xff", read));
+    CHECK_FALSE(decodePoolRecord("s/17", R"({"phase":9,"reason":""})"));
+    CHECK_FALSE(decodePoolRecord("s/17", R"({"phase":1,"reason":7})"));
 }
