--- a/packages/daemon/poolfront.cpp
+++ b/packages/daemon/poolfront.cpp
@@ -85,8 +85,10 @@
         m_metrics.requestRefused(MetricRefusal::Unauthorized);
         return failure(ErrorCode::Unauthorized, "unknown key");
     }
+    const auto rules = config->rules.queues.find(address->queue);
     return QueueAccess{
         .queue = address->queue,
+        .rules = rules == config->rules.queues.end() ? std::nullopt : std::optional{rules->second},
         .workspace = workspace == config->keys.end() ? WorkspaceId{} : workspace->second,
         .isPublic = address->isPublic,
         .unsupported = address->unsupported,
@@ -133,6 +135,7 @@
 auto PoolFront::submit(const QueueAccess &access, PoolJob job, Millis limit) -> SubmitAnswer
 {
     job.queue = access.queue;
+    job.rules = access.rules;
     job.workspace = access.workspace;
     job.acceptedAt = m_clock.wall();
     const auto refuse = [&](const std::string &reason) {
--- a/packages/daemon/poolfront.h
+++ b/packages/daemon/poolfront.h
@@ -28,6 +28,7 @@
 struct QueueAccess
 {
     QueueId queue;
+    std::optional<PoolQueue> rules; ///< of the queue
     WorkspaceId workspace; ///< empty for a public queue without a key
     bool isPublic = false;
     std::string unsupported; ///< why the queue's jobs cannot be run
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -264,6 +264,7 @@
 {
     const auto now = m_clock.mono();
     const auto wall = m_clock.wall();
+    auto lastRules = std::map<JobId, std::optional<PoolQueue>>{};
     for (const auto &it : attempts.records) {
         const auto record = decodePoolRecord(it.key, it.value);
         if (!record) {
@@ -271,6 +272,7 @@
         } else if (const auto *job = std::get_if<PoolJob>(&record.value())) {
             m_view.apply(RecordLog::Attempts, record.value()); // its own log may not be served
             m_recorded.try_emplace(job->id);
+            lastRules[job->id] = job->rules;
         }
     }
     auto jobs = std::vector<JobSummary>{};
@@ -286,7 +288,12 @@
     }
     for (const auto &it : jobs) {
         const auto age = std::clamp(std::chrono::duration_cast<Millis>(wall - it.job->acceptedAt), Millis{0}, maxJobAge);
-        m_core.addJob(*it.job, now - age);
+        auto job = *it.job;
+        // The earlier planner recorded the rules again when they changed.
+        if (const auto rules = lastRules.find(job.id); rules != lastRules.end() && rules->second) {
+            job.rules = rules->second;
+        }
+        m_core.addJob(job, now - age);
     }
     adoptAttempts(attempts, now);
     for (const auto &it : jobs) {
@@ -425,14 +432,14 @@
 }
 
 /// Adds the parts of a job's progress that have changed since they were recorded; the caller holds m_mutex.
-auto PoolTerm::attemptRecordsOf(const PoolJobState &state, std::vector<JobRecord> &out) -> void
+auto PoolTerm::attemptRecordsOf(const PoolJobState &state, bool jobChanged, std::vector<JobRecord> &out) -> void
 {
     const auto &id = state.job.id;
     if (m_setAside.contains(id)) {
         return;
     }
     const auto [recorded, isNew] = m_recorded.try_emplace(id);
-    if (isNew) {
+    if (isNew || jobChanged) {
         out.push_back({.job = id, .record = toRecord(encodeJob(state.job))});
     }
     auto encoded = encodeAttempts(state, m_options.recordBytes);
@@ -454,7 +461,7 @@
 {
     auto records = std::vector<JobRecord>{};
     for (const auto &id : effects.changed) {
-        attemptRecordsOf(*m_core.find(id), records);
+        attemptRecordsOf(*m_core.find(id), effects.jobChanged.contains(id), records);
     }
     for (const auto &id : std::exchange(m_dropped, {})) {
         const auto recorded = m_recorded.find(id);
@@ -480,6 +487,7 @@
         effects = m_core.plan(now, m_clock.wall());
         records = attemptRecords(effects);
         m_unpublished.insert(effects.phaseChanged.begin(), effects.phaseChanged.end());
+        m_unpublished.insert(effects.reasonChanged.begin(), effects.reasonChanged.end());
         m_publish.notify_all();
         unconfirmed = now - m_confirmedAt >= m_options.renewInterval * 2;
     }
@@ -710,9 +718,9 @@
         logEvent(LogLevel::Warn,
                  6008,
                  "record of attempts not stored epoch=" + std::to_string(m_options.epoch) + " sequence=" + std::to_string(guard.sequence)
-                     + " try_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_clock.mono() - sentAt).count()) + " records="
-                     + std::to_string(records.size()) + " bytes=" + std::to_string(sizeOf(records)) + " longest="
-                     + (longest == records.end() ? std::string("none") : longest->key + ":" + std::to_string(sizeOf(*longest)))
+                     + " try_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_clock.mono() - sentAt).count())
+                     + " records=" + std::to_string(records.size()) + " bytes=" + std::to_string(sizeOf(records))
+                     + " longest=" + (longest == records.end() ? std::string("none") : longest->key + ":" + std::to_string(sizeOf(*longest)))
                      + " reason=" + done.error().message);
         if (done.error().code == ErrorCode::StaleGeneration || done.error().code == ErrorCode::Conflict) {
             m_hooks.fenced("the record of attempts belongs to a newer planner");
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -109,7 +109,7 @@
     auto takeInbox(MonoTime now) -> void;
     auto planOnce() -> void;
     auto attemptRecords(const PoolEffects &effects) -> std::vector<JobRecord>;
-    auto attemptRecordsOf(const PoolJobState &state, std::vector<JobRecord> &out) -> void;
+    auto attemptRecordsOf(const PoolJobState &state, bool jobChanged, std::vector<JobRecord> &out) -> void;
     auto record(const PoolEffects &effects, std::vector<JobRecord> records) -> bool;
     auto recordBatch(const std::vector<JobRecord> &batch) -> bool;
     auto recordAlone(const JobId &id, const std::vector<KeyedRecord> &records) -> bool;
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -22,11 +22,51 @@
 
 auto PoolCore::setRules(const PoolRules &rules) -> void
 {
-    // Jobs of a removed queue continue under the queue's last rules.
-    auto queues = std::move(m_rules.queues);
     m_rules = rules;
-    m_rules.queues.merge(queues);
     m_rulesChanged = true;
+    for (const auto &id : m_active) {
+        takeRules(m_jobs.at(id));
+    }
+}
+
+/// A job without recorded rules cannot be planned: a record of an earlier version has none.
+auto PoolCore::noteRemovedQueue(PoolJobState &state) -> void
+{
+    if (std::exchange(state.removalLogged, true)) {
+        return;
+    }
+    const auto text = "job=" + state.job.id.str() + " queue=" + state.job.queue.str() + " version=" + std::to_string(m_rules.version.value);
+    if (const auto &rules = state.job.rules) {
+        logDecision("queue_removed",
+                    text + " service=" + rules->service.str() + " priority=" + std::to_string(rules->priority)
+                        + " max_attempts=" + std::to_string(rules->maxAttempts));
+    } else {
+        logDecision("set_aside", text + " reason=queue_unknown");
+        setReason(state, "the queue of the job is not in the configuration");
+    }
+}
+
+/// Gives the job the present rules of its queue. They are part of its record, so that it continues under them when the queue is removed,
+/// whichever planner is in office then.
+auto PoolCore::takeRules(PoolJobState &state) -> void
+{
+    const auto queue = m_rules.queues.find(state.job.queue);
+    if (queue == m_rules.queues.end()) {
+        // Before the first configuration nothing is known of any queue.
+        if (m_rules.version.value != 0) {
+            noteRemovedQueue(state);
+        }
+        return;
+    }
+    state.removalLogged = false;
+    if (!state.job.rules) {
+        setReason(state, "");
+    }
+    if (state.job.rules != queue->second) {
+        state.job.rules = queue->second;
+        m_changed.insert(state.job.id);
+        m_jobChanged.insert(state.job.id);
+    }
 }
 
 auto PoolCore::addJob(const PoolJob &job, MonoTime now) -> void
@@ -36,8 +76,8 @@
     }
     auto state = makeJobState(job);
     state.knownSince = now;
-    m_jobs.emplace(job.id, std::move(state));
     m_active.insert(job.id);
+    takeRules(m_jobs.emplace(job.id, std::move(state)).first->second);
 }
 
 auto PoolCore::cancelJob(const JobId &id, MonoTime now) -> void
@@ -51,13 +91,13 @@
     setPhase(it->second, PoolJobPhase::Cancelled);
 }
 
-auto PoolCore::failJob(const JobId &id, const std::string &reason, MonoTime now) -> void
+auto PoolCore::failJob(const JobId &id, const char *reason, MonoTime now) -> void
 {
     const auto it = m_jobs.find(id);
     if (it == m_jobs.end() || isFinal(it->second.phase)) {
         return;
     }
-    it->second.reason = reason;
+    setReason(it->second, reason);
     it->second.finalSince = now;
     setPhase(it->second, PoolJobPhase::Failed);
 }
@@ -186,13 +226,21 @@
     }
 }
 
+/// @param reason why the job cannot go on, for its caller; empty: it can
+auto PoolCore::setReason(PoolJobState &state, const char *reason) -> void
+{
+    if (state.reason != reason) {
+        state.reason = reason;
+        m_reasonChanged.insert(state.job.id);
+    }
+}
+
 auto PoolCore::allocate(Worker &worker, const PoolJobState &state, const AttemptKey &key) -> Allocation &
 {
     auto &allocation = worker.allocations[key];
-    const auto queue = m_rules.queues.find(state.job.queue);
     allocation.resources = specOf(state, key.first).perTask;
     allocation.queue = state.job.queue;
-    allocation.priority = queue == m_rules.queues.end() ? 0 : queue->second.priority;
+    allocation.priority = state.job.rules ? state.job.rules->priority : 0;
     worker.used += allocation.resources;
     return allocation;
 }
@@ -268,11 +316,10 @@
     }
 }
 
-/// A planner may take over before it has read a configuration, and a queue may have been removed from it.
-auto PoolCore::attemptLimit(const PoolJobState &state) const -> std::optional<int>
+/// The record of an earlier version has no rules, and a planner may take over before it has read a configuration.
+auto PoolCore::attemptLimit(const PoolJobState &state) -> std::optional<int>
 {
-    const auto queue = m_rules.queues.find(state.job.queue);
-    return queue == m_rules.queues.end() ? std::nullopt : std::optional{queue->second.maxAttempts};
+    return state.job.rules ? std::optional{state.job.rules->maxAttempts} : std::nullopt;
 }
 
 /// Fails the jobs that had failed too often when the limit of their queue was not known.
@@ -334,7 +381,9 @@
     emitStarts(effects);
     logStoppedJobs(now);
     effects.changed.assign(m_changed.begin(), m_changed.end());
+    effects.jobChanged.swap(m_jobChanged);
     effects.phaseChanged.assign(m_phaseChanged.begin(), m_phaseChanged.end());
+    effects.reasonChanged.assign(m_reasonChanged.begin(), m_reasonChanged.end());
     effects.expired.assign(m_expired.begin(), m_expired.end());
     std::erase_if(effects.changed, [&](const JobId &it) { return !m_jobs.contains(it); });
     std::erase_if(effects.phaseChanged, [&](const JobId &it) { return !m_jobs.contains(it); });
@@ -349,6 +398,7 @@
     }
     m_changed.clear();
     m_phaseChanged.clear();
+    m_reasonChanged.clear();
     m_expired.clear();
     m_logEntries.clear();
     return effects;
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -78,7 +78,9 @@
 struct PoolEffects
 {
     std::vector<JobId> changed; ///< jobs whose placement record must be stored before the start orders are sent
+    std::set<JobId> jobChanged; ///< those of @c changed whose job itself has to be stored again
     std::vector<JobId> phaseChanged; ///< jobs whose published state has changed
+    std::vector<JobId> reasonChanged; ///< jobs whose PoolJobState::reason has changed, to be published
     std::vector<JobId> expired; ///< final jobs whose retention has passed
     std::vector<PoolOrder> stops; ///< can be sent before the records are stored
     std::vector<PoolOrder> starts;
@@ -109,7 +111,7 @@
     auto cancelJob(const JobId &id, MonoTime now) -> void;
     /// Ends a job that cannot go on as failed; its attempts are stopped.
     /// @param reason shown to callers
-    auto failJob(const JobId &id, const std::string &reason, MonoTime now) -> void;
+    auto failJob(const JobId &id, const char *reason, MonoTime now) -> void;
     /// Takes over a job with the record of an earlier planner; addJob() must have been called.
     /// @param earlierLeasesEnd time at which every lease granted by earlier planners has expired
     auto adoptRecord(const JobId &id, const PoolJobState &recorded, MonoTime earlierLeasesEnd, MonoTime now) -> void;
@@ -218,13 +220,16 @@
     friend class PoolPlacer;
 
     auto setPhase(PoolJobState &state, PoolJobPhase phase) -> void;
+    auto setReason(PoolJobState &state, const char *reason) -> void;
     auto release(Worker &worker, const AttemptKey &key) -> void;
     /// @return what the end changed.
     auto applyCompletion(Worker &worker, const AttemptCompletion &completion, MonoTime now) -> EndUse;
     auto noteListedEnd(const Worker &worker, const AttemptCompletion &completion, EndUse use) -> void;
     auto finishTask(PoolJobState &state, const TaskKey &key, MonoTime now) -> void;
     auto failTask(PoolJobState &state, const TaskKey &key, int attempt, MonoTime now) -> void;
-    auto attemptLimit(const PoolJobState &state) const -> std::optional<int>;
+    static auto attemptLimit(const PoolJobState &state) -> std::optional<int>;
+    auto takeRules(PoolJobState &state) -> void;
+    auto noteRemovedQueue(PoolJobState &state) -> void;
     auto failExhausted(MonoTime now) -> void;
     static auto noteUnsuccessful(PoolJobState &state, const AttemptKey &key) -> void;
     auto recordFailure(Worker &worker, MonoTime now) -> void;
@@ -276,7 +281,9 @@
     std::map<WorkerId, Worker> m_workers;
     MonoTime m_entriesReadAt;
     std::set<JobId> m_changed;
+    std::set<JobId> m_jobChanged;
     std::set<JobId> m_phaseChanged;
+    std::set<JobId> m_reasonChanged;
     std::set<JobId> m_expired;
     std::vector<PoolLogEntry> m_logEntries;
     StopReport m_stopReport;
--- a/packages/policy/poolfleet.h
+++ b/packages/policy/poolfleet.h
@@ -16,17 +16,6 @@
 /// Time on a worker's own clock, in milliseconds since an arbitrary start.
 using WorkerTime = Quantity<struct WorkerTimeTag>;
 
-/// The scheduling settings of a queue.
-struct PoolQueue
-{
-    QueueId id;
-    ServiceId service; ///< its tasks run on the workers of this service
-    int priority = 0; ///< 0 is the highest and may preempt the others
-    int maxAttempts = 1; ///< failed attempts of one task, or of one gang, after which the job fails
-    double stretch = 1.0; ///< objective of the job's run time, as a multiple of the estimate of its longest chain of steps
-    Millis targetRuntime{0}; ///< added to the objective
-};
-
 /// The scheduling part of a configuration.
 struct PoolRules
 {
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -9,6 +9,7 @@
 ///   if (Catkin::stepReady(state, 0, 1)) { ... }
 /// @endcode
 
+#include "policy/poolqueue.h"
 #include "util/ids.h"
 #include "util/units.h"
 
@@ -22,8 +23,6 @@
 namespace Catkin
 {
 
-using QueueId = StringId<struct QueueTag>;
-
 /// An amount of each resource of a worker.
 struct Resources
 {
@@ -59,6 +58,7 @@
 {
     JobId id;
     QueueId queue;
+    std::optional<PoolQueue> rules; ///< of the queue: at acceptance, then the last ones that a planner has recorded; none in records of earlier versions
     WorkspaceId workspace;
     WallTime acceptedAt; ///< by the clock of the instance that accepted it
     std::string payload; ///< opaque text handed to each task
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -173,14 +173,8 @@
 {
     for (const auto &id : m_core.m_active) {
         auto &state = m_core.m_jobs.at(id);
-        const auto queue = m_core.m_rules.queues.find(state.job.queue);
-        if (queue == m_core.m_rules.queues.end()) {
-            if (m_core.m_rules.version.value != 0 && !std::exchange(state.removalLogged, true)) {
-                m_core.logDecision("set_aside",
-                                   "job=" + id.str() + " queue=" + state.job.queue.str() + " version=" + std::to_string(m_core.m_rules.version.value)
-                                       + " reason=queue_unknown");
-            }
-            continue;
+        if (!state.job.rules) {
+            continue; // see PoolCore::takeRules()
         }
         for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
             const auto due = dueTime(state.job, o);
@@ -188,7 +182,7 @@
                 break;
             }
             for (auto s = 0; s < static_cast<int>(state.job.steps.size()); ++s) {
-                collectStep(state, queue->second, o, s);
+                collectStep(state, *state.job.rules, o, s);
             }
         }
     }
@@ -199,8 +193,7 @@
     auto urgent = std::vector<const PoolJobState *>{};
     for (const auto &id : m_core.m_active) {
         const auto &state = m_core.m_jobs.at(id);
-        const auto queue = m_core.m_rules.queues.find(state.job.queue);
-        if (queue != m_core.m_rules.queues.end() && queue->second.priority == 0) {
+        if (state.job.rules && state.job.rules->priority == 0) {
             urgent.push_back(&state);
         }
     }
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <chrono>
+#include <limits>
 #include <type_traits>
 
 namespace Catkin
@@ -34,6 +36,9 @@
 /// In the year 2286; sums of such times fit.
 constexpr auto maxWallMs = std::int64_t{10'000'000'000'000};
 constexpr auto maxWorkerId = std::size_t{255};
+constexpr auto maxPriority = std::int64_t{std::numeric_limits<int>::max()};
+constexpr auto maxStretch = 1'000.0;
+constexpr auto maxTargetMs = std::int64_t{std::chrono::duration_cast<Millis>(std::chrono::years{1}).count()};
 
 auto toJson(const PoolStep &it) -> json
 {
@@ -73,6 +78,24 @@
     };
 }
 
+auto toJson(const PoolQueue &it) -> json
+{
+    return {
+        {"service", it.service.str()}, {"priority", it.priority}, {"attempts", it.maxAttempts}, {"stretch", it.stretch}, {"target", it.targetRuntime.count()}};
+}
+
+auto rulesFromJson(const QueueId &queue, const json &it) -> PoolQueue
+{
+    return {
+        .id = queue,
+        .service = ServiceId{it.at("service").get<std::string>()},
+        .priority = intField<int>(it, "priority", 0, maxPriority),
+        .maxAttempts = intField<int>(it, "attempts", 0, maxAttempt),
+        .stretch = toReal(it.at("stretch"), "stretch", 0.0, maxStretch),
+        .targetRuntime = Millis{intField(it, "target", 0, maxTargetMs)},
+    };
+}
+
 auto jobFromJson(const JobId &id, const json &it) -> PoolJob
 {
     auto job = PoolJob{
@@ -90,6 +113,9 @@
     if (it.contains("due")) {
         job.firstDue = WallTime{Millis{intField(it, "due")}};
     }
+    if (it.contains("rules")) {
+        job.rules = rulesFromJson(job.queue, it.at("rules"));
+    }
     // A job that no instance accepts comes from another writer; the planner relies on these limits.
     if (const auto problem = jobProblem(job)) {
         throw json::other_error::create(0, *problem, nullptr);
@@ -226,6 +252,9 @@
     if (job.firstDue) {
         out["due"] = job.firstDue->time_since_epoch().count();
     }
+    if (job.rules) {
+        out["rules"] = toJson(*job.rules);
+    }
     return {jobPrefix + job.id.str(), out.dump()};
 }
 
--- a/packages/state/testing/poolrecords_test.cpp
+++ b/packages/state/testing/poolrecords_test.cpp
@@ -11,6 +11,7 @@
 {
     return {.id = JobId{"17"},
             .queue = QueueId{"q"},
+            .rules = PoolQueue{.id = QueueId{"q"}, .service = ServiceId{"s"}, .priority = 2, .maxAttempts = 3, .stretch = 1.5, .targetRuntime = Millis{70}},
             .workspace = WorkspaceId{"w"},
             .acceptedAt = WallTime{Millis{5}},
             .payload = "p",
@@ -58,6 +59,10 @@
              {R"("due":7)", R"("due":-9223372036854775808)"},
              {R"("accepted":5)", R"("accepted":-9223372036854775808)"},
              {R"("per_worker":0)", R"("per_worker":-1)"},
+             {R"("attempts":3)", R"("attempts":-1)"},
+             {R"("priority":2)", R"("priority":4294967296)"},
+             {R"("stretch":1.5)", R"("stretch":1e300)"},
+             {R"("target":70)", R"("target":-1)"},
          }) {
         CAPTURE(it.second);
         CHECK_FALSE(decodePoolRecord(key, replaced(value, it.first, it.second)));
@@ -155,7 +160,8 @@
         CHECK_FALSE(decode(replaced(value, it.first, it.second), other));
         CHECK_FALSE(decode(replaced(wholeRecord(), it.first, it.second), other));
     }
-    for (const auto &it : std::vector<std::pair<std::string, std::string>>{{"[0,0,0,0],", ""}, {"[0,0,0,0],", "[0,0,0,0],[0,0,0,0],"}, {"[14,", "[0,0,false],[14,"}}) {
+    for (const auto &it :
+         std::vector<std::pair<std::string, std::string>>{{"[0,0,0,0],", ""}, {"[0,0,0,0],", "[0,0,0,0],[0,0,0,0],"}, {"[14,", "[0,0,false],[14,"}}) {
         auto other = makeJobState(job());
         CHECK_FALSE(decode(replaced(value, it.first, it.second), other));
     }
@@ -235,3 +241,19 @@
     CHECK_FALSE(decodePoolRecord("s/17", R"({"phase":9,"reason":""})"));
     CHECK_FALSE(decodePoolRecord("s/17", R"({"phase":1,"reason":7})"));
 }
+
+// Guards against a job that no new planner can place: the rules of its queue are part of its record, and records without them can be read.
+TEST_CASE("the record of a job has the rules of its queue")
+{
+    for (const auto withRules : {true, false}) {
+        auto it = job();
+        if (!withRules) {
+            it.rules.reset();
+        }
+        const auto [key, value] = encodeJob(it);
+        CHECK((value.find("rules") != std::string::npos) == withRules);
+        const auto read = decodePoolRecord(key, value);
+        REQUIRE(read);
+        CHECK(std::get<PoolJob>(read.value()).rules == it.rules);
+    }
+}
