Leave work that no worker can take out of the search for capacity

Cause: a planning pass ends after 32 searches in vain for a class of groups, and each pass began with the same groups in the same order. A hopeless group of priority 0 takes three searches, and with a limit for each worker it is not remembered as ruled out.

Evidence: decision=searches_limited priority=0 guaranteed=no searches=33 next_job= each 10 s, always with the same job, the first sound one behind the hopeless ones.

Change: groups that no listed worker could take even if idle are left out before the search, of reserves and of their workspace's guarantee; after 5 s their job is set aside, with what it needs in the log and a reason for its caller, until the workers change. Half of the searches of a pass go to the groups behind the place where the last pass stopped. Labels count in the question whether one rack has enough workers.

Why this works: hopeless work takes no part in a pass, and among the rest each group is looked at in turn.

Tests: poolcore_waits_test, in both kinds of priority, with labels and with sizes.

poolcore_scale_test, "a pass over a long backlog": its jobs needed more processors than a worker has, so that they are not searched for at all any more, and its check that there are searches failed. They need what an idle worker has now; number of jobs, differences between them and the bound of 200 searches are the same. The fleet of that test moved to testing/idlefleet.h, for poolcore_waits_test to use.

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -151,10 +151,12 @@
 
 auto PoolCore::setWorkers(const std::vector<PoolWorkerInfo> &listed, MonoTime now) -> void
 {
+    m_idleCapacity = {};
     for (auto &[id, worker] : m_workers) {
         worker.listed = false;
     }
     for (const auto &it : listed) {
+        addWorker(m_idleCapacity, it);
         auto &worker = m_workers[it.id];
         const auto moved = worker.info.address != it.address;
         const auto born = worker.info.born;
@@ -359,6 +361,7 @@
         }
     }
     for (const auto &it : old) {
+        m_unplaceable.erase(it);
         m_jobs.erase(it);
         m_expired.insert(it);
     }
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -30,6 +30,7 @@
 /// whichever planner made the state and whether or not stop orders were sent for it before.
 
 #include "policy/endreport.h"
+#include "policy/idlecapacity.h"
 #include "policy/pollschedule.h"
 #include "policy/poolfleet.h"
 #include "policy/pooljob.h"
@@ -219,6 +220,19 @@
 private:
     friend class PoolPlacer;
 
+    /// Groups of one priority, within a guarantee or not.
+    using PriorityClass = std::pair<int, bool>;
+    /// Place of a group of tasks among those of its class; earlier ones are placed first.
+    struct GroupRank
+    {
+        MonoTime latestStart;
+        JobId job;
+        int occurrence = 0;
+        int step = 0;
+
+        auto operator<=>(const GroupRank &other) const = default;
+    };
+
     auto setPhase(PoolJobState &state, PoolJobPhase phase) -> void;
     auto setReason(PoolJobState &state, const char *reason) -> void;
     auto release(Worker &worker, const AttemptKey &key) -> void;
@@ -292,7 +306,11 @@
     std::deque<std::pair<MonoTime, std::int64_t>> m_urgentDemand; ///< accelerators that priority-0 work used or waited for at each planning pass
     std::int64_t m_openStartBytes = 0; ///< of the start orders without an answer; counted anew by each planning pass
     bool m_deferring = false; ///< the last planning pass deferred groups
-    std::map<std::pair<int, bool>, MonoTime> m_searchLimitLogged; ///< by priority and guarantee: when the log last had that groups were left out
+    /// The first group of each class that the last planning pass left out for want of searches; the next one goes on from there.
+    std::map<PriorityClass, GroupRank> m_searchResume;
+    std::map<PriorityClass, MonoTime> m_searchLimitLogged; ///< when the log last had that searches were left out
+    IdleCapacity m_idleCapacity; ///< of the listed workers
+    std::set<JobId> m_unplaceable; ///< jobs that are set aside because no listed worker can take one of their steps
     bool m_fenced = false;
 };
 
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -118,6 +118,7 @@
     int unsuccessfulAttempt = 0; ///< last attempt of a gang that is known to be over without success; never stored
     bool everStarted = false;
     bool waitLogged = false; ///< whether the reason of its waiting has been logged; never stored
+    MonoTime unplaceableSince; ///< since when no listed worker could take it, even idle; MonoTime{}: one could; never stored
     bool reservationLogged = false; ///< whether its reservation has been logged; never stored
 };
 
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -1,5 +1,7 @@
 #include "policy/poolplacer.h"
 
+#include "util/printable.h"
+
 #include <algorithm>
 #include <map>
 #include <string_view>
@@ -12,8 +14,6 @@
 namespace
 {
 
-/// Upper bound on the tasks of one step that a worker is assumed to take, if the step has no limit.
-constexpr auto maxCopies = 10'000;
 /// Weight of an accelerator, in cores, when amounts of work are compared.
 constexpr auto coresPerAccelerator = 8.0;
 constexpr auto millisPerCore = 1'000.0;
@@ -26,9 +26,13 @@
 /// about 2.5 s.
 constexpr auto urgentDemandWindow = Millis{3'000};
 
-/// Groups of one priority for which a pass looks for capacity in vain before it leaves the rest of them to the next pass. Without a bound
-/// a pass over a backlog takes a time that grows with backlog times workers, and urgent work waits for the pass to end.
+/// Searches in vain for groups of one class after which a pass leaves the rest of them to the next pass. Without a bound a pass over a
+/// backlog takes a time that grows with backlog times workers, and urgent work waits for the pass to end.
 constexpr auto maxFailedSearches = 32;
+/// Those of them for the first groups of the class; the others begin where the last pass ended, so that each group is looked at in turn.
+constexpr auto maxHeadSearches = maxFailedSearches / 2;
+/// A job is set aside only after this time without a worker that could take it: entries of workers come and go at restarts and takeovers.
+constexpr auto setAsideDelay = Millis{5'000};
 /// Start orders without an answer take at most this long on the planner's link: half of the time after which the first of them would be
 /// sent again.
 constexpr auto linkWindow = Millis{150};
@@ -104,6 +108,21 @@
     return group.job->job.steps[static_cast<std::size_t>(group.step)];
 }
 
+auto PoolPlacer::stepOf(const TaskGroup &group) -> StepState &
+{
+    return group.job->occurrences[static_cast<std::size_t>(group.occurrence)].steps[static_cast<std::size_t>(group.step)];
+}
+
+auto PoolPlacer::classOf(const TaskGroup &group) -> PoolCore::PriorityClass
+{
+    return {group.queue->priority, group.guaranteed};
+}
+
+auto PoolPlacer::rankOf(const TaskGroup &group) -> PoolCore::GroupRank
+{
+    return {.latestStart = group.latestStart, .job = group.job->job.id, .occurrence = group.occurrence, .step = group.step};
+}
+
 auto PoolPlacer::isRuledOut(const TaskGroup &group, CapacityKind kind, Spread spread) const -> bool
 {
     const auto &wanted = spec(group);
@@ -136,7 +155,37 @@
 
 auto PoolPlacer::failedSearches(const TaskGroup &group) -> int &
 {
-    return m_failedSearches[{group.queue->priority, group.guaranteed}];
+    return m_failedSearches[classOf(group)];
+}
+
+/// @return whether the pass has no searches left for the group, or leaves it to a later pass so that the groups behind it get their turn.
+auto PoolPlacer::isLeftOut(const TaskGroup &group) -> bool
+{
+    const auto searches = failedSearches(group);
+    if (searches < maxHeadSearches) {
+        return false;
+    }
+    if (searches >= maxFailedSearches) {
+        m_leftOut.try_emplace(classOf(group), rankOf(group));
+        return true;
+    }
+    const auto resume = m_core.m_searchResume.find(classOf(group));
+    return resume != m_core.m_searchResume.end() && rankOf(group) < resume->second;
+}
+
+/// Tells the next pass where to go on, and logs that groups were left out.
+auto PoolPlacer::keepSearchResume() -> void
+{
+    for (const auto &[priorityClass, rank] : m_leftOut) {
+        auto &loggedAt = m_core.m_searchLimitLogged[priorityClass];
+        if (loggedAt == MonoTime{} || m_now - loggedAt >= searchLimitPeriod) {
+            loggedAt = m_now;
+            m_core.logDecision("searches_limited",
+                               "priority=" + std::to_string(priorityClass.first) + " guaranteed=" + (priorityClass.second ? "yes" : "no")
+                                   + " searches=" + std::to_string(m_failedSearches[priorityClass]) + " next_job=" + rank.job.str());
+        }
+    }
+    m_core.m_searchResume = std::move(m_leftOut);
 }
 
 auto PoolPlacer::workOf(const TaskGroup &group) const -> double
@@ -169,6 +218,48 @@
     m_groups.push_back(std::move(group));
 }
 
+/// @return whether the listed workers could take the group if all of them were idle.
+auto PoolPlacer::isPlaceable(const TaskGroup &group) -> bool
+{
+    const auto &wanted = spec(group);
+    return copiesOnIdle(m_core.m_idleCapacity, group.queue->service, wanted) >= (wanted.gang ? wanted.tasks : 1);
+}
+
+/// Leaves groups out that no listed worker can take, and tells of them. The jobs stay: workers that fit may come.
+auto PoolPlacer::setAsideUnplaceable() -> void
+{
+    std::erase_if(m_groups, [&](const TaskGroup &group) {
+        auto &step = stepOf(group);
+        if (isPlaceable(group)) {
+            step.unplaceableSince = {};
+            return false;
+        }
+        step.unplaceableSince = step.unplaceableSince == MonoTime{} ? m_now : step.unplaceableSince;
+        m_unplaceableJobs.insert(group.job->job.id);
+        const auto &wanted = spec(group);
+        if (m_now - step.unplaceableSince >= setAsideDelay && m_core.m_unplaceable.insert(group.job->job.id).second) {
+            m_core.logDecision("set_aside",
+                               "job=" + group.job->job.id.str() + " occurrence=" + std::to_string(group.occurrence) + " step=" + std::to_string(group.step)
+                                   + " reason=no_worker_fits service=" + group.queue->service.str() + " label=" + printable(wanted.requiredLabel)
+                                   + " tasks=" + std::to_string(wanted.tasks) + " gang=" + (wanted.gang ? "yes" : "no")
+                                   + " cpu=" + std::to_string(wanted.perTask.cpuMillis) + " memory=" + std::to_string(wanted.perTask.memoryMb)
+                                   + " accelerators=" + std::to_string(wanted.perTask.accelerators) + " per_worker=" + std::to_string(wanted.maxPerWorker));
+            m_core.setReason(*group.job, "no worker that is here now can take a step of the job");
+        }
+        return true;
+    });
+    std::erase_if(m_core.m_unplaceable, [&](const JobId &id) {
+        if (m_unplaceableJobs.contains(id)) {
+            return false;
+        }
+        if (const auto job = m_core.m_jobs.find(id); job != m_core.m_jobs.end()) {
+            m_core.logDecision("set_aside_ended", "job=" + id.str() + " state=" + phaseName(job->second.phase));
+            m_core.setReason(job->second, "");
+        }
+        return true;
+    });
+}
+
 auto PoolPlacer::collectGroups() -> void
 {
     for (const auto &id : m_core.m_active) {
@@ -193,7 +284,9 @@
     auto urgent = std::vector<const PoolJobState *>{};
     for (const auto &id : m_core.m_active) {
         const auto &state = m_core.m_jobs.at(id);
-        if (state.job.rules && state.job.rules->priority == 0) {
+        // A job that cannot begin takes nothing of the guarantee from others.
+        const auto cannotBegin = m_unplaceableJobs.contains(id) && !hasBegun(state);
+        if (state.job.rules && state.job.rules->priority == 0 && !cannotBegin) {
             urgent.push_back(&state);
         }
     }
@@ -348,8 +441,7 @@
         if (!slot.usable || copiesThatFit(wanted.perTask, most, 1) == 0) {
             continue;
         }
-        const auto labelled = wanted.requiredLabel.empty() || std::find(info.labels.begin(), info.labels.end(), wanted.requiredLabel) != info.labels.end();
-        if (info.service != group.queue->service || !labelled) {
+        if (info.service != group.queue->service || !hasLabel(info.labels, wanted)) {
             continue;
         }
         auto candidate = WorkerCandidate{
@@ -375,12 +467,11 @@
 {
     const auto &wanted = spec(group);
     const auto limit = wanted.maxPerWorker > 0 ? wanted.maxPerWorker : maxCopies;
-    const auto key = std::tuple{group.queue->service, wanted.perTask.cpuMillis, wanted.perTask.memoryMb, wanted.perTask.accelerators, limit};
-    const auto [most, isNew] = m_maxTasksInRack.try_emplace(key, 0);
+    const auto [most, isNew] = m_maxTasksInRack.try_emplace(shapeOf(group.queue->service, wanted), 0);
     if (isNew) {
         auto racks = std::vector<int>(m_racks);
         for (const auto &it : m_slots) {
-            if (it.usable && it.worker->info.service == group.queue->service) {
+            if (it.usable && it.worker->info.service == group.queue->service && hasLabel(it.worker->info.labels, wanted)) {
                 auto &n = racks[it.rack];
                 n += copiesThatFit(wanted.perTask, it.worker->info.capacity, limit);
                 most->second = std::max(most->second, n);
@@ -635,24 +726,10 @@
                            + " free_accelerators=" + std::to_string(m_freeAccelerators) + " urgent_reserve=" + std::to_string(m_urgentReserve));
 }
 
-/// Logs that the pass leaves this group of a class, and those behind it, to the next one.
-auto PoolPlacer::logSearchLimit(const TaskGroup &group) -> void
-{
-    auto &loggedAt = m_core.m_searchLimitLogged[{group.queue->priority, group.guaranteed}];
-    if (loggedAt != MonoTime{} && m_now - loggedAt < searchLimitPeriod) {
-        return;
-    }
-    loggedAt = m_now;
-    m_core.logDecision("searches_limited",
-                       "priority=" + std::to_string(group.queue->priority) + " guaranteed=" + (group.guaranteed ? "yes" : "no")
-                           + " searches=" + std::to_string(failedSearches(group)) + " next_job=" + group.job->job.id.str());
-}
-
 auto PoolPlacer::placeGroup(TaskGroup &group, PoolEffects &effects) -> bool
 {
     const auto &wanted = spec(group);
-    if (failedSearches(group) >= maxFailedSearches) {
-        logSearchLimit(group);
+    if (isLeftOut(group)) {
         return false;
     }
     if (yieldsToUrgent(group)) {
@@ -737,6 +814,7 @@
 auto PoolPlacer::place(PoolEffects &effects) -> void
 {
     collectGroups();
+    setAsideUnplaceable();
     markGuaranteed();
     sortGroups();
     collectSlots();
@@ -748,6 +826,9 @@
         }
     }
     const auto deferred = static_cast<std::size_t>(m_groups.end() - group);
+    if (deferred == 0) {
+        keepSearchResume();
+    }
     logDeferred(deferred);
     effects.searches = m_searches;
     effects.openStarts = m_openStarts;
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -13,6 +13,11 @@
 /// also preempts priority-0 work beyond a guarantee. Other groups wait. The first waiting group of each priority reserves
 /// the capacity on which it can start soonest, so that small work cannot starve a large gang.
 ///
+/// No group waits without a bound for one that cannot start:
+/// - A group that no listed worker can take, even idle, is left out of everything else. Its job is set aside, with a reason for its caller,
+///   until the workers change.
+/// - A pass that has searched in vain for long enough leaves the rest of a class of groups to the next pass, which goes on from there.
+///
 /// A pass places no more than can be started soon (PoolOptions::maxOpenStarts and linkBytesPerSecond): start orders that wait would hold
 /// capacity, gangs of which some members have started would wait for the others, and a full link delays stop orders, polls and renewals.
 /// The order of the groups says whose start comes first.
@@ -94,10 +99,16 @@
 
     auto isRuledOut(const TaskGroup &group, CapacityKind kind, Spread spread) const -> bool;
     auto ruleOut(const TaskGroup &group, CapacityKind kind, Spread spread) -> void;
-    /// Searches in vain of this pass for groups like @p group: of its priority, and within a guarantee or not.
+    static auto classOf(const TaskGroup &group) -> PoolCore::PriorityClass;
+    static auto rankOf(const TaskGroup &group) -> PoolCore::GroupRank;
+    /// Searches in vain of this pass for groups of the class of @p group.
     auto failedSearches(const TaskGroup &group) -> int &;
+    auto isLeftOut(const TaskGroup &group) -> bool;
+    auto keepSearchResume() -> void;
     auto collectGroups() -> void;
     auto collectStep(PoolJobState &state, const PoolQueue &queue, int occurrence, int step) -> void;
+    auto isPlaceable(const TaskGroup &group) -> bool;
+    auto setAsideUnplaceable() -> void;
     auto markGuaranteed() -> void;
     auto sortGroups() -> void;
     auto collectSlots() -> void;
@@ -121,7 +132,6 @@
     auto mayStartMore() const -> bool;
     auto reserveCapacity(const TaskGroup &group) -> void;
     auto logReservation(const TaskGroup &group, const std::set<std::size_t> &slots) -> void;
-    auto logSearchLimit(const TaskGroup &group) -> void;
     auto start(TaskGroup &group, const std::vector<int> &tasks, const std::vector<std::size_t> &slots, PoolEffects &effects) -> void;
     auto reserveOn(Slot &slot, const Resources &need) -> void;
     static auto mayPreempt(const TaskGroup &group, const Victim &victim) -> bool;
@@ -130,6 +140,7 @@
     auto remainingOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double;
     auto fitsOneRack(const TaskGroup &group) -> bool;
     auto spec(const TaskGroup &group) const -> const PoolStep &;
+    static auto stepOf(const TaskGroup &group) -> StepState &;
 
     PoolCore &m_core;
     MonoTime m_now;
@@ -139,9 +150,11 @@
     std::set<JobId> m_guaranteedJobs;
     std::set<int> m_blockedPriorities;
     std::vector<RuledOut> m_ruledOut;
-    std::map<std::pair<int, bool>, int> m_failedSearches; ///< by priority, and whether within a guarantee
+    std::map<PoolCore::PriorityClass, int> m_failedSearches;
+    std::map<PoolCore::PriorityClass, PoolCore::GroupRank> m_leftOut; ///< the first group of each class that the pass left out
+    std::set<JobId> m_unplaceableJobs; ///< with a group that no listed worker can take
     /// Most tasks of a shape that one rack of idle workers can take.
-    std::map<std::tuple<ServiceId, std::int64_t, std::int64_t, std::int64_t, int>, int> m_maxTasksInRack;
+    std::map<TaskShape, int> m_maxTasksInRack;
     std::size_t m_racks = 0; ///< number of racks
     std::int64_t m_freeAccelerators = 0;
     int m_openStarts = 0; ///< start orders without an answer, those of this pass included
