Bound how long a reservation keeps other work from capacity

Cause: the first group of a priority that does not fit reserves the capacity on which it can start soonest. This counted tasks that end only when somebody cancels them as capacity to come, and nothing bounded how long the reservation held others.

Change: tasks that last are no capacity to come, so that a group that cannot start reserves nothing. A reservation holds others for 8 s while under half of the service is in use, otherwise for 60 s, or for a tenth of the wait of its group if that is longer, and is then open to them for 1 s; tasks that last wait 1.5 s. While under half is in use, the reserve for urgent work and the preference for one rack delay a group for 5 s.

Why this works: no group waits for ever behind one that cannot start, and the hold grows until it is longer than the work that a gang waits for, so that a gang that can start is not passed for ever.

Tests: poolcore_waits_test.

--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -310,6 +310,7 @@
     std::map<PriorityClass, GroupRank> m_searchResume;
     std::map<PriorityClass, MonoTime> m_searchLimitLogged; ///< when the log last had that searches were left out
     IdleCapacity m_idleCapacity; ///< of the listed workers
+    std::map<ServiceId, MonoTime> m_holdBegan; ///< since when reservations hold other groups of a service; see PoolPlacer::mayPass()
     std::set<JobId> m_unplaceable; ///< jobs that are set aside because no listed worker can take one of their steps
     bool m_fenced = false;
 };
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -33,13 +33,24 @@
 constexpr auto maxHeadSearches = maxFailedSearches / 2;
 /// A job is set aside only after this time without a worker that could take it: entries of workers come and go at restarts and takeovers.
 constexpr auto setAsideDelay = Millis{5'000};
+/// Between two log lines about groups of a class that are left out.
+constexpr auto searchLimitPeriod = Millis{10'000};
+/// How long the urgent reserve or a preference for one rack keeps a group from capacity that would do, while most of the capacity of its
+/// service is idle.
+constexpr auto idleDelayLimit = Millis{5'000};
+/// The same for a reservation, after which the group may have to wait.
+constexpr auto idleHoldLimit = Millis{8'000};
+/// The same for a reservation while most of the capacity is in use.
+constexpr auto busyHoldLimit = Millis{60'000};
+/// The same for tasks that run until they are cancelled, which serve somebody all the time.
+constexpr auto lastingHoldLimit = Millis{1'500};
+/// Part of the wait of a group for which its reservation may hold others.
+constexpr auto holdPart = 10;
+/// How long a reservation is open to others after it has held them for as long as it may.
+constexpr auto openSpan = Millis{1'000};
 /// Start orders without an answer take at most this long on the planner's link: half of the time after which the first of them would be
 /// sent again.
 constexpr auto linkWindow = Millis{150};
-/// Between two log lines about groups of a class that are left to the next pass.
-constexpr auto searchLimitPeriod = Millis{10'000};
-/// A reservation is logged when its group has waited for this long.
-constexpr auto reservationLogDelay = Millis{5'000};
 
 auto seconds(Micros span) -> double
 {
@@ -325,6 +336,7 @@
         auto slot = Slot{.worker = &worker, .free = worker.info.capacity, .freeSoon = {}};
         slot.free -= worker.used;
         slot.freeSoon = slot.free;
+        slot.idle = slot.free;
         for (const auto &[key, it] : worker.allocations) {
             if (it.orderOpen) {
                 ++m_openStarts;
@@ -413,7 +425,9 @@
 {
     if (kind == CapacityKind::Eventual) {
         for (const auto &[key, it] : slot.worker->allocations) {
-            if (!it.stopping) {
+            const auto *state = m_core.find(key.first.job);
+            const auto lasts = state != nullptr && containsTask(*state, key.first) && specOf(*state, key.first).longRunning;
+            if (!it.stopping && !lasts) {
                 candidate.available += it.resources;
                 candidate.cost = std::max(candidate.cost, remainingOf(key, it));
             }
@@ -444,8 +458,13 @@
         if (info.service != group.queue->service || !hasLabel(info.labels, wanted)) {
             continue;
         }
-        auto candidate = WorkerCandidate{
-            .worker = i, .rack = info.rack, .available = kind == CapacityKind::Free ? slot.free : slot.freeSoon, .suspect = m_now < slot.worker->suspectUntil};
+        auto candidate = WorkerCandidate{.worker = i, .rack = info.rack, .available = slot.freeSoon, .suspect = m_now < slot.worker->suspectUntil};
+        if (kind == CapacityKind::Free) {
+            candidate.available = slot.free;
+        } else if (kind == CapacityKind::Unreserved) {
+            candidate.available += slot.held;
+            candidate.available = minimum(candidate.available, slot.idle);
+        }
         if (wanted.maxPerWorker > 0) {
             for (const auto &[key, it] : slot.worker->allocations) {
                 const auto same = key.first.job == group.job->job.id && key.first.occurrence == group.occurrence && key.first.step == group.step;
@@ -513,6 +532,7 @@
         allocation.placedAt = m_now;
         slot.free -= wanted.perTask;
         slot.freeSoon -= wanted.perTask;
+        slot.idle -= wanted.perTask;
         slot.attempts.reset();
         ++m_openStarts;
         m_freeAccelerators -= wanted.perTask.accelerators;
@@ -530,6 +550,22 @@
                            + " guaranteed=" + (group.guaranteed ? "yes" : "no"));
 }
 
+/// Starts the first tasks of the group, one for each index into @p candidates.
+auto PoolPlacer::startSome(TaskGroup &group, const std::vector<WorkerCandidate> &candidates, const std::vector<std::size_t> &chosen, PoolEffects &effects)
+    -> void
+{
+    if (chosen.empty()) {
+        return;
+    }
+    auto slots = std::vector<std::size_t>{};
+    for (const auto it : chosen) {
+        slots.push_back(candidates[it].worker);
+    }
+    const auto placed = group.tasks.begin() + static_cast<std::ptrdiff_t>(slots.size());
+    start(group, std::vector<int>(group.tasks.begin(), placed), slots, effects);
+    group.tasks.erase(group.tasks.begin(), placed);
+}
+
 auto PoolPlacer::placeGang(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool
 {
     if (isRuledOut(group, CapacityKind::Free, spread)) {
@@ -630,41 +666,129 @@
     return true;
 }
 
-/// Reserves, for the first blocked group of a priority, capacity on the workers where it can start soonest.
+/// Reserves, for the first blocked group of a priority that can start when other work ends, capacity on the workers where it can start
+/// soonest.
 auto PoolPlacer::reserveCapacity(const TaskGroup &group) -> void
 {
-    if (!m_blockedPriorities.insert(group.queue->priority).second) {
+    const auto &wanted = spec(group);
+    const auto spread = wanted.sameRack && fitsOneRack(group) ? Spread::OneRack : Spread::Anywhere;
+    if (m_blockedPriorities.contains(group.queue->priority) || isRuledOut(group, CapacityKind::Eventual, spread)) {
         return;
     }
-    const auto &wanted = spec(group);
     const auto eventual = candidates(group, CapacityKind::Eventual);
-    const auto spread = wanted.sameRack && fitsOneRack(group) ? Spread::OneRack : Spread::Anywhere;
     const auto chosen = chooseWorkers(eventual, wanted, static_cast<int>(group.tasks.size()), spread);
     if (!chosen) {
+        ruleOut(group, CapacityKind::Eventual, spread);
         return;
     }
+    m_blockedPriorities.insert(group.queue->priority);
     auto slots = std::set<std::size_t>{};
     for (const auto it : *chosen) {
-        reserveOn(m_slots[eventual[it].worker], wanted.perTask);
+        auto &slot = m_slots[eventual[it].worker];
+        reserveOn(slot, wanted.perTask);
+        slot.held += wanted.perTask;
         slots.insert(eventual[it].worker);
     }
+    m_core.m_holdBegan.try_emplace(group.queue->service, m_now);
+    auto &hold = m_holds.try_emplace(group.queue->service, Hold{.job = group.job->job.id}).first->second;
+    hold.waited = std::max(hold.waited, m_now - group.since);
     logReservation(group, slots);
 }
 
 /// Logs once that the group has waited for a while and keeps capacity from others.
 auto PoolPlacer::logReservation(const TaskGroup &group, const std::set<std::size_t> &slots) -> void
 {
-    auto &step = group.job->occurrences[static_cast<std::size_t>(group.occurrence)].steps[static_cast<std::size_t>(group.step)];
-    if (m_now - group.since < reservationLogDelay || std::exchange(step.reservationLogged, true)) {
+    auto &step = stepOf(group);
+    if (m_now - group.since < idleDelayLimit || std::exchange(step.reservationLogged, true)) {
         return;
     }
+    auto idle = std::int64_t{0};
+    for (const auto it : slots) {
+        idle += std::max<std::int64_t>(m_slots[it].idle.accelerators, 0);
+    }
     m_core.logDecision("reserves",
-                       "job=" + group.job->job.id.str() + " occurrence=" + std::to_string(group.occurrence) + " step=" + std::to_string(group.step)
-                           + " tasks=" + std::to_string(group.tasks.size()) + " workers=" + std::to_string(slots.size())
-                           + " free_accelerators=" + std::to_string(m_freeAccelerators)
+                       "job=" + group.job->job.id.str() + " occurrence=" + std::to_string(group.occurrence) + " step=" + std::to_string(group.step) + " tasks="
+                           + std::to_string(group.tasks.size()) + " workers=" + std::to_string(slots.size()) + " idle_accelerators=" + std::to_string(idle)
                            + " waited_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_now - group.since).count()));
 }
 
+/// @return whether under half of the capacity of a service is in use.
+auto PoolPlacer::isMostlyIdle(const ServiceId &service) -> bool
+{
+    const auto [found, isNew] = m_mostlyIdle.try_emplace(service, false);
+    if (isNew) {
+        auto all = 0.0;
+        auto used = 0.0;
+        for (const auto &it : m_slots) {
+            if (it.usable && it.worker->info.service == service) {
+                all += coresOf(it.worker->info.capacity);
+                used += coresOf(it.worker->used);
+            }
+        }
+        found->second = used < all / 2;
+    }
+    return found->second;
+}
+
+/// @return whether the group has waited for as long as a preference or a reserve may delay it.
+auto PoolPlacer::hasWaitedIdle(const TaskGroup &group) -> bool
+{
+    const auto waited = m_now - group.since;
+    return spec(group).longRunning ? waited >= lastingHoldLimit : waited >= idleDelayLimit && isMostlyIdle(group.queue->service);
+}
+
+/// @return how long the reservations on the workers of a service keep other groups from capacity that would do.
+auto PoolPlacer::holdLimit(const ServiceId &service) -> Micros
+{
+    return std::max<Micros>(isMostlyIdle(service) ? idleHoldLimit : busyHoldLimit, m_holds[service].waited / holdPart);
+}
+
+/// @return whether the reservations of this pass have held others for so long that the group may use what they have reserved.
+auto PoolPlacer::mayPass(const TaskGroup &group) -> bool
+{
+    const auto &service = group.queue->service;
+    if (!m_holds.contains(service)) {
+        return false;
+    }
+    const auto limit = spec(group).longRunning ? Micros{lastingHoldLimit} : holdLimit(service);
+    return m_now - m_core.m_holdBegan.at(service) >= limit;
+}
+
+/// Ends the holds of services without a reservation, and begins those anew that have been open for long enough.
+auto PoolPlacer::keepHolds() -> void
+{
+    std::erase_if(m_core.m_holdBegan, [&](const auto &it) { return !m_holds.contains(it.first); });
+    for (auto &[service, began] : m_core.m_holdBegan) {
+        if (m_now - began >= holdLimit(service) + openSpan) {
+            began = m_now;
+        }
+    }
+}
+
+/// Places a group, or some of its tasks, on capacity that is reserved for others.
+/// @return whether the whole group was placed
+auto PoolPlacer::placePastReservation(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool
+{
+    const auto &wanted = spec(group);
+    auto least = group;
+    least.tasks.resize(wanted.gang ? group.tasks.size() : 1);
+    if (!mayPass(group) || isRuledOut(least, CapacityKind::Unreserved, spread)) {
+        return false;
+    }
+    const auto unreserved = candidates(group, CapacityKind::Unreserved);
+    const auto chosen = wanted.gang ? chooseWorkers(unreserved, wanted, static_cast<int>(group.tasks.size()), spread).value_or(std::vector<std::size_t>{})
+                                    : chooseForSome(unreserved, wanted, std::min(static_cast<int>(group.tasks.size()), startsLeft(group)));
+    if (chosen.empty()) {
+        ruleOut(least, CapacityKind::Unreserved, spread);
+        return false;
+    }
+    m_core.logDecision("passes_reservation",
+                       "job=" + group.job->job.id.str() + " occurrence=" + std::to_string(group.occurrence) + " step=" + std::to_string(group.step)
+                           + " tasks=" + std::to_string(chosen.size()) + " reserved_for=" + m_holds.at(group.queue->service).job.str());
+    startSome(group, unreserved, chosen, effects);
+    return group.tasks.empty();
+}
+
 /// Sets the urgent reserve. Urgent work arrives in bursts: the accelerators that it needed within urgentDemandWindow are kept free
 /// of other work, which the next burst would preempt with the loss of its progress.
 auto PoolPlacer::measureUrgentDemand() -> void
@@ -698,9 +822,9 @@
 
 /// A group yields only during the first half of its slack. After that it may use the reserve: a large gang, which seldom finds
 /// enough capacity, would otherwise wait for as long as the bursts go on.
-auto PoolPlacer::yieldsToUrgent(const TaskGroup &group) const -> bool
+auto PoolPlacer::yieldsToUrgent(const TaskGroup &group) -> bool
 {
-    return group.queue->priority != 0 && m_urgentReserve > 0 && hasAmpleSlack(group) && !leavesReserve(group);
+    return group.queue->priority != 0 && m_urgentReserve > 0 && hasAmpleSlack(group) && !leavesReserve(group) && !hasWaitedIdle(group);
 }
 
 /// @return whether less than half of the time from the start of its wait to its latest start has passed.
@@ -740,15 +864,7 @@
         const auto free = candidates(group, CapacityKind::Free);
         const auto limit = std::min(static_cast<int>(group.tasks.size()), startsLeft(group));
         const auto chosen = chooseForSome(free, wanted, limit);
-        if (!chosen.empty()) {
-            auto slots = std::vector<std::size_t>{};
-            for (const auto it : chosen) {
-                slots.push_back(free[it].worker);
-            }
-            const auto placed = std::vector<int>(group.tasks.begin(), group.tasks.begin() + static_cast<std::ptrdiff_t>(slots.size()));
-            start(group, placed, slots, effects);
-            group.tasks.erase(group.tasks.begin(), group.tasks.begin() + static_cast<std::ptrdiff_t>(slots.size()));
-        }
+        startSome(group, free, chosen, effects);
         if (group.tasks.empty()) {
             return true;
         }
@@ -766,8 +882,13 @@
         return true;
     }
     if (group.queue->priority != 0) {
-        reserveCapacity(group);
-        return false;
+        if (oneRack && hasWaitedIdle(group) && placeGang(group, Spread::Anywhere, effects)) {
+            return true;
+        }
+        if (!placePastReservation(group, spread, effects)) {
+            reserveCapacity(group);
+        }
+        return group.tasks.empty();
     }
     if (reserveFreeSoon(group, spread) || preempt(group, spread)) {
         return false;
@@ -828,6 +949,7 @@
     const auto deferred = static_cast<std::size_t>(m_groups.end() - group);
     if (deferred == 0) {
         keepSearchResume();
+        keepHolds();
     }
     logDeferred(deferred);
     effects.searches = m_searches;
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -16,7 +16,11 @@
 /// No group waits without a bound for one that cannot start:
 /// - A group that no listed worker can take, even idle, is left out of everything else. Its job is set aside, with a reason for its caller,
 ///   until the workers change.
+/// - A reservation counts no capacity of tasks that run until they are cancelled. It keeps groups that would fit from starting for a limited
+///   time, then it is open to them for a while. The time grows with the wait of the group that reserves, so that this one starts as well
+///   once the time is longer than the work that it waits for.
 /// - A pass that has searched in vain for long enough leaves the rest of a class of groups to the next pass, which goes on from there.
+/// - A preference for one rack and the reserve for urgent work delay a group for a limited time while most of the capacity is idle.
 ///
 /// A pass places no more than can be started soon (PoolOptions::maxOpenStarts and linkBytesPerSecond): start orders that wait would hold
 /// capacity, gangs of which some members have started would wait for the others, and a full link delays stop orders, polls and renewals.
@@ -62,7 +66,8 @@
         Free,
         FreeSoon, ///< free capacity and that of attempts being stopped
         Preemptible, ///< FreeSoon and the capacity of attempts that the group may preempt
-        Eventual, ///< FreeSoon and the capacity of all other attempts, once they end
+        Eventual, ///< FreeSoon and the capacity of all other attempts that end by themselves
+        Unreserved, ///< free capacity, and what reserveCapacity() has taken from it
     };
     /// An attempt on a worker, and what stopping it would cost.
     struct Victim
@@ -79,11 +84,20 @@
         PoolCore::Worker *worker = nullptr;
         Resources free;
         Resources freeSoon;
+        Resources idle; ///< free capacity before reservations
+        Resources held; ///< reserved by reserveCapacity()
         bool usable = false;
         std::size_t rack = 0; ///< index of the worker's rack in this pass
         mutable std::optional<std::vector<Victim>> attempts; ///< those of known jobs, the smallest loss first; made when it is first needed
     };
 
+    /// Reservations on the workers of a service.
+    struct Hold
+    {
+        JobId job; ///< the first that reserves
+        Micros waited{0}; ///< longest wait of a group that reserves
+    };
+
     /// A group that did not fit. Groups that need at least as much of the same capacity are skipped for the rest of the pass, so that a
     /// long backlog of jobs which all differ a little costs one search for each size that matters, not one for each job.
     struct RuledOut
@@ -117,7 +131,14 @@
     auto addReclaimable(const TaskGroup &group, CapacityKind kind, const Slot &slot, WorkerCandidate &candidate) const -> void;
     auto placeGroup(TaskGroup &group, PoolEffects &effects) -> bool;
     auto startsLeft(const TaskGroup &group) const -> int;
+    auto startSome(TaskGroup &group, const std::vector<WorkerCandidate> &candidates, const std::vector<std::size_t> &chosen, PoolEffects &effects) -> void;
     auto placeGang(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool;
+    auto placePastReservation(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool;
+    auto holdLimit(const ServiceId &service) -> Micros;
+    auto mayPass(const TaskGroup &group) -> bool;
+    auto keepHolds() -> void;
+    auto isMostlyIdle(const ServiceId &service) -> bool;
+    auto hasWaitedIdle(const TaskGroup &group) -> bool;
     auto reserveFreeSoon(const TaskGroup &group, Spread spread) -> bool;
     auto preempt(const TaskGroup &group, Spread spread) -> bool;
     auto addFreeSoon(const WorkerId &worker, const PoolCore::AttemptKey &key) -> void;
@@ -125,7 +146,7 @@
     auto victimsOn(const TaskGroup &group, const Slot &slot) const -> std::vector<Victim>;
     auto measureUrgentDemand() -> void;
     auto leavesReserve(const TaskGroup &group) const -> bool;
-    auto yieldsToUrgent(const TaskGroup &group) const -> bool;
+    auto yieldsToUrgent(const TaskGroup &group) -> bool;
     auto hasAmpleSlack(const TaskGroup &group) const -> bool;
     auto logWait(const TaskGroup &group) -> void;
     auto logDeferred(std::size_t groups) -> void;
@@ -153,6 +174,8 @@
     std::map<PoolCore::PriorityClass, int> m_failedSearches;
     std::map<PoolCore::PriorityClass, PoolCore::GroupRank> m_leftOut; ///< the first group of each class that the pass left out
     std::set<JobId> m_unplaceableJobs; ///< with a group that no listed worker can take
+    std::map<ServiceId, bool> m_mostlyIdle;
+    std::map<ServiceId, Hold> m_holds; ///< reservations of this pass
     /// Most tasks of a shape that one rack of idle workers can take.
     std::map<TaskShape, int> m_maxTasksInRack;
     std::size_t m_racks = 0; ///< number of racks
--- a/packages/policy/testing/poolcore_waits_test.cpp
+++ b/packages/policy/testing/poolcore_waits_test.cpp
@@ -1,6 +1,7 @@
 #include "policy/poolcore.h"
 
 #include "policy/testing/idlefleet.h"
+#include "policy/testing/poolsimulation.h"
 
 #include <doctest/doctest.h>
 
@@ -14,6 +15,9 @@
 namespace
 {
 
+/// What callers wait for at most while most of the capacity is idle: `finish_s` of the users' platform and 3 s.
+constexpr auto idleWait = Millis{17'000};
+
 auto withLabel(PoolStep step, const std::string &label) -> PoolStep
 {
     step.requiredLabel = label;
@@ -99,3 +103,114 @@
     CHECK(fleet.logged("set_aside_ended").size() == 1);
     CHECK(fleet.core.find(JobId{"a"})->reason.empty());
 }
+
+// Guards against a gang that waits for room of work that lasts, and whose reservation keeps all other jobs of its priority from starting.
+TEST_CASE("a gang that waits for capacity of work that lasts reserves nothing")
+{
+    auto fleet = Fleet{4};
+    fleet.core.addJob(makeJob("lasting", "batch", lasting(4, 2)), fleet.now);
+    REQUIRE(startsOf(fleet, "lasting", Millis{200}) == 4);
+    fleet.core.addJob(makeJob("gang", "batch", gangOf(4, 8)), fleet.now);
+    fleet.run(Millis{100});
+    fleet.core.addJob(makeJob("small", "batch", batchOf(2)), fleet.now);
+    CHECK(startsOf(fleet, "small", Millis{200}) == 2);
+    // It starts when the lasting work is cancelled and the other has ended.
+    fleet.core.cancelJob(JobId{"lasting"}, fleet.now);
+    fleet.core.cancelJob(JobId{"small"}, fleet.now);
+    CHECK(startsOf(fleet, "gang", Millis{500}) == 4);
+}
+
+// Guards against a reservation without an end: the work that the gang waits for takes an hour.
+TEST_CASE("a reservation keeps other jobs from idle capacity for a limited time")
+{
+    for (const auto &late : {batchOf(2), lasting(2, 1)}) {
+        auto fleet = Fleet{4};
+        auto hour = lasting(4, 2);
+        hour.longRunning = false;
+        hour.estimate = Millis{3'600'000};
+        fleet.core.addJob(makeJob("hour", "batch", hour), fleet.now);
+        REQUIRE(startsOf(fleet, "hour", Millis{200}) == 4);
+        fleet.core.addJob(makeJob("gang", "batch", gangOf(4, 8)), fleet.now);
+        fleet.run(Millis{100});
+        fleet.core.addJob(makeJob("late", "batch", late), fleet.now);
+        CHECK(startsOf(fleet, "late", Millis{1'000}) == 0);
+        // Tasks that run until they are cancelled may wait for 3 s.
+        CHECK(startsOf(fleet, "late", late.longRunning ? Millis{2'000} : idleWait - Millis{1'000}) == 2);
+        REQUIRE_FALSE(fleet.logged("passes_reservation").empty());
+        CHECK(fleet.logged("passes_reservation").front() == "job=late occurrence=0 step=0 tasks=2 reserved_for=gang");
+    }
+}
+
+// Guards against a gang that could start and is passed for ever, because reservations are open to others again and again.
+TEST_CASE("a gang that can start is not passed for ever by a stream of small jobs")
+{
+    constexpr auto length = Millis{12'000};
+    auto simulation = PoolSimulation{1, 4, {}};
+    const auto step = [](int tasks, std::int64_t accelerators, bool gang) {
+        return PoolStep{.tasks = tasks, .perTask = {.cpuMillis = 100, .memoryMb = 100, .accelerators = accelerators}, .estimate = length, .gang = gang};
+    };
+    auto n = 0;
+    const auto runTo = [&](Millis until) {
+        for (; Millis{n * 1'000} < until; ++n) {
+            simulation.submit(makeJob("small" + std::to_string(n), "batch", step(1, 1, false)));
+            simulation.run(Millis{(n + 1) * 1'000});
+        }
+    };
+    runTo(Millis{20'000});
+    const auto submitted = simulation.now();
+    simulation.submit(makeJob("gang", "batch", step(4, 8, true)));
+    // The hold is a tenth of the gang's wait, and has to reach the length of the work once.
+    runTo(Millis{20'000} + length * 12);
+    REQUIRE(simulation.startedAt(JobId{"gang"}));
+    CHECK(*simulation.startedAt(JobId{"gang"}) - submitted < length * 12);
+    CHECK(simulation.violations().empty());
+}
+
+// Guards against an urgent gang that can never fit and for which the capacity is kept free of other work.
+TEST_CASE("no capacity is kept free for urgent work that no worker can take")
+{
+    auto fleet = Fleet{4};
+    fleet.core.addJob(makeJob("urgent", "urgent", gangOf(5, 8)), fleet.now);
+    fleet.run(Millis{200});
+    auto step = batchOf(4);
+    step.estimate = Millis{40'000};
+    fleet.core.addJob(makeJob("late", "batch", step), fleet.now);
+    CHECK(startsOf(fleet, "late", Millis{300}) == 4);
+}
+
+// Guards against a reserve for urgent work that cannot start now, which keeps others waiting for half of their slack, however long that is.
+TEST_CASE("the reserve for urgent work that waits delays other work for a limited time while most of the capacity is idle")
+{
+    auto fleet = Fleet{4};
+    fleet.core.addJob(makeJob("lasting", "urgent", lasting(4, 2)), fleet.now);
+    REQUIRE(startsOf(fleet, "lasting", Millis{200}) == 4);
+    fleet.core.addJob(makeJob("urgent", "urgent", gangOf(4, 8)), fleet.now);
+    fleet.run(Millis{200});
+    auto step = batchOf(4);
+    step.estimate = Millis{600'000};
+    fleet.core.addJob(makeJob("late", "batch", step), fleet.now);
+    CHECK(startsOf(fleet, "late", idleWait) == 4);
+}
+
+// Guards against a preference for one rack that becomes a requirement together with a label or with other work.
+TEST_CASE("a gang that prefers one rack starts on several when no rack has room for it")
+{
+    for (const auto labelled : {true, false}) {
+        CAPTURE(labelled);
+        auto fleet = Fleet{16};
+        auto workers = fleet.workers;
+        for (auto i = std::size_t{0}; i < workers.size(); i += 4) {
+            workers[i].labels = {"fast"};
+        }
+        fleet.list(workers);
+        auto step = gangOf(labelled ? 4 : 8, 8);
+        step.sameRack = true;
+        step.requiredLabel = labelled ? "fast" : "";
+        if (!labelled) {
+            fleet.core.addJob(makeJob("lasting", "batch", withLabel(lasting(4, 1), "fast")), fleet.now);
+            REQUIRE(startsOf(fleet, "lasting", Millis{200}) == 4);
+        }
+        fleet.core.addJob(makeJob("gang", "batch", step), fleet.now);
+        CHECK(startsOf(fleet, "gang", labelled ? Millis{200} : idleWait) == step.tasks);
+    }
+}
