Let work that takes long end

Cause: an attempt whose percent stood still for 4.5 s counted as hung. A task of an hour gains a percent in 36 s, and each start was judged like the first.

Change: the limit is a fifth of the estimate if that is longer, 10 minutes at most, and doubles with each stop for want of progress. The number of stops is in the record of attempts, for the next planner.

Tests: poolcore_waits_test, a task of an hour with a right and with a far too short estimate, and poolrecords_test.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -22,8 +22,14 @@
 /// no further effect, so the first timeouts are short compared with the slack of urgent work. Their sum is less than the time for
 /// which the started members of a gang wait for the others.
 constexpr auto startTimeouts = std::array{Millis{300}, Millis{400}, Millis{700}};
-/// A task whose reported progress does not change for this long is considered hung; the slowest healthy task seen advances 1% in 2 s.
+/// A task whose reported progress does not change for this long is considered hung, unless more is to be expected of it; see hungLimit().
 constexpr auto hungTimeout = Millis{4'500};
+/// Part of the estimate within which a task makes progress: it reports whole percents, may take ten times as long as estimated, and one
+/// report may be missed.
+constexpr auto progressPart = 5;
+/// The estimate alone does not keep a hung task on its worker for longer than this.
+constexpr auto maxProgressWait = Millis{600'000};
+constexpr auto maxHungDoublings = 12;
 /// How long a worker is avoided after its first failure; doubles with each further failure up to the maximum.
 constexpr auto suspectPeriod = Millis{2'000};
 constexpr auto maxSuspectPeriod = Millis{16'000};
@@ -428,6 +434,24 @@
     }
 }
 
+/// @return how long the reported progress of a task may stand still. Each stop doubles it, so that a task that is slower than estimated ends.
+auto PoolCore::hungLimit(const PoolStep &step, const TaskState &task) -> Millis
+{
+    return std::max(hungTimeout, std::min(step.estimate / progressPart, maxProgressWait)) * (1 << std::min(task.hungStops, maxHungDoublings));
+}
+
+/// Counts a stop for want of progress; the members of a gang make progress together.
+auto PoolCore::noteHungStop(PoolJobState &state, const TaskKey &key) -> void
+{
+    if (!specOf(state, key).gang) {
+        ++taskAt(state, key).hungStops;
+        return;
+    }
+    for (auto &it : stepAt(state, key).tasks) {
+        ++it.hungStops;
+    }
+}
+
 auto PoolCore::stopHung(MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
@@ -436,18 +460,25 @@
         }
         for (auto &[key, it] : worker.allocations) {
             const auto *task = findTask(key.first);
-            if (it.stopping || task == nullptr || task->attempt != key.second || task->attemptPhase != AttemptPhase::Running || task->phase != TaskPhase::Placed
-                || specOf(m_jobs.at(key.first.job), key.first).longRunning || now - task->progressAt < hungTimeout
-                || worker.answeredAt < task->progressAt + hungTimeout) {
+            if (it.stopping || task == nullptr || task->attempt != key.second || task->attemptPhase != AttemptPhase::Running
+                || task->phase != TaskPhase::Placed) {
+                continue;
+            }
+            auto &state = m_jobs.at(key.first.job);
+            const auto &spec = specOf(state, key.first);
+            const auto limit = hungLimit(spec, *task);
+            if (spec.longRunning || now - task->progressAt < limit || worker.answeredAt < task->progressAt + limit) {
                 continue;
             }
             logDecision("task_hung",
                         describeAttempt(key.first, key.second) + " worker=" + id.str() + " percent=" + std::to_string(task->percent)
-                            + " still_ms=" + std::to_string(std::chrono::duration_cast<Millis>(now - task->progressAt).count()));
+                            + " still_ms=" + std::to_string(std::chrono::duration_cast<Millis>(now - task->progressAt).count())
+                            + " limit_ms=" + std::to_string(limit.count()) + " earlier_stops=" + std::to_string(task->hungStops));
             recordFailure(worker, now);
             requestStop(it, StopReason::NoProgress);
-            if (specOf(m_jobs.at(key.first.job), key.first).gang) {
-                stopStep(m_jobs.at(key.first.job), key.first.occurrence, key.first.step, StopReason::GangBroken);
+            noteHungStop(state, key.first);
+            if (spec.gang) {
+                stopStep(state, key.first.occurrence, key.first.step, StopReason::GangBroken);
             }
         }
     }
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -272,6 +272,8 @@
     auto mayHaveSucceeded(const Worker &worker, const AttemptKey &key) const -> bool;
     auto expireLeases(MonoTime now) -> void;
     auto expireLeases(Worker &worker, MonoTime now) -> void;
+    static auto hungLimit(const PoolStep &step, const TaskState &task) -> Millis;
+    static auto noteHungStop(PoolJobState &state, const TaskKey &key) -> void;
     auto stopHung(MonoTime now) -> void;
     auto expireJobs(MonoTime now) -> void;
     auto dropUnlisted() -> void;
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -101,6 +101,7 @@
     int attempt = 0; ///< number of the last attempt; increases with each placement
     int failures = 0; ///< failed attempts
     int lastFailedAttempt = 0; ///< a failure that is reported again is not counted again
+    int hungStops = 0; ///< times that an attempt was stopped for want of progress
     WorkerId worker; ///< valid while Placed
     Incarnation workerBorn; ///< incarnation of that worker
     std::string checkpoint; ///< resume point; empty: from the beginning
--- a/packages/policy/testing/poolcore_waits_test.cpp
+++ b/packages/policy/testing/poolcore_waits_test.cpp
@@ -214,3 +214,21 @@
         CHECK(startsOf(fleet, "gang", labelled ? Millis{200} : idleWait) == step.tasks);
     }
 }
+
+// Guards against sound work that never ends: a task that takes an hour gains a percent in 36 s, was taken for hung after 4.5 s, and began
+// anew each time.
+TEST_CASE("a task that makes progress slowly is stopped a limited number of times")
+{
+    for (const auto estimate : {Millis{3'600'000}, Millis{4'000}}) {
+        CAPTURE(estimate.count());
+        auto fleet = Fleet{2};
+        fleet.timePerPercent = Millis{36'000};
+        auto step = batchOf(1);
+        step.estimate = estimate;
+        fleet.core.addJob(makeJob("slow", "batch", step), fleet.now);
+        const auto starts = startsOf(fleet, "slow", Millis{300'000});
+        CHECK(starts <= (estimate == Millis{4'000} ? 5 : 1));
+        CHECK(startsOf(fleet, "slow", Millis{600'000}) == 0);
+        CHECK(fleet.core.find(JobId{"slow"})->phase == PoolJobPhase::Running);
+    }
+}
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -148,16 +148,19 @@
     return {.id = id, .phase = phaseFromJson(it.at("phase")), .reason = it.at("reason").get<std::string>()};
 }
 
-/// @return [phase, attempt, failures, last failed attempt, worker, incarnation of the worker, checkpoint]. The last three are left
-/// out for a task that is not placed and has no checkpoint.
+/// @return [phase, attempt, failures, last failed attempt, worker, incarnation of the worker, checkpoint, stops for want of progress].
+/// The last is left out if it is 0; with it, the three before it for a task that is not placed and has no checkpoint.
 auto toJson(const TaskState &it) -> json
 {
     auto out = json::array({static_cast<int>(it.phase), it.attempt, it.failures, it.lastFailedAttempt});
-    if (it.phase == TaskPhase::Placed || !it.checkpoint.empty()) {
+    if (it.phase == TaskPhase::Placed || !it.checkpoint.empty() || it.hungStops > 0) {
         out.push_back(it.worker.str());
         out.push_back(it.workerBorn.value);
         out.push_back(it.checkpoint);
     }
+    if (it.hungStops > 0) {
+        out.push_back(it.hungStops);
+    }
     return out;
 }
 
@@ -229,6 +232,9 @@
         task.workerBorn = Incarnation{toInteger(it.at(5), "incarnation")};
         task.checkpoint = it.at(6).get<std::string>();
     }
+    if (it.size() > 7) {
+        task.hungStops = toInteger<int>(it.at(7), "stops", 0, maxAttempt);
+    }
     if (task.phase == TaskPhase::Placed && !isPrintableId(task.worker.str(), maxWorkerId)) {
         throw json::other_error::create(0, "a placed task has no worker", nullptr);
     }
--- a/packages/state/testing/poolrecords_test.cpp
+++ b/packages/state/testing/poolrecords_test.cpp
@@ -257,3 +257,14 @@
         CHECK(std::get<PoolJob>(read.value()).rules == it.rules);
     }
 }
+
+// Guards against sound work that never ends because each new planner takes it for hung as early as the first one did.
+TEST_CASE("a new planner knows how often a task was stopped for want of progress")
+{
+    auto state = makeJobState(job());
+    state.occurrences[0].steps[0].tasks[1].hungStops = 3;
+    auto read = makeJobState(state.job);
+    REQUIRE(decode(encodeAttempts(state).parts.at(0).second, read));
+    CHECK(read.occurrences[0].steps[0].tasks[1].hungStops == 3);
+    CHECK(read.occurrences[0].steps[0].tasks[0].hungStops == 0);
+}
