Ignore parts of a record of attempts beside a record that has all tasks

Found by reading the change of the records: after an update, a return to the earlier version and another update, parts that the first update wrote would be taken for newer than the record of the earlier version, and tasks that were done could start again.

Besides, clearer names and comments in poolplacer.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -222,28 +222,31 @@
 {
     const auto stretched = Millis{static_cast<std::int64_t>(static_cast<double>(m_options.pool.leaseDuration.count()) * leaseStretch)};
     const auto takenOverUntil = now + m_options.takeoverTimeout + stretched + takeoverSlack;
-    auto states = std::map<JobId, PoolJobState>{};
+    auto jobs = std::map<JobId, std::map<int, AttemptsRecord>>{};
     for (const auto &it : attempts.records) {
-        const auto record = decodePoolRecord(it.key, it.value);
-        const auto *found = record ? std::get_if<AttemptsRecord>(&record.value()) : nullptr;
-        const auto *known = found == nullptr ? nullptr : m_core.find(found->id);
-        if (known == nullptr) {
-            continue;
-        }
-        auto &parts = m_recorded[found->id];
-        parts.resize(std::max(parts.size(), static_cast<std::size_t>(found->part) + 1));
-        parts[static_cast<std::size_t>(found->part)] = std::hash<std::string>{}(it.value);
-        const auto [state, isNew] = states.try_emplace(found->id);
-        if (isNew) {
-            state->second = makeJobState(known->job);
-        }
-        if (const auto read = decodeAttempts(*found, state->second); !read) {
-            logEvent(LogLevel::Error,
-                     6006,
-                     "job=" + found->id.str() + " part=" + std::to_string(found->part) + " record of attempts cannot be used: " + read.error().message);
+        auto record = decodePoolRecord(it.key, it.value);
+        auto *found = record ? std::get_if<AttemptsRecord>(&record.value()) : nullptr;
+        if (found != nullptr && m_core.find(found->id) != nullptr) {
+            jobs[found->id].emplace(found->part, std::move(*found));
+        }
+    }
+    for (const auto &[id, parts] : jobs) {
+        auto state = makeJobState(m_core.find(id)->job);
+        auto &hashes = m_recorded[id];
+        hashes.resize(static_cast<std::size_t>(parts.rbegin()->first) + 1);
+        auto isWhole = false;
+        for (const auto &[part, it] : parts) {
+            if (isWhole) {
+                break; // hashes of 0 let the parts be written again
+            }
+            hashes[static_cast<std::size_t>(part)] = std::hash<std::string>{}(it.value);
+            const auto read = decodeAttempts(it, state);
+            if (!read) {
+                logEvent(
+                    LogLevel::Error, 6006, "job=" + id.str() + " part=" + std::to_string(part) + " record of attempts cannot be used: " + read.error().message);
+            }
+            isWhole = read && read.value() == AttemptsExtent::Whole;
         }
-    }
-    for (auto &[id, state] : states) {
         completeGangs(state);
         m_core.adoptRecord(id, state, takenOverUntil, now);
     }
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -38,11 +38,11 @@
 /// How long the urgent reserve or a preference for one rack keeps a group from capacity that would do, while most of the capacity of its
 /// service is idle.
 constexpr auto idleDelayLimit = Millis{5'000};
-/// The same for a reservation, after which the group may have to wait.
+/// How long a reservation keeps a group from capacity that would do, while most of the capacity of its service is idle.
 constexpr auto idleHoldLimit = Millis{8'000};
-/// The same for a reservation while most of the capacity is in use.
+/// How long a reservation does so while most of the capacity is in use.
 constexpr auto busyHoldLimit = Millis{60'000};
-/// The same for tasks that run until they are cancelled, which serve somebody all the time.
+/// How long any of them delays tasks that run until they are cancelled: these serve somebody all the time.
 constexpr auto lastingHoldLimit = Millis{1'500};
 /// Part of the wait of a group for which its reservation may hold others.
 constexpr auto holdPart = 10;
@@ -731,7 +731,7 @@
 }
 
 /// @return whether the group has waited for as long as a preference or a reserve may delay it.
-auto PoolPlacer::hasWaitedIdle(const TaskGroup &group) -> bool
+auto PoolPlacer::isDelayOver(const TaskGroup &group) -> bool
 {
     const auto waited = m_now - group.since;
     return spec(group).longRunning ? waited >= lastingHoldLimit : waited >= idleDelayLimit && isMostlyIdle(group.queue->service);
@@ -824,7 +824,7 @@
 /// enough capacity, would otherwise wait for as long as the bursts go on.
 auto PoolPlacer::yieldsToUrgent(const TaskGroup &group) -> bool
 {
-    return group.queue->priority != 0 && m_urgentReserve > 0 && hasAmpleSlack(group) && !leavesReserve(group) && !hasWaitedIdle(group);
+    return group.queue->priority != 0 && m_urgentReserve > 0 && hasAmpleSlack(group) && !leavesReserve(group) && !isDelayOver(group);
 }
 
 /// @return whether less than half of the time from the start of its wait to its latest start has passed.
@@ -882,7 +882,7 @@
         return true;
     }
     if (group.queue->priority != 0) {
-        if (oneRack && hasWaitedIdle(group) && placeGang(group, Spread::Anywhere, effects)) {
+        if (oneRack && isDelayOver(group) && placeGang(group, Spread::Anywhere, effects)) {
             return true;
         }
         if (!placePastReservation(group, spread, effects)) {
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -138,7 +138,7 @@
     auto mayPass(const TaskGroup &group) -> bool;
     auto keepHolds() -> void;
     auto isMostlyIdle(const ServiceId &service) -> bool;
-    auto hasWaitedIdle(const TaskGroup &group) -> bool;
+    auto isDelayOver(const TaskGroup &group) -> bool;
     auto reserveFreeSoon(const TaskGroup &group, Spread spread) -> bool;
     auto preempt(const TaskGroup &group, Spread spread) -> bool;
     auto addFreeSoon(const WorkerId &worker, const PoolCore::AttemptKey &key) -> void;
@@ -174,7 +174,7 @@
     std::map<PoolCore::PriorityClass, int> m_failedSearches;
     std::map<PoolCore::PriorityClass, PoolCore::GroupRank> m_leftOut; ///< the first group of each class that the pass left out
     std::set<JobId> m_unplaceableJobs; ///< with a group that no listed worker can take
-    std::map<ServiceId, bool> m_mostlyIdle;
+    std::map<ServiceId, bool> m_mostlyIdle; ///< answers of isMostlyIdle()
     std::map<ServiceId, Hold> m_holds; ///< reservations of this pass
     /// Most tasks of a shape that one rack of idle workers can take.
     std::map<TaskShape, int> m_maxTasksInRack;
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -434,20 +434,22 @@
 
 }
 
-auto decodeAttempts(const AttemptsRecord &record, PoolJobState &state) -> Result<void>
+auto decodeAttempts(const AttemptsRecord &record, PoolJobState &state) -> Result<AttemptsExtent>
 {
     try {
         const auto root = json::parse(record.value);
+        const auto isWhole = record.part == 0 && root.contains("o");
         if (record.part == 0) {
             state.phase = phaseFromJson(root.at("p"));
-            if (isFinal(state.phase) && !root.contains("t") && !root.contains("o")) {
-                return success(); // see encodeEnd()
-            }
-            if (root.contains("o")) {
-                return decodeWhole(root.at("o"), state);
+            if (isFinal(state.phase) && !root.contains("t") && !isWhole) {
+                return AttemptsExtent::Part; // see encodeEnd()
             }
         }
-        return decodePart(root, static_cast<std::size_t>(record.part), state);
+        const auto read = isWhole ? decodeWhole(root.at("o"), state) : decodePart(root, static_cast<std::size_t>(record.part), state);
+        if (!read) {
+            return read.error();
+        }
+        return isWhole ? AttemptsExtent::Whole : AttemptsExtent::Part;
     } catch (const json::exception &e) {
         return failure(ErrorCode::Protocol, "attempts record: " + printable(e.what()));
     }
--- a/packages/state/poolrecords.h
+++ b/packages/state/poolrecords.h
@@ -98,10 +98,16 @@
 /// @return a record of a job's end that takes the place of the first part of its progress, for a job whose progress the store refuses.
 auto encodeEnd(const JobId &id, PoolJobPhase phase) -> EncodedRecord;
 
-/// Decodes one part of a job's progress into the state of the job; parts may come in any order, and those of earlier versions have all tasks.
+/// How much of a job's progress a record has.
+enum class AttemptsExtent {
+    Part,
+    Whole, ///< all tasks, as earlier versions wrote it; later parts beside it are older
+};
+
+/// Decodes one record of a job's progress into the state of the job.
 /// @param state initial state of the job with its occurrences, steps and tasks; their progress is overwritten, in part also on failure
 /// @return ErrorCode::Protocol when the value cannot be decoded or its occurrences, steps or tasks differ in number from the job's.
-auto decodeAttempts(const AttemptsRecord &record, PoolJobState &state) -> Result<void>;
+auto decodeAttempts(const AttemptsRecord &record, PoolJobState &state) -> Result<AttemptsExtent>;
 
 /// Completes what parts of different age leave open: a gang of which a member is done is done.
 auto completeGangs(PoolJobState &state) -> void;
--- a/packages/state/testing/poolrecords_test.cpp
+++ b/packages/state/testing/poolrecords_test.cpp
@@ -125,7 +125,7 @@
            + R"(],[{"b":false,"f":0,"l":0,"t":[[0,0,0,0],[0,0,0,0]]},)" + idle + R"(]],"p":0})";
 }
 
-auto decode(const std::string &value, PoolJobState &state, int part = 0) -> Result<void>
+auto decode(const std::string &value, PoolJobState &state, int part = 0) -> Result<AttemptsExtent>
 {
     return decodeAttempts({.id = state.job.id, .part = part, .value = value}, state);
 }
@@ -208,7 +208,9 @@
 TEST_CASE("records of attempts of earlier versions can be read")
 {
     auto read = makeJobState(job());
-    REQUIRE(decode(wholeRecord(), read));
+    const auto extent = decode(wholeRecord(), read);
+    REQUIRE(extent);
+    CHECK(extent.value() == AttemptsExtent::Whole);
     CHECK(encodeAttempts(read).parts == encodeAttempts(placedState()).parts);
     REQUIRE(decode(encodeEnd(job().id, PoolJobPhase::Failed).second, read));
     CHECK(read.phase == PoolJobPhase::Failed);
