--- a/packages/policy/testing/poolcore_waits_test.cpp
+++ b/packages/policy/testing/poolcore_waits_test.cpp
@@ -18,6 +18,9 @@
 /// What callers wait for at most while most of the capacity is idle: `finish_s` of the users' platform and 3 s.
 constexpr auto idleWait = Millis{17'000};
 
+/// How long the tasks of a stream run that passes a gang; longer than a reservation holds them at first.
+constexpr auto streamTask = Millis{12'000};
+
 auto withLabel(PoolStep step, const std::string &label) -> PoolStep
 {
     step.requiredLabel = label;
@@ -144,10 +147,9 @@
 // Guards against a gang that could start and is passed for ever, because reservations are open to others again and again.
 TEST_CASE("a gang that can start is not passed for ever by a stream of small jobs")
 {
-    constexpr auto length = Millis{12'000};
     auto simulation = PoolSimulation{1, 4, {}};
     const auto step = [](int tasks, std::int64_t accelerators, bool gang) {
-        return PoolStep{.tasks = tasks, .perTask = {.cpuMillis = 100, .memoryMb = 100, .accelerators = accelerators}, .estimate = length, .gang = gang};
+        return PoolStep{.tasks = tasks, .perTask = {.cpuMillis = 100, .memoryMb = 100, .accelerators = accelerators}, .estimate = streamTask, .gang = gang};
     };
     auto n = 0;
     const auto runTo = [&](Millis until) {
@@ -159,10 +161,10 @@
     runTo(Millis{20'000});
     const auto submitted = simulation.now();
     simulation.submit(makeJob("gang", "batch", step(4, 8, true)));
-    // The hold is a tenth of the gang's wait, and has to reach the length of the work once.
-    runTo(Millis{20'000} + length * 12);
+    // The hold is a tenth of the gang's wait, and has to be as long as the work once.
+    runTo(Millis{20'000} + streamTask * 12);
     REQUIRE(simulation.startedAt(JobId{"gang"}));
-    CHECK(*simulation.startedAt(JobId{"gang"}) - submitted < length * 12);
+    CHECK(*simulation.startedAt(JobId{"gang"}) - submitted < streamTask * 12);
     CHECK(simulation.violations().empty());
 }
 
