--- /dev/null
+++ b/packages/policy/poolleases.cpp
@@ -0,0 +1,102 @@
+#include "policy/poolcore.h"
+
+#include <algorithm>
+#include <utility>
+
+/// Leases of workers: what a planner grants, until when earlier planners may have granted any, and what happens when every lease has expired.
+
+namespace Catkin
+{
+
+namespace
+{
+
+/// A worker's clock may be 2% slow, so that a lease lasts longer on the planner's clock; the remaining 1% and leaseSlack cover
+/// the error of the clock estimate.
+constexpr auto leaseStretch = 1.03;
+constexpr auto leaseSlack = Millis{500};
+/// Silence after which a worker's entry is dropped, in heartbeats.
+constexpr auto entryHeartbeats = 3;
+
+}
+
+auto PoolCore::extendLease(Worker &worker, MonoTime now) const -> void
+{
+    const auto stretched = Millis{static_cast<std::int64_t>(static_cast<double>(m_options.leaseDuration.count()) * leaseStretch)};
+    worker.leaseEnd = std::max(worker.leaseEnd, now + stretched + leaseSlack);
+}
+
+auto PoolCore::leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime
+{
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end() || !it->second.answered) {
+        return {};
+    }
+    auto &worker = it->second;
+    extendLease(worker, now);
+    worker.grantedUntil = worker.clock + WorkerTime{std::chrono::duration_cast<Millis>(now - worker.clockAt).count() + m_options.leaseDuration.count()};
+    return worker.grantedUntil;
+}
+
+/// @return whether a worker that does not answer is known to run, so that its completions can still arrive.
+auto PoolCore::mayReport(const Worker &worker, MonoTime now) const -> bool
+{
+    // The last read counts, not the present: without reads nothing shows that the worker has ceased to write.
+    return worker.listed && worker.wroteAt != MonoTime{} && m_entriesReadAt <= worker.wroteAt + m_options.heartbeat * entryHeartbeats
+           && now <= worker.leaseEnd + m_options.leaseDuration;
+}
+
+/// @return whether the attempt may have succeeded as far as this planner knows. The members of a gang succeed together, so that the end of one
+/// without success shows that none has.
+auto PoolCore::mayHaveSucceeded(const Worker &worker, const AttemptKey &key) const -> bool
+{
+    const auto *state = find(key.first.job);
+    if (state == nullptr || !containsTask(*state, key.first) || isFinal(state->phase)) {
+        return false;
+    }
+    const auto &task = taskAt(*state, key.first);
+    if (task.phase != TaskPhase::Placed || task.attempt != key.second || task.worker != worker.info.id) {
+        return false;
+    }
+    const auto &step = state->occurrences[static_cast<std::size_t>(key.first.occurrence)].steps[static_cast<std::size_t>(key.first.step)];
+    return step.unsuccessfulAttempt != key.second;
+}
+
+auto PoolCore::expireLeases(MonoTime now) -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        // An order that has not been answered may still be sent with a lease of its own.
+        const auto orderOpen = std::any_of(worker.allocations.begin(), worker.allocations.end(), [](const auto &it) { return it.second.orderOpen; });
+        if (worker.allocations.empty() || orderOpen || now <= worker.leaseEnd) {
+            continue;
+        }
+        expireLeases(worker, now);
+    }
+}
+
+/// Releases the attempts of a worker whose leases have expired, but for those whose completions it may still list.
+auto PoolCore::expireLeases(Worker &worker, MonoTime now) -> void
+{
+    const auto awaited = mayReport(worker, now);
+    auto over = std::vector<AttemptKey>{};
+    for (const auto &[key, it] : worker.allocations) {
+        if (!awaited || !mayHaveSucceeded(worker, key)) {
+            over.push_back(key);
+        }
+    }
+    const auto silence = std::chrono::duration_cast<Millis>(now - worker.answeredAt).count();
+    const auto text = "worker=" + worker.info.id.str() + " silent_ms=" + (worker.answered ? std::to_string(silence) : std::string("always"))
+                      + " granted_until=" + std::to_string(worker.grantedUntil.value) + " attempts=";
+    if (!over.empty()) {
+        logDecision("leases_expired", text + std::to_string(over.size()) + " every lease has expired without an answer; these attempts count as lost");
+    }
+    for (const auto &it : over) {
+        loseAttempt(worker, it, "lease expired");
+    }
+    if (!worker.allocations.empty() && !std::exchange(worker.reportAwaited, true)) {
+        logDecision("report_awaited",
+                    text + std::to_string(worker.allocations.size()) + " every lease has expired, and the worker writes its entry; it may list them as done");
+    }
+}
+
+}
