Log when attempts begin to wait for the end of a silent worker's leases

Operators saw jobs with nothing running and no line about it: leases_expired comes only when the wait is over, so a wait that is cut short, or that a new planner begins anew, leaves nothing. awaits_lease has the worker, the attempts and the latest end of the wait, once in each term until the worker answers. No decision changes.

--- a/packages/policy/endreport.cpp
+++ b/packages/policy/endreport.cpp
@@ -33,8 +33,7 @@
 auto describe(const ListedEnd &end) -> std::string
 {
     const auto &[number, task, attempt, kind, checkpoint] = end.completion;
-    return std::to_string(number) + ":" + task.job.str() + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "."
-           + std::to_string(task.index) + "#" + std::to_string(attempt) + "=" + completionName(kind) + "/" + useName(end.use);
+    return std::to_string(number) + ":" + attemptName(task, attempt) + "=" + completionName(kind) + "/" + useName(end.use);
 }
 
 auto addLines(std::vector<PoolLogEntry> &out, const char *decision, const std::string &fields, const std::vector<std::string> &items) -> void
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -256,6 +256,7 @@
     worker.answered = true;
     worker.reachable = true;
     worker.reportAwaited = false;
+    worker.leaseWaitLogged = false;
     worker.answeredAt = now;
     // A late answer has an old reading; the clock has gone on since, at least as fast as the slowest clock.
     const auto elapsed = std::chrono::duration_cast<Millis>(now - worker.clockAt);
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -115,6 +115,7 @@
     if (isFinal(state.phase)) {
         m_active.erase(id);
     }
+    m_adoptedAt = now;
     auto placed = 0;
     for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
         for (auto s = 0; s < static_cast<int>(state.job.steps.size()); ++s) {
@@ -371,6 +372,7 @@
 {
     auto effects = PoolEffects{};
     failExhausted(now);
+    logLeaseWaits(now);
     expireLeases(now);
     stopUnwanted();
     stopBrokenGangs();
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -206,6 +206,7 @@
         MonoTime answeredAt;
         MonoTime wroteAt; ///< last write of its entry that was read; MonoTime{} before the first
         bool reportAwaited = false; ///< its leases have expired, and it may list completions of attempts
+        bool leaseWaitLogged = false; ///< whether the log has that its attempts wait for the end of its leases
         bool reachable = true; ///< the last poll was answered
         std::int64_t processedCompletions = 0;
         std::int64_t recordedCompletions = 0;
@@ -270,6 +271,8 @@
     auto loseAllAttempts(Worker &worker, const char *reason) -> void;
     auto mayReport(const Worker &worker, MonoTime now) const -> bool;
     auto mayHaveSucceeded(const Worker &worker, const AttemptKey &key) const -> bool;
+    auto isSilent(const Worker &worker, MonoTime now) const -> bool;
+    auto logLeaseWaits(MonoTime now) -> void;
     auto expireLeases(MonoTime now) -> void;
     auto expireLeases(Worker &worker, MonoTime now) -> void;
     static auto hungLimit(const PoolStep &step, const TaskState &task) -> Millis;
@@ -296,6 +299,7 @@
     std::set<JobId> m_active; ///< jobs that are not final
     std::map<WorkerId, Worker> m_workers;
     MonoTime m_entriesReadAt;
+    MonoTime m_adoptedAt; ///< when the attempts of earlier planners were taken over; MonoTime{}: there were none
     std::set<JobId> m_changed;
     std::set<JobId> m_jobChanged;
     std::set<JobId> m_phaseChanged;
--- a/packages/policy/pooljob.cpp
+++ b/packages/policy/pooljob.cpp
@@ -166,6 +166,12 @@
            + " attempt=" + std::to_string(attempt);
 }
 
+auto attemptName(const TaskKey &key, int attempt) -> std::string
+{
+    return key.job.str() + "." + std::to_string(key.occurrence) + "." + std::to_string(key.step) + "." + std::to_string(key.index) + "#"
+           + std::to_string(attempt);
+}
+
 auto stepDone(const StepState &step) -> bool
 {
     return std::all_of(step.tasks.begin(), step.tasks.end(), [](const TaskState &it) { return it.phase == TaskPhase::Done; });
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -172,6 +172,9 @@
 /// @return the ids of an attempt as fields of a log line.
 auto describeAttempt(const TaskKey &key, int attempt) -> std::string;
 
+/// @return the attempt as one word of a log line, for example "4f0c.0.1.17#2": job, occurrence, step, task and attempt.
+auto attemptName(const TaskKey &key, int attempt) -> std::string;
+
 /// @return whether all tasks of a step have succeeded.
 auto stepDone(const StepState &step) -> bool;
 
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -1,6 +1,8 @@
 #include "policy/poolcore.h"
 
 #include <algorithm>
+#include <chrono>
+#include <string>
 #include <utility>
 
 /// Leases of workers: what a planner grants, until when earlier planners may have granted any, and what happens when every lease has expired.
@@ -17,6 +19,10 @@
 constexpr auto leaseSlack = Millis{500};
 /// Silence after which a worker's entry is dropped, in heartbeats.
 constexpr auto entryHeartbeats = 3;
+/// A worker that has not answered a new planner by then counts as silent: several round trips between regions.
+constexpr auto firstAnswerLimit = Millis{300};
+/// Attempts that a line about a silent worker names.
+constexpr auto maxAttemptsInLine = std::size_t{16};
 
 }
 
@@ -38,6 +44,34 @@
     return worker.grantedUntil;
 }
 
+/// @return whether the worker does not answer, so that what may run there waits for the end of its leases.
+auto PoolCore::isSilent(const Worker &worker, MonoTime now) const -> bool
+{
+    return !worker.reachable || (!worker.answered && m_adoptedAt != MonoTime{} && now - m_adoptedAt >= firstAnswerLimit);
+}
+
+/// Logs when attempts begin to wait for the end of a silent worker's leases, and until when at the latest.
+auto PoolCore::logLeaseWaits(MonoTime now) -> void
+{
+    for (auto &[id, worker] : m_workers) {
+        if (worker.allocations.empty() || worker.leaseWaitLogged || !isSilent(worker, now) || now > worker.leaseEnd) {
+            continue;
+        }
+        worker.leaseWaitLogged = true;
+        const auto fields = "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size()) + " listed=" + (worker.listed ? "yes" : "no")
+                            + " answered=" + (worker.answered ? "yes" : "no")
+                            + " latest_end_ms=" + std::to_string(std::chrono::ceil<Millis>(worker.leaseEnd - now).count()) + " names=";
+        auto names = std::string{};
+        auto n = std::size_t{0};
+        for (const auto &[key, it] : worker.allocations) {
+            names += (names.empty() ? "" : ",") + attemptName(key.first, key.second);
+            if (++n % maxAttemptsInLine == 0 || n == worker.allocations.size()) {
+                logDecision("awaits_lease", fields + std::exchange(names, {}));
+            }
+        }
+    }
+}
+
 /// @return whether a worker that does not answer is known to run, so that its completions can still arrive.
 auto PoolCore::mayReport(const Worker &worker, MonoTime now) const -> bool
 {
