Show that work of a vanished worker waits anew with each planner

One cause that fits the record: a new planner does not know when a silent worker last got a lease, and counts the longest one from its own beginning, so that the task is not placed again while planners change.

The simulation can lose a worker and replace planners at given times.

--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -1,4 +1,5 @@
 #include "policy/testing/idlefleet.h"
+#include "policy/testing/poolsimulation.h"
 
 #include <doctest/doctest.h>
 
@@ -12,7 +13,53 @@
 
 /// The longest lease on the slowest clock of a worker, with the planner's slack.
 constexpr auto longestLease = Millis{10'800};
+/// How long a task that could run may have nothing running: LOST of the users' platform.
+constexpr auto standingLimit = Millis{3'000};
+/// After a takeover an earlier planner may have granted a lease until then.
+constexpr auto earlierOrders = Millis{2'000};
+/// How long the simulation has no planner at a takeover.
+constexpr auto takeoverTime = Millis{2'000};
+constexpr auto vanishes = Millis{3'000};
 
+/// A job of one task whose worker vanishes while planners follow each other.
+/// @param takeovers times since the start
+/// @param limit the task runs elsewhere by then
+auto runsElsewhere(const std::vector<Millis> &takeovers, Millis limit) -> bool
+{
+    auto simulation = PoolSimulation{1, 3, {}};
+    auto step = batchOf(1);
+    step.estimate = Millis{600'000};
+    step.longRunning = true;
+    simulation.submit(makeJob("a", "normal", step));
+    for (const auto it : takeovers) {
+        simulation.takeOverAt(it);
+    }
+    simulation.run(Millis{1'000});
+    const auto taskOf = [&] { return simulation.core().find(JobId{"a"})->occurrences.front().steps.front().tasks.front(); };
+    const auto vanished = taskOf().worker;
+    REQUIRE(taskOf().phase == TaskPhase::Placed);
+    simulation.loseWorkerAt(vanished, vanishes);
+    simulation.run(limit);
+    CHECK(simulation.violations().empty());
+    return taskOf().phase == TaskPhase::Placed && taskOf().worker != vanished && taskOf().attemptPhase == AttemptPhase::Running;
+}
+
+}
+
+// Guards against a wait for a lease that begins anew with each planner, so that work of a vanished worker never starts again.
+TEST_CASE("work of a vanished worker starts elsewhere although planners follow each other")
+{
+    CHECK(runsElsewhere({}, vanishes + longestLease + standingLimit));
+    // The first planner has noticed that the worker is silent.
+    auto takeovers = std::vector<Millis>{};
+    for (auto at = Millis{7'000}; at < Millis{60'000}; at += Millis{6'000}) {
+        takeovers.push_back(at);
+    }
+    CHECK(runsElsewhere(takeovers, vanishes + longestLease + standingLimit));
+    // The first planner has not.
+    constexpr auto early = Millis{3'500};
+    takeovers.insert(takeovers.begin(), early);
+    CHECK(runsElsewhere(takeovers, early + takeoverTime + earlierOrders + longestLease + standingLimit));
 }
 
 // Guards against a task that waits for a lease without a word to the operator until the wait is over.
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -14,6 +14,8 @@
 constexpr auto gangTimeout = Millis{3'000};
 constexpr auto cutDuration = Millis{12'000};
 constexpr auto takeoverTimeout = Millis{2'000};
+/// Silence after which a worker's entry is removed, in heartbeats.
+constexpr auto entryHeartbeats = 3;
 /// Work of a cancelled or failed job is over by then, unless its worker was out of reach.
 constexpr auto stopLimit = Millis{3'000};
 /// More time for work that a late order started, from its start, and for an attempt whose stop order is late.
@@ -151,7 +153,7 @@
 {
     auto listed = std::vector<PoolWorkerInfo>{};
     for (const auto &[id, it] : m_workers) {
-        if (!it.gone) {
+        if (!it.gone && (!it.unlistedAt || m_now < *it.unlistedAt)) {
             listed.push_back(it.info);
         }
     }
@@ -175,6 +177,20 @@
     m_cancellations.emplace_back(m_start + time, id);
 }
 
+auto PoolSimulation::takeOverAt(Millis time) -> void
+{
+    m_takeovers.push_back(m_start + time);
+    std::sort(m_takeovers.begin(), m_takeovers.end());
+}
+
+auto PoolSimulation::loseWorkerAt(const WorkerId &id, Millis time) -> void
+{
+    auto &worker = m_workers.at(id);
+    worker.cutFrom = m_start + time;
+    worker.cutUntil = MonoTime::max();
+    worker.unlistedAt = worker.cutFrom + m_options.heartbeat * entryHeartbeats;
+}
+
 auto PoolSimulation::applyCancellations() -> void
 {
     std::erase_if(m_cancellations, [&](const auto &it) {
@@ -717,6 +733,9 @@
             lifetimeEnds(worker);
             listWorkers();
         }
+        if (worker.unlistedAt && m_now >= *worker.unlistedAt && m_now < *worker.unlistedAt + stepTime) {
+            listWorkers();
+        }
         // On average, the given percentage of workers restarts within 30 s.
         if (m_faults.restarts > 0 && !worker.gone && m_random(150'000) < static_cast<std::uint32_t>(m_faults.restarts)) {
             lifetimeEnds(worker);
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -76,6 +76,7 @@
     MonoTime wroteAt; ///< last write of its entry
     std::optional<MonoTime> restartsAt; ///< within the time for which it is cut off
     std::optional<MonoTime> drainsAt; ///< the worker leaves drainDuration later
+    std::optional<MonoTime> unlistedAt; ///< when its entry is removed for silence
     bool gone = false; ///< has left and not come back yet
 };
 
@@ -88,6 +89,10 @@
     auto cancel(const JobId &id) -> void;
     /// Cancels a job at a time since the start of the simulation, also while no planner is in office.
     auto cancelAt(const JobId &id, Millis time) -> void;
+    /// Replaces the planner at a time since the start of the simulation.
+    auto takeOverAt(Millis time) -> void;
+    /// Lets a worker vanish at a time since the start of the simulation: from then on it is cut off, and its entry is removed after its silence.
+    auto loseWorkerAt(const WorkerId &id, Millis time) -> void;
     /// Runs in steps of 20 ms.
     /// @param until time since the start of the simulation
     auto run(Millis until) -> void;
