Keep what is known about the leases of silent workers over takeovers

Cause: what an earlier planner granted to a worker that has vanished is known to that planner alone. A new one assumes a lease at the last moment before its own term, so that the wait for the lease begins anew with each term, and has no end while planners change within 12.8 s.

The planner in office now stores, beside its renewals, how long each silent worker with attempts can have a lease at most. All instances read it, a claim carries it on, and a new planner begins with it. From the composition of a record that names a worker until a record without it is stored, the worker gets no lease, so that a stored bound is never too short; a planner that has been replaced cannot store one.

--- a/packages/daemon/poolcalls.cpp
+++ b/packages/daemon/poolcalls.cpp
@@ -86,6 +86,9 @@
                 m_dirty = true;
                 m_wake.notify_all();
             }
+            if (m_core.withholdsFromAnswering()) {
+                m_publish.notify_all();
+            }
             return;
         }
         const auto worker = m_core.workers().find(id);
--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -104,8 +104,9 @@
     Clock clock;
     PoolView view;
 
-    std::mutex mutex; ///< guards the leadership and statesEnd; taken before the term's lock, never after
+    std::mutex mutex; ///< guards the leadership, statesEnd and leaseBounds; taken before the term's lock, never after
     Leadership leadership;
+    KnownLeaseBounds leaseBounds;
     LogOffset statesEnd;
     bool snapshotBegun = false; ///< thread of the states' tail only
     std::atomic<bool> retiring{false};
@@ -175,6 +176,8 @@
             [this] {
                 view.beginSnapshot(RecordLog::States);
                 snapshotBegun = true;
+                const auto lock = std::lock_guard{mutex};
+                leaseBounds = {};
             },
         .record = [this](const KeyedRecord &it) { poolRecord(RecordLog::States, it); },
         .caughtUp =
@@ -235,12 +238,21 @@
     const auto decoded = decodePoolRecord(record.key, record.value);
     if (!decoded) {
         logEvent(LogLevel::Error, 6032, "record at offset " + std::to_string(record.offset.value) + " left out: " + decoded.error().message);
+        if (log == RecordLog::States) {
+            const auto lock = std::lock_guard{mutex};
+            leaseBounds = {}; // it may have replaced the known bounds
+        }
         return;
     }
     if (const auto *it = std::get_if<LeadershipRecord>(&decoded.value())) {
         leadershipRecord(*it, record.offset);
         return;
     }
+    if (const auto *it = std::get_if<LeaseBoundsRecord>(&decoded.value())) {
+        const auto lock = std::lock_guard{mutex};
+        noteLeaseBounds(leaseBounds, *it, clock.mono());
+        return;
+    }
     if (const auto *it = std::get_if<MemberRecord>(&decoded.value())) {
         addMember(*it);
         return;
@@ -343,6 +355,11 @@
         return;
     }
     logEvent(LogLevel::Info, 6035, "term epoch=" + std::to_string(*epoch) + " begins");
+    auto leaseEnds = std::map<WorkerId, MonoTime>{};
+    {
+        const auto lock = std::lock_guard{mutex};
+        leaseEnds = leaseBounds.ends;
+    }
     const auto options = PoolTermOptions{
         .epoch = *epoch,
         .pool = {.leaseDuration = settings.lease,
@@ -353,6 +370,7 @@
                  .linkBytesPerSecond = static_cast<std::int64_t>(settings.linkMbps * bytesPerMegabit)},
         .workerHeartbeat = settings.workerHeartbeat,
         .recordBytes = settings.recordBytes,
+        .leaseEnds = std::move(leaseEnds),
     };
     auto fresh = std::make_shared<PoolTerm>(options, ports, clock, view, termHooks());
     const auto lock = std::lock_guard{termMutex};
@@ -363,15 +381,21 @@
 auto PoolNode::Impl::claim() -> void
 {
     auto record = LeadershipRecord{};
+    auto bounds = LeaseBoundsRecord{};
     auto end = LogOffset{};
     {
         const auto lock = std::lock_guard{mutex};
         end = statesEnd;
+        const auto holder = leadership.holder() ? leadership.holder()->epoch : -1;
+        bounds = carriedBounds(leaseBounds, holder, end.value, clock.mono());
         record = leadership.claim(end, std::to_string(random()) + "-" + std::to_string(random()), clock.mono());
     }
-    const auto [key, value] = encodeLeadership(record);
+    auto records = std::vector<KeyedRecord>{};
+    for (const auto &[key, value] : {encodeLeadership(record), encodeLeaseBounds(bounds)}) {
+        records.push_back({.key = key, .value = value});
+    }
     const auto begin = clock.mono();
-    const auto done = ports.store.append(RecordLog::States, {{.key = key, .value = value}}, {.at = end, .epoch = end.value, .sequence = 0}, claimTimeout);
+    const auto done = ports.store.append(RecordLog::States, records, {.at = end, .epoch = end.value, .sequence = 0}, claimTimeout);
     const auto took = std::chrono::duration_cast<Millis>(clock.mono() - begin);
     logEvent(LogLevel::Info,
              6036,
@@ -392,6 +416,10 @@
         const auto lock = std::lock_guard{mutex};
         step = leadership.next(clock.mono());
         epoch = leadership.ownEpoch();
+        // The bounds of leases are the second record of a claim; a term does not begin before they have been read.
+        if (epoch != termEpoch && epoch && leaseBounds.epoch != *epoch) {
+            epoch.reset();
+        }
     }
     if (retiring) {
         return;
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -46,6 +46,10 @@
 constexpr auto departuresPeriod = Millis{500};
 /// Workers in one line about recorded ends.
 constexpr auto maxRecordedEndsInLine = std::size_t{32};
+/// Bounds of leases that are stored again with each renewal, so that an instance that reads them late knows them well.
+constexpr auto fewLeaseBounds = std::size_t{32};
+/// Between two records of the same workers if they are more than that: every instance reads them.
+constexpr auto leaseBoundsPeriod = Millis{2'000};
 constexpr auto leaseStretch = 1.03;
 constexpr auto takeoverSlack = Millis{500};
 
@@ -85,6 +89,10 @@
     , m_hooks(std::move(hooks))
     , m_core(options.pool)
 {
+    m_core.adoptLeaseBounds(m_options.leaseEnds);
+    for (const auto &[id, end] : m_options.leaseEnds) {
+        m_storedBounds.push_back({.worker = id});
+    }
 }
 
 PoolTerm::~PoolTerm()
@@ -299,6 +307,7 @@
         m_core.addJob(job, now - age);
     }
     adoptAttempts(attempts, now);
+    m_core.tookOver(now);
     for (const auto &it : jobs) {
         const auto *state = m_core.find(it.job->id);
         applyEnd(it, now);
@@ -775,7 +784,7 @@
 auto PoolTerm::nextPublication() -> std::vector<KeyedRecord>
 {
     auto lock = std::unique_lock{m_mutex};
-    const auto due = [&] { return m_clock.mono() - m_lastRenewal >= m_options.renewInterval; };
+    const auto due = [&] { return m_clock.mono() - m_lastRenewal >= m_options.renewInterval || m_core.withholdsFromAnswering(); };
     const auto left = std::chrono::duration_cast<Millis>(m_lastRenewal + m_options.renewInterval - m_clock.mono());
     if (left.count() > 0) {
         m_publish.wait_for(lock, left, [&] { return m_stopping || !m_unpublished.empty() || !m_droppedPhases.empty() || due(); });
@@ -792,10 +801,35 @@
     }
     if (!records.empty() || due()) {
         records.push_back(toRecord(encodeLeadership(m_hooks.renewal())));
+        addLeaseBounds(records);
     }
     return records;
 }
 
+/// Adds the bounds of leases if they differ from the stored ones, or are those of a while ago. The caller holds m_mutex.
+auto PoolTerm::addLeaseBounds(std::vector<KeyedRecord> &records) -> void
+{
+    const auto now = m_clock.mono();
+    auto bounds = m_core.composeLeaseBounds(now);
+    const auto isOld = !bounds.empty() && (bounds.size() <= fewLeaseBounds || now - m_boundsStoredAt >= leaseBoundsPeriod);
+    if (isOld || !namesSameWorkers(bounds, m_storedBounds)) {
+        records.push_back(toRecord(encodeLeaseBounds({.epoch = m_options.epoch, .bounds = bounds})));
+        m_sentBounds = std::move(bounds);
+    }
+}
+
+auto PoolTerm::leaseBoundsStored(MonoTime sentAt) -> void
+{
+    if (!m_sentBounds) {
+        return;
+    }
+    m_storedBounds = *std::exchange(m_sentBounds, std::nullopt);
+    m_boundsStoredAt = sentAt;
+    const auto lock = std::lock_guard{m_mutex};
+    m_core.leaseBoundsStored(m_storedBounds);
+    m_wake.notify_all();
+}
+
 auto PoolTerm::publish(const std::vector<KeyedRecord> &records, std::int64_t sequence) -> bool
 {
     while (!stopped()) {
@@ -804,6 +838,7 @@
         if (done) {
             confirmed(sentAt);
             m_lastRenewal = sentAt;
+            leaseBoundsStored(sentAt);
             return true;
         }
         logEvent(LogLevel::Warn,
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -36,6 +36,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -50,6 +51,7 @@
     Millis takeoverTimeout{2'000}; ///< an earlier planner gives no orders for longer than this
     Millis workerHeartbeat{1'500}; ///< between two writes of a worker's entry
     std::size_t recordBytes = defaultRecordBytes; ///< longest record that the store takes, its key included
+    std::map<WorkerId, MonoTime> leaseEnds; ///< what earlier planners have stored about the leases of silent workers
 };
 
 struct PoolPorts
@@ -119,6 +121,8 @@
     auto appendAttempts(const std::vector<KeyedRecord> &records) -> AppendOutcome;
     auto publisherLoop() -> void;
     auto nextPublication() -> std::vector<KeyedRecord>;
+    auto addLeaseBounds(std::vector<KeyedRecord> &records) -> void;
+    auto leaseBoundsStored(MonoTime sentAt) -> void;
     auto publish(const std::vector<KeyedRecord> &records, std::int64_t sequence) -> bool;
     auto confirmed(MonoTime sentAt) -> void;
     auto dropJobs(const std::vector<JobId> &expired) -> void;
@@ -174,6 +178,9 @@
     LogOffset m_attemptsEnd; ///< planner thread only; where the log of attempts ended after the last append of records
     bool m_tookOver = false; ///< planner thread only
     MonoTime m_lastRenewal; ///< publisher thread only
+    std::vector<LeaseBound> m_storedBounds; ///< publisher thread only; as last stored by this term or before it
+    MonoTime m_boundsStoredAt; ///< publisher thread only
+    std::optional<std::vector<LeaseBound>> m_sentBounds; ///< publisher thread only; part of the append under way
     std::vector<std::pair<WorkerId, std::string>> m_targets; ///< planner thread only; what m_caller was told last
     std::unique_ptr<RecordTail> m_workersTail;
     std::unique_ptr<WorkPool> m_storePool;
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -445,7 +445,7 @@
 auto PoolCore::emitStarts(PoolEffects &effects) -> void
 {
     for (auto &[id, worker] : m_workers) {
-        if (!getsOrders(worker)) {
+        if (!getsOrders(worker) || isWithheld(id)) {
             continue;
         }
         for (auto &[key, it] : worker.allocations) {
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -115,7 +115,6 @@
     if (isFinal(state.phase)) {
         m_active.erase(id);
     }
-    m_adoptedAt = now;
     auto placed = 0;
     for (auto o = 0; o < static_cast<int>(state.occurrences.size()); ++o) {
         for (auto s = 0; s < static_cast<int>(state.job.steps.size()); ++s) {
@@ -127,7 +126,8 @@
                 }
                 auto &worker = m_workers[task.worker];
                 worker.info.id = task.worker;
-                worker.leaseEnd = std::max(worker.leaseEnd, earlierLeasesEnd);
+                const auto bound = m_withheld.find(task.worker);
+                worker.leaseEnd = std::max(worker.leaseEnd, bound == m_withheld.end() ? earlierLeasesEnd : bound->second);
                 task.progressAt = now;
                 task.attemptPhase = AttemptPhase::Unknown;
                 allocate(worker, state, {key, task.attempt}).placedAt = now; // the record does not contain the start time
@@ -140,6 +140,11 @@
     }
 }
 
+auto PoolCore::tookOver(MonoTime now) -> void
+{
+    m_tookOverAt = now;
+}
+
 auto PoolCore::adoptFinal(const JobId &id, PoolJobPhase phase, MonoTime now) -> void
 {
     const auto it = m_jobs.find(id);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -21,7 +21,8 @@
 /// - the reply to a poll that was sent after every open order had been answered does not list the attempt,
 /// - the worker has restarted,
 /// - the worker's process has shut down by itself, or
-/// - every lease that any planner can have granted has expired, and the worker is not known to run.
+/// - every lease that any planner can have granted has expired, and the worker is not known to run. What earlier planners granted is known
+///   from bounds that they have stored, see leasebounds.h, and otherwise taken to be the longest lease at the end of their term.
 ///
 /// An expired lease shows that an attempt does not run any more, but not that it has not succeeded. A worker that still writes its entry runs,
 /// and may hold a completion that no reply has brought on a slow path. Its attempts are released when one more lease duration has passed.
@@ -31,6 +32,7 @@
 
 #include "policy/endreport.h"
 #include "policy/idlecapacity.h"
+#include "policy/leasebounds.h"
 #include "policy/pollschedule.h"
 #include "policy/poolfleet.h"
 #include "policy/pooljob.h"
@@ -113,9 +115,14 @@
     /// Ends a job that cannot go on as failed; its attempts are stopped.
     /// @param reason shown to callers
     auto failJob(const JobId &id, const char *reason, MonoTime now) -> void;
+    /// Takes over what earlier planners have stored about the leases of silent workers; before adoptRecord().
+    /// @param ends until when each of these workers may have a lease
+    auto adoptLeaseBounds(const std::map<WorkerId, MonoTime> &ends) -> void;
     /// Takes over a job with the record of an earlier planner; addJob() must have been called.
-    /// @param earlierLeasesEnd time at which every lease granted by earlier planners has expired
+    /// @param earlierLeasesEnd time at which every lease granted by earlier planners has expired, for workers without a stored bound
     auto adoptRecord(const JobId &id, const PoolJobState &recorded, MonoTime earlierLeasesEnd, MonoTime now) -> void;
+    /// Reports that all records of earlier planners have been taken over.
+    auto tookOver(MonoTime now) -> void;
     /// Takes over a final state that an earlier planner published; attempts of the job that still run are stopped.
     auto adoptFinal(const JobId &id, PoolJobPhase phase, MonoTime now) -> void;
     auto setWorkers(const std::vector<PoolWorkerInfo> &listed, MonoTime now) -> void;
@@ -148,9 +155,21 @@
     [[nodiscard]] auto isCurrent(const PoolOrder &order) const -> bool;
 
     /// Grants a lease to a worker and extends the worker's Worker::leaseEnd accordingly.
-    /// @return end of the lease on the worker's clock; 0 before the worker's first poll reply.
+    /// @return end of the lease on the worker's clock; 0 if none is granted: before the worker's first poll reply, and while a record that names
+    /// the worker is, or may be, stored.
     auto leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime;
 
+    /// @name Stored bounds of leases, see leasebounds.h
+    /// @{
+    /// Withholds leases from all workers that the record names.
+    /// @return what to store, in place of the record before.
+    auto composeLeaseBounds(MonoTime now) -> std::vector<LeaseBound>;
+    /// Reports that the result of the last composeLeaseBounds() is stored, so that other workers get leases again.
+    auto leaseBoundsStored(const std::vector<LeaseBound> &bounds) -> void;
+    /// @return whether a worker that answers gets no lease until a record without it is stored.
+    [[nodiscard]] auto withholdsFromAnswering() const -> bool;
+    /// @}
+
     /// @return whether attempts may still run on a worker that is no longer listed.
     [[nodiscard]] auto hasUnlistedWork() const -> bool;
     /// @return id and address of the workers to poll: those listed and those with allocations.
@@ -272,6 +291,9 @@
     auto mayReport(const Worker &worker, MonoTime now) const -> bool;
     auto mayHaveSucceeded(const Worker &worker, const AttemptKey &key) const -> bool;
     auto isSilent(const Worker &worker, MonoTime now) const -> bool;
+    static auto isAnswering(const Worker &worker) -> bool;
+    auto needsBound(const WorkerId &id, const Worker &worker, MonoTime now) const -> bool;
+    auto isWithheld(const WorkerId &id) const -> bool;
     auto logLeaseWaits(MonoTime now) -> void;
     auto expireLeases(MonoTime now) -> void;
     auto expireLeases(Worker &worker, MonoTime now) -> void;
@@ -299,7 +321,8 @@
     std::set<JobId> m_active; ///< jobs that are not final
     std::map<WorkerId, Worker> m_workers;
     MonoTime m_entriesReadAt;
-    MonoTime m_adoptedAt; ///< when the attempts of earlier planners were taken over; MonoTime{}: there were none
+    std::map<WorkerId, MonoTime> m_withheld; ///< workers that get no lease because a stored record names them, with the end of their leases
+    MonoTime m_tookOverAt; ///< MonoTime{} until the records of earlier planners have been taken over
     std::set<JobId> m_changed;
     std::set<JobId> m_jobChanged;
     std::set<JobId> m_phaseChanged;
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -35,7 +35,7 @@
 auto PoolCore::leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime
 {
     const auto it = m_workers.find(id);
-    if (it == m_workers.end() || !it->second.answered) {
+    if (it == m_workers.end() || !it->second.answered || isWithheld(id)) {
         return {};
     }
     auto &worker = it->second;
@@ -47,7 +47,67 @@
 /// @return whether the worker does not answer, so that what may run there waits for the end of its leases.
 auto PoolCore::isSilent(const Worker &worker, MonoTime now) const -> bool
 {
-    return !worker.reachable || (!worker.answered && m_adoptedAt != MonoTime{} && now - m_adoptedAt >= firstAnswerLimit);
+    return !worker.reachable || (!worker.answered && m_tookOverAt != MonoTime{} && now - m_tookOverAt >= firstAnswerLimit);
+}
+
+auto PoolCore::isAnswering(const Worker &worker) -> bool
+{
+    return worker.answered && worker.reachable;
+}
+
+auto PoolCore::isWithheld(const WorkerId &id) const -> bool
+{
+    return m_withheld.contains(id);
+}
+
+auto PoolCore::adoptLeaseBounds(const std::map<WorkerId, MonoTime> &ends) -> void
+{
+    m_withheld = ends;
+}
+
+auto PoolCore::needsBound(const WorkerId &id, const Worker &worker, MonoTime now) const -> bool
+{
+    if (worker.allocations.empty()) {
+        return false;
+    }
+    // A worker of the last record stays in it until it answers: it may not have been asked yet.
+    return isSilent(worker, now) || (isWithheld(id) && !isAnswering(worker));
+}
+
+auto PoolCore::composeLeaseBounds(MonoTime now) -> std::vector<LeaseBound>
+{
+    auto out = std::vector<LeaseBound>{};
+    if (m_tookOverAt == MonoTime{}) {
+        // What earlier planners placed is not known yet.
+        for (const auto &[id, end] : m_withheld) {
+            out.push_back(leaseBound(id, end, now));
+        }
+        return out;
+    }
+    for (const auto &[id, worker] : m_workers) {
+        if (out.size() < maxLeaseBounds && needsBound(id, worker, now)) {
+            out.push_back(leaseBound(id, worker.leaseEnd, now));
+            m_withheld[id] = worker.leaseEnd;
+        }
+    }
+    return out;
+}
+
+auto PoolCore::leaseBoundsStored(const std::vector<LeaseBound> &bounds) -> void
+{
+    auto named = std::set<WorkerId>{};
+    for (const auto &it : bounds) {
+        named.insert(it.worker);
+    }
+    std::erase_if(m_withheld, [&](const auto &it) { return !named.contains(it.first); });
+}
+
+auto PoolCore::withholdsFromAnswering() const -> bool
+{
+    return std::any_of(m_withheld.begin(), m_withheld.end(), [&](const auto &it) {
+        const auto worker = m_workers.find(it.first);
+        return worker != m_workers.end() && isAnswering(worker->second);
+    });
 }
 
 /// Logs when attempts begin to wait for the end of a silent worker's leases, and until when at the latest.
@@ -60,7 +120,8 @@
         worker.leaseWaitLogged = true;
         const auto fields = "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size()) + " listed=" + (worker.listed ? "yes" : "no")
                             + " answered=" + (worker.answered ? "yes" : "no")
-                            + " latest_end_ms=" + std::to_string(std::chrono::ceil<Millis>(worker.leaseEnd - now).count()) + " names=";
+                            + " latest_end_ms=" + std::to_string(std::chrono::ceil<Millis>(worker.leaseEnd - now).count())
+                            + " stored=" + (isWithheld(id) ? "yes" : "no") + " names=";
         auto names = std::string{};
         auto n = std::size_t{0};
         for (const auto &[key, it] : worker.allocations) {
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -347,7 +347,7 @@
                 slot.freeSoon += it.resources;
             }
         }
-        slot.usable = worker.listed && worker.answered && worker.reachable && !worker.info.draining;
+        slot.usable = worker.listed && PoolCore::isAnswering(worker) && !worker.info.draining && !m_core.isWithheld(id);
         slot.rack = racks.try_emplace(worker.info.rack, racks.size()).first->second;
         m_slots.push_back(std::move(slot));
     }
--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -3,6 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <cstdint>
+#include <string>
+#include <vector>
+
 using namespace Catkin;
 using namespace Catkin::Testing;
 
@@ -62,6 +66,75 @@
     CHECK(runsElsewhere(takeovers, early + takeoverTime + earlierOrders + longestLease + standingLimit));
 }
 
+// Guards against a worker that gets a lease while a stored record says that its leases end sooner: its work would run twice.
+TEST_CASE("no work runs twice when planners follow each other and workers come back")
+{
+    for (const auto &faults : {
+             PoolFaults{.lostAnswers = 5, .cutWorkers = 80, .takeovers = 8, .slowRecords = 30},
+             PoolFaults{.lateOrders = 20, .cutWorkers = 60, .takeovers = 8, .slowRecords = 10},
+             PoolFaults{.cutWorkers = 50, .restarts = 20, .takeovers = 6, .takeoversBetweenSteps = 6},
+         }) {
+        for (auto seed = std::uint64_t{1}; seed <= 20; ++seed) {
+            CAPTURE(seed);
+            auto simulation = PoolSimulation{seed, 6, faults};
+            for (auto i = 0; i < 30; ++i) {
+                auto step = batchOf(2);
+                step.estimate = Millis{2'000 + (seed * 977 + static_cast<std::uint64_t>(i) * 1'009) % 14'000};
+                simulation.submit(makeJob("job" + std::to_string(i), i % 3 == 0 ? "urgent" : "batch", step));
+                simulation.run(Millis{(i + 1) * 1'000});
+            }
+            simulation.run(Millis{90'000});
+            for (const auto &it : simulation.violations()) {
+                FAIL_CHECK(it);
+            }
+            for (const auto &[id, state] : simulation.core().jobs()) {
+                CHECK(state.phase == PoolJobPhase::Completed);
+            }
+        }
+    }
+}
+
+// Guards against a lease that is granted before the record that excludes it has been replaced, and against one that is withheld for longer.
+TEST_CASE("a worker that a stored record names gets a lease again once a record without it is stored")
+{
+    auto fleet = Fleet{2};
+    fleet.core.tookOver(fleet.now);
+    fleet.core.addJob(makeJob("a", "batch", batchOf(1)), fleet.now);
+    REQUIRE(tasksOf(fleet.run(Millis{200}), "a") == 1);
+    const auto worker = fleet.core.find(JobId{"a"})->occurrences.front().steps.front().tasks.front().worker;
+    CHECK(fleet.core.composeLeaseBounds(fleet.now).empty());
+    fleet.core.pollFailed(worker);
+    const auto bounds = fleet.core.composeLeaseBounds(fleet.now + Millis{1'000});
+    REQUIRE(bounds.size() == 1);
+    CHECK(bounds.front() == LeaseBound{.worker = worker, .left = longestLease - Millis{1'000}});
+    fleet.core.leaseBoundsStored(bounds);
+    CHECK_FALSE(fleet.core.withholdsFromAnswering());
+    fleet.answerPolls();
+    CHECK(fleet.core.withholdsFromAnswering());
+    CHECK(fleet.core.leaseFor(worker, fleet.now).value == 0);
+    const auto after = fleet.core.composeLeaseBounds(fleet.now);
+    CHECK(after.empty());
+    CHECK(fleet.core.leaseFor(worker, fleet.now).value == 0); // the record without it may not have arrived
+    fleet.core.leaseBoundsStored(after);
+    CHECK(fleet.core.leaseFor(worker, fleet.now).value > 0);
+}
+
+// Guards against a bound that becomes shorter on its way, or that outlives a planner which did not know of it.
+TEST_CASE("bounds are carried from term to term")
+{
+    const auto read = MonoTime{Seconds{100}};
+    auto known = KnownLeaseBounds{};
+    CHECK(carriedBounds(known, -1, 7, read).bounds.empty());
+    noteLeaseBounds(known, {.epoch = 7, .bounds = {{.worker = WorkerId{"a"}, .left = Millis{5'000}}}}, read);
+    CHECK(known.ends.at(WorkerId{"a"}) == read + Millis{5'000});
+    const auto carried = carriedBounds(known, 7, 9, read + Micros{1'999'500});
+    CHECK(carried.epoch == 9);
+    REQUIRE(carried.bounds.size() == 1);
+    CHECK(carried.bounds.front().left == Millis{3'001});
+    CHECK(carriedBounds(known, 7, 9, read + Millis{6'000}).bounds.front().left == Millis{0});
+    CHECK(carriedBounds(known, 8, 9, read).bounds.empty());
+}
+
 // Guards against a task that waits for a lease without a word to the operator until the wait is over.
 TEST_CASE("the log tells at the beginning of a wait for a lease which attempts wait and until when")
 {
@@ -78,6 +151,7 @@
     auto next = Fleet{0};
     next.core.addJob(fleet.core.find(JobId{"a"})->job, next.now);
     next.core.adoptRecord(JobId{"a"}, *fleet.core.find(JobId{"a"}), next.now + longestLease, next.now);
+    next.core.tookOver(next.now);
     CHECK_FALSE(hasDecision(next.plan(), "awaits_lease", "worker="));
     CHECK(hasDecision(next.plan(Millis{300}), "awaits_lease", "worker=" + worker.str() + " attempts=1 listed=no answered=no latest_end_ms=10400"));
 }
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -28,6 +28,7 @@
 constexpr auto listedLimit = Millis{100};
 /// Percentage of the polls and orders on a slow path that arrive at all.
 constexpr auto slowArrivals = 75;
+constexpr auto renewInterval = Millis{400};
 constexpr auto drainDuration = Millis{2'500};
 constexpr auto absence = Millis{2'000};
 
@@ -54,6 +55,7 @@
     : m_options(PoolOptions{})
     , m_faults(faults)
     , m_random(seed)
+    , m_boundsRandom(seed)
     , m_core(m_options)
 {
     for (auto i = 0; i < workers; ++i) {
@@ -98,6 +100,7 @@
     }
     std::sort(m_takeoversBetweenSteps.begin(), m_takeoversBetweenSteps.end());
     m_core.setRules(simulationRules());
+    m_core.tookOver(m_now);
     listWorkers();
 }
 
@@ -220,9 +223,33 @@
     pollWorkers();
     plan();
     sendOrders();
+    publishLeaseBounds();
     checkFinalJobs();
 }
 
+/// As daemon/poolterm does it; the store takes as long as for the records of a pass.
+auto PoolSimulation::publishLeaseBounds() -> void
+{
+    if (m_openBounds) {
+        if (m_now >= m_openBounds->storedAt) {
+            leaseBoundsStored();
+        }
+        return;
+    }
+    if (m_now - m_renewedAt >= renewInterval || m_core.withholdsFromAnswering()) {
+        m_renewedAt = m_now;
+        const auto delay = m_faults.slowRecords > static_cast<int>(m_boundsRandom(100)) ? Millis{500 + m_boundsRandom(2'500)} : Millis{0};
+        m_openBounds = OpenBounds{.bounds = m_core.composeLeaseBounds(m_now), .storedAt = m_now + delay};
+    }
+}
+
+auto PoolSimulation::leaseBoundsStored() -> void
+{
+    const auto stored = *std::exchange(m_openBounds, std::nullopt);
+    noteLeaseBounds(m_leaseBounds, {.bounds = stored.bounds}, m_now);
+    m_core.leaseBoundsStored(stored.bounds);
+}
+
 auto PoolSimulation::executeLateOrders() -> void
 {
     auto due = std::vector<LateOrder>{};
@@ -314,11 +341,16 @@
         m_records = std::move(m_openPass->records);
     }
     m_openPass.reset();
+    if (m_openBounds && m_boundsRandom(2) == 0) {
+        leaseBoundsStored();
+    }
+    m_openBounds.reset();
     m_links.clear();
     m_pollers.clear();
     ++m_token;
     m_core = PoolCore{m_options};
     m_core.setRules(simulationRules());
+    m_core.adoptLeaseBounds(m_leaseBounds.ends);
     for (const auto &[id, job] : m_jobs) {
         m_core.addJob(job, m_now);
     }
@@ -329,6 +361,7 @@
     for (const auto &[id, at] : m_cancelled) {
         m_core.cancelJob(id, m_now);
     }
+    m_core.tookOver(m_now);
     listWorkers();
     m_tookOverAt = m_now;
 }
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -145,6 +145,8 @@
     auto completeAttempt(SimulatedPoolWorker &worker, const TaskKey &key, CompletionKind kind) -> void;
     auto endGang(const TaskKey &key, int attempt, CompletionKind first) -> void;
     auto plan() -> void;
+    auto publishLeaseBounds() -> void;
+    auto leaseBoundsStored() -> void;
     auto recordsOf(const PoolEffects &effects) const -> std::map<JobId, PoolJobState>;
     auto finishPass() -> void;
     auto sendOrders() -> void;
@@ -197,6 +199,16 @@
         MonoTime storedAt;
     };
     std::optional<OpenPass> m_openPass;
+    /// Bounds of leases that are being stored.
+    struct OpenBounds
+    {
+        std::vector<LeaseBound> bounds;
+        MonoTime storedAt;
+    };
+    std::optional<OpenBounds> m_openBounds;
+    Random m_boundsRandom; ///< apart, so that a seed plays the same faults as before bounds were stored
+    KnownLeaseBounds m_leaseBounds; ///< as the next planner has read them
+    MonoTime m_renewedAt; ///< when the planner last composed bounds
     std::map<WorkerId, std::int64_t> m_acknowledged;
     std::vector<LateOrder> m_lateOrders;
     std::vector<LatePoll> m_latePolls;
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -30,6 +30,9 @@
 constexpr auto partFrameBytes = std::size_t{400} + tasksInPart * 32;
 constexpr auto memberPrefix = "m/";
 constexpr auto leadershipKey = "leader";
+constexpr auto leaseBoundsKey = "leases";
+/// A year, longer than any lease; added to a time, it does not wrap around.
+constexpr auto maxLeaseLeftMs = std::int64_t{31'536'000'000};
 constexpr auto prefixLength = std::size_t{2};
 /// Leaves room for the numbers of further attempts.
 constexpr auto maxAttempt = std::int64_t{1'000'000'000};
@@ -134,6 +137,15 @@
     };
 }
 
+auto leaseBoundsFromJson(const json &value) -> LeaseBoundsRecord
+{
+    auto out = LeaseBoundsRecord{.epoch = intField(value, "epoch")};
+    for (const auto &it : value.at("workers")) {
+        out.bounds.push_back({.worker = WorkerId{it.at(0).get<std::string>()}, .left = Millis{toInteger(it.at(1), "time left", 0, maxLeaseLeftMs)}});
+    }
+    return out;
+}
+
 auto phaseFromJson(const json &it) -> PoolJobPhase
 {
     return static_cast<PoolJobPhase>(toInteger<int>(it, "phase", 0, static_cast<int>(PoolJobPhase::Cancelled)));
@@ -291,6 +303,15 @@
                 .dump()};
 }
 
+auto encodeLeaseBounds(const LeaseBoundsRecord &record) -> EncodedRecord
+{
+    auto out = json::array();
+    for (const auto &it : record.bounds) {
+        out.push_back(json::array({it.worker.str(), it.left.count()}));
+    }
+    return {leaseBoundsKey, json{{"epoch", record.epoch}, {"workers", std::move(out)}}.dump()};
+}
+
 auto encodeJobTombstones(const JobId &id) -> std::vector<EncodedRecord>
 {
     return {{jobPrefix + id.str(), {}}, {cancelPrefix + id.str(), {}}};
@@ -316,6 +337,9 @@
         if (key == leadershipKey) {
             return PoolRecord{leadershipFromJson(json::parse(value))};
         }
+        if (key == leaseBoundsKey) {
+            return PoolRecord{leaseBoundsFromJson(json::parse(value))};
+        }
         const auto prefix = key.substr(0, prefixLength);
         const auto rest = key.size() > prefixLength ? key.substr(prefixLength) : std::string{};
         const auto [id, part] = prefix == laterPartPrefix ? splitPartKey(rest) : std::pair{JobId{rest}, 0};
--- a/packages/state/poolrecords.h
+++ b/packages/state/poolrecords.h
@@ -14,6 +14,7 @@
 /// is in one part alone, and completeGangs() makes up for a gang of which only some members are recorded as done.
 
 #include "policy/leadership.h"
+#include "policy/leasebounds.h"
 #include "policy/pooljob.h"
 #include "util/outcome.h"
 
@@ -66,13 +67,14 @@
     std::string address; ///< "ip:port"
 };
 
-using PoolRecord = std::variant<PoolJob, CancelRecord, PhaseRecord, AttemptsRecord, TombstoneRecord, LeadershipRecord, MemberRecord>;
+using PoolRecord = std::variant<PoolJob, CancelRecord, PhaseRecord, AttemptsRecord, TombstoneRecord, LeadershipRecord, MemberRecord, LeaseBoundsRecord>;
 
 auto encodeJob(const PoolJob &job) -> EncodedRecord;
 auto encodeCancel(const JobId &id) -> EncodedRecord;
 auto encodePhase(const JobId &id, PoolJobPhase phase, const std::string &reason = {}) -> EncodedRecord;
 auto encodeMember(const MemberRecord &record) -> EncodedRecord;
 auto encodeLeadership(const LeadershipRecord &record) -> EncodedRecord;
+auto encodeLeaseBounds(const LeaseBoundsRecord &record) -> EncodedRecord;
 /// @return tombstones of a job's keys in a log of jobs.
 auto encodeJobTombstones(const JobId &id) -> std::vector<EncodedRecord>;
 /// @param parts number of records that hold the job's progress
--- a/packages/state/testing/poolrecords_test.cpp
+++ b/packages/state/testing/poolrecords_test.cpp
@@ -82,6 +82,24 @@
     }
 }
 
+// Guards against bounds of leases that another instance reads as shorter ones, or that are no times at all.
+TEST_CASE("bounds of leases are read as they were written, and odd ones not at all")
+{
+    const auto [key, value]
+        = encodeLeaseBounds({.epoch = 4, .bounds = {{.worker = WorkerId{"w-1"}, .left = Millis{8'123}}, {.worker = WorkerId{"w-2"}, .left = Millis{0}}}});
+    const auto decoded = decodePoolRecord(key, value);
+    REQUIRE(decoded);
+    const auto &record = std::get<LeaseBoundsRecord>(decoded.value());
+    CHECK(record.epoch == 4);
+    REQUIRE(record.bounds.size() == 2);
+    CHECK(record.bounds.front() == LeaseBound{.worker = WorkerId{"w-1"}, .left = Millis{8'123}});
+    for (const auto *left : {"-1", "1e300", "18446744073709551615", "null", R"("8")"}) {
+        CHECK_FALSE(decodePoolRecord(key, replaced(value, "8123", left)));
+    }
+    CHECK_FALSE(decodePoolRecord(key, ""));
+    CHECK_FALSE(decodePoolRecord(key, "[]"));
+}
+
 // Guards against a kind that no branch handles, and against epochs that wrap around.
 TEST_CASE("records of the leadership out of range cannot be read")
 {
