Let a worker's poll be short while its lease is withheld

A worker that came back got no lease for up to 2 s: the poll that was open when its lease was free again carried none, and the worker held it back.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -524,7 +524,9 @@
         }
     }
     // Until a worker answers, it gets no stop orders, so that nothing may hold its answer back.
-    poll.request.wait = !worker.answered || !worker.reachable ? Millis{0} : open ? shortPollWait : longPollWait;
+    // A withheld lease goes out with the poll after this one.
+    const auto isShort = open || isWithheld(id);
+    poll.request.wait = !worker.answered || !worker.reachable ? Millis{0} : isShort ? shortPollWait : longPollWait;
     return poll;
 }
 
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -83,6 +83,7 @@
             worker.cutUntil = worker.cutFrom + Millis{1'000 + m_random(8'000)};
             worker.restartsAt = worker.cutFrom + (worker.cutUntil - worker.cutFrom) * m_random(100) / 100;
         }
+        worker.flapping = m_faults.flappingWorkers > 0 && chance(m_faults.flappingWorkers);
         if (chance(m_faults.departures)) {
             worker.drainsAt = m_start + Millis{2'000 + m_random(25'000)};
         }
@@ -769,6 +770,10 @@
         if (worker.unlistedAt && m_now >= *worker.unlistedAt && m_now < *worker.unlistedAt + stepTime) {
             listWorkers();
         }
+        if (worker.flapping && m_now >= worker.cutUntil) {
+            worker.cutFrom = m_now + Millis{500 + m_random(2'500)};
+            worker.cutUntil = worker.cutFrom + Millis{3'000 + m_random(6'000)};
+        }
         // On average, the given percentage of workers restarts within 30 s.
         if (m_faults.restarts > 0 && !worker.gone && m_random(150'000) < static_cast<std::uint32_t>(m_faults.restarts)) {
             lifetimeEnds(worker);
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -41,6 +41,7 @@
     /// Percentage of workers whose path to the planner is slow once for 8 to 11 s: the planner gives up their polls and orders, which arrive
     /// late or not at all. Not for use with faults that end or cut off workers, which lose successes that count.
     int slowPaths = 0;
+    int flappingWorkers = 0; ///< percentage of workers that are cut off again and again, for 3 to 9 s each
     bool misdirectedOrders = false; ///< whether late orders are also carried out by the next incarnation of their worker
 };
 
@@ -77,6 +78,7 @@
     std::optional<MonoTime> restartsAt; ///< within the time for which it is cut off
     std::optional<MonoTime> drainsAt; ///< the worker leaves drainDuration later
     std::optional<MonoTime> unlistedAt; ///< when its entry is removed for silence
+    bool flapping = false; ///< is cut off again and again
     bool gone = false; ///< has left and not come back yet
 };
 
