Log what keeps work from starting on a mostly idle service after one second

held has the cause (reservation, one rack, urgent reserve, searches, deferred starts), the job that reserves and the latest end, once for each step and cause in each term, 16 lines in a pass. It makes no search, so that it does not tell whether the idle capacity would do. No decision changes.

--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -121,6 +121,8 @@
     bool waitLogged = false; ///< whether the reason of its waiting has been logged; never stored
     MonoTime unplaceableSince; ///< since when no listed worker could take it, even idle; MonoTime{}: one could; never stored
     bool reservationLogged = false; ///< whether its reservation has been logged; never stored
+    MonoTime readySince; ///< since when tasks of it wait whose turn has come, as this planner knows; MonoTime{}: none does; never stored
+    unsigned heldLogged = 0; ///< set of causes with which `held` has been logged; never stored
 };
 
 /// One run of all steps; jobs without a schedule have one.
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -3,6 +3,7 @@
 #include "util/printable.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <string_view>
 #include <tuple>
@@ -52,6 +53,13 @@
 /// sent again.
 constexpr auto linkWindow = Millis{150};
 
+/// A group that has been kept from capacity for this long is logged.
+constexpr auto heldLogDelay = Millis{1'000};
+/// Lines about such groups in one pass; the others follow in the next passes.
+constexpr auto maxHeldLines = 16;
+/// Names of PoolPlacer::HoldCause in log lines.
+constexpr auto holdCauseNames = std::array{"reservation", "one_rack", "urgent_reserve", "searches", "starts"};
+
 auto seconds(Micros span) -> double
 {
     return std::chrono::duration<double>(span).count();
@@ -215,9 +223,13 @@
         }
     }
     // A gang starts again only after the previous attempt of every member is over.
+    auto &readySince = stepOf(group).readySince;
     if (group.tasks.empty() || (wanted.gang && group.tasks.size() != tasks.size()) || !stepReady(state, occurrence, step)) {
+        readySince = {};
         return;
     }
+    readySince = readySince == MonoTime{} ? m_now : readySince;
+    group.readySince = readySince;
     const auto chain = criticalPath(state.job);
     const auto slack = std::chrono::duration_cast<Micros>(chain * queue.stretch) + queue.targetRuntime - chain;
     auto since = state.knownSince;
@@ -850,13 +862,53 @@
                            + " free_accelerators=" + std::to_string(m_freeAccelerators) + " urgent_reserve=" + std::to_string(m_urgentReserve));
 }
 
+/// Logs once for each step and cause that the group has been kept from capacity for a while, on a service that is mostly idle. Whether the
+/// capacity would do is not searched for.
+auto PoolPlacer::logHeld(const TaskGroup &group, HoldCause cause) -> void
+{
+    auto &step = stepOf(group);
+    const auto bit = 1U << static_cast<unsigned>(cause);
+    const auto &service = group.queue->service;
+    if ((step.heldLogged & bit) != 0 || m_now - group.readySince < heldLogDelay || m_heldLines >= maxHeldLines || !isMostlyIdle(service)) {
+        return;
+    }
+    step.heldLogged |= bit;
+    ++m_heldLines;
+    auto text = "job=" + group.job->job.id.str() + " occurrence=" + std::to_string(group.occurrence) + " step=" + std::to_string(group.step)
+                + " cause=" + holdCauseNames.at(static_cast<std::size_t>(cause))
+                + " waited_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_now - group.readySince).count());
+    if (cause == HoldCause::Reservation) {
+        const auto limit = spec(group).longRunning ? Micros{lastingHoldLimit} : holdLimit(service);
+        const auto left = m_core.m_holdBegan.at(service) + limit - m_now;
+        text += " for_job=" + m_holds.at(service).job.str() + " latest_end_ms=" + std::to_string(std::chrono::duration_cast<Millis>(left).count());
+    } else if (cause == HoldCause::OneRack || cause == HoldCause::UrgentReserve) {
+        const auto limit = spec(group).longRunning ? lastingHoldLimit : idleDelayLimit;
+        text += " latest_end_ms=" + std::to_string(std::chrono::duration_cast<Millis>(group.since + limit - m_now).count());
+    }
+    m_core.logDecision("held", std::move(text));
+}
+
+/// Logs what may keep a group that did not fit from capacity that is idle.
+auto PoolPlacer::logHeldByOthers(const TaskGroup &group, bool oneRack) -> void
+{
+    const auto hold = m_holds.find(group.queue->service);
+    if (hold != m_holds.end() && hold->second.job != group.job->job.id && !mayPass(group)) {
+        logHeld(group, HoldCause::Reservation);
+    }
+    if (oneRack && !isDelayOver(group)) {
+        logHeld(group, HoldCause::OneRack);
+    }
+}
+
 auto PoolPlacer::placeGroup(TaskGroup &group, PoolEffects &effects) -> bool
 {
     const auto &wanted = spec(group);
     if (isLeftOut(group)) {
+        logHeld(group, HoldCause::Searches);
         return false;
     }
     if (yieldsToUrgent(group)) {
+        logHeld(group, HoldCause::UrgentReserve);
         reserveCapacity(group);
         return false;
     }
@@ -887,6 +939,7 @@
         }
         if (!placePastReservation(group, spread, effects)) {
             reserveCapacity(group);
+            logHeldByOthers(group, oneRack);
         }
         return group.tasks.empty();
     }
@@ -947,6 +1000,9 @@
         }
     }
     const auto deferred = static_cast<std::size_t>(m_groups.end() - group);
+    for (; group != m_groups.end(); ++group) {
+        logHeld(*group, HoldCause::Starts);
+    }
     if (deferred == 0) {
         keepSearchResume();
         keepHolds();
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -49,6 +49,7 @@
     std::vector<int> tasks; ///< indices of the waiting tasks
     bool guaranteed = false; ///< whether its job is within the workspace's guaranteed accelerators
     MonoTime since; ///< when this planner first saw the job, or when the occurrence was due if that is later
+    MonoTime readySince; ///< when this planner first saw that tasks of the group wait and can start
     MonoTime latestStart; ///< a start until then still meets the objective if the caller's estimate is right
 };
 
@@ -61,6 +62,14 @@
     auto place(PoolEffects &effects) -> void;
 
 private:
+    /// What keeps a group from starting although capacity may do.
+    enum class HoldCause : unsigned {
+        Reservation,
+        OneRack,
+        UrgentReserve,
+        Searches,
+        Starts,
+    };
     /// Which capacity of a worker a placement may use.
     enum class CapacityKind {
         Free,
@@ -149,6 +158,8 @@
     auto yieldsToUrgent(const TaskGroup &group) -> bool;
     auto hasAmpleSlack(const TaskGroup &group) const -> bool;
     auto logWait(const TaskGroup &group) -> void;
+    auto logHeld(const TaskGroup &group, HoldCause cause) -> void;
+    auto logHeldByOthers(const TaskGroup &group, bool oneRack) -> void;
     auto logDeferred(std::size_t groups) -> void;
     auto mayStartMore() const -> bool;
     auto reserveCapacity(const TaskGroup &group) -> void;
@@ -179,6 +190,7 @@
     /// Most tasks of a shape that one rack of idle workers can take.
     std::map<TaskShape, int> m_maxTasksInRack;
     std::size_t m_racks = 0; ///< number of racks
+    int m_heldLines = 0; ///< lines of logHeld() in this pass
     std::int64_t m_freeAccelerators = 0;
     int m_openStarts = 0; ///< start orders without an answer, those of this pass included
     mutable int m_searches = 0; ///< calls of candidates()
