Bound the waits beside idle capacity by 2 s together

Cause: on a service of which under half is in use a reservation held other groups for 8 s, a preference for one rack and the reserve for urgent work for 5 s each. A gang past its preference for one rack was tried on reserved capacity in one rack only, so that these waits followed each other.

Each of them now ends 2 s after the group's turn has come, whatever has kept it until then, and a gang past its preference is spread over reserved capacity as well. The hold of a gang that has itself waited for 60 s is still a tenth of its wait: a gang that needs all of a service would otherwise never start beside a stream of small jobs. That hold can be longer than the users' limit.

--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -36,11 +36,14 @@
 constexpr auto setAsideDelay = Millis{5'000};
 /// Between two log lines about groups of a class that are left out.
 constexpr auto searchLimitPeriod = Millis{10'000};
-/// How long the urgent reserve or a preference for one rack keeps a group from capacity that would do, while most of the capacity of its
-/// service is idle.
-constexpr auto idleDelayLimit = Millis{5'000};
-/// How long a reservation keeps a group from capacity that would do, while most of the capacity of its service is idle.
-constexpr auto idleHoldLimit = Millis{8'000};
+/// How long reservations, the urgent reserve and a preference for one rack together keep a group from capacity that would do, while most of
+/// the capacity of its service is idle. Callers allow 3 s for a job with nothing running, which include the pass, the record and the order.
+constexpr auto idleWaitLimit = Millis{2'000};
+/// A group that has waited for this long reserves for longer than idleWaitLimit: otherwise a large gang never starts beside a stream of
+/// small jobs.
+constexpr auto longWait = Millis{60'000};
+/// A reservation is logged when its group has waited for this long.
+constexpr auto reservationLogDelay = Millis{5'000};
 /// How long a reservation does so while most of the capacity is in use.
 constexpr auto busyHoldLimit = Millis{60'000};
 /// How long any of them delays tasks that run until they are cancelled: these serve somebody all the time.
@@ -711,7 +714,7 @@
 auto PoolPlacer::logReservation(const TaskGroup &group, const std::set<std::size_t> &slots) -> void
 {
     auto &step = stepOf(group);
-    if (m_now - group.since < idleDelayLimit || std::exchange(step.reservationLogged, true)) {
+    if (m_now - group.since < reservationLogDelay || std::exchange(step.reservationLogged, true)) {
         return;
     }
     auto idle = std::int64_t{0};
@@ -746,24 +749,35 @@
 auto PoolPlacer::isDelayOver(const TaskGroup &group) -> bool
 {
     const auto waited = m_now - group.since;
-    return spec(group).longRunning ? waited >= lastingHoldLimit : waited >= idleDelayLimit && isMostlyIdle(group.queue->service);
+    return spec(group).longRunning ? waited >= lastingHoldLimit : waited >= idleWaitLimit && isMostlyIdle(group.queue->service);
 }
 
 /// @return how long the reservations on the workers of a service keep other groups from capacity that would do.
 auto PoolPlacer::holdLimit(const ServiceId &service) -> Micros
 {
-    return std::max<Micros>(isMostlyIdle(service) ? idleHoldLimit : busyHoldLimit, m_holds[service].waited / holdPart);
+    const auto waited = m_holds[service].waited;
+    if (!isMostlyIdle(service)) {
+        return std::max<Micros>(busyHoldLimit, waited / holdPart);
+    }
+    return waited < longWait ? Micros{idleWaitLimit} : std::max<Micros>(idleWaitLimit, waited / holdPart);
+}
+
+/// @return until when the reservations of this pass may keep the group from what they have reserved.
+auto PoolPlacer::holdEnd(const TaskGroup &group) -> MonoTime
+{
+    const auto &service = group.queue->service;
+    const auto lasts = spec(group).longRunning;
+    const auto limit = lasts ? Micros{lastingHoldLimit} : holdLimit(service);
+    const auto end = m_core.m_holdBegan.at(service) + limit;
+    // The group's own wait counts as well, whatever has caused it: holds may follow each other or other delays.
+    const auto byGroup = lasts || (isMostlyIdle(service) && limit <= idleWaitLimit);
+    return byGroup ? std::min(end, group.readySince + limit) : end;
 }
 
 /// @return whether the reservations of this pass have held others for so long that the group may use what they have reserved.
 auto PoolPlacer::mayPass(const TaskGroup &group) -> bool
 {
-    const auto &service = group.queue->service;
-    if (!m_holds.contains(service)) {
-        return false;
-    }
-    const auto limit = spec(group).longRunning ? Micros{lastingHoldLimit} : holdLimit(service);
-    return m_now - m_core.m_holdBegan.at(service) >= limit;
+    return m_holds.contains(group.queue->service) && m_now >= holdEnd(group);
 }
 
 /// Ends the holds of services without a reservation, and begins those anew that have been open for long enough.
@@ -878,11 +892,10 @@
                 + " cause=" + holdCauseNames.at(static_cast<std::size_t>(cause))
                 + " waited_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_now - group.readySince).count());
     if (cause == HoldCause::Reservation) {
-        const auto limit = spec(group).longRunning ? Micros{lastingHoldLimit} : holdLimit(service);
-        const auto left = m_core.m_holdBegan.at(service) + limit - m_now;
+        const auto left = holdEnd(group) - m_now;
         text += " for_job=" + m_holds.at(service).job.str() + " latest_end_ms=" + std::to_string(std::chrono::duration_cast<Millis>(left).count());
     } else if (cause == HoldCause::OneRack || cause == HoldCause::UrgentReserve) {
-        const auto limit = spec(group).longRunning ? lastingHoldLimit : idleDelayLimit;
+        const auto limit = spec(group).longRunning ? lastingHoldLimit : idleWaitLimit;
         text += " latest_end_ms=" + std::to_string(std::chrono::duration_cast<Millis>(group.since + limit - m_now).count());
     }
     m_core.logDecision("held", std::move(text));
@@ -937,7 +950,8 @@
         if (oneRack && isDelayOver(group) && placeGang(group, Spread::Anywhere, effects)) {
             return true;
         }
-        if (!placePastReservation(group, spread, effects)) {
+        const auto spreads = oneRack && isDelayOver(group);
+        if (!placePastReservation(group, spread, effects) && !(spreads && placePastReservation(group, Spread::Anywhere, effects))) {
             reserveCapacity(group);
             logHeldByOthers(group, oneRack);
         }
