Count waits beside idle capacity from a job's acceptance

Cause: the hold of a reservation begins anew with each planner, and so did the wait that bounds it, so that a job stands for as long as planners change within 2 s of planning.

The turn of work that has never begun and depends on no step came with the acceptance of its job, or when its occurrence was due; both are in the records. Later steps, and work that has to run again, still count from when the planner in office first saw them wait: no record has that time.

--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -231,8 +231,6 @@
         readySince = {};
         return;
     }
-    readySince = readySince == MonoTime{} ? m_now : readySince;
-    group.readySince = readySince;
     const auto chain = criticalPath(state.job);
     const auto slack = std::chrono::duration_cast<Micros>(chain * queue.stretch) + queue.targetRuntime - chain;
     auto since = state.knownSince;
@@ -240,6 +238,12 @@
         since = std::max(since, m_now - std::chrono::duration_cast<Micros>(m_wall - *due));
     }
     group.since = since;
+    if (readySince == MonoTime{}) {
+        // The age of the job tells when the turn of work that has not begun and depends on nothing came, over any number of planners.
+        const auto untouched = std::all_of(tasks.begin(), tasks.end(), [](const TaskState &it) { return it.attempt == 0; });
+        readySince = untouched && wanted.dependsOn.empty() ? since : m_now;
+    }
+    group.readySince = readySince;
     group.latestStart = since + std::chrono::duration_cast<Micros>(slack);
     m_groups.push_back(std::move(group));
 }
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -50,7 +50,7 @@
     std::vector<int> tasks; ///< indices of the waiting tasks
     bool guaranteed = false; ///< whether its job is within the workspace's guaranteed accelerators
     MonoTime since; ///< when this planner first saw the job, or when the occurrence was due if that is later
-    MonoTime readySince; ///< when this planner first saw that tasks of the group wait and can start
+    MonoTime readySince; ///< when the turn of its waiting tasks came, as far as this planner knows
     MonoTime latestStart; ///< a start until then still meets the objective if the caller's estimate is right
 };
 
