--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -3,6 +3,7 @@
 #include "util/printable.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <string_view>
 #include <tuple>
@@ -35,11 +36,14 @@
 constexpr auto setAsideDelay = Millis{5'000};
 /// Between two log lines about groups of a class that are left out.
 constexpr auto searchLimitPeriod = Millis{10'000};
-/// How long the urgent reserve or a preference for one rack keeps a group from capacity that would do, while most of the capacity of its
-/// service is idle.
-constexpr auto idleDelayLimit = Millis{5'000};
-/// How long a reservation keeps a group from capacity that would do, while most of the capacity of its service is idle.
-constexpr auto idleHoldLimit = Millis{8'000};
+/// How long reservations, the urgent reserve and a preference for one rack together keep a group from capacity that would do, while most of
+/// the capacity of its service is idle. Callers allow 3 s for a job with nothing running, which include the pass, the record and the order.
+constexpr auto idleWaitLimit = Millis{2'000};
+/// A group that has waited for this long reserves for longer than idleWaitLimit: otherwise a large gang never starts beside a stream of
+/// small jobs.
+constexpr auto longWait = Millis{60'000};
+/// A reservation is logged when its group has waited for this long.
+constexpr auto reservationLogDelay = Millis{5'000};
 /// How long a reservation does so while most of the capacity is in use.
 constexpr auto busyHoldLimit = Millis{60'000};
 /// How long any of them delays tasks that run until they are cancelled: these serve somebody all the time.
@@ -52,6 +56,13 @@
 /// sent again.
 constexpr auto linkWindow = Millis{150};
 
+/// A group that has been kept from capacity for this long is logged.
+constexpr auto heldLogDelay = Millis{1'000};
+/// Lines about such groups in one pass; the others follow in the next passes.
+constexpr auto maxHeldLines = 16;
+/// Names of PoolPlacer::HoldCause in log lines.
+constexpr auto holdCauseNames = std::array{"reservation", "one_rack", "urgent_reserve", "searches", "starts"};
+
 auto seconds(Micros span) -> double
 {
     return std::chrono::duration<double>(span).count();
@@ -215,7 +226,9 @@
         }
     }
     // A gang starts again only after the previous attempt of every member is over.
+    auto &readySince = stepOf(group).readySince;
     if (group.tasks.empty() || (wanted.gang && group.tasks.size() != tasks.size()) || !stepReady(state, occurrence, step)) {
+        readySince = {};
         return;
     }
     const auto chain = criticalPath(state.job);
@@ -225,6 +238,12 @@
         since = std::max(since, m_now - std::chrono::duration_cast<Micros>(m_wall - *due));
     }
     group.since = since;
+    if (readySince == MonoTime{}) {
+        // The age of the job tells when the turn of work that has not begun and depends on nothing came, over any number of planners.
+        const auto untouched = std::all_of(tasks.begin(), tasks.end(), [](const TaskState &it) { return it.attempt == 0; });
+        readySince = untouched && wanted.dependsOn.empty() ? since : m_now;
+    }
+    group.readySince = readySince;
     group.latestStart = since + std::chrono::duration_cast<Micros>(slack);
     m_groups.push_back(std::move(group));
 }
@@ -699,7 +718,7 @@
 auto PoolPlacer::logReservation(const TaskGroup &group, const std::set<std::size_t> &slots) -> void
 {
     auto &step = stepOf(group);
-    if (m_now - group.since < idleDelayLimit || std::exchange(step.reservationLogged, true)) {
+    if (m_now - group.since < reservationLogDelay || std::exchange(step.reservationLogged, true)) {
         return;
     }
     auto idle = std::int64_t{0};
@@ -734,24 +753,35 @@
 auto PoolPlacer::isDelayOver(const TaskGroup &group) -> bool
 {
     const auto waited = m_now - group.since;
-    return spec(group).longRunning ? waited >= lastingHoldLimit : waited >= idleDelayLimit && isMostlyIdle(group.queue->service);
+    return spec(group).longRunning ? waited >= lastingHoldLimit : waited >= idleWaitLimit && isMostlyIdle(group.queue->service);
 }
 
 /// @return how long the reservations on the workers of a service keep other groups from capacity that would do.
 auto PoolPlacer::holdLimit(const ServiceId &service) -> Micros
 {
-    return std::max<Micros>(isMostlyIdle(service) ? idleHoldLimit : busyHoldLimit, m_holds[service].waited / holdPart);
+    const auto waited = m_holds[service].waited;
+    if (!isMostlyIdle(service)) {
+        return std::max<Micros>(busyHoldLimit, waited / holdPart);
+    }
+    return waited < longWait ? Micros{idleWaitLimit} : std::max<Micros>(idleWaitLimit, waited / holdPart);
+}
+
+/// @return until when the reservations of this pass may keep the group from what they have reserved.
+auto PoolPlacer::holdEnd(const TaskGroup &group) -> MonoTime
+{
+    const auto &service = group.queue->service;
+    const auto lasts = spec(group).longRunning;
+    const auto limit = lasts ? Micros{lastingHoldLimit} : holdLimit(service);
+    const auto end = m_core.m_holdBegan.at(service) + limit;
+    // The group's own wait counts as well, whatever has caused it: holds may follow each other or other delays.
+    const auto byGroup = lasts || (isMostlyIdle(service) && limit <= idleWaitLimit);
+    return byGroup ? std::min(end, group.readySince + limit) : end;
 }
 
 /// @return whether the reservations of this pass have held others for so long that the group may use what they have reserved.
 auto PoolPlacer::mayPass(const TaskGroup &group) -> bool
 {
-    const auto &service = group.queue->service;
-    if (!m_holds.contains(service)) {
-        return false;
-    }
-    const auto limit = spec(group).longRunning ? Micros{lastingHoldLimit} : holdLimit(service);
-    return m_now - m_core.m_holdBegan.at(service) >= limit;
+    return m_holds.contains(group.queue->service) && m_now >= holdEnd(group);
 }
 
 /// Ends the holds of services without a reservation, and begins those anew that have been open for long enough.
@@ -850,13 +880,52 @@
                            + " free_accelerators=" + std::to_string(m_freeAccelerators) + " urgent_reserve=" + std::to_string(m_urgentReserve));
 }
 
+/// Logs once for each step and cause that the group has been kept from capacity for a while, on a service that is mostly idle. Whether the
+/// capacity would do is not searched for.
+auto PoolPlacer::logHeld(const TaskGroup &group, HoldCause cause) -> void
+{
+    auto &step = stepOf(group);
+    const auto bit = 1U << static_cast<unsigned>(cause);
+    const auto &service = group.queue->service;
+    if ((step.heldLogged & bit) != 0 || m_now - group.readySince < heldLogDelay || m_heldLines >= maxHeldLines || !isMostlyIdle(service)) {
+        return;
+    }
+    step.heldLogged |= bit;
+    ++m_heldLines;
+    auto text = "job=" + group.job->job.id.str() + " occurrence=" + std::to_string(group.occurrence) + " step=" + std::to_string(group.step)
+                + " cause=" + holdCauseNames.at(static_cast<std::size_t>(cause))
+                + " waited_ms=" + std::to_string(std::chrono::duration_cast<Millis>(m_now - group.readySince).count());
+    if (cause == HoldCause::Reservation) {
+        const auto left = holdEnd(group) - m_now;
+        text += " for_job=" + m_holds.at(service).job.str() + " latest_end_ms=" + std::to_string(std::chrono::duration_cast<Millis>(left).count());
+    } else if (cause == HoldCause::OneRack || cause == HoldCause::UrgentReserve) {
+        const auto limit = spec(group).longRunning ? lastingHoldLimit : idleWaitLimit;
+        text += " latest_end_ms=" + std::to_string(std::chrono::duration_cast<Millis>(group.since + limit - m_now).count());
+    }
+    m_core.logDecision("held", std::move(text));
+}
+
+/// Logs what may keep a group that did not fit from capacity that is idle.
+auto PoolPlacer::logHeldByOthers(const TaskGroup &group, bool oneRack) -> void
+{
+    const auto hold = m_holds.find(group.queue->service);
+    if (hold != m_holds.end() && hold->second.job != group.job->job.id && !mayPass(group)) {
+        logHeld(group, HoldCause::Reservation);
+    }
+    if (oneRack && !isDelayOver(group)) {
+        logHeld(group, HoldCause::OneRack);
+    }
+}
+
 auto PoolPlacer::placeGroup(TaskGroup &group, PoolEffects &effects) -> bool
 {
     const auto &wanted = spec(group);
     if (isLeftOut(group)) {
+        logHeld(group, HoldCause::Searches);
         return false;
     }
     if (yieldsToUrgent(group)) {
+        logHeld(group, HoldCause::UrgentReserve);
         reserveCapacity(group);
         return false;
     }
@@ -885,8 +954,10 @@
         if (oneRack && isDelayOver(group) && placeGang(group, Spread::Anywhere, effects)) {
             return true;
         }
-        if (!placePastReservation(group, spread, effects)) {
+        const auto spreads = oneRack && isDelayOver(group);
+        if (!placePastReservation(group, spread, effects) && !(spreads && placePastReservation(group, Spread::Anywhere, effects))) {
             reserveCapacity(group);
+            logHeldByOthers(group, oneRack);
         }
         return group.tasks.empty();
     }
@@ -947,6 +1018,9 @@
         }
     }
     const auto deferred = static_cast<std::size_t>(m_groups.end() - group);
+    for (; group != m_groups.end(); ++group) {
+        logHeld(*group, HoldCause::Starts);
+    }
     if (deferred == 0) {
         keepSearchResume();
         keepHolds();
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -20,7 +20,8 @@
 ///   time, then it is open to them for a while. The time grows with the wait of the group that reserves, so that this one starts as well
 ///   once the time is longer than the work that it waits for.
 /// - A pass that has searched in vain for long enough leaves the rest of a class of groups to the next pass, which goes on from there.
-/// - A preference for one rack and the reserve for urgent work delay a group for a limited time while most of the capacity is idle.
+/// - A preference for one rack and the reserve for urgent work delay a group for a limited time while most of the capacity is idle. Their time and that of a
+/// reservation do not add up.
 ///
 /// A pass places no more than can be started soon (PoolOptions::maxOpenStarts and linkBytesPerSecond): start orders that wait would hold
 /// capacity, gangs of which some members have started would wait for the others, and a full link delays stop orders, polls and renewals.
@@ -49,6 +50,7 @@
     std::vector<int> tasks; ///< indices of the waiting tasks
     bool guaranteed = false; ///< whether its job is within the workspace's guaranteed accelerators
     MonoTime since; ///< when this planner first saw the job, or when the occurrence was due if that is later
+    MonoTime readySince; ///< when the turn of its waiting tasks came, as far as this planner knows
     MonoTime latestStart; ///< a start until then still meets the objective if the caller's estimate is right
 };
 
@@ -61,6 +63,14 @@
     auto place(PoolEffects &effects) -> void;
 
 private:
+    /// What keeps a group from starting although capacity may do.
+    enum class HoldCause : unsigned {
+        Reservation,
+        OneRack,
+        UrgentReserve,
+        Searches,
+        Starts,
+    };
     /// Which capacity of a worker a placement may use.
     enum class CapacityKind {
         Free,
@@ -135,6 +145,7 @@
     auto placeGang(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool;
     auto placePastReservation(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool;
     auto holdLimit(const ServiceId &service) -> Micros;
+    auto holdEnd(const TaskGroup &group) -> MonoTime;
     auto mayPass(const TaskGroup &group) -> bool;
     auto keepHolds() -> void;
     auto isMostlyIdle(const ServiceId &service) -> bool;
@@ -149,6 +160,8 @@
     auto yieldsToUrgent(const TaskGroup &group) -> bool;
     auto hasAmpleSlack(const TaskGroup &group) const -> bool;
     auto logWait(const TaskGroup &group) -> void;
+    auto logHeld(const TaskGroup &group, HoldCause cause) -> void;
+    auto logHeldByOthers(const TaskGroup &group, bool oneRack) -> void;
     auto logDeferred(std::size_t groups) -> void;
     auto mayStartMore() const -> bool;
     auto reserveCapacity(const TaskGroup &group) -> void;
@@ -179,6 +192,7 @@
     /// Most tasks of a shape that one rack of idle workers can take.
     std::map<TaskShape, int> m_maxTasksInRack;
     std::size_t m_racks = 0; ///< number of racks
+    int m_heldLines = 0; ///< lines of logHeld() in this pass
     std::int64_t m_freeAccelerators = 0;
     int m_openStarts = 0; ///< start orders without an answer, those of this pass included
     mutable int m_searches = 0; ///< calls of candidates()
--- a/packages/policy/testing/poolcore_waits_test.cpp
+++ b/packages/policy/testing/poolcore_waits_test.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 
 using namespace Catkin;
@@ -18,6 +19,9 @@
 /// What callers wait for at most while most of the capacity is idle: `finish_s` of the users' platform and 3 s.
 constexpr auto idleWait = Millis{17'000};
 
+/// A job with nothing running may stand for less than this while there is room for it and most of the capacity is idle.
+constexpr auto stillLimit = Millis{2'900};
+
 /// How long the tasks of a stream run that passes a gang; longer than a reservation holds them at first.
 constexpr auto streamTask = Millis{12'000};
 
@@ -37,6 +41,16 @@
     return step;
 }
 
+/// Adds a job that takes part of each of four workers for an hour, and starts it.
+auto addHour(Fleet &fleet) -> void
+{
+    auto step = lasting(4, 2);
+    step.longRunning = false;
+    step.estimate = Millis{3'600'000};
+    fleet.core.addJob(makeJob("hour", "batch", step), fleet.now);
+    REQUIRE(tasksOf(fleet.run(Millis{200}), "hour") == 4);
+}
+
 auto startsOf(Fleet &fleet, const std::string &job, Millis span) -> int
 {
     return tasksOf(fleet.run(span), job);
@@ -234,3 +248,81 @@
         CHECK(fleet.core.find(JobId{"slow"})->phase == PoolJobPhase::Running);
     }
 }
+
+// Guards against waits beside idle capacity that leave no line when they are cut short.
+TEST_CASE("what keeps a group from starting on a mostly idle service is logged after one second")
+{
+    auto fleet = Fleet{4};
+    addHour(fleet);
+    fleet.core.addJob(makeJob("gang", "batch", gangOf(4, 8)), fleet.now);
+    fleet.run(Millis{100});
+    fleet.core.addJob(makeJob("late", "batch", batchOf(2)), fleet.now);
+    fleet.run(Millis{900});
+    CHECK(fleet.logged("held").empty());
+    fleet.run(Millis{300});
+    REQUIRE(fleet.logged("held").size() == 1);
+    CHECK(fleet.logged("held").front().find("job=late occurrence=0 step=0 cause=reservation waited_ms=1000 for_job=gang latest_end_ms=") == 0);
+}
+
+// Guards against a reservation that keeps a job with nothing running from idle capacity for 3 s or longer.
+TEST_CASE("a reservation holds a job for less than 3 s while most of the capacity is idle")
+{
+    auto fleet = Fleet{4};
+    addHour(fleet);
+    fleet.core.addJob(makeJob("gang", "batch", gangOf(4, 8)), fleet.now);
+    fleet.run(Millis{100});
+    fleet.core.addJob(makeJob("late", "batch", batchOf(2)), fleet.now);
+    CHECK(startsOf(fleet, "late", stillLimit) == 2);
+}
+
+// Guards against a gang past its preference for one rack that is only tried in one rack on reserved capacity, or that waits for each of the
+// preference and a reservation in turn.
+TEST_CASE("a preference for one rack and a reservation together hold a gang for less than 3 s while most of the capacity is idle")
+{
+    for (const auto reserved : {false, true}) {
+        CAPTURE(reserved);
+        auto fleet = Fleet{16};
+        auto lastingStep = lasting(16, 1);
+        lastingStep.longRunning = !reserved;
+        lastingStep.estimate = Millis{3'600'000};
+        fleet.core.addJob(makeJob("beside", "batch", lastingStep), fleet.now);
+        REQUIRE(startsOf(fleet, "beside", Millis{200}) == 16);
+        if (reserved) {
+            fleet.core.addJob(makeJob("whole", "batch", gangOf(16, 8)), fleet.now);
+            fleet.run(Millis{100});
+        }
+        // One task fits on each worker beside the other job, so that no rack of eight has room for ten.
+        auto step = gangOf(10, 4);
+        step.sameRack = true;
+        fleet.core.addJob(makeJob("gang", "batch", step), fleet.now);
+        CHECK(startsOf(fleet, "gang", stillLimit) == step.tasks);
+    }
+}
+
+// Guards against the reserve for urgent work that cannot start now, which keeps a job from idle capacity for 3 s or longer.
+TEST_CASE("the urgent reserve holds a job for less than 3 s while most of the capacity is idle")
+{
+    auto fleet = Fleet{4};
+    fleet.core.addJob(makeJob("lasting", "urgent", lasting(4, 2)), fleet.now);
+    REQUIRE(startsOf(fleet, "lasting", Millis{200}) == 4);
+    fleet.core.addJob(makeJob("urgent", "urgent", gangOf(4, 8)), fleet.now);
+    fleet.run(Millis{200});
+    auto step = batchOf(4);
+    step.estimate = Millis{600'000};
+    fleet.core.addJob(makeJob("late", "batch", step), fleet.now);
+    CHECK(startsOf(fleet, "late", stillLimit) == 4);
+}
+
+// Guards against a wait behind a reservation that begins anew with each planner, and has no end while planners change.
+TEST_CASE("a new planner counts the wait of a job that has not begun from its acceptance")
+{
+    for (const auto waited : {Millis{0}, Millis{1'500}, Millis{20'000}}) {
+        CAPTURE(waited.count());
+        auto fleet = Fleet{4};
+        addHour(fleet);
+        fleet.core.addJob(makeJob("gang", "batch", gangOf(4, 8)), fleet.now);
+        fleet.core.addJob(makeJob("late", "batch", batchOf(2)), fleet.now - waited);
+        fleet.core.addJob(makeJob("before", "batch", gangOf(4, 8)), fleet.now - waited - Millis{100});
+        CHECK(startsOf(fleet, "late", stillLimit - std::min(waited, Millis{2'500})) == 2);
+    }
+}
