Count the wait for a worker's list from the end of its leases over takeovers

A task whose worker writes its entry but answers no planner stood for ever when planners followed each other: nothing of its job ran, although its worker's leases had long expired and other workers were idle.

Cause: after the end of the leases, an attempt that may have succeeded is kept for one more lease, because the worker may still list it as done. The stored bound of the leases was cut off at "0 ms left", so that each new planner took the end of the leases, and with it the additional wait, to begin at its own takeover.

The record now also says how long ago the leases expired. A reader subtracts it from the time at which it reads, which is later than the time of the record, so that the end is never taken to be earlier than it was. No start comes before the end of the leases, and the additional wait is as long as in one term.

--- a/packages/policy/leasebounds.cpp
+++ b/packages/policy/leasebounds.cpp
@@ -8,7 +8,9 @@
 
 auto leaseBound(const WorkerId &worker, MonoTime end, MonoTime now) -> LeaseBound
 {
-    return {.worker = worker, .left = std::max(std::chrono::ceil<Millis>(end - now), Millis{0})};
+    return {.worker = worker,
+            .left = std::max(std::chrono::ceil<Millis>(end - now), Millis{0}),
+            .over = std::max(std::chrono::floor<Millis>(now - end), Millis{0})};
 }
 
 auto noteLeaseBounds(KnownLeaseBounds &known, const LeaseBoundsRecord &record, MonoTime readAt) -> void
@@ -16,7 +18,7 @@
     known.epoch = record.epoch;
     known.ends.clear();
     for (const auto &it : record.bounds) {
-        known.ends[it.worker] = readAt + it.left;
+        known.ends[it.worker] = readAt + it.left - it.over;
     }
 }
 
--- a/packages/policy/leasebounds.h
+++ b/packages/policy/leasebounds.h
@@ -41,12 +41,13 @@
 struct LeaseBound
 {
     WorkerId worker;
-    Millis left{0}; ///< from the composition of the record
+    Millis left{0}; ///< from the composition of the record; 0 if the leases have expired
+    Millis over{0}; ///< since the leases expired; a worker that may report ends is waited for from then on, over any number of terms
 
     auto operator==(const LeaseBound &other) const -> bool = default;
 };
 
-/// @return the bound of a worker whose leases have expired at @p end.
+/// @return the bound of a worker whose leases have expired at @p end, which may have passed.
 auto leaseBound(const WorkerId &worker, MonoTime end, MonoTime now) -> LeaseBound;
 
 /// The silent workers of a planner; replaces the record before it.
--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -48,6 +48,62 @@
     return taskOf().phase == TaskPhase::Placed && taskOf().worker != vanished && taskOf().attemptPhase == AttemptPhase::Running;
 }
 
+/// Lets planners follow each other while the worker of a task writes its entry and answers none of them.
+/// @param term between two takeovers
+/// @return from the first unanswered poll until the attempt is given up; a minute if it is not
+auto givenUpAfter(Millis term) -> Millis
+{
+    auto fleet = Fleet{1};
+    const auto id = JobId{"a"};
+    fleet.core.tookOver(fleet.now);
+    fleet.core.addJob(makeJob(id.str(), "batch", batchOf(1)), fleet.now);
+    REQUIRE(tasksOf(fleet.run(Millis{200}), id.str()) == 1);
+    const auto state = *fleet.core.find(id);
+    const auto worker = state.occurrences.front().steps.front().tasks.front().worker;
+    auto known = KnownLeaseBounds{};
+    constexpr auto pass = Millis{100};
+    constexpr auto limit = Millis{60'000};
+    for (auto passed = Millis{0}; passed < limit; passed += pass) {
+        fleet.now += pass;
+        auto &core = fleet.core;
+        if (passed.count() > 0 && passed % term == Millis{0}) {
+            core = PoolCore{PoolOptions{}};
+            core.setRules(simulationRules());
+            core.adoptLeaseBounds(known.ends);
+            core.addJob(state.job, fleet.now);
+            core.adoptRecord(id, state, fleet.now + longestLease, fleet.now);
+            core.tookOver(fleet.now);
+            core.setWorkers(fleet.workers, fleet.now);
+        }
+        core.pollFailed(worker);
+        core.workerWrote(worker, fleet.now);
+        core.entriesRead(fleet.now);
+        core.plan(fleet.now, WallTime{});
+        if (core.find(id)->occurrences.front().steps.front().tasks.front().phase == TaskPhase::Waiting) {
+            return passed;
+        }
+        const auto bounds = core.composeLeaseBounds(fleet.now);
+        noteLeaseBounds(known, {.bounds = bounds}, fleet.now);
+        core.leaseBoundsStored(bounds);
+    }
+    return limit;
+}
+
+}
+
+// Guards against a wait for the list of a worker that begins anew with each planner after its leases have expired.
+TEST_CASE("a worker that writes its entry and does not answer is waited for no longer because planners follow each other")
+{
+    constexpr auto longestWait = longestLease + Millis{10'000};
+    const auto oneTerm = givenUpAfter(Millis{60'000});
+    CHECK(oneTerm > longestLease);
+    CHECK(oneTerm <= longestWait);
+    for (const auto term : {Millis{3'000}, Millis{6'000}, Millis{9'000}}) {
+        CAPTURE(term.count());
+        const auto several = givenUpAfter(term);
+        CHECK(several >= oneTerm);
+        CHECK(several <= longestWait + Millis{100});
+    }
 }
 
 // Guards against a wait for a lease that begins anew with each planner, so that work of a vanished worker never starts again.
@@ -133,6 +189,10 @@
     CHECK(carried.bounds.front().left == Millis{3'001});
     CHECK(carriedBounds(known, 7, 9, read + Millis{6'000}).bounds.front().left == Millis{0});
     CHECK(carriedBounds(known, 8, 9, read).bounds.empty());
+    const auto past = carriedBounds(known, 7, 9, read + Micros{6'000'500}).bounds.front();
+    CHECK(past.over == Millis{1'000});
+    noteLeaseBounds(known, {.epoch = 9, .bounds = {past}}, read + Millis{7'000});
+    CHECK(known.ends.at(WorkerId{"a"}) == read + Millis{6'000});
 }
 
 // Guards against a task that waits for a lease without a word to the operator until the wait is over.
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -141,7 +141,9 @@
 {
     auto out = LeaseBoundsRecord{.epoch = intField(value, "epoch")};
     for (const auto &it : value.at("workers")) {
-        out.bounds.push_back({.worker = WorkerId{it.at(0).get<std::string>()}, .left = Millis{toInteger(it.at(1), "time left", 0, maxLeaseLeftMs)}});
+        out.bounds.push_back({.worker = WorkerId{it.at(0).get<std::string>()},
+                              .left = Millis{toInteger(it.at(1), "time left", 0, maxLeaseLeftMs)},
+                              .over = Millis{it.size() > 2 ? toInteger(it.at(2), "time over", 0, maxLeaseLeftMs) : 0}});
     }
     return out;
 }
@@ -308,6 +310,9 @@
     auto out = json::array();
     for (const auto &it : record.bounds) {
         out.push_back(json::array({it.worker.str(), it.left.count()}));
+        if (it.over.count() > 0) {
+            out.back().push_back(std::min(it.over.count(), maxLeaseLeftMs));
+        }
     }
     return {leaseBoundsKey, json{{"epoch", record.epoch}, {"workers", std::move(out)}}.dump()};
 }
--- a/packages/state/testing/poolrecords_test.cpp
+++ b/packages/state/testing/poolrecords_test.cpp
@@ -98,6 +98,14 @@
     }
     CHECK_FALSE(decodePoolRecord(key, ""));
     CHECK_FALSE(decodePoolRecord(key, "[]"));
+    const auto past = LeaseBound{.worker = WorkerId{"w-3"}, .over = Millis{4'567}};
+    const auto [pastKey, pastValue] = encodeLeaseBounds({.epoch = 4, .bounds = {past}});
+    const auto decodedPast = decodePoolRecord(pastKey, pastValue);
+    REQUIRE(decodedPast);
+    CHECK(std::get<LeaseBoundsRecord>(decodedPast.value()).bounds.front() == past);
+    for (const auto *over : {"-1", "1e300", "18446744073709551615", "null", R"("8")"}) {
+        CHECK_FALSE(decodePoolRecord(pastKey, replaced(pastValue, "4567", over)));
+    }
 }
 
 // Guards against a kind that no branch handles, and against epochs that wrap around.
