Await the report of a worker that writes its entry also in a term that begins after its leases

A new planner with a stored bound that had passed placed work again in its first pass, before it had asked the worker: it reads the workers' entries before it knows of the workers, so that none counted as written. An executor that listed the end half a second later had its task run again. Before bounds were stored, the longer wait hid it.

A planner now takes an entry that is listed to be written at its takeover.

--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -136,8 +136,10 @@
 /// @return whether a worker that does not answer is known to run, so that its completions can still arrive.
 auto PoolCore::mayReport(const Worker &worker, MonoTime now) const -> bool
 {
+    // A new planner has read the entry before it knew of the worker, and does not know when it was written.
+    const auto wroteAt = std::max(worker.wroteAt, m_tookOverAt);
     // The last read counts, not the present: without reads nothing shows that the worker has ceased to write.
-    return worker.listed && worker.wroteAt != MonoTime{} && m_entriesReadAt <= worker.wroteAt + m_options.heartbeat * entryHeartbeats
+    return worker.listed && wroteAt != MonoTime{} && m_entriesReadAt <= wroteAt + m_options.heartbeat * entryHeartbeats
            && now <= worker.leaseEnd + m_options.leaseDuration;
 }
 
--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -218,3 +218,25 @@
     CHECK_FALSE(hasDecision(next.plan(), "awaits_lease", "worker="));
     CHECK(hasDecision(next.plan(Millis{300}), "awaits_lease", "worker=" + worker.str() + " attempts=1 listed=no answered=no latest_end_ms=10400"));
 }
+
+// Guards against a new planner that starts work again before it has asked the worker, which writes its entry and may hold the end of that work.
+TEST_CASE("a new planner with a bound that has passed awaits the report of a worker that writes its entry")
+{
+    auto fleet = Fleet{2};
+    fleet.core.tookOver(fleet.now);
+    fleet.core.addJob(makeJob("a", "batch", batchOf(1)), fleet.now);
+    REQUIRE(tasksOf(fleet.run(Millis{200}), "a") == 1);
+    const auto worker = fleet.core.find(JobId{"a"})->occurrences.front().steps.front().tasks.front().worker;
+    auto next = PoolCore{PoolOptions{}};
+    // As daemon/poolterm does it: the entries are read while the records are loaded.
+    next.entriesRead(fleet.now);
+    for (const auto &it : fleet.workers) {
+        next.workerWrote(it.id, fleet.now);
+    }
+    next.adoptLeaseBounds({{worker, fleet.now - Millis{100}}});
+    next.addJob(fleet.core.find(JobId{"a"})->job, fleet.now);
+    next.adoptRecord(JobId{"a"}, *fleet.core.find(JobId{"a"}), fleet.now + longestLease + earlierOrders, fleet.now);
+    next.tookOver(fleet.now);
+    next.setWorkers(fleet.workers, fleet.now);
+    CHECK_FALSE(hasDecision(next.plan(fleet.now, {}), "attempt_lost", ""));
+}
