--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -93,7 +93,8 @@
     auto control() -> void;
     auto probeStore() -> void;
     auto controlOnce() -> void;
-    auto updateTerm(std::optional<std::int64_t> epoch) -> void;
+    /// @param leaseEnds the stored bounds of leases with which the term of @p epoch begins
+    auto updateTerm(std::optional<std::int64_t> epoch, std::map<WorkerId, MonoTime> leaseEnds) -> void;
     auto claim() -> void;
     auto addMember(const MemberRecord &member) -> void;
     auto announce() -> void;
@@ -238,7 +239,7 @@
     const auto decoded = decodePoolRecord(record.key, record.value);
     if (!decoded) {
         logEvent(LogLevel::Error, 6032, "record at offset " + std::to_string(record.offset.value) + " left out: " + decoded.error().message);
-        if (log == RecordLog::States) {
+        if (isLeaseBoundsKey(record.key)) {
             const auto lock = std::lock_guard{mutex};
             leaseBounds = {}; // it may have replaced the known bounds
         }
@@ -332,7 +333,7 @@
     };
 }
 
-auto PoolNode::Impl::updateTerm(std::optional<std::int64_t> epoch) -> void
+auto PoolNode::Impl::updateTerm(std::optional<std::int64_t> epoch, std::map<WorkerId, MonoTime> leaseEnds) -> void
 {
     if (epoch == termEpoch) {
         return;
@@ -355,11 +356,6 @@
         return;
     }
     logEvent(LogLevel::Info, 6035, "term epoch=" + std::to_string(*epoch) + " begins");
-    auto leaseEnds = std::map<WorkerId, MonoTime>{};
-    {
-        const auto lock = std::lock_guard{mutex};
-        leaseEnds = leaseBounds.ends;
-    }
     const auto options = PoolTermOptions{
         .epoch = *epoch,
         .pool = {.leaseDuration = settings.lease,
@@ -412,6 +408,7 @@
 {
     auto step = LeadershipStep::None;
     auto epoch = std::optional<std::int64_t>{};
+    auto leaseEnds = std::map<WorkerId, MonoTime>{};
     {
         const auto lock = std::lock_guard{mutex};
         step = leadership.next(clock.mono());
@@ -420,11 +417,12 @@
         if (epoch != termEpoch && epoch && leaseBounds.epoch != *epoch) {
             epoch.reset();
         }
+        leaseEnds = leaseBounds.ends;
     }
     if (retiring) {
         return;
     }
-    updateTerm(epoch);
+    updateTerm(epoch, std::move(leaseEnds));
     announce();
     if (step == LeadershipStep::Claim) {
         claim();
--- a/packages/policy/leasebounds.h
+++ b/packages/policy/leasebounds.h
@@ -36,6 +36,8 @@
 
 /// Workers in one record; the others have no bound, as if they answered.
 constexpr auto maxLeaseBounds = std::size_t{512};
+/// Length of the ids in one record; with the other fields of maxLeaseBounds workers, it fits into the shortest record of a store.
+constexpr auto maxLeaseBoundBytes = std::size_t{32'768};
 
 /// Every lease of the worker, granted by any planner, has expired after this time.
 struct LeaseBound
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -127,6 +127,7 @@
                 auto &worker = m_workers[task.worker];
                 worker.info.id = task.worker;
                 const auto bound = m_withheld.find(task.worker);
+                worker.isBoundStored = bound != m_withheld.end();
                 worker.leaseEnd = std::max(worker.leaseEnd, bound == m_withheld.end() ? earlierLeasesEnd : bound->second);
                 task.progressAt = now;
                 task.attemptPhase = AttemptPhase::Unknown;
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -220,6 +220,7 @@
         std::map<AttemptKey, Allocation> allocations;
         WorkerTime clock; ///< worker's clock in the last poll reply
         MonoTime clockAt; ///< time at which this reply arrived
+        bool isBoundStored = false; ///< an earlier planner has stored until when it can have a lease
         MonoTime leaseEnd; ///< every lease granted to the worker, by any planner, has expired by then
         WorkerTime grantedUntil; ///< end of the last lease that this planner granted, on the worker's clock
         MonoTime answeredAt;
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -84,8 +84,10 @@
         }
         return out;
     }
+    auto bytes = std::size_t{0};
     for (const auto &[id, worker] : m_workers) {
-        if (out.size() < maxLeaseBounds && needsBound(id, worker, now)) {
+        if (out.size() < maxLeaseBounds && bytes + id.str().size() <= maxLeaseBoundBytes && needsBound(id, worker, now)) {
+            bytes += id.str().size();
             out.push_back(leaseBound(id, worker.leaseEnd, now));
             m_withheld[id] = worker.leaseEnd;
         }
@@ -118,10 +120,15 @@
             continue;
         }
         worker.leaseWaitLogged = true;
+        const auto latest = worker.leaseEnd + (worker.listed ? m_options.leaseDuration : Millis{0});
         const auto fields = "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size()) + " listed=" + (worker.listed ? "yes" : "no")
                             + " answered=" + (worker.answered ? "yes" : "no")
-                            + " latest_end_ms=" + std::to_string(std::chrono::ceil<Millis>(worker.leaseEnd - now).count())
-                            + " stored=" + (isWithheld(id) ? "yes" : "no") + " names=";
+                            + " lease_end_ms=" + std::to_string(std::chrono::ceil<Millis>(worker.leaseEnd - now).count())
+                            + " latest_end_ms=" + std::to_string(std::chrono::ceil<Millis>(latest - now).count()) + " bound="
+                            + (worker.answered        ? "granted"
+                               : worker.isBoundStored ? "stored"
+                                                      : "assumed")
+                            + " names=";
         auto names = std::string{};
         auto n = std::size_t{0};
         for (const auto &[key, it] : worker.allocations) {
--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -207,8 +207,8 @@
     const auto worker = fleet.core.find(JobId{"a"})->occurrences.front().steps.front().tasks.front().worker;
     fleet.core.pollFailed(worker);
     const auto effects = fleet.plan();
-    CHECK(hasDecision(effects, "awaits_lease", "worker=" + worker.str() + " attempts=1 listed=yes answered=yes latest_end_ms=10"));
-    CHECK(hasDecision(effects, "awaits_lease", "names=a.0.0.0#1"));
+    CHECK(hasDecision(effects, "awaits_lease", "worker=" + worker.str() + " attempts=1 listed=yes answered=yes lease_end_ms=10"));
+    CHECK(hasDecision(effects, "awaits_lease", "bound=granted names=a.0.0.0#1"));
     CHECK_FALSE(hasDecision(fleet.plan(), "awaits_lease", "worker="));
     // A new planner that the worker does not answer has its own line.
     auto next = Fleet{0};
@@ -216,7 +216,9 @@
     next.core.adoptRecord(JobId{"a"}, *fleet.core.find(JobId{"a"}), next.now + longestLease, next.now);
     next.core.tookOver(next.now);
     CHECK_FALSE(hasDecision(next.plan(), "awaits_lease", "worker="));
-    CHECK(hasDecision(next.plan(Millis{300}), "awaits_lease", "worker=" + worker.str() + " attempts=1 listed=no answered=no latest_end_ms=10400"));
+    CHECK(hasDecision(next.plan(Millis{300}),
+                      "awaits_lease",
+                      "worker=" + worker.str() + " attempts=1 listed=no answered=no lease_end_ms=10400 latest_end_ms=10400 bound=assumed"));
 }
 
 // Guards against a new planner that starts work again before it has asked the worker, which writes its entry and may hold the end of that work.
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -336,6 +336,11 @@
     return {phasePrefix + id.str(), {}};
 }
 
+auto isLeaseBoundsKey(const std::string &key) -> bool
+{
+    return key == leaseBoundsKey;
+}
+
 auto decodePoolRecord(const std::string &key, const std::string &value) -> Result<PoolRecord>
 {
     try {
--- a/packages/state/poolrecords.h
+++ b/packages/state/poolrecords.h
@@ -83,6 +83,9 @@
 /// @return the tombstone of a job's published state.
 auto encodePhaseTombstone(const JobId &id) -> EncodedRecord;
 
+/// @return whether the record of this key has bounds of leases, readable or not.
+auto isLeaseBoundsKey(const std::string &key) -> bool;
+
 /// @return the record; ErrorCode::Protocol when the key is unknown or the value cannot be decoded.
 auto decodePoolRecord(const std::string &key, const std::string &value) -> Result<PoolRecord>;
 
