--- /dev/null
+++ b/testing/soak/pool_soak.cpp
@@ -0,0 +1,300 @@
+#include "soak/soakjudge.h"
+#include "soak/soakworld.h"
+#include "util/random.h"
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <functional>
+#include <iostream>
+#include <string>
+#include <thread>
+#include <vector>
+
+/// A seeded soak of the platform mode on real processes; testing/README.md tells how to run it.
+
+namespace Catkin::Soak
+{
+
+namespace
+{
+
+constexpr auto tick = std::chrono::milliseconds{100};
+/// How long a day of trouble is followed until every job has ended.
+constexpr auto quietLimit = std::chrono::seconds{60};
+constexpr auto submitPeriod = std::chrono::milliseconds{700};
+constexpr auto statePeriod = std::chrono::milliseconds{1'000};
+/// Executors of which at most half vanish for good.
+constexpr auto vanishShare = std::size_t{2};
+
+struct Play
+{
+    SoakWorld &world;
+    SoakJudge judge;
+    Random random;
+    Millis lease;
+    bool isSeries = false; ///< leaders are killed at a steady pace within one lease
+    std::vector<std::thread> disturbances;
+    int jobs = 0;
+    std::size_t vanished = 0;
+};
+
+auto makeJob(Play &play) -> SoakJob
+{
+    auto job = SoakJob{};
+    auto id = std::to_string(++play.jobs);
+    job.id = std::string(16 - id.size(), '0') + id;
+    const auto shape = play.random(10);
+    job.queue = play.random(4) == 0 ? "urgent" : play.random(2) == 0 ? "normal" : "batch";
+    job.spec = "ms=" + std::to_string(400 + play.random(4'000));
+    if (shape < 2) {
+        job.steps = {{.tasks = 1 + static_cast<int>(play.random(2)), .isLasting = true}};
+        job.spec = "ms=100000000";
+    } else if (shape < 4) {
+        job.steps = {{.tasks = 2, .isGang = true}, {.tasks = 1, .dependsOn = 0}};
+    } else if (shape < 7) {
+        job.steps = {{.tasks = 1 + static_cast<int>(play.random(3))}, {.tasks = 2, .dependsOn = 0}};
+        job.spec += play.random(3) == 0 ? " fail=1" : "";
+    } else {
+        job.steps = {{.tasks = 1 + static_cast<int>(play.random(4))}};
+        job.spec += play.random(4) == 0 ? " fail=2" : "";
+    }
+    return job;
+}
+
+auto bodyOf(const SoakJob &job) -> std::string
+{
+    auto steps = nlohmann::json::array();
+    for (const auto &it : job.steps) {
+        auto step = nlohmann::json{{"count", it.tasks}, {"cpu", 1'000}, {"mem_mb", 100}, {"gpu", 1}, {"estimate_ms", 2'000}};
+        if (it.dependsOn >= 0) {
+            step["depends_on"] = {it.dependsOn};
+        }
+        if (it.isGang) {
+            step["gang"] = true;
+        }
+        if (it.isLasting) {
+            step["long_running"] = true;
+        }
+        steps.push_back(step);
+    }
+    return nlohmann::json{{"spec", job.spec}, {"steps", steps}}.dump();
+}
+
+/// Hands a job in at one instance after the other until one has accepted it.
+auto submit(Play &play) -> void
+{
+    auto job = makeJob(play);
+    const auto first = play.random(static_cast<std::uint32_t>(play.world.instances()));
+    for (auto i = std::size_t{0}; i < play.world.instances(); ++i) {
+        auto answer = std::string{};
+        const auto status = play.world.call((first + i) % play.world.instances(), "POST", "/" + job.queue + "/" + job.id, bodyOf(job), answer);
+        constexpr auto accepted = 200;
+        if (status == accepted) {
+            job.acceptedAt = std::chrono::steady_clock::now();
+            play.judge.accepted(job);
+            return;
+        }
+    }
+}
+
+auto inBackground(Play &play, std::function<void()> run) -> void
+{
+    play.disturbances.emplace_back(std::move(run));
+}
+
+auto endLeader(Play &play, int signal) -> void
+{
+    const auto leader = play.world.leader();
+    play.judge.leaderDisturbed(std::chrono::steady_clock::now());
+    std::printf("  %s of the leader, instance %zu\n", signal == SIGKILL ? "SIGKILL" : "SIGTERM", leader + 1);
+    inBackground(play, [&world = play.world, leader, signal] { world.restartInstance(leader, signal); });
+}
+
+auto freezeLeader(Play &play) -> void
+{
+    const auto leader = play.world.leader();
+    const auto span = Millis{1'000 + play.random(3'000)};
+    play.judge.leaderDisturbed(std::chrono::steady_clock::now() + span);
+    std::printf("  the leader, instance %zu, is frozen for %lld ms\n", leader + 1, static_cast<long long>(span.count()));
+    inBackground(play, [&world = play.world, leader, span] { world.freezeInstance(leader, span); });
+}
+
+auto vanishWorker(Play &play) -> void
+{
+    if ((play.vanished + 1) * vanishShare > play.world.workers()) {
+        return;
+    }
+    std::printf("  executor %zu vanishes\n", play.vanished + 1);
+    play.world.vanish(play.vanished++);
+}
+
+auto refuseLog(Play &play) -> void
+{
+    const auto *log = std::array{"keyed.jobs", "keyed.jobs/1", "keyed.attempts"}.at(play.random(3));
+    const auto span = Millis{500 + play.random(2'000)};
+    std::printf("  %s is refused for %lld ms\n", log, static_cast<long long>(span.count()));
+    inBackground(play, [&store = play.world.store(), log, span] {
+        store.refuseLog(log);
+        std::this_thread::sleep_for(span);
+        store.refuseLog("");
+    });
+}
+
+/// @return how long to wait for the next one.
+auto disturb(Play &play) -> Millis
+{
+    const auto kind = play.random(100);
+    if (play.isSeries && kind < 50) {
+        endLeader(play, SIGKILL);
+        return play.lease * (35 + play.random(30)) / 100;
+    }
+    if (kind < 20) {
+        endLeader(play, SIGKILL);
+    } else if (kind < 32) {
+        endLeader(play, SIGTERM);
+    } else if (kind < 44) {
+        freezeLeader(play);
+    } else if (kind < 52) {
+        const auto index = play.random(static_cast<std::uint32_t>(play.world.instances()));
+        if (index == play.world.leader()) {
+            play.judge.leaderDisturbed(std::chrono::steady_clock::now());
+        }
+        std::printf("  SIGKILL of instance %u\n", index + 1);
+        inBackground(play, [&world = play.world, index] { world.restartInstance(index, SIGKILL); });
+    } else if (kind < 78) {
+        vanishWorker(play);
+    } else if (kind < 86) {
+        play.world.addWorker();
+    } else if (kind < 94) {
+        play.world.writeConfig();
+    } else {
+        refuseLog(play);
+    }
+    return Millis{300 + play.random(2'000)};
+}
+
+/// Asks for the states of all jobs that have not ended.
+auto readStates(Play &play) -> void
+{
+    const auto instance = play.random(static_cast<std::uint32_t>(play.world.instances()));
+    for (const auto &job : play.judge.open()) {
+        auto answer = std::string{};
+        const auto status = play.world.call(instance, "GET", "/" + job.queue + "/" + job.id, {}, answer);
+        constexpr auto found = 200;
+        const auto state = status == found ? nlohmann::json::parse(answer).value("state", "") : std::string{};
+        play.judge.shown(job.id, status, state, std::chrono::steady_clock::now());
+    }
+}
+
+auto runFor(Play &play, std::chrono::steady_clock::duration span, bool isTrouble) -> void
+{
+    const auto end = std::chrono::steady_clock::now() + span;
+    auto nextSubmit = std::chrono::steady_clock::now();
+    auto nextState = nextSubmit + statePeriod;
+    auto nextDisturbance = nextSubmit + std::chrono::seconds{3};
+    while (std::chrono::steady_clock::now() < end && (isTrouble || !play.judge.allEnded())) {
+        const auto now = std::chrono::steady_clock::now();
+        if (isTrouble && now >= nextSubmit) {
+            submit(play);
+            nextSubmit = now + submitPeriod;
+        }
+        if (isTrouble && now >= nextDisturbance) {
+            nextDisturbance = now + disturb(play);
+        }
+        if (!isTrouble && now >= nextState) {
+            readStates(play);
+            nextState = now + statePeriod;
+        }
+        play.judge.look(play.world, std::chrono::steady_clock::now());
+        std::this_thread::sleep_for(tick);
+    }
+}
+
+auto play(std::uint64_t seed, const SoakOptions &options, std::chrono::seconds trouble) -> bool
+{
+    std::printf("seed %llu: %d instances, %d executors, lease %lld ms\n",
+                static_cast<unsigned long long>(seed),
+                options.instances,
+                options.workers,
+                static_cast<long long>(options.lease.count()));
+    auto world = SoakWorld{options};
+    auto it = Play{.world = world, .judge = SoakJudge{options.lease}, .random = Random{seed}, .lease = options.lease};
+    it.isSeries = it.random(2) == 0;
+    const auto ready = std::chrono::steady_clock::now() + std::chrono::seconds{20};
+    auto answer = std::string{};
+    while (world.call(0, "GET", "/batch/", {}, answer) != 200 && std::chrono::steady_clock::now() < ready) {
+        std::this_thread::sleep_for(tick);
+    }
+    runFor(it, trouble, true);
+    for (auto &thread : it.disturbances) {
+        thread.join();
+    }
+    it.judge.quietFrom(std::chrono::steady_clock::now());
+    runFor(it, quietLimit, false);
+    it.judge.finish(world);
+    for (const auto &text : it.judge.violations()) {
+        std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), text.c_str());
+    }
+    std::printf("seed %llu: %zu jobs accepted, %zu attempts, longest stand %lld ms, %zu violations%s\n",
+                static_cast<unsigned long long>(seed),
+                it.judge.acceptedJobs(),
+                world.history().size(),
+                static_cast<long long>(it.judge.longestStand().count()),
+                it.judge.violations().size(),
+                it.judge.violations().empty() ? "" : (", logs in " + options.folder).c_str());
+    std::fflush(stdout);
+    return it.judge.violations().empty();
+}
+
+}
+
+}
+
+auto main(int argc, char **argv) -> int
+{
+    using namespace Catkin;
+    using namespace Catkin::Soak;
+    auto seeds = std::vector<std::uint64_t>{};
+    auto options = SoakOptions{.daemon = binaryPath("catkinworksd"), .lease = Millis{4'000}};
+    auto trouble = std::chrono::seconds{20};
+    for (auto i = 1; i < argc; ++i) {
+        const auto name = std::string(argv[i]);
+        const auto value = i + 1 < argc ? std::string(argv[i + 1]) : std::string{};
+        if (name == "--seed") {
+            seeds.push_back(std::stoull(value));
+        } else if (name == "--seconds") {
+            trouble = std::chrono::seconds{std::stoi(value)};
+        } else if (name == "--lease-ms") {
+            options.lease = Millis{std::stoi(value)};
+        } else if (name == "--instances") {
+            options.instances = std::stoi(value);
+        } else if (name == "--workers") {
+            options.workers = std::stoi(value);
+        } else if (name == "--daemon") {
+            options.daemon = value;
+        } else {
+            std::cerr << "usage: pool_soak --seed N [--seed N ...] [--seconds S] [--lease-ms N] [--instances N] [--workers N] [--daemon PATH]\n";
+            return 2;
+        }
+        ++i;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    auto held = true;
+    constexpr auto networks = 250;
+    for (const auto seed : seeds) {
+        options.folder = (std::filesystem::temp_directory_path() / ("pool-soak-" + std::to_string(getpid()) + "-" + std::to_string(seed))).string();
+        options.network = "127." + std::to_string(1 + getpid() / networks % networks) + "." + std::to_string(1 + getpid() % networks);
+        const auto isHeld = play(seed, options, trouble);
+        held = held && isHeld;
+        if (isHeld) {
+            std::filesystem::remove_all(options.folder);
+        }
+    }
+    return held ? 0 : 1;
+}
--- /dev/null
+++ b/testing/soak/soakexecutor.h
@@ -0,0 +1,113 @@
+#pragma once
+
+/// An executor of the platform for the soak: it enforces leases and fences on its own clock, and keeps a history of its runs.
+///
+/// @code
+///   auto executor = Catkin::Soak::SoakExecutor{"i-1", lease};
+///   store.put("keyed.servers", executor.id(), executor.entry("ready"));
+///   executor.vanish();                       // refuses connections; what it ran has ended
+///   for (const auto &it : executor.runs()) { ... }
+/// @endcode
+///
+/// The payload of a job tells how its tasks behave: "ms=N" runs for N ms, "fail=N" lets the first N attempts of a task fail.
+
+#include "util/units.h"
+
+#include <httplib.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Catkin::Soak
+{
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// One attempt of a task on an executor.
+struct Run
+{
+    std::string task; ///< JOB.OCCURRENCE.STEP.INDEX
+    int attempt = 0;
+    std::string worker;
+    SteadyTime begin;
+    std::optional<SteadyTime> end; ///< nothing while it runs
+    std::string how; ///< how it ended; "gone" with its executor
+    bool isNoted = false; ///< whether a planner has said that it knows the end
+};
+
+class SoakExecutor
+{
+public:
+    /// @param lease longest lease; longer ones are shortened
+    SoakExecutor(std::string id, Millis lease);
+    ~SoakExecutor();
+    SoakExecutor(const SoakExecutor &) = delete;
+    auto operator=(const SoakExecutor &) -> SoakExecutor & = delete;
+
+    [[nodiscard]] auto id() const -> const std::string &;
+    /// @param state "ready" or "draining"
+    /// @return the entry that the executor writes to the store now.
+    [[nodiscard]] auto entry(const std::string &state) -> std::string;
+    /// Ends the process without a word: connections are refused, and what it ran has ended.
+    auto vanish() -> void;
+    /// @return when it vanished; nothing if it has not.
+    auto goneAt() -> std::optional<SteadyTime>;
+    /// @return all attempts so far.
+    auto runs() -> std::vector<Run>;
+
+private:
+    struct Active
+    {
+        std::size_t run = 0; ///< index into m_runs
+        std::int64_t endMs = 0;
+        bool fails = false;
+        std::int64_t beginMs = 0;
+        std::int64_t stopMs = 0; ///< when a stop takes effect; 0: none was ordered
+        std::int64_t lengthMs = 1;
+    };
+    struct End
+    {
+        std::int64_t number = 0;
+        std::string task;
+        int attempt = 0;
+        std::string how;
+        std::size_t run = 0; ///< index into m_runs
+    };
+
+    auto start(const httplib::Request &request, httplib::Response &response) -> void;
+    auto stop(const httplib::Request &request, httplib::Response &response) -> void;
+    auto hold(const httplib::Request &request, httplib::Response &response) -> void;
+    auto refuse(httplib::Response &response, const char *reason) -> void;
+    auto isFenced(std::int64_t token, httplib::Response &response) -> bool;
+    auto extendLease(std::int64_t untilMs) -> void;
+    auto advance() -> void;
+    auto finish(const std::string &task, const std::string &how, std::int64_t atMs) -> void;
+    [[nodiscard]] auto clock() const -> std::int64_t;
+
+    std::string m_id;
+    Millis m_lease;
+    SteadyTime m_bornAt;
+    std::int64_t m_bornMs;
+    std::mutex m_mutex;
+    std::int64_t m_token = 0;
+    std::int64_t m_leaseUntilMs = 0;
+    std::map<std::string, Active> m_active;
+    std::map<std::string, int> m_closed; ///< highest attempt of a task that was stopped or has ended; starts up to it are refused
+    std::vector<End> m_ended;
+    std::int64_t m_nextEnd = 1;
+    std::vector<Run> m_runs;
+    std::int64_t m_sequence = 0;
+    std::optional<SteadyTime> m_goneAt;
+    std::unique_ptr<httplib::Server> m_server;
+    int m_port = 0;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/testing/soak/soakjudge.cpp
@@ -0,0 +1,294 @@
+#include "soak/soakjudge.h"
+
+#include <algorithm>
+
+namespace Catkin::Soak
+{
+
+namespace
+{
+
+/// LOST of the platform: what stands for this long while it could run.
+constexpr auto standLimit = std::chrono::milliseconds{3'000};
+/// `contact_ms` of the platform: the first time without trouble that counts as calm.
+constexpr auto calmAfter = std::chrono::milliseconds{4'000};
+/// A task that lasts counts from this time after its last run.
+constexpr auto lastingPause = std::chrono::milliseconds{6'000};
+/// A leader has noticed by then that an executor does not answer: a poll that waits, its time for the answer, and a renewal.
+constexpr auto noticeTime = std::chrono::milliseconds{3'500};
+/// From a disturbance of the leader until the next one is in office and the earlier one certainly gives no orders any more.
+constexpr auto takeoverTime = std::chrono::milliseconds{6'000};
+constexpr auto leaseStretch = 1.03;
+constexpr auto leaseSlack = std::chrono::milliseconds{500};
+constexpr auto tasksPerWorker = std::size_t{8};
+constexpr auto notFound = 410;
+
+auto taskName(const SoakJob &job, std::size_t step, int index) -> std::string
+{
+    return job.id + ".0." + std::to_string(step) + "." + std::to_string(index);
+}
+
+auto isRunning(const Run &run) -> bool
+{
+    return !run.end;
+}
+
+auto isDone(const Run &run) -> bool
+{
+    return run.how == "done";
+}
+
+auto runsOf(const std::map<std::string, std::vector<Run>> &runs, const std::string &task) -> const std::vector<Run> &
+{
+    static const auto none = std::vector<Run>{};
+    const auto it = runs.find(task);
+    return it == runs.end() ? none : it->second;
+}
+
+auto toMillis(std::chrono::steady_clock::duration span) -> long long
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+}
+
+SoakJudge::SoakJudge(Millis lease)
+    : m_lease(lease)
+{
+}
+
+auto SoakJudge::report(const std::string &text) -> void
+{
+    m_violations.push_back(text);
+}
+
+auto SoakJudge::accepted(const SoakJob &job) -> void
+{
+    m_jobs[job.id] = {.job = job};
+}
+
+auto SoakJudge::leaderDisturbed(SteadyTime at) -> void
+{
+    m_disturbances.push_back(at);
+}
+
+auto SoakJudge::quietFrom(SteadyTime at) -> void
+{
+    m_quietFrom = at;
+    std::sort(m_disturbances.begin(), m_disturbances.end());
+}
+
+auto SoakJudge::shown(const std::string &job, int status, const std::string &state, SteadyTime at) -> void
+{
+    auto &it = m_jobs.at(job);
+    if (status == notFound && m_quietFrom && at >= *m_quietFrom + calmAfter) {
+        report("LOST: job " + job + " is answered 410");
+        it.isEnded = true;
+    }
+    if (state == "failed" || state == "cancelled") {
+        const auto mayFail = it.job.spec.find("fail=") != std::string::npos && state == "failed";
+        if (!mayFail) {
+            report("LOST: job " + job + " is shown as " + state);
+        }
+        it.isEnded = true;
+    }
+    it.isEnded = it.isEnded || state == "completed";
+}
+
+/// @return when the turn of a step came; nothing if it has not.
+auto SoakJudge::readyAt(const SoakJob &job, std::size_t step, const Runs &runs) const -> std::optional<SteadyTime>
+{
+    const auto before = job.steps[step].dependsOn;
+    if (before < 0) {
+        return job.acceptedAt;
+    }
+    const auto &needed = job.steps[static_cast<std::size_t>(before)];
+    auto at = job.acceptedAt;
+    auto done = 0;
+    for (auto i = 0; i < needed.tasks; ++i) {
+        for (const auto &it : runsOf(runs, taskName(job, static_cast<std::size_t>(before), i))) {
+            if (isDone(it)) {
+                ++done;
+                at = std::max(at, *it.end);
+                break;
+            }
+        }
+    }
+    return done == needed.tasks ? std::optional{at} : std::nullopt;
+}
+
+/// @return when the leases of an executor that vanished have certainly ended, as far as a leader can know.
+auto SoakJudge::leaseEnd(SteadyTime goneAt) const -> SteadyTime
+{
+    const auto longest = std::chrono::milliseconds{static_cast<std::int64_t>(static_cast<double>(m_lease.count()) * leaseStretch)} + leaseSlack;
+    // A leader that is disturbed before it has noticed leaves it to the next one, which may be disturbed as well.
+    auto unnoticedUntil = goneAt + noticeTime;
+    auto end = goneAt + longest;
+    for (const auto it : m_disturbances) {
+        if (it + noticeTime >= goneAt && it <= unnoticedUntil) {
+            unnoticedUntil = it + takeoverTime;
+            end = it + takeoverTime + longest;
+        }
+    }
+    return end;
+}
+
+/// @return until when a task may wait because of the executor that it ran on last.
+auto SoakJudge::waitsUntil(SoakWorld &world, const std::string &task, const Runs &runs) const -> SteadyTime
+{
+    const auto &all = runsOf(runs, task);
+    auto until = all.empty() ? SteadyTime{} : *all.back().end;
+    for (const auto &it : all) {
+        if (const auto goneAt = world.goneAt(it.worker)) {
+            until = std::max(until, leaseEnd(*goneAt));
+        }
+    }
+    return until;
+}
+
+auto SoakJudge::stood(JobState &state, const std::string &what, SteadyTime since, SteadyTime now) -> void
+{
+    m_longestStand = std::max(m_longestStand, now - since);
+    if (now - since >= standLimit && !state.isReported) {
+        state.isReported = true;
+        report("LOST: job " + state.job.id + ": " + what + " stands since " + std::to_string(toMillis(since - *m_quietFrom)) + " ms after the last trouble");
+    }
+}
+
+auto SoakJudge::lookAt(SoakWorld &world, JobState &state, const Runs &runs, SteadyTime now) -> void
+{
+    const auto &job = state.job;
+    auto anyRuns = false;
+    auto firstCould = std::optional<SteadyTime>{};
+    auto which = std::string{};
+    for (auto s = std::size_t{0}; s < job.steps.size(); ++s) {
+        const auto ready = readyAt(job, s, runs);
+        for (auto i = 0; ready && i < job.steps[s].tasks; ++i) {
+            const auto task = taskName(job, s, i);
+            const auto &all = runsOf(runs, task);
+            if (std::any_of(all.begin(), all.end(), isRunning)) {
+                anyRuns = true;
+                continue;
+            }
+            if (std::any_of(all.begin(), all.end(), isDone)) {
+                continue;
+            }
+            auto could = std::max({*ready, waitsUntil(world, task, runs), *m_quietFrom + calmAfter});
+            if (job.steps[s].isLasting) {
+                m_lastingRun = false;
+                could = std::max(could, all.empty() ? could : *all.back().end + lastingPause);
+                if (could < now) {
+                    stood(state, "task " + task + " that lasts", could, now);
+                }
+                continue;
+            }
+            if (!firstCould || could < *firstCould) {
+                firstCould = could;
+                which = task;
+            }
+        }
+    }
+    if (anyRuns || !firstCould) {
+        state.standsSince.reset();
+        return;
+    }
+    // The end of the last run of any task is the begin of the time in which nothing runs.
+    state.standsSince = std::max(state.standsSince.value_or(now), *firstCould);
+    if (*state.standsSince < now) {
+        stood(state, "task " + which, *state.standsSince, now);
+    }
+}
+
+auto SoakJudge::look(SoakWorld &world, SteadyTime now) -> void
+{
+    if (!m_quietFrom) {
+        return;
+    }
+    auto runs = Runs{};
+    auto running = std::size_t{0};
+    for (auto &it : world.history()) {
+        running += isRunning(it) ? 1 : 0;
+        runs[it.task].push_back(std::move(it));
+    }
+    for (auto &[task, all] : runs) {
+        std::sort(all.begin(), all.end(), [](const Run &a, const Run &b) { return a.begin < b.begin; });
+    }
+    m_lastingRun = true;
+    const auto isBusy = running * 2 >= world.liveWorkers() * tasksPerWorker;
+    for (auto &[id, state] : m_jobs) {
+        if (!state.isEnded && !isBusy) {
+            lookAt(world, state, runs, now);
+        } else {
+            state.standsSince.reset();
+        }
+    }
+}
+
+/// Two attempts overlap, or one begins after a planner has noted that another was done.
+auto SoakJudge::checkRuns(const Runs &runs) -> void
+{
+    for (const auto &[task, all] : runs) {
+        for (auto i = std::size_t{0}; i + 1 < all.size(); ++i) {
+            for (auto k = i + 1; k < all.size(); ++k) {
+                const auto names = task + " attempts " + std::to_string(all[i].attempt) + " on " + all[i].worker + " and " + std::to_string(all[k].attempt)
+                                   + " on " + all[k].worker;
+                if (!all[i].end || *all[i].end > all[k].begin) {
+                    report("TWICE: " + names + " run at the same time");
+                } else if (isDone(all[i]) && all[i].isNoted) {
+                    report("TWICE: " + names + ": the first was done and noted");
+                }
+            }
+        }
+    }
+}
+
+auto SoakJudge::finish(SoakWorld &world) -> void
+{
+    auto runs = Runs{};
+    for (auto &it : world.history()) {
+        runs[it.task].push_back(std::move(it));
+    }
+    for (auto &[task, all] : runs) {
+        std::sort(all.begin(), all.end(), [](const Run &a, const Run &b) { return a.begin < b.begin; });
+    }
+    checkRuns(runs);
+    for (const auto &[id, state] : m_jobs) {
+        if (!state.isEnded && !state.job.steps.front().isLasting) {
+            report("LOST: job " + id + " has not ended");
+        }
+    }
+}
+
+auto SoakJudge::open() const -> std::vector<SoakJob>
+{
+    auto out = std::vector<SoakJob>{};
+    for (const auto &[id, it] : m_jobs) {
+        if (!it.isEnded) {
+            out.push_back(it.job);
+        }
+    }
+    return out;
+}
+
+auto SoakJudge::allEnded() const -> bool
+{
+    const auto jobs = open();
+    return m_lastingRun && std::all_of(jobs.begin(), jobs.end(), [](const SoakJob &it) { return it.steps.front().isLasting; });
+}
+
+auto SoakJudge::acceptedJobs() const -> std::size_t
+{
+    return m_jobs.size();
+}
+
+auto SoakJudge::longestStand() const -> Millis
+{
+    return std::chrono::duration_cast<Millis>(m_longestStand);
+}
+
+auto SoakJudge::violations() const -> const std::vector<std::string> &
+{
+    return m_violations;
+}
+
+}
--- /dev/null
+++ b/testing/soak/soakworld.cpp
@@ -0,0 +1,247 @@
+#include "soak/soakworld.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace Catkin::Soak
+{
+
+namespace
+{
+
+constexpr auto heartbeat = Millis{1'500};
+constexpr auto entryHeartbeats = 3;
+constexpr auto writerPeriod = std::chrono::milliseconds{50};
+constexpr auto graceTime = Millis{8'000};
+constexpr auto restartDelay = std::chrono::milliseconds{300};
+constexpr auto callTimeout = Millis{3'000};
+
+auto settingsText(const SoakOptions &options, const std::string &name, const std::string &ip, const std::string &store) -> std::string
+{
+    return "node = \"" + name + "\"\nzone = \"z1\"\nip = \"" + ip
+           + "\"\ninternal_ports = [7000, 7015]\nheartbeat_ms = 1500\norders = \"request\"\n[listen]\nfront = \"" + ip + ":8521\"\nreadiness = \"" + ip
+           + ":8523\"\n[limits]\ncpu_share = 1.0\ncores = 1\n[bounds]\nmax_hold_ms = " + std::to_string(options.lease.count())
+           + "\nstop_grace_ms = 200\ngang_timeout_ms = 3000\ngrace_s = 6\nvisible_ms = 3000\nstatus_s = 600\n[platform]\naddress = \"" + store
+           + "\"\nrecord_bytes = 262144\n";
+}
+
+}
+
+SoakWorld::SoakWorld(const SoakOptions &options)
+    : m_options(options)
+{
+    std::filesystem::create_directories(m_options.folder);
+    writeConfig();
+    for (auto i = 0; i < m_options.workers; ++i) {
+        addWorker();
+    }
+    m_writer = std::thread([this] { writeEntries(); });
+    for (auto i = 0; i < m_options.instances; ++i) {
+        auto &instance = *m_instances.emplace_back(std::make_unique<Instance>());
+        instance.name = "n" + std::to_string(i + 1);
+        instance.address = m_options.network + "." + std::to_string(i + 1);
+        std::ofstream(m_options.folder + "/" + instance.name + ".toml") << settingsText(m_options, instance.name, instance.address, m_store.address());
+        m_channels.push_back(std::make_unique<HttpChannel>(instance.address + ":8521"));
+        startInstance(instance);
+    }
+}
+
+SoakWorld::~SoakWorld()
+{
+    m_stopping = true;
+    m_writer.join();
+    for (auto &it : m_instances) {
+        endInstance(*it, SIGKILL);
+    }
+}
+
+auto SoakWorld::startInstance(Instance &instance) -> void
+{
+    const auto settings = m_options.folder + "/" + instance.name + ".toml";
+    auto child = ChildProcess::start({"/usr/bin/env", "CATKINWORKS_CONFIG=" + settings, m_options.daemon, "--platform"},
+                                     m_options.folder + "/" + instance.name + ".err");
+    if (!child) {
+        throw std::runtime_error(child.error().message);
+    }
+    instance.process = std::move(child.value());
+    const auto log = m_options.folder + "/" + instance.name + "-" + std::to_string(++instance.lives) + ".log";
+    instance.output = std::thread([process = instance.process.get(), log] {
+        auto out = std::ofstream{log};
+        constexpr auto patience = Millis{3'600'000};
+        for (auto line = process->readLine(patience); line; line = process->readLine(patience)) {
+            out << line.value() << '\n';
+        }
+    });
+}
+
+auto SoakWorld::endInstance(Instance &instance, int signal) -> void
+{
+    instance.process->signal(signal);
+    if (!instance.process->waitExit(graceTime)) {
+        instance.process->signal(SIGKILL);
+        instance.process->waitExit(graceTime);
+    }
+    instance.output.join();
+}
+
+auto SoakWorld::restartInstance(std::size_t index, int signal) -> bool
+{
+    auto &instance = *m_instances.at(index);
+    const auto lock = std::unique_lock{instance.busy, std::try_to_lock};
+    if (!lock) {
+        return false;
+    }
+    endInstance(instance, signal);
+    std::this_thread::sleep_for(restartDelay);
+    startInstance(instance);
+    return true;
+}
+
+auto SoakWorld::freezeInstance(std::size_t index, Millis span) -> bool
+{
+    auto &instance = *m_instances.at(index);
+    const auto lock = std::unique_lock{instance.busy, std::try_to_lock};
+    if (!lock) {
+        return false;
+    }
+    instance.process->signal(SIGSTOP);
+    std::this_thread::sleep_for(span);
+    instance.process->signal(SIGCONT);
+    return true;
+}
+
+auto SoakWorld::leader() -> std::size_t
+{
+    const auto text = m_store.newest("keyed.states", "leader");
+    const auto holder = text.empty() ? std::string{} : nlohmann::json::parse(text).value("holder", "");
+    for (auto i = std::size_t{0}; i < m_instances.size(); ++i) {
+        if (m_instances[i]->name == holder) {
+            return i;
+        }
+    }
+    return 0;
+}
+
+auto SoakWorld::addWorker() -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    m_executors.push_back(std::make_unique<SoakExecutor>("i-" + std::to_string(m_executors.size() + 1), m_options.lease));
+    m_store.put("keyed.servers", m_executors.back()->id(), m_executors.back()->entry("ready"));
+}
+
+auto SoakWorld::vanish(std::size_t index) -> void
+{
+    auto *executor = static_cast<SoakExecutor *>(nullptr);
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        executor = m_executors.at(index).get();
+        m_removals[executor->id()] = std::chrono::steady_clock::now() + heartbeat * entryHeartbeats;
+    }
+    executor->vanish();
+}
+
+auto SoakWorld::writeEntries() -> void
+{
+    auto nextBeat = std::chrono::steady_clock::now() + heartbeat;
+    while (!m_stopping) {
+        std::this_thread::sleep_for(writerPeriod);
+        const auto now = std::chrono::steady_clock::now();
+        const auto lock = std::lock_guard{m_mutex};
+        for (auto it = m_removals.begin(); it != m_removals.end();) {
+            if (now >= it->second) {
+                m_store.put("keyed.servers", it->first, "");
+                it = m_removals.erase(it);
+            } else {
+                ++it;
+            }
+        }
+        if (now >= nextBeat) {
+            nextBeat += heartbeat;
+            for (const auto &it : m_executors) {
+                if (!it->goneAt() && !m_removals.contains(it->id())) {
+                    m_store.put("keyed.servers", it->id(), it->entry("ready"));
+                }
+            }
+        }
+    }
+}
+
+auto SoakWorld::writeConfig() -> void
+{
+    const auto version = ++m_version;
+    const auto route = [](const char *name, int priority) {
+        return nlohmann::json{{"name", name},
+                              {"host", "h"},
+                              {"path_prefix", std::string("/") + name + "/"},
+                              {"service", "svc"},
+                              {"priority", priority},
+                              {"max_attempts", 4},
+                              {"timeout_ms", 3'000},
+                              {"stretch", 2.0},
+                              {"target_runtime_ms", 1'000}};
+    };
+    const auto text = nlohmann::json{{"version", version},
+                                     {"routes", {route("urgent", 0), route("normal", 1), route("batch", 2)}},
+                                     {"tenants", {{{"name", "t"}, {"api_keys", {"k"}}, {"guaranteed", {{"gpu", 8}}}}}}}
+                          .dump();
+    m_store.put("keyed.op", "config", text);
+}
+
+auto SoakWorld::call(std::size_t instance, const std::string &method, const std::string &path, const std::string &body, std::string &answer) -> int
+{
+    const auto reply = m_channels.at(instance)->exchange(
+        {.method = method, .path = path, .headers = {{"Host", "h"}, {"Api-Key", "k"}, {"Deadline-Ms", "2500"}}, .body = body, .timeout = callTimeout});
+    answer = reply ? reply.value().body : std::string{};
+    return reply ? reply.value().status : 0;
+}
+
+auto SoakWorld::history() -> std::vector<Run>
+{
+    auto out = std::vector<Run>{};
+    const auto lock = std::lock_guard{m_mutex};
+    for (const auto &it : m_executors) {
+        const auto runs = it->runs();
+        out.insert(out.end(), runs.begin(), runs.end());
+    }
+    return out;
+}
+
+auto SoakWorld::goneAt(const std::string &worker) -> std::optional<SteadyTime>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    for (const auto &it : m_executors) {
+        if (it->id() == worker) {
+            return it->goneAt();
+        }
+    }
+    return std::nullopt;
+}
+
+auto SoakWorld::instances() const -> std::size_t
+{
+    return m_instances.size();
+}
+
+auto SoakWorld::liveWorkers() -> std::size_t
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return static_cast<std::size_t>(std::count_if(m_executors.begin(), m_executors.end(), [](const auto &it) { return !it->goneAt(); }));
+}
+
+auto SoakWorld::workers() -> std::size_t
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_executors.size();
+}
+
+auto SoakWorld::store() -> Platform::Testing::StoreStandin &
+{
+    return m_store;
+}
+
+}
--- /dev/null
+++ b/testing/soak/soakworld.h
@@ -0,0 +1,104 @@
+#pragma once
+
+/// The deployment of a soak: instances of the daemon as processes of their own, stand-ins for the store and the executors, and callers.
+///
+/// @code
+///   auto world = Catkin::Soak::SoakWorld{options};
+///   world.submit(job);
+///   world.killInstance(world.leader(), SIGKILL);
+///   world.vanish(0);
+///   for (const auto &it : world.history()) { ... }
+/// @endcode
+///
+/// Threads: one writes the executors' entries, one for each process moves its output to a file. Any thread may call, but call(), which is for one.
+
+#include "harness/childprocess.h"
+#include "platform/testing/storestandin.h"
+#include "ports/httpchannel.h"
+#include "soak/soakexecutor.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Catkin::Soak
+{
+
+struct SoakOptions
+{
+    std::string daemon; ///< path of the program
+    std::string folder; ///< for settings and logs
+    std::string network; ///< first three numbers of the instances' loopback addresses, such as "127.9.1"
+    int instances = 5;
+    int workers = 10;
+    Millis lease{10'000};
+};
+
+class SoakWorld
+{
+public:
+    explicit SoakWorld(const SoakOptions &options);
+    ~SoakWorld();
+    SoakWorld(const SoakWorld &) = delete;
+    auto operator=(const SoakWorld &) -> SoakWorld & = delete;
+
+    /// @return the index of the leading instance; the first one if none leads.
+    auto leader() -> std::size_t;
+    /// Ends an instance by SIGKILL or SIGTERM, and starts it again once it has ended.
+    /// @return whether it was done: nothing else is under way at the instance.
+    auto restartInstance(std::size_t index, int signal) -> bool;
+    /// Stops an instance for a while by SIGSTOP.
+    auto freezeInstance(std::size_t index, Millis span) -> bool;
+    /// Ends an executor without a word; its entry is removed after three heartbeats.
+    auto vanish(std::size_t index) -> void;
+    /// Lets a new executor join.
+    auto addWorker() -> void;
+    auto writeConfig() -> void;
+
+    /// Sends a call over a kept connection.
+    /// @return the status; 0 without an answer
+    auto call(std::size_t instance, const std::string &method, const std::string &path, const std::string &body, std::string &answer) -> int;
+
+    /// @return all attempts on all executors.
+    auto history() -> std::vector<Run>;
+    /// @return when the executor vanished; nothing if it has not.
+    auto goneAt(const std::string &worker) -> std::optional<SteadyTime>;
+    auto instances() const -> std::size_t;
+    /// @return executors that have not vanished.
+    auto liveWorkers() -> std::size_t;
+    auto workers() -> std::size_t;
+    auto store() -> Platform::Testing::StoreStandin &;
+
+private:
+    struct Instance
+    {
+        std::string name;
+        std::string address;
+        std::unique_ptr<ChildProcess> process;
+        std::thread output;
+        std::mutex busy; ///< held while it is ended and started again, or frozen
+        int lives = 0;
+    };
+
+    auto startInstance(Instance &instance) -> void;
+    auto endInstance(Instance &instance, int signal) -> void;
+    auto writeEntries() -> void;
+
+    SoakOptions m_options;
+    Platform::Testing::StoreStandin m_store;
+    std::vector<std::unique_ptr<Instance>> m_instances;
+    std::vector<std::unique_ptr<HttpChannel>> m_channels; ///< kept open by the caller until they break
+    std::mutex m_mutex; ///< guards the executors and what is written for them
+    std::vector<std::unique_ptr<SoakExecutor>> m_executors;
+    std::map<std::string, SteadyTime> m_removals; ///< when the entries of vanished executors are removed
+    std::atomic<int> m_version{0};
+    std::atomic<bool> m_stopping{false};
+    std::thread m_writer;
+};
+
+}
