Let the soak find work that waits anew with each planner

The soak passed on the daemon without the fix: its judge excuses work of an executor that vanished while leaders changed before one can have noticed, its leases of 4 s end before a stand is reported, and its kills were mixed with other trouble.

The bounds of the judge stay. It is stricter in two points: a quiet time lasts 8 s at least, and does not end on a look that was skipped because the executors were busy. A kill that hits an instance which is being restarted or is frozen is no longer played nor noted as a disturbance. A frozen leader is noted at both ends: the next one takes over in between. Output appears line by line; it was held back until the end of a seed, so that one of more than 80 s seemed to hang.

--- a/testing/soak/pool_soak.cpp
+++ b/testing/soak/pool_soak.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <functional>
 #include <iostream>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -29,6 +30,16 @@
 constexpr auto quietLimit = std::chrono::seconds{60};
 constexpr auto submitPeriod = std::chrono::milliseconds{700};
 constexpr auto statePeriod = std::chrono::milliseconds{1'000};
+/// A quiet time is watched at least this long, even if all jobs have ended: work that runs at its begin may still be stopped.
+constexpr auto quietLeast = std::chrono::seconds{8};
+/// The leader is left alone for this long after executors vanish in a series, so that it has noticed.
+constexpr auto seriesDelay = Millis{3'700};
+/// Until the first executors vanish in a series: tasks that last run by then.
+constexpr auto seriesBegin = std::chrono::seconds{5};
+constexpr auto seriesLastingJobs = 4;
+/// Longer than the 7 s after which the judge reports, so that a lease that is counted anew after the last kill shows.
+constexpr auto seriesLease = Millis{10'000};
+constexpr auto mixedLease = Millis{4'000};
 /// Executors of which at most half vanish for good.
 constexpr auto vanishShare = std::size_t{2};
 
@@ -38,7 +49,9 @@
     SoakJudge judge;
     Random random;
     Millis lease;
-    bool isSeries = false; ///< leaders are killed at a steady pace within one lease
+    bool isSeries = false; ///< executors with tasks that last vanish, then the leaders are killed within one lease of each other
+    bool hasVanished = false; ///< in a series
+    std::set<std::string> lastingJobs;
     std::vector<std::thread> disturbances;
     int jobs = 0;
     std::size_t vanished = 0;
@@ -52,9 +65,10 @@
     const auto shape = play.random(10);
     job.queue = play.random(4) == 0 ? "urgent" : play.random(2) == 0 ? "normal" : "batch";
     job.spec = "ms=" + std::to_string(400 + play.random(4'000));
-    if (shape < 2) {
+    if (shape < 2 || (play.isSeries && play.jobs <= seriesLastingJobs)) {
         job.steps = {{.tasks = 1 + static_cast<int>(play.random(2)), .isLasting = true}};
         job.spec = "ms=100000000";
+        play.lastingJobs.insert(job.id);
     } else if (shape < 4) {
         job.steps = {{.tasks = 2, .isGang = true}, {.tasks = 1, .dependsOn = 0}};
     } else if (shape < 7) {
@@ -111,6 +125,9 @@
 auto endLeader(Play &play, int signal) -> void
 {
     const auto leader = play.world.leader();
+    if (play.world.isBusy(leader)) {
+        return;
+    }
     play.judge.leaderDisturbed(std::chrono::steady_clock::now());
     std::printf("  %s of the leader, instance %zu\n", signal == SIGKILL ? "SIGKILL" : "SIGTERM", leader + 1);
     inBackground(play, [&world = play.world, leader, signal] { world.restartInstance(leader, signal); });
@@ -120,18 +137,41 @@
 {
     const auto leader = play.world.leader();
     const auto span = Millis{1'000 + play.random(3'000)};
+    if (play.world.isBusy(leader)) {
+        return;
+    }
+    // The next leader may take over while this one is frozen, and this one may give orders once more when it goes on.
+    play.judge.leaderDisturbed(std::chrono::steady_clock::now());
     play.judge.leaderDisturbed(std::chrono::steady_clock::now() + span);
     std::printf("  the leader, instance %zu, is frozen for %lld ms\n", leader + 1, static_cast<long long>(span.count()));
     inBackground(play, [&world = play.world, leader, span] { world.freezeInstance(leader, span); });
 }
 
-auto vanishWorker(Play &play) -> void
+auto vanishWorker(Play &play, std::size_t index) -> void
 {
     if ((play.vanished + 1) * vanishShare > play.world.workers()) {
         return;
     }
-    std::printf("  executor %zu vanishes\n", play.vanished + 1);
-    play.world.vanish(play.vanished++);
+    std::printf("  executor %zu vanishes\n", index + 1);
+    ++play.vanished;
+    play.world.vanish(index);
+}
+
+/// Lets up to two executors that run tasks that last vanish.
+/// @return whether there was one.
+auto vanishLasting(Play &play) -> bool
+{
+    auto workers = std::set<std::string>{};
+    for (const auto &it : play.world.history()) {
+        if (!it.end && play.lastingJobs.contains(it.task.substr(0, it.task.find('.')))) {
+            workers.insert(it.worker);
+        }
+    }
+    auto left = std::size_t{2};
+    for (auto it = workers.begin(); it != workers.end() && left > 0; ++it, --left) {
+        vanishWorker(play, play.world.indexOf(*it));
+    }
+    return !workers.empty();
 }
 
 auto refuseLog(Play &play) -> void
@@ -149,11 +189,15 @@
 /// @return how long to wait for the next one.
 auto disturb(Play &play) -> Millis
 {
-    const auto kind = play.random(100);
-    if (play.isSeries && kind < 50) {
+    if (play.isSeries) {
+        if (!play.hasVanished) {
+            play.hasVanished = vanishLasting(play);
+            return play.hasVanished ? seriesDelay : Millis{200};
+        }
         endLeader(play, SIGKILL);
         return play.lease * (35 + play.random(30)) / 100;
     }
+    const auto kind = play.random(100);
     if (kind < 20) {
         endLeader(play, SIGKILL);
     } else if (kind < 32) {
@@ -162,13 +206,16 @@
         freezeLeader(play);
     } else if (kind < 52) {
         const auto index = play.random(static_cast<std::uint32_t>(play.world.instances()));
+        if (play.world.isBusy(index)) {
+            return Millis{300};
+        }
         if (index == play.world.leader()) {
             play.judge.leaderDisturbed(std::chrono::steady_clock::now());
         }
         std::printf("  SIGKILL of instance %u\n", index + 1);
         inBackground(play, [&world = play.world, index] { world.restartInstance(index, SIGKILL); });
     } else if (kind < 78) {
-        vanishWorker(play);
+        vanishWorker(play, play.vanished);
     } else if (kind < 86) {
         play.world.addWorker();
     } else if (kind < 94) {
@@ -194,11 +241,12 @@
 
 auto runFor(Play &play, std::chrono::steady_clock::duration span, bool isTrouble) -> void
 {
-    const auto end = std::chrono::steady_clock::now() + span;
     auto nextSubmit = std::chrono::steady_clock::now();
+    const auto end = nextSubmit + span;
+    const auto least = nextSubmit + quietLeast;
     auto nextState = nextSubmit + statePeriod;
-    auto nextDisturbance = nextSubmit + std::chrono::seconds{3};
-    while (std::chrono::steady_clock::now() < end && (isTrouble || !play.judge.allEnded())) {
+    auto nextDisturbance = nextSubmit + (play.isSeries ? seriesBegin : std::chrono::seconds{3});
+    while (std::chrono::steady_clock::now() < end && (isTrouble || std::chrono::steady_clock::now() < least || !play.judge.allEnded())) {
         const auto now = std::chrono::steady_clock::now();
         if (isTrouble && now >= nextSubmit) {
             submit(play);
@@ -216,16 +264,21 @@
     }
 }
 
-auto play(std::uint64_t seed, const SoakOptions &options, std::chrono::seconds trouble) -> bool
+auto play(std::uint64_t seed, SoakOptions options, std::chrono::seconds trouble) -> bool
 {
-    std::printf("seed %llu: %d instances, %d executors, lease %lld ms\n",
+    auto random = Random{seed};
+    const auto isSeries = seed % 2 == 0;
+    if (options.lease.count() == 0) {
+        options.lease = isSeries ? seriesLease : mixedLease;
+    }
+    std::printf("seed %llu: %s, %d instances, %d executors, lease %lld ms\n",
                 static_cast<unsigned long long>(seed),
+                isSeries ? "series" : "mixed",
                 options.instances,
                 options.workers,
                 static_cast<long long>(options.lease.count()));
     auto world = SoakWorld{options};
-    auto it = Play{.world = world, .judge = SoakJudge{options.lease}, .random = Random{seed}, .lease = options.lease};
-    it.isSeries = it.random(2) == 0;
+    auto it = Play{.world = world, .judge = SoakJudge{options.lease}, .random = random, .lease = options.lease, .isSeries = isSeries};
     const auto ready = std::chrono::steady_clock::now() + std::chrono::seconds{20};
     auto answer = std::string{};
     while (world.call(0, "GET", "/batch/", {}, answer) != 200 && std::chrono::steady_clock::now() < ready) {
@@ -261,7 +314,7 @@
     using namespace Catkin;
     using namespace Catkin::Soak;
     auto seeds = std::vector<std::uint64_t>{};
-    auto options = SoakOptions{.daemon = binaryPath("catkinworksd"), .lease = Millis{4'000}};
+    auto options = SoakOptions{.daemon = binaryPath("catkinworksd"), .lease = Millis{0}};
     auto trouble = std::chrono::seconds{20};
     for (auto i = 1; i < argc; ++i) {
         const auto name = std::string(argv[i]);
@@ -285,6 +338,8 @@
         ++i;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    // Each line is seen as it is written, also in a file.
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
     auto held = true;
     constexpr auto networks = 250;
     for (const auto seed : seeds) {
--- a/testing/soak/soakjudge.cpp
+++ b/testing/soak/soakjudge.cpp
@@ -220,6 +220,7 @@
             lookAt(world, state, runs, now);
         } else {
             state.standsSince.reset();
+            m_lastingRun = m_lastingRun && state.isEnded;
         }
     }
 }
--- a/testing/soak/soakworld.cpp
+++ b/testing/soak/soakworld.cpp
@@ -102,6 +102,12 @@
     return true;
 }
 
+auto SoakWorld::isBusy(std::size_t index) -> bool
+{
+    const auto lock = std::unique_lock{m_instances.at(index)->busy, std::try_to_lock};
+    return !lock;
+}
+
 auto SoakWorld::freezeInstance(std::size_t index, Millis span) -> bool
 {
     auto &instance = *m_instances.at(index);
@@ -222,6 +228,13 @@
     return std::nullopt;
 }
 
+auto SoakWorld::indexOf(const std::string &worker) -> std::size_t
+{
+    const auto lock = std::lock_guard{m_mutex};
+    const auto it = std::find_if(m_executors.begin(), m_executors.end(), [&](const auto &executor) { return executor->id() == worker; });
+    return static_cast<std::size_t>(it - m_executors.begin());
+}
+
 auto SoakWorld::instances() const -> std::size_t
 {
     return m_instances.size();
--- a/testing/soak/soakworld.h
+++ b/testing/soak/soakworld.h
@@ -4,8 +4,8 @@
 ///
 /// @code
 ///   auto world = Catkin::Soak::SoakWorld{options};
-///   world.submit(job);
-///   world.killInstance(world.leader(), SIGKILL);
+///   world.call(0, "POST", "/batch/" + id, body, answer);
+///   world.restartInstance(world.leader(), SIGKILL);
 ///   world.vanish(0);
 ///   for (const auto &it : world.history()) { ... }
 /// @endcode
@@ -52,6 +52,8 @@
     /// Ends an instance by SIGKILL or SIGTERM, and starts it again once it has ended.
     /// @return whether it was done: nothing else is under way at the instance.
     auto restartInstance(std::size_t index, int signal) -> bool;
+    /// @return whether the instance is being restarted or is frozen.
+    auto isBusy(std::size_t index) -> bool;
     /// Stops an instance for a while by SIGSTOP.
     auto freezeInstance(std::size_t index, Millis span) -> bool;
     /// Ends an executor without a word; its entry is removed after three heartbeats.
@@ -70,6 +72,7 @@
     auto goneAt(const std::string &worker) -> std::optional<SteadyTime>;
     auto instances() const -> std::size_t;
     /// @return executors that have not vanished.
+    auto indexOf(const std::string &worker) -> std::size_t;
     auto liveWorkers() -> std::size_t;
     auto workers() -> std::size_t;
     auto store() -> Platform::Testing::StoreStandin &;
