List three bounds that still begin anew or last too long as known red

A gang that has waited for a minute holds ready work for 3 s and longer beside idle capacity, since a shorter hold would let a stream of small jobs pass it for ever. A hung task is not stopped while planners change each 4 s. A gang of a failure domain does not end while its planners change each 60 s.

--- a/packages/policy/testing/gangs_test.cpp
+++ b/packages/policy/testing/gangs_test.cpp
@@ -344,3 +344,28 @@
         CHECK(whole);
     }
 }
+
+// Guards against a gang that waits anew with each planner for the lease of a member whose worker is gone.
+TEST_CASE("a gang of a vanished worker ends although planners of its failure domain follow each other")
+{
+    const auto options = GangOptions{};
+    for (const auto term : {Millis{600'000}, Millis{60'000}}) {
+        CAPTURE(term.count());
+        auto now = MonoTime{Seconds{1'000}};
+        const auto begin = now;
+        auto ended = false;
+        while (!ended && now - begin < Millis{600'000}) {
+            auto table = GangTable{options};
+            table.adopt({.job = JobId{"a"}, .members = {{.worker = WorkerId{"gone"}, .slots = {0}}}}, now);
+            for (auto passed = Millis{0}; passed < term && !ended; passed += Millis{1'000}) {
+                now += Millis{1'000};
+                auto step = table.tick(now);
+                for (const auto &[worker, orders] : step.orders) {
+                    table.ordersDone(worker, orders, failure(ErrorCode::Timeout, "no answer"), now);
+                }
+                ended = !step.events.empty();
+            }
+        }
+        CHECK(now - begin < Millis{150'000});
+    }
+}
--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -242,3 +242,35 @@
     next.setWorkers(fleet.workers, fleet.now);
     CHECK_FALSE(hasDecision(next.plan(fleet.now, {}), "attempt_lost", ""));
 }
+
+// Guards against a hung task that no planner stops because each counts its standstill from its own beginning.
+TEST_CASE("a hung task is stopped although planners follow each other")
+{
+    for (const auto term : {Millis{60'000}, Millis{4'000}}) {
+        CAPTURE(term.count());
+        auto fleet = Fleet{1};
+        const auto id = JobId{"a"};
+        fleet.core.addJob(makeJob(id.str(), "batch", batchOf(1)), fleet.now);
+        REQUIRE(tasksOf(fleet.run(Millis{200}), id.str()) == 1);
+        const auto state = *fleet.core.find(id);
+        const auto key = TaskKey{.job = id, .occurrence = 0, .step = 0, .index = 0};
+        auto stopped = false;
+        auto passed = Millis{0};
+        for (; passed < Millis{60'000} && !stopped; passed += Millis{100}) {
+            fleet.now += Millis{100};
+            if (passed.count() > 0 && passed % term == Millis{0}) {
+                fleet.core = PoolCore{PoolOptions{}};
+                fleet.core.setRules(simulationRules());
+                fleet.core.addJob(state.job, fleet.now);
+                fleet.core.adoptRecord(id, state, fleet.now + longestLease, fleet.now);
+                fleet.core.tookOver(fleet.now);
+                fleet.core.setWorkers(fleet.workers, fleet.now);
+            }
+            auto reply = WorkerPollReply{.clock = WorkerTime{200'000 + passed.count()}, .born = Incarnation{1}};
+            reply.running.push_back({.task = key, .attempt = 1, .percent = 50});
+            fleet.core.applyPollReply(WorkerId{"w0"}, reply, fleet.now, fleet.now);
+            stopped = !fleet.core.plan(fleet.now, WallTime{}).stops.empty();
+        }
+        CHECK(stopped);
+    }
+}
--- a/packages/policy/testing/poolcore_waits_test.cpp
+++ b/packages/policy/testing/poolcore_waits_test.cpp
@@ -326,3 +326,18 @@
         CHECK(startsOf(fleet, "late", stillLimit - std::min(waited, Millis{2'500})) == 2);
     }
 }
+
+// Guards against a gang that has waited for long, and keeps a job with nothing running from idle capacity for 3 s or longer.
+TEST_CASE("the reservation of a gang that has waited for a minute holds a job for less than 3 s while most of the capacity is idle")
+{
+    // A reservation holds others and is open to them in turn, so that the job comes at different times of a hold.
+    for (auto waited = Millis{70'000}; waited < Millis{80'000}; waited += Millis{1'000}) {
+        CAPTURE(waited.count());
+        auto fleet = Fleet{4};
+        addHour(fleet);
+        fleet.core.addJob(makeJob("gang", "batch", gangOf(4, 8)), fleet.now);
+        fleet.run(waited);
+        fleet.core.addJob(makeJob("late", "batch", batchOf(2)), fleet.now);
+        CHECK(startsOf(fleet, "late", stillLimit) == 2);
+    }
+}
