--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -44,9 +44,9 @@
 constexpr auto longWait = Millis{60'000};
 /// A reservation is logged when its group has waited for this long.
 constexpr auto reservationLogDelay = Millis{5'000};
-/// How long a reservation does so while most of the capacity is in use.
+/// How long a reservation keeps a group from capacity that would do while most of the capacity is in use.
 constexpr auto busyHoldLimit = Millis{60'000};
-/// How long any of them delays tasks that run until they are cancelled: these serve somebody all the time.
+/// How long a reservation, a reserve or a preference delays tasks that run until they are cancelled: these serve somebody all the time.
 constexpr auto lastingHoldLimit = Millis{1'500};
 /// Part of the wait of a group for which its reservation may hold others.
 constexpr auto holdPart = 10;
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -20,8 +20,8 @@
 ///   time, then it is open to them for a while. The time grows with the wait of the group that reserves, so that this one starts as well
 ///   once the time is longer than the work that it waits for.
 /// - A pass that has searched in vain for long enough leaves the rest of a class of groups to the next pass, which goes on from there.
-/// - A preference for one rack and the reserve for urgent work delay a group for a limited time while most of the capacity is idle. Their time and that of a
-/// reservation do not add up.
+/// - A preference for one rack and the reserve for urgent work delay a group for a limited time while most of the capacity is idle. Their
+///   time and that of a reservation do not add up.
 ///
 /// A pass places no more than can be started soon (PoolOptions::maxOpenStarts and linkBytesPerSecond): start orders that wait would hold
 /// capacity, gangs of which some members have started would wait for the others, and a full link delays stop orders, polls and renewals.
