--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 #include <optional>
 #include <random>
 
@@ -190,12 +191,14 @@
     const auto instance = [&] { return static_cast<std::size_t>(next) % world.instances(); };
     for (auto i = 0; isTroubled() && i < batchJobs; ++i) {
         const auto length = shortestMs + static_cast<int>(random() % spreadMs);
-        world.call(instance(), "POST", "/batch/" + jobId(++next), jobBody(1, length));
+        const auto at = instance();
+        world.call(at, "POST", "/batch/" + jobId(++next), jobBody(1, length));
         sleepMs(30);
     }
     sleepMs(1'000);
     for (auto i = 0; i < urgentJobs; ++i) {
-        if (world.call(instance(), "POST", "/urgent/" + jobId(++next), jobBody(1, urgentMs, {.isLasting = true}), "b").status != statusOk) {
+        const auto at = instance();
+        if (world.call(at, "POST", "/urgent/" + jobId(++next), jobBody(1, urgentMs, {.isLasting = true}), "b").status != statusOk) {
             return unplayed;
         }
         sleepMs(700);
@@ -221,6 +224,82 @@
     return waited > reclaimMs ? broken : held;
 }
 
+auto stepJson(int tasks, int accelerators) -> nlohmann::json
+{
+    return {{"count", tasks}, {"cpu", 500}, {"mem_mb", 500}, {"gpu", accelerators}};
+}
+
+/// A gang has waited for more than a minute. Second steps whose turn comes then stand beside idle executors.
+auto reservation(World &world) -> int
+{
+    constexpr auto longMs = 100'000;
+    constexpr auto jobs = 8;
+    constexpr auto firstStepMs = 72'000;
+    constexpr auto apartMs = 2'000;
+    constexpr auto secondStepMs = 1'000;
+    constexpr auto watchMs = 102'000;
+    constexpr auto standMs = 3'000;
+    constexpr auto executors = 4;
+    constexpr auto wholeExecutor = 8;
+    auto accepted = 0;
+    auto next = 0;
+    const auto submit = [&](const nlohmann::json &steps, const std::string &spec) {
+        const auto body = nlohmann::json{{"spec", spec}, {"steps", steps}}.dump();
+        const auto instance = static_cast<std::size_t>(next) % world.instances();
+        accepted += world.call(instance, "POST", "/q/" + jobId(++next), body).status == statusOk ? 1 : 0;
+    };
+    const auto beginMs = nowMs();
+    auto spread = stepJson(executors, 1);
+    spread["anti_affinity"] = 1;
+    spread["estimate_ms"] = longMs;
+    submit(nlohmann::json::array({spread}), "ms=" + std::to_string(longMs));
+    for (auto i = 0; i < jobs; ++i) {
+        auto first = stepJson(1, 1);
+        auto second = stepJson(1, 1);
+        first["estimate_ms"] = firstStepMs + i * apartMs;
+        second["estimate_ms"] = secondStepMs;
+        second["depends_on"] = {0};
+        submit(nlohmann::json::array({first, second}), "ms=" + std::to_string(firstStepMs + i * apartMs) + " then=" + std::to_string(secondStepMs));
+    }
+    constexpr auto startMs = 2'000;
+    sleepMs(startMs);
+    if (isTroubled()) {
+        auto gang = stepJson(executors, wholeExecutor);
+        gang["gang"] = true;
+        gang["estimate_ms"] = secondStepMs;
+        submit(nlohmann::json::array({gang}), "ms=" + std::to_string(secondStepMs));
+    }
+    sleepMs(beginMs + watchMs - nowMs());
+    world.noteRuns();
+    auto ready = std::map<std::string, std::int64_t>{};
+    auto wrong = 0;
+    auto begun = 0;
+    constexpr auto idLength = 16;
+    for (const auto &it : world.runs()) {
+        const auto id = it.task.substr(0, idLength);
+        if (it.task.substr(idLength) == ".0.0.0" && it.endMs) {
+            ready[id] = *it.endMs;
+        } else if (it.task.substr(idLength) == ".0.1.0") {
+            ++begun;
+            const auto stood = it.beginMs - ready[id];
+            world.note("job " + id + " had nothing running for " + std::to_string(stood) + " ms" + (stood > standMs ? " BROKEN" : ""));
+            wrong += stood > standMs ? 1 : 0;
+        }
+    }
+    if (accepted < next || begun < jobs) {
+        return unplayed;
+    }
+    return wrong > 0 ? broken : held;
+}
+
+struct Case
+{
+    int (*play)(World &);
+    int executors;
+};
+const auto cases = std::map<std::string, Case>{
+    {"restart", {restart, 15}}, {"reclaim", {reclaim, 4}}, {"pending", {pending, 8}}, {"lasting", {lasting, 8}}, {"reservation", {reservation, 4}}};
+
 }
 
 auto main(int argc, char **argv) -> int
@@ -230,16 +309,16 @@
     }
     const auto name = std::string(argv[1]);
     nowMs();
-    auto world = World{{.folder = argv[2], .record = argv[3], .executors = name == "reclaim" ? 4 : name == "restart" ? 15 : 8}};
+    const auto known = cases.find(argv[1]);
+    if (known == cases.end()) {
+        return unplayed;
+    }
+    auto world = World{{.folder = argv[2], .record = argv[3], .executors = known->second.executors}};
     if (!world.waitReady()) {
         world.note("the instances are not ready");
         return unplayed;
     }
-    const auto result = name == "reclaim"   ? reclaim(world)
-                        : name == "restart" ? restart(world)
-                        : name == "pending" ? pending(world)
-                        : name == "lasting" ? lasting(world)
-                                            : unplayed;
+    const auto result = known->second.play(world);
     world.note("result=" + std::to_string(result));
     std::cout << name << " result=" << result << std::endl;
     return result;
--- a/review/standins-2/executor.cpp
+++ b/review/standins-2/executor.cpp
@@ -21,11 +21,17 @@
 constexpr auto pollPeriod = std::chrono::milliseconds{5};
 constexpr auto wholePercent = std::int64_t{99};
 
-auto lengthOf(const std::string &spec) -> std::int64_t
+/// "ms=N" is the length of the tasks, "then=N" that of tasks of later steps.
+auto lengthOf(const std::string &task, const std::string &spec) -> std::int64_t
 {
     constexpr auto usual = std::int64_t{1'000};
-    const auto at = spec.find("ms=");
-    return at == std::string::npos ? usual : std::stoll(spec.substr(at + 3));
+    const auto read = [&](const std::string &name, std::int64_t otherwise) {
+        const auto at = spec.find(name);
+        return at == std::string::npos ? otherwise : std::stoll(spec.substr(at + name.size()));
+    };
+    constexpr auto jobAndOccurrence = 19;
+    const auto length = read("ms=", usual);
+    return task.substr(jobAndOccurrence, 1) == "0" ? length : read("then=", length);
 }
 
 }
@@ -237,7 +243,7 @@
     }
     extend(untilMs);
     const auto spec = body.value("spec", std::string{});
-    m_active[task] = {.run = m_runs.size(), .doneMs = clock() + lengthOf(spec), .stopMs = std::nullopt, .spec = spec};
+    m_active[task] = {.run = m_runs.size(), .doneMs = clock() + lengthOf(task, spec), .stopMs = std::nullopt, .spec = spec};
     m_runs.push_back({.task = task, .number = number, .executor = m_id, .beginMs = nowMs(), .endMs = std::nullopt, .how = {}});
     return answer();
 }
@@ -269,7 +275,7 @@
 {
     auto running = json::array();
     for (const auto &[task, it] : m_active) {
-        const auto length = std::max<std::int64_t>(lengthOf(it.spec), 1);
+        const auto length = std::max<std::int64_t>(lengthOf(task, it.spec), 1);
         const auto spent = nowMs() - m_runs[it.run].beginMs;
         running.push_back({task, m_runs[it.run].number, "", std::min(wholePercent, spent * wholePercent / length)});
     }
--- a/review/standins-2/executor.h
+++ b/review/standins-2/executor.h
@@ -2,7 +2,8 @@
 
 /// An executor that tests can crash, silence and start again under its id.
 ///
-/// It keeps leases and fence numbers as the users' pages say. The payload "ms=N" of a job lets its tasks run for N ms.
+/// It keeps leases and fence numbers as the users' pages say. The payload "ms=N" of a job lets its tasks run for N ms,
+/// and "then=N" those of its later steps.
 
 #include "httpserver.h"
 
