policy: log what the end of a restarted worker's leases was counted from

A task was started again after 'lease expired' although a late start order of its attempt reached the next lifetime of the worker. The lines did not tell which lifetime's clock had bounded the lease, nor what had been counted for such orders, so that a bound that is too short looked like a lease that was never granted.

worker_reborn and worker_restarted now have late_calls_ms, and attempt_lost after 'lease expired' the lifetimes, the granted end and the state of the start order. No decision changes.

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -168,13 +168,15 @@
         const auto moved = worker.info.address != it.address;
         const auto born = worker.info.born;
         if (!worker.info.id.empty() && worker.listedBorn.value != 0 && worker.listedBorn != it.born) {
-            logDecision("worker_reborn",
-                        "worker=" + it.id.str() + " listed_born=" + std::to_string(it.born.value) + " before=" + std::to_string(worker.listedBorn.value)
-                            + " answered_born=" + (worker.answered ? std::to_string(born.value) : std::string("none")));
             // The new lifetime may not answer before the leases of the earlier one have expired.
-            if (hasOrdersUnderWay(worker)) {
+            const auto counts = hasOrdersUnderWay(worker);
+            if (counts) {
                 countEarlierOrders(worker, it.clock, now);
             }
+            logDecision("worker_reborn",
+                        "worker=" + it.id.str() + " listed_born=" + std::to_string(it.born.value) + " before=" + std::to_string(worker.listedBorn.value)
+                            + " answered_born=" + (worker.answered ? std::to_string(born.value) : std::string("none")) + " clock="
+                            + std::to_string(it.clock.value) + " late_calls_ms=" + (counts ? std::to_string(worker.lateCalls.count()) : std::string("none")));
         }
         worker.info = it;
         worker.listedBorn = it.born;
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -229,6 +229,7 @@
         bool isBoundStored = false; ///< an earlier planner has stored until when it can have a lease
         MonoTime leaseEnd; ///< every lease granted to the worker, by any planner, has expired by then
         WorkerTime grantedUntil; ///< end of the last lease that this planner granted, on the worker's clock
+        Millis lateCalls{0}; ///< what the last restart has added to leaseEnd, for calls that the new lifetime carries out late
         MonoTime answeredAt;
         MonoTime wroteAt; ///< last write of its entry that was read; MonoTime{} before the first
         bool reportAwaited = false; ///< its leases have expired, and it may list completions of attempts
@@ -292,6 +293,7 @@
     auto loseEarlier(Worker &worker, const AttemptKey &key, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     auto applyRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void;
     auto resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
+    static auto describeLeaseEnd(const Worker &worker, const Allocation &allocation) -> std::string;
     static auto describeAcceptance(const Allocation &allocation, MonoTime now) -> std::string;
     static auto mayFollowList(const Allocation &allocation, const WorkerPollReply &reply, MonoTime sentAt) -> bool;
     static auto isOfEarlierLifetime(const Worker &worker, const OrderAnswer &answer, MonoTime now) -> bool;
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -195,7 +195,7 @@
         logDecision("leases_expired", text + std::to_string(over.size()) + " every lease has expired without an answer; these attempts count as lost");
     }
     for (const auto &it : over) {
-        loseAttempt(worker, it, "lease expired");
+        loseAttempt(worker, it, "lease expired " + describeLeaseEnd(worker, worker.allocations.at(it)));
     }
     if (!worker.allocations.empty() && !std::exchange(worker.reportAwaited, true)) {
         logDecision("report_awaited",
--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -76,7 +76,8 @@
 {
     const auto fields = "worker=" + worker.info.id.str() + " born=" + std::to_string(reply.born.value) + " before=" + std::to_string(worker.info.born.value)
                         + " clock=" + std::to_string(reply.clock.value) + " asked_ms_ago=" + millisSince(sentAt, now)
-                        + " running=" + std::to_string(reply.running.size()) + " ends=" + std::to_string(reply.completions.size());
+                        + " running=" + std::to_string(reply.running.size()) + " ends=" + std::to_string(reply.completions.size())
+                        + " late_calls_ms=" + std::to_string(worker.lateCalls.count());
     const auto isNamed = [&](const AttemptKey &key) {
         return std::any_of(reply.running.begin(), reply.running.end(), [&](const RunningAttempt &it) { return AttemptKey{it.task, it.attempt} == key; });
     };
@@ -121,7 +122,17 @@
 /// @param clock of the new lifetime
 auto PoolCore::countEarlierOrders(Worker &worker, WorkerTime clock, MonoTime now) const -> void
 {
-    extendLease(worker, now + std::max(Millis{earlierOrdersEnd.value - clock.value}, Millis{0}));
+    worker.lateCalls = std::max(Millis{earlierOrdersEnd.value - clock.value}, Millis{0});
+    extendLease(worker, now + worker.lateCalls);
+}
+
+/// @return what the end of the leases of an attempt was counted from, as fields of a line: the lifetime whose clock bounds them, the one that the
+/// worker's entry names, whether the start order was answered, and the time counted for calls that a later lifetime carries out.
+auto PoolCore::describeLeaseEnd(const Worker &worker, const Allocation &allocation) -> std::string
+{
+    const auto *order = allocation.orderMayArrive ? "may_arrive" : allocation.startTries > 0 ? "answered" : "of_earlier_planner";
+    return "lifetime=" + std::to_string(worker.info.born.value) + " listed_lifetime=" + std::to_string(worker.listedBorn.value) + " granted_until="
+           + std::to_string(worker.grantedUntil.value) + " start_order=" + order + " late_calls_ms=" + std::to_string(worker.lateCalls.count());
 }
 
 /// @return whether a start order for one of the worker's attempts may still be carried out.
@@ -134,14 +145,14 @@
 /// lifetime only when a list of the new one shows it, see resolveMissing().
 auto PoolCore::applyRestart(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void
 {
+    worker.grantedUntil = {};
+    countEarlierOrders(worker, reply.clock, now);
     logRestart(worker, reply, sentAt, now);
     worker.info.born = reply.born;
     worker.processedCompletions = 0;
     worker.recordedCompletions = 0;
     worker.acknowledgedCompletions = 0;
     worker.loggedAcknowledgement = 0;
-    worker.grantedUntil = {};
-    countEarlierOrders(worker, reply.clock, now);
     for (auto &[key, it] : worker.allocations) {
         it.lifetimeInDoubt = true;
         // The new lifetime knows nothing of the stop, and would carry out a start order that arrives later.
