Failing tests of a late start order that outlives the lease of its worker; timeline and hypotheses

A start order without an answer is carried out up to 12 s later, also by the next lifetime of its worker. The planner counts 16 s less the reading of the new lifetime's clock for that, and nothing while no restart shows. A clock begins anywhere, so that the first is often nothing as well.

poolcore_restarts_test.cpp:327 and :339 fail: the task is started on a second worker.

--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,8 @@
 constexpr auto secondBorn = Incarnation{2'000};
 /// Clock of the first lifetime when a test begins.
 constexpr auto firstClock = WorkerTime{100'000};
+/// Readings with which the clock of a new lifetime may begin: the platform promises none.
+constexpr auto clockBegins = std::array{WorkerTime{1}, WorkerTime{8'261'000}};
 
 /// A worker with one task, whose lists and answers the test lets overtake each other. A second worker is there for the task when it is given up.
 struct Planner
@@ -32,7 +35,8 @@
         }
     }
 
-    auto listWorkers(const std::vector<Incarnation> &born) -> void
+    /// @param clock of the first worker
+    auto listWorkers(const std::vector<Incarnation> &born, WorkerTime clock = {}) -> void
     {
         auto listed = std::vector<PoolWorkerInfo>{};
         for (auto i = std::size_t{0}; i < ids.size(); ++i) {
@@ -40,7 +44,8 @@
                               .address = "10.0.0." + std::to_string(i) + ":1",
                               .service = ServiceId{"s"},
                               .capacity = {.cpuMillis = 32'000, .memoryMb = 64'000, .accelerators = 8},
-                              .born = born[i]});
+                              .born = born[i],
+                              .clock = i == 0 ? clock : WorkerTime{}});
         }
         core.setWorkers(listed, now);
     }
@@ -300,3 +305,38 @@
     planner.list(WorkerTime{50}, planner.now, false);
     CHECK(planner.core.nextPoll(workerId, planner.now).request.wait > noticeable);
 }
+
+// Guards against a task that runs twice at the same time: the next lifetime of a worker carries out a start order after the leases of the earlier
+// lifetime have expired, and its clock does not begin at zero.
+TEST_CASE("an attempt whose start order may still arrive stays placed after a restart, wherever the new clock begins")
+{
+    for (const auto clock : clockBegins) {
+        CAPTURE(clock.value);
+        auto planner = Planner{};
+        planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+        planner.core.pollFailed(workerId);
+        planner.now += Millis{1'000};
+        planner.listWorkers({secondBorn, firstBorn}, clock);
+        // The leases of the earlier lifetime have expired; the order may arrive until 12 s after it was sent.
+        planner.now += Millis{10'000};
+        planner.plan();
+        CHECK(planner.isPlaced());
+        // It arrived late, and its lease lasts 10 s.
+        planner.now += Millis{10'500};
+        CHECK(planner.plan().starts.empty());
+        CHECK(planner.isPlaced());
+    }
+}
+
+// Guards against a task that runs twice at the same time, as above, when nothing shows that the silent worker has restarted.
+TEST_CASE("an attempt on a silent worker stays placed while its start order may still arrive")
+{
+    auto planner = Planner{};
+    planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+    planner.core.pollFailed(workerId);
+    planner.now += Millis{21'500};
+    CHECK(planner.plan().starts.empty());
+    CHECK(planner.isPlaced());
+    planner.now += Millis{3'000};
+    CHECK(planner.plan().starts.size() == 1);
+}
