policy: count the leases of late start orders from the last grant, not from a worker's clock

Cause: the end that an order names is a reading of one lifetime's clock. For the next one it says nothing, so that such an order grants a lease of full length whenever it is carried out, up to 12 s later. The planner counted 16 s less the reading of the new clock, as if it began at zero, and counted nothing while no restart showed.

An attempt with a try of its start order that was not answered now keeps its place for 13 s (12 s and 1 s to arrive) and a lease after the last grant, whether or not a restart shows: a silent worker can restart unseen. After a restart the same holds for all attempts of the new lifetime if a poll or a start order was not answered. A new planner that sees a silent worker's entry change counts the earlier planner's orders likewise. Nothing changes for workers that answer.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -162,7 +162,7 @@
         return;
     }
     if (allocation->second.startOutcomeUnknown && allocation->second.startTries == 1) {
-        allocation->second.orderMayArrive = false; // the only try has been carried out
+        allocation->second.startArrivesUntil = MonoTime{}; // the only try has been carried out
     }
     allocation->second.startOutcomeUnknown = false;
     if (task->attemptPhase != AttemptPhase::Running) {
@@ -191,7 +191,7 @@
         if (running.contains(key) || it.orderOpen || (it.startOutcomeUnknown && !it.stopping)) {
             continue;
         }
-        if (it.lifetimeInDoubt && !it.orderMayArrive) {
+        if (it.lifetimeInDoubt && !mayStartLate(it, sentAt)) {
             if (!mayFollowList(it, reply, sentAt)) {
                 restarted.push_back(key);
             }
@@ -275,6 +275,7 @@
     const auto it = m_workers.find(id);
     if (it != m_workers.end()) {
         it->second.reachable = false;
+        it->second.unansweredGrantAt = std::max(it->second.unansweredGrantAt, it->second.grantedAt);
     }
 }
 
@@ -315,8 +316,7 @@
             task->progressAt = now;
         }
     } else if (outcome == OrderOutcome::OutcomeUnknown) {
-        allocation.startOutcomeUnknown = true;
-        allocation.orderMayArrive = true;
+        noteUnansweredStart(worker, allocation, now);
         if (allocation.startTries >= static_cast<int>(startTimeouts.size())) {
             logDecision("start_refused", describeAttempt(key.first, key.second) + " worker=" + worker.info.id.str() + " answer=" + outcomeName(outcome));
             requestStop(allocation, StopReason::StartUnanswered);
@@ -514,12 +514,12 @@
         }
     }
     // A withheld lease goes out with the poll after this one.
-    poll.request.wait = pollWait(worker, open || isWithheld(id));
+    poll.request.wait = pollWait(worker, open || isWithheld(id), now);
     return poll;
 }
 
 /// @param isAwaited whether something waits for the reply
-auto PoolCore::pollWait(const Worker &worker, bool isAwaited) -> Millis
+auto PoolCore::pollWait(const Worker &worker, bool isAwaited, MonoTime now) -> Millis
 {
     // Until a worker answers, it gets no stop orders, so that nothing may hold its answer back.
     if (!worker.answered || !worker.reachable) {
@@ -528,7 +528,7 @@
     // Attempts whose lifetime is in doubt; the next list settles those whose orders have been answered.
     const auto isDoubtful = [](const auto &it) { return it.second.lifetimeInDoubt; };
     const auto isSettledNext = [&](const auto &it) {
-        return isDoubtful(it) && !it.second.orderOpen && !it.second.startOutcomeUnknown && (!it.second.orderMayArrive || it.second.stopAnswered);
+        return isDoubtful(it) && !it.second.orderOpen && !it.second.startOutcomeUnknown && (!mayStartLate(it.second, now) || it.second.stopAnswered);
     };
     if (std::any_of(worker.allocations.begin(), worker.allocations.end(), isSettledNext)) {
         return Millis{0};
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -129,6 +129,9 @@
                 const auto bound = m_withheld.find(task.worker);
                 worker.isBoundStored = bound != m_withheld.end();
                 worker.leaseEnd = std::max(worker.leaseEnd, bound == m_withheld.end() ? earlierLeasesEnd : bound->second);
+                if (bound == m_withheld.end()) {
+                    worker.grantedAt = std::max(worker.grantedAt, earlierLeasesEnd - longestLease());
+                }
                 task.progressAt = now;
                 task.attemptPhase = AttemptPhase::Unknown;
                 allocate(worker, state, {key, task.attempt}).placedAt = now; // the record does not contain the start time
@@ -168,15 +171,11 @@
         const auto moved = worker.info.address != it.address;
         const auto born = worker.info.born;
         if (!worker.info.id.empty() && worker.listedBorn.value != 0 && worker.listedBorn != it.born) {
-            // The new lifetime may not answer before the leases of the earlier one have expired.
-            const auto counts = hasOrdersUnderWay(worker);
-            if (counts) {
-                countEarlierOrders(worker, it.clock, now);
-            }
+            doubtAdoptedStarts(worker);
             logDecision("worker_reborn",
                         "worker=" + it.id.str() + " listed_born=" + std::to_string(it.born.value) + " before=" + std::to_string(worker.listedBorn.value)
-                            + " answered_born=" + (worker.answered ? std::to_string(born.value) : std::string("none")) + " clock="
-                            + std::to_string(it.clock.value) + " late_calls_ms=" + (counts ? std::to_string(worker.lateCalls.count()) : std::string("none")));
+                            + " answered_born=" + (worker.answered ? std::to_string(born.value) : std::string("none"))
+                            + " late_starts=" + std::to_string(lateStarts(worker)));
         }
         worker.info = it;
         worker.listedBorn = it.born;
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -200,9 +200,9 @@
         bool stopRefusalLogged = false; ///< whether a stop order without success has been logged
         bool orderOpen = false; ///< a start order has been issued and not answered
         bool startOutcomeUnknown = false; ///< no try of the start order has been answered, and no list has named the attempt
-        /// A try of the start order was not answered and may still be carried out, also after the answer to a repeat. Only a list that names the
-        /// attempt after a single try shows that none is under way.
-        bool orderMayArrive = false;
+        /// Until when a try of the start order that was not answered may still be carried out, also after the answer to a repeat; MonoTime{}: no
+        /// try can be. Before that time, only a list that names the attempt after a single try shows that none is under way.
+        MonoTime startArrivesUntil;
         bool lifetimeInDoubt = false; ///< the worker has restarted, and no list has shown whether the attempt belongs to the present lifetime
         bool stopOpen = false; ///< a stop order has been issued, and has neither been answered nor counts as unanswered
         bool stopAnswered = false;
@@ -227,9 +227,12 @@
         MonoTime clockAt; ///< time at which this reply arrived
         MonoTime listAskedAt; ///< time at which its poll was sent
         bool isBoundStored = false; ///< an earlier planner has stored until when it can have a lease
-        MonoTime leaseEnd; ///< every lease granted to the worker, by any planner, has expired by then
+        /// Every lease granted to the worker, by any planner, has expired by then, unless a later lifetime carries out the call that grants it:
+        /// see leaseEndOf().
+        MonoTime leaseEnd;
+        MonoTime grantedAt; ///< last grant of a lease; before the first one, when an earlier planner can have granted the last; MonoTime{}: unknown
+        MonoTime unansweredGrantAt; ///< last grant up to a poll or start order without an answer; MonoTime{} before the first
         WorkerTime grantedUntil; ///< end of the last lease that this planner granted, on the worker's clock
-        Millis lateCalls{0}; ///< what the last restart has added to leaseEnd, for calls that the new lifetime carries out late
         MonoTime answeredAt;
         MonoTime wroteAt; ///< last write of its entry that was read; MonoTime{} before the first
         bool reportAwaited = false; ///< its leases have expired, and it may list completions of attempts
@@ -289,26 +292,33 @@
     auto findTask(const TaskKey &key) -> TaskState *;
     auto allocate(Worker &worker, const PoolJobState &state, const AttemptKey &key) -> Allocation &;
     auto applyRestart(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
-    auto logRestart(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
+    auto logRestart(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now, Millis lateCalls) -> void;
     auto loseEarlier(Worker &worker, const AttemptKey &key, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     auto applyRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void;
     auto resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
-    static auto describeLeaseEnd(const Worker &worker, const Allocation &allocation) -> std::string;
     static auto describeAcceptance(const Allocation &allocation, MonoTime now) -> std::string;
     static auto mayFollowList(const Allocation &allocation, const WorkerPollReply &reply, MonoTime sentAt) -> bool;
     static auto isOfEarlierLifetime(const Worker &worker, const OrderAnswer &answer, MonoTime now) -> bool;
-    static auto pollWait(const Worker &worker, bool isAwaited) -> Millis;
+    static auto pollWait(const Worker &worker, bool isAwaited, MonoTime now) -> Millis;
     auto applyStart(Worker &worker, const AttemptKey &key, const OrderAnswer &answer, MonoTime now) -> void;
     auto applyStop(Worker &worker, const AttemptKey &key, const OrderAnswer &answer, MonoTime now) -> void;
     auto startRefused(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
     auto extendLease(Worker &worker, MonoTime now) const -> void;
-    auto countEarlierOrders(Worker &worker, WorkerTime clock, MonoTime now) const -> void;
-    static auto hasOrdersUnderWay(const Worker &worker) -> bool;
+    auto countLateCalls(Worker &worker, MonoTime now) const -> Millis;
+    static auto noteUnansweredStart(Worker &worker, Allocation &allocation, MonoTime now) -> void;
+    static auto doubtAdoptedStarts(Worker &worker) -> void;
+    static auto mayStartLate(const Allocation &allocation, MonoTime askedAt) -> bool;
+    static auto lateStarts(const Worker &worker) -> int;
+    [[nodiscard]] auto longestLease() const -> Millis;
+    [[nodiscard]] auto lateLeaseEnd(const Worker &worker) const -> MonoTime;
+    [[nodiscard]] auto leaseEndOf(const Worker &worker, const Allocation &allocation) const -> MonoTime;
+    [[nodiscard]] auto lastLeaseEnd(const Worker &worker) const -> MonoTime;
+    [[nodiscard]] auto describeLeaseEnd(const Worker &worker, const Allocation &allocation) const -> std::string;
     static auto expectsEarlierOrders(const Worker &worker) -> bool;
     static auto isReborn(const Worker &worker) -> bool;
     static auto isOutdated(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt) -> bool;
     auto loseAllAttempts(Worker &worker, const char *reason) -> void;
-    auto mayReport(const Worker &worker, MonoTime now) const -> bool;
+    auto mayReport(const Worker &worker, MonoTime leaseEnd, MonoTime now) const -> bool;
     auto mayHaveSucceeded(const Worker &worker, const AttemptKey &key) const -> bool;
     auto isSilent(const Worker &worker, MonoTime now) const -> bool;
     static auto isAnswering(const Worker &worker) -> bool;
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -17,6 +17,8 @@
 /// the error of the clock estimate.
 constexpr auto leaseStretch = 1.03;
 constexpr auto leaseSlack = Millis{500};
+/// A call without an answer arrives within 1 s, and is carried out up to 12 s later.
+constexpr auto lateCallLimit = Millis{13'000};
 /// Silence after which a worker's entry is dropped, in heartbeats.
 constexpr auto entryHeartbeats = 3;
 /// A worker that has not answered a new planner by then counts as silent: several round trips between regions.
@@ -26,10 +28,99 @@
 
 }
 
+/// @return how long a lease lasts on the planner's clock at most, from its grant.
+auto PoolCore::longestLease() const -> Millis
+{
+    return Millis{static_cast<std::int64_t>(static_cast<double>(m_options.leaseDuration.count()) * leaseStretch)} + leaseSlack;
+}
+
 auto PoolCore::extendLease(Worker &worker, MonoTime now) const -> void
 {
-    const auto stretched = Millis{static_cast<std::int64_t>(static_cast<double>(m_options.leaseDuration.count()) * leaseStretch)};
-    worker.leaseEnd = std::max(worker.leaseEnd, now + stretched + leaseSlack);
+    worker.grantedAt = std::max(worker.grantedAt, now);
+    worker.leaseEnd = std::max(worker.leaseEnd, now + longestLease());
+}
+
+/// Notes that a try of a start order was not answered.
+auto PoolCore::noteUnansweredStart(Worker &worker, Allocation &allocation, MonoTime now) -> void
+{
+    allocation.startOutcomeUnknown = true;
+    allocation.startArrivesUntil = now + lateCallLimit;
+    worker.unansweredGrantAt = now; // it may have been sent later than it was granted
+}
+
+/// Extends the leases of a worker that has restarted to those that calls for its earlier lifetimes can still grant to the new one.
+/// @return by how much
+auto PoolCore::countLateCalls(Worker &worker, MonoTime now) const -> Millis
+{
+    extendLease(worker, now); // the poll that showed the restart may have granted a lease when it arrived
+    const auto counted = worker.leaseEnd;
+    if (std::any_of(worker.allocations.begin(), worker.allocations.end(), [](const auto &it) { return it.second.orderOpen; })) {
+        worker.unansweredGrantAt = std::max(worker.unansweredGrantAt, worker.grantedAt);
+    }
+    if (worker.unansweredGrantAt != MonoTime{}) {
+        worker.leaseEnd = std::max(worker.leaseEnd, worker.unansweredGrantAt + lateCallLimit + longestLease());
+    }
+    return std::chrono::duration_cast<Millis>(worker.leaseEnd - counted);
+}
+
+/// Counts the start orders of the earlier planner as unanswered: nothing tells which of them were, and a restart shows only in the worker's entry.
+auto PoolCore::doubtAdoptedStarts(Worker &worker) -> void
+{
+    if (worker.answered || worker.grantedAt == MonoTime{}) {
+        return; // a list decides, or the stored bound has counted them
+    }
+    for (auto &[key, it] : worker.allocations) {
+        if (it.startTries == 0) {
+            it.startArrivesUntil = worker.grantedAt + lateCallLimit;
+        }
+    }
+}
+
+/// @return whether a try of the start order may be carried out after the list that was asked for at @p askedAt.
+auto PoolCore::mayStartLate(const Allocation &allocation, MonoTime askedAt) -> bool
+{
+    return allocation.orderOpen || allocation.startArrivesUntil > askedAt;
+}
+
+/// @return attempts of the worker whose start order may be carried out after its last list was asked for.
+auto PoolCore::lateStarts(const Worker &worker) -> int
+{
+    return static_cast<int>(
+        std::count_if(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) { return mayStartLate(it.second, worker.listAskedAt); }));
+}
+
+/// @return the end of the leases of calls that a later lifetime of the worker carries out. The time in such a call is one of an earlier lifetime's
+/// clock and says nothing to it, so that its lease may last for as long as any, from when it is carried out.
+auto PoolCore::lateLeaseEnd(const Worker &worker) const -> MonoTime
+{
+    const auto sentAt = std::max(worker.grantedAt, worker.unansweredGrantAt);
+    return sentAt == MonoTime{} ? worker.leaseEnd : std::max(worker.leaseEnd, sentAt + lateCallLimit + longestLease());
+}
+
+/// @return when an attempt has certainly no lease any more. A silent worker may have restarted unseen.
+auto PoolCore::leaseEndOf(const Worker &worker, const Allocation &allocation) const -> MonoTime
+{
+    return mayStartLate(allocation, worker.listAskedAt) ? lateLeaseEnd(worker) : worker.leaseEnd;
+}
+
+/// @return when no attempt of the worker has a lease any more.
+auto PoolCore::lastLeaseEnd(const Worker &worker) const -> MonoTime
+{
+    auto end = worker.leaseEnd;
+    for (const auto &[key, it] : worker.allocations) {
+        end = std::max(end, leaseEndOf(worker, it));
+    }
+    return end;
+}
+
+/// @return what the end of the leases of an attempt was counted from, as fields of a line.
+auto PoolCore::describeLeaseEnd(const Worker &worker, const Allocation &allocation) const -> std::string
+{
+    const auto isLate = mayStartLate(allocation, worker.listAskedAt);
+    const auto *order = isLate ? "may_arrive" : allocation.startTries > 0 ? "answered" : "of_earlier_planner";
+    const auto late = std::chrono::duration_cast<Millis>(leaseEndOf(worker, allocation) - worker.leaseEnd);
+    return "lifetime=" + std::to_string(worker.info.born.value) + " listed_lifetime=" + std::to_string(worker.listedBorn.value)
+           + " granted_until=" + std::to_string(worker.grantedUntil.value) + " start_order=" + order + " late_calls_ms=" + std::to_string(late.count());
 }
 
 auto PoolCore::leaseFor(const WorkerId &id, MonoTime now) -> WorkerTime
@@ -88,8 +179,9 @@
     for (const auto &[id, worker] : m_workers) {
         if (out.size() < maxLeaseBounds && bytes + id.str().size() <= maxLeaseBoundBytes && needsBound(id, worker, now)) {
             bytes += id.str().size();
-            out.push_back(leaseBound(id, worker.leaseEnd, now));
-            m_withheld[id] = worker.leaseEnd;
+            const auto end = lastLeaseEnd(worker);
+            out.push_back(leaseBound(id, end, now));
+            m_withheld[id] = end;
         }
     }
     return out;
@@ -116,11 +208,11 @@
 auto PoolCore::logLeaseWaits(MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
-        if (worker.allocations.empty() || worker.leaseWaitLogged || !isSilent(worker, now) || now > worker.leaseEnd) {
+        if (worker.allocations.empty() || worker.leaseWaitLogged || !isSilent(worker, now) || now > lastLeaseEnd(worker)) {
             continue;
         }
         worker.leaseWaitLogged = true;
-        const auto latest = worker.leaseEnd + (worker.listed ? m_options.leaseDuration : Millis{0});
+        const auto latest = lastLeaseEnd(worker) + (worker.listed ? m_options.leaseDuration : Millis{0});
         const auto fields = "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size()) + " listed=" + (worker.listed ? "yes" : "no")
                             + " answered=" + (worker.answered ? "yes" : "no")
                             + " lease_end_ms=" + std::to_string(std::chrono::ceil<Millis>(worker.leaseEnd - now).count())
@@ -134,20 +226,21 @@
         for (const auto &[key, it] : worker.allocations) {
             names += (names.empty() ? "" : ",") + attemptName(key.first, key.second);
             if (++n % maxAttemptsInLine == 0 || n == worker.allocations.size()) {
-                logDecision("awaits_lease", fields + std::exchange(names, {}));
+                logDecision("awaits_lease", fields + std::exchange(names, {}) + " late_starts=" + std::to_string(lateStarts(worker)));
             }
         }
     }
 }
 
+/// @param leaseEnd of the attempt whose completion may arrive
 /// @return whether a worker that does not answer is known to run, so that its completions can still arrive.
-auto PoolCore::mayReport(const Worker &worker, MonoTime now) const -> bool
+auto PoolCore::mayReport(const Worker &worker, MonoTime leaseEnd, MonoTime now) const -> bool
 {
     // A new planner has read the entry before it knew of the worker, and does not know when it was written.
     const auto wroteAt = std::max(worker.wroteAt, m_tookOverAt);
     // The last read counts, not the present: without reads nothing shows that the worker has ceased to write.
     return worker.listed && wroteAt != MonoTime{} && m_entriesReadAt <= wroteAt + m_options.heartbeat * entryHeartbeats
-           && now <= worker.leaseEnd + m_options.leaseDuration;
+           && now <= leaseEnd + m_options.leaseDuration;
 }
 
 /// @return whether the attempt may have succeeded as far as this planner knows. The members of a gang succeed together, so that the end of one
@@ -181,10 +274,16 @@
 /// Releases the attempts of a worker whose leases have expired, but for those whose completions it may still list.
 auto PoolCore::expireLeases(Worker &worker, MonoTime now) -> void
 {
-    const auto awaited = mayReport(worker, now);
     auto over = std::vector<AttemptKey>{};
+    auto awaited = std::size_t{0};
     for (const auto &[key, it] : worker.allocations) {
-        if (!awaited || !mayHaveSucceeded(worker, key)) {
+        const auto end = leaseEndOf(worker, it);
+        if (now <= end) {
+            continue;
+        }
+        if (mayReport(worker, end, now) && mayHaveSucceeded(worker, key)) {
+            ++awaited;
+        } else {
             over.push_back(key);
         }
     }
@@ -197,9 +296,8 @@
     for (const auto &it : over) {
         loseAttempt(worker, it, "lease expired " + describeLeaseEnd(worker, worker.allocations.at(it)));
     }
-    if (!worker.allocations.empty() && !std::exchange(worker.reportAwaited, true)) {
-        logDecision("report_awaited",
-                    text + std::to_string(worker.allocations.size()) + " every lease has expired, and the worker writes its entry; it may list them as done");
+    if (awaited > 0 && !std::exchange(worker.reportAwaited, true)) {
+        logDecision("report_awaited", text + std::to_string(awaited) + " every lease has expired, and the worker writes its entry; it may list them as done");
     }
 }
 
--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -72,12 +72,13 @@
 
 /// Logs a restart with the attempts that the first list of the new lifetime does not name, and what is known of their starts: a start that was
 /// accepted after the list had been asked for can be later than the list.
-auto PoolCore::logRestart(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void
+/// @param lateCalls what the restart has added to the worker's leases
+auto PoolCore::logRestart(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now, Millis lateCalls) -> void
 {
     const auto fields = "worker=" + worker.info.id.str() + " born=" + std::to_string(reply.born.value) + " before=" + std::to_string(worker.info.born.value)
                         + " clock=" + std::to_string(reply.clock.value) + " asked_ms_ago=" + millisSince(sentAt, now)
                         + " running=" + std::to_string(reply.running.size()) + " ends=" + std::to_string(reply.completions.size())
-                        + " late_calls_ms=" + std::to_string(worker.lateCalls.count());
+                        + " late_calls_ms=" + std::to_string(lateCalls.count());
     const auto isNamed = [&](const AttemptKey &key) {
         return std::any_of(reply.running.begin(), reply.running.end(), [&](const RunningAttempt &it) { return AttemptKey{it.task, it.attempt} == key; });
     };
@@ -117,37 +118,13 @@
     return answer.clock.value - worker.clock.value > mostClockAdvance(now - worker.listAskedAt);
 }
 
-/// Extends the lease of a worker to those that orders for its earlier lifetimes can still grant. Such an order names a time far ahead on the new
-/// clock, and its lease is cut to the longest one when it arrives.
-/// @param clock of the new lifetime
-auto PoolCore::countEarlierOrders(Worker &worker, WorkerTime clock, MonoTime now) const -> void
-{
-    worker.lateCalls = std::max(Millis{earlierOrdersEnd.value - clock.value}, Millis{0});
-    extendLease(worker, now + worker.lateCalls);
-}
-
-/// @return what the end of the leases of an attempt was counted from, as fields of a line: the lifetime whose clock bounds them, the one that the
-/// worker's entry names, whether the start order was answered, and the time counted for calls that a later lifetime carries out.
-auto PoolCore::describeLeaseEnd(const Worker &worker, const Allocation &allocation) -> std::string
-{
-    const auto *order = allocation.orderMayArrive ? "may_arrive" : allocation.startTries > 0 ? "answered" : "of_earlier_planner";
-    return "lifetime=" + std::to_string(worker.info.born.value) + " listed_lifetime=" + std::to_string(worker.listedBorn.value) + " granted_until="
-           + std::to_string(worker.grantedUntil.value) + " start_order=" + order + " late_calls_ms=" + std::to_string(worker.lateCalls.count());
-}
-
-/// @return whether a start order for one of the worker's attempts may still be carried out.
-auto PoolCore::hasOrdersUnderWay(const Worker &worker) -> bool
-{
-    return std::any_of(worker.allocations.begin(), worker.allocations.end(), [](const auto &it) { return it.second.orderOpen || it.second.orderMayArrive; });
-}
-
 /// Begins a new lifetime of a worker. Answers to start orders do not name the lifetime that gave them, so that an attempt belongs to the earlier
 /// lifetime only when a list of the new one shows it, see resolveMissing().
 auto PoolCore::applyRestart(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void
 {
     worker.grantedUntil = {};
-    countEarlierOrders(worker, reply.clock, now);
-    logRestart(worker, reply, sentAt, now);
+    const auto lateCalls = countLateCalls(worker, now);
+    logRestart(worker, reply, sentAt, now, lateCalls);
     worker.info.born = reply.born;
     worker.processedCompletions = 0;
     worker.recordedCompletions = 0;
