policy: a stop order that was sent before a restart showed is not told to the new lifetime

An attempt with a try of its start order under way was given up once the answer to a stop order had arrived, although the earlier lifetime of the worker had given that answer; the next lifetime carries the start order out, so that its task runs twice.

Cause: answers do not name their lifetime, and the one that gave them was told by comparing clocks: a reading behind the new clock counted as one of the new lifetime. Clocks begin anywhere, so that this is as likely as the other.

The order now counts only if it was issued after the list that showed the present lifetime; clocks only add doubt, in both directions. Otherwise it is sent again, which costs one exchange.

--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -112,10 +112,16 @@
     return ahead >= 0 && ahead <= mostClockAdvance(allocation.acceptedAt - sentAt);
 }
 
-/// @return whether an answer to an order is known to come from an earlier lifetime of the worker than its last list.
-auto PoolCore::isOfEarlierLifetime(const Worker &worker, const OrderAnswer &answer, MonoTime now) -> bool
+/// @param sentAt when the order was issued; MonoTime{} if that was before the restart showed
+/// @return whether an answer to an order may come from an earlier lifetime of the worker than its last list. The clock only adds doubt: two lifetimes
+/// can have the same reading.
+auto PoolCore::mayBeOfEarlierLifetime(const Worker &worker, const OrderAnswer &answer, MonoTime sentAt, MonoTime now) -> bool
 {
-    return answer.clock.value - worker.clock.value > mostClockAdvance(now - worker.listAskedAt);
+    if (sentAt == MonoTime{}) {
+        return true;
+    }
+    const auto ahead = answer.clock.value - worker.clock.value;
+    return answer.clock.value != 0 && (ahead < -clockRounding.count() || ahead > mostClockAdvance(now - worker.listAskedAt));
 }
 
 /// Begins a new lifetime of a worker. Answers to start orders do not name the lifetime that gave them, so that an attempt belongs to the earlier
--- a/packages/policy/poolstops.cpp
+++ b/packages/policy/poolstops.cpp
@@ -218,7 +218,7 @@
         return; // withdrawn
     }
     noteStopAnswer(worker, key, outcome);
-    if (outcome == OrderOutcome::Accepted && allocation.lifetimeInDoubt && isOfEarlierLifetime(worker, answer, now)) {
+    if (outcome == OrderOutcome::Accepted && allocation.lifetimeInDoubt && mayBeOfEarlierLifetime(worker, answer, allocation.stopSentAt, now)) {
         allocation.stopSentAt = MonoTime{}; // the present lifetime has not been told
     } else if (outcome == OrderOutcome::Accepted) {
         allocation.stopAnswered = true;
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -340,3 +340,24 @@
     planner.now += Millis{3'000};
     CHECK(planner.plan().starts.size() == 1);
 }
+
+// Guards against a task that runs twice at the same time: the answer of the earlier lifetime to a stop order is taken for one of the new lifetime,
+// which carries out a start order that arrives later.
+TEST_CASE("a stop order that was sent before the restart showed does not count as told to the new lifetime")
+{
+    for (const auto clock : clockBegins) {
+        CAPTURE(clock.value);
+        auto planner = Planner{};
+        planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+        planner.core.cancelJob(JobId{"a"}, planner.now);
+        const auto stops = planner.plan().stops;
+        REQUIRE(stops.size() == 1);
+        planner.now += Millis{300};
+        planner.list({clock.value + 20}, planner.now - Millis{10}, false);
+        planner.core.applyOrder(stops.front(), {.outcome = OrderOutcome::Accepted, .clock = WorkerTime{firstClock.value + 10}}, planner.now);
+        planner.now += Millis{20};
+        planner.list({clock.value + 40}, planner.now - Millis{10}, false);
+        CHECK(planner.core.workers().at(workerId).allocations.size() == 1);
+        CHECK(planner.plan().stops.size() == 1);
+    }
+}
