policy: the clock in the answer to a start does not tell which lifetime gave it

An attempt was given up although its worker ran it: the worker restarted twice, the third lifetime accepted the start, and the list of the second one arrived after that answer. The reading in the answer did not continue the list, so that the start counted as one of the first lifetime.

Cause: the clocks of two lifetimes were compared, and either can show anything. A start that was answered after the list had been asked for is now in doubt until the next list, which is asked for without a wait. What was answered before the poll was sent is given up with the first list as before, so that the change costs one exchange for starts that were accepted while the poll was under way.

'a start that a third lifetime accepts before the list of the second one arrives is not given up' failed before (poolcore_restarts_test.cpp:378). 'a start whose clock belongs to the earlier lifetime is given up with the first list' took the comparison for proof: that the reading fits the first lifetime does not exclude a third one. In its place the same start has to be given up with the second list, asked for without a wait, and one that was answered before the poll with the first.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -192,7 +192,7 @@
             continue;
         }
         if (it.lifetimeInDoubt && !mayStartLate(it, sentAt)) {
-            if (!mayFollowList(it, reply, sentAt)) {
+            if (!mayFollowList(it, sentAt)) {
                 restarted.push_back(key);
             }
             continue;
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -297,7 +297,7 @@
     auto applyRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void;
     auto resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     static auto describeAcceptance(const Allocation &allocation, MonoTime now) -> std::string;
-    static auto mayFollowList(const Allocation &allocation, const WorkerPollReply &reply, MonoTime sentAt) -> bool;
+    static auto mayFollowList(const Allocation &allocation, MonoTime sentAt) -> bool;
     static auto mayBeOfEarlierLifetime(const Worker &worker, const OrderAnswer &answer, MonoTime sentAt, MonoTime now) -> bool;
     static auto pollWait(const Worker &worker, bool isAwaited, MonoTime now) -> Millis;
     auto applyStart(Worker &worker, const AttemptKey &key, const OrderAnswer &answer, MonoTime now) -> void;
--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -60,8 +60,7 @@
            + " accepted_clock=" + std::to_string(allocation.acceptedClock.value);
 }
 
-/// Gives up an attempt of an earlier lifetime. The line has the list that shows it, and the answer to its start order: a clock of that answer that
-/// is not before the clock of the list is of an earlier lifetime.
+/// Gives up an attempt of an earlier lifetime. The line has the list that shows it, and the answer to its start order.
 auto PoolCore::loseEarlier(Worker &worker, const AttemptKey &key, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void
 {
     loseAttempt(worker,
@@ -90,26 +89,17 @@
         }
         ++n;
         unlisted += (unlisted.empty() ? " unlisted=" : ",") + attemptName(key.first, key.second) + "(tries=" + std::to_string(it.startTries) + " "
-                    + describeAcceptance(it, now) + (it.orderOpen ? " order_open" : "") + (mayFollowList(it, reply, sentAt) ? " in_doubt" : "") + ")";
+                    + describeAcceptance(it, now) + (it.orderOpen ? " order_open" : "") + (mayFollowList(it, sentAt) ? " in_doubt" : "") + ")";
     }
     logDecision("worker_restarted", fields + unlisted);
 }
 
-/// @return whether the attempt may run in the lifetime that made the list although the list does not name it, because its start order was carried
-/// out later. The list and the answer to the order arrive on different connections, so that either may overtake the other.
-auto PoolCore::mayFollowList(const Allocation &allocation, const WorkerPollReply &reply, MonoTime sentAt) -> bool
+/// @return whether the attempt may run in a lifetime from that of the list on although the list does not name it, because its start order was carried
+/// out later. The list and the answer to the order arrive on different connections, so that either may overtake the other, and the answer does not
+/// tell its lifetime: the clock of a later one can show anything.
+auto PoolCore::mayFollowList(const Allocation &allocation, MonoTime sentAt) -> bool
 {
-    if (allocation.orderOpen || allocation.startOutcomeUnknown) {
-        return true;
-    }
-    if (allocation.acceptedAt <= sentAt) {
-        return false;
-    }
-    if (allocation.acceptedClock.value == 0) {
-        return true;
-    }
-    const auto ahead = allocation.acceptedClock.value - reply.clock.value;
-    return ahead >= 0 && ahead <= mostClockAdvance(allocation.acceptedAt - sentAt);
+    return allocation.orderOpen || allocation.startOutcomeUnknown || allocation.acceptedAt > sentAt;
 }
 
 /// @param sentAt when the order was issued; MonoTime{} if that was before the restart showed
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -15,6 +15,7 @@
 const auto workerId = WorkerId{"w1"};
 constexpr auto firstBorn = Incarnation{1'000};
 constexpr auto secondBorn = Incarnation{2'000};
+constexpr auto thirdBorn = Incarnation{3'000};
 /// Clock of the first lifetime when a test begins.
 constexpr auto firstClock = WorkerTime{100'000};
 /// Readings with which the clock of a new lifetime may begin: the platform promises none.
@@ -160,7 +161,7 @@
 }
 
 // Guards against work that ended with its worker and waits: the answer to its start arrives while the list of the new lifetime is under way.
-TEST_CASE("a start whose clock belongs to the earlier lifetime is given up with the first list")
+TEST_CASE("a start of the earlier lifetime that is answered while the first list is under way is given up with the second list")
 {
     auto planner = Planner{};
     const auto sentAt = planner.now;
@@ -168,6 +169,20 @@
     planner.accept(planner.place(), WorkerTime{firstClock.value + 500});
     planner.now += Millis{500};
     planner.list(WorkerTime{300}, sentAt, false);
+    CHECK(planner.core.nextPoll(workerId, planner.now).request.wait == Millis{0});
+    planner.now += Millis{20};
+    planner.list(WorkerTime{320}, planner.now - Millis{10}, false);
+    CHECK(!planner.isPlaced());
+    CHECK(planner.plan().starts.size() == 1);
+}
+
+// Guards against work that ended with its worker and waits: its start was answered before the poll was sent, so that the first list decides.
+TEST_CASE("a start that was answered before the first list was asked for is given up with it")
+{
+    auto planner = Planner{};
+    planner.accept(planner.place(), WorkerTime{firstClock.value + 10});
+    planner.now += Millis{500};
+    planner.list(WorkerTime{300}, planner.now - Millis{400}, false);
     CHECK(!planner.isPlaced());
     CHECK(planner.plan().starts.size() == 1);
 }
@@ -361,3 +376,29 @@
         CHECK(planner.plan().stops.size() == 1);
     }
 }
+
+// Guards against a task that runs twice at the same time: two restarts follow each other, the third lifetime accepts the start before the list of
+// the second one arrives, and its clock does not continue that list.
+TEST_CASE("a start that a third lifetime accepts before the list of the second one arrives is not given up")
+{
+    for (const auto clock : clockBegins) {
+        CAPTURE(clock.value);
+        auto planner = Planner{};
+        const auto sentAt = planner.now;
+        planner.now += Millis{500};
+        planner.accept(planner.place(), clock);
+        planner.now += Millis{200};
+        planner.list(WorkerTime{300'000}, sentAt, false);
+        CHECK(planner.isPlaced());
+        CHECK(planner.plan().starts.empty());
+        planner.now += Millis{20};
+        planner.core.applyPollReply(workerId,
+                                    {.clock = {clock.value + 220}, .born = thirdBorn, .running = {{.task = Planner::task(), .attempt = 1, .percent = 1}}},
+                                    planner.now - Millis{10},
+                                    planner.now);
+        CHECK(planner.isPlaced());
+        const auto effects = planner.plan();
+        CHECK(effects.starts.empty());
+        CHECK(effects.stops.empty());
+    }
+}
