policy: watch a restarted worker for late start orders by the time of the orders, not by its clock

Work that a late start order had begun on an idle worker could run for 5 s before the planner saw it: the worker was polled on only while its clock showed less than 16 s, and clocks begin anywhere.

A worker that has restarted is now polled on until 13 s after its last start order without an answer before that, on the planner's clock. A worker without such an order is no longer polled on at all.

'an idle worker that has restarted is polled on while a start order may still arrive, wherever the new clock begins' failed before for a clock that begins at 8,261,000 ms (poolcore_restarts_test.cpp:410, :413).

--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -231,6 +231,8 @@
         /// see leaseEndOf().
         MonoTime leaseEnd;
         MonoTime grantedAt; ///< last grant of a lease; before the first one, when an earlier planner can have granted the last; MonoTime{}: unknown
+        MonoTime startsArriveUntil; ///< until when any of its start orders without an answer may be carried out, also of attempts that are over
+        MonoTime earlierStartsUntil; ///< the same for those that were sent before its last restart
         MonoTime unansweredGrantAt; ///< last grant up to a poll or start order without an answer; MonoTime{} before the first
         WorkerTime grantedUntil; ///< end of the last lease that this planner granted, on the worker's clock
         MonoTime answeredAt;
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -45,18 +45,22 @@
 {
     allocation.startOutcomeUnknown = true;
     allocation.startArrivesUntil = now + lateCallLimit;
+    worker.startsArriveUntil = allocation.startArrivesUntil;
     worker.unansweredGrantAt = now; // it may have been sent later than it was granted
 }
 
-/// Extends the leases of a worker that has restarted to those that calls for its earlier lifetimes can still grant to the new one.
-/// @return by how much
+/// Counts the calls for the earlier lifetimes of a worker that has restarted: the leases that they can still grant to the new one, and the start
+/// orders that it may carry out.
+/// @return by how much the leases of the worker last longer
 auto PoolCore::countLateCalls(Worker &worker, MonoTime now) const -> Millis
 {
     extendLease(worker, now); // the poll that showed the restart may have granted a lease when it arrived
     const auto counted = worker.leaseEnd;
     if (std::any_of(worker.allocations.begin(), worker.allocations.end(), [](const auto &it) { return it.second.orderOpen; })) {
         worker.unansweredGrantAt = std::max(worker.unansweredGrantAt, worker.grantedAt);
+        worker.startsArriveUntil = now + lateCallLimit;
     }
+    worker.earlierStartsUntil = worker.startsArriveUntil;
     if (worker.unansweredGrantAt != MonoTime{}) {
         worker.leaseEnd = std::max(worker.leaseEnd, worker.unansweredGrantAt + lateCallLimit + longestLease());
     }
--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-/// A start order meant for the earlier lifetime of a restarted worker can be carried out until the worker's clock shows this: it is
-/// sent at most 3 s after the restart, before a poll has shown it, and carried out up to 12 s later.
-constexpr auto earlierOrdersEnd = WorkerTime{16'000};
 /// Two readings of one clock differ by this much more than the time between them: each is rounded to whole milliseconds.
 constexpr auto clockRounding = Millis{2};
 /// Attempts that a line about a restart names.
@@ -44,7 +41,7 @@
 /// @return whether an order that was meant for an earlier lifetime may still start work on the worker.
 auto PoolCore::expectsEarlierOrders(const Worker &worker) -> bool
 {
-    return isReborn(worker) || worker.clock < earlierOrdersEnd;
+    return isReborn(worker) || worker.listAskedAt < worker.earlierStartsUntil;
 }
 
 /// @return whether a list of a later lifetime has overtaken this one. A poll that is sent after that list cannot reach the earlier lifetime.
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -402,3 +402,31 @@
         CHECK(effects.stops.empty());
     }
 }
+
+// Guards against work that runs unnoticed on an idle worker: a start order for the earlier lifetime may still be carried out, and the worker is
+// polled only now and then because its clock does not begin at zero.
+TEST_CASE("an idle worker that has restarted is polled on while a start order may still arrive, wherever the new clock begins")
+{
+    for (const auto clock : clockBegins) {
+        CAPTURE(clock.value);
+        auto planner = Planner{};
+        planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+        planner.core.cancelJob(JobId{"a"}, planner.now);
+        planner.now += Millis{100};
+        planner.list({clock.value + 100}, planner.now - Millis{10}, false);
+        const auto stops = planner.plan().stops;
+        REQUIRE(stops.size() == 1);
+        planner.now += Millis{10};
+        planner.core.applyOrder(stops.front(), {.outcome = OrderOutcome::Accepted, .clock = {clock.value + 105}}, planner.now);
+        planner.now += Millis{20};
+        planner.list({clock.value + 130}, planner.now - Millis{10}, false);
+        REQUIRE(planner.core.workers().at(workerId).allocations.empty());
+        CHECK(planner.core.pollPause(workerId) == PollPause::None);
+        planner.now += Millis{11'000};
+        planner.list({clock.value + 11'100}, planner.now - Millis{10}, false);
+        CHECK(planner.core.pollPause(workerId) == PollPause::None);
+        planner.now += Millis{5'000};
+        planner.list({clock.value + 16'100}, planner.now - Millis{10}, false);
+        CHECK(planner.core.pollPause(workerId) == PollPause::WhileIdle);
+    }
+}
