simulation: the clock of a worker's lifetime begins at any reading

The simulated workers began their clocks at zero with each lifetime, which the platform does not promise, so that no play could show a decision that rests on it. Half of the lifetimes now begin anywhere up to 9,000,000 ms, drawn apart from the other faults.

--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -32,12 +32,19 @@
 /// Less than the time after which the caller counts a poll, or an order, as failed.
 constexpr auto longestListTransit = 800;
 constexpr auto longestAnswerTransit = 280;
+/// Of the clock with which a lifetime may begin.
+constexpr auto longestReading = std::uint32_t{9'000'000};
 constexpr auto drainDuration = Millis{2'500};
 constexpr auto absence = Millis{2'000};
 
 auto workerTime(MonoTime now, const SimulatedPoolWorker &worker) -> WorkerTime
 {
-    return {std::chrono::duration_cast<Millis>(now - worker.bornAt).count() + 1};
+    return {std::chrono::duration_cast<Millis>(now - worker.bornAt).count() + worker.firstReading.value};
+}
+
+auto fromWorkerTime(WorkerTime time, const SimulatedPoolWorker &worker) -> MonoTime
+{
+    return worker.bornAt + Millis{time.value - worker.firstReading.value};
 }
 
 }
@@ -59,6 +66,7 @@
     , m_faults(faults)
     , m_random(seed)
     , m_boundsRandom(seed)
+    , m_clockRandom(seed)
     , m_transitRandom(seed)
     , m_core(m_options)
 {
@@ -74,6 +82,7 @@
                        .capacity = {.cpuMillis = 32'000, .memoryMb = 128'000, .accelerators = 8},
                        .born = Incarnation{1}};
         worker.bornAt = m_start - Seconds{100};
+        worker.firstReading = drawFirstReading();
         if (chance(m_faults.cutWorkers)) {
             worker.cutFrom = m_start + Millis{2'000 + m_random(15'000)};
             worker.cutUntil = worker.cutFrom + cutDuration;
@@ -527,7 +536,7 @@
         return OrderOutcome::Superseded;
     }
     // A longer lease is shortened; one by the clock of an earlier incarnation can be much longer.
-    const auto until = std::min(worker.bornAt + Millis{leaseUntil.value - 1}, m_now + m_options.leaseDuration);
+    const auto until = std::min(fromWorkerTime(leaseUntil, worker), m_now + m_options.leaseDuration);
     if (until <= m_now) {
         return OrderOutcome::Expired;
     }
@@ -721,6 +730,12 @@
     }
 }
 
+/// @return the first reading of a new lifetime's clock: near zero, or anywhere.
+auto PoolSimulation::drawFirstReading() -> WorkerTime
+{
+    return m_clockRandom(2) == 0 ? WorkerTime{1} : WorkerTime{1 + m_clockRandom(longestReading)};
+}
+
 /// The worker's process ends; what it ran is gone.
 auto PoolSimulation::lifetimeEnds(SimulatedPoolWorker &worker) -> void
 {
@@ -734,6 +749,7 @@
     const auto before = worker;
     worker = SimulatedPoolWorker{.info = before.info,
                                  .bornAt = m_now,
+                                 .firstReading = drawFirstReading(),
                                  .cutFrom = before.cutFrom,
                                  .cutUntil = before.cutUntil,
                                  .slowFrom = before.slowFrom,
@@ -797,7 +813,7 @@
 {
     worker.token = std::max(worker.token, request.token);
     if (request.leaseUntil.value > 0) {
-        const auto until = worker.bornAt + Millis{request.leaseUntil.value - 1};
+        const auto until = fromWorkerTime(request.leaseUntil, worker);
         worker.leaseUntil = std::max(worker.leaseUntil, std::min(until, m_now + m_options.leaseDuration));
     }
     // A worker forgets its completions up to that number, whichever incarnation the number was meant for.
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -72,6 +72,7 @@
     std::int64_t token = 0; ///< highest fencing token seen
     MonoTime leaseUntil;
     MonoTime bornAt;
+    WorkerTime firstReading{1}; ///< of the clock of this lifetime
     MonoTime cutFrom; ///< the worker is cut off from here until cutUntil
     MonoTime cutUntil;
     MonoTime slowFrom; ///< the path to the planner is slow from here until slowUntil
@@ -166,6 +167,7 @@
     auto startAt(SimulatedPoolWorker &worker, const PoolOrder &order, WorkerTime leaseUntil, const LateOrder *late) -> OrderOutcome;
     auto pollWorkers() -> void;
     auto receivePoll(SimulatedPoolWorker &worker, const WorkerPollRequest &request) -> void;
+    auto drawFirstReading() -> WorkerTime;
     [[nodiscard]] auto replyOf(const SimulatedPoolWorker &worker, const Poller &poller) const -> WorkerPollReply;
     auto applyCancellations() -> void;
     auto lifetimeEnds(SimulatedPoolWorker &worker) -> void;
@@ -215,6 +217,7 @@
     };
     std::optional<OpenBounds> m_openBounds;
     Random m_boundsRandom; ///< apart, so that a seed plays the same faults as before bounds were stored
+    Random m_clockRandom; ///< for the first readings of clocks; apart for the same reason
     Random m_transitRandom; ///< for replies and answers that are under way; apart for the same reason
     KnownLeaseBounds m_leaseBounds; ///< as the next planner has read them
     MonoTime m_renewedAt; ///< when the planner last composed bounds
