policy: log all that was counted for late calls, and which lifetime's clock a lease is on

late_calls_ms of attempt_lost was counted from Worker::leaseEnd, which a restart may have extended for late calls itself, so that it read 0 for an attempt that had waited for them. It is now counted from the end of the last lease. leases_expired and report_awaited gave the end of the last lease on the worker's clock, but not whose clock that is: they now have lifetime and listed_lifetime. No decision changes.

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -128,7 +128,9 @@
                 worker.info.id = task.worker;
                 const auto bound = m_withheld.find(task.worker);
                 worker.isBoundStored = bound != m_withheld.end();
-                worker.leaseEnd = std::max(worker.leaseEnd, bound == m_withheld.end() ? earlierLeasesEnd : bound->second);
+                const auto end = bound == m_withheld.end() ? earlierLeasesEnd : bound->second;
+                worker.leaseEnd = std::max(worker.leaseEnd, end);
+                worker.grantedLeaseEnd = std::max(worker.grantedLeaseEnd, end);
                 if (bound == m_withheld.end()) {
                     worker.grantedAt = std::max(worker.grantedAt, earlierLeasesEnd - longestLease());
                 }
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -230,6 +230,7 @@
         /// Every lease granted to the worker, by any planner, has expired by then, unless a later lifetime carries out the call that grants it:
         /// see leaseEndOf().
         MonoTime leaseEnd;
+        MonoTime grantedLeaseEnd; ///< leaseEnd without what restarts have added for calls that are carried out late; for the log
         MonoTime grantedAt; ///< last grant of a lease; before the first one, when an earlier planner can have granted the last; MonoTime{}: unknown
         MonoTime startsArriveUntil; ///< until when any of its start orders without an answer may be carried out, also of attempts that are over
         MonoTime earlierStartsUntil; ///< the same for those that were sent before its last restart
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -38,6 +38,7 @@
 {
     worker.grantedAt = std::max(worker.grantedAt, now);
     worker.leaseEnd = std::max(worker.leaseEnd, now + longestLease());
+    worker.grantedLeaseEnd = std::max(worker.grantedLeaseEnd, now + longestLease());
 }
 
 /// Notes that a try of a start order was not answered.
@@ -122,7 +123,7 @@
 {
     const auto isLate = mayStartLate(allocation, worker.listAskedAt);
     const auto *order = isLate ? "may_arrive" : allocation.startTries > 0 ? "answered" : "of_earlier_planner";
-    const auto late = std::chrono::duration_cast<Millis>(leaseEndOf(worker, allocation) - worker.leaseEnd);
+    const auto late = std::chrono::duration_cast<Millis>(leaseEndOf(worker, allocation) - worker.grantedLeaseEnd);
     return "lifetime=" + std::to_string(worker.info.born.value) + " listed_lifetime=" + std::to_string(worker.listedBorn.value)
            + " granted_until=" + std::to_string(worker.grantedUntil.value) + " start_order=" + order + " late_calls_ms=" + std::to_string(late.count());
 }
@@ -293,7 +294,8 @@
     }
     const auto silence = std::chrono::duration_cast<Millis>(now - worker.answeredAt).count();
     const auto text = "worker=" + worker.info.id.str() + " silent_ms=" + (worker.answered ? std::to_string(silence) : std::string("always"))
-                      + " granted_until=" + std::to_string(worker.grantedUntil.value) + " attempts=";
+                      + " granted_until=" + std::to_string(worker.grantedUntil.value) + " lifetime=" + std::to_string(worker.info.born.value)
+                      + " listed_lifetime=" + std::to_string(worker.listedBorn.value) + " attempts=";
     if (!over.empty()) {
         logDecision("leases_expired", text + std::to_string(over.size()) + " every lease has expired without an answer; these attempts count as lost");
     }
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -430,3 +430,24 @@
         CHECK(planner.core.pollPause(workerId) == PollPause::WhileIdle);
     }
 }
+
+// Guards against a lease that looks as if nothing had been counted for late orders, because the restart had already extended it.
+TEST_CASE("the log tells what a restart has added to the leases of an attempt that is given up later")
+{
+    auto planner = Planner{};
+    planner.accept(planner.place(), firstClock);
+    planner.core.pollFailed(workerId);
+    planner.now += Millis{1'000};
+    planner.list(WorkerTime{50}, planner.now - Millis{10}, true);
+    planner.plan();
+    // The poll without an answer granted a lease of 10.8 s at the beginning, which may begin 13 s late; that of the list ends after 11.8 s.
+    CHECK(planner.hasLine("worker_restarted", "running=1 ends=0 late_calls_ms=12000"));
+    planner.core.pollFailed(workerId);
+    planner.plan();
+    CHECK(planner.hasLine("awaits_lease", "lease_end_ms=22800 latest_end_ms=32800 bound=granted names=a.0.0.0#1 late_starts=0"));
+    CHECK_FALSE(planner.hasLine("awaits_lease", "late_end_ms="));
+    planner.now += Millis{22'900};
+    planner.plan();
+    CHECK(planner.hasLine("leases_expired", "granted_until=0 lifetime=2000 listed_lifetime=1000 attempts=1"));
+    CHECK(planner.hasLine("attempt_lost", "reason=lease expired lifetime=2000 listed_lifetime=1000 granted_until=0 start_order=answered late_calls_ms=12000"));
+}
