policy: log which attempts of a silent worker wait longer, and until when

awaits_lease had the end of the leases and the number of attempts whose start order may arrive late, but neither which these are nor when their wait ends; only latest_end_ms had that, with the wait for a report. It now ends with late_end_ms and late_names, of the 16 names of the line. worker_reborn has late_end_ms as well: for the orders of an earlier planner the wait becomes longer after awaits_lease was written. No decision changes.

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -176,8 +176,7 @@
             doubtAdoptedStarts(worker);
             logDecision("worker_reborn",
                         "worker=" + it.id.str() + " listed_born=" + std::to_string(it.born.value) + " before=" + std::to_string(worker.listedBorn.value)
-                            + " answered_born=" + (worker.answered ? std::to_string(born.value) : std::string("none"))
-                            + " late_starts=" + std::to_string(lateStarts(worker)));
+                            + " answered_born=" + (worker.answered ? std::to_string(born.value) : std::string("none")) + " " + describeLateStarts(worker, now));
         }
         worker.info = it;
         worker.listedBorn = it.born;
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -312,6 +312,7 @@
     static auto doubtAdoptedStarts(Worker &worker) -> void;
     static auto mayStartLate(const Allocation &allocation, MonoTime askedAt) -> bool;
     static auto lateStarts(const Worker &worker) -> int;
+    [[nodiscard]] auto describeLateStarts(const Worker &worker, MonoTime now) const -> std::string;
     [[nodiscard]] auto longestLease() const -> Millis;
     [[nodiscard]] auto lateLeaseEnd(const Worker &worker) const -> MonoTime;
     [[nodiscard]] auto leaseEndOf(const Worker &worker, const Allocation &allocation) const -> MonoTime;
@@ -328,6 +329,7 @@
     auto needsBound(const WorkerId &id, const Worker &worker, MonoTime now) const -> bool;
     auto isWithheld(const WorkerId &id) const -> bool;
     auto logLeaseWaits(MonoTime now) -> void;
+    auto logLeaseWait(const Worker &worker, MonoTime now) -> void;
     auto expireLeases(MonoTime now) -> void;
     auto expireLeases(Worker &worker, MonoTime now) -> void;
     static auto hungLimit(const PoolStep &step, const TaskState &task) -> Millis;
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -118,6 +118,14 @@
     return end;
 }
 
+/// @return how many attempts of the worker have a start order that may arrive late, and when these have no lease any more, as fields of a line.
+auto PoolCore::describeLateStarts(const Worker &worker, MonoTime now) const -> std::string
+{
+    const auto n = lateStarts(worker);
+    const auto left = std::chrono::ceil<Millis>(lateLeaseEnd(worker) - now);
+    return "late_starts=" + std::to_string(n) + (n > 0 ? " late_end_ms=" + std::to_string(left.count()) : std::string{});
+}
+
 /// @return what the end of the leases of an attempt was counted from, as fields of a line.
 auto PoolCore::describeLeaseEnd(const Worker &worker, const Allocation &allocation) const -> std::string
 {
@@ -217,22 +225,32 @@
             continue;
         }
         worker.leaseWaitLogged = true;
-        const auto latest = lastLeaseEnd(worker) + (worker.listed ? m_options.leaseDuration : Millis{0});
-        const auto fields = "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size()) + " listed=" + (worker.listed ? "yes" : "no")
-                            + " answered=" + (worker.answered ? "yes" : "no")
-                            + " lease_end_ms=" + std::to_string(std::chrono::ceil<Millis>(worker.leaseEnd - now).count())
-                            + " latest_end_ms=" + std::to_string(std::chrono::ceil<Millis>(latest - now).count()) + " bound="
-                            + (worker.answered        ? "granted"
-                               : worker.isBoundStored ? "stored"
-                                                      : "assumed")
-                            + " names=";
-        auto names = std::string{};
-        auto n = std::size_t{0};
-        for (const auto &[key, it] : worker.allocations) {
-            names += (names.empty() ? "" : ",") + attemptName(key.first, key.second);
-            if (++n % maxAttemptsInLine == 0 || n == worker.allocations.size()) {
-                logDecision("awaits_lease", fields + std::exchange(names, {}) + " late_starts=" + std::to_string(lateStarts(worker)));
-            }
+        logLeaseWait(worker, now);
+    }
+}
+
+auto PoolCore::logLeaseWait(const Worker &worker, MonoTime now) -> void
+{
+    const auto latest = lastLeaseEnd(worker) + (worker.listed ? m_options.leaseDuration : Millis{0});
+    const auto fields = "worker=" + worker.info.id.str() + " attempts=" + std::to_string(worker.allocations.size())
+                        + " listed=" + (worker.listed ? "yes" : "no") + " answered=" + (worker.answered ? "yes" : "no")
+                        + " lease_end_ms=" + std::to_string(std::chrono::ceil<Millis>(worker.leaseEnd - now).count())
+                        + " latest_end_ms=" + std::to_string(std::chrono::ceil<Millis>(latest - now).count()) + " bound="
+                        + (worker.answered        ? "granted"
+                           : worker.isBoundStored ? "stored"
+                                                  : "assumed")
+                        + " names=";
+    auto names = std::string{};
+    auto lateNames = std::string{};
+    auto n = std::size_t{0};
+    for (const auto &[key, it] : worker.allocations) {
+        const auto name = attemptName(key.first, key.second);
+        names += (names.empty() ? "" : ",") + name;
+        if (mayStartLate(it, worker.listAskedAt)) {
+            lateNames += (lateNames.empty() ? " late_names=" : ",") + name;
+        }
+        if (++n % maxAttemptsInLine == 0 || n == worker.allocations.size()) {
+            logDecision("awaits_lease", fields + std::exchange(names, {}) + " " + describeLateStarts(worker, now) + std::exchange(lateNames, {}));
         }
     }
 }
--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -221,6 +223,72 @@
                       "worker=" + worker.str() + " attempts=1 listed=no answered=no lease_end_ms=10400 latest_end_ms=10400 bound=assumed"));
 }
 
+// Guards against an operator who cannot see why one attempt of a silent worker waits longer than the others.
+TEST_CASE("the log names the attempts that wait longer because their start order may arrive late")
+{
+    auto fleet = Fleet{1};
+    fleet.core.addJob(makeJob("a", "batch", batchOf(2)), fleet.now);
+    const auto starts = fleet.plan().starts;
+    REQUIRE(tasksOf(starts, "a") == 2);
+    fleet.answer({starts.front()}, OrderOutcome::Accepted);
+    fleet.answer({starts.back()}, OrderOutcome::OutcomeUnknown);
+    fleet.core.pollFailed(WorkerId{"w0"});
+    const auto late = "a.0.0." + std::to_string(starts.back().task.index) + "#1";
+    const auto first = fleet.plan();
+    CHECK(hasDecision(
+        first, "awaits_lease", "attempts=2 listed=yes answered=yes lease_end_ms=10700 latest_end_ms=33700 bound=granted names=a.0.0.0#1,a.0.0.1#1"));
+    CHECK(hasDecision(first, "awaits_lease", " late_starts=1 late_end_ms=23700 late_names=" + late));
+    CHECK_FALSE(hasDecision(first, "awaits_lease", "late_names=" + late + ","));
+    const auto expired = fleet.plan(Millis{10'800});
+    CHECK(hasDecision(expired, "leases_expired", "attempts=1 "));
+    CHECK(hasDecision(expired, "attempt_lost", "start_order=answered late_calls_ms=0"));
+    CHECK_FALSE(hasDecision(expired, "attempt_lost", "start_order=may_arrive"));
+    CHECK(hasDecision(fleet.plan(Millis{13'000}), "attempt_lost", "start_order=may_arrive late_calls_ms=13000"));
+}
+
+// Guards against a line whose length grows with the attempts of a worker.
+TEST_CASE("a line about a wait for a lease names at most 16 attempts whose start order may arrive late")
+{
+    auto fleet = Fleet{1};
+    fleet.core.addJob(makeJob("a", "batch", {.tasks = 20, .perTask = {.cpuMillis = 1'000, .memoryMb = 1'000}, .estimate = Millis{4'000}}), fleet.now);
+    const auto starts = fleet.plan().starts;
+    REQUIRE(tasksOf(starts, "a") == 20);
+    fleet.answer(starts, OrderOutcome::OutcomeUnknown);
+    fleet.core.pollFailed(WorkerId{"w0"});
+    auto names = std::vector<std::ptrdiff_t>{};
+    for (const auto &it : fleet.plan().logEntries) {
+        if (std::string{it.decision} == "awaits_lease") {
+            const auto at = it.text.find(" late_starts=20 late_end_ms=23700 late_names=");
+            REQUIRE(at != std::string::npos);
+            names.push_back(std::count(it.text.begin() + static_cast<std::ptrdiff_t>(at), it.text.end(), '#'));
+        }
+    }
+    CHECK(names == std::vector<std::ptrdiff_t>{16, 4});
+}
+
+// Guards against a wait of a new planner whose line does not tell that the restart of a silent worker makes it longer.
+TEST_CASE("the line about a new lifetime in the entry of a worker tells until when the orders of an earlier planner count")
+{
+    auto fleet = Fleet{1};
+    fleet.core.addJob(makeJob("a", "batch", batchOf(1)), fleet.now);
+    REQUIRE(tasksOf(fleet.run(Millis{200}), "a") == 1);
+    auto next = PoolCore{PoolOptions{}};
+    next.addJob(fleet.core.find(JobId{"a"})->job, fleet.now);
+    next.adoptRecord(JobId{"a"}, *fleet.core.find(JobId{"a"}), fleet.now + longestLease, fleet.now);
+    next.tookOver(fleet.now);
+    next.setWorkers(fleet.workers, fleet.now);
+    CHECK(hasDecision(
+        next.plan(fleet.now + Millis{300}, {}), "awaits_lease", "lease_end_ms=10500 latest_end_ms=20500 bound=assumed names=a.0.0.0#1 late_starts=0"));
+    fleet.workers.front().born = Incarnation{2};
+    next.setWorkers(fleet.workers, fleet.now + Millis{1'000});
+    const auto reborn = next.plan(fleet.now + Millis{1'000}, {});
+    CHECK(hasDecision(reborn, "worker_reborn", "answered_born=none late_starts=1 late_end_ms=22800"));
+    // The worker writes its entry, so that its report is awaited for one more lease.
+    CHECK(hasDecision(next.plan(fleet.now + Millis{23'900}, {}), "report_awaited", "silent_ms=always granted_until=0 lifetime=2 listed_lifetime=2 attempts=1"));
+    const auto expired = next.plan(fleet.now + Millis{33'900}, {});
+    CHECK(hasDecision(expired, "attempt_lost", "lifetime=2 listed_lifetime=2 granted_until=0 start_order=may_arrive late_calls_ms=13000"));
+}
+
 // Guards against a new planner that starts work again before it has asked the worker, which writes its entry and may hold the end of that work.
 TEST_CASE("a new planner with a bound that has passed awaits the report of a worker that writes its entry")
 {
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -431,6 +431,26 @@
     }
 }
 
+// Guards against a task that waits, or runs twice, without a line that tells which lifetime's clock bounds its lease and what late orders add to it.
+TEST_CASE("the log tells what the leases of a start order that may arrive late were counted from")
+{
+    auto planner = Planner{};
+    planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+    planner.core.pollFailed(workerId);
+    planner.plan();
+    CHECK(planner.hasLine("awaits_lease", "lease_end_ms=10800 latest_end_ms=33800 bound=granted names=a.0.0.0#1"));
+    CHECK(planner.hasLine("awaits_lease", "names=a.0.0.0#1 late_starts=1 late_end_ms=23800 late_names=a.0.0.0#1"));
+    planner.now += Millis{1'000};
+    planner.listWorkers({secondBorn, firstBorn});
+    planner.plan();
+    CHECK(planner.hasLine("worker_reborn", "worker=w1 listed_born=2000 before=1000 answered_born=1000 late_starts=1 late_end_ms=22800"));
+    planner.now += Millis{22'900};
+    planner.plan();
+    CHECK(planner.hasLine("leases_expired", "worker=w1 silent_ms=23900 granted_until=110000 lifetime=1000 listed_lifetime=2000 attempts=1"));
+    CHECK(planner.hasLine("attempt_lost",
+                          "reason=lease expired lifetime=1000 listed_lifetime=2000 granted_until=110000 start_order=may_arrive late_calls_ms=13000"));
+}
+
 // Guards against a lease that looks as if nothing had been counted for late orders, because the restart had already extended it.
 TEST_CASE("the log tells what a restart has added to the leases of an attempt that is given up later")
 {
