policy: log answers to stop orders that do not count after a restart

stop_answered counts answers by job, so that the log did not tell whether an answer counted for the present lifetime of the worker, and worker_restarted did not show that an attempt waits for a stop order or that one was answered before. An attempt with an unanswered first try and an answered repeat had no mark at all, although it is kept.

No decision changes.

Two cases fail without the change: poolcore_restarts_test.cpp:489, :490, :496 and :514.

--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -206,6 +206,7 @@
         bool lifetimeInDoubt = false; ///< the worker has restarted, and no list has shown whether the attempt belongs to the present lifetime
         bool stopOpen = false; ///< a stop order has been issued, and has neither been answered nor counts as unanswered
         bool stopAnswered = false;
+        bool uncountedStopLogged = false; ///< whether an answer that does not count for the present lifetime has been logged
         int startTries = 0;
         MonoTime placedAt;
         MonoTime acceptedAt; ///< time at which the answer of a worker that accepted the start order arrived
@@ -300,6 +301,7 @@
     auto applyRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void;
     auto resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     static auto describeAcceptance(const Allocation &allocation, MonoTime now) -> std::string;
+    static auto describeOrders(const Allocation &allocation, MonoTime sentAt) -> std::string;
     static auto mayFollowList(const Allocation &allocation, MonoTime sentAt) -> bool;
     static auto mayBeOfEarlierLifetime(const Worker &worker, const OrderAnswer &answer, MonoTime sentAt, MonoTime now) -> bool;
     static auto pollWait(const Worker &worker, bool isAwaited, MonoTime now) -> Millis;
@@ -348,6 +350,7 @@
     auto logStoppedJobs(MonoTime now) -> void;
     auto repeatStop(Allocation &allocation, MonoTime now) const -> void;
     auto noteStopAnswer(Worker &worker, const AttemptKey &key, OrderOutcome outcome) -> void;
+    auto logUncountedStop(Worker &worker, const AttemptKey &key, const OrderAnswer &answer, MonoTime now) -> void;
 
     PoolOptions m_options;
     PoolRules m_rules;
--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -57,6 +57,16 @@
            + " accepted_clock=" + std::to_string(allocation.acceptedClock.value);
 }
 
+/// @return the orders for an attempt that a restart leaves in doubt, as marks in a line.
+/// @param sentAt when the list that shows the restart was asked for
+auto PoolCore::describeOrders(const Allocation &allocation, MonoTime sentAt) -> std::string
+{
+    auto out = std::string{};
+    out += allocation.orderOpen ? " order_open" : mayStartLate(allocation, sentAt) ? " may_arrive" : "";
+    out += allocation.stopAnswered ? " stop_answered" : allocation.stopOpen ? " stop_open" : "";
+    return out + (mayFollowList(allocation, sentAt) ? " in_doubt" : "");
+}
+
 /// Gives up an attempt of an earlier lifetime. The line has the list that shows it, and the answer to its start order.
 auto PoolCore::loseEarlier(Worker &worker, const AttemptKey &key, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void
 {
@@ -86,7 +96,7 @@
         }
         ++n;
         unlisted += (unlisted.empty() ? " unlisted=" : ",") + attemptName(key.first, key.second) + "(tries=" + std::to_string(it.startTries) + " "
-                    + describeAcceptance(it, now) + (it.orderOpen ? " order_open" : "") + (mayFollowList(it, sentAt) ? " in_doubt" : "") + ")";
+                    + describeAcceptance(it, now) + describeOrders(it, sentAt) + ")";
     }
     logDecision("worker_restarted", fields + unlisted);
 }
@@ -128,6 +138,7 @@
         // The new lifetime knows nothing of the stop, and would carry out a start order that arrives later.
         it.stopAnswered = false;
         it.stopSentAt = MonoTime{};
+        it.uncountedStopLogged = false;
     }
 }
 
--- a/packages/policy/poolstops.cpp
+++ b/packages/policy/poolstops.cpp
@@ -209,6 +209,22 @@
     }
 }
 
+/// Logs an answer to a stop order that may come from an earlier lifetime of the worker; once for each attempt in a lifetime, since the order is sent
+/// again until an answer counts.
+auto PoolCore::logUncountedStop(Worker &worker, const AttemptKey &key, const OrderAnswer &answer, MonoTime now) -> void
+{
+    auto &allocation = worker.allocations.at(key);
+    if (std::exchange(allocation.uncountedStopLogged, true)) {
+        return;
+    }
+    const auto asked = std::chrono::duration_cast<Millis>(now - worker.listAskedAt);
+    logDecision("stop_in_doubt",
+                describeAttempt(key.first, key.second) + " worker=" + worker.info.id.str() + " lifetime=" + std::to_string(worker.info.born.value)
+                    + " sent=" + (allocation.stopSentAt == MonoTime{} ? "before_restart" : "after_restart")
+                    + " answer_clock=" + std::to_string(answer.clock.value) + " list_clock=" + std::to_string(worker.clock.value)
+                    + " list_asked_ms_ago=" + std::to_string(asked.count()) + " the answer may be of an earlier lifetime; the order is sent again");
+}
+
 auto PoolCore::applyStop(Worker &worker, const AttemptKey &key, const OrderAnswer &answer, MonoTime now) -> void
 {
     const auto outcome = answer.outcome;
@@ -219,6 +235,7 @@
     }
     noteStopAnswer(worker, key, outcome);
     if (outcome == OrderOutcome::Accepted && allocation.lifetimeInDoubt && mayBeOfEarlierLifetime(worker, answer, allocation.stopSentAt, now)) {
+        logUncountedStop(worker, key, answer, now);
         allocation.stopSentAt = MonoTime{}; // the present lifetime has not been told
     } else if (outcome == OrderOutcome::Accepted) {
         allocation.stopAnswered = true;
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -471,3 +471,45 @@
     CHECK(planner.hasLine("leases_expired", "granted_until=0 lifetime=2000 listed_lifetime=1000 attempts=1"));
     CHECK(planner.hasLine("attempt_lost", "reason=lease expired lifetime=2000 listed_lifetime=1000 granted_until=0 start_order=answered late_calls_ms=12000"));
 }
+
+// Guards against a stop that looks answered although the answer may be of an earlier lifetime: stop_answered names neither attempt nor lifetime.
+TEST_CASE("the log tells once in a lifetime that an answer to a stop order may be of an earlier one")
+{
+    auto planner = Planner{};
+    planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+    planner.core.cancelJob(JobId{"a"}, planner.now);
+    auto stops = planner.plan().stops;
+    REQUIRE(stops.size() == 1);
+    planner.now += Millis{300};
+    planner.list(WorkerTime{20}, planner.now - Millis{10}, false);
+    planner.core.applyOrder(stops.front(), {.outcome = OrderOutcome::Accepted, .clock = WorkerTime{firstClock.value + 10}}, planner.now);
+    planner.now += Millis{5};
+    stops = planner.plan().stops;
+    REQUIRE(stops.size() == 1);
+    CHECK(planner.hasLine("worker_restarted", "a.0.0.0#1(tries=1 accepted_ms_ago=unknown accepted_clock=0 may_arrive stop_open in_doubt)"));
+    CHECK(planner.hasLine("stop_in_doubt",
+                          "worker=w1 lifetime=2000 sent=before_restart answer_clock=100010 list_clock=20 list_asked_ms_ago=10 the answer may be of"));
+    // The clock in the answer to the next order does not fit the list either.
+    planner.now += Millis{5};
+    planner.core.applyOrder(stops.front(), {.outcome = OrderOutcome::Accepted, .clock = WorkerTime{50'000}}, planner.now);
+    CHECK(planner.plan().stops.size() == 1);
+    CHECK(std::count_if(planner.lines.begin(), planner.lines.end(), [](const std::string &it) { return it.starts_with("stop_in_doubt "); }) == 1);
+}
+
+// Guards against a restart whose line does not show that the attempt waits for a stop order, or that a stop was told to the earlier lifetime only.
+TEST_CASE("the line about a restart marks attempts whose start order may arrive and those whose stop was told to the earlier lifetime")
+{
+    auto planner = Planner{};
+    planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+    const auto repeats = planner.plan().starts;
+    REQUIRE(repeats.size() == 1);
+    planner.accept(repeats.front(), firstClock);
+    planner.core.cancelJob(JobId{"a"}, planner.now);
+    const auto stops = planner.plan().stops;
+    REQUIRE(stops.size() == 1);
+    planner.core.applyOrder(stops.front(), {.outcome = OrderOutcome::Accepted, .clock = firstClock}, planner.now);
+    planner.now += Millis{1'000};
+    planner.list(WorkerTime{50}, planner.now - Millis{10}, false);
+    planner.plan();
+    CHECK(planner.hasLine("worker_restarted", "a.0.0.0#1(tries=2 accepted_ms_ago=1000 accepted_clock=100000 may_arrive stop_answered)"));
+}
