--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -128,7 +128,9 @@
                 worker.info.id = task.worker;
                 const auto bound = m_withheld.find(task.worker);
                 worker.isBoundStored = bound != m_withheld.end();
-                worker.leaseEnd = std::max(worker.leaseEnd, bound == m_withheld.end() ? earlierLeasesEnd : bound->second);
+                const auto end = bound == m_withheld.end() ? earlierLeasesEnd : bound->second;
+                worker.leaseEnd = std::max(worker.leaseEnd, end);
+                worker.grantedLeaseEnd = std::max(worker.grantedLeaseEnd, end);
                 if (bound == m_withheld.end()) {
                     worker.grantedAt = std::max(worker.grantedAt, earlierLeasesEnd - longestLease());
                 }
@@ -174,8 +176,7 @@
             doubtAdoptedStarts(worker);
             logDecision("worker_reborn",
                         "worker=" + it.id.str() + " listed_born=" + std::to_string(it.born.value) + " before=" + std::to_string(worker.listedBorn.value)
-                            + " answered_born=" + (worker.answered ? std::to_string(born.value) : std::string("none"))
-                            + " late_starts=" + std::to_string(lateStarts(worker)));
+                            + " answered_born=" + (worker.answered ? std::to_string(born.value) : std::string("none")) + " " + describeLateStarts(worker, now));
         }
         worker.info = it;
         worker.listedBorn = it.born;
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -206,6 +206,7 @@
         bool lifetimeInDoubt = false; ///< the worker has restarted, and no list has shown whether the attempt belongs to the present lifetime
         bool stopOpen = false; ///< a stop order has been issued, and has neither been answered nor counts as unanswered
         bool stopAnswered = false;
+        bool uncountedStopLogged = false; ///< whether an answer that does not count for the present lifetime has been logged
         int startTries = 0;
         MonoTime placedAt;
         MonoTime acceptedAt; ///< time at which the answer of a worker that accepted the start order arrived
@@ -230,6 +231,7 @@
         /// Every lease granted to the worker, by any planner, has expired by then, unless a later lifetime carries out the call that grants it:
         /// see leaseEndOf().
         MonoTime leaseEnd;
+        MonoTime grantedLeaseEnd; ///< leaseEnd without what restarts have added for calls that are carried out late; for the log
         MonoTime grantedAt; ///< last grant of a lease; before the first one, when an earlier planner can have granted the last; MonoTime{}: unknown
         MonoTime startsArriveUntil; ///< until when any of its start orders without an answer may be carried out, also of attempts that are over
         MonoTime earlierStartsUntil; ///< the same for those that were sent before its last restart
@@ -299,6 +301,7 @@
     auto applyRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void;
     auto resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     static auto describeAcceptance(const Allocation &allocation, MonoTime now) -> std::string;
+    static auto describeOrders(const Allocation &allocation, MonoTime sentAt) -> std::string;
     static auto mayFollowList(const Allocation &allocation, MonoTime sentAt) -> bool;
     static auto mayBeOfEarlierLifetime(const Worker &worker, const OrderAnswer &answer, MonoTime sentAt, MonoTime now) -> bool;
     static auto pollWait(const Worker &worker, bool isAwaited, MonoTime now) -> Millis;
@@ -311,6 +314,7 @@
     static auto doubtAdoptedStarts(Worker &worker) -> void;
     static auto mayStartLate(const Allocation &allocation, MonoTime askedAt) -> bool;
     static auto lateStarts(const Worker &worker) -> int;
+    [[nodiscard]] auto describeLateStarts(const Worker &worker, MonoTime now) const -> std::string;
     [[nodiscard]] auto longestLease() const -> Millis;
     [[nodiscard]] auto lateLeaseEnd(const Worker &worker) const -> MonoTime;
     [[nodiscard]] auto leaseEndOf(const Worker &worker, const Allocation &allocation) const -> MonoTime;
@@ -327,6 +331,7 @@
     auto needsBound(const WorkerId &id, const Worker &worker, MonoTime now) const -> bool;
     auto isWithheld(const WorkerId &id) const -> bool;
     auto logLeaseWaits(MonoTime now) -> void;
+    auto logLeaseWait(const Worker &worker, MonoTime now) -> void;
     auto expireLeases(MonoTime now) -> void;
     auto expireLeases(Worker &worker, MonoTime now) -> void;
     static auto hungLimit(const PoolStep &step, const TaskState &task) -> Millis;
@@ -345,6 +350,7 @@
     auto logStoppedJobs(MonoTime now) -> void;
     auto repeatStop(Allocation &allocation, MonoTime now) const -> void;
     auto noteStopAnswer(Worker &worker, const AttemptKey &key, OrderOutcome outcome) -> void;
+    auto logUncountedStop(Worker &worker, const AttemptKey &key, const OrderAnswer &answer, MonoTime now) -> void;
 
     PoolOptions m_options;
     PoolRules m_rules;
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -38,6 +38,7 @@
 {
     worker.grantedAt = std::max(worker.grantedAt, now);
     worker.leaseEnd = std::max(worker.leaseEnd, now + longestLease());
+    worker.grantedLeaseEnd = std::max(worker.grantedLeaseEnd, now + longestLease());
 }
 
 /// Notes that a try of a start order was not answered.
@@ -117,12 +118,20 @@
     return end;
 }
 
+/// @return how many attempts of the worker have a start order that may arrive late, and when these have no lease any more, as fields of a line.
+auto PoolCore::describeLateStarts(const Worker &worker, MonoTime now) const -> std::string
+{
+    const auto n = lateStarts(worker);
+    const auto left = std::chrono::ceil<Millis>(lateLeaseEnd(worker) - now);
+    return "late_starts=" + std::to_string(n) + (n > 0 ? " late_end_ms=" + std::to_string(left.count()) : std::string{});
+}
+
 /// @return what the end of the leases of an attempt was counted from, as fields of a line.
 auto PoolCore::describeLeaseEnd(const Worker &worker, const Allocation &allocation) const -> std::string
 {
     const auto isLate = mayStartLate(allocation, worker.listAskedAt);
     const auto *order = isLate ? "may_arrive" : allocation.startTries > 0 ? "answered" : "of_earlier_planner";
-    const auto late = std::chrono::duration_cast<Millis>(leaseEndOf(worker, allocation) - worker.leaseEnd);
+    const auto late = std::chrono::duration_cast<Millis>(leaseEndOf(worker, allocation) - worker.grantedLeaseEnd);
     return "lifetime=" + std::to_string(worker.info.born.value) + " listed_lifetime=" + std::to_string(worker.listedBorn.value)
            + " granted_until=" + std::to_string(worker.grantedUntil.value) + " start_order=" + order + " late_calls_ms=" + std::to_string(late.count());
 }
@@ -216,22 +225,32 @@
             continue;
         }
         worker.leaseWaitLogged = true;
-        const auto latest = lastLeaseEnd(worker) + (worker.listed ? m_options.leaseDuration : Millis{0});
-        const auto fields = "worker=" + id.str() + " attempts=" + std::to_string(worker.allocations.size()) + " listed=" + (worker.listed ? "yes" : "no")
-                            + " answered=" + (worker.answered ? "yes" : "no")
-                            + " lease_end_ms=" + std::to_string(std::chrono::ceil<Millis>(worker.leaseEnd - now).count())
-                            + " latest_end_ms=" + std::to_string(std::chrono::ceil<Millis>(latest - now).count()) + " bound="
-                            + (worker.answered        ? "granted"
-                               : worker.isBoundStored ? "stored"
-                                                      : "assumed")
-                            + " names=";
-        auto names = std::string{};
-        auto n = std::size_t{0};
-        for (const auto &[key, it] : worker.allocations) {
-            names += (names.empty() ? "" : ",") + attemptName(key.first, key.second);
-            if (++n % maxAttemptsInLine == 0 || n == worker.allocations.size()) {
-                logDecision("awaits_lease", fields + std::exchange(names, {}) + " late_starts=" + std::to_string(lateStarts(worker)));
-            }
+        logLeaseWait(worker, now);
+    }
+}
+
+auto PoolCore::logLeaseWait(const Worker &worker, MonoTime now) -> void
+{
+    const auto latest = lastLeaseEnd(worker) + (worker.listed ? m_options.leaseDuration : Millis{0});
+    const auto fields = "worker=" + worker.info.id.str() + " attempts=" + std::to_string(worker.allocations.size())
+                        + " listed=" + (worker.listed ? "yes" : "no") + " answered=" + (worker.answered ? "yes" : "no")
+                        + " lease_end_ms=" + std::to_string(std::chrono::ceil<Millis>(worker.leaseEnd - now).count())
+                        + " latest_end_ms=" + std::to_string(std::chrono::ceil<Millis>(latest - now).count()) + " bound="
+                        + (worker.answered        ? "granted"
+                           : worker.isBoundStored ? "stored"
+                                                  : "assumed")
+                        + " names=";
+    auto names = std::string{};
+    auto lateNames = std::string{};
+    auto n = std::size_t{0};
+    for (const auto &[key, it] : worker.allocations) {
+        const auto name = attemptName(key.first, key.second);
+        names += (names.empty() ? "" : ",") + name;
+        if (mayStartLate(it, worker.listAskedAt)) {
+            lateNames += (lateNames.empty() ? " late_names=" : ",") + name;
+        }
+        if (++n % maxAttemptsInLine == 0 || n == worker.allocations.size()) {
+            logDecision("awaits_lease", fields + std::exchange(names, {}) + " " + describeLateStarts(worker, now) + std::exchange(lateNames, {}));
         }
     }
 }
@@ -293,7 +312,8 @@
     }
     const auto silence = std::chrono::duration_cast<Millis>(now - worker.answeredAt).count();
     const auto text = "worker=" + worker.info.id.str() + " silent_ms=" + (worker.answered ? std::to_string(silence) : std::string("always"))
-                      + " granted_until=" + std::to_string(worker.grantedUntil.value) + " attempts=";
+                      + " granted_until=" + std::to_string(worker.grantedUntil.value) + " lifetime=" + std::to_string(worker.info.born.value)
+                      + " listed_lifetime=" + std::to_string(worker.listedBorn.value) + " attempts=";
     if (!over.empty()) {
         logDecision("leases_expired", text + std::to_string(over.size()) + " every lease has expired without an answer; these attempts count as lost");
     }
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -430,3 +430,86 @@
         CHECK(planner.core.pollPause(workerId) == PollPause::WhileIdle);
     }
 }
+
+// Guards against a task that waits, or runs twice, without a line that tells which lifetime's clock bounds its lease and what late orders add to it.
+TEST_CASE("the log tells what the leases of a start order that may arrive late were counted from")
+{
+    auto planner = Planner{};
+    planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+    planner.core.pollFailed(workerId);
+    planner.plan();
+    CHECK(planner.hasLine("awaits_lease", "lease_end_ms=10800 latest_end_ms=33800 bound=granted names=a.0.0.0#1"));
+    CHECK(planner.hasLine("awaits_lease", "names=a.0.0.0#1 late_starts=1 late_end_ms=23800 late_names=a.0.0.0#1"));
+    planner.now += Millis{1'000};
+    planner.listWorkers({secondBorn, firstBorn});
+    planner.plan();
+    CHECK(planner.hasLine("worker_reborn", "worker=w1 listed_born=2000 before=1000 answered_born=1000 late_starts=1 late_end_ms=22800"));
+    planner.now += Millis{22'900};
+    planner.plan();
+    CHECK(planner.hasLine("leases_expired", "worker=w1 silent_ms=23900 granted_until=110000 lifetime=1000 listed_lifetime=2000 attempts=1"));
+    CHECK(planner.hasLine("attempt_lost",
+                          "reason=lease expired lifetime=1000 listed_lifetime=2000 granted_until=110000 start_order=may_arrive late_calls_ms=13000"));
+}
+
+// Guards against a lease that looks as if nothing had been counted for late orders, because the restart had already extended it.
+TEST_CASE("the log tells what a restart has added to the leases of an attempt that is given up later")
+{
+    auto planner = Planner{};
+    planner.accept(planner.place(), firstClock);
+    planner.core.pollFailed(workerId);
+    planner.now += Millis{1'000};
+    planner.list(WorkerTime{50}, planner.now - Millis{10}, true);
+    planner.plan();
+    // The poll without an answer granted a lease of 10.8 s at the beginning, which may begin 13 s late; that of the list ends after 11.8 s.
+    CHECK(planner.hasLine("worker_restarted", "running=1 ends=0 late_calls_ms=12000"));
+    planner.core.pollFailed(workerId);
+    planner.plan();
+    CHECK(planner.hasLine("awaits_lease", "lease_end_ms=22800 latest_end_ms=32800 bound=granted names=a.0.0.0#1 late_starts=0"));
+    CHECK_FALSE(planner.hasLine("awaits_lease", "late_end_ms="));
+    planner.now += Millis{22'900};
+    planner.plan();
+    CHECK(planner.hasLine("leases_expired", "granted_until=0 lifetime=2000 listed_lifetime=1000 attempts=1"));
+    CHECK(planner.hasLine("attempt_lost", "reason=lease expired lifetime=2000 listed_lifetime=1000 granted_until=0 start_order=answered late_calls_ms=12000"));
+}
+
+// Guards against a stop that looks answered although the answer may be of an earlier lifetime: stop_answered names neither attempt nor lifetime.
+TEST_CASE("the log tells once in a lifetime that an answer to a stop order may be of an earlier one")
+{
+    auto planner = Planner{};
+    planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+    planner.core.cancelJob(JobId{"a"}, planner.now);
+    auto stops = planner.plan().stops;
+    REQUIRE(stops.size() == 1);
+    planner.now += Millis{300};
+    planner.list(WorkerTime{20}, planner.now - Millis{10}, false);
+    planner.core.applyOrder(stops.front(), {.outcome = OrderOutcome::Accepted, .clock = WorkerTime{firstClock.value + 10}}, planner.now);
+    planner.now += Millis{5};
+    stops = planner.plan().stops;
+    REQUIRE(stops.size() == 1);
+    CHECK(planner.hasLine("worker_restarted", "a.0.0.0#1(tries=1 accepted_ms_ago=unknown accepted_clock=0 may_arrive stop_open in_doubt)"));
+    CHECK(planner.hasLine("stop_in_doubt",
+                          "worker=w1 lifetime=2000 sent=before_restart answer_clock=100010 list_clock=20 list_asked_ms_ago=10 the answer may be of"));
+    // The clock in the answer to the next order does not fit the list either.
+    planner.now += Millis{5};
+    planner.core.applyOrder(stops.front(), {.outcome = OrderOutcome::Accepted, .clock = WorkerTime{50'000}}, planner.now);
+    CHECK(planner.plan().stops.size() == 1);
+    CHECK(std::count_if(planner.lines.begin(), planner.lines.end(), [](const std::string &it) { return it.starts_with("stop_in_doubt "); }) == 1);
+}
+
+// Guards against a restart whose line does not show that the attempt waits for a stop order, or that a stop was told to the earlier lifetime only.
+TEST_CASE("the line about a restart marks attempts whose start order may arrive and those whose stop was told to the earlier lifetime")
+{
+    auto planner = Planner{};
+    planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+    const auto repeats = planner.plan().starts;
+    REQUIRE(repeats.size() == 1);
+    planner.accept(repeats.front(), firstClock);
+    planner.core.cancelJob(JobId{"a"}, planner.now);
+    const auto stops = planner.plan().stops;
+    REQUIRE(stops.size() == 1);
+    planner.core.applyOrder(stops.front(), {.outcome = OrderOutcome::Accepted, .clock = firstClock}, planner.now);
+    planner.now += Millis{1'000};
+    planner.list(WorkerTime{50}, planner.now - Millis{10}, false);
+    planner.plan();
+    CHECK(planner.hasLine("worker_restarted", "a.0.0.0#1(tries=2 accepted_ms_ago=1000 accepted_clock=100000 may_arrive stop_answered)"));
+}
