policy: stop released attempts again when their worker restarts

An attempt is given up when its worker has answered a stop order, or has listed its end, although an earlier try of its start order was not answered and can arrive for 13 s. If the worker restarts within that time, the new lifetime knows of neither and carries the try out, beside the run that the task has got elsewhere, until its list shows the attempt.

Cause: that an attempt was stopped or has ended was used outside the lifetime in which it makes the worker refuse the start order.

Such attempts, and start orders whose try ends without an answer after their attempt is over, are now remembered until no try can arrive. A list or an entry that shows a new lifetime adds a stop order for each, sent at once; the attempt counts as allocated until the new lifetime has been told. The cost is one exchange and no other wait. A try that arrives before the stop order still runs, see Open in docs/platform.md.

'an attempt whose start order may still arrive is stopped again when its worker restarts' failed before (poolcore_restarts_test.cpp:500).

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -135,6 +135,15 @@
                     + " lease_left_ms=" + std::to_string(worker.grantedUntil.value - worker.clock.value));
 }
 
+/// Adds an attempt that the worker runs, or may run, although it was not placed there by this planner or was released since.
+auto PoolCore::addForeign(Worker &worker, const AttemptKey &key, MonoTime now) -> Allocation &
+{
+    const auto job = m_jobs.find(key.first.job);
+    auto &allocation = job != m_jobs.end() && containsTask(job->second, key.first) ? allocate(worker, job->second, key) : worker.allocations[key];
+    allocation.placedAt = now;
+    return allocation;
+}
+
 auto PoolCore::applyRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void
 {
     const auto key = AttemptKey{it.task, it.attempt};
@@ -142,14 +151,8 @@
     const auto current = task != nullptr && task->phase == TaskPhase::Placed && task->attempt == it.attempt && task->worker == worker.info.id;
     auto allocation = worker.allocations.find(key);
     if (allocation == worker.allocations.end()) {
-        const auto job = m_jobs.find(it.task.job);
-        if (job != m_jobs.end() && containsTask(job->second, it.task)) {
-            allocate(worker, job->second, key);
-        } else {
-            worker.allocations[key] = {};
-        }
+        addForeign(worker, key, now);
         allocation = worker.allocations.find(key);
-        allocation->second.placedAt = now;
         if (!current) {
             logDecision("foreign_attempt",
                         describeAttempt(it.task, it.attempt) + " worker=" + worker.info.id.str() + " is not recorded on this worker; stopping it");
@@ -316,7 +319,8 @@
             task->progressAt = now;
         }
     } else if (outcome == OrderOutcome::OutcomeUnknown) {
-        noteUnansweredStart(worker, allocation, now);
+        allocation.startOutcomeUnknown = true;
+        allocation.startArrivesUntil = noteUnansweredStart(worker, now);
         if (allocation.startTries >= static_cast<int>(startTimeouts.size())) {
             logDecision("start_refused", describeAttempt(key.first, key.second) + " worker=" + worker.info.id.str() + " answer=" + outcomeName(outcome));
             requestStop(allocation, StopReason::StartUnanswered);
@@ -339,7 +343,13 @@
     }
     const auto worker = m_workers.find(order.worker);
     const auto key = AttemptKey{order.task, order.attempt};
-    if (worker == m_workers.end() || !worker->second.allocations.contains(key)) {
+    if (worker == m_workers.end()) {
+        return;
+    }
+    if (!worker->second.allocations.contains(key)) {
+        if (order.kind == PoolOrder::Kind::Start && answer.outcome == OrderOutcome::OutcomeUnknown) {
+            worker->second.releasedStarts[key] = noteUnansweredStart(worker->second, now);
+        }
         return;
     }
     if (order.kind == PoolOrder::Kind::Start) {
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -187,6 +187,9 @@
         if (worker.answered) {
             worker.info.born = born; // the list may lag behind the worker's own replies
         }
+        if (isReborn(worker) && getsOrders(worker)) {
+            stopReleasedStarts(worker, now, now);
+        }
         if (moved) {
             worker.reachable = true;
             worker.answeredAt = now;
@@ -274,6 +277,9 @@
 {
     const auto it = worker.allocations.find(key);
     if (it != worker.allocations.end()) {
+        if (it->second.startArrivesUntil != MonoTime{}) {
+            worker.releasedStarts[key] = it->second.startArrivesUntil;
+        }
         worker.used -= it->second.resources;
         worker.allocations.erase(it);
         m_released.insert(key.first.job);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -223,6 +223,9 @@
         Incarnation listedBorn; ///< incarnation in the worker's entry
         Resources used;
         std::map<AttemptKey, Allocation> allocations;
+        /// Released attempts with an unanswered try of their start order, with the time until which it may be carried out. A worker that has
+        /// restarted does not know that they were stopped or have ended.
+        std::map<AttemptKey, MonoTime> releasedStarts;
         WorkerTime clock; ///< worker's clock in the last poll reply
         MonoTime clockAt; ///< time at which this reply arrived
         MonoTime listAskedAt; ///< time at which its poll was sent
@@ -258,6 +261,7 @@
     {
         MonoTime grantedAt; ///< last grant of a lease
         MonoTime startsArriveUntil; ///< see Worker::startsArriveUntil
+        std::map<AttemptKey, MonoTime> releasedStarts; ///< see Worker::releasedStarts
     };
 
     /// Groups of one priority, within a guarantee or not.
@@ -303,6 +307,8 @@
     auto applyRestart(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     auto logRestart(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now, Millis lateCalls) -> void;
     auto loseEarlier(Worker &worker, const AttemptKey &key, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
+    auto addForeign(Worker &worker, const AttemptKey &key, MonoTime now) -> Allocation &;
+    auto stopReleasedStarts(Worker &worker, MonoTime askedAt, MonoTime now) -> void;
     auto applyRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void;
     auto resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     static auto describeAcceptance(const Allocation &allocation, MonoTime now) -> std::string;
@@ -314,7 +320,7 @@
     auto startRefused(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
     auto extendLease(Worker &worker, MonoTime now) const -> void;
     auto countLateCalls(Worker &worker, MonoTime now) const -> Millis;
-    static auto noteUnansweredStart(Worker &worker, Allocation &allocation, MonoTime now) -> void;
+    static auto noteUnansweredStart(Worker &worker, MonoTime now) -> MonoTime;
     static auto doubtAdoptedStarts(Worker &worker) -> void;
     static auto mayStartLate(const Allocation &allocation, MonoTime askedAt) -> bool;
     static auto lateStarts(const Worker &worker) -> int;
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -41,12 +41,13 @@
 }
 
 /// Notes that a try of a start order was not answered.
-auto PoolCore::noteUnansweredStart(Worker &worker, Allocation &allocation, MonoTime now) -> void
+/// @return until when it may be carried out
+auto PoolCore::noteUnansweredStart(Worker &worker, MonoTime now) -> MonoTime
 {
-    allocation.startOutcomeUnknown = true;
-    allocation.startArrivesUntil = now + lateCallLimit;
-    worker.startsArriveUntil = allocation.startArrivesUntil;
+    std::erase_if(worker.releasedStarts, [&](const auto &it) { return it.second <= now; });
+    worker.startsArriveUntil = now + lateCallLimit;
     worker.unansweredGrantAt = now; // it may have been sent later than it was granted
+    return worker.startsArriveUntil;
 }
 
 /// Counts the calls for the earlier lifetimes of a worker that has restarted: the leases that they can still grant to the new one, and the start
@@ -71,7 +72,9 @@
 auto PoolCore::keepLateCalls(const Worker &worker) -> void
 {
     if (worker.grantedAt != MonoTime{}) {
-        m_lateCalls[worker.info.id] = {.grantedAt = std::max(worker.grantedAt, worker.unansweredGrantAt), .startsArriveUntil = worker.startsArriveUntil};
+        m_lateCalls[worker.info.id] = {.grantedAt = std::max(worker.grantedAt, worker.unansweredGrantAt),
+                                       .startsArriveUntil = worker.startsArriveUntil,
+                                       .releasedStarts = worker.releasedStarts};
     }
 }
 
@@ -86,7 +89,9 @@
     worker.unansweredGrantAt = calls.mapped().grantedAt;
     worker.startsArriveUntil = calls.mapped().startsArriveUntil;
     worker.earlierStartsUntil = worker.startsArriveUntil;
+    worker.releasedStarts = calls.mapped().releasedStarts;
     worker.leaseEnd = worker.unansweredGrantAt + lateCallLimit + longestLease();
+    stopReleasedStarts(worker, now, now);
 }
 
 /// Counts the start orders of the earlier planner as unanswered: nothing tells which of them were, and a restart shows only in the worker's entry.
--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <string>
+#include <utility>
 
 /// Lifetimes of workers: what a restart leaves in doubt, and which list or answer belongs to which lifetime.
 
@@ -111,6 +112,20 @@
     return answer.clock.value != 0 && (ahead < -clockRounding.count() || ahead > mostClockAdvance(now - worker.listAskedAt));
 }
 
+/// Stops the released attempts of a worker that has restarted: the present lifetime would carry out a try of their start orders, although their
+/// tasks may have been placed elsewhere.
+/// @param askedAt when the list that shows the restart was asked for; it names what was carried out before
+auto PoolCore::stopReleasedStarts(Worker &worker, MonoTime askedAt, MonoTime now) -> void
+{
+    for (const auto &[key, until] : std::exchange(worker.releasedStarts, {})) {
+        if (until > askedAt && !worker.allocations.contains(key)) {
+            auto &allocation = addForeign(worker, key, now);
+            allocation.startArrivesUntil = until;
+            requestStop(allocation, StopReason::NotRecorded);
+        }
+    }
+}
+
 /// Begins a new lifetime of a worker. Answers to start orders do not name the lifetime that gave them, so that an attempt belongs to the earlier
 /// lifetime only when a list of the new one shows it, see resolveMissing().
 auto PoolCore::applyRestart(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void
@@ -123,6 +138,7 @@
     worker.recordedCompletions = 0;
     worker.acknowledgedCompletions = 0;
     worker.loggedAcknowledgement = 0;
+    stopReleasedStarts(worker, sentAt, now);
     for (auto &[key, it] : worker.allocations) {
         it.lifetimeInDoubt = true;
         // The new lifetime knows nothing of the stop, and would carry out a start order that arrives later.
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -458,3 +458,64 @@
     planner.now += Millis{3'000};
     CHECK(planner.plan().starts.size() == 1);
 }
+
+// Guards against a task that runs twice for longer than an exchange: its attempt is given up after a stop order, and the next lifetime of the
+// worker, which has not been told, carries out a try of its start order.
+TEST_CASE("an attempt whose start order may still arrive is stopped again when its worker restarts")
+{
+    enum class Shown { ByList, ByEntry, ByNewEntry };
+    for (const auto shown : {Shown::ByList, Shown::ByEntry, Shown::ByNewEntry}) {
+        CAPTURE(static_cast<int>(shown));
+        auto planner = Planner{};
+        auto starts = std::vector{planner.place()};
+        auto effects = PoolEffects{};
+        while (!starts.empty()) {
+            planner.core.applyOrder(starts.front(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+            planner.now += Millis{300};
+            effects = planner.plan();
+            starts = effects.starts;
+        }
+        REQUIRE(effects.stops.size() == 1);
+        planner.core.applyOrder(effects.stops.front(), {.outcome = OrderOutcome::Accepted, .clock = WorkerTime{firstClock.value + 920}}, planner.now);
+        planner.now += Millis{20};
+        planner.core.applyPollReply(workerId, {.clock = WorkerTime{firstClock.value + 940}, .born = firstBorn}, planner.now - Millis{10}, planner.now);
+        effects = planner.plan();
+        REQUIRE(effects.starts.size() == 1);
+        REQUIRE(effects.starts.front().worker != workerId);
+        planner.accept(effects.starts.front(), firstClock);
+        planner.core.leaseFor(planner.ids[1], planner.now);
+        planner.now += Millis{1'000};
+        if (shown == Shown::ByNewEntry) {
+            planner.listWorkers({{}, firstBorn});
+            planner.plan();
+            REQUIRE(!planner.core.workers().contains(workerId));
+        }
+        if (shown == Shown::ByList) {
+            planner.list(WorkerTime{8'261'050}, planner.now - Millis{10}, false);
+        } else {
+            planner.listWorkers({secondBorn, firstBorn}, WorkerTime{8'261'050});
+        }
+        auto stops = planner.plan().stops;
+        REQUIRE(stops.size() == 1);
+        CHECK(stops.front().worker == workerId);
+        CHECK(stops.front().attempt == 1);
+        planner.now += Millis{10};
+        planner.core.applyOrder(stops.front(), {.outcome = OrderOutcome::Accepted, .clock = WorkerTime{8'261'060}}, planner.now);
+        planner.now += Millis{20};
+        planner.list(WorkerTime{8'261'080}, planner.now - Millis{10}, false);
+        stops = planner.plan().stops;
+        CHECK(stops.size() == (shown == Shown::ByEntry ? 1 : 0)); // the list is the first of the lifetime, whose answers count
+        for (const auto &it : stops) {
+            planner.core.applyOrder(it, {.outcome = OrderOutcome::Accepted, .clock = WorkerTime{8'261'090}}, planner.now);
+        }
+        planner.now += Millis{20};
+        planner.list(WorkerTime{8'261'100}, planner.now - Millis{10}, false);
+        CHECK(planner.core.workers().at(workerId).allocations.empty());
+        // No try can arrive any more.
+        planner.now += Millis{13'000};
+        planner.core.leaseFor(planner.ids[1], planner.now);
+        planner.core.applyPollReply(workerId, {.clock = WorkerTime{50}, .born = thirdBorn}, planner.now - Millis{10}, planner.now);
+        CHECK(planner.plan().stops.empty());
+        CHECK(planner.isPlaced());
+    }
+}
