--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -169,7 +169,11 @@
     }
     for (const auto &it : listed) {
         addWorker(m_idleCapacity, it);
-        auto &worker = m_workers[it.id];
+        const auto [known, isNew] = m_workers.try_emplace(it.id);
+        auto &worker = known->second;
+        if (isNew) {
+            adoptLateCalls(worker, it.id, now);
+        }
         const auto moved = worker.info.address != it.address;
         const auto born = worker.info.born;
         if (!worker.info.id.empty() && worker.listedBorn.value != 0 && worker.listedBorn != it.born) {
@@ -184,6 +188,9 @@
         if (worker.answered) {
             worker.info.born = born; // the list may lag behind the worker's own replies
         }
+        if (isReborn(worker) && getsOrders(worker)) {
+            stopReleasedStarts(worker, now, now);
+        }
         if (moved) {
             worker.reachable = true;
             worker.answeredAt = now;
@@ -213,12 +220,19 @@
     }
     logDecision("worker_left", "worker=" + id.str() + " attempts=" + std::to_string(it->second.allocations.size()));
     loseAllAttempts(it->second, "worker left");
+    keepLateCalls(it->second);
     m_workers.erase(it);
 }
 
 auto PoolCore::dropUnlisted() -> void
 {
-    std::erase_if(m_workers, [](const auto &it) { return !it.second.listed && it.second.allocations.empty(); });
+    std::erase_if(m_workers, [this](const auto &it) {
+        const auto isDropped = !it.second.listed && it.second.allocations.empty();
+        if (isDropped) {
+            keepLateCalls(it.second);
+        }
+        return isDropped;
+    });
 }
 
 auto PoolCore::findTask(const TaskKey &key) -> TaskState *
@@ -264,6 +278,9 @@
 {
     const auto it = worker.allocations.find(key);
     if (it != worker.allocations.end()) {
+        if (it->second.startArrivesUntil != MonoTime{}) {
+            worker.releasedStarts[key] = it->second.startArrivesUntil;
+        }
         worker.used -= it->second.resources;
         worker.allocations.erase(it);
         m_released.insert(key.first.job);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -224,6 +224,9 @@
         Incarnation listedBorn; ///< incarnation in the worker's entry
         Resources used;
         std::map<AttemptKey, Allocation> allocations;
+        /// Released attempts with an unanswered try of their start order, with the time until which it may be carried out. A worker that has
+        /// restarted does not know that they were stopped or have ended.
+        std::map<AttemptKey, MonoTime> releasedStarts;
         WorkerTime clock; ///< worker's clock in the last poll reply
         MonoTime clockAt; ///< time at which this reply arrived
         MonoTime listAskedAt; ///< time at which its poll was sent
@@ -255,6 +258,14 @@
 private:
     friend class PoolPlacer;
 
+    /// Calls to a worker that is no longer known and that may be carried out late, by a lifetime that comes back under its id.
+    struct LateCalls
+    {
+        MonoTime grantedAt; ///< last grant of a lease
+        MonoTime startsArriveUntil; ///< see Worker::startsArriveUntil
+        std::map<AttemptKey, MonoTime> releasedStarts; ///< see Worker::releasedStarts
+    };
+
     /// Groups of one priority, within a guarantee or not.
     using PriorityClass = std::pair<int, bool>;
     /// Place of a group of tasks among those of its class; earlier ones are placed first.
@@ -298,6 +309,8 @@
     auto applyRestart(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     auto logRestart(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now, Millis lateCalls) -> void;
     auto loseEarlier(Worker &worker, const AttemptKey &key, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
+    auto addForeign(Worker &worker, const AttemptKey &key, MonoTime now) -> Allocation &;
+    auto stopReleasedStarts(Worker &worker, MonoTime askedAt, MonoTime now) -> void;
     auto applyRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void;
     auto resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     static auto describeAcceptance(const Allocation &allocation, MonoTime now) -> std::string;
@@ -310,7 +323,7 @@
     auto startRefused(Worker &worker, const AttemptKey &key, OrderOutcome outcome, MonoTime now) -> void;
     auto extendLease(Worker &worker, MonoTime now) const -> void;
     auto countLateCalls(Worker &worker, MonoTime now) const -> Millis;
-    static auto noteUnansweredStart(Worker &worker, Allocation &allocation, MonoTime now) -> void;
+    static auto noteUnansweredStart(Worker &worker, MonoTime now) -> MonoTime;
     static auto doubtAdoptedStarts(Worker &worker) -> void;
     static auto mayStartLate(const Allocation &allocation, MonoTime askedAt) -> bool;
     static auto lateStarts(const Worker &worker) -> int;
@@ -339,6 +352,8 @@
     auto stopHung(MonoTime now) -> void;
     auto expireJobs(MonoTime now) -> void;
     auto dropUnlisted() -> void;
+    auto keepLateCalls(const Worker &worker) -> void;
+    auto adoptLateCalls(Worker &worker, const WorkerId &id, MonoTime now) -> void;
     static auto getsOrders(const Worker &worker) -> bool;
     auto emitStops(std::vector<PoolOrder> &stops, MonoTime now) -> void;
     auto emitStarts(PoolEffects &effects) -> void;
@@ -358,6 +373,7 @@
     std::map<JobId, PoolJobState> m_jobs;
     std::set<JobId> m_active; ///< jobs that are not final
     std::map<WorkerId, Worker> m_workers;
+    std::map<WorkerId, LateCalls> m_lateCalls; ///< of workers that are not in m_workers
     MonoTime m_entriesReadAt;
     std::map<WorkerId, MonoTime> m_withheld; ///< workers that get no lease because a stored record names them, with the end of their leases
     MonoTime m_tookOverAt; ///< MonoTime{} until the records of earlier planners have been taken over
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -42,12 +42,13 @@
 }
 
 /// Notes that a try of a start order was not answered.
-auto PoolCore::noteUnansweredStart(Worker &worker, Allocation &allocation, MonoTime now) -> void
+/// @return until when it may be carried out
+auto PoolCore::noteUnansweredStart(Worker &worker, MonoTime now) -> MonoTime
 {
-    allocation.startOutcomeUnknown = true;
-    allocation.startArrivesUntil = now + lateCallLimit;
-    worker.startsArriveUntil = allocation.startArrivesUntil;
+    std::erase_if(worker.releasedStarts, [&](const auto &it) { return it.second <= now; });
+    worker.startsArriveUntil = now + lateCallLimit;
     worker.unansweredGrantAt = now; // it may have been sent later than it was granted
+    return worker.startsArriveUntil;
 }
 
 /// Counts the calls for the earlier lifetimes of a worker that has restarted: the leases that they can still grant to the new one, and the start
@@ -68,6 +69,33 @@
     return std::chrono::duration_cast<Millis>(worker.leaseEnd - counted);
 }
 
+/// Remembers the calls to a worker that is dropped. Its poll is dropped as well, so that the last grant counts as unanswered.
+auto PoolCore::keepLateCalls(const Worker &worker) -> void
+{
+    if (worker.grantedAt != MonoTime{}) {
+        m_lateCalls[worker.info.id] = {.grantedAt = std::max(worker.grantedAt, worker.unansweredGrantAt),
+                                       .startsArriveUntil = worker.startsArriveUntil,
+                                       .releasedStarts = worker.releasedStarts};
+    }
+}
+
+/// Counts the calls that were sent before the worker was dropped: its present lifetime may carry them out.
+auto PoolCore::adoptLateCalls(Worker &worker, const WorkerId &id, MonoTime now) -> void
+{
+    std::erase_if(m_lateCalls, [&](const auto &it) { return std::max(it.second.grantedAt + lateCallLimit, it.second.startsArriveUntil) <= now; });
+    const auto calls = m_lateCalls.extract(id);
+    if (calls.empty()) {
+        return;
+    }
+    worker.unansweredGrantAt = calls.mapped().grantedAt;
+    worker.startsArriveUntil = calls.mapped().startsArriveUntil;
+    worker.earlierStartsUntil = worker.startsArriveUntil;
+    worker.releasedStarts = calls.mapped().releasedStarts;
+    worker.grantedLeaseEnd = worker.unansweredGrantAt + longestLease();
+    worker.leaseEnd = worker.grantedLeaseEnd + lateCallLimit;
+    stopReleasedStarts(worker, now, now);
+}
+
 /// Counts the start orders of the earlier planner as unanswered: nothing tells which of them were, and a restart shows only in the worker's entry.
 auto PoolCore::doubtAdoptedStarts(Worker &worker) -> void
 {
