policy: an attempt that was accepted after the last list waits for the leases of late calls

A lifetime that no list has shown accepts one start order and carries another one out late. Leases hold for all that runs on a worker, so that the late order extends the lease of the accepted attempt as well; the planner gave that attempt up 10.8 s after the last grant and started its task elsewhere.

Cause: that the answer to the start was known was taken for knowing its lifetime. Such an attempt now waits like one without an answer, until a list that was asked for later has named it.

'an attempt that was accepted after the last list waits for the leases of late calls' guards it. A case of now lets a list name the accepted attempt, which is what its line tells.

--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -130,10 +130,12 @@
     return sentAt == MonoTime{} ? worker.leaseEnd : std::max(worker.leaseEnd, sentAt + lateCallLimit + longestLease());
 }
 
-/// @return when an attempt has certainly no lease any more. A silent worker may have restarted unseen.
+/// @return when an attempt has certainly no lease any more. A silent worker may have restarted unseen. An attempt that was accepted after the last list
+/// was asked for may be of a lifetime that no list has shown, whose leases late calls for the earlier one extend.
 auto PoolCore::leaseEndOf(const Worker &worker, const Allocation &allocation) const -> MonoTime
 {
-    return mayStartLate(allocation, worker.listAskedAt) ? lateLeaseEnd(worker) : worker.leaseEnd;
+    const auto isLate = mayStartLate(allocation, worker.listAskedAt) || allocation.acceptedAt > worker.listAskedAt;
+    return isLate ? lateLeaseEnd(worker) : worker.leaseEnd;
 }
 
 /// @return when no attempt of the worker has a lease any more.
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -602,3 +602,34 @@
         CHECK(planner.isPlaced());
     }
 }
+
+// Guards against a task that runs twice at the same time: a lifetime that no list has shown accepts one start, carries another one out late, and the
+// lease of the latter holds for both.
+TEST_CASE("an attempt that was accepted after the last list waits for the leases of late calls")
+{
+    auto planner = Planner{};
+    planner.now += Millis{500};
+    planner.accept(planner.place(), WorkerTime{5'000'000});
+    planner.core.pollFailed(workerId);
+    planner.now += Millis{22'000};
+    CHECK(planner.plan().starts.empty());
+    CHECK(planner.isPlaced());
+    planner.now += Millis{3'000};
+    CHECK(planner.plan().starts.size() == 1);
+}
+
+// Guards against work of a silent worker that waits longer than it has to: a list has named the attempt, so that no lifetime is unknown.
+TEST_CASE("an attempt that the last list names waits for the leases that the worker was granted only")
+{
+    auto planner = Planner{};
+    planner.now += Millis{500};
+    planner.accept(planner.place(), WorkerTime{firstClock.value + 500});
+    planner.now += Millis{100};
+    planner.core.applyPollReply(workerId,
+                                {.clock = {firstClock.value + 590}, .born = firstBorn, .running = {{.task = Planner::task(), .attempt = 1}}},
+                                planner.now - Millis{10},
+                                planner.now);
+    planner.core.pollFailed(workerId);
+    planner.now += Millis{11'000};
+    CHECK(planner.plan().starts.size() == 1);
+}
