policy: a restart between the record and the first entry that a new planner reads shows

A start order of an earlier planner was not answered, its worker restarted, and the next planner read the new entry first and took the worker for one that had never restarted: it started the task elsewhere 15.7 s after the order, while a late start can run until 22 s.

Cause: the doubt about the earlier planner's orders hung on a change of the entry within one term. The record of attempts names the lifetime for which a task was placed; it now counts as the lifetime in the entry before the term.

'a new planner counts the start orders of the earlier one when the first entry that it reads names another lifetime than the record' failed without the change (poolcore_restarts_test.cpp:659, :661).

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -134,6 +134,7 @@
                 if (bound == m_withheld.end()) {
                     worker.grantedAt = std::max(worker.grantedAt, earlierLeasesEnd - longestLease());
                 }
+                noteRecordedLifetime(worker, task.workerBorn);
                 task.progressAt = now;
                 task.attemptPhase = AttemptPhase::Unknown;
                 allocate(worker, state, {key, task.attempt}).placedAt = now; // the record does not contain the start time
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -325,6 +325,7 @@
     auto countLateCalls(Worker &worker, MonoTime now) const -> Millis;
     static auto noteUnansweredStart(Worker &worker, MonoTime now) -> MonoTime;
     static auto doubtAdoptedStarts(Worker &worker) -> void;
+    static auto noteRecordedLifetime(Worker &worker, Incarnation born) -> void;
     static auto mayStartLate(const Allocation &allocation, MonoTime askedAt) -> bool;
     static auto lateStarts(const Worker &worker) -> int;
     [[nodiscard]] auto describeLateStarts(const Worker &worker, MonoTime now) const -> std::string;
--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -39,6 +39,15 @@
     return worker.listedBorn > worker.info.born;
 }
 
+/// Takes the lifetime for which an earlier planner placed an attempt for the one in the worker's entry before this term, so that a restart between the
+/// two shows as a change of the entry.
+auto PoolCore::noteRecordedLifetime(Worker &worker, Incarnation born) -> void
+{
+    if (!worker.answered && !worker.listed && born.value != 0) {
+        worker.listedBorn = worker.listedBorn.value == 0 ? born : std::min(worker.listedBorn, born);
+    }
+}
+
 /// @return whether an order that was meant for an earlier lifetime may still start work on the worker.
 auto PoolCore::expectsEarlierOrders(const Worker &worker) -> bool
 {
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -633,3 +633,31 @@
     planner.now += Millis{11'000};
     CHECK(planner.plan().starts.size() == 1);
 }
+
+// Guards against a task that runs twice at the same time: the worker restarts before the new planner reads its entry for the first time, and carries
+// out a start order of the earlier planner late.
+TEST_CASE("a new planner counts the start orders of the earlier one when the first entry that it reads names another lifetime than the record")
+{
+    for (const auto hasRestarted : {false, true}) {
+        CAPTURE(hasRestarted);
+        auto planner = Planner{};
+        planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+        const auto state = *planner.core.find(JobId{"a"});
+        planner.now += Millis{2'500};
+        const auto rules = PoolRules{.version = {1}, .queues = {{QueueId{"q"}, {.id = QueueId{"q"}, .service = ServiceId{"s"}, .maxAttempts = 3}}}};
+        planner.core = PoolCore{PoolOptions{}};
+        planner.core.setRules(rules);
+        planner.core.addJob(state.job, planner.now);
+        planner.core.adoptRecord(JobId{"a"}, state, planner.now + Millis{12'800}, planner.now);
+        planner.core.tookOver(planner.now);
+        planner.listWorkers({hasRestarted ? secondBorn : firstBorn, firstBorn});
+        planner.core.pollFailed(workerId);
+        planner.core.applyPollReply(planner.ids[1], {.clock = firstClock, .born = firstBorn}, planner.now, planner.now);
+        // The order is carried out up to 12 s after it was sent, and its lease is 10 s.
+        planner.now += Millis{19'500};
+        planner.core.entriesRead(planner.now); // the worker has ceased to write its entry
+        CHECK(planner.plan().starts.empty() == hasRestarted);
+        planner.now += Millis{7'000};
+        CHECK(planner.plan().starts.size() == (hasRestarted ? 1 : 0));
+    }
+}
