policy: calls of an earlier planner, and polls that a change of the address ends, count as unanswered

After a takeover a restarted worker that answered and was then cut off had its leases counted from this planner's grants alone, although a late call of the earlier planner can extend them: 12.8 s after the takeover in a trial, where a call that was sent 0.5 s before it can grant until 21.5 s. A poll that is closed because its worker's address changes was not counted either.

Cause: both calls end without an answer and without a report to the core.

'a restart after a takeover counts the calls of the earlier planner' failed before (poolcore_restarts_test.cpp:678); the closed poll has no case.

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -133,6 +133,7 @@
                 worker.grantedLeaseEnd = std::max(worker.grantedLeaseEnd, end);
                 if (bound == m_withheld.end()) {
                     worker.grantedAt = std::max(worker.grantedAt, earlierLeasesEnd - longestLease());
+                    worker.unansweredGrantAt = worker.grantedAt;
                 }
                 noteRecordedLifetime(worker, task.workerBorn);
                 task.progressAt = now;
@@ -193,6 +194,7 @@
             stopReleasedStarts(worker, now, now);
         }
         if (moved) {
+            worker.unansweredGrantAt = std::max(worker.unansweredGrantAt, worker.grantedAt); // a poll under way ends without an answer
             worker.reachable = true;
             worker.answeredAt = now;
         }
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -661,3 +661,20 @@
         CHECK(planner.plan().starts.size() == (hasRestarted ? 1 : 0));
     }
 }
+
+// Guards against a task that runs twice at the same time: calls of the earlier planner reach the lifetime that begins after the takeover.
+TEST_CASE("a restart after a takeover counts the calls of the earlier planner")
+{
+    auto planner = Planner{};
+    planner.place();
+    const auto state = *planner.core.find(JobId{"a"});
+    planner.core = PoolCore{PoolOptions{}};
+    planner.core.addJob(state.job, planner.now);
+    planner.core.adoptRecord(JobId{"a"}, state, planner.now + Millis{12'800}, planner.now);
+    planner.core.tookOver(planner.now);
+    planner.listWorkers({firstBorn, firstBorn});
+    planner.core.applyPollReply(workerId, {.clock = firstClock, .born = firstBorn}, planner.now, planner.now);
+    planner.now += Millis{600};
+    planner.list(WorkerTime{50}, planner.now - Millis{10}, false);
+    CHECK(planner.core.workers().at(workerId).leaseEnd >= planner.now + Millis{22'000});
+}
