policy: a doubt about a start ends when the order cannot arrive any more

An attempt in doubt stayed on its worker for as long as no stop order was answered, also 20 s after the last try of its start order, although lists that exclude it arrived. It now ends with a list that was asked for later than any try can arrive. A start that was answered at the moment at which the list was asked for is in doubt as well.

'an attempt in doubt ends with a list that was asked for after its start order can have arrived' failed before (poolcore_restarts_test.cpp:692).

--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -116,7 +116,7 @@
 /// tell its lifetime: the clock of a later one can show anything.
 auto PoolCore::mayFollowList(const Allocation &allocation, MonoTime sentAt) -> bool
 {
-    return allocation.orderOpen || allocation.startOutcomeUnknown || allocation.acceptedAt > sentAt;
+    return allocation.orderOpen || (allocation.startOutcomeUnknown && mayStartLate(allocation, sentAt)) || allocation.acceptedAt >= sentAt;
 }
 
 /// @param sentAt when the order was issued; MonoTime{} if that was before the restart showed
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -678,3 +678,17 @@
     planner.list(WorkerTime{50}, planner.now - Millis{10}, false);
     CHECK(planner.core.workers().at(workerId).leaseEnd >= planner.now + Millis{22'000});
 }
+
+// Guards against work that waits although its worker answers: the start order cannot arrive any more, and no stop order is answered.
+TEST_CASE("an attempt in doubt ends with a list that was asked for after its start order can have arrived")
+{
+    auto planner = Planner{};
+    planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+    planner.now += Millis{100};
+    planner.list(WorkerTime{50}, planner.now - Millis{10}, false);
+    planner.core.cancelJob(JobId{"a"}, planner.now);
+    REQUIRE(planner.plan().stops.size() == 1);
+    planner.now += Millis{13'500};
+    planner.list(WorkerTime{13'550}, planner.now - Millis{10}, false);
+    CHECK(planner.core.workers().at(workerId).allocations.empty());
+}
