simulation: judge runs that a late start order begins in the next incarnation

Runs of orders for an earlier incarnation of their worker were left out of "runs twice" and of the capacity, so that a planner that gave an attempt up too early passed.

They now count like any other, but for those whose attempt the planner had released for what an earlier incarnation told, or because it had left: nothing can call back an order that is under way then. An order under way while its task, or another member of its gang, succeeds may still begin a run; only "is started after it was done" leaves it out.

--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -237,10 +237,30 @@
     pollWorkers();
     plan();
     sendOrders();
+    noteReleases();
     publishLeaseBounds();
     checkFinalJobs();
 }
 
+/// Notes for which late start orders the planner has released the attempt.
+auto PoolSimulation::noteReleases() -> void
+{
+    for (auto &it : m_lateOrders) {
+        const auto &worker = m_workers.at(it.order.worker);
+        const auto known = m_core.workers().find(it.order.worker);
+        const auto isPlaced = known != m_core.workers().end() && known->second.allocations.contains({it.order.task, it.order.attempt});
+        if (it.isReleased || isPlaced) {
+            continue;
+        }
+        it.isReleased = true;
+        if (worker.gone) {
+            it.releasedIn = Incarnation{worker.info.born.value - 1}; // the present one has not begun
+        } else if (known != m_core.workers().end() && known->second.answered && known->second.reachable) {
+            it.releasedIn = known->second.info.born;
+        }
+    }
+}
+
 /// As daemon/poolterm does it; the store takes as long as for the records of a pass.
 auto PoolSimulation::publishLeaseBounds() -> void
 {
@@ -541,14 +561,14 @@
         return OrderOutcome::Expired;
     }
     // Nothing can prevent an incarnation that knows nothing of the attempt from starting it.
-    const auto misdirected = late != nullptr && late->born != worker.info.born;
-    if (!misdirected) {
-        checkStart(worker, order);
+    const auto excused = late != nullptr && late->releasedIn && *late->releasedIn < worker.info.born;
+    if (!excused) {
+        checkStart(worker, order, late != nullptr && late->born != worker.info.born);
     }
     worker.leaseUntil = std::max(worker.leaseUntil, until);
     const auto &step = m_jobs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)];
-    worker.running[order.task] = {
-        .attempt = order.attempt, .begin = m_now, .end = m_now + step.estimate, .resources = step.perTask, .late = late != nullptr, .misdirected = misdirected};
+    worker.running[order.task]
+        = {.attempt = order.attempt, .begin = m_now, .end = m_now + step.estimate, .resources = step.perTask, .late = late != nullptr, .excused = excused};
     m_startedAt.try_emplace(order.task.job, m_now);
     if (late == nullptr && finalSince(order.task.job)) {
         m_violations.push_back(order.task.job.str() + " is started after its end at "
@@ -557,25 +577,26 @@
     return OrderOutcome::Accepted;
 }
 
-auto PoolSimulation::checkStart(const SimulatedPoolWorker &worker, const PoolOrder &order) -> void
+/// @param misdirected whether the order was meant for an earlier incarnation: it can be under way while its task, or its gang, succeeds
+auto PoolSimulation::checkStart(const SimulatedPoolWorker &worker, const PoolOrder &order, bool misdirected) -> void
 {
     const auto name
         = order.task.job.str() + "." + std::to_string(order.task.step) + "." + std::to_string(order.task.index) + " attempt " + std::to_string(order.attempt);
     const auto at = " at " + std::to_string(std::chrono::duration_cast<Millis>(m_now - m_start).count()) + " ms on " + worker.info.id.str();
     auto used = m_jobs.at(order.task.job).steps[static_cast<std::size_t>(order.task.step)].perTask;
     for (const auto &[key, it] : worker.running) {
-        used += it.misdirected ? Resources{} : it.resources;
+        used += it.excused ? Resources{} : it.resources;
     }
     if (copiesThatFit(used, worker.info.capacity, 1) == 0) {
         m_violations.push_back(name + " is started beyond the capacity" + at);
     }
     for (const auto &[id, other] : m_workers) {
         const auto it = other.running.find(order.task);
-        if (it != other.running.end() && !it->second.misdirected) {
+        if (it != other.running.end() && !it->second.excused) {
             m_violations.push_back(std::string(name).append(" runs twice, also on ").append(id.str()).append(at));
         }
     }
-    if (hasSucceeded(order.task)) {
+    if (!misdirected && hasSucceeded(order.task)) {
         m_violations.push_back(name + " is started after it was done" + at);
     }
     const auto &job = m_jobs.at(order.task.job);
@@ -634,7 +655,7 @@
 {
     const auto it = worker.running.find(key);
     const auto attempt = it->second.attempt;
-    if (it->second.misdirected) {
+    if (it->second.excused) {
         worker.voidCompletions.insert(worker.nextCompletion); // the planner may have placed a later attempt
     }
     worker.running.erase(it);
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -57,7 +57,8 @@
     MonoTime stopAt; ///< when a stop order takes effect
     bool late = false; ///< started by a late order
     bool stopHeldUp = false; ///< a stop order for it is carried out late
-    bool misdirected = false; ///< started by an order meant for an earlier incarnation
+    /// Started by an order for an attempt that the planner had released for what an earlier incarnation told. No planner can prevent that.
+    bool excused = false;
 };
 
 struct SimulatedPoolWorker
@@ -119,6 +120,10 @@
         WorkerTime leaseUntil;
         std::int64_t token = 0;
         Incarnation born; ///< incarnation of the worker that the order is meant for
+        /// Incarnation of the worker that told what the planner released the attempt for, or that had left then. Nothing while the attempt is placed,
+        /// and when it was released for the end of a lease: no order may start it after that.
+        std::optional<Incarnation> releasedIn;
+        bool isReleased = false;
     };
     struct LatePoll
     {
@@ -159,6 +164,7 @@
     auto finishPass() -> void;
     auto sendOrders() -> void;
     auto send(Link &link, const PoolOrder &order) -> void;
+    auto noteReleases() -> void;
     auto executeLateOrders() -> void;
     auto receiveLatePolls() -> void;
     auto writeEntry(SimulatedPoolWorker &worker) -> void;
@@ -183,7 +189,7 @@
     auto sendLate(const PoolOrder &order, WorkerTime lease, MonoTime at) -> void;
     auto receiveReply(const WorkerId &id, Poller &poller) -> void;
     auto sendPoll(const SimulatedPoolWorker &worker) -> Poller;
-    auto checkStart(const SimulatedPoolWorker &worker, const PoolOrder &order) -> void;
+    auto checkStart(const SimulatedPoolWorker &worker, const PoolOrder &order, bool misdirected) -> void;
     auto sameUnit(const TaskKey &a, const TaskKey &b) const -> bool;
     auto hasSucceeded(const TaskKey &key) const -> bool;
     auto acknowledge(SimulatedPoolWorker &worker, std::int64_t upTo) -> void;
