soak: clocks begin anywhere, orders are carried out late, executors restart while cut off

The executors of the soak began each lifetime's clock near zero and carried every order out at once or not at all, so that no play could show a late start order that the next lifetime of its worker carries out.

A report of TWICE names the lifetimes, and whether a late order began the run.

The judge's bound for work of a vanished executor named a rule that is gone. Work on one that had restarted may wait for 13 s and a lease after the last call for the earlier lifetime, which is no longer than before (16 s after the restart) and ends 13 s after the executor vanished. The same holds for a task that had a start order without an answer in time on the executor, within 13 s before that, and for no other.

--- a/testing/soak/pool_soak.cpp
+++ b/testing/soak/pool_soak.cpp
@@ -46,6 +46,11 @@
 /// Restarts of one executor in a series, and the longest time between two of them.
 constexpr auto seriesRestarts = 3;
 constexpr auto seriesRestartGap = std::uint32_t{600};
+/// An executor that restarts while it is cut off does so after at most the first time, and is back after at most the second one more. The longest cut
+/// is longer than the shorter lease, and than the time after which an entry is removed.
+constexpr auto cutBeforeRestart = std::uint32_t{2'000};
+constexpr auto cutAfterRestart = std::uint32_t{8'000};
+constexpr auto wholeShare = std::uint32_t{100};
 /// Executors of which at most half vanish for good.
 constexpr auto vanishShare = std::size_t{2};
 
@@ -53,6 +58,7 @@
 {
     std::chrono::seconds duration{20};
     Millis restartPeriod{0}; ///< between restarts of executors on average; 0: none restart
+    int cutRestarts = 0; ///< percentage of the executors to restart that are cut off for a while and restart meanwhile
     std::optional<std::size_t> mostVanished; ///< executors that may vanish; nothing: up to half of them
 };
 
@@ -200,7 +206,17 @@
     });
 }
 
-/// Restarts executors under their ids, idle or busy, some of them in series, and at times kills the leader with them.
+/// Cuts an executor off, and lets it begin a new lifetime meanwhile.
+auto cutAndRestart(Play &play, std::size_t index) -> void
+{
+    const auto restartAfter = Millis{play.random(cutBeforeRestart)};
+    const auto span = restartAfter + Millis{play.random(cutAfterRestart)};
+    const auto isListed = play.random(2) == 0;
+    std::printf("  executor %zu is cut off for %lld ms, and restarts meanwhile\n", index + 1, static_cast<long long>(span.count()));
+    inBackground(play, [&world = play.world, index, restartAfter, span, isListed] { world.cutAndRestart(index, restartAfter, span, isListed); });
+}
+
+/// Restarts executors under their ids, idle or busy, some of them in series or while they are cut off, and at times kills the leader with them.
 /// @return how long to wait for the next ones.
 auto restartWorkers(Play &play) -> Millis
 {
@@ -210,6 +226,10 @@
     }
     for (auto n = 1 + play.random(maxRestarts); n > 0; --n) {
         const auto index = play.random(static_cast<std::uint32_t>(play.world.workers()));
+        if (play.options.cutRestarts > 0 && static_cast<int>(play.random(wholeShare)) < play.options.cutRestarts) {
+            cutAndRestart(play, index);
+            continue;
+        }
         const auto times = play.random(4) == 0 ? seriesRestarts : 1;
         auto gaps = std::vector<Millis>{};
         auto writes = std::vector<bool>{};
@@ -324,6 +344,7 @@
     if (trouble.restartPeriod.count() > 0) {
         options.transitSeed = seed;
     }
+    options.seed = seed;
     std::printf("seed %llu: %s, %d instances, %d executors, lease %lld ms\n",
                 static_cast<unsigned long long>(seed),
                 isSeries ? "series" : "mixed",
@@ -338,6 +359,7 @@
         std::this_thread::sleep_for(tick);
     }
     runFor(it, trouble.duration, true);
+    world.endLateness();
     for (auto &thread : it.disturbances) {
         thread.join();
     }
@@ -384,6 +406,10 @@
             options.workers = std::stoi(value);
         } else if (name == "--restart-ms") {
             trouble.restartPeriod = Millis{std::stoi(value)};
+        } else if (name == "--late-orders") {
+            options.lateOrders = std::stoi(value);
+        } else if (name == "--cut-restarts") {
+            trouble.cutRestarts = std::stoi(value);
         } else if (name == "--forget-while-waiting") {
             options.forgetsWhileWaiting = value == "yes";
         } else if (name == "--most-vanished") {
@@ -392,7 +418,7 @@
             options.daemon = value;
         } else {
             std::cerr << "usage: pool_soak --seed N [--seed N ...] [--seconds S] [--lease-ms N] [--instances N] [--workers N] [--restart-ms N] "
-                         "[--most-vanished N] [--forget-while-waiting yes] [--daemon PATH]\n";
+                         "[--late-orders PERCENT] [--cut-restarts PERCENT] [--most-vanished N] [--forget-while-waiting yes] [--daemon PATH]\n";
             return 2;
         }
         ++i;
--- a/testing/soak/soakexecutor.cpp
+++ b/testing/soak/soakexecutor.cpp
@@ -28,6 +28,14 @@
 constexpr auto longestListMs = 750;
 /// Some answers to orders come after the planner has given them up.
 constexpr auto longestAnswerMs = 350;
+/// A planner waits for less than this for the answer to the first try of an order, so that a slower answer counts as none.
+constexpr auto promptAnswer = std::chrono::milliseconds{250};
+/// Of the clock with which a lifetime may begin.
+constexpr auto longestReading = std::uint32_t{9'000'000};
+/// A call without an answer is carried out after this time, and so much later at most.
+constexpr auto leastLateness = 2'000;
+constexpr auto latenessRange = std::uint32_t{10'000};
+constexpr auto wholeShare = std::uint32_t{100};
 
 auto numberIn(const std::string &text, const std::string &name, std::int64_t fallback) -> std::int64_t
 {
@@ -46,12 +54,16 @@
 SoakExecutor::SoakExecutor(std::string id, const SoakExecutorOptions &options)
     : m_id(std::move(id))
     , m_options(options)
-    , m_bornAt(std::chrono::steady_clock::now() - std::chrono::milliseconds{1})
-    , m_bornMs(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
+    , m_bornMs(0)
+    , m_late(options.lateSeed)
 {
     if (m_options.transitSeed) {
         m_transit.emplace(*m_options.transitSeed);
     }
+    if (m_options.clockSeed) {
+        m_clocks.emplace(*m_options.clockSeed);
+    }
+    beginLifetime();
     listen();
 }
 
@@ -66,23 +78,14 @@
     auto &listener = *m_listeners.emplace_back(std::make_unique<Listener>());
     auto &server = listener.server;
     const auto lifetime = m_lifetime;
-    const auto serve = [this, lifetime](auto answer, std::uint32_t longestMs) {
-        return [this, lifetime, answer, longestMs](const httplib::Request &request, httplib::Response &response) {
-            auto isBroken = false;
-            {
-                const auto lock = std::lock_guard{m_mutex};
-                isBroken = isOver(lifetime);
-                if (!isBroken) {
-                    (this->*answer)(request, response);
-                }
-            }
-            isBroken ? breakOff(response) : travel(longestMs);
-        };
+    const auto serve = [this, lifetime](Answer execute) {
+        return
+            [this, lifetime, execute](const httplib::Request &request, httplib::Response &response) { answerOrder(lifetime, execute, request.body, response); };
     };
     server.new_task_queue = [] { return new httplib::ThreadPool(serverThreads); };
     server.set_keep_alive_timeout(keepAliveSeconds);
-    server.Post("/v1/run-start", serve(&SoakExecutor::start, longestAnswerMs));
-    server.Post("/v1/run-stop", serve(&SoakExecutor::stop, longestAnswerMs));
+    server.Post("/v1/run-start", serve(&SoakExecutor::start));
+    server.Post("/v1/run-stop", serve(&SoakExecutor::stop));
     server.Post("/v1/hold", [this, lifetime](const httplib::Request &request, httplib::Response &response) { hold(lifetime, request, response); });
     if (m_port == 0) {
         m_port = server.bind_to_any_port(address);
@@ -116,19 +119,91 @@
     return m_goneAt || lifetime != m_lifetime;
 }
 
-/// Delays an answer that has been made.
-auto SoakExecutor::travel(std::uint32_t longestMs) -> void
+/// @return how long an answer that has been made is under way. The caller holds m_mutex.
+auto SoakExecutor::drawTransit(std::uint32_t longestMs) -> std::chrono::milliseconds
+{
+    const auto isSlow = m_transit && (*m_transit)(wholeShare) < slowAnswers;
+    return std::chrono::milliseconds{isSlow ? (*m_transit)(longestMs) : 0};
+}
+
+/// The caller holds m_mutex.
+auto SoakExecutor::noteUnanswered(Answer execute, const std::string &body) -> void
+{
+    if (execute == &SoakExecutor::start) {
+        m_unansweredStarts[json::parse(body).at("task").get<std::string>()] = std::chrono::steady_clock::now();
+    }
+}
+
+/// Carries an order out and answers it, breaks it off, or leaves it for later without an answer.
+auto SoakExecutor::answerOrder(int lifetime, Answer execute, const std::string &body, httplib::Response &response) -> void
 {
     auto delay = std::chrono::milliseconds{0};
+    auto isBroken = false;
     {
         const auto lock = std::lock_guard{m_mutex};
-        if (m_transit && (*m_transit)(100) < slowAnswers) {
-            delay = std::chrono::milliseconds{(*m_transit)(longestMs)};
+        const auto isLate = !m_goneAt && m_options.lateOrders > 0 && static_cast<int>(m_late(wholeShare)) < m_options.lateOrders;
+        if (isLate) {
+            const auto at = std::chrono::steady_clock::now() + std::chrono::milliseconds{leastLateness + m_late(latenessRange)};
+            m_lateOrders.push_back({.at = at, .execute = execute, .body = body});
+        }
+        isBroken = isLate || m_isCutOff || isOver(lifetime);
+        if (!isBroken) {
+            (this->*execute)(body, response);
+            delay = drawTransit(longestAnswerMs);
         }
+        if (isBroken || delay >= promptAnswer) {
+            noteUnanswered(execute, body);
+        }
+    }
+    if (isBroken) {
+        breakOff(response);
+        return;
     }
     std::this_thread::sleep_for(delay);
 }
 
+auto SoakExecutor::executeLateOrders() -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    const auto now = std::chrono::steady_clock::now();
+    auto due = std::vector<LateOrder>{};
+    std::erase_if(m_lateOrders, [&](const LateOrder &it) {
+        if (it.at <= now) {
+            due.push_back(it);
+        }
+        return it.at <= now;
+    });
+    m_executesLate = true;
+    for (const auto &it : due) {
+        if (!m_goneAt) {
+            auto unread = httplib::Response{};
+            (this->*it.execute)(it.body, unread);
+        }
+    }
+    m_executesLate = false;
+}
+
+auto SoakExecutor::endLateness() -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    m_options.lateOrders = 0;
+}
+
+auto SoakExecutor::setCutOff(bool isCutOff) -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    m_isCutOff = isCutOff;
+}
+
+/// Begins the clock of a lifetime, near zero or anywhere. The caller holds m_mutex, or is the only one.
+auto SoakExecutor::beginLifetime() -> void
+{
+    m_bornAt = std::chrono::steady_clock::now() - std::chrono::milliseconds{1};
+    const auto bornMs = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    m_bornMs = std::max(m_bornMs + 1, bornMs);
+    m_firstReading = m_clocks && (*m_clocks)(2) != 0 ? (*m_clocks)(longestReading) : 0;
+}
+
 /// What runs ends with its lifetime. The caller holds m_mutex.
 auto SoakExecutor::endRuns() -> void
 {
@@ -155,9 +230,7 @@
         m_leaseUntilMs = 0;
         m_sequence = 0;
         ++m_lifetime;
-        m_bornAt = std::chrono::steady_clock::now() - std::chrono::milliseconds{1};
-        const auto bornMs = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-        m_bornMs = std::max(m_bornMs + 1, bornMs);
+        beginLifetime();
     }
     m_listeners.back()->server.stop();
     listen();
@@ -224,16 +297,23 @@
     return m_runs;
 }
 
+auto SoakExecutor::unansweredStartAt(const std::string &task) -> std::optional<SteadyTime>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    const auto it = m_unansweredStarts.find(task);
+    return it == m_unansweredStarts.end() ? std::nullopt : std::optional{it->second};
+}
+
 auto SoakExecutor::clock() const -> std::int64_t
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_bornAt).count();
+    return m_firstReading + std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_bornAt).count();
 }
 
 auto SoakExecutor::finish(const std::string &task, const std::string &how, std::int64_t atMs) -> void
 {
     const auto it = m_active.find(task);
     auto &run = m_runs[it->second.run];
-    run.end = m_bornAt + std::chrono::milliseconds{atMs};
+    run.end = m_bornAt + std::chrono::milliseconds{atMs - m_firstReading};
     run.how = how;
     auto &closed = m_closed[task];
     closed = std::max(closed, run.attempt);
@@ -274,9 +354,9 @@
 }
 
 /// The caller holds m_mutex.
-auto SoakExecutor::start(const httplib::Request &request, httplib::Response &response) -> void
+auto SoakExecutor::start(const std::string &text, httplib::Response &response) -> void
 {
-    const auto body = json::parse(request.body);
+    const auto body = json::parse(text);
     if (isFenced(body.at("fencing_token"), response)) {
         return;
     }
@@ -304,14 +384,15 @@
                       .fails = attempt <= numberIn(spec, "fail", 0),
                       .beginMs = clock(),
                       .lengthMs = std::max<std::int64_t>(length, 1)};
-    m_runs.push_back({.task = task, .attempt = attempt, .worker = m_id, .begin = std::chrono::steady_clock::now()});
+    m_runs.push_back(
+        {.task = task, .attempt = attempt, .worker = m_id, .begin = std::chrono::steady_clock::now(), .isLate = m_executesLate, .lifetime = m_lifetime});
     response.set_content(json{{"clock_ms", clock()}}.dump(), "application/json");
 }
 
 /// The caller holds m_mutex.
-auto SoakExecutor::stop(const httplib::Request &request, httplib::Response &response) -> void
+auto SoakExecutor::stop(const std::string &text, httplib::Response &response) -> void
 {
-    const auto body = json::parse(request.body);
+    const auto body = json::parse(text);
     if (isFenced(body.at("fencing_token"), response)) {
         return;
     }
@@ -353,12 +434,13 @@
 {
     const auto body = json::parse(request.body);
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds{body.value("wait_ms", 0)};
+    auto delay = std::chrono::milliseconds{0};
     auto hasBegun = false;
     auto isAnswered = false;
     while (!isAnswered) {
         {
             const auto lock = std::lock_guard{m_mutex};
-            if (isOver(lifetime)) {
+            if (m_isCutOff || isOver(lifetime)) {
                 breakOff(response);
                 return;
             }
@@ -376,13 +458,14 @@
             isAnswered = !m_ended.empty() || std::chrono::steady_clock::now() >= deadline;
             if (isAnswered) {
                 response.set_content(lists(), "application/json");
+                delay = drawTransit(longestListMs);
             }
         }
         if (!isAnswered) {
             std::this_thread::sleep_for(pollPeriod);
         }
     }
-    travel(longestListMs);
+    std::this_thread::sleep_for(delay);
 }
 
 }
--- a/testing/soak/soakexecutor.h
+++ b/testing/soak/soakexecutor.h
@@ -6,6 +6,8 @@
 ///   auto executor = Catkin::Soak::SoakExecutor{"i-1", lease};
 ///   store.put("keyed.servers", executor.id(), executor.entry("ready"));
 ///   executor.restart();                      // begins a new lifetime under its id and at its address, which knows nothing of the earlier one
+///   executor.setCutOff(true);                // what it runs goes on; calls get no answer
+///   executor.executeLateOrders();            // those that are due; to be called every few milliseconds
 ///   executor.vanish();                       // refuses connections; what it ran has ended
 ///   for (const auto &it : executor.runs()) { ... }
 /// @endcode
@@ -44,6 +46,8 @@
     std::optional<SteadyTime> end; ///< nothing while it runs
     std::string how; ///< how it ended; "gone" with its executor, or with a lifetime of it
     bool isNoted = false; ///< whether a planner has said that it knows the end
+    bool isLate = false; ///< whether a late order began it
+    int lifetime = 0; ///< of its executor, numbered from 0
 };
 
 struct SoakExecutorOptions
@@ -52,6 +56,9 @@
     /// Draws how long answers are under way, so that answers on different connections overtake each other; nothing: no time.
     std::optional<std::uint64_t> transitSeed;
     bool forgetsWhileWaiting = false; ///< whether a poll forgets the ends up to its number until it is answered, not only when it arrives
+    std::optional<std::uint64_t> clockSeed; ///< draws the first reading of the clock of each lifetime; nothing: zero
+    int lateOrders = 0; ///< percentage of orders that get no answer and are carried out 2 to 12 s later, by whichever lifetime is there then
+    std::uint64_t lateSeed = 0; ///< draws which orders these are
 };
 
 class SoakExecutor
@@ -68,6 +75,12 @@
     [[nodiscard]] auto entry(const std::string &state) -> std::string;
     /// Ends the present lifetime without a word and begins the next one. Answers of the ended lifetime that are under way still arrive.
     auto restart() -> void;
+    /// Cuts the executor off from its callers: calls are broken off, and what it runs goes on until its lease ends.
+    auto setCutOff(bool isCutOff) -> void;
+    /// Carries out the late orders that are due, with the token and the end of the lease that they carry.
+    auto executeLateOrders() -> void;
+    /// Answers orders in time from now on; those that are late already are still carried out.
+    auto endLateness() -> void;
     /// Ends the process without a word: connections are refused, and what it ran has ended.
     auto vanish() -> void;
     /// @return when it vanished; nothing if it has not.
@@ -76,6 +89,9 @@
     auto restartedAt() -> std::optional<SteadyTime>;
     /// @return all attempts so far.
     auto runs() -> std::vector<Run>;
+    /// @return when the last try of a start order for the task arrived that got no answer, or none in time; nothing if there was none. It may have
+    /// been carried out, or may still be.
+    auto unansweredStartAt(const std::string &task) -> std::optional<SteadyTime>;
 
 private:
     struct Active
@@ -96,6 +112,15 @@
         std::size_t run = 0; ///< index into m_runs
     };
 
+    using Answer = void (SoakExecutor::*)(const std::string &body, httplib::Response &response);
+
+    struct LateOrder
+    {
+        SteadyTime at;
+        Answer execute = nullptr;
+        std::string body;
+    };
+
     /// The server of one lifetime.
     struct Listener
     {
@@ -108,9 +133,12 @@
     auto joinEnded() -> void;
     auto endRuns() -> void;
     [[nodiscard]] auto isOver(int lifetime) const -> bool;
-    auto travel(std::uint32_t longestMs) -> void;
-    auto start(const httplib::Request &request, httplib::Response &response) -> void;
-    auto stop(const httplib::Request &request, httplib::Response &response) -> void;
+    [[nodiscard]] auto drawTransit(std::uint32_t longestMs) -> std::chrono::milliseconds;
+    auto answerOrder(int lifetime, Answer execute, const std::string &body, httplib::Response &response) -> void;
+    auto noteUnanswered(Answer execute, const std::string &body) -> void;
+    auto beginLifetime() -> void;
+    auto start(const std::string &text, httplib::Response &response) -> void;
+    auto stop(const std::string &text, httplib::Response &response) -> void;
     auto forgetEnds(std::int64_t upTo) -> void;
     [[nodiscard]] auto lists() const -> std::string;
     auto hold(int lifetime, const httplib::Request &request, httplib::Response &response) -> void;
@@ -127,6 +155,13 @@
     std::int64_t m_bornMs;
     std::mutex m_mutex;
     std::optional<Random> m_transit;
+    std::optional<Random> m_clocks;
+    Random m_late;
+    std::int64_t m_firstReading = 0; ///< of the clock of this lifetime
+    bool m_isCutOff = false;
+    bool m_executesLate = false; ///< whether the order that is being carried out is late
+    std::vector<LateOrder> m_lateOrders;
+    std::map<std::string, SteadyTime> m_unansweredStarts; ///< by task
     int m_lifetime = 0;
     std::int64_t m_token = 0;
     std::int64_t m_leaseUntilMs = 0;
@@ -140,5 +175,4 @@
     std::vector<std::unique_ptr<Listener>> m_listeners; ///< the last one is that of the present lifetime
     int m_port = 0;
 };
-
 }
--- a/testing/soak/soakjudge.cpp
+++ b/testing/soak/soakjudge.cpp
@@ -20,8 +20,10 @@
 constexpr auto takeoverTime = std::chrono::milliseconds{6'000};
 constexpr auto leaseStretch = 1.03;
 constexpr auto leaseSlack = std::chrono::milliseconds{500};
-/// A call for an earlier lifetime of an executor can be carried out for so long after a restart; see earlierOrdersEnd in policy/poolrestarts.cpp.
-constexpr auto lateCallTime = std::chrono::milliseconds{16'000};
+/// A call without an answer arrives within 1 s, and is carried out up to 12 s later; see lateCallLimit in policy/poolleases.cpp.
+constexpr auto lateCallTime = std::chrono::milliseconds{13'000};
+/// The leader's last call for an earlier lifetime is over by then after a restart: a poll that waits, and its time for the answer.
+constexpr auto lastCallTime = std::chrono::milliseconds{3'000};
 constexpr auto tasksPerWorker = std::size_t{8};
 constexpr auto notFound = 410;
 
@@ -30,6 +32,11 @@
     return job.id + ".0." + std::to_string(step) + "." + std::to_string(index);
 }
 
+auto describe(const Run &run) -> std::string
+{
+    return std::to_string(run.attempt) + " on " + run.worker + " (lifetime " + std::to_string(run.lifetime) + (run.isLate ? ", late order)" : ")");
+}
+
 auto isRunning(const Run &run) -> bool
 {
     return !run.end;
@@ -130,13 +137,14 @@
     return done == needed.tasks ? std::optional{at} : std::nullopt;
 }
 
+/// @param lastGrant when the last lease may have been granted
 /// @return when the leases of an executor that vanished have certainly ended, as far as a leader can know.
-auto SoakJudge::leaseEnd(SteadyTime goneAt, std::optional<SteadyTime> restartedAt) const -> SteadyTime
+auto SoakJudge::leaseEnd(SteadyTime goneAt, SteadyTime lastGrant) const -> SteadyTime
 {
     const auto longest = std::chrono::milliseconds{static_cast<std::int64_t>(static_cast<double>(m_lease.count()) * leaseStretch)} + leaseSlack;
     // A leader that is disturbed before it has noticed leaves it to the next one, which may be disturbed as well.
     auto unnoticedUntil = goneAt + noticeTime;
-    auto end = (restartedAt ? std::max(goneAt, *restartedAt + lateCallTime) : goneAt) + longest;
+    auto end = lastGrant + longest;
     for (const auto it : m_disturbances) {
         if (it + noticeTime >= goneAt && it <= unnoticedUntil) {
             unnoticedUntil = it + takeoverTime;
@@ -162,9 +170,15 @@
     auto until = all.empty() || !all.back().end ? SteadyTime{} : *all.back().end;
     for (const auto &it : all) {
         if (const auto goneAt = world.goneAt(it.worker)) {
-            until = std::max(until, leaseEnd(*goneAt, world.restartedAt(it.worker)));
+            const auto restartedAt = world.restartedAt(it.worker);
+            const auto lateCallsEnd = restartedAt ? std::min(*goneAt, *restartedAt + lastCallTime) + lateCallTime : *goneAt;
+            until = std::max(until, leaseEnd(*goneAt, std::max(*goneAt, lateCallsEnd)));
         }
     }
+    for (const auto &it : world.vanishedWithUnanswered(task)) {
+        const auto goneAt = *world.goneAt(it);
+        until = std::max(until, leaseEnd(goneAt, goneAt + lateCallTime));
+    }
     return until;
 }
 
@@ -253,8 +267,7 @@
     for (const auto &[task, all] : runs) {
         for (auto i = std::size_t{0}; i + 1 < all.size(); ++i) {
             for (auto k = i + 1; k < all.size(); ++k) {
-                const auto names = task + " attempts " + std::to_string(all[i].attempt) + " on " + all[i].worker + " and " + std::to_string(all[k].attempt)
-                                   + " on " + all[k].worker;
+                const auto names = task + " attempts " + describe(all[i]) + " and " + describe(all[k]);
                 if (!all[i].end || *all[i].end > all[k].begin) {
                     report("TWICE: " + names + " run at the same time");
                 } else if (isDone(all[i]) && all[i].isNoted) {
--- a/testing/soak/soakjudge.h
+++ b/testing/soak/soakjudge.h
@@ -19,8 +19,8 @@
 ///   has come, and a task that lasts and does not run from 6 s after its last run.
 ///
 /// Work of an executor that vanished may wait for the end of its leases: those that were granted before it vanished, or that late calls for an earlier
-/// lifetime may have granted to its last one, or, if the leader was disturbed before it can have noticed that, those that it may have granted until
-/// the next leader was in office.
+/// lifetime may have granted to its last one, or that a start order of the same task that it left unanswered may still grant, or, if the leader was disturbed
+/// before it can have noticed that, those that it may have granted until the next leader was in office.
 ///
 /// The members of a gang succeed together, so that one that is done stands for all of them.
 
@@ -86,7 +86,7 @@
     };
 
     auto readyAt(const SoakJob &job, std::size_t step, const Runs &runs) const -> std::optional<SteadyTime>;
-    auto leaseEnd(SteadyTime goneAt, std::optional<SteadyTime> restartedAt) const -> SteadyTime;
+    auto leaseEnd(SteadyTime goneAt, SteadyTime lastGrant) const -> SteadyTime;
     auto waitsUntil(SoakWorld &world, const SoakJob &job, std::size_t step, int index, const Runs &runs) const -> SteadyTime;
     auto waitsUntil(SoakWorld &world, const std::string &task, const Runs &runs) const -> SteadyTime;
     auto lookAt(SoakWorld &world, JobState &state, const Runs &runs, SteadyTime now) -> void;
--- a/testing/soak/soakworld.cpp
+++ b/testing/soak/soakworld.cpp
@@ -20,6 +20,8 @@
 constexpr auto graceTime = Millis{8'000};
 constexpr auto restartDelay = std::chrono::milliseconds{300};
 constexpr auto callTimeout = Millis{3'000};
+/// An order without an answer is carried out up to 12 s after it has arrived; its sender counts from when it gave the order up, within 1 s.
+constexpr auto unansweredTime = Millis{13'000};
 
 auto settingsText(const SoakOptions &options, const std::string &name, const std::string &ip, const std::string &store) -> std::string
 {
@@ -138,10 +140,60 @@
     const auto lock = std::lock_guard{m_mutex};
     const auto number = m_executors.size() + 1;
     const auto transitSeed = m_options.transitSeed ? std::optional{*m_options.transitSeed + number} : std::nullopt;
-    m_executors.push_back(std::make_unique<SoakExecutor>(
-        "i-" + std::to_string(number),
-        SoakExecutorOptions{.lease = m_options.lease, .transitSeed = transitSeed, .forgetsWhileWaiting = m_options.forgetsWhileWaiting}));
-    m_store.put("keyed.servers", m_executors.back()->id(), m_executors.back()->entry("ready"));
+    m_executors.push_back(std::make_unique<SoakExecutor>("i-" + std::to_string(number),
+                                                         SoakExecutorOptions{.lease = m_options.lease,
+                                                                             .transitSeed = transitSeed,
+                                                                             .forgetsWhileWaiting = m_options.forgetsWhileWaiting,
+                                                                             .clockSeed = m_options.seed + number,
+                                                                             .lateOrders = m_isLatenessOver ? 0 : m_options.lateOrders,
+                                                                             .lateSeed = m_options.seed + number}));
+    writeEntry(*m_executors.back());
+}
+
+/// The caller holds m_mutex.
+auto SoakWorld::writeEntry(SoakExecutor &executor) -> void
+{
+    if (!executor.goneAt() && !m_removals.contains(executor.id()) && !m_unwritten.contains(executor.id())) {
+        m_store.put("keyed.servers", executor.id(), executor.entry("ready"));
+    }
+}
+
+auto SoakWorld::cutAndRestart(std::size_t index, Millis restartAfter, Millis span, bool isListed) -> void
+{
+    auto *executor = static_cast<SoakExecutor *>(nullptr);
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        executor = m_executors.at(index).get();
+        if (executor->goneAt() || m_unwritten.contains(executor->id())) {
+            return;
+        }
+        executor->setCutOff(true);
+        if (!isListed) {
+            m_unwritten.insert(executor->id());
+            m_removals[executor->id()] = std::chrono::steady_clock::now() + heartbeat * entryHeartbeats;
+        }
+    }
+    std::this_thread::sleep_for(restartAfter);
+    restartWorker(index, isListed);
+    std::this_thread::sleep_for(span - restartAfter);
+    const auto lock = std::lock_guard{m_mutex};
+    executor->setCutOff(false);
+    if (!isListed) {
+        m_unwritten.erase(executor->id());
+        if (!executor->goneAt()) {
+            m_removals.erase(executor->id());
+        }
+        writeEntry(*executor);
+    }
+}
+
+auto SoakWorld::endLateness() -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    m_isLatenessOver = true;
+    for (const auto &it : m_executors) {
+        it->endLateness();
+    }
 }
 
 auto SoakWorld::vanish(std::size_t index) -> void
@@ -160,8 +212,8 @@
     const auto lock = std::lock_guard{m_mutex};
     auto &executor = *m_executors.at(index);
     executor.restart();
-    if (isWritten && !executor.goneAt()) {
-        m_store.put("keyed.servers", executor.id(), executor.entry("ready"));
+    if (isWritten) {
+        writeEntry(executor);
     }
 }
 
@@ -183,11 +235,12 @@
         if (now >= nextBeat) {
             nextBeat += heartbeat;
             for (const auto &it : m_executors) {
-                if (!it->goneAt() && !m_removals.contains(it->id())) {
-                    m_store.put("keyed.servers", it->id(), it->entry("ready"));
-                }
+                writeEntry(*it);
             }
         }
+        for (const auto &it : m_executors) {
+            it->executeLateOrders();
+        }
     }
 }
 
@@ -231,22 +284,39 @@
     return out;
 }
 
+/// The caller holds m_mutex.
+auto SoakWorld::find(const std::string &worker) -> SoakExecutor *
+{
+    const auto it = std::find_if(m_executors.begin(), m_executors.end(), [&](const auto &executor) { return executor->id() == worker; });
+    return it == m_executors.end() ? nullptr : it->get();
+}
+
 auto SoakWorld::goneAt(const std::string &worker) -> std::optional<SteadyTime>
 {
     const auto lock = std::lock_guard{m_mutex};
-    for (const auto &it : m_executors) {
-        if (it->id() == worker) {
-            return it->goneAt();
-        }
-    }
-    return std::nullopt;
+    auto *executor = find(worker);
+    return executor == nullptr ? std::nullopt : executor->goneAt();
 }
 
 auto SoakWorld::restartedAt(const std::string &worker) -> std::optional<SteadyTime>
 {
     const auto lock = std::lock_guard{m_mutex};
-    const auto it = std::find_if(m_executors.begin(), m_executors.end(), [&](const auto &executor) { return executor->id() == worker; });
-    return it == m_executors.end() ? std::nullopt : (*it)->restartedAt();
+    auto *executor = find(worker);
+    return executor == nullptr ? std::nullopt : executor->restartedAt();
+}
+
+auto SoakWorld::vanishedWithUnanswered(const std::string &task) -> std::vector<std::string>
+{
+    auto out = std::vector<std::string>{};
+    const auto lock = std::lock_guard{m_mutex};
+    for (const auto &it : m_executors) {
+        const auto goneAt = it->goneAt();
+        const auto startAt = goneAt ? it->unansweredStartAt(task) : std::nullopt;
+        if (startAt && *goneAt < *startAt + unansweredTime) {
+            out.push_back(it->id());
+        }
+    }
+    return out;
 }
 
 auto SoakWorld::indexOf(const std::string &worker) -> std::size_t
--- a/testing/soak/soakworld.h
+++ b/testing/soak/soakworld.h
@@ -22,6 +22,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -39,6 +40,8 @@
     Millis lease{10'000};
     std::optional<std::uint64_t> transitSeed; ///< draws how long the executors' answers are under way; nothing: no time
     bool forgetsWhileWaiting = false; ///< see SoakExecutorOptions
+    std::uint64_t seed = 0; ///< draws the first readings of the executors' clocks, and which orders are late
+    int lateOrders = 0; ///< see SoakExecutorOptions
 };
 
 class SoakWorld
@@ -63,6 +66,13 @@
     /// Lets an executor begin a new lifetime under its id, unless it has vanished.
     /// @param isWritten whether it writes its entry at once, not only with its next heartbeat
     auto restartWorker(std::size_t index, bool isWritten) -> void;
+    /// Cuts an executor off for a while, and lets it begin a new lifetime meanwhile, unless it has vanished.
+    /// @param restartAfter the time for which it goes on before that
+    /// @param span the whole time, more than @p restartAfter
+    /// @param isListed whether it still writes its entry; otherwise the entry is removed after three heartbeats
+    auto cutAndRestart(std::size_t index, Millis restartAfter, Millis span, bool isListed) -> void;
+    /// Lets the executors answer all orders in time from now on.
+    auto endLateness() -> void;
     /// Lets a new executor join.
     auto addWorker() -> void;
     auto writeConfig() -> void;
@@ -77,6 +87,9 @@
     auto goneAt(const std::string &worker) -> std::optional<SteadyTime>;
     /// @return when the executor's last lifetime began; nothing if it is the first.
     auto restartedAt(const std::string &worker) -> std::optional<SteadyTime>;
+    /// @return the executors that have vanished and left a start order for the task without an answer, in the time in which it may still have been
+    /// carried out.
+    auto vanishedWithUnanswered(const std::string &task) -> std::vector<std::string>;
     auto instances() const -> std::size_t;
     /// @return executors that have not vanished.
     auto indexOf(const std::string &worker) -> std::size_t;
@@ -98,6 +111,8 @@
     auto startInstance(Instance &instance) -> void;
     auto endInstance(Instance &instance, int signal) -> void;
     auto writeEntries() -> void;
+    auto writeEntry(SoakExecutor &executor) -> void;
+    auto find(const std::string &worker) -> SoakExecutor *;
 
     SoakOptions m_options;
     Platform::Testing::StoreStandin m_store;
@@ -105,7 +120,9 @@
     std::vector<std::unique_ptr<HttpChannel>> m_channels; ///< kept open by the caller until they break
     std::mutex m_mutex; ///< guards the executors and what is written for them
     std::vector<std::unique_ptr<SoakExecutor>> m_executors;
-    std::map<std::string, SteadyTime> m_removals; ///< when the entries of vanished executors are removed
+    std::map<std::string, SteadyTime> m_removals; ///< when the entries of executors that write none any more are removed
+    std::set<std::string> m_unwritten; ///< executors that are cut off from the store
+    bool m_isLatenessOver = false;
     std::atomic<int> m_version{0};
     std::atomic<bool> m_stopping{false};
     std::thread m_writer;
