--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -611,6 +611,7 @@
     planner.now += Millis{500};
     planner.accept(planner.place(), WorkerTime{5'000'000});
     planner.core.pollFailed(workerId);
+    planner.listWorkers({secondBorn, firstBorn});
     planner.now += Millis{22'000};
     CHECK(planner.plan().starts.empty());
     CHECK(planner.isPlaced());
@@ -692,3 +693,31 @@
     planner.list(WorkerTime{13'550}, planner.now - Millis{10}, false);
     CHECK(planner.core.workers().at(workerId).allocations.empty());
 }
+
+// Guards against a task that runs twice at the same time: a lifetime that no list has shown accepts its start, and a poll that was sent to the
+// earlier lifetime extends its lease.
+TEST_CASE("a poll without an answer counts for an attempt that a lifetime without a list may have accepted")
+{
+    for (const auto isListed : {false, true}) {
+        CAPTURE(isListed);
+        auto planner = Planner{};
+        planner.now += Millis{100};
+        const auto order = planner.place();
+        planner.now += Millis{10};
+        planner.accept(order, WorkerTime{65});
+        if (isListed) {
+            planner.core.applyPollReply(
+                workerId,
+                {.clock = WorkerTime{firstClock.value + 120}, .born = firstBorn, .running = {{.task = Planner::task(), .attempt = 1, .percent = 1}}},
+                planner.now,
+                planner.now);
+        }
+        planner.core.pollFailed(workerId);
+        planner.listWorkers({secondBorn, firstBorn});
+        planner.now += Millis{11'000};
+        CHECK(planner.plan().starts.size() == (isListed ? 1 : 0));
+        CHECK(planner.isPlaced());
+        planner.now += Millis{13'000};
+        CHECK(planner.plan().starts.size() == (isListed ? 0 : 1));
+    }
+}
