--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -232,10 +232,8 @@
     REQUIRE(tasksOf(starts, "a") == 2);
     fleet.answer({starts.front()}, OrderOutcome::Accepted);
     const auto &known = fleet.core.workers().at(WorkerId{"w0"});
-    fleet.core.applyPollReply(WorkerId{"w0"},
-                              {.clock = known.clock, .born = known.info.born, .running = {{.task = starts.front().task, .attempt = 1}}},
-                              fleet.now,
-                              fleet.now);
+    fleet.core.applyPollReply(
+        WorkerId{"w0"}, {.clock = known.clock, .born = known.info.born, .running = {{.task = starts.front().task, .attempt = 1}}}, fleet.now, fleet.now);
     fleet.answer({starts.back()}, OrderOutcome::OutcomeUnknown);
     fleet.core.pollFailed(WorkerId{"w0"});
     const auto late = "a.0.0." + std::to_string(starts.back().task.index) + "#1";
