policy: a late start order may extend the leases of what an unseen lifetime has accepted

An attempt that was accepted after the last list was asked for now waits for the leases of late calls if another start order on its worker was not answered, or if the entry shows a later lifetime.

--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -336,7 +336,7 @@
     [[nodiscard]] auto describeLeaseEnd(const Worker &worker, const Allocation &allocation) const -> std::string;
     static auto expectsEarlierOrders(const Worker &worker) -> bool;
     static auto isReborn(const Worker &worker) -> bool;
-    static auto mayBeOfReborn(const Worker &worker, const Allocation &allocation) -> bool;
+    static auto mayGetLateLease(const Worker &worker, const Allocation &allocation) -> bool;
     static auto isOutdated(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt) -> bool;
     auto loseAllAttempts(Worker &worker, const char *reason) -> void;
     auto mayReport(const Worker &worker, MonoTime leaseEnd, MonoTime now) const -> bool;
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -130,11 +130,11 @@
     return sentAt == MonoTime{} ? worker.leaseEnd : std::max(worker.leaseEnd, sentAt + lateCallLimit + longestLease());
 }
 
-/// @return when an attempt has certainly no lease any more. A silent worker may have restarted unseen, and carry a start order out late. If its entry
-/// shows a lifetime that no list has shown, late calls extend the leases of what that lifetime may have accepted as well.
+/// @return when an attempt has certainly no lease any more. A silent worker may have restarted unseen, and carry a start order out late. The lease that
+/// this grants holds for all that runs on the worker.
 auto PoolCore::leaseEndOf(const Worker &worker, const Allocation &allocation) const -> MonoTime
 {
-    const auto isLate = mayStartLate(allocation, worker.listAskedAt) || (worker.unansweredGrantAt != MonoTime{} && mayBeOfReborn(worker, allocation));
+    const auto isLate = mayStartLate(allocation, worker.listAskedAt) || mayGetLateLease(worker, allocation);
     return isLate ? lateLeaseEnd(worker) : worker.leaseEnd;
 }
 
--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -48,10 +48,14 @@
     }
 }
 
-/// @return whether a lifetime that only the worker's entry shows may have accepted the attempt.
-auto PoolCore::mayBeOfReborn(const Worker &worker, const Allocation &allocation) -> bool
+/// @return whether a lifetime that no list has shown may have accepted the attempt, and may get a lease from a call for the earlier one: from a start
+/// order that was not answered, or, if the worker's entry shows that lifetime, from any call.
+auto PoolCore::mayGetLateLease(const Worker &worker, const Allocation &allocation) -> bool
 {
-    return isReborn(worker) && allocation.acceptedAt > worker.listAskedAt;
+    if (allocation.acceptedAt <= worker.listAskedAt) {
+        return false;
+    }
+    return worker.startsArriveUntil > worker.listAskedAt || (isReborn(worker) && worker.unansweredGrantAt != MonoTime{});
 }
 
 /// @return whether an order that was meant for an earlier lifetime may still start work on the worker.
--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -249,6 +249,22 @@
     CHECK(hasDecision(fleet.plan(Millis{13'000}), "attempt_lost", "start_order=may_arrive late_calls_ms=13000"));
 }
 
+// Guards against a task that runs twice at the same time: a lifetime that no list and no entry has shown accepts one start, carries another one out
+// late, and the lease of the latter holds for both.
+TEST_CASE("an attempt that was accepted after the last list waits with one whose start order may arrive late")
+{
+    auto fleet = Fleet{1};
+    fleet.core.addJob(makeJob("a", "batch", batchOf(2)), fleet.now);
+    const auto starts = fleet.plan().starts;
+    REQUIRE(tasksOf(starts, "a") == 2);
+    fleet.now += Millis{10};
+    fleet.answer({starts.front()}, OrderOutcome::Accepted);
+    fleet.answer({starts.back()}, OrderOutcome::OutcomeUnknown);
+    fleet.core.pollFailed(WorkerId{"w0"});
+    CHECK_FALSE(hasDecision(fleet.plan(Millis{21'900}), "leases_expired", ""));
+    CHECK(hasDecision(fleet.plan(Millis{2'000}), "leases_expired", "attempts=2 "));
+}
+
 // Guards against a line whose length grows with the attempts of a worker.
 TEST_CASE("a line about a wait for a lease names at most 16 attempts whose start order may arrive late")
 {
