simulation: entries are read, so that a worker that is cut off does not count as alive

PoolSimulation never called entriesRead(), so that each silent worker that is listed counted as writing its entry, and its attempts waited one lease longer than on a real store. A lease that is counted too short stayed hidden behind that. Found by review.

--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -234,6 +234,7 @@
         m_takeovers.erase(m_takeovers.begin());
         takeOver();
     }
+    m_core.entriesRead(m_now);
     pollWorkers();
     plan();
     sendOrders();
