--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -27,6 +27,9 @@
 /// An expired lease shows that an attempt does not run any more, but not that it has not succeeded. A worker that still writes its entry runs,
 /// and may hold a completion that no reply has brought on a slow path. Its attempts are released when one more lease duration has passed.
 ///
+/// The end that a call names is a reading of the clock of one lifetime of the worker. A call without an answer may be carried out seconds later, by a
+/// later lifetime, which then grants a lease of full length: such calls are counted from when they were sent, see PoolCore::leaseEndOf().
+///
 /// Each planning pass compares every allocation with the state of its job and stops the attempts that this state does not call for,
 /// whichever planner made the state and whether or not stop orders were sent for it before.
 
@@ -235,10 +238,12 @@
         /// see leaseEndOf().
         MonoTime leaseEnd;
         MonoTime grantedLeaseEnd; ///< leaseEnd without what restarts have added for calls that are carried out late; for the log
-        MonoTime grantedAt; ///< last grant of a lease; before the first one, when an earlier planner can have granted the last; MonoTime{}: unknown
+        /// When a lease was last granted. Until this planner grants one: the latest time at which an earlier planner can have; MonoTime{} if a stored
+        /// bound covers it.
+        MonoTime grantedAt;
         MonoTime startsArriveUntil; ///< until when any of its start orders without an answer may be carried out, also of attempts that are over
         MonoTime earlierStartsUntil; ///< the same for those that were sent before its last restart
-        MonoTime unansweredGrantAt; ///< last grant up to a poll or start order without an answer; MonoTime{} before the first
+        MonoTime unansweredGrantAt; ///< last grant whose poll or start order may be without an answer; MonoTime{} if there was none
         WorkerTime grantedUntil; ///< end of the last lease that this planner granted, on the worker's clock
         MonoTime answeredAt;
         MonoTime wroteAt; ///< last write of its entry that was read; MonoTime{} before the first
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -96,11 +96,11 @@
     stopReleasedStarts(worker, now, now);
 }
 
-/// Counts the start orders of the earlier planner as unanswered: nothing tells which of them were, and a restart shows only in the worker's entry.
+/// Counts the start orders of the earlier planner as unanswered; the record does not say which were answered.
 auto PoolCore::doubtAdoptedStarts(Worker &worker) -> void
 {
     if (worker.answered || worker.grantedAt == MonoTime{}) {
-        return; // a list decides, or the stored bound has counted them
+        return; // attempts that no list names get a stop order, and a stored bound has counted the orders
     }
     for (auto &[key, it] : worker.allocations) {
         if (it.startTries == 0) {
@@ -122,8 +122,8 @@
         std::count_if(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) { return mayStartLate(it.second, worker.listAskedAt); }));
 }
 
-/// @return the end of the leases of calls that a later lifetime of the worker carries out. The time in such a call is one of an earlier lifetime's
-/// clock and says nothing to it, so that its lease may last for as long as any, from when it is carried out.
+/// @return the end of the leases of calls that a later lifetime of the worker carries out. The end that such a call names is a reading of another clock,
+/// so that the worker may grant the longest lease, counted from when it carries the call out.
 auto PoolCore::lateLeaseEnd(const Worker &worker) const -> MonoTime
 {
     const auto sentAt = std::max(worker.grantedAt, worker.unansweredGrantAt);
--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -121,9 +121,9 @@
     logDecision("worker_restarted", fields + unlisted);
 }
 
-/// @return whether the attempt may run in a lifetime from that of the list on although the list does not name it, because its start order was carried
-/// out later. The list and the answer to the order arrive on different connections, so that either may overtake the other, and the answer does not
-/// tell its lifetime: the clock of a later one can show anything.
+/// @return whether the attempt may run, in the lifetime that made the list or a later one, although the list does not name it: its start order may have
+/// been carried out after the list was made. List and answer arrive on different connections, so that either may overtake the other, and the clock in
+/// the answer does not tell its lifetime.
 auto PoolCore::mayFollowList(const Allocation &allocation, MonoTime sentAt) -> bool
 {
     return allocation.orderOpen || (allocation.startOutcomeUnknown && mayStartLate(allocation, sentAt)) || allocation.acceptedAt >= sentAt;
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -19,7 +19,7 @@
 /// Clock of the first lifetime when a test begins.
 constexpr auto firstClock = WorkerTime{100'000};
 /// Readings with which the clock of a new lifetime may begin: the platform promises none.
-constexpr auto clockBegins = std::array{WorkerTime{1}, WorkerTime{8'261'000}};
+constexpr auto firstReadings = std::array{WorkerTime{1}, WorkerTime{8'261'000}};
 
 /// A worker with one task, whose lists and answers the test lets overtake each other. A second worker is there for the task when it is given up.
 struct Planner
@@ -329,7 +329,7 @@
 // lifetime have expired, and its clock does not begin at zero.
 TEST_CASE("an attempt whose start order may still arrive stays placed after a restart, wherever the new clock begins")
 {
-    for (const auto clock : clockBegins) {
+    for (const auto clock : firstReadings) {
         CAPTURE(clock.value);
         auto planner = Planner{};
         planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
@@ -364,7 +364,7 @@
 // which carries out a start order that arrives later.
 TEST_CASE("a stop order that was sent before the restart showed does not count as told to the new lifetime")
 {
-    for (const auto clock : clockBegins) {
+    for (const auto clock : firstReadings) {
         CAPTURE(clock.value);
         auto planner = Planner{};
         planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
@@ -385,7 +385,7 @@
 // the second one arrives, and its clock does not continue that list.
 TEST_CASE("a start that a third lifetime accepts before the list of the second one arrives is not given up")
 {
-    for (const auto clock : clockBegins) {
+    for (const auto clock : firstReadings) {
         CAPTURE(clock.value);
         auto planner = Planner{};
         const auto sentAt = planner.now;
@@ -411,7 +411,7 @@
 // polled only now and then because its clock does not begin at zero.
 TEST_CASE("an idle worker that has restarted is polled on while a start order may still arrive, wherever the new clock begins")
 {
-    for (const auto clock : clockBegins) {
+    for (const auto clock : firstReadings) {
         CAPTURE(clock.value);
         auto planner = Planner{};
         planner.core.applyOrder(planner.place(), {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
