policy: stored bounds of silent workers do not count late start orders

Cause: a stored bound is one for all attempts of a worker, and let it be that of the last one. It is now the end of the leases without late calls. The next planner knows the last grant from it, and adds the 13 s when the record or the entry shows a restart.

'the stored bound of a silent worker does not count late start orders' guards it.

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -131,10 +131,8 @@
                 const auto end = bound == m_withheld.end() ? earlierLeasesEnd : bound->second;
                 worker.leaseEnd = std::max(worker.leaseEnd, end);
                 worker.grantedLeaseEnd = std::max(worker.grantedLeaseEnd, end);
-                if (bound == m_withheld.end()) {
-                    worker.grantedAt = std::max(worker.grantedAt, earlierLeasesEnd - longestLease());
-                    worker.unansweredGrantAt = worker.grantedAt;
-                }
+                worker.grantedAt = std::max(worker.grantedAt, end - longestLease());
+                worker.unansweredGrantAt = worker.grantedAt;
                 noteRecordedLifetime(worker, task.workerBorn);
                 task.progressAt = now;
                 task.attemptPhase = AttemptPhase::Unknown;
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -238,8 +238,7 @@
         /// see leaseEndOf().
         MonoTime leaseEnd;
         MonoTime grantedLeaseEnd; ///< leaseEnd without what restarts have added for calls that are carried out late; for the log
-        /// When a lease was last granted. Until this planner grants one: the latest time at which an earlier planner can have; MonoTime{} if a stored
-        /// bound covers it.
+        /// When a lease was last granted. Until this planner grants one: the latest time at which an earlier planner can have.
         MonoTime grantedAt;
         MonoTime startsArriveUntil; ///< until when any of its start orders without an answer may be carried out, also of attempts that are over
         MonoTime earlierStartsUntil; ///< the same for those that were sent before its last restart
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -100,7 +100,7 @@
 auto PoolCore::doubtAdoptedStarts(Worker &worker) -> void
 {
     if (worker.answered || worker.grantedAt == MonoTime{}) {
-        return; // attempts that no list names get a stop order, and a stored bound has counted the orders
+        return; // attempts that no list names get a stop order
     }
     for (auto &[key, it] : worker.allocations) {
         if (it.startTries == 0) {
@@ -222,9 +222,9 @@
     for (const auto &[id, worker] : m_workers) {
         if (out.size() < maxLeaseBounds && bytes + id.str().size() <= maxLeaseBoundBytes && needsBound(id, worker, now)) {
             bytes += id.str().size();
-            const auto end = lastLeaseEnd(worker);
-            out.push_back(leaseBound(id, end, now));
-            m_withheld[id] = end;
+            // Without late calls: the next planner does not know which attempts they concern, and counts them when a restart shows.
+            out.push_back(leaseBound(id, worker.leaseEnd, now));
+            m_withheld[id] = worker.leaseEnd;
         }
     }
     return out;
--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -249,6 +249,22 @@
     CHECK(hasDecision(fleet.plan(Millis{13'000}), "attempt_lost", "start_order=may_arrive late_calls_ms=13000"));
 }
 
+// Guards against work that waits for the late start order of another attempt after a takeover: the stored bound is one for all attempts of a worker.
+TEST_CASE("the stored bound of a silent worker does not count late start orders")
+{
+    auto fleet = Fleet{1};
+    fleet.core.tookOver(fleet.now);
+    fleet.core.addJob(makeJob("a", "batch", batchOf(2)), fleet.now);
+    const auto starts = fleet.plan().starts;
+    REQUIRE(tasksOf(starts, "a") == 2);
+    fleet.answer({starts.front()}, OrderOutcome::Accepted);
+    fleet.answer({starts.back()}, OrderOutcome::OutcomeUnknown);
+    fleet.core.pollFailed(WorkerId{"w0"});
+    const auto bounds = fleet.core.composeLeaseBounds(fleet.now);
+    REQUIRE(bounds.size() == 1);
+    CHECK(bounds.front().left <= longestLease);
+}
+
 // Guards against a task that runs twice at the same time: a lifetime that no list and no entry has shown accepts one start, carries another one out
 // late, and the lease of the latter holds for both.
 TEST_CASE("an attempt that was accepted after the last list waits with one whose start order may arrive late")
