policy: nothing is started in an evacuated failure domain

Operators need a failure domain in which nothing more is started until further notice. Workers of an evacuated domain are no candidates and no idle capacity; start orders without an answer are stopped with their gangs, repeated and queued ones are withdrawn, and running work goes on. Starts as a whole can be suspended while the operators' records are not known.

A worker entry that names another failure domain now counts as changed.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -287,7 +287,7 @@
     logDecision("start_refused", describeAttempt(key.first, key.second) + " worker=" + worker.info.id.str() + " answer=" + outcomeName(outcome));
     auto &allocation = worker.allocations.at(key);
     // A start order that was withdrawn before it was sent is no failure of the worker.
-    if (isWanted(worker, key, allocation)
+    if (isWanted(worker, key, allocation) && takesStarts(m_evacuation, worker.info.domain)
         && (outcome == OrderOutcome::Unhealthy || outcome == OrderOutcome::NotSent || outcome == OrderOutcome::InsufficientCapacity)) {
         recordFailure(worker, now);
     }
@@ -447,7 +447,7 @@
 auto PoolCore::emitStarts(PoolEffects &effects) -> void
 {
     for (auto &[id, worker] : m_workers) {
-        if (!getsOrders(worker) || isWithheld(id)) {
+        if (!getsOrders(worker) || isWithheld(id) || !takesStarts(m_evacuation, worker.info.domain)) {
             continue;
         }
         for (auto &[key, it] : worker.allocations) {
@@ -472,7 +472,7 @@
     }
     const auto &[key, allocation] = *found;
     if (order.kind == PoolOrder::Kind::Start) {
-        return isWanted(worker->second, key, allocation);
+        return isWanted(worker->second, key, allocation) && takesStarts(m_evacuation, worker->second.info.domain);
     }
     return getsOrders(worker->second) && allocation.stopping && !allocation.stopAnswered;
 }
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -163,12 +163,10 @@
 
 auto PoolCore::setWorkers(const std::vector<PoolWorkerInfo> &listed, MonoTime now) -> void
 {
-    m_idleCapacity = {};
     for (auto &[id, worker] : m_workers) {
         worker.listed = false;
     }
     for (const auto &it : listed) {
-        addWorker(m_idleCapacity, it);
         const auto [known, isNew] = m_workers.try_emplace(it.id);
         auto &worker = known->second;
         if (isNew) {
@@ -197,6 +195,7 @@
             worker.answeredAt = now;
         }
     }
+    countIdleCapacity();
     dropUnlisted();
 }
 
@@ -407,10 +406,14 @@
     stopUnwanted();
     stopBrokenGangs();
     stopIncompleteGangs(now);
+    stopEvacuated();
     stopHung(now);
     expireJobs(now);
     dropUnlisted();
-    PoolPlacer{*this, now, wall}.place(effects);
+    if (!m_evacuation.isSuspended) {
+        PoolPlacer{*this, now, wall}.place(effects);
+    }
+    logEvacuations();
     logStops(now);
     emitStops(effects.stops, now);
     emitStarts(effects);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -34,6 +34,7 @@
 /// whichever planner made the state and whether or not stop orders were sent for it before.
 
 #include "policy/endreport.h"
+#include "policy/evacuation.h"
 #include "policy/idlecapacity.h"
 #include "policy/leasebounds.h"
 #include "policy/pollschedule.h"
@@ -113,6 +114,10 @@
     /// @name Input from configuration, job queues and workers
     /// @{
     auto setRules(const PoolRules &rules) -> void;
+    /// @param domains failure domains in which nothing is started until they are left out again
+    auto setEvacuated(const std::set<FailureDomainId> &domains) -> void;
+    /// @param isSuspended whether nothing is placed and no start order sent, because the operators' records are not known well enough
+    auto suspendStarts(bool isSuspended) -> void;
     auto addJob(const PoolJob &job, MonoTime now) -> void;
     auto cancelJob(const JobId &id, MonoTime now) -> void;
     /// Ends a job that cannot go on as failed; its attempts are stopped.
@@ -182,6 +187,8 @@
     /// @return the next poll of a worker; grants a lease if the worker is reachable.
     auto nextPoll(const WorkerId &id, MonoTime now) -> WorkerPoll;
 
+    /// @return workers and attempts of each evacuated failure domain.
+    [[nodiscard]] auto evacuatedUse() const -> std::map<FailureDomainId, DomainUse>;
     /// @return attempts that are to be stopped and may still run.
     [[nodiscard]] auto stoppingAttempts() const -> int;
     /// @return how long the oldest of them has been stopping; 0 without any.
@@ -305,6 +312,9 @@
     auto isWanted(const Worker &worker, const AttemptKey &key, const Allocation &allocation) const -> bool;
     auto stopUnwanted() -> void;
     auto stopBrokenGangs() -> void;
+    auto countIdleCapacity() -> void;
+    auto stopEvacuated() -> void;
+    auto logEvacuations() -> void;
     auto stopIncompleteGangs(MonoTime now) -> void;
     auto lacksMembers(const PoolJobState &state, int occurrence, int step, MonoTime now) const -> bool;
     auto checkFinished(PoolJobState &state, MonoTime now) -> void;
@@ -398,7 +408,8 @@
     /// The first group of each class that the last planning pass left out for want of searches; the next one goes on from there.
     std::map<PriorityClass, GroupRank> m_searchResume;
     std::map<PriorityClass, MonoTime> m_searchLimitLogged; ///< when the log last had that searches were left out
-    IdleCapacity m_idleCapacity; ///< of the listed workers
+    Evacuation m_evacuation;
+    IdleCapacity m_idleCapacity; ///< of the listed workers outside evacuated domains
     std::map<ServiceId, MonoTime> m_holdBegan; ///< since when reservations hold other groups of a service; see PoolPlacer::mayPass()
     std::set<JobId> m_unplaceable; ///< jobs that are set aside because no listed worker can take one of their steps
     bool m_fenced = false;
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -255,6 +255,15 @@
     return copiesOnIdle(m_core.m_idleCapacity, group.queue->service, wanted) >= (wanted.gang ? wanted.tasks : 1);
 }
 
+/// @return whether the listed workers could take the group if they were idle and no failure domain were evacuated.
+auto PoolPlacer::isPlaceableAfterEvacuation(const TaskGroup &group) -> bool
+{
+    const auto &wanted = spec(group);
+    const auto &service = group.queue->service;
+    const auto evacuated = copiesOnIdle(m_core.m_evacuation.idle, service, wanted);
+    return evacuated > 0 && evacuated + copiesOnIdle(m_core.m_idleCapacity, service, wanted) >= (wanted.gang ? wanted.tasks : 1);
+}
+
 /// Leaves groups out that no listed worker can take, and tells of them. The jobs stay: workers that fit may come.
 auto PoolPlacer::setAsideUnplaceable() -> void
 {
@@ -267,14 +276,17 @@
         step.unplaceableSince = step.unplaceableSince == MonoTime{} ? m_now : step.unplaceableSince;
         m_unplaceableJobs.insert(group.job->job.id);
         const auto &wanted = spec(group);
-        if (m_now - step.unplaceableSince >= setAsideDelay && m_core.m_unplaceable.insert(group.job->job.id).second) {
+        const auto byEvacuation = isPlaceableAfterEvacuation(group);
+        if ((byEvacuation || m_now - step.unplaceableSince >= setAsideDelay) && m_core.m_unplaceable.insert(group.job->job.id).second) {
             m_core.logDecision("set_aside",
                                "job=" + group.job->job.id.str() + " occurrence=" + std::to_string(group.occurrence) + " step=" + std::to_string(group.step)
-                                   + " reason=no_worker_fits service=" + group.queue->service.str() + " label=" + printable(wanted.requiredLabel)
-                                   + " tasks=" + std::to_string(wanted.tasks) + " gang=" + (wanted.gang ? "yes" : "no")
+                                   + " reason=" + (byEvacuation ? "evacuated" : "no_worker_fits") + " service=" + group.queue->service.str() + " label="
+                                   + printable(wanted.requiredLabel) + " tasks=" + std::to_string(wanted.tasks) + " gang=" + (wanted.gang ? "yes" : "no")
                                    + " cpu=" + std::to_string(wanted.perTask.cpuMillis) + " memory=" + std::to_string(wanted.perTask.memoryMb)
                                    + " accelerators=" + std::to_string(wanted.perTask.accelerators) + " per_worker=" + std::to_string(wanted.maxPerWorker));
-            m_core.setReason(*group.job, "no worker that is here now can take a step of the job");
+            m_core.setReason(*group.job,
+                             byEvacuation ? "the workers that can take a step of the job are in an evacuated failure domain"
+                                          : "no worker that is here now can take a step of the job");
         }
         return true;
     });
@@ -366,7 +378,8 @@
                 slot.freeSoon += it.resources;
             }
         }
-        slot.usable = worker.listed && PoolCore::isAnswering(worker) && !worker.info.draining && !m_core.isWithheld(id);
+        slot.usable = worker.listed && PoolCore::isAnswering(worker) && !worker.info.draining && !m_core.isWithheld(id)
+                      && takesStarts(m_core.m_evacuation, worker.info.domain);
         slot.rack = racks.try_emplace(worker.info.rack, racks.size()).first->second;
         m_slots.push_back(std::move(slot));
     }
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -132,6 +132,7 @@
     auto collectGroups() -> void;
     auto collectStep(PoolJobState &state, const PoolQueue &queue, int occurrence, int step) -> void;
     auto isPlaceable(const TaskGroup &group) -> bool;
+    auto isPlaceableAfterEvacuation(const TaskGroup &group) -> bool;
     auto setAsideUnplaceable() -> void;
     auto markGuaranteed() -> void;
     auto sortGroups() -> void;
--- a/packages/policy/workerentries.cpp
+++ b/packages/policy/workerentries.cpp
@@ -13,7 +13,8 @@
 
 auto sameWorker(const PoolWorkerInfo &a, const PoolWorkerInfo &b) -> bool
 {
-    return a.address == b.address && a.draining == b.draining && a.born == b.born && a.capacity == b.capacity && a.labels == b.labels && a.service == b.service;
+    return a.address == b.address && a.draining == b.draining && a.born == b.born && a.capacity == b.capacity && a.labels == b.labels && a.service == b.service
+           && a.domain == b.domain;
 }
 
 }
