--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -172,6 +172,8 @@
     GaugeFamily jobsRunning = gauge("jobs_running", "Jobs that run", {"workspace"});
     GaugeFamily workers = gauge("workers", "Workers of the failure domain by state", {"state"});
     GaugeFamily stopping = gauge("stopping_attempts", "Attempts that are to be stopped and may still run");
+    GaugeFamily evacuated = gauge("evacuated", "Whether the failure domain is evacuated; on the leader", {"domain"});
+    GaugeFamily evacuatedAttempts = gauge("evacuated_attempts", "Attempts that still run, or may run, in an evacuated failure domain", {"domain"});
     GaugeFamily oldestStop = gauge("oldest_stop_seconds", "How long the first of them has been stopping");
     GaugeFamily planSeconds = gauge("plan_pass_seconds", "Duration of the last pass of the pool planner");
     GaugeFamily planSearches = gauge("plan_searches", "Times that the last pass looked for capacity on all workers");
@@ -347,6 +349,12 @@
     m_families->oldestStop.at({}).Set(seconds(oldest));
 }
 
+auto Metrics::setEvacuation(const FailureDomainId &domain, bool evacuated, std::size_t attempts) -> void
+{
+    m_families->evacuated.at({domain.str()}).Set(evacuated ? 1.0 : 0.0);
+    m_families->evacuatedAttempts.at({domain.str()}).Set(static_cast<double>(attempts));
+}
+
 auto Metrics::setPlanningPass(const PlanningPass &pass) -> void
 {
     m_families->planSeconds.at({}).Set(seconds(pass.duration));
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -96,6 +96,8 @@
     /// @param count attempts that are to be stopped and may still run
     /// @param oldest how long the first of them has been stopping
     auto setStoppingAttempts(std::size_t count, Micros oldest) -> void;
+    /// @param attempts that still run, or may run, there
+    auto setEvacuation(const FailureDomainId &domain, bool evacuated, std::size_t attempts) -> void;
     auto setPlanningPass(const PlanningPass &pass) -> void;
     auto setSlots(SlotState state, SlotCount slots) -> void;
     auto setLargestFreeBlock(SlotCount slots) -> void;
--- a/packages/daemon/poolcalls.cpp
+++ b/packages/daemon/poolcalls.cpp
@@ -32,6 +32,8 @@
 auto PoolTerm::prepareOrder(const PoolOrder &order) -> std::optional<WorkerTime>
 {
     const auto lock = std::lock_guard{m_mutex};
+    // The order may have waited while the planner was occupied with a record.
+    takeEvacuations(m_clock.mono());
     if (!m_core.isCurrent(order)) {
         return std::nullopt;
     }
--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -86,7 +86,9 @@
     auto statesHandlers() -> TailHandlers;
     auto jobHandlers(RecordLog log) -> TailHandlers;
     auto tailOf(RecordLog log, const char *name) -> RecordTail;
+    auto operatorRecord(const KeyedRecord &record) -> void;
     auto configRecord(const KeyedRecord &record) -> void;
+    auto notifyEvacuation() -> void;
     auto poolRecord(RecordLog log, const KeyedRecord &record) -> void;
     auto leadershipRecord(const LeadershipRecord &record, LogOffset offset) -> void;
     auto termHooks() -> PoolTermHooks;
@@ -139,13 +141,47 @@
 auto PoolNode::Impl::configHandlers() -> TailHandlers
 {
     return {
-        .reset = [] {},
-        .record = [this](const KeyedRecord &it) { configRecord(it); },
-        .caughtUp = [](LogOffset, MonoTime) {},
+        .reset = [this] { view.beginOperatorSnapshot(); },
+        .record = [this](const KeyedRecord &it) { operatorRecord(it); },
+        .caughtUp =
+            [this](LogOffset, MonoTime) {
+                if (view.operatorLogRead()) {
+                    notifyEvacuation();
+                }
+            },
         .lost = [] {},
     };
 }
 
+auto PoolNode::Impl::notifyEvacuation() -> void
+{
+    const auto lock = std::lock_guard{termMutex};
+    if (term) {
+        term->evacuationChanged();
+    }
+}
+
+auto PoolNode::Impl::operatorRecord(const KeyedRecord &record) -> void
+{
+    const auto domain = ports.decodeEvacuation(record.key);
+    if (!domain) {
+        configRecord(record);
+        return;
+    }
+    if (!*domain) {
+        logEvent(LogLevel::Error, 6070, "evacuation at offset " + std::to_string(record.offset.value) + " left out: " + domain->error().message);
+        return;
+    }
+    // Whatever the value says, the operator has asked for the evacuation.
+    const auto isRequested = !record.value.empty();
+    if (view.applyEvacuation(domain->value(), isRequested)) {
+        logEvent(LogLevel::Info,
+                 6071,
+                 "evacuation domain=" + domain->value().str() + (isRequested ? " requested" : " revoked") + " offset=" + std::to_string(record.offset.value));
+        notifyEvacuation();
+    }
+}
+
 auto PoolNode::Impl::configRecord(const KeyedRecord &record) -> void
 {
     if (record.key != ports.configKey || record.value.empty()) {
@@ -330,6 +366,7 @@
                 const auto lock = std::lock_guard{mutex};
                 return leadership.renewal();
             },
+        .operatorLogReadAt = [this] { return configTail.readAt(); },
     };
 }
 
@@ -366,6 +403,7 @@
                  .linkBytesPerSecond = static_cast<std::int64_t>(settings.linkMbps * bytesPerMegabit)},
         .workerHeartbeat = settings.workerHeartbeat,
         .recordBytes = settings.recordBytes,
+        .evacuateBound = settings.evacuate,
         .leaseEnds = std::move(leaseEnds),
     };
     auto fresh = std::make_shared<PoolTerm>(options, ports, clock, view, termHooks());
--- a/packages/daemon/poolsettings.cpp
+++ b/packages/daemon/poolsettings.cpp
@@ -6,6 +6,11 @@
 namespace
 {
 
+auto describe(std::optional<Millis> it) -> std::string
+{
+    return it ? std::to_string(it->count()) + " ms" : "none";
+}
+
 struct Comparison
 {
     std::vector<std::string> changes;
@@ -44,6 +49,7 @@
     out.add("worker heartbeat", inUse.workerHeartbeat, read.workerHeartbeat);
     out.add("configuration apply", inUse.configApply, read.configApply);
     out.add("configuration stretch", inUse.configStretch, read.configStretch);
+    out.add("evacuation", describe(inUse.evacuate), describe(read.evacuate));
     out.add("visibility", inUse.visibility, read.visibility);
     out.add("grace", inUse.grace, read.grace);
     out.add("retention", inUse.retention, read.retention);
--- a/packages/daemon/poolsettings.h
+++ b/packages/daemon/poolsettings.h
@@ -8,6 +8,7 @@
 #include "util/ids.h"
 #include "util/units.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,7 @@
     Millis workerHeartbeat{1'500}; ///< between two writes of a worker's entry in the store
     Millis configApply{2'500}; ///< time within which a configuration must be in force
     Millis configStretch{6'000}; ///< added to configApply while the store turns instances away
+    std::optional<Millis> evacuate; ///< time within which an evacuation must be in force; nothing: the deployment has no bound
     Millis visibility{3'000}; ///< time within which every instance must know an accepted job
     Millis grace{6'000}; ///< from the signal to stop until the process is killed
     Millis retention{120'000}; ///< how long the state of a final job can be asked for
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -135,6 +135,9 @@
         m_storePool->stop();
         m_workersTail->stop();
         m_ports.metrics->setStoppingAttempts(0, Micros{0});
+        for (const auto &it : m_shownEvacuations) {
+            m_ports.metrics->setEvacuation(it, false, 0); // the next leader shows it
+        }
     }
 }
 
@@ -169,6 +172,13 @@
     m_wake.notify_all();
 }
 
+auto PoolTerm::evacuationChanged() -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    m_dirty = true;
+    m_wake.notify_all();
+}
+
 auto PoolTerm::workerRecord(const KeyedRecord &record) -> void
 {
     const auto id = WorkerId{record.key};
@@ -441,6 +451,42 @@
         m_core.setWorkers(listed, now);
         m_caller->reconsiderAll(); // a worker may have restarted
     }
+    takeEvacuations(now);
+}
+
+/// Tells the planner which failure domains are evacuated. Nothing is started while that is not known well enough. The caller holds m_mutex.
+auto PoolTerm::takeEvacuations(MonoTime now) -> void
+{
+    const auto evacuated = m_view.evacuated();
+    if (evacuated) {
+        m_core.setEvacuated(*evacuated);
+    }
+    const auto isSuspended = !evacuated || !isReadRecent(m_hooks.operatorLogReadAt(), placementReadLimit(m_options.evacuateBound), now);
+    m_core.suspendStarts(isSuspended);
+    if (isSuspended == std::exchange(m_startsSuspended, isSuspended)) {
+        return;
+    }
+    if (isSuspended) {
+        logEvent(LogLevel::Warn, 6072, "nothing is started: log=config has not been read recently enough to know of evacuations");
+    } else {
+        logEvent(LogLevel::Info, 6073, "starts go on: log=config has been read");
+    }
+}
+
+/// Shows the evacuated domains in the metrics. The caller holds m_mutex.
+auto PoolTerm::showEvacuations() -> void
+{
+    const auto uses = m_core.evacuatedUse();
+    std::erase_if(m_shownEvacuations, [&](const FailureDomainId &it) {
+        if (!uses.contains(it)) {
+            m_ports.metrics->setEvacuation(it, false, 0);
+        }
+        return !uses.contains(it);
+    });
+    for (const auto &[domain, use] : uses) {
+        m_ports.metrics->setEvacuation(domain, true, static_cast<std::size_t>(use.attempts));
+        m_shownEvacuations.insert(domain);
+    }
 }
 
 /// Adds the parts of a job's progress that have changed since they were recorded; the caller holds m_mutex.
@@ -595,6 +641,7 @@
     m_ports.metrics->setWorkers(BackendState::Usable, static_cast<std::size_t>(usable));
     m_ports.metrics->setWorkers(BackendState::Lost, m_core.workers().size() - static_cast<std::size_t>(usable));
     m_ports.metrics->setStoppingAttempts(static_cast<std::size_t>(m_core.stoppingAttempts()), m_core.oldestStop(m_clock.mono()));
+    showEvacuations();
 }
 
 /// Ends a job whose progress the store refuses, so that its orders are withdrawn and the records of other jobs go on.
--- a/packages/daemon/poolterm.h
+++ b/packages/daemon/poolterm.h
@@ -51,6 +51,7 @@
     Millis takeoverTimeout{2'000}; ///< an earlier planner gives no orders for longer than this
     Millis workerHeartbeat{1'500}; ///< between two writes of a worker's entry
     std::size_t recordBytes = defaultRecordBytes; ///< longest record that the store takes, its key included
+    std::optional<Millis> evacuateBound; ///< time after its record from which an evacuation is in force; nothing: there is no bound
     std::map<WorkerId, MonoTime> leaseEnds; ///< what earlier planners have stored about the leases of silent workers
 };
 
@@ -61,6 +62,8 @@
     std::function<Result<PoolWorkerInfo>(const std::string &key, const std::string &value)> decodeWorker;
     std::function<Result<PoolConfig>(const std::string &value)> decodeConfig;
     std::string configKey; ///< of the configuration in its log
+    /// @return the failure domain that a record of the operators' log evacuates, by the key of the record; nothing: it is about something else.
+    std::function<std::optional<Result<FailureDomainId>>(const std::string &key)> decodeEvacuation;
     std::shared_ptr<Metrics> metrics; ///< never null
 };
 
@@ -71,6 +74,7 @@
     std::function<void(MonoTime sentAt)> renewed;
     std::function<void(const char *reason)> fenced;
     std::function<LeadershipRecord()> renewal;
+    std::function<std::optional<MonoTime>()> operatorLogReadAt; ///< when the last answered read of the operators' log was sent
 };
 
 class PoolTerm
@@ -87,6 +91,7 @@
 
     auto jobChanged(const JobId &id) -> void;
     auto configChanged() -> void;
+    auto evacuationChanged() -> void;
 
 private:
     enum class AppendOutcome {
@@ -109,6 +114,8 @@
     auto applyEnd(const JobSummary &summary, MonoTime now) -> void;
     auto adoptAttempts(const RecordPage &attempts, MonoTime now) -> void;
     auto takeInbox(MonoTime now) -> void;
+    auto takeEvacuations(MonoTime now) -> void;
+    auto showEvacuations() -> void;
     auto planOnce() -> void;
     auto attemptRecords(const PoolEffects &effects) -> std::vector<JobRecord>;
     auto attemptRecordsOf(const PoolJobState &state, bool jobChanged, std::vector<JobRecord> &out) -> void;
@@ -172,6 +179,8 @@
     bool m_dropping = false; ///< a thread of the pool drops them
     std::vector<JobId> m_dropped; ///< jobs that the logs of jobs have dropped, and the log of attempts has not
     std::vector<JobId> m_droppedPhases; ///< jobs whose published phase is to be dropped
+    bool m_startsSuspended = false; ///< as last logged
+    std::set<FailureDomainId> m_shownEvacuations; ///< domains whose gauges show an evacuation
     MonoTime m_confirmedAt; ///< when the last append was sent that proves this planner to be the newest
 
     std::int64_t m_attemptsSequence = 0; ///< planner thread only
--- a/packages/daemon/poolview.cpp
+++ b/packages/daemon/poolview.cpp
@@ -21,6 +21,30 @@
     return m_config;
 }
 
+auto PoolView::beginOperatorSnapshot() -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    Catkin::beginSnapshot(m_evacuations);
+}
+
+auto PoolView::applyEvacuation(const FailureDomainId &domain, bool isRequested) -> bool
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return noteEvacuation(m_evacuations, domain, isRequested);
+}
+
+auto PoolView::operatorLogRead() -> bool
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return noteRead(m_evacuations);
+}
+
+auto PoolView::evacuated() const -> std::optional<std::set<FailureDomainId>>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_evacuations.isKnown ? std::optional{m_evacuations.inForce} : std::nullopt;
+}
+
 auto PoolView::beginSnapshot(RecordLog log) -> void
 {
     const auto lock = std::lock_guard{m_mutex};
--- a/packages/daemon/poolview.h
+++ b/packages/daemon/poolview.h
@@ -10,6 +10,7 @@
 ///
 /// Thread-safe. Its mutex is a leaf: no other lock is taken while it is held.
 
+#include "policy/evacuation.h"
 #include "policy/poolfleet.h"
 #include "ports/recordstore.h"
 #include "state/poolrecords.h"
@@ -41,6 +42,20 @@
     auto applyConfig(const PoolConfig &config) -> bool;
     [[nodiscard]] auto config() const -> std::shared_ptr<const PoolConfig>;
 
+    /// @name Evacuations of failure domains, from the operators' log
+    /// @{
+    /// A snapshot of the operators' log follows; what it does not name is revoked at its end.
+    auto beginOperatorSnapshot() -> void;
+    /// @param isRequested false: the evacuation is revoked
+    /// @return whether the planner should hear of it
+    auto applyEvacuation(const FailureDomainId &domain, bool isRequested) -> bool;
+    /// Reports that the operators' log has been read to its end.
+    /// @return whether the planner should hear of it
+    auto operatorLogRead() -> bool;
+    /// @return the evacuated domains; nothing before the operators' log has been read to its end once.
+    [[nodiscard]] auto evacuated() const -> std::optional<std::set<FailureDomainId>>;
+    /// @}
+
     /// What follows from @p log is a snapshot: jobs that it does not name, and no other log, are forgotten at its end.
     auto beginSnapshot(RecordLog log) -> void;
     auto endSnapshot(RecordLog log) -> void;
@@ -61,6 +76,7 @@
 
     mutable std::mutex m_mutex;
     std::shared_ptr<const PoolConfig> m_config;
+    EvacuationRecords m_evacuations;
     std::map<JobId, JobSummary> m_jobs;
     std::map<RecordLog, std::set<JobId>> m_snapshots; ///< jobs named since beginSnapshot()
 };
--- a/packages/daemon/testing/metrics_test.cpp
+++ b/packages/daemon/testing/metrics_test.cpp
@@ -44,6 +44,7 @@
     metrics.setJobs(workspace, 1, 1);
     metrics.setWorkers(BackendState::Leaving, 1);
     metrics.setStoppingAttempts(1, Micros{1});
+    metrics.setEvacuation(FailureDomainId{"d"}, true, 1);
     metrics.setPlanningPass({});
     metrics.setSlots(SlotState::Lost, SlotCount{1});
     metrics.logAppended(LogStream::Requests, AppendResult::Unknown, Micros{1});
