policy: hung tasks are found by the progress of the other tasks of their step

A task counted as hung after 4.5 s without progress, longer than the slack of urgent work, and the other members of its gang held their capacity meanwhile. Members that had done their work and waited for a slow one were taken for hung as well: the workers of sound members were suspected, and their gang began anew.

Change: a task that has stood still while the median of its step gained 25 percent is hung; members at 100 percent wait for the others and are not blamed. The fixed limit stays for steps whose tasks tell nothing of each other.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -1,3 +1,4 @@
+#include "policy/peerprogress.h"
 #include "policy/poolcore.h"
 
 #include <algorithm>
@@ -176,6 +177,10 @@
         task->percent = it.percent;
         task->progressAt = now;
     }
+    if (task->firstPercent < 0) {
+        task->firstPercent = it.percent;
+        task->firstSeenAt = now;
+    }
     saveCheckpoint(m_jobs.at(it.task.job), it.task, it.checkpoint);
 }
 
@@ -317,6 +322,8 @@
         if (task != nullptr && task->attempt == key.second && task->attemptPhase == AttemptPhase::Starting) {
             task->attemptPhase = AttemptPhase::Running;
             task->progressAt = now;
+            task->firstPercent = 0;
+            task->firstSeenAt = now;
         }
     } else if (outcome == OrderOutcome::OutcomeUnknown) {
         allocation.startOutcomeUnknown = true;
@@ -388,8 +395,29 @@
     }
 }
 
+/// @return whether the attempt has stood still for longer than a sound one does, as far as its worker's lists show.
+auto PoolCore::isHung(const PoolJobState &state, const TaskKey &key, const Worker &worker, StepRates &rates, MonoTime now) const -> bool
+{
+    const auto &spec = specOf(state, key);
+    const auto &task = taskAt(state, key);
+    const auto &tasks = state.occurrences[static_cast<std::size_t>(key.occurrence)].steps[static_cast<std::size_t>(key.step)].tasks;
+    const auto limit = hungLimit(spec, task);
+    if (spec.longRunning || (spec.gang && waitsForPeers(task, tasks))) {
+        return false;
+    }
+    if (now - task.progressAt >= limit && worker.answeredAt >= task.progressAt + limit) {
+        return true;
+    }
+    const auto [rate, isNew] = rates.try_emplace({key.job, key.occurrence, key.step});
+    if (isNew) {
+        rate->second = typicalRate(tasks);
+    }
+    return rate->second && fallsBehindPeers(task, *rate->second, worker.answeredAt);
+}
+
 auto PoolCore::stopHung(MonoTime now) -> void
 {
+    auto rates = StepRates{};
     for (auto &[id, worker] : m_workers) {
         if (!worker.reachable) {
             continue;
@@ -401,15 +429,18 @@
                 continue;
             }
             auto &state = m_jobs.at(key.first.job);
-            const auto &spec = specOf(state, key.first);
-            const auto limit = hungLimit(spec, *task);
-            if (spec.longRunning || now - task->progressAt < limit || worker.answeredAt < task->progressAt + limit) {
+            if (!isHung(state, key.first, worker, rates, now)) {
                 continue;
             }
+            const auto &spec = specOf(state, key.first);
+            const auto rate = rates.find({key.first.job, key.first.occurrence, key.first.step});
+            const auto known = rate != rates.end() && rate->second;
             logDecision("task_hung",
                         describeAttempt(key.first, key.second) + " worker=" + id.str() + " percent=" + std::to_string(task->percent)
                             + " still_ms=" + std::to_string(std::chrono::duration_cast<Millis>(now - task->progressAt).count())
-                            + " limit_ms=" + std::to_string(limit.count()) + " earlier_stops=" + std::to_string(task->hungStops));
+                            + " limit_ms=" + std::to_string(hungLimit(spec, *task).count())
+                            + " peers_percent_s=" + (known ? std::to_string(static_cast<int>(*rate->second)) : std::string("none"))
+                            + " earlier_stops=" + std::to_string(task->hungStops));
             recordFailure(worker, now);
             requestStop(it, StopReason::NoProgress);
             noteHungStop(state, key.first);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -47,6 +47,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Catkin
@@ -355,6 +356,9 @@
     auto expireLeases(Worker &worker, MonoTime now) -> void;
     static auto hungLimit(const PoolStep &step, const TaskState &task) -> Millis;
     static auto noteHungStop(PoolJobState &state, const TaskKey &key) -> void;
+    /// Progress of the tasks of a step (job, occurrence, step) in percent per second, as typicalRate() has it.
+    using StepRates = std::map<std::tuple<JobId, int, int>, std::optional<double>>;
+    auto isHung(const PoolJobState &state, const TaskKey &key, const Worker &worker, StepRates &rates, MonoTime now) const -> bool;
     auto stopHung(MonoTime now) -> void;
     auto expireJobs(MonoTime now) -> void;
     auto dropUnlisted() -> void;
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -109,6 +109,8 @@
     AttemptPhase attemptPhase = AttemptPhase::Unknown;
     int percent = -1; ///< progress in the last poll reply; -1: none yet
     MonoTime progressAt; ///< last time the progress changed
+    int firstPercent = -1; ///< progress when this planner first saw the attempt run; -1: not yet
+    MonoTime firstSeenAt; ///< when that was
 };
 
 struct StepState
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -545,6 +545,7 @@
         task.attemptPhase = AttemptPhase::Starting;
         task.progressAt = m_now;
         task.percent = -1;
+        task.firstPercent = -1;
         auto &allocation = m_core.allocate(*slot.worker, state, {key, task.attempt});
         allocation.orderOpen = true;
         allocation.startTries = 1;
