front: a caller that may have tried before is served when the store comes back in time

Change: for such a caller the store is asked until the caller's time is over, every 250 ms after the first 0.4 s. Others get 503 after 0.4 s as before.

--- a/packages/daemon/poolfront.cpp
+++ b/packages/daemon/poolfront.cpp
@@ -21,6 +21,8 @@
 constexpr auto refusedPause = Millis{80};
 /// A store that refuses is asked for this long before the caller is sent elsewhere.
 constexpr auto refusedLimit = Millis{400};
+/// After that, between two tries for a caller that may have tried elsewhere: refused calls count against the store's rate as well.
+constexpr auto repeatPause = Millis{250};
 /// A first try has used less of the caller's time than this on its way; the far region is 20 ms away.
 constexpr auto firstTryDelay = Millis{100};
 /// Another instance may reach the store: the caller can come back soon.
@@ -97,7 +99,9 @@
     };
 }
 
-auto PoolFront::append(const KeyedRecord &record, Millis limit) -> Result<LogOffset>
+/// @param isRepeat whether the caller may have tried elsewhere before. A refusal cannot tell such a caller that its job has not run, so that
+/// the store is asked until the caller's time is over.
+auto PoolFront::append(const KeyedRecord &record, Millis limit, bool isRepeat) -> Result<LogOffset>
 {
     const auto begin = m_clock.mono();
     auto inDoubt = std::optional<Error>{};
@@ -125,10 +129,10 @@
         if (failures % jobLogs.size() != 0) {
             continue;
         }
-        if (!inDoubt && spent > refusedLimit) {
+        if (!inDoubt && !isRepeat && spent > refusedLimit) {
             return done;
         }
-        std::this_thread::sleep_for(refusedPause);
+        std::this_thread::sleep_for(spent > refusedLimit ? repeatPause : refusedPause);
     }
 }
 
@@ -155,13 +159,13 @@
         return refuse("the job takes " + std::to_string(size) + " bytes as a record, and the store takes " + std::to_string(m_options.recordBytes));
     }
     const auto begin = m_clock.mono();
-    const auto done = append({.key = key, .value = value}, limit);
+    const auto triedBefore = limit + firstTryDelay < access.callTimeout;
+    const auto done = append({.key = key, .value = value}, limit, triedBefore);
     if (!done && (done.error().code == ErrorCode::Limit || done.error().code == ErrorCode::InvalidInput)) {
         return refuse(done.error().message);
     }
     const auto took = std::chrono::duration_cast<Millis>(m_clock.mono() - begin).count();
     const auto latency = std::chrono::duration_cast<Micros>(m_clock.mono() - begin);
-    const auto triedBefore = limit + firstTryDelay < access.callTimeout;
     const auto refused = !done && done.error().code == ErrorCode::NotSent && !triedBefore;
     m_metrics.logAppended(LogStream::Jobs, done ? AppendResult::Ok : refused ? AppendResult::NotSent : AppendResult::Unknown, latency);
     m_metrics.requestFinished(job.workspace,
@@ -214,7 +218,7 @@
     }
     // A job that is not in the view may have been accepted elsewhere a moment ago, so its cancellation is stored all the same.
     const auto [key, value] = encodeCancel(id);
-    const auto done = append({.key = key, .value = value}, limit);
+    const auto done = append({.key = key, .value = value}, limit, false);
     if (!done) {
         logEvent(LogLevel::Warn, 6024, "job=" + id.str() + " cancellation not stored: " + done.error().message);
         return done.error();
--- a/packages/daemon/poolfront.h
+++ b/packages/daemon/poolfront.h
@@ -97,7 +97,7 @@
     auto configFresh() const -> bool;
     auto isFresh(RecordLog log) const -> bool;
     auto allJobsKnown() const -> bool;
-    auto append(const KeyedRecord &record, Millis limit) -> Result<LogOffset>;
+    auto append(const KeyedRecord &record, Millis limit, bool isRepeat) -> Result<LogOffset>;
 
     PoolFrontOptions m_options;
     PoolView &m_view;
