policy: work on workers that announce their departure is stopped in time

Cause: the entry of a draining worker tells in remaining_ms for how long it stays, and nothing read it. What still ran when the worker left lost its progress since the last checkpoint, and a gang with a member there failed.

Gangs stop whole, with StopReason::WorkerLeaving. Room counts once until the work that moves has been placed again. Simulated workers can announce departures.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -168,6 +168,8 @@
         allocation->second.startArrivesUntil = MonoTime{}; // the only try has been carried out
     }
     allocation->second.startOutcomeUnknown = false;
+    const auto begins = task->attemptPhase != AttemptPhase::Unknown && task->checkpoint.empty();
+    noteProgress(*task, it.percent, begins ? std::optional{std::max(allocation->second.placedAt, allocation->second.acceptedAt)} : std::nullopt, now);
     if (task->attemptPhase != AttemptPhase::Running) {
         task->attemptPhase = AttemptPhase::Running;
         task->progressAt = now;
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -185,6 +185,7 @@
         worker.info = it;
         worker.listedBorn = it.born;
         worker.listed = true;
+        noteDeparture(worker, now);
         if (worker.answered) {
             worker.info.born = born; // the list may lag behind the worker's own replies
         }
@@ -411,6 +412,7 @@
     expireJobs(now);
     dropUnlisted();
     PoolPlacer{*this, now, wall}.place(effects);
+    stopLeaving(now, true);
     logStops(now);
     emitStops(effects.stops, now);
     emitStarts(effects);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -33,6 +33,7 @@
 /// Each planning pass compares every allocation with the state of its job and stops the attempts that this state does not call for,
 /// whichever planner made the state and whether or not stop orders were sent for it before.
 
+#include "policy/departure.h"
 #include "policy/endreport.h"
 #include "policy/idlecapacity.h"
 #include "policy/leasebounds.h"
@@ -223,6 +224,7 @@
     {
         PoolWorkerInfo info;
         bool listed = false;
+        std::optional<DepartureNotice> notice; ///< of the entry of a worker that leaves; see stopLeaving()
         bool answered = false; ///< a poll has been answered in this planner's term
         Incarnation listedBorn; ///< incarnation in the worker's entry
         Resources used;
@@ -261,6 +263,7 @@
 
 private:
     friend class PoolPlacer;
+    friend class DepartureRoom;
 
     /// Calls to a worker that is no longer known and that may be carried out late, by a lifetime that comes back under its id.
     struct LateCalls
@@ -306,6 +309,10 @@
     auto stopUnwanted() -> void;
     auto stopBrokenGangs() -> void;
     auto stopIncompleteGangs(MonoTime now) -> void;
+    auto noteDeparture(Worker &worker, MonoTime now) -> void;
+    static auto departureOf(const Worker &worker) -> MonoTime;
+    auto remainingOf(const PoolJobState &state, const TaskKey &key, MonoTime now) const -> RemainingTime;
+    auto stopLeaving(MonoTime now, bool mayMove) -> void;
     auto lacksMembers(const PoolJobState &state, int occurrence, int step, MonoTime now) const -> bool;
     auto checkFinished(PoolJobState &state, MonoTime now) -> void;
     auto findTask(const TaskKey &key) -> TaskState *;
--- a/packages/policy/poolfleet.h
+++ b/packages/policy/poolfleet.h
@@ -7,6 +7,7 @@
 #include "policy/pooljob.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,7 @@
     bool draining = false;
     Incarnation born; ///< changes when the worker restarts
     WorkerTime clock; ///< when the worker wrote the entry
+    std::optional<Millis> remaining; ///< minimum time until a draining worker leaves, when it wrote the entry; nothing: not announced
 };
 
 }
--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -109,6 +109,8 @@
     AttemptPhase attemptPhase = AttemptPhase::Unknown;
     int percent = -1; ///< progress in the last poll reply; -1: none yet
     MonoTime progressAt; ///< last time the progress changed
+    int basePercent = -1; ///< most progress that the attempt can have had at baseAt, see noteProgress(); valid while percent is; never stored
+    MonoTime baseAt;
 };
 
 struct StepState
--- a/packages/policy/poolstops.cpp
+++ b/packages/policy/poolstops.cpp
@@ -186,6 +186,7 @@
     stopUnwanted();
     stopBrokenGangs();
     stopIncompleteGangs(now);
+    stopLeaving(now, false);
     logStops(now);
     emitStops(stops, now);
     return stops;
--- a/packages/policy/stopreport.cpp
+++ b/packages/policy/stopreport.cpp
@@ -36,6 +36,8 @@
         return "not_recorded";
     case StopReason::StartUnanswered:
         return "start_unanswered";
+    case StopReason::WorkerLeaving:
+        return "worker_leaving";
     case StopReason::StartRefused:
         return "start_refused";
     }
--- a/packages/policy/stopreport.h
+++ b/packages/policy/stopreport.h
@@ -29,6 +29,7 @@
     NotListed, ///< its worker accepted the start order and does not list the attempt
     NotRecorded, ///< its worker lists the attempt, and the task is elsewhere, done, or of a job that has been forgotten
     StartUnanswered, ///< no try of its start order was answered
+    WorkerLeaving, ///< it would be cut off when its worker, or that of a member of its gang, leaves
     StartRefused, ///< a repeated start order was refused; the first may have been carried out
 };
 
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -778,6 +778,7 @@
                                  .slowUntil = before.slowUntil};
     ++worker.info.born;
     worker.info.draining = false;
+    worker.info.remaining.reset();
 }
 
 /// A worker that drains, leaves and comes back.
@@ -798,6 +799,10 @@
         listWorkers();
     } else if (worker.drainsAt && m_now >= *worker.drainsAt && !worker.info.draining) {
         worker.info.draining = true;
+        if (m_faults.announcedDepartures) {
+            worker.info.remaining = drainDuration;
+            worker.info.clock = workerTime(m_now, worker);
+        }
         listWorkers();
     }
 }
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -36,6 +36,7 @@
     /// Further takeovers. The earlier planner has only stored its records, and sent no orders, or has only sent its stop orders.
     int takeoversBetweenSteps = 0;
     int departures = 0; ///< percentage of workers that drain, leave, and come back under their id
+    bool announcedDepartures = false; ///< whether the entries of workers that drain tell the time left
     int slowRecords = 0; ///< percentage of planning passes whose records take 0.5 to 3 s to store
     int rebornWorkers = 0; ///< percentage of workers that are cut off once, and restart within that time
     /// Percentage of workers whose path to the planner is slow once for 8 to 11 s: the planner gives up their polls and orders, which arrive
