--- a/packages/policy/peerprogress.cpp
+++ b/packages/policy/peerprogress.cpp
@@ -23,14 +23,14 @@
     return std::chrono::duration<double>(span).count();
 }
 
-/// @return progress in percent per second between the first sight of the attempt and its last change; nothing without a change.
+/// @return progress in percent per second from TaskState::baseAt to its last change; nothing without a change.
 auto rateOf(const TaskState &task) -> std::optional<double>
 {
-    const auto gained = task.percent - task.firstPercent;
-    if (task.firstPercent < 0 || gained <= 0 || task.progressAt <= task.firstSeenAt) {
+    const auto gained = task.percent - task.basePercent;
+    if (task.percent < 0 || task.basePercent < 0 || gained <= 0 || task.progressAt <= task.baseAt) {
         return std::nullopt;
     }
-    return gained / seconds(task.progressAt - task.firstSeenAt);
+    return gained / seconds(task.progressAt - task.baseAt);
 }
 
 }
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -169,6 +169,8 @@
         allocation->second.startArrivesUntil = MonoTime{}; // the only try has been carried out
     }
     allocation->second.startOutcomeUnknown = false;
+    const auto begins = task->attemptPhase != AttemptPhase::Unknown && task->checkpoint.empty();
+    noteProgress(*task, it.percent, begins ? std::optional{std::max(allocation->second.placedAt, allocation->second.acceptedAt)} : std::nullopt, now);
     if (task->attemptPhase != AttemptPhase::Running) {
         task->attemptPhase = AttemptPhase::Running;
         task->progressAt = now;
@@ -177,10 +179,6 @@
         task->percent = it.percent;
         task->progressAt = now;
     }
-    if (task->firstPercent < 0) {
-        task->firstPercent = it.percent;
-        task->firstSeenAt = now;
-    }
     saveCheckpoint(m_jobs.at(it.task.job), it.task, it.checkpoint);
 }
 
@@ -322,8 +320,6 @@
         if (task != nullptr && task->attempt == key.second && task->attemptPhase == AttemptPhase::Starting) {
             task->attemptPhase = AttemptPhase::Running;
             task->progressAt = now;
-            task->firstPercent = 0;
-            task->firstSeenAt = now;
         }
     } else if (outcome == OrderOutcome::OutcomeUnknown) {
         allocation.startOutcomeUnknown = true;
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -183,6 +183,7 @@
         worker.info = it;
         worker.listedBorn = it.born;
         worker.listed = true;
+        noteDeparture(worker, now);
         if (worker.answered) {
             worker.info.born = born; // the list may lag behind the worker's own replies
         }
@@ -413,6 +414,7 @@
     if (!m_evacuation.isSuspended) {
         PoolPlacer{*this, now, wall}.place(effects);
     }
+    stopLeaving(now, !m_evacuation.isSuspended);
     logEvacuations();
     logStops(now);
     emitStops(effects.stops, now);
--- a/packages/policy/poolstops.cpp
+++ b/packages/policy/poolstops.cpp
@@ -187,6 +187,7 @@
     stopBrokenGangs();
     stopIncompleteGangs(now);
     stopEvacuated();
+    stopLeaving(now, false);
     logStops(now);
     emitStops(stops, now);
     return stops;
--- a/packages/policy/stopreport.cpp
+++ b/packages/policy/stopreport.cpp
@@ -38,6 +38,8 @@
         return "start_unanswered";
     case StopReason::Evacuated:
         return "evacuated";
+    case StopReason::WorkerLeaving:
+        return "worker_leaving";
     case StopReason::StartRefused:
         return "start_refused";
     }
--- a/packages/policy/stopreport.h
+++ b/packages/policy/stopreport.h
@@ -30,6 +30,7 @@
     NotRecorded, ///< its worker lists the attempt, and the task is elsewhere, done, or of a job that has been forgotten
     StartUnanswered, ///< no try of its start order was answered
     Evacuated, ///< its start order was not answered before its failure domain was evacuated
+    WorkerLeaving, ///< it would be cut off when its worker, or that of a member of its gang, leaves
     StartRefused, ///< a repeated start order was refused; the first may have been carried out
 };
 
--- a/packages/policy/testing/peerprogress_test.cpp
+++ b/packages/policy/testing/peerprogress_test.cpp
@@ -13,8 +13,7 @@
 /// A task of which two lists have shown progress.
 auto moving(int percent, Millis span) -> TaskState
 {
-    return {
-        .phase = TaskPhase::Placed, .percent = percent, .progressAt = MonoTime{Seconds{10}} + span, .firstPercent = 0, .firstSeenAt = MonoTime{Seconds{10}}};
+    return {.phase = TaskPhase::Placed, .percent = percent, .progressAt = MonoTime{Seconds{10}} + span, .basePercent = 0, .baseAt = MonoTime{Seconds{10}}};
 }
 
 /// Workers that all make progress at one rate but those that stand still or are slow.
