daemon: event-driven listener for plain HTTP with limits against misbehaving callers

Cause: one thread served one open connection, so callers that stalled, sent slowly or did not read took all threads of a listener; the number of header fields, the memory of all bodies together and the number of connections were not limited (misbehaving_callers_test).

Change: HttpListener serves plain HTTP by EventListener: one thread reads and writes all connections (Boost.Asio, Boost.Beast's parser), and a HandlerPool runs the handlers of complete requests. Each listener has its own budget, limits and deadlines (ListenerLimits, tables [listeners.*] of the platform's settings file); the connection with the least progress is closed first. catkin_listener_closed_total counts by cause, event 1016 tells of it. With TLS the library and its thread for each connection stay; their queue now uses HandlerPool too.

--- a/packages/daemon/httplistener.cpp
+++ b/packages/daemon/httplistener.cpp
@@ -1,9 +1,11 @@
 #include "daemon/httplistener.h"
 
+#include "daemon/eventlistener.h"
+#include "daemon/handlerpool.h"
+#include "daemon/listenerroutes.h"
 #include "ports/deadlinestream.h"
 #include "ports/httpclient.h"
-#include "util/logging.h"
-#include "util/threadname.h"
+#include "ports/httprequest.h"
 
 #include <httplib.h>
 
@@ -15,11 +17,10 @@
 #include <array>
 #include <atomic>
 #include <cerrno>
-#include <condition_variable>
-#include <deque>
-#include <mutex>
-#include <system_error>
+#include <limits>
+#include <optional>
 #include <thread>
+#include <utility>
 
 namespace Catkin
 {
@@ -32,137 +33,55 @@
 
 thread_local auto isOverflowThread = false;
 
-/// Tasks of one kind and the threads that run them. A thread is started when a task finds no idle one, so that a listener has as many as
-/// it ever needed at once.
-struct TaskLane
-{
-    std::size_t maxThreads = 0;
-    std::deque<std::function<void()>> tasks;
-    std::condition_variable changed;
-    std::size_t waiting = 0; ///< threads that wait for a task
-    std::size_t busy = 0; ///< threads that run one
-    std::vector<std::thread> threads;
-};
-
 /// Serves connections on a bounded number of threads; those beyond the waiting places go to the overflow threads.
 class BoundedQueue : public httplib::TaskQueue
 {
 public:
     BoundedQueue(int threads, int backlog, std::atomic<std::uint64_t> &overflowed)
-        : m_backlog(static_cast<std::size_t>(backlog))
-        , m_overflowed(overflowed)
+        : m_overflowed(overflowed)
+        , m_served(static_cast<std::size_t>(threads), static_cast<std::size_t>(backlog))
+        , m_refused(overflowThreads, std::numeric_limits<std::size_t>::max() - overflowThreads)
     {
-        m_served.maxThreads = static_cast<std::size_t>(threads);
-        m_refused.maxThreads = overflowThreads;
     }
 
     auto enqueue(std::function<void()> task) -> void override
     {
-        const auto lock = std::lock_guard{m_mutex};
-        const auto full = m_served.tasks.size() + m_served.busy >= m_served.maxThreads + m_backlog;
-        auto &lane = full ? m_refused : m_served;
-        m_overflowed += full ? 1 : 0;
-        lane.tasks.push_back(std::move(task));
-        if (lane.tasks.size() > lane.waiting && lane.threads.size() < lane.maxThreads) {
-            startThread(lane);
+        if (m_served.push(task)) {
+            return;
+        }
+        ++m_overflowed;
+        const auto refuse = [task = std::move(task)] {
+            const auto before = std::exchange(isOverflowThread, true);
+            task();
+            isOverflowThread = before;
+        };
+        // Without any thread the accepting one must do it, or the connection would stay open.
+        if (!m_refused.push(refuse)) {
+            refuse();
         }
-        lane.changed.notify_one();
     }
 
     auto shutdown() -> void override
     {
-        {
-            const auto lock = std::lock_guard{m_mutex};
-            m_stopping = true;
-        }
-        for (auto *lane : {&m_served, &m_refused}) {
-            lane->changed.notify_all();
-            for (auto &it : lane->threads) {
-                it.join();
-            }
-        }
+        m_served.finish();
+        m_refused.finish();
     }
 
 private:
-    /// The caller holds m_mutex.
-    auto startThread(TaskLane &lane) -> void
-    {
-        try {
-            lane.threads.emplace_back([this, &lane] { run(lane); });
-        } catch (const std::system_error &e) {
-            // The threads that there are take the task later; without any, nobody would.
-            if (lane.threads.empty()) {
-                throw;
-            }
-            if (!std::exchange(m_startFailed, true)) {
-                logEvent(LogLevel::Warn, 1015, "no further thread for connections, there are " + std::to_string(lane.threads.size()) + ": " + e.what());
-            }
-        }
-    }
-
-    auto run(TaskLane &lane) -> void
-    {
-        nameThread("listener");
-        isOverflowThread = &lane == &m_refused;
-        auto lock = std::unique_lock{m_mutex};
-        while (true) {
-            if (lane.tasks.empty()) {
-                if (m_stopping) {
-                    return;
-                }
-                ++lane.waiting;
-                lane.changed.wait(lock, [&] { return m_stopping || !lane.tasks.empty(); });
-                --lane.waiting;
-                continue;
-            }
-            const auto task = std::move(lane.tasks.front());
-            lane.tasks.pop_front();
-            ++lane.busy;
-            lock.unlock();
-            task();
-            lock.lock();
-            --lane.busy;
-        }
-    }
-
-    std::size_t m_backlog;
     std::atomic<std::uint64_t> &m_overflowed;
-    std::mutex m_mutex;
-    TaskLane m_served;
-    TaskLane m_refused;
-    bool m_stopping = false;
-    bool m_startFailed = false;
+    HandlerPool m_served;
+    HandlerPool m_refused;
 };
 
-/// The failure form of docs/interfaces.md, section 6.1.
-/// @param reason text without characters that JSON escapes
-auto failureBody(const std::string &result, const std::string &reason, Millis retryAfter = Millis{0}) -> std::string
-{
-    return R"({"config_version":0,"reason":")" + reason + R"(","request_id":"","result":")" + result + R"(","retry_after_ms":)"
-           + std::to_string(retryAfter.count()) + "}\n";
-}
-
 /// A connection on an overflow thread must not keep the other refusals waiting for the whole of a stalled handshake.
 constexpr auto overflowHandshake = Millis{1'000};
 /// Rest of a plain request that is read before its connection is closed.
 constexpr auto maxDrained = std::size_t{64} << 10U;
 constexpr auto drainTime = Millis{500};
 
-/// Plain HTTP; connections are the library's.
-class Server : public httplib::Server
-{
-public:
-    /// The library listens with a backlog of 5, which a burst of new connections exceeds.
-    auto widenBacklog() -> void
-    {
-        constexpr auto backlog = 512;
-        ::listen(svr_sock_, backlog);
-    }
-};
-
 /// HTTPS. The library's own TLS server holds one context for ever and restarts its timeouts with every byte of a handshake; here each
 /// connection takes the current context, so that a replaced certificate is in force for the next connection and cuts none.
-class TlsServer : public Server
+class TlsServer : public httplib::Server
 {
 public:
     explicit TlsServer(const HttpListenerOptions &options)
@@ -170,6 +89,13 @@
     {
     }
 
+    /// The library listens with a backlog of 5, which a burst of new connections exceeds.
+    auto widenBacklog() -> void
+    {
+        constexpr auto backlog = 512;
+        ::listen(svr_sock_, backlog);
+    }
+
 private:
     auto process_and_close_socket(socket_t sock) -> bool override
     {
@@ -254,12 +180,6 @@
     const HttpListenerOptions &m_options;
 };
 
-auto lowerCase(std::string text) -> std::string
-{
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return text;
-}
-
 auto toRequest(const httplib::Request &in) -> HttpRequest
 {
     auto out = HttpRequest{.method = in.method, .path = in.path, .params = in.params, .body = in.body};
@@ -290,16 +210,25 @@
 {
     explicit Impl(const HttpListenerOptions &given)
         : options(given)
-        , server(given.tls ? std::unique_ptr<Server>(std::make_unique<TlsServer>(options)) : std::make_unique<Server>())
     {
+        if (options.tls) {
+            prepareTls();
+        } else {
+            events.emplace(options, routes);
+        }
     }
 
     HttpListenerOptions options;
-    std::unique_ptr<Server> server;
+    ListenerRoutes routes; ///< of plain HTTP
+    std::optional<EventListener> events; ///< for plain HTTP
+    std::unique_ptr<TlsServer> server; ///< for TLS
     std::thread thread;
     std::atomic<bool> closing{false};
     std::atomic<std::uint64_t> overflowed{0};
 
+    auto prepareTls() -> void;
+    auto listenTls(const std::string &host, int wanted) -> Result<int>;
+
     auto write(const HttpResponse &in, httplib::Response &out) const -> void
     {
         out.status = in.status;
@@ -313,41 +242,68 @@
     }
 };
 
-HttpListener::HttpListener(const HttpListenerOptions &options)
-    : m_impl(std::make_unique<Impl>(options))
+auto HttpListener::Impl::prepareTls() -> void
 {
-    auto &server = *m_impl->server;
-    server.new_task_queue = [impl = m_impl.get()] { return new BoundedQueue(impl->options.threads, impl->options.backlog, impl->overflowed); };
-    server.set_payload_max_length(options.maxBody);
-    server.set_keep_alive_timeout(std::max<time_t>(1, std::chrono::duration_cast<Seconds>(options.keepAlive).count()));
-    server.set_keep_alive_max_count(100'000);
-    server.set_read_timeout(options.readTimeout);
-    server.set_write_timeout(options.readTimeout);
-    server.set_tcp_nodelay(true);
-    server.set_pre_routing_handler([](const httplib::Request &, httplib::Response &response) {
+    server = std::make_unique<TlsServer>(options);
+    server->new_task_queue = [this] { return new BoundedQueue(options.threads, options.backlog, overflowed); };
+    server->set_payload_max_length(options.maxBody);
+    server->set_keep_alive_timeout(std::max<time_t>(1, std::chrono::duration_cast<Seconds>(options.keepAlive).count()));
+    server->set_keep_alive_max_count(100'000);
+    server->set_read_timeout(options.readTimeout);
+    server->set_write_timeout(options.readTimeout);
+    server->set_tcp_nodelay(true);
+    server->set_pre_routing_handler([](const httplib::Request &, httplib::Response &response) {
         if (!isOverflowThread) {
             return httplib::Server::HandlerResponse::Unhandled;
         }
-        response.status = 503;
+        const auto answer = overflowAnswer();
+        response.status = answer.status;
         response.set_header("Connection", "close");
-        response.set_header("Retry-After", "1");
-        // The call has not been read, so an earlier attempt of its key cannot be excluded.
-        response.set_content(failureBody("outcome_unknown", "too many connections; this call did not run", Millis{1000}), "application/json");
+        for (const auto &[name, value] : answer.headers) {
+            response.set_header(name, value);
+        }
+        response.set_content(answer.body, answer.contentType);
         return httplib::Server::HandlerResponse::Handled;
     });
-    server.set_error_handler([](const httplib::Request &, httplib::Response &response) {
+    server->set_error_handler([](const httplib::Request &, httplib::Response &response) {
         if (!response.body.empty()) {
             return;
         }
         const auto *reason = response.status == 404 ? "no such path or method" : response.status == 413 ? "the body is too long" : "malformed request";
         response.set_content(failureBody("not_run", reason), "application/json");
     });
-    server.set_exception_handler([](const httplib::Request &, httplib::Response &response, const std::exception_ptr &) {
-        response.status = 500;
-        response.set_content(failureBody("outcome_unknown", "internal error"), "application/json");
+    server->set_exception_handler([](const httplib::Request &, httplib::Response &response, const std::exception_ptr &) {
+        const auto answer = handlerFailedAnswer();
+        response.status = answer.status;
+        response.set_content(answer.body, answer.contentType);
     });
 }
 
+auto HttpListener::Impl::listenTls(const std::string &host, int wanted) -> Result<int>
+{
+    auto port = wanted;
+    if (wanted == 0) {
+        port = server->bind_to_any_port(host);
+    } else if (!server->bind_to_port(host, wanted)) {
+        port = -1;
+    }
+    if (port <= 0) {
+        return failure(ErrorCode::Unavailable, "cannot listen on " + options.address);
+    }
+    server->widenBacklog();
+    thread = std::thread([this] { server->listen_after_bind(); });
+    // A stop before the accept loop runs would be lost.
+    while (!server->is_running()) {
+        std::this_thread::sleep_for(Millis{1});
+    }
+    return port;
+}
+
+HttpListener::HttpListener(const HttpListenerOptions &options)
+    : m_impl(std::make_unique<Impl>(options))
+{
+}
+
 HttpListener::~HttpListener()
 {
     stop();
@@ -355,6 +311,10 @@
 
 auto HttpListener::route(const std::string &method, const std::string &pattern, Handler handler) -> void
 {
+    if (m_impl->events) {
+        m_impl->routes.add(method, pattern, false, std::move(handler));
+        return;
+    }
     auto call = [impl = m_impl.get(), handler = std::move(handler)](const httplib::Request &request, httplib::Response &response) {
         impl->write(handler(toRequest(request)), response);
     };
@@ -371,6 +331,10 @@
 
 auto HttpListener::routeForm(const std::string &pattern, Handler handler) -> void
 {
+    if (m_impl->events) {
+        m_impl->routes.add("POST", pattern, true, std::move(handler));
+        return;
+    }
     m_impl->server->Post(
         pattern,
         [impl = m_impl.get(), handler = std::move(handler)](const httplib::Request &request, httplib::Response &response, const httplib::ContentReader &read) {
@@ -392,32 +356,23 @@
     if (!parts) {
         return parts.error();
     }
-    const auto [host, wanted] = parts.value();
-    auto port = wanted;
-    if (wanted == 0) {
-        port = m_impl->server->bind_to_any_port(host);
-    } else if (!m_impl->server->bind_to_port(host, wanted)) {
-        port = -1;
-    }
-    if (port <= 0) {
-        return failure(ErrorCode::Unavailable, "cannot listen on " + m_impl->options.address);
-    }
-    m_impl->server->widenBacklog();
-    m_impl->thread = std::thread([impl = m_impl.get()] { impl->server->listen_after_bind(); });
-    // A stop before the accept loop runs would be lost.
-    while (!m_impl->server->is_running()) {
-        std::this_thread::sleep_for(Millis{1});
-    }
-    return port;
+    const auto &[host, wanted] = parts.value();
+    return m_impl->events ? m_impl->events->start(host, wanted) : m_impl->listenTls(host, wanted);
 }
 
 auto HttpListener::closeAfterResponse() -> void
 {
     m_impl->closing = true;
+    if (m_impl->events) {
+        m_impl->events->closeAfterResponse();
+    }
 }
 
 auto HttpListener::stop() -> void
 {
+    if (m_impl->events) {
+        m_impl->events->stop();
+    }
     if (m_impl->thread.joinable()) {
         m_impl->server->stop();
         m_impl->thread.join();
@@ -426,7 +381,7 @@
 
 auto HttpListener::overflowed() const -> std::uint64_t
 {
-    return m_impl->overflowed;
+    return m_impl->events ? m_impl->events->overflowed() : m_impl->overflowed.load();
 }
 
 }
--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -43,6 +43,7 @@
 constexpr auto appendResults = std::array{"ok", "not_sent", "unknown"};
 constexpr auto linkClasses = std::array{"control", "payload"};
 constexpr auto tlsListeners = std::array{"callers", "operators"};
+constexpr auto poolListeners = std::array{"callers", "readiness", "metrics", "peers"};
 constexpr auto directions = std::array{"sent", "received"};
 constexpr auto configResults = std::array{"accepted", "rejected", "conflict", "not_applied", "unknown"};
 constexpr auto urgencies = std::array{"urgent", "normal", "batch"};
@@ -195,6 +196,7 @@
     CounterFamily framesRejected = counter("peer_frames_rejected_total", "Links to peers that ended with a frame that was changed or cut", {"reason"});
     GaugeFamily previousKeyLinks = gauge("peer_links_previous_key", "Open links to peers that were authenticated with the previous key");
     CounterFamily tlsFailed = counter("tls_handshakes_failed_total", "Connections that ended in their TLS handshake", {"listener"});
+    CounterFamily listenerClosed = counter("listener_closed_total", "Connections that a limit of their listener closed", {"listener", "cause"});
     GaugeFamily freshPeers = gauge("fresh_peers", "Peers with a fresh heartbeat");
     GaugeFamily ready = gauge("ready", "1 while the instance takes requests");
     GaugeFamily draining = gauge("draining", "1 while the instance drains");
@@ -427,6 +429,11 @@
     m_families->tlsFailed.at({nameOf(tlsListeners, listener)}).Increment();
 }
 
+auto Metrics::listenerClosed(PoolListener listener, ListenerClose cause) -> void
+{
+    m_families->listenerClosed.at({nameOf(poolListeners, listener), nameOf(listenerCloseNames, cause)}).Increment();
+}
+
 auto Metrics::setFreshPeers(std::size_t count) -> void
 {
     m_families->freshPeers.at({}).Set(static_cast<double>(count));
--- a/packages/daemon/poolsettings.cpp
+++ b/packages/daemon/poolsettings.cpp
@@ -23,6 +23,21 @@
     }
 };
 
+auto addLimits(Comparison &out, const std::string &listener, const ListenerLimits &inUse, const ListenerLimits &read) -> void
+{
+    const auto add = [&](const char *what, std::size_t before, std::size_t after) {
+        out.add((listener + ": " + what).c_str(), std::to_string(before), std::to_string(after));
+    };
+    add("connections", inUse.connections, read.connections);
+    add("buffer bytes", inUse.bufferBytes, read.bufferBytes);
+    add("header bytes", inUse.headerBytes, read.headerBytes);
+    add("header fields", inUse.headerFields, read.headerFields);
+    add("read-ahead bytes", inUse.readAhead, read.readAhead);
+    add("transfer bytes per second", inUse.transferRate, read.transferRate);
+    out.add((listener + ": header time").c_str(), inUse.headerTimeout, read.headerTimeout);
+    out.add((listener + ": transfer time").c_str(), inUse.transferTimeout, read.transferTimeout);
+}
+
 }
 
 auto settingChanges(const PoolSettings &inUse, const PoolSettings &read) -> std::vector<std::string>
@@ -47,6 +62,10 @@
     out.add("visibility", inUse.visibility, read.visibility);
     out.add("grace", inUse.grace, read.grace);
     out.add("retention", inUse.retention, read.retention);
+    addLimits(out, "callers' listener", inUse.listeners.callers, read.listeners.callers);
+    addLimits(out, "readiness listener", inUse.listeners.readiness, read.listeners.readiness);
+    addLimits(out, "metrics listener", inUse.listeners.metrics, read.listeners.metrics);
+    addLimits(out, "peers' listener", inUse.listeners.peers, read.listeners.peers);
     return out.changes;
 }
 
--- a/packages/daemon/poolsettings.h
+++ b/packages/daemon/poolsettings.h
@@ -4,6 +4,7 @@
 ///
 /// Filled by the adapter of a deployment; checked there.
 
+#include "daemon/listenerlimits.h"
 #include "state/poolrecords.h"
 #include "util/ids.h"
 #include "util/units.h"
@@ -14,6 +15,16 @@
 namespace Catkin
 {
 
+/// Each listener of an instance has its own limits, so that overload of one takes nothing from the others. Together they fit into the smallest instance, with
+/// 160 MB and 4,100 descriptors.
+struct PoolListenerLimits
+{
+    ListenerLimits callers{.connections = 2'048, .bufferBytes = std::size_t{24} << 20U};
+    ListenerLimits readiness{.connections = 128, .bufferBytes = std::size_t{1} << 20U};
+    ListenerLimits metrics{.connections = 64, .bufferBytes = std::size_t{4} << 20U};
+    ListenerLimits peers{.connections = 512, .bufferBytes = std::size_t{16} << 20U};
+};
+
 struct PoolSettings
 {
     InstanceId instance;
@@ -35,6 +46,7 @@
     Millis visibility{3'000}; ///< time within which every instance must know an accepted job
     Millis grace{6'000}; ///< from the signal to stop until the process is killed
     Millis retention{120'000}; ///< how long the state of a final job can be asked for
+    PoolListenerLimits listeners;
 };
 
 /// @return what differs, one text for each setting: its name, the value in use and the new one.
