--- a/packages/policy/evacuation.cpp
+++ b/packages/policy/evacuation.cpp
@@ -13,6 +13,9 @@
 
 /// From the check of the read's age until a worker carries the order out: three answer timeouts of a start order of 300 ms.
 constexpr auto startMargin = Millis{1'000};
+/// The last answered read was sent up to 1.6 s ago in ordinary operation, twice the time that a read waits for a record. A shorter limit would
+/// suspend starts again and again.
+constexpr auto leastReadLimit = Millis{2'500};
 
 }
 
@@ -79,7 +82,7 @@
 
 auto placementReadLimit(std::optional<Millis> bound) -> std::optional<Millis>
 {
-    return bound ? std::optional{std::max(*bound / 2, *bound - startMargin)} : std::nullopt;
+    return bound ? std::optional{std::max(leastReadLimit, *bound - startMargin)} : std::nullopt;
 }
 
 auto isReadRecent(std::optional<MonoTime> readAt, std::optional<Millis> limit, MonoTime now) -> bool
