Cold workers are chosen after those that are not cold

After a revoked evacuation the workers of the domain may be slow for a while, as cold_left_ms in their entries says. Until then they are chosen like suspect ones.

evacuation_test: 12 cases pass, the new one fails without the rule. The tests of documents, poolnode_evacuation and poolnode_odd pass (25 cases), ctest policy passes.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -206,6 +206,7 @@
     const auto &info = entry.value();
     noteWrite({.id = id, .draining = info.draining, .born = info.born, .clock = info.clock});
     m_core.workerWrote(info.id, m_clock.mono());
+    m_core.workerCold(info.id, info.coldLeft, m_clock.mono());
     // The entries of a snapshot are listed when all of them have been read.
     if (noteEntry(m_entries, info) && m_writesBegin) {
         m_workersDirty = true;
--- a/packages/policy/evacuation.cpp
+++ b/packages/policy/evacuation.cpp
@@ -77,6 +77,21 @@
     return !evacuation.isSuspended && !isEvacuated(evacuation, domain);
 }
 
+auto noteCold(Evacuation &evacuation, const WorkerId &id, Millis left, MonoTime now) -> void
+{
+    if (left.count() > 0) {
+        evacuation.coldUntil[id] = now + left;
+    } else {
+        evacuation.coldUntil.erase(id);
+    }
+}
+
+auto isCold(const Evacuation &evacuation, const WorkerId &id, MonoTime now) -> bool
+{
+    const auto it = evacuation.coldUntil.find(id);
+    return it != evacuation.coldUntil.end() && now < it->second;
+}
+
 auto placementReadLimit(std::optional<Millis> bound) -> std::optional<Millis>
 {
     return bound ? std::optional{std::max(*bound / 2, *bound - startMargin)} : std::nullopt;
--- a/packages/policy/evacuation.h
+++ b/packages/policy/evacuation.h
@@ -62,6 +62,7 @@
     std::set<FailureDomainId> emptied; ///< of @c domains, those of which the log has that no attempt is left
     std::vector<FailureDomainId> ended; ///< whose end has not been logged
     IdleCapacity idle; ///< of the listed workers in @c domains
+    std::map<WorkerId, MonoTime> coldUntil; ///< until when workers are slow, as their entries say
 };
 
 /// @return whether the set of evacuated domains has changed
@@ -72,6 +73,13 @@
 /// @return whether a start order may be sent to a worker of the domain, first or repeated.
 auto takesStarts(const Evacuation &evacuation, const FailureDomainId &domain) -> bool;
 
+/// Takes from a worker's entry for how long it will be slow, as after an evacuation.
+/// @param left 0: it is not cold
+auto noteCold(Evacuation &evacuation, const WorkerId &id, Millis left, MonoTime now) -> void;
+
+/// @return whether the worker should be chosen only if no other fits.
+auto isCold(const Evacuation &evacuation, const WorkerId &id, MonoTime now) -> bool;
+
 /// @param bound time after its record from which an evacuation is in force; nothing: the deployment has none
 /// @return the age of the last confirmed read of the operators' log at which nothing more is started, if there is such a limit. It is below
 /// the bound, because a start order that is sent then is carried out later.
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -136,6 +136,8 @@
     auto setWorkers(const std::vector<PoolWorkerInfo> &listed, MonoTime now) -> void;
     /// Reports that the worker has written its entry, so that its process runs.
     auto workerWrote(const WorkerId &id, MonoTime now) -> void;
+    /// Reports for how long the worker will be slow, as its entry says; 0: it is not.
+    auto workerCold(const WorkerId &id, Millis left, MonoTime now) -> void;
     /// Reports that the workers' entries have been read up to what was stored at @p sentAt.
     auto entriesRead(MonoTime sentAt) -> void;
     /// Reports that the worker's process has certainly ended, so that none of its attempts can be running.
--- a/packages/policy/poolevacuation.cpp
+++ b/packages/policy/poolevacuation.cpp
@@ -19,6 +19,11 @@
     m_evacuation.isSuspended = isSuspended;
 }
 
+auto PoolCore::workerCold(const WorkerId &id, Millis left, MonoTime now) -> void
+{
+    noteCold(m_evacuation, id, left, now);
+}
+
 /// Workers of evacuated domains count apart: they take nothing until the evacuation is revoked.
 auto PoolCore::countIdleCapacity() -> void
 {
--- a/packages/policy/poolfleet.h
+++ b/packages/policy/poolfleet.h
@@ -61,6 +61,7 @@
     bool draining = false;
     Incarnation born; ///< changes when the worker restarts
     WorkerTime clock; ///< when the worker wrote the entry
+    Millis coldLeft{0}; ///< for how long after that it is slow because it was not in use before; 0: it is not
 };
 
 }
--- a/packages/policy/poolplacement.h
+++ b/packages/policy/poolplacement.h
@@ -27,7 +27,7 @@
     std::string rack;
     Resources available; ///< including capacity that must be freed first
     int placed = 0; ///< tasks of the same occurrence and step that run there already
-    bool suspect = false; ///< failed work recently; taken only when no other worker fits
+    bool suspect = false; ///< failed work recently, or is cold; taken only when no other worker fits
     double cost = 0.0; ///< of freeing the capacity: core-seconds of lost work, or seconds until it is free; 0 for free capacity
 };
 
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -490,7 +490,10 @@
         if (info.service != group.queue->service || !hasLabel(info.labels, wanted)) {
             continue;
         }
-        auto candidate = WorkerCandidate{.worker = i, .rack = info.rack, .available = slot.freeSoon, .suspect = m_now < slot.worker->suspectUntil};
+        auto candidate = WorkerCandidate{.worker = i,
+                                         .rack = info.rack,
+                                         .available = slot.freeSoon,
+                                         .suspect = m_now < slot.worker->suspectUntil || isCold(m_core.m_evacuation, info.id, m_now)};
         if (kind == CapacityKind::Free) {
             candidate.available = slot.free;
         } else if (kind == CapacityKind::Unreserved) {
--- a/packages/policy/testing/evacuation_test.cpp
+++ b/packages/policy/testing/evacuation_test.cpp
@@ -210,6 +210,24 @@
     CHECK(tasksOf(fleet.run(Millis{500}), "c") == 1);
 }
 
+// Guards against work that runs slowly on cold workers after a revocation while others are free, and against cold workers that are not used at all.
+TEST_CASE("a cold worker is chosen after those that are not cold, until its time is over")
+{
+    auto fleet = TwoDomains{1, 1};
+    fleet.core.workerCold(WorkerId{"w0"}, Millis{3'000}, fleet.now);
+    fleet.core.addJob(makeJob("b", "batch", batchOf(8)), fleet.now);
+    const auto first = fleet.run(Millis{500});
+    CHECK(fleet.countIn(right, first) == 8);
+    fleet.core.addJob(makeJob("c", "batch", batchOf(1)), fleet.now);
+    CHECK(fleet.countIn(left, fleet.run(Millis{500})) == 1); // no other has room
+    auto evacuation = Evacuation{};
+    noteCold(evacuation, WorkerId{"w0"}, Millis{3'000}, fleet.now);
+    CHECK(isCold(evacuation, WorkerId{"w0"}, fleet.now + Millis{2'999}));
+    CHECK_FALSE(isCold(evacuation, WorkerId{"w0"}, fleet.now + Millis{3'000}));
+    noteCold(evacuation, WorkerId{"w0"}, Millis{0}, fleet.now);
+    CHECK_FALSE(isCold(evacuation, WorkerId{"w0"}, fleet.now));
+}
+
 // Guards against an operator who cannot see when the domain may be switched off.
 TEST_CASE("begin, emptiness and end of an evacuation are logged once")
 {
