--- a/packages/policy/poolfleet.h
+++ b/packages/policy/poolfleet.h
@@ -63,6 +63,7 @@
     Incarnation born; ///< changes when the worker restarts
     WorkerTime clock; ///< when the worker wrote the entry
     std::optional<Millis> remaining; ///< minimum time until a draining worker leaves, when it wrote the entry; nothing: not announced
+    Millis coldLeft{0}; ///< for how long after that it is slow because it was not in use before; 0: it is not
 };
 
 }
