--- a/packages/policy/pooljob.h
+++ b/packages/policy/pooljob.h
@@ -51,6 +51,8 @@
     std::string dataRack; ///< rack of the input data, where the tasks run faster; empty: no preference
     int maxPerWorker = 0; ///< most tasks of one occurrence on a worker; 0: no limit
     bool longRunning = false; ///< runs until the job is cancelled
+    std::string image; ///< what its tasks run; empty: unknown
+    Millis responseTarget{0}; ///< target of the tail of its tasks' response times; 0: they do not serve
 };
 
 /// A job as submitted.
--- a/packages/policy/workermessages.h
+++ b/packages/policy/workermessages.h
@@ -6,6 +6,7 @@
 #include "policy/pooljob.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,9 @@
     int attempt = 0;
     std::string checkpoint;
     int percent = 0; ///< progress in percent
+    /// Rough figure for the last half second, if listed: the tail of the response times in ms of a task that serves, and otherwise the processor
+    /// time in use in thousandths of a core.
+    std::optional<std::int64_t> load;
 };
 
 enum class CompletionKind {
--- a/packages/state/poolrecords.cpp
+++ b/packages/state/poolrecords.cpp
@@ -45,19 +45,26 @@
 
 auto toJson(const PoolStep &it) -> json
 {
-    return {{"tasks", it.tasks},
-            {"cpu", it.perTask.cpuMillis},
-            {"memory", it.perTask.memoryMb},
-            {"accelerators", it.perTask.accelerators},
-            {"estimate", it.estimate.count()},
-            {"after", it.dependsOn},
-            {"checkpoints", it.checkpointing},
-            {"gang", it.gang},
-            {"one_rack", it.sameRack},
-            {"label", it.requiredLabel},
-            {"rack", it.dataRack},
-            {"per_worker", it.maxPerWorker},
-            {"endless", it.longRunning}};
+    auto out = json{{"tasks", it.tasks},
+                    {"cpu", it.perTask.cpuMillis},
+                    {"memory", it.perTask.memoryMb},
+                    {"accelerators", it.perTask.accelerators},
+                    {"estimate", it.estimate.count()},
+                    {"after", it.dependsOn},
+                    {"checkpoints", it.checkpointing},
+                    {"gang", it.gang},
+                    {"one_rack", it.sameRack},
+                    {"label", it.requiredLabel},
+                    {"rack", it.dataRack},
+                    {"per_worker", it.maxPerWorker},
+                    {"endless", it.longRunning}};
+    if (!it.image.empty()) {
+        out["image"] = it.image;
+    }
+    if (it.responseTarget.count() > 0) {
+        out["response_target"] = it.responseTarget.count();
+    }
+    return out;
 }
 
 auto stepFromJson(const json &it) -> PoolStep
@@ -78,6 +85,9 @@
         .dataRack = it.at("rack").get<std::string>(),
         .maxPerWorker = intField<int>(it, "per_worker"),
         .longRunning = it.at("endless").get<bool>(),
+        // Left out by earlier versions.
+        .image = it.value("image", std::string{}),
+        .responseTarget = Millis{it.contains("response_target") ? intField(it, "response_target", 0, maxTargetMs) : 0},
     };
 }
 
--- a/packages/state/testing/poolrecords_test.cpp
+++ b/packages/state/testing/poolrecords_test.cpp
@@ -296,3 +296,21 @@
     CHECK(read.occurrences[0].steps[0].tasks[1].hungStops == 3);
     CHECK(read.occurrences[0].steps[0].tasks[0].hungStops == 0);
 }
+
+// Guards against a new planner that takes tasks of one image for different ones, and against records of earlier versions that cannot be read
+// because they name no image.
+TEST_CASE("the record of a job has what its tasks run and the target of their response times")
+{
+    auto stored = job();
+    const auto plain = encodeJob(stored).second;
+    CHECK(plain.find("image") == std::string::npos);
+    CHECK(std::get<PoolJob>(decodePoolRecord("j/17", plain).value()).steps[0].image.empty());
+    stored.steps[0].image = "decoder:4";
+    stored.steps[0].responseTarget = Millis{250};
+    const auto [key, value] = encodeJob(stored);
+    const auto read = std::get<PoolJob>(decodePoolRecord(key, value).value());
+    CHECK(read.steps[0].image == "decoder:4");
+    CHECK(read.steps[0].responseTarget == Millis{250});
+    CHECK(read.steps[1].image.empty());
+    CHECK(read.steps[1].responseTarget == Millis{0});
+}
