policy: keep tasks apart that slow each other down, and urgent work off slow workers

Best fit packs tasks on the same workers whether they slow each other down or not.

Between free workers of equal rank, those without a kind whose slowdown is certain, and for urgent work those that are not slow, are filled first. No rack choice, reservation or preemption depends on it; work within a guarantee ignores kinds, and no whole free worker is opened for it while more than three quarters of the accelerators are in use. A log line and three gauges show what was learned.

--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -177,6 +177,9 @@
     GaugeFamily planSearches = gauge("plan_searches", "Times that the last pass looked for capacity on all workers");
     GaugeFamily openStarts = gauge("open_starts", "Start orders without an answer after the last pass");
     GaugeFamily deferredGroups = gauge("deferred_groups", "Groups of tasks that the last pass left to the next because of open start orders");
+    GaugeFamily kindPairs = gauge("interference_pairs", "Pairs of kinds of tasks that were seen on one worker");
+    GaugeFamily certainKindPairs = gauge("interference_certain_pairs", "Pairs of kinds of which one certainly slows the other down");
+    GaugeFamily slowWorkers = gauge("slow_workers", "Workers that are certainly slower than the median");
     GaugeFamily slots = gauge("slots", "Slots of the failure domain by state", {"state"});
     GaugeFamily largestFree = gauge("largest_free_block_slots", "Largest block of adjacent free slots");
     GaugeFamily planner = gauge("planner", "1 while this instance plans a failure domain");
@@ -353,6 +356,9 @@
     m_families->planSearches.at({}).Set(pass.searches);
     m_families->openStarts.at({}).Set(pass.openStarts);
     m_families->deferredGroups.at({}).Set(pass.deferredGroups);
+    m_families->kindPairs.at({}).Set(static_cast<double>(pass.kindPairs));
+    m_families->certainKindPairs.at({}).Set(static_cast<double>(pass.certainKindPairs));
+    m_families->slowWorkers.at({}).Set(static_cast<double>(pass.slowWorkers));
 }
 
 auto Metrics::setSlots(SlotState state, SlotCount slots) -> void
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -53,6 +53,9 @@
     int searches = 0; ///< times that it looked for capacity on all workers
     int openStarts = 0; ///< start orders without an answer
     int deferredGroups = 0; ///< groups left to the next pass because of too many open start orders
+    std::size_t kindPairs = 0; ///< pairs of kinds of tasks that were seen on one worker
+    std::size_t certainKindPairs = 0; ///< those with a certain slowdown
+    std::size_t slowWorkers = 0; ///< workers that are certainly slow
 };
 
 class Metrics
--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -269,6 +269,7 @@
         applyRunning(worker, running, now);
     }
     resolveMissing(worker, reply, sentAt, now);
+    observeTasks(worker, reply, now);
     const auto open = std::any_of(worker.allocations.begin(), worker.allocations.end(), [](const auto &entry) { return entry.second.stopping; });
     return !wasUsable || open || worker.allocations.size() != before || worker.processedCompletions > worker.recordedCompletions;
 }
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -272,6 +272,8 @@
     allocation.queue = state.job.queue;
     allocation.priority = state.job.rules ? state.job.rules->priority : 0;
     worker.used += allocation.resources;
+    followKind(m_learning, allocation.trace, state.job, specOf(state, key.first));
+    addKind(worker.kinds, allocation.trace.kind);
     return allocation;
 }
 
@@ -410,6 +412,7 @@
     stopHung(now);
     expireJobs(now);
     dropUnlisted();
+    reviewObservations(now);
     PoolPlacer{*this, now, wall}.place(effects);
     logStops(now);
     emitStops(effects.stops, now);
@@ -426,6 +429,7 @@
         m_logEntries.push_back(std::move(it));
     }
     effects.logEntries = std::move(m_logEntries);
+    effects.learning = countsOf(m_learning);
     for (const auto &[id, worker] : m_workers) {
         if (worker.processedCompletions > worker.recordedCompletions) {
             effects.completions[{.worker = id, .born = worker.info.born}] = worker.processedCompletions;
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -40,6 +40,7 @@
 #include "policy/poolfleet.h"
 #include "policy/pooljob.h"
 #include "policy/stopreport.h"
+#include "policy/tasklearning.h"
 #include "policy/workermessages.h"
 
 #include <deque>
@@ -60,6 +61,7 @@
     Millis retention{120'000}; ///< a final job is forgotten after this time
     Millis gangTimeout{3'000}; ///< a member of a gang that has started waits so long for the others, and ends if they do not start
     int maxOpenStarts = 512; ///< start orders without an answer at which a planning pass places nothing more
+    bool usesLearning = true; ///< whether what was learned from lists of workers decides between workers of equal rank
     std::int64_t linkBytesPerSecond = 125'000'000; ///< what the planner's link carries; bounds the bytes of start orders without an answer
 };
 
@@ -95,6 +97,7 @@
     int searches = 0; ///< times that the pass looked for capacity on all workers
     int openStarts = 0; ///< start orders without an answer, those of the pass included
     int deferredGroups = 0; ///< groups that the pass left to the next one because of too many open start orders
+    LearningCounts learning;
 };
 
 /// The next poll of a worker.
@@ -217,6 +220,7 @@
         MonoTime stopRequestedAt; ///< first planning pass that found the attempt stopping; MonoTime{} before
         MonoTime stopSentAt; ///< last stop order; MonoTime{} before the first
         MonoTime stopAnsweredAt;
+        TaskTrace trace; ///< what its rows have shown
     };
     using AttemptKey = std::pair<TaskKey, int>;
     struct Worker
@@ -255,6 +259,8 @@
         std::int64_t loggedAcknowledgement = 0; ///< highest number that a logged poll has carried
         int failures = 0; ///< since the last success
         MonoTime suspectUntil; ///< until then the worker is chosen only if no other fits
+        PresentKinds kinds; ///< of its attempts
+        WorkerTime observedClock; ///< in the last list whose rows were looked at
     };
     /// @return the workers, for reports and tests.
     [[nodiscard]] auto workers() const -> const std::map<WorkerId, Worker> &;
@@ -316,6 +322,10 @@
     auto addForeign(Worker &worker, const AttemptKey &key, MonoTime now) -> Allocation &;
     auto stopReleasedStarts(Worker &worker, MonoTime askedAt, MonoTime now) -> void;
     auto applyRunning(Worker &worker, const RunningAttempt &it, MonoTime now) -> void;
+    auto isComparable(const Worker &worker, const PoolJobState &state, const TaskKey &key) const -> bool;
+    auto recountKinds(Worker &worker) -> void;
+    auto observeTasks(Worker &worker, const WorkerPollReply &reply, MonoTime now) -> void;
+    auto reviewObservations(MonoTime now) -> void;
     auto resolveMissing(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     static auto describeAcceptance(const Allocation &allocation, MonoTime now) -> std::string;
     static auto describeOrders(const Allocation &allocation, MonoTime sentAt) -> std::string;
@@ -401,6 +411,7 @@
     IdleCapacity m_idleCapacity; ///< of the listed workers
     std::map<ServiceId, MonoTime> m_holdBegan; ///< since when reservations hold other groups of a service; see PoolPlacer::mayPass()
     std::set<JobId> m_unplaceable; ///< jobs that are set aside because no listed worker can take one of their steps
+    TaskLearning m_learning;
     bool m_fenced = false;
 };
 
--- a/packages/policy/poolplacement.cpp
+++ b/packages/policy/poolplacement.cpp
@@ -18,7 +18,7 @@
     return limit <= 0 ? 0 : copiesThatFit(step.perTask, it.available, limit);
 }
 
-/// Order in which workers are filled: those not suspect first, then by lowest cost, then by least available capacity.
+/// Order in which workers are filled: those not suspect first, then by lowest cost, by what has been learned, and by least available capacity.
 auto fillsBefore(const WorkerCandidate &a, const WorkerCandidate &b) -> bool
 {
     if (a.suspect != b.suspect) {
@@ -27,6 +27,9 @@
     if (a.cost != b.cost) {
         return a.cost < b.cost;
     }
+    if (a.avoid != b.avoid) {
+        return a.avoid < b.avoid;
+    }
     if (a.available.accelerators != b.available.accelerators) {
         return a.available.accelerators < b.available.accelerators;
     }
--- a/packages/policy/poolplacement.h
+++ b/packages/policy/poolplacement.h
@@ -29,6 +29,7 @@
     int placed = 0; ///< tasks of the same occurrence and step that run there already
     bool suspect = false; ///< failed work recently; taken only when no other worker fits
     double cost = 0.0; ///< of freeing the capacity: core-seconds of lost work, or seconds until it is free; 0 for free capacity
+    int avoid = 0; ///< what has been learned against it; among workers of equal rank, those with less are filled first
 };
 
 enum class Spread {
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -498,6 +498,9 @@
             out.push_back(std::move(candidate));
         }
     }
+    if (kind == CapacityKind::Free || kind == CapacityKind::Unreserved) {
+        markAvoided(group, out);
+    }
     return out;
 }
 
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -138,6 +138,8 @@
     auto collectSlots() -> void;
     auto attemptsOn(const Slot &slot) const -> const std::vector<Victim> &;
     auto candidates(const TaskGroup &group, CapacityKind kind) const -> std::vector<WorkerCandidate>;
+    auto isScarce(const ServiceId &service) const -> bool;
+    auto markAvoided(const TaskGroup &group, std::vector<WorkerCandidate> &found) const -> void;
     auto addReclaimable(const TaskGroup &group, CapacityKind kind, const Slot &slot, WorkerCandidate &candidate) const -> void;
     auto placeGroup(TaskGroup &group, PoolEffects &effects) -> bool;
     auto startsLeft(const TaskGroup &group) const -> int;
--- a/packages/policy/tasktrace.cpp
+++ b/packages/policy/tasktrace.cpp
@@ -70,7 +70,6 @@
 {
     if (!trace.open || row.present != trace.present || row.clock < trace.since || row.percent < trace.percent) {
         beginSpan(trace, row);
-        trace.counted = false;
         return std::nullopt;
     }
     const auto figure = figureOf(step);
--- a/packages/policy/tasktrace.h
+++ b/packages/policy/tasktrace.h
@@ -9,7 +9,7 @@
 /// @endcode
 ///
 /// A sample covers a span in which the same kinds of tasks shared the worker; a change of these begins a new one. Further samples of an
-/// attempt under the same conditions weigh less, because they are no independent observations.
+/// attempt weigh less, also under other conditions: an attempt that is far from its estimate is so in all of them.
 
 #include "policy/interference.h"
 #include "policy/workermessages.h"
@@ -27,7 +27,7 @@
     std::uint32_t generation = std::numeric_limits<std::uint32_t>::max(); ///< of the table when @c kind was looked up
     std::optional<bool> comparable; ///< whether it runs where its step prefers to run
     bool open = false; ///< a span has begun
-    bool counted = false; ///< it has given a sample under the present conditions
+    bool counted = false; ///< it has given a sample
     KindMask present = 0;
     WorkerTime since; ///< begin of the span
     WorkerTime countedAt; ///< last sample
