policy: a slowdown becomes certain from 16 samples on, and stays so down to 8

With 8 samples for both, 1 of 30 further drawn loads of 150 s without interference had a certain pair (trial).

Adds a test that work within a guarantee is placed by best fit.

--- a/packages/policy/interference.cpp
+++ b/packages/policy/interference.cpp
@@ -13,6 +13,9 @@
 
 /// Weight of samples, with and without the other kind, below which there is no estimate: the spread of fewer is too uncertain.
 constexpr auto minWeight = 8.0;
+/// Weight of samples with the other kind from which on a slowdown may become certain. With minWeight alone, 1 of 30 drawn loads of 150 s without
+/// interference had a certain pair, and with this for as long as a pair is certain, tasks that are kept apart are placed together too soon.
+constexpr auto minWeightToBegin = 16.0;
 /// Standard errors in SlowdownEstimate::error. A thousand pairs are judged every second, so that two would often be exceeded by chance.
 constexpr auto errorWidth = 3.0;
 /// Least spread of samples: progress is reported in whole percents.
@@ -198,7 +201,8 @@
     table.reviewedAt = now;
     for (auto &[key, it] : table.pairs) {
         const auto estimate = slowdownOf(table, affectedOf(key), otherOf(key), now);
-        const auto certain = estimate && estimate->slowdown - estimate->error > certainSlowdown;
+        const auto enough = estimate && (it.certain || estimate->samples >= minWeightToBegin);
+        const auto certain = enough && estimate->slowdown - estimate->error > certainSlowdown;
         if (std::exchange(it.certain, certain) != certain) {
             changes.push_back({.affected = table.kinds.at(indexOf(affectedOf(key))).id,
                                .other = table.kinds.at(indexOf(otherOf(key))).id,
--- a/packages/policy/testing/poollearning_test.cpp
+++ b/packages/policy/testing/poollearning_test.cpp
@@ -48,6 +48,18 @@
         fleet.core.addJob(makeJob(id, queue, step), fleet.now);
     }
 
+    /// Submits one task that lasts.
+    /// @return its worker.
+    auto place(const std::string &id, const std::string &queue, const std::string &image, PoolStep lasting) -> std::string
+    {
+        lasting.estimate = Millis{600'000};
+        const auto before = placed.size();
+        submit(id, queue, image, lasting);
+        step();
+        REQUIRE(placed.size() == before + 1);
+        return placed.back().substr(placed.back().rfind(' ') + 1);
+    }
+
     /// 3% of the tasks take 7 times as long, and estimates are off by @c offBy percent.
     auto drawLength(const PoolStep &step) -> double
     {
@@ -150,6 +162,17 @@
     return model;
 }
 
+/// @return an idle fleet whose planner is certain that two images slow each other down.
+auto runUntilCertain() -> ModelFleet
+{
+    auto model = runTwoKinds(true, 600, 10, 0);
+    for (auto i = 0; i < 100; ++i) { // all of it ends
+        model.step();
+    }
+    REQUIRE(model.counts.certainPairs > 0);
+    return model;
+}
+
 /// Runs a drawn load of gangs, batches and urgent work of six images without interference.
 auto runDrawnLoad(bool usesLearning, std::uint64_t seed) -> ModelFleet
 {
@@ -237,29 +260,34 @@
 {
     for (const auto fillers : {8, 9}) { // 65 and 73 of 96 accelerators
         CAPTURE(fillers);
-        auto model = runTwoKinds(true, 600, 10, 0);
-        for (auto i = 0; i < 100; ++i) { // all of it ends
-
-            model.step();
-        }
-        REQUIRE(model.counts.certainPairs > 0);
-        const auto place = [&](const std::string &id, const std::string &image, PoolStep step) {
-            step.estimate = Millis{600'000};
-            const auto before = model.placed.size();
-            model.submit(id, "batch", image, step);
-            model.step();
-            REQUIRE(model.placed.size() == before + 1);
-            return model.placed.back().substr(model.placed.back().rfind(' ') + 1);
-        };
-        const auto ofB = place("b", "B", batchOf(1));
+        auto model = runUntilCertain();
+        const auto ofB = model.place("b", "batch", "B", batchOf(1));
         for (auto i = 0; i < fillers; ++i) {
-            place("filler" + std::to_string(i), "C", gangOf(1, 8));
+            model.place("filler" + std::to_string(i), "batch", "C", gangOf(1, 8));
         }
-        const auto ofA = place("a", "A", batchOf(1));
+        const auto ofA = model.place("a", "batch", "A", batchOf(1));
         CHECK((ofA == ofB) == (fillers == 9));
     }
 }
 
+// Guards against guaranteed work that is spread over many workers, on which no large shape of a guarantee fits any more.
+TEST_CASE("work within a guarantee is packed as without estimates")
+{
+    for (const auto guarantee : {0, 8}) {
+        CAPTURE(guarantee);
+        auto model = runUntilCertain();
+        auto rules = PoolRules{.version = {2}};
+        for (const auto &[name, priority] : {std::pair{"urgent", 0}, std::pair{"batch", 2}}) {
+            rules.queues[QueueId{name}] = {.id = QueueId{name}, .service = ServiceId{"s"}, .priority = priority, .stretch = 2.0};
+        }
+        rules.guaranteedAccelerators[WorkspaceId{"w"}] = guarantee;
+        model.fleet.core.setRules(rules);
+        const auto ofB = model.place("b", "batch", "B", batchOf(1));
+        const auto ofA = model.place("a", "urgent", "A", batchOf(1));
+        CHECK((ofA == ofB) == (guarantee > 0));
+    }
+}
+
 // Guards against preferences that go before what failed recently, before lost work, or before the choice of a rack.
 TEST_CASE("a preference decides only between workers of equal rank")
 {
