policy: under overload, work that can be in time goes before late work

Cause: groups of a priority go by their latest start. When more waits than can start in time, this serves work first that has missed its objective, until all work of the priority is late.

Change: within a priority and a guarantee, groups go by what a start can still achieve (in time, late, worthless), then by whether their workspace has had more than an equal part of the started work of the last 10 s, then by latest start. Worthless work goes by its wait. A gang keeps its position while it reserves. One group of a class that has waited for 60 s gets a turn at the head in 5 s (long_wait_turn). Without a late group the order is unchanged. GroupRank has the whole position; shares are kept while a search goes on over several passes. catkin_waiting_groups counts waiting groups by urgency.

--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -177,6 +177,7 @@
     GaugeFamily planSearches = gauge("plan_searches", "Times that the last pass looked for capacity on all workers");
     GaugeFamily openStarts = gauge("open_starts", "Start orders without an answer after the last pass");
     GaugeFamily deferredGroups = gauge("deferred_groups", "Groups of tasks that the last pass left to the next because of open start orders");
+    GaugeFamily waitingGroups = gauge("waiting_groups", "Groups of tasks that waited when the last pass began, by what a start can still achieve", {"urgency"});
     GaugeFamily slots = gauge("slots", "Slots of the failure domain by state", {"state"});
     GaugeFamily largestFree = gauge("largest_free_block_slots", "Largest block of adjacent free slots");
     GaugeFamily planner = gauge("planner", "1 while this instance plans a failure domain");
@@ -353,6 +354,9 @@
     m_families->planSearches.at({}).Set(pass.searches);
     m_families->openStarts.at({}).Set(pass.openStarts);
     m_families->deferredGroups.at({}).Set(pass.deferredGroups);
+    for (const auto it : {WaitUrgency::InTime, WaitUrgency::Late, WaitUrgency::Worthless}) {
+        m_families->waitingGroups.at({waitUrgencyName(it)}).Set(pass.waiting.at(static_cast<std::size_t>(it)));
+    }
 }
 
 auto Metrics::setSlots(SlotState state, SlotCount slots) -> void
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -11,6 +11,7 @@
 /// All functions are thread-safe. Give only names from the configuration as workspace and kind, never names that
 /// a caller sent unchecked: the number of series of a metric is bounded, and further names share the series "other".
 
+#include "policy/overloadorder.h"
 #include "util/ids.h"
 #include "util/units.h"
 
@@ -53,6 +54,7 @@
     int searches = 0; ///< times that it looked for capacity on all workers
     int openStarts = 0; ///< start orders without an answer
     int deferredGroups = 0; ///< groups left to the next pass because of too many open start orders
+    UrgencyCounts waiting{}; ///< waiting groups by urgency
 };
 
 class Metrics
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -506,8 +506,11 @@
     const auto decided = m_clock.mono();
     // Stop orders need no record: a new planner derives them from the states of the jobs.
     m_caller->send(std::move(effects.stops));
-    m_ports.metrics->setPlanningPass(
-        {.duration = decided - now, .searches = effects.searches, .openStarts = effects.openStarts, .deferredGroups = effects.deferredGroups});
+    m_ports.metrics->setPlanningPass({.duration = decided - now,
+                                      .searches = effects.searches,
+                                      .openStarts = effects.openStarts,
+                                      .deferredGroups = effects.deferredGroups,
+                                      .waiting = effects.waiting});
     countEffects(effects);
     for (const auto &it : effects.logEntries) {
         logEvent(LogLevel::Info, 6010, std::string("decision=") + it.decision + " " + it.text);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -36,6 +36,7 @@
 #include "policy/endreport.h"
 #include "policy/idlecapacity.h"
 #include "policy/leasebounds.h"
+#include "policy/overloadorder.h"
 #include "policy/pollschedule.h"
 #include "policy/poolfleet.h"
 #include "policy/pooljob.h"
@@ -95,6 +96,7 @@
     int searches = 0; ///< times that the pass looked for capacity on all workers
     int openStarts = 0; ///< start orders without an answer, those of the pass included
     int deferredGroups = 0; ///< groups that the pass left to the next one because of too many open start orders
+    UrgencyCounts waiting{}; ///< groups that waited when the pass began, by urgency
 };
 
 /// The next poll of a worker.
@@ -275,7 +277,7 @@
     /// Place of a group of tasks among those of its class; earlier ones are placed first.
     struct GroupRank
     {
-        MonoTime latestStart;
+        GroupPosition position;
         JobId job;
         int occurrence = 0;
         int step = 0;
@@ -398,6 +400,7 @@
     /// The first group of each class that the last planning pass left out for want of searches; the next one goes on from there.
     std::map<PriorityClass, GroupRank> m_searchResume;
     std::map<PriorityClass, MonoTime> m_searchLimitLogged; ///< when the log last had that searches were left out
+    OverloadOrder m_overload;
     IdleCapacity m_idleCapacity; ///< of the listed workers
     std::map<ServiceId, MonoTime> m_holdBegan; ///< since when reservations hold other groups of a service; see PoolPlacer::mayPass()
     std::set<JobId> m_unplaceable; ///< jobs that are set aside because no listed worker can take one of their steps
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -142,7 +142,17 @@
 
 auto PoolPlacer::rankOf(const TaskGroup &group) -> PoolCore::GroupRank
 {
-    return {.latestStart = group.latestStart, .job = group.job->job.id, .occurrence = group.occurrence, .step = group.step};
+    return {.position = group.position, .job = group.job->job.id, .occurrence = group.occurrence, .step = group.step};
+}
+
+auto PoolPlacer::idOf(const TaskGroup &group) -> TaskKey
+{
+    return {.job = group.job->job.id, .occurrence = group.occurrence, .step = group.step};
+}
+
+auto PoolPlacer::noteFilling(const TaskGroup &group) -> void
+{
+    m_core.m_overload.noteFilling(idOf(group), group.position, m_now);
 }
 
 auto PoolPlacer::isRuledOut(const TaskGroup &group, CapacityKind kind, Spread spread) const -> bool
@@ -245,6 +255,7 @@
     }
     group.readySince = readySince;
     group.latestStart = since + std::chrono::duration_cast<Micros>(slack);
+    group.objective = slack + chain;
     m_groups.push_back(std::move(group));
 }
 
@@ -339,9 +350,31 @@
 
 auto PoolPlacer::sortGroups() -> void
 {
+    auto ordered = std::vector<OrderedGroup>{};
+    ordered.reserve(m_groups.size());
+    for (const auto &it : m_groups) {
+        ordered.push_back(
+            {.id = idOf(it),
+             .workspace = it.job->job.workspace,
+             .priority = it.queue->priority,
+             .guaranteed = it.guaranteed,
+             .work = {.since = it.since, .objective = it.objective, .remaining = remainingChain(it.job->job, it.step), .lasting = spec(it).longRunning},
+             .latestStart = it.latestStart});
+    }
+    auto searching = std::set<int>{};
+    for (const auto &[priorityClass, rank] : m_core.m_searchResume) {
+        searching.insert(priorityClass.first);
+    }
+    const auto positions = m_core.m_overload.rank(ordered, searching, m_now);
+    for (auto &it : m_core.m_overload.takeLog()) {
+        m_core.logDecision(it.decision, std::move(it.text));
+    }
+    for (auto i = std::size_t{0}; i < m_groups.size(); ++i) {
+        m_groups[i].position = positions[i];
+    }
     const auto goesBefore = [](const TaskGroup &a, const TaskGroup &b) {
-        return std::tie(a.queue->priority, b.guaranteed, a.latestStart, a.job->job.id, a.occurrence, a.step)
-               < std::tie(b.queue->priority, a.guaranteed, b.latestStart, b.job->job.id, b.occurrence, b.step);
+        return std::tie(a.queue->priority, b.guaranteed, a.position, a.job->job.id, a.occurrence, a.step)
+               < std::tie(b.queue->priority, a.guaranteed, b.position, b.job->job.id, b.occurrence, b.step);
     };
     std::sort(m_groups.begin(), m_groups.end(), goesBefore);
 }
@@ -530,6 +563,10 @@
     auto &state = *group.job;
     auto &step = state.occurrences[static_cast<std::size_t>(group.occurrence)].steps[static_cast<std::size_t>(group.step)];
     const auto &wanted = spec(group);
+    if (!group.guaranteed) {
+        const auto part = static_cast<double>(tasks.size()) / static_cast<double>(group.tasks.size());
+        m_core.m_overload.noteStarted(state.job.workspace, group.queue->priority, workOf(group) * part, m_now);
+    }
     auto attempt = 0;
     for (const auto &it : step.tasks) {
         attempt = std::max(attempt, it.attempt + 1);
@@ -618,6 +655,7 @@
     for (const auto it : *chosen) {
         reserveOn(m_slots[soon[it].worker], spec(group).perTask);
     }
+    noteFilling(group);
     return true;
 }
 
@@ -682,6 +720,7 @@
         preemptOn(group, slot, spec(group).perTask);
         reserveOn(slot, spec(group).perTask);
     }
+    noteFilling(group);
     return true;
 }
 
@@ -701,6 +740,7 @@
         return;
     }
     m_blockedPriorities.insert(group.queue->priority);
+    noteFilling(group);
     auto slots = std::set<std::size_t>{};
     for (const auto it : *chosen) {
         auto &slot = m_slots[eventual[it].worker];
@@ -1026,6 +1066,7 @@
         keepHolds();
     }
     logDeferred(deferred);
+    effects.waiting = m_core.m_overload.waiting();
     effects.searches = m_searches;
     effects.openStarts = m_openStarts;
     effects.deferredGroups = static_cast<int>(deferred);
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -7,7 +7,8 @@
 /// @endcode
 ///
 /// Groups are placed by priority; within priority 0, those within their workspace's guarantee come first. Otherwise equal
-/// groups are placed by the latest time at which a start still meets the objective.
+/// groups are placed by the latest time at which a start still meets the objective; when more waits than can meet it, see
+/// overloadorder.h.
 ///
 /// A group of priority 0 that finds too little free capacity preempts work of lower priorities. Within a guarantee, it
 /// also preempts priority-0 work beyond a guarantee. Other groups wait. The first waiting group of each priority reserves
@@ -52,6 +53,8 @@
     MonoTime since; ///< when this planner first saw the job, or when the occurrence was due if that is later
     MonoTime readySince; ///< when the turn of its waiting tasks came, as far as this planner knows
     MonoTime latestStart; ///< a start until then still meets the objective if the caller's estimate is right
+    Micros objective{0}; ///< of its job, counted from since
+    GroupPosition position; ///< among groups of its priority and guarantee
 };
 
 class PoolPlacer
@@ -125,6 +128,8 @@
     auto ruleOut(const TaskGroup &group, CapacityKind kind, Spread spread) -> void;
     static auto classOf(const TaskGroup &group) -> PoolCore::PriorityClass;
     static auto rankOf(const TaskGroup &group) -> PoolCore::GroupRank;
+    static auto idOf(const TaskGroup &group) -> TaskKey;
+    auto noteFilling(const TaskGroup &group) -> void;
     /// Searches in vain of this pass for groups of the class of @p group.
     auto failedSearches(const TaskGroup &group) -> int &;
     auto isLeftOut(const TaskGroup &group) -> bool;
