--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -183,6 +183,7 @@
     GaugeFamily kindPairs = gauge("interference_pairs", "Pairs of kinds of tasks that were seen on one worker");
     GaugeFamily certainKindPairs = gauge("interference_certain_pairs", "Pairs of kinds of which one certainly slows the other down");
     GaugeFamily slowWorkers = gauge("slow_workers", "Workers that are certainly slower than the median");
+    GaugeFamily waitingGroups = gauge("waiting_groups", "Groups of tasks that waited when the last pass began, by what a start can still achieve", {"urgency"});
     GaugeFamily slots = gauge("slots", "Slots of the failure domain by state", {"state"});
     GaugeFamily largestFree = gauge("largest_free_block_slots", "Largest block of adjacent free slots");
     GaugeFamily planner = gauge("planner", "1 while this instance plans a failure domain");
@@ -369,6 +370,9 @@
     m_families->kindPairs.at({}).Set(static_cast<double>(pass.kindPairs));
     m_families->certainKindPairs.at({}).Set(static_cast<double>(pass.certainKindPairs));
     m_families->slowWorkers.at({}).Set(static_cast<double>(pass.slowWorkers));
+    for (const auto it : {WaitUrgency::InTime, WaitUrgency::Late, WaitUrgency::Worthless}) {
+        m_families->waitingGroups.at({waitUrgencyName(it)}).Set(pass.waiting.at(static_cast<std::size_t>(it)));
+    }
 }
 
 auto Metrics::setSlots(SlotState state, SlotCount slots) -> void
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -12,6 +12,7 @@
 /// a caller sent unchecked: the number of series of a metric is bounded, and further names share the series "other".
 
 #include "daemon/listenerlimits.h"
+#include "policy/overloadorder.h"
 #include "util/ids.h"
 #include "util/units.h"
 
@@ -58,6 +59,7 @@
     std::size_t kindPairs = 0; ///< pairs of kinds of tasks that were seen on one worker
     std::size_t certainKindPairs = 0; ///< those with a certain slowdown
     std::size_t slowWorkers = 0; ///< workers that are certainly slow
+    UrgencyCounts waiting{}; ///< waiting groups by urgency
 };
 
 class Metrics
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -559,7 +559,8 @@
                                       .deferredGroups = effects.deferredGroups,
                                       .kindPairs = effects.learning.pairs,
                                       .certainKindPairs = effects.learning.certainPairs,
-                                      .slowWorkers = effects.learning.slowWorkers});
+                                      .slowWorkers = effects.learning.slowWorkers,
+                                      .waiting = effects.waiting});
     countEffects(effects);
     for (const auto &it : effects.logEntries) {
         logEvent(LogLevel::Info, 6010, std::string("decision=") + it.decision + " " + it.text);
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -38,6 +38,7 @@
 #include "policy/evacuation.h"
 #include "policy/idlecapacity.h"
 #include "policy/leasebounds.h"
+#include "policy/overloadorder.h"
 #include "policy/pollschedule.h"
 #include "policy/poolfleet.h"
 #include "policy/pooljob.h"
@@ -101,6 +102,7 @@
     int openStarts = 0; ///< start orders without an answer, those of the pass included
     int deferredGroups = 0; ///< groups that the pass left to the next one because of too many open start orders
     LearningCounts learning;
+    UrgencyCounts waiting{}; ///< groups that waited when the pass began, by urgency
 };
 
 /// The next poll of a worker.
@@ -294,7 +296,7 @@
     /// Place of a group of tasks among those of its class; earlier ones are placed first.
     struct GroupRank
     {
-        MonoTime latestStart;
+        GroupPosition position;
         JobId job;
         int occurrence = 0;
         int step = 0;
@@ -432,6 +434,7 @@
     std::map<PriorityClass, GroupRank> m_searchResume;
     std::map<PriorityClass, MonoTime> m_searchLimitLogged; ///< when the log last had that searches were left out
     Evacuation m_evacuation;
+    OverloadOrder m_overload;
     IdleCapacity m_idleCapacity; ///< of the listed workers outside evacuated domains
     std::map<ServiceId, MonoTime> m_holdBegan; ///< since when reservations hold other groups of a service; see PoolPlacer::mayPass()
     std::set<JobId> m_unplaceable; ///< jobs that are set aside because no listed worker can take one of their steps
