policy: a stop with checkpoints loses the time to resume; stops and losses are counted by cause

Cause: a tenth of the work so far counted as the loss of a stop with checkpoints, so that old work whose progress is saved was dearer to preempt than young work that loses all. Nothing told how much work stops lose.

Change: policy/lostwork tells the loss: bounds.restore_ms with checkpoints (a tenth of the work, as before, where the setting is missing), all work of the attempt without. The work of an attempt that was taken over follows from its percent and speed. The stop report counts attempts and loss by cause; the lines of `stopping` have loss_core_s, and the metrics catkin_pool_stops_total{cause} and catkin_pool_lost_core_seconds_total{cause} are new. The work of a job that has ended counts as no loss.

The whole daemon_test and platform_test were not run on this change.

--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -171,6 +171,8 @@
     GaugeFamily jobsWaiting = gauge("jobs_waiting", "Jobs that wait", {"workspace"});
     GaugeFamily jobsRunning = gauge("jobs_running", "Jobs that run", {"workspace"});
     GaugeFamily workers = gauge("workers", "Workers of the failure domain by state", {"state"});
+    CounterFamily stops = counter("pool_stops_total", "Attempts that were asked to stop by cause", {"cause"});
+    CounterFamily lostWork = counter("pool_lost_core_seconds_total", "Work lost by stops in core-seconds by cause", {"cause"});
     GaugeFamily stopping = gauge("stopping_attempts", "Attempts that are to be stopped and may still run");
     GaugeFamily oldestStop = gauge("oldest_stop_seconds", "How long the first of them has been stopping");
     GaugeFamily planSeconds = gauge("plan_pass_seconds", "Duration of the last pass of the pool planner");
@@ -347,6 +349,12 @@
     m_families->oldestStop.at({}).Set(seconds(oldest));
 }
 
+auto Metrics::attemptsStopped(const std::string &cause, std::size_t count, double lostCoreSeconds) -> void
+{
+    m_families->stops.at({cause}).Increment(static_cast<double>(count));
+    m_families->lostWork.at({cause}).Increment(lostCoreSeconds);
+}
+
 auto Metrics::setPlanningPass(const PlanningPass &pass) -> void
 {
     m_families->planSeconds.at({}).Set(seconds(pass.duration));
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -96,6 +96,9 @@
     /// @param count attempts that are to be stopped and may still run
     /// @param oldest how long the first of them has been stopping
     auto setStoppingAttempts(std::size_t count, Micros oldest) -> void;
+    /// @param cause why attempts were asked to stop
+    /// @param lostCoreSeconds work that the stops lose; an accelerator counts as 8 cores
+    auto attemptsStopped(const std::string &cause, std::size_t count, double lostCoreSeconds) -> void;
     auto setPlanningPass(const PlanningPass &pass) -> void;
     auto setSlots(SlotState state, SlotCount slots) -> void;
     auto setLargestFreeBlock(SlotCount slots) -> void;
--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -361,6 +361,7 @@
         .pool = {.leaseDuration = settings.lease,
                  .heartbeat = settings.workerHeartbeat,
                  .stopGrace = settings.stopGrace,
+                 .restore = settings.restore,
                  .retention = settings.retention,
                  .gangTimeout = settings.gangTimeout,
                  .linkBytesPerSecond = static_cast<std::int64_t>(settings.linkMbps * bytesPerMegabit)},
--- a/packages/daemon/poolsettings.cpp
+++ b/packages/daemon/poolsettings.cpp
@@ -40,6 +40,7 @@
     out.add("record limit", std::to_string(inUse.recordBytes), std::to_string(read.recordBytes));
     out.add("lease", inUse.lease, read.lease);
     out.add("stop grace", inUse.stopGrace, read.stopGrace);
+    out.add("restore time", inUse.restore.value_or(Millis{0}), read.restore.value_or(Millis{0}));
     out.add("gang timeout", inUse.gangTimeout, read.gangTimeout);
     out.add("worker heartbeat", inUse.workerHeartbeat, read.workerHeartbeat);
     out.add("configuration apply", inUse.configApply, read.configApply);
--- a/packages/daemon/poolsettings.h
+++ b/packages/daemon/poolsettings.h
@@ -8,6 +8,7 @@
 #include "util/ids.h"
 #include "util/units.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
     std::size_t recordBytes = defaultRecordBytes; ///< longest record that the store takes, its key included
     Millis lease{10'000}; ///< longest time that a worker runs on without word from a planner
     Millis stopGrace{200}; ///< longest time that a stop of a task takes
+    std::optional<Millis> restore; ///< time to resume a task from its checkpoint; nothing: not known
     Millis gangTimeout{3'000}; ///< how long a started member of a gang waits for the others; above 0
     Millis workerHeartbeat{1'500}; ///< between two writes of a worker's entry in the store
     Millis configApply{2'500}; ///< time within which a configuration must be in force
--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -590,6 +590,9 @@
                                                                      : JobEvent::Started;
         m_ports.metrics->jobEvent(state->job.workspace, event);
     }
+    for (const auto &[cause, total] : effects.stopped) {
+        m_ports.metrics->attemptsStopped(stopReasonName(cause), static_cast<std::size_t>(total.attempts), total.lostCoreSeconds);
+    }
     const auto usable = std::count_if(
         m_core.workers().begin(), m_core.workers().end(), [](const auto &it) { return it.second.listed && it.second.answered && it.second.reachable; });
     m_ports.metrics->setWorkers(BackendState::Usable, static_cast<std::size_t>(usable));
--- a/packages/daemon/testing/metrics_test.cpp
+++ b/packages/daemon/testing/metrics_test.cpp
@@ -44,6 +44,7 @@
     metrics.setJobs(workspace, 1, 1);
     metrics.setWorkers(BackendState::Leaving, 1);
     metrics.setStoppingAttempts(1, Micros{1});
+    metrics.attemptsStopped("preempted", 1, 1.0);
     metrics.setPlanningPass({});
     metrics.setSlots(SlotState::Lost, SlotCount{1});
     metrics.logAppended(LogStream::Requests, AppendResult::Unknown, Micros{1});
@@ -66,12 +67,16 @@
     metrics.requestFinished(WorkspaceId{"call-centre"}, KindId{"route"}, MetricRequestResult::OutcomeUnknown, Millis{20});
     metrics.linkTraffic(MetricLinkClass::Payload, LinkDirection::Sent, Bytes{1500});
     metrics.setConfig(ConfigVersion{17}, Seconds{2});
+    metrics.attemptsStopped("preempted", 2, 6.5);
+    metrics.attemptsStopped("preempted", 1, 0.25);
     metrics.setSloTarget(WorkspaceId{"call-centre"}, KindId{"route"}, 99.5);
     const auto text = metrics.text();
     for (const auto *expected : {"catkin_requests_total{kind=\"route\",result=\"outcome_unknown\",workspace=\"call-centre\"} 1",
                                  "catkin_request_seconds_bucket{kind=\"route\",workspace=\"call-centre\",le=\"0.025\"} 1",
                                  "catkin_link_bytes_total{class=\"payload\",direction=\"sent\"} 1500",
                                  "catkin_config_version 17",
+                                 "catkin_pool_stops_total{cause=\"preempted\"} 3",
+                                 "catkin_pool_lost_core_seconds_total{cause=\"preempted\"} 6.75",
                                  "catkin_slo_target_ratio{kind=\"route\",workspace=\"call-centre\"} 0.995"}) {
         CHECK_MESSAGE(text.find(expected) != std::string::npos, expected << " is missing in\n" << text);
     }
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -428,6 +428,7 @@
         m_logEntries.push_back(std::move(it));
     }
     effects.logEntries = std::move(m_logEntries);
+    effects.stopped = std::exchange(m_stopReport.totals, {});
     for (const auto &[id, worker] : m_workers) {
         if (worker.processedCompletions > worker.recordedCompletions) {
             effects.completions[{.worker = id, .born = worker.info.born}] = worker.processedCompletions;
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -58,6 +58,7 @@
     Millis leaseDuration{10'000}; ///< how long a worker keeps running attempts after the last poll or start order of a planner
     Millis heartbeat{1'500}; ///< between two writes of a worker's entry
     Millis stopGrace{200}; ///< time that a worker has to stop an attempt
+    std::optional<Millis> restore; ///< time to resume an attempt from its checkpoint; nothing: not known
     Millis retention{120'000}; ///< a final job is forgotten after this time
     Millis gangTimeout{3'000}; ///< a member of a gang that has started waits so long for the others, and ends if they do not start
     int maxOpenStarts = 512; ///< start orders without an answer at which a planning pass places nothing more
@@ -93,6 +94,7 @@
     std::vector<PoolOrder> starts;
     std::map<WorkerLifetime, std::int64_t> completions; ///< highest number of the completions that the records of @c changed include
     std::vector<PoolLogEntry> logEntries;
+    std::map<StopReason, StopTotal> stopped; ///< attempts that were asked to stop since the last pass, by cause
     int searches = 0; ///< times that the pass looked for capacity on all workers
     int openStarts = 0; ///< start orders without an answer, those of the pass included
     int deferredGroups = 0; ///< groups that the pass left to the next one because of too many open start orders
@@ -374,6 +376,7 @@
     auto emitStart(PoolEffects &effects, const Worker &worker, const AttemptKey &key) -> void;
     auto logDecision(const char *decision, std::string text) -> void;
     static auto requestStop(Allocation &allocation, StopReason reason) -> void;
+    auto lossOf(const AttemptKey &key, const Allocation &allocation, MonoTime now) const -> double;
     auto logStops(MonoTime now) -> void;
     auto logStoppedJobs(MonoTime now) -> void;
     auto repeatStop(Allocation &allocation, MonoTime now) const -> void;
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -1,5 +1,6 @@
 #include "policy/poolplacer.h"
 
+#include "policy/lostwork.h"
 #include "util/printable.h"
 
 #include <algorithm>
@@ -15,11 +16,6 @@
 namespace
 {
 
-/// Weight of an accelerator, in cores, when amounts of work are compared.
-constexpr auto coresPerAccelerator = 8.0;
-constexpr auto millisPerCore = 1'000.0;
-/// Fraction of the work of a checkpointing task that is lost when it is stopped.
-constexpr auto checkpointedLoss = 0.1;
 /// A group of priority 0 that prefers one rack is spread over several after this time: it runs slower, but otherwise it might never
 /// start.
 constexpr auto urgentSpreadDelay = Millis{900};
@@ -68,11 +64,6 @@
     return std::chrono::duration<double>(span).count();
 }
 
-auto coresOf(const Resources &it) -> double
-{
-    return static_cast<double>(it.cpuMillis) / millisPerCore + coresPerAccelerator * static_cast<double>(it.accelerators);
-}
-
 auto criticalPath(const PoolJob &job) -> Millis
 {
     auto longest = std::vector<Millis>{};
@@ -383,22 +374,10 @@
 
 auto PoolPlacer::lossOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double
 {
-    const auto cores = coresOf(it.resources);
-    auto work = cores * seconds(m_now - it.placedAt);
+    const auto loss = m_core.lossOf(key, it, m_now);
     const auto *state = m_core.find(key.first.job);
-    if (state == nullptr) {
-        return work;
-    }
-    const auto &wanted = state->job.steps[static_cast<std::size_t>(key.first.step)];
-    if (const auto *task = m_core.findTask(key.first); task != nullptr && task->attempt == key.second && task->percent > 0) {
-        // An attempt taken over from an earlier planner started before placedAt; its progress then shows more work.
-        constexpr auto wholePercent = 100.0;
-        work = std::max(work, cores * seconds(wanted.estimate) * task->percent / wholePercent);
-    }
-    if (wanted.gang) {
-        work *= wanted.tasks; // the whole gang stops with the member
-    }
-    return wanted.checkpointing ? work * checkpointedLoss : work;
+    const auto *step = state == nullptr ? nullptr : &state->job.steps[static_cast<std::size_t>(key.first.step)];
+    return step != nullptr && step->gang ? loss * step->tasks : loss; // the whole gang stops with the member
 }
 
 auto PoolPlacer::remainingOf(const PoolCore::AttemptKey &key, const PoolCore::Allocation &it) const -> double
--- a/packages/policy/poolstops.cpp
+++ b/packages/policy/poolstops.cpp
@@ -1,3 +1,4 @@
+#include "policy/lostwork.h"
 #include "policy/poolcore.h"
 
 #include <algorithm>
@@ -247,13 +248,37 @@
     }
 }
 
+/// @return core-seconds that a stop of this attempt alone loses.
+auto PoolCore::lossOf(const AttemptKey &key, const Allocation &allocation, MonoTime now) const -> double
+{
+    auto stopped = StoppedAttempt{.resources = allocation.resources, .age = now - allocation.placedAt, .restore = m_options.restore};
+    const auto *state = find(key.first.job);
+    if (state == nullptr || !containsTask(*state, key.first)) {
+        return lostCoreSeconds(stopped);
+    }
+    const auto &spec = specOf(*state, key.first);
+    stopped.estimate = spec.estimate;
+    stopped.checkpointing = spec.checkpointing;
+    if (const auto &task = taskAt(*state, key.first); task.attempt == key.second) {
+        stopped.basePercent = task.basePercent;
+        stopped.percent = task.percent;
+        stopped.progressSpan = task.progressAt - task.baseAt;
+    }
+    return lostCoreSeconds(stopped);
+}
+
 auto PoolCore::logStops(MonoTime now) -> void
 {
     for (auto &[id, worker] : m_workers) {
         for (auto &[key, it] : worker.allocations) {
             if (it.stopping && it.stopRequestedAt == MonoTime{}) {
                 it.stopRequestedAt = now;
-                noteStop(m_stopReport.requested[{key.first.job, it.stopReason}], id, getsOrders(worker));
+                // Nobody needs the work of a job that has ended.
+                const auto loss = it.stopReason == StopReason::JobFinal ? 0.0 : lossOf(key, it, now);
+                noteStop(m_stopReport.requested[{key.first.job, it.stopReason}], id, getsOrders(worker), loss);
+                auto &total = m_stopReport.totals[it.stopReason];
+                ++total.attempts;
+                total.lostCoreSeconds += loss;
             }
         }
     }
--- a/packages/policy/stopreport.cpp
+++ b/packages/policy/stopreport.cpp
@@ -1,11 +1,21 @@
 #include "policy/stopreport.h"
 
+#include <cmath>
+
 namespace Catkin
 {
 
 namespace
 {
 
+/// @return the number with one digit after the point.
+auto tenths(double value) -> std::string
+{
+    constexpr auto parts = 10;
+    const auto n = std::llround(value * parts);
+    return std::to_string(n / parts) + "." + std::to_string(n % parts);
+}
+
 auto describe(const JobId &job, const StopCount &count) -> std::string
 {
     auto out = "job=" + job.str() + " attempts=" + std::to_string(count.attempts) + " first_worker=" + count.firstWorker.str();
@@ -71,20 +81,22 @@
     return "unknown";
 }
 
-auto noteStop(StopCount &count, const WorkerId &worker, bool reachable) -> void
+auto noteStop(StopCount &count, const WorkerId &worker, bool reachable, double lostCoreSeconds) -> void
 {
     if (count.attempts == 0) {
         count.firstWorker = worker;
     }
     ++count.attempts;
     count.unreachable += reachable ? 0 : 1;
+    count.lostCoreSeconds += lostCoreSeconds;
 }
 
 auto takeStopEntries(StopReport &report) -> std::vector<PoolLogEntry>
 {
     auto out = std::vector<PoolLogEntry>{};
     for (const auto &[key, count] : std::exchange(report.requested, {})) {
-        out.push_back({.decision = "stopping", .text = describe(key.first, count) + " reason=" + stopReasonName(key.second)});
+        out.push_back({.decision = "stopping",
+                       .text = describe(key.first, count) + " loss_core_s=" + tenths(count.lostCoreSeconds) + " reason=" + stopReasonName(key.second)});
     }
     for (const auto &[key, count] : std::exchange(report.answered, {})) {
         const auto accepted = key.second == OrderOutcome::Accepted;
--- a/packages/policy/stopreport.h
+++ b/packages/policy/stopreport.h
@@ -39,12 +39,21 @@
     int attempts = 0;
     int unreachable = 0; ///< of them, those on workers that get no orders at present
     WorkerId firstWorker;
+    double lostCoreSeconds = 0.0;
+};
+
+/// Attempts that were asked to stop for one cause.
+struct StopTotal
+{
+    int attempts = 0;
+    double lostCoreSeconds = 0.0;
 };
 
 struct StopReport
 {
     std::map<std::pair<JobId, StopReason>, StopCount> requested;
     std::map<std::pair<JobId, OrderOutcome>, StopCount> answered;
+    std::map<StopReason, StopTotal> totals; ///< by cause, for metrics; not part of the lines
 };
 
 /// @return the word for @p reason in log lines.
@@ -55,9 +64,10 @@
 
 /// Adds one attempt.
 /// @param reachable whether its worker gets orders at present
-auto noteStop(StopCount &count, const WorkerId &worker, bool reachable) -> void;
+/// @param lostCoreSeconds what the stop loses
+auto noteStop(StopCount &count, const WorkerId &worker, bool reachable, double lostCoreSeconds = 0.0) -> void;
 
-/// @return the lines of @p report, which is empty afterwards.
+/// @return the lines of @p report, which has only its totals afterwards.
 auto takeStopEntries(StopReport &report) -> std::vector<PoolLogEntry>;
 
 }
