--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -172,6 +172,8 @@
     GaugeFamily jobsWaiting = gauge("jobs_waiting", "Jobs that wait", {"workspace"});
     GaugeFamily jobsRunning = gauge("jobs_running", "Jobs that run", {"workspace"});
     GaugeFamily workers = gauge("workers", "Workers of the failure domain by state", {"state"});
+    CounterFamily stops = counter("pool_stops_total", "Attempts that were asked to stop by cause", {"cause"});
+    CounterFamily lostWork = counter("pool_lost_core_seconds_total", "Work lost by stops in core-seconds by cause", {"cause"});
     GaugeFamily stopping = gauge("stopping_attempts", "Attempts that are to be stopped and may still run");
     GaugeFamily evacuated = gauge("evacuated", "Whether the failure domain is evacuated; on the leader", {"domain"});
     GaugeFamily evacuatedAttempts = gauge("evacuated_attempts", "Attempts that still run, or may run, in an evacuated failure domain", {"domain"});
@@ -361,6 +363,12 @@
     m_families->evacuatedAttempts.at({domain.str()}).Set(static_cast<double>(attempts));
 }
 
+auto Metrics::attemptsStopped(const std::string &cause, std::size_t count, double lostCoreSeconds) -> void
+{
+    m_families->stops.at({cause}).Increment(static_cast<double>(count));
+    m_families->lostWork.at({cause}).Increment(lostCoreSeconds);
+}
+
 auto Metrics::setPlanningPass(const PlanningPass &pass) -> void
 {
     m_families->planSeconds.at({}).Set(seconds(pass.duration));
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -105,6 +105,9 @@
     auto setStoppingAttempts(std::size_t count, Micros oldest) -> void;
     /// @param attempts that still run, or may run, there
     auto setEvacuation(const FailureDomainId &domain, bool evacuated, std::size_t attempts) -> void;
+    /// @param cause why attempts were asked to stop
+    /// @param lostCoreSeconds work that the stops lose; an accelerator counts as 8 cores
+    auto attemptsStopped(const std::string &cause, std::size_t count, double lostCoreSeconds) -> void;
     auto setPlanningPass(const PlanningPass &pass) -> void;
     auto setSlots(SlotState state, SlotCount slots) -> void;
     auto setLargestFreeBlock(SlotCount slots) -> void;
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -435,6 +435,7 @@
     }
     effects.logEntries = std::move(m_logEntries);
     effects.learning = countsOf(m_learning);
+    effects.stopped = std::exchange(m_stopReport.totals, {});
     for (const auto &[id, worker] : m_workers) {
         if (worker.processedCompletions > worker.recordedCompletions) {
             effects.completions[{.worker = id, .born = worker.info.born}] = worker.processedCompletions;
