policy: guarantees hold for tasks of several accelerators

Cause: a guarantee is a number of accelerators, and guaranteed work is not preempted.

Change: where unused guarantees need the whole workers that are left, a guaranteed group is placed beside other guaranteed work; lasting work also preempts lower priorities there, or waits there for up to 1 s. A guaranteed group that finds no room, also by preemption, has guaranteed work moved: the least loss first, whole gangs, only where all of it finds room elsewhere, once in a pass (moved_for_shape). The group for which work moves goes first among guaranteed groups until it starts.

--- a/packages/policy/overloadorder.cpp
+++ b/packages/policy/overloadorder.cpp
@@ -193,6 +193,7 @@
         if (filling != m_filling.end() || hasTurn) {
             position.urgency = hasTurn ? WaitUrgency::InTime : std::min(position.urgency, filling->second.urgency);
             position.time = position.urgency == WaitUrgency::Worthless ? it.work.since : it.latestStart;
+            position.time = filling != m_filling.end() && filling->second.goesFirst ? MonoTime::min() : position.time;
             continue;
         }
         // Worthless work runs in the order of its wait, and a guarantee knows no shares.
@@ -203,7 +204,13 @@
 
 auto OverloadOrder::noteFilling(const TaskKey &group, const GroupPosition &position, MonoTime now) -> void
 {
-    m_filling[group] = {.urgency = position.urgency, .lastSeen = now};
+    const auto goesFirst = position.time == MonoTime::min();
+    m_filling[group] = {.urgency = position.urgency, .goesFirst = goesFirst, .lastSeen = now};
+}
+
+auto OverloadOrder::noteFirst(const TaskKey &group, MonoTime now) -> void
+{
+    m_filling[group] = {.goesFirst = true, .lastSeen = now};
 }
 
 auto OverloadOrder::waiting() const -> const UrgencyCounts &
--- a/packages/policy/overloadorder.h
+++ b/packages/policy/overloadorder.h
@@ -88,6 +88,9 @@
     /// Reports that capacity is being freed or kept for a group, which therefore keeps its position.
     auto noteFilling(const TaskKey &group, const GroupPosition &position, MonoTime now) -> void;
 
+    /// Reports that other work is stopped for a group, which goes first in its class until it has started.
+    auto noteFirst(const TaskKey &group, MonoTime now) -> void;
+
     /// @return what has happened since the last call, for the log.
     auto takeLog() -> std::vector<PoolLogEntry>;
     /// @return waiting groups by their own urgency, as of the last rank().
@@ -106,6 +109,7 @@
     struct Filling
     {
         WaitUrgency urgency = WaitUrgency::InTime;
+        bool goesFirst = false; ///< see noteFirst()
         MonoTime lastSeen;
     };
     /// The turn of a group that has waited for long.
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -30,6 +30,7 @@
 
 #include "policy/poolcore.h"
 #include "policy/poolplacement.h"
+#include "policy/shapeguarantee.h"
 
 #include <map>
 #include <optional>
@@ -99,6 +100,7 @@
         Resources freeSoon;
         Resources idle; ///< free capacity before reservations
         Resources held; ///< reserved by reserveCapacity()
+        std::int64_t guaranteed = 0; ///< accelerators of guaranteed work that runs here or is to start here
         bool usable = false;
         std::size_t rack = 0; ///< index of the worker's rack in this pass
         mutable std::optional<std::vector<Victim>> attempts; ///< those of known jobs, the smallest loss first; made when it is first needed
@@ -157,6 +159,13 @@
     auto isDelayOver(const TaskGroup &group) -> bool;
     auto reserveFreeSoon(const TaskGroup &group, Spread spread) -> bool;
     auto preempt(const TaskGroup &group, Spread spread) -> bool;
+    auto unusedGuarantees() -> std::map<WorkspaceId, std::int64_t> &;
+    auto needsWholeWorkers(const TaskGroup &group) -> bool;
+    auto isWhole(const Slot &slot, const ServiceId &service) const -> bool;
+    auto placeTogether(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool;
+    auto moveForShape(const TaskGroup &group) -> bool;
+    auto stopForMove(const TaskGroup &group, const PoolCore::AttemptKey &key, double loss) -> void;
+    auto canRunOn(const Slot &slot, const PoolJobState &state, int step) const -> bool;
     auto addFreeSoon(const WorkerId &worker, const PoolCore::AttemptKey &key) -> void;
     auto preemptOn(const TaskGroup &group, Slot &slot, const Resources &need) -> void;
     auto victimsOn(const TaskGroup &group, const Slot &slot) const -> std::vector<Victim>;
@@ -200,6 +209,11 @@
     int m_heldLines = 0; ///< lines of logHeld() in this pass
     std::int64_t m_freeAccelerators = 0;
     int m_openStarts = 0; ///< start orders without an answer, those of this pass included
+    std::map<ServiceId, std::int64_t> m_wholeWorker; ///< most accelerators of a worker of each service
+    std::optional<std::map<WorkspaceId, std::int64_t>> m_unusedGuarantees; ///< made when it is first needed
+    bool m_keepsWholeWorkers = false; ///< candidates() leaves out workers that no guaranteed work uses
+    int m_moveSearches = 0; ///< calls of moveForShape() that looked for work to move
+    bool m_movedForShape = false; ///< the pass has moved guaranteed work
     mutable int m_searches = 0; ///< calls of candidates()
     std::int64_t m_urgentReserve = 0; ///< accelerators kept free of work of lower priorities
 };
--- a/packages/policy/stopreport.cpp
+++ b/packages/policy/stopreport.cpp
@@ -28,6 +28,8 @@
         return "gang_incomplete";
     case StopReason::Preempted:
         return "preempted";
+    case StopReason::MovedForShape:
+        return "moved_for_shape";
     case StopReason::NoProgress:
         return "no_progress";
     case StopReason::NotListed:
--- a/packages/policy/stopreport.h
+++ b/packages/policy/stopreport.h
@@ -25,6 +25,7 @@
     GangBroken, ///< another member of its gang is over
     GangIncomplete, ///< other members of its gang could not be started in time
     Preempted,
+    MovedForShape, ///< to start again elsewhere: another guaranteed task needs its worker
     NoProgress,
     NotListed, ///< its worker accepted the start order and does not list the attempt
     NotRecorded, ///< its worker lists the attempt, and the task is elsewhere, done, or of a job that has been forgotten
--- a/packages/policy/testing/overloadfleet.cpp
+++ b/packages/policy/testing/overloadfleet.cpp
@@ -163,6 +163,35 @@
     return static_cast<int>(m_jobs.size() - m_ended.size());
 }
 
+auto OverloadFleet::now() const -> MonoTime
+{
+    return m_now;
+}
+
+auto OverloadFleet::runningAccelerators(const WorkspaceId &workspace) const -> std::int64_t
+{
+    auto sum = std::int64_t{0};
+    for (const auto &[worker, running] : m_running) {
+        for (const auto &[task, state] : running) {
+            const auto &job = core.find(task.job)->job;
+            sum += job.workspace == workspace ? job.steps[static_cast<std::size_t>(task.step)].perTask.accelerators : 0;
+        }
+    }
+    return sum;
+}
+
+auto OverloadFleet::workersOf(const WorkspaceId &workspace) const -> int
+{
+    return static_cast<int>(std::count_if(m_running.begin(), m_running.end(), [&](const auto &worker) {
+        return std::any_of(worker.second.begin(), worker.second.end(), [&](const auto &it) { return core.find(it.first.job)->job.workspace == workspace; });
+    }));
+}
+
+auto OverloadFleet::logged(const std::string &decision) const -> int
+{
+    return static_cast<int>(std::count_if(log.begin(), log.end(), [&](const PoolLogEntry &it) { return it.decision == decision; }));
+}
+
 auto OverloadFleet::startedAt(const JobId &id) const -> MonoTime
 {
     const auto found = m_started.find(id);
--- a/packages/policy/testing/overloadfleet.h
+++ b/packages/policy/testing/overloadfleet.h
@@ -44,6 +44,13 @@
     [[nodiscard]] auto unfinished() const -> int;
     [[nodiscard]] auto tally() const -> std::map<std::string, ServedJobs>;
     [[nodiscard]] auto startedAt(const JobId &id) const -> MonoTime;
+    [[nodiscard]] auto now() const -> MonoTime;
+    /// @return accelerators that run tasks of a workspace.
+    [[nodiscard]] auto runningAccelerators(const WorkspaceId &workspace) const -> std::int64_t;
+    /// @return workers that run tasks of a workspace.
+    [[nodiscard]] auto workersOf(const WorkspaceId &workspace) const -> int;
+    /// @return lines of a decision in the log.
+    [[nodiscard]] auto logged(const std::string &decision) const -> int;
 
     PoolCore core;
     PoolRules rules;
