daemon: a refused caller that reads late gets its answer

Cause: system_console_test sends a body of 5 MiB to a listener with a limit of 4 MiB and reads afterwards. The refusal was lost, because the connection was closed after 256 KiB had been dropped.

Change: up to twice the longest body is dropped after a refusal, for up to 1 s; eventlistener_test has the case.

Measured: system_console_test failed before and passes, 2 cases; listener tests of daemon_test pass, 16 cases; misbehaving_callers_test passes, 200 checks in 110 s.

--- a/packages/daemon/eventlistener.cpp
+++ b/packages/daemon/eventlistener.cpp
@@ -53,9 +53,10 @@
 constexpr auto acceptPause = Millis{50};
 /// An unfinished request younger than this is closed last: most requests arrive whole within it.
 constexpr auto youngRequest = Millis{500};
-/// What a refused caller still sends is read for this long and up to this many bytes, because closing a socket with unread bytes discards the answer.
-constexpr auto lingerTime = Millis{500};
-constexpr auto maxLinger = std::size_t{256} << 10U;
+/// What a refused caller still sends is read and dropped for this long, because closing a socket with unread bytes discards the answer.
+constexpr auto lingerTime = Millis{1'000};
+/// At most so many bytes are dropped, or twice the longest body: callers that are not far over the limit read the answer only when they have sent everything.
+constexpr auto leastLinger = std::size_t{256} << 10U;
 /// The library that served plain HTTP before refused longer forms, except those that a handler decodes itself.
 constexpr auto maxDecodedForm = std::size_t{8} << 10U;
 constexpr auto closeLogPeriod = Millis{1'000};
@@ -397,7 +398,7 @@
     }
     if (it->stage == Stage::Lingering) {
         it->lingered += static_cast<std::size_t>(n);
-        if (it->lingered > maxLinger) {
+        if (it->lingered > std::max(leastLinger, 2 * options.maxBody)) {
             close(it, std::nullopt);
         } else {
             waitReadable(it);
--- a/packages/daemon/testing/eventlistener_test.cpp
+++ b/packages/daemon/testing/eventlistener_test.cpp
@@ -207,6 +207,15 @@
     CHECK(site.closedBy(cause));
 }
 
+// Guards against a caller who loses the refusal because it sends its whole body, not far over the limit, before it reads.
+TEST_CASE("a caller that reads after it has sent a body over the limit gets the refusal")
+{
+    auto site = Site{{.maxBody = 1'000'000}};
+    auto client = Client{site.port};
+    client.say("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 1500000\r\n\r\n" + std::string(1'500'000, 'x'));
+    CHECK(contains(client.readToEnd(), "HTTP/1.1 413"));
+}
+
 // Guards against callers that keep a connection by a byte now and then.
 TEST_CASE("callers that are too slow are refused or closed")
 {
