policy: the random departures check that stops before departures occur

Cause: the case passed without stopLeaving() as well. Change: simulations count stops by cause, and the case needs some.

--- a/packages/policy/testing/poolcore_departures_test.cpp
+++ b/packages/policy/testing/poolcore_departures_test.cpp
@@ -271,6 +271,7 @@
 // that never end.
 TEST_CASE("random jobs finish while workers announce that they leave")
 {
+    auto stops = 0;
     for (auto seed = std::uint64_t{1}; seed <= 12; ++seed) {
         CAPTURE(seed);
         auto simulation
@@ -295,6 +296,7 @@
             simulation.run(Millis{(i + 1) * 500});
         }
         simulation.run(Millis{120'000});
+        stops += simulation.stopsFor(StopReason::WorkerLeaving);
         CHECK(simulation.violations().empty());
         CHECK(simulation.failedWithoutCause().empty());
         for (const auto &it : simulation.core().jobs()) {
@@ -302,4 +304,5 @@
             CHECK(isFinal(it.second.phase));
         }
     }
+    CHECK(stops > 0);
 }
--- a/packages/policy/testing/poolsimulation.cpp
+++ b/packages/policy/testing/poolsimulation.cpp
@@ -160,6 +160,12 @@
     return m_now;
 }
 
+auto PoolSimulation::stopsFor(StopReason cause) const -> int
+{
+    const auto it = m_stops.find(cause);
+    return it == m_stops.end() ? 0 : it->second;
+}
+
 auto PoolSimulation::startedAt(const JobId &id) const -> std::optional<MonoTime>
 {
     const auto it = m_startedAt.find(id);
@@ -408,6 +414,9 @@
         return;
     }
     auto effects = m_core.plan(m_now, WallTime{std::chrono::duration_cast<Millis>(m_now.time_since_epoch())});
+    for (const auto &[cause, total] : effects.stopped) {
+        m_stops[cause] += total.attempts;
+    }
     auto records = recordsOf(effects);
     const auto lost = isLostBetweenSteps(effects);
     const auto isStored = !lost || chance(50);
--- a/packages/policy/testing/poolsimulation.h
+++ b/packages/policy/testing/poolsimulation.h
@@ -110,6 +110,8 @@
     /// @return jobs that have failed although none of their tasks or gangs failed as often as the queue allows.
     [[nodiscard]] auto failedWithoutCause() const -> std::string;
     [[nodiscard]] auto now() const -> MonoTime;
+    /// @return attempts that planners asked to stop for this cause.
+    [[nodiscard]] auto stopsFor(StopReason cause) const -> int;
     /// @return when the first task of a job started, or nothing.
     [[nodiscard]] auto startedAt(const JobId &id) const -> std::optional<MonoTime>;
 
@@ -238,6 +240,7 @@
     std::map<JobId, MonoTime> m_startedAt;
     std::map<TaskKey, std::set<int>> m_failures; ///< failed attempts of a task, or of a gang under its first task
     std::vector<std::string> m_violations;
+    std::map<StopReason, int> m_stops;
     std::vector<MonoTime> m_takeovers;
     std::vector<MonoTime> m_takeoversBetweenSteps; ///< earliest time of each
     MonoTime m_tookOverAt{Seconds{1'000}}; ///< when the planner in office began
