metrics: catkin_listener_closed_total is exported at zero and counts the product's own listeners

Cause: system_metrics_test fails for a documented metric that does not appear before the first closed connection, and the plain HTTP listeners of the product's own interface have the same limits without a count.

Change: every listener and cause is exported from the start; label listener has operators too.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -192,6 +192,8 @@
           .keepAlive = given.limits.keepAlive,
           .tls = callerTls,
           .handshakeFailed = [this](const Error &error) { handshakeFailed(TlsListener::Callers, error); },
+          .name = "callers",
+          .closed = [this](ListenerClose cause) { telemetry.listenerClosed(ListenerKind::Callers, cause); },
       })
     , operators({
           .address = given.listeners.operators,
@@ -201,6 +203,8 @@
           .keepAlive = given.limits.keepAlive,
           .tls = operatorTls,
           .handshakeFailed = [this](const Error &error) { handshakeFailed(TlsListener::Operators, error); },
+          .name = "operators",
+          .closed = [this](ListenerClose cause) { telemetry.listenerClosed(ListenerKind::Operators, cause); },
       })
 {
     planners = std::make_unique<PlannerService>(plannerContext(),
--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -43,7 +43,7 @@
 constexpr auto appendResults = std::array{"ok", "not_sent", "unknown"};
 constexpr auto linkClasses = std::array{"control", "payload"};
 constexpr auto tlsListeners = std::array{"callers", "operators"};
-constexpr auto poolListeners = std::array{"callers", "readiness", "metrics", "peers"};
+constexpr auto listenerKinds = std::array{"callers", "operators", "readiness", "metrics", "peers"};
 constexpr auto directions = std::array{"sent", "received"};
 constexpr auto configResults = std::array{"accepted", "rejected", "conflict", "not_applied", "unknown"};
 constexpr auto urgencies = std::array{"urgent", "normal", "batch"};
@@ -231,6 +231,11 @@
     for (const auto *it : tlsListeners) {
         families.tlsFailed.at({it});
     }
+    for (const auto *listener : listenerKinds) {
+        for (const auto *cause : listenerCloseNames) {
+            families.listenerClosed.at({listener, cause});
+        }
+    }
     for (const auto *stream : streams) {
         families.appendSeconds.at({stream});
         families.recordsRead.at({stream});
@@ -429,9 +434,9 @@
     m_families->tlsFailed.at({nameOf(tlsListeners, listener)}).Increment();
 }
 
-auto Metrics::listenerClosed(PoolListener listener, ListenerClose cause) -> void
+auto Metrics::listenerClosed(ListenerKind listener, ListenerClose cause) -> void
 {
-    m_families->listenerClosed.at({nameOf(poolListeners, listener), nameOf(listenerCloseNames, cause)}).Increment();
+    m_families->listenerClosed.at({nameOf(listenerKinds, listener), nameOf(listenerCloseNames, cause)}).Increment();
 }
 
 auto Metrics::setFreshPeers(std::size_t count) -> void
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -33,7 +33,7 @@
 enum class AppendResult { Ok, NotSent, Unknown };
 enum class MetricLinkClass { Control, Payload };
 enum class TlsListener { Callers, Operators };
-enum class PoolListener { Callers, Readiness, Metrics, Peers };
+enum class ListenerKind { Callers, Operators, Readiness, Metrics, Peers };
 enum class LinkDirection { Sent, Received };
 enum class ConfigResult { Accepted, Rejected, Conflict, NotApplied, Unknown };
 enum class JobUrgency { Urgent, Normal, Batch };
@@ -122,7 +122,7 @@
     auto peerFramesRejected(bool cut, std::uint64_t count) -> void;
     auto setPreviousKeyLinks(std::uint64_t count) -> void;
     auto tlsHandshakeFailed(TlsListener listener) -> void;
-    auto listenerClosed(PoolListener listener, ListenerClose cause) -> void;
+    auto listenerClosed(ListenerKind listener, ListenerClose cause) -> void;
     auto setFreshPeers(std::size_t count) -> void;
     auto setReady(bool ready) -> void;
     auto setDraining(bool draining) -> void;
--- a/packages/daemon/telemetry.cpp
+++ b/packages/daemon/telemetry.cpp
@@ -450,6 +450,11 @@
     m_metrics.tlsHandshakeFailed(listener);
 }
 
+auto Telemetry::listenerClosed(ListenerKind listener, ListenerClose cause) -> void
+{
+    m_metrics.listenerClosed(listener, cause);
+}
+
 auto Telemetry::scrapePeers(const TelemetrySources &sources) -> void
 {
     const auto counters = sources.mesh->counters();
--- a/packages/daemon/telemetry.h
+++ b/packages/daemon/telemetry.h
@@ -72,6 +72,7 @@
     auto jobPreempted(const Job &job) -> void;
     auto placementDecided(Micros took) -> void;
     auto tlsHandshakeFailed(TlsListener listener) -> void;
+    auto listenerClosed(ListenerKind listener, ListenerClose cause) -> void;
     /// @}
 
     /// @return the state of every objective.
--- a/packages/daemon/testing/metrics_test.cpp
+++ b/packages/daemon/testing/metrics_test.cpp
@@ -54,7 +54,7 @@
     metrics.linkRefused(MetricLinkClass::Payload);
     metrics.peerFramesRejected(true, 1);
     metrics.tlsHandshakeFailed(TlsListener::Operators);
-    metrics.listenerClosed(PoolListener::Callers, ListenerClose::SlowBody);
+    metrics.listenerClosed(ListenerKind::Callers, ListenerClose::SlowBody);
     metrics.sloObserved(workspace, kind, true);
     metrics.setSloTarget(workspace, kind, 99);
 }
