node: starts go on as soon as the store is back after an outage

Cause: with bounds.evacuate_ms, starts were suspended when the last answered read of the operators' log was 4 s old.

Change: half of bounds.max_stretch_ms is added to the limit, as for the configuration. Rules on evacuations stretch so far while the store turns instances away, and do not hold while it is down.

--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -47,6 +47,13 @@
     return std::hash<std::string>{}(instance.str()) % jobLogs.size();
 }
 
+/// While the store turns instances away, reads go through others, and operators allow half of the stretch more. Without it, starts would stay
+/// suspended for seconds after an outage of the store, until a read that has had no answer times out.
+auto evacuateBound(const PoolSettings &settings) -> std::optional<Millis>
+{
+    return settings.evacuate ? std::optional{*settings.evacuate + settings.configStretch / 2} : std::nullopt;
+}
+
 auto seedOf(const InstanceId &instance, const Clock &clock) -> Random
 {
     return Random{std::hash<std::string>{}(instance.str()) ^ static_cast<std::uint64_t>(clock.wall().time_since_epoch().count())};
@@ -404,7 +411,7 @@
                  .linkBytesPerSecond = static_cast<std::int64_t>(settings.linkMbps * bytesPerMegabit)},
         .workerHeartbeat = settings.workerHeartbeat,
         .recordBytes = settings.recordBytes,
-        .evacuateBound = settings.evacuate,
+        .evacuateBound = evacuateBound(settings),
         .leaseEnds = std::move(leaseEnds),
     };
     auto fresh = std::make_shared<PoolTerm>(options, ports, clock, view, termHooks());
