policy: the loss of a stop includes the time for which the capacity is held while the task stops

Cause: with checkpoints and bounds.restore_ms of 100 ms (ravmc), a gang of 13 tasks cost next to nothing to preempt, also for an urgent job of one task. The time to stop, up to 900 ms there, was not counted, although its capacity does no work meanwhile.

Change: the stop grace counts for every attempt.

--- a/packages/policy/lostwork.cpp
+++ b/packages/policy/lostwork.cpp
@@ -43,12 +43,9 @@
 
 auto lostCoreSeconds(const StoppedAttempt &it) -> double
 {
-    const auto cores = coresOf(it.resources);
-    if (it.checkpointing && it.restore) {
-        return cores * seconds(*it.restore);
-    }
-    const auto work = cores * workedSeconds(it);
-    return it.checkpointing ? work * checkpointedLoss : work;
+    const auto worked = workedSeconds(it);
+    const auto saved = it.restore ? seconds(*it.restore) : worked * checkpointedLoss;
+    return coresOf(it.resources) * (seconds(it.stopGrace) + (it.checkpointing ? saved : worked));
 }
 
 }
--- a/packages/policy/lostwork.h
+++ b/packages/policy/lostwork.h
@@ -26,13 +26,14 @@
     int percent = -1; ///< last listed progress; -1: none
     Micros progressSpan{0}; ///< in which the progress came from basePercent to percent
     bool checkpointing = false;
+    Millis stopGrace{0}; ///< for which the attempt holds its capacity without progress while it stops
     std::optional<Millis> restore; ///< time to resume from a checkpoint; nothing: not known
 };
 
 /// @return the amount in cores, with an accelerator as several of them.
 auto coresOf(const Resources &it) -> double;
 
-/// @return the time to resume with checkpoints, all work of the attempt without, times the cores that it uses.
+/// @return the time to stop, and the time to resume with checkpoints or all work of the attempt without, times the cores that it uses.
 auto lostCoreSeconds(const StoppedAttempt &it) -> double;
 
 }
--- a/packages/policy/poolstops.cpp
+++ b/packages/policy/poolstops.cpp
@@ -252,7 +252,8 @@
 /// @return core-seconds that a stop of this attempt alone loses.
 auto PoolCore::lossOf(const AttemptKey &key, const Allocation &allocation, MonoTime now) const -> double
 {
-    auto stopped = StoppedAttempt{.resources = allocation.resources, .age = now - allocation.placedAt, .restore = m_options.restore};
+    auto stopped
+        = StoppedAttempt{.resources = allocation.resources, .age = now - allocation.placedAt, .stopGrace = m_options.stopGrace, .restore = m_options.restore};
     const auto *state = find(key.first.job);
     if (state == nullptr || !containsTask(*state, key.first)) {
         return lostCoreSeconds(stopped);
--- a/packages/policy/testing/lostwork_test.cpp
+++ b/packages/policy/testing/lostwork_test.cpp
@@ -93,6 +93,8 @@
     CHECK(lostCoreSeconds(it) == doctest::Approx(6.0));
     it.restore.reset(); // as before the time was a setting
     CHECK(lostCoreSeconds(it) == doctest::Approx(30.0));
+    it.stopGrace = Millis{900}; // the capacity is in use for nothing while the attempt stops
+    CHECK(lostCoreSeconds(it) == doctest::Approx(39.0));
 }
 
 // Load: estimates that are off by up to 90%, and planners that follow each other. Guards against work that counts by its estimate although lists
@@ -120,11 +122,11 @@
     CHECK(effects.stops[0].attempt == 1);
     REQUIRE(effects.stopped.contains(StopReason::Preempted));
     CHECK(effects.stopped.at(StopReason::Preempted).attempts == 1);
-    CHECK(effects.stopped.at(StopReason::Preempted).lostCoreSeconds == doctest::Approx(6.5));
+    CHECK(effects.stopped.at(StopReason::Preempted).lostCoreSeconds == doctest::Approx(19.5));
     const auto line
         = std::find_if(effects.logEntries.begin(), effects.logEntries.end(), [](const PoolLogEntry &it) { return it.decision == std::string("stopping"); });
     REQUIRE(line != effects.logEntries.end());
-    CHECK(line->text.find(" loss_core_s=6.5") != std::string::npos);
+    CHECK(line->text.find(" loss_core_s=19.5") != std::string::npos);
     pool.now += Millis{20};
     CHECK(pool.plan().stopped.empty());
 }
