--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -586,6 +586,7 @@
 auto Daemon::Impl::metricsText() -> std::string
 {
     return telemetry.scrape({
+        .domain = settings.domain,
         .requests = &requests,
         .jobs = &jobs,
         .config = &config,
--- a/packages/daemon/telemetry.cpp
+++ b/packages/daemon/telemetry.cpp
@@ -404,7 +404,6 @@
         }
     }
     for (const auto &domain : planned) {
-        m_metrics.setEvacuation(domain.domain, false, 0); // only the pool scheduler knows evacuations
         for (const auto &it : sources.jobs->liveIn(domain.domain)) {
             auto &[waiting, running] = jobs[it.spec.workspace];
             ++(it.state == JobState::Queued ? waiting : running);
@@ -480,6 +479,7 @@
 {
     const auto lock = std::lock_guard{m_scrapeMutex};
     const auto active = sources.config->active();
+    m_metrics.setEvacuation(sources.domain, false, 0); // only the pool scheduler evacuates failure domains
     scrapeRequests(*sources.requests, active.get());
     scrapePlanners(sources, active.get());
     scrapePeers(sources);
--- a/packages/daemon/telemetry.h
+++ b/packages/daemon/telemetry.h
@@ -36,6 +36,7 @@
 /// What a scrape reads.
 struct TelemetrySources
 {
+    FailureDomainId domain; ///< of this instance
     const RequestService *requests = nullptr;
     const JobService *jobs = nullptr;
     const ConfigService *config = nullptr;
