policy: long-running steps move out of an evacuated domain when others have room

Cause: long-running tasks never end by themselves, so that they stayed in an evacuated failure domain until their owners cancelled them.

Change: policy/evacuationmoves decides when a move may begin, in which order steps are tried, and when a move is over. At the end of a planning pass, PoolPlacer stops the attempts of one step (StopReason::MovedForEvacuation; a gang whole) if the step fits on free capacity elsewhere without preemption and without the urgent reserve, and nothing equally or more urgent of its service waits. While the attempts stop, room is reserved before the groups of the same or a less urgent class. A step that does not run again within 10 s is left to the ordinary rules, and no move begins for 60 s. Nothing is stored: a new leader makes no move of a service before its long-running tasks are listed. DepartureRoom counts the room of a step that moves, like that of work moved from leaving workers.

--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -36,6 +36,7 @@
 #include "policy/departure.h"
 #include "policy/endreport.h"
 #include "policy/evacuation.h"
+#include "policy/evacuationmoves.h"
 #include "policy/idlecapacity.h"
 #include "policy/leasebounds.h"
 #include "policy/overloadorder.h"
@@ -437,6 +438,7 @@
     std::map<PriorityClass, GroupRank> m_searchResume;
     std::map<PriorityClass, MonoTime> m_searchLimitLogged; ///< when the log last had that searches were left out
     Evacuation m_evacuation;
+    EvacuationMoves m_evacuationMoves;
     OverloadOrder m_overload;
     IdleCapacity m_idleCapacity; ///< of the listed workers outside evacuated domains
     std::map<ServiceId, MonoTime> m_holdBegan; ///< since when reservations hold other groups of a service; see PoolPlacer::mayPass()
--- a/packages/policy/pooldepartures.cpp
+++ b/packages/policy/pooldepartures.cpp
@@ -74,7 +74,8 @@
     auto moving = std::map<TaskKey, LeavingUnit>{};
     for (const auto &[id, worker] : m_core.m_workers) {
         for (const auto &[key, it] : worker.allocations) {
-            const auto *state = it.stopping && it.stopReason == StopReason::WorkerLeaving ? m_core.find(key.first.job) : nullptr;
+            const auto moves = it.stopReason == StopReason::WorkerLeaving || it.stopReason == StopReason::MovedForEvacuation;
+            const auto *state = it.stopping && moves ? m_core.find(key.first.job) : nullptr;
             if (state != nullptr && !isFinal(state->phase) && containsTask(*state, key.first)) {
                 auto unit = LeavingUnit{.key = key.first, .job = state};
                 unit.key.index = isGang(unit) ? 0 : unit.key.index;
--- a/packages/policy/poolplacer.cpp
+++ b/packages/policy/poolplacer.cpp
@@ -1058,19 +1058,26 @@
     collectGroups();
     setAsideUnplaceable();
     markGuaranteed();
+    followMove();
     sortGroups();
     collectSlots();
     measureUrgentDemand();
     auto group = m_groups.begin();
     for (; group != m_groups.end() && mayStartMore(); ++group) {
+        if (m_moving && !goesBeforeMove(*group)) {
+            holdRoomForMove();
+        }
         if (!placeGroup(*group, effects)) {
+            noteWaiting(*group->queue);
             logWait(*group);
         }
     }
     const auto deferred = static_cast<std::size_t>(m_groups.end() - group);
     for (; group != m_groups.end(); ++group) {
+        noteWaiting(*group->queue);
         logHeld(*group, HoldCause::Starts);
     }
+    moveEvacuated();
     if (deferred == 0) {
         keepSearchResume();
         keepHolds();
--- a/packages/policy/poolplacer.h
+++ b/packages/policy/poolplacer.h
@@ -24,6 +24,9 @@
 /// - A preference for one rack and the reserve for urgent work delay a group for a limited time while most of the capacity is idle. Their
 ///   time and that of a reservation do not add up.
 ///
+/// After all groups have been placed, at most one long-running step of an evacuated failure domain is stopped, to be placed by a later pass on
+/// capacity that is free now; see evacuationmoves.h.
+///
 /// A pass places no more than can be started soon (PoolOptions::maxOpenStarts and linkBytesPerSecond): start orders that wait would hold
 /// capacity, gangs of which some members have started would wait for the others, and a full link delays stop orders, polls and renewals.
 /// The order of the groups says whose start comes first.
@@ -168,6 +171,18 @@
     auto placeTogether(TaskGroup &group, Spread spread, PoolEffects &effects) -> bool;
     auto moveForShape(const TaskGroup &group) -> bool;
     auto stopForMove(const TaskGroup &group, const PoolCore::AttemptKey &key, double loss) -> void;
+    auto followMove() -> void;
+    auto progressOf(const TaskKey &step) const -> MoveProgress;
+    auto makeGroup(const TaskKey &step) -> TaskGroup;
+    auto goesBeforeMove(const TaskGroup &group) const -> bool;
+    auto holdRoomForMove() -> void;
+    auto noteWaiting(const PoolQueue &queue) -> void;
+    auto evacuatedSteps() -> std::vector<EvacuatedStep>;
+    auto collectMove(const TaskKey &step) -> std::optional<TaskGroup>;
+    auto spreadOfMove(const TaskGroup &group) -> Spread;
+    auto fitsElsewhere(const TaskGroup &group) -> bool;
+    auto moveEvacuated() -> void;
+    auto stopForEvacuation(const TaskGroup &group) -> void;
     auto canRunOn(const Slot &slot, const PoolJobState &state, int step) const -> bool;
     auto addFreeSoon(const WorkerId &worker, const PoolCore::AttemptKey &key) -> void;
     auto preemptOn(const TaskGroup &group, Slot &slot, const Resources &need) -> void;
@@ -217,6 +232,8 @@
     bool m_keepsWholeWorkers = false; ///< candidates() leaves out workers that no guaranteed work uses
     int m_moveSearches = 0; ///< calls of moveForShape() that looked for work to move
     bool m_movedForShape = false; ///< the pass has moved guaranteed work
+    std::optional<TaskGroup> m_moving; ///< tasks of the step that is being moved out of an evacuated domain, while some of them stop
+    std::map<ServiceId, ServiceDemand> m_demand; ///< what goes before such a move
     mutable int m_searches = 0; ///< calls of candidates()
     std::int64_t m_urgentReserve = 0; ///< accelerators kept free of work of lower priorities
 };
--- a/packages/policy/stopreport.cpp
+++ b/packages/policy/stopreport.cpp
@@ -40,6 +40,8 @@
         return "preempted";
     case StopReason::MovedForShape:
         return "moved_for_shape";
+    case StopReason::MovedForEvacuation:
+        return "moved_for_evacuation";
     case StopReason::NoProgress:
         return "no_progress";
     case StopReason::NotListed:
--- a/packages/policy/stopreport.h
+++ b/packages/policy/stopreport.h
@@ -27,6 +27,7 @@
     GangIncomplete, ///< other members of its gang could not be started in time
     Preempted,
     MovedForShape, ///< to start again elsewhere: another guaranteed task needs its worker
+    MovedForEvacuation, ///< to start again elsewhere: it is long-running, and its failure domain, or that of a member of its gang, is evacuated
     NoProgress,
     NotListed, ///< its worker accepted the start order and does not list the attempt
     NotRecorded, ///< its worker lists the attempt, and the task is elsewhere, done, or of a job that has been forgotten
@@ -41,6 +42,7 @@
                                         StopReason::GangIncomplete,
                                         StopReason::Preempted,
                                         StopReason::MovedForShape,
+                                        StopReason::MovedForEvacuation,
                                         StopReason::NoProgress,
                                         StopReason::NotListed,
                                         StopReason::NotRecorded,
--- a/packages/policy/testing/evacuation_test.cpp
+++ b/packages/policy/testing/evacuation_test.cpp
@@ -1,4 +1,5 @@
 #include "policy/evacuation.h"
+#include "policy/evacuationmoves.h"
 
 #include "policy/testing/idlefleet.h"
 
@@ -45,12 +46,46 @@
         return n;
     }
 
+    /// Starts a long-running job of @p tasks in the left domain, which is evacuated afterwards.
+    auto serveInLeft(const std::string &id, const std::string &queue, int tasks, std::int64_t accelerators) -> void
+    {
+        auto step = gangOf(tasks, accelerators);
+        step.gang = false;
+        step.longRunning = true;
+        core.setEvacuated({right});
+        core.addJob(makeJob(id, queue, step), now);
+        REQUIRE(tasksOf(run(Millis{300}), id) == tasks);
+        core.setEvacuated({left});
+    }
+
+    /// @return long-running jobs of which a task stops or does not run.
+    [[nodiscard]] auto interrupted() const -> int
+    {
+        auto out = 0;
+        for (const auto &[id, state] : core.jobs()) {
+            auto runs = true;
+            auto key = TaskKey{.job = id};
+            for (; containsTask(state, key); ++key.index) {
+                const auto &it = taskAt(state, key);
+                runs = runs && it.phase == TaskPhase::Placed && it.attemptPhase == AttemptPhase::Running
+                       && !core.workers().at(it.worker).allocations.at({key, it.attempt}).stopping;
+            }
+            out += state.job.steps[0].longRunning && !runs ? 1 : 0;
+        }
+        return out;
+    }
+
     [[nodiscard]] auto reasonOf(const std::string &job) const -> std::string
     {
         return core.find(JobId{job})->reason;
     }
 };
 
+auto taskOf(const Fleet &fleet, const std::string &job) -> const TaskState &
+{
+    return fleet.core.find(JobId{job})->occurrences[0].steps[0].tasks[0];
+}
+
 auto hasReason(const PoolEffects &effects, const std::string &reason) -> bool
 {
     return hasDecision(effects, "stopping", "reason=" + reason);
@@ -284,3 +319,147 @@
     // Reads are up to 1.6 s old in ordinary operation; a shorter limit would suspend starts while the log is read without a fault.
     CHECK(placementReadLimit(Millis{1'000}) == Millis{2'500});
 }
+
+// Load: four services run in a domain when it is evacuated, and batch jobs keep coming and going in the other one. Guards against services that stay
+// in the domain for ever, against several that are interrupted at a time, and against batch work that takes the room of a service that stops.
+TEST_CASE("long-running tasks leave an evacuated domain one step at a time beside a stream of batch jobs")
+{
+    auto fleet = TwoDomains{2, 3};
+    for (const auto *it : {"s0", "s1", "s2", "s3"}) {
+        fleet.serveInLeft(it, "urgent", 2, 2);
+    }
+    REQUIRE(fleet.attemptsIn(left) == 8);
+    fleet.log.clear();
+    for (auto i = 0; i < 40; ++i) {
+        fleet.core.addJob(makeJob("b" + std::to_string(i), "batch", batchOf(2)), fleet.now);
+        fleet.core.cancelJob(JobId{"b" + std::to_string(i - 2)}, fleet.now);
+        CHECK(fleet.countIn(left, fleet.run(Millis{100})) == 0);
+        CHECK(fleet.interrupted() <= 1);
+    }
+    CHECK(fleet.attemptsIn(left) == 0);
+    CHECK(fleet.logged("moved_for_evacuation").size() == 4);
+    CHECK(fleet.logged("evacuation_empty").size() == 1);
+    CHECK(fleet.logged("preempted").empty());
+}
+
+// Guards against a service that is stopped without a place to go, and against one that takes the room of work that waits.
+TEST_CASE("long-running tasks stay while they do not fit elsewhere, or equally urgent work waits")
+{
+    auto fleet = TwoDomains{1, 2};
+    fleet.serveInLeft("s", "batch", 2, 4);
+    fleet.core.addJob(makeJob("u", "batch", gangOf(2, 6)), fleet.now);
+    fleet.run(Millis{2'000});
+    fleet.core.addJob(makeJob("g", "batch", gangOf(2, 8)), fleet.now); // waits for u
+    fleet.core.cancelJob(JobId{"u"}, fleet.now);
+    fleet.core.addJob(makeJob("v", "urgent", gangOf(1, 4)), fleet.now);
+    fleet.run(Millis{10'000});
+    CHECK(fleet.attemptsIn(left) == 2);
+    CHECK(fleet.logged("moved_for_evacuation").empty());
+    fleet.core.cancelJob(JobId{"g"}, fleet.now);
+    fleet.run(Millis{2'000});
+    CHECK(fleet.attemptsIn(left) == 0);
+}
+
+// Guards against members of a gang that run on alone, and against the room of the gang's own members that is not counted.
+TEST_CASE("a long-running gang with members inside and outside of an evacuated domain moves whole")
+{
+    auto fleet = TwoDomains{1, 2};
+    auto gang = gangOf(2, 8);
+    gang.longRunning = true;
+    fleet.core.addJob(makeJob("s", "batch", gang), fleet.now);
+    fleet.run(Millis{300});
+    REQUIRE(fleet.attemptsIn(left) == 1);
+    fleet.core.setEvacuated({left});
+    fleet.run(Millis{1'000});
+    CHECK(fleet.logged("moved_for_evacuation").size() == 1);
+    CHECK(fleet.attemptsIn(right) == 2);
+}
+
+// Guards against further services that are stopped while one that was moved has lost its room, and against less urgent work that takes the room.
+TEST_CASE("a moved step whose room is taken waits by the ordinary rules, and no other moves for a while")
+{
+    auto fleet = TwoDomains{1, 1};
+    fleet.serveInLeft("s", "batch", 1, 3);
+    fleet.serveInLeft("t", "batch", 1, 3);
+    const auto move = fleet.plan();
+    REQUIRE(tasksOf(move.stops, "s") == 1);
+    fleet.core.addJob(makeJob("b", "batch", batchOf(8)), fleet.now);
+    const auto beside = fleet.plan();
+    CHECK(tasksOf(beside.starts, "b") == 5);
+    fleet.answer(beside.starts, OrderOutcome::Accepted);
+    fleet.core.cancelJob(JobId{"b"}, fleet.now);
+    fleet.core.addJob(makeJob("u", "urgent", gangOf(1, 8)), fleet.now);
+    fleet.answer(move.stops, OrderOutcome::Accepted);
+    fleet.run(Millis{15'000});
+    CHECK(taskOf(fleet, "s").phase == TaskPhase::Waiting);
+    CHECK(fleet.isIn(left, taskOf(fleet, "t").worker));
+    CHECK(fleet.logged("evacuation_moves_paused").size() == 1);
+    fleet.core.cancelJob(JobId{"u"}, fleet.now);
+    fleet.run(Millis{40'000});
+    CHECK(fleet.isIn(right, taskOf(fleet, "s").worker));
+    CHECK(fleet.isIn(left, taskOf(fleet, "t").worker));
+    fleet.run(Millis{20'000});
+    CHECK(fleet.attemptsIn(left) == 0);
+}
+
+// Guards against a second service that is interrupted because the next planner does not know of the move, and against one that is forgotten.
+TEST_CASE("a planner that takes over in the middle of a move goes on from the workers' lists")
+{
+    enum class Moment { StopSent, Stopped, StartSent };
+    for (const auto moment : {Moment::StopSent, Moment::Stopped, Moment::StartSent}) {
+        CAPTURE(static_cast<int>(moment));
+        auto fleet = TwoDomains{1, 1};
+        fleet.serveInLeft("s", "batch", 1, 3);
+        fleet.serveInLeft("t", "batch", 1, 3);
+        const auto move = fleet.plan();
+        REQUIRE(tasksOf(move.stops, "s") == 1);
+        if (moment == Moment::StartSent) {
+            fleet.answer(move.stops, OrderOutcome::Accepted);
+            fleet.answerPolls();
+            REQUIRE(tasksOf(fleet.plan().starts, "s") == 1);
+        }
+        auto next = TwoDomains{1, 1};
+        next.core.setEvacuated({left});
+        for (const auto &[id, state] : fleet.core.jobs()) {
+            next.core.addJob(state.job, next.now);
+            next.core.adoptRecord(id, state, next.now + Seconds{12}, next.now);
+        }
+        next.core.tookOver(next.now);
+        auto reply = WorkerPollReply{.clock = WorkerTime{100'050}, .born = Incarnation{1}, .running = {{.task = {.job = JobId{"t"}}, .attempt = 1}}};
+        if (moment == Moment::Stopped) {
+            reply.completions.push_back({.number = 1, .task = {.job = JobId{"s"}}, .attempt = 1});
+        }
+        if (moment != Moment::StopSent) {
+            next.core.applyPollReply(WorkerId{"w0"}, reply, next.now, next.now);
+        }
+        CHECK(next.plan().stops.empty()); // it is not known that s runs
+        for (auto i = 0; i < 20; ++i) {
+            next.answerPolls();
+            next.run(Millis{100});
+            CHECK(next.interrupted() <= 1);
+        }
+        CHECK(next.attemptsIn(left) == 0);
+        CHECK(next.logged("moved_for_evacuation").size() == (moment == Moment::StopSent ? 2 : 1));
+    }
+}
+
+// Guards against two moves at a time where services do not hold each other up, and against steps that are never tried behind many that do not fit.
+TEST_CASE("one move is open at a time, and each evacuated step is tried in its turn")
+{
+    auto moves = EvacuationMoves{};
+    auto steps = std::vector<EvacuatedStep>{};
+    for (auto i = 0; i < 10; ++i) {
+        steps.push_back({.id = {.job = JobId{"s" + std::to_string(i)}}, .priority = 9 - i});
+    }
+    const auto first = stepsToTry(moves, steps, {});
+    CHECK(first.size() == 8);
+    CHECK(first.front().id == steps.back().id);
+    CHECK(stepsToTry(moves, steps, {}).back().id == steps.front().id);
+    CHECK(stepsToTry(moves, steps, {}).front().id == steps.back().id);
+    const auto now = MonoTime{Seconds{100}};
+    beginMove(moves, steps[0].id, now);
+    CHECK_FALSE(mayBeginMove(moves, now));
+    CHECK(followMove(moves, MoveProgress::Moving, now + Seconds{9}) == MoveResult::Open);
+    CHECK(followMove(moves, MoveProgress::Runs, now + Seconds{9}) == MoveResult::Ended);
+    CHECK(mayBeginMove(moves, now + Seconds{9}));
+}
