policy: jobs that could only start when their result has no value are refused with 429

PoolFront::submit() asks before the append, for first tries only. The files are named jobadmission because policy/admission is the request path's. Workspaces with a guarantee are never refused.

--- a/packages/daemon/metrics.cpp
+++ b/packages/daemon/metrics.cpp
@@ -176,6 +176,7 @@
     GaugeFamily workers = gauge("workers", "Workers of the failure domain by state", {"state"});
     CounterFamily stops = counter("pool_stops_total", "Attempts that were asked to stop by cause", {"cause"});
     CounterFamily lostWork = counter("pool_lost_core_seconds_total", "Work lost by stops in core-seconds by cause", {"cause"});
+    CounterFamily admissionRefused = counter("pool_admission_refused_total", "Jobs refused because no start in time was possible by queue", {"queue"});
     GaugeFamily stopping = gauge("stopping_attempts", "Attempts that are to be stopped and may still run");
     GaugeFamily evacuated = gauge("evacuated", "Whether the failure domain is evacuated; on the leader", {"domain"});
     GaugeFamily evacuatedAttempts = gauge("evacuated_attempts", "Attempts that still run, or may run, in an evacuated failure domain", {"domain"});
@@ -239,6 +240,7 @@
     for (const auto it : {WaitUrgency::InTime, WaitUrgency::Late, WaitUrgency::Worthless}) {
         families.waitingGroups.at({waitUrgencyName(it)});
     }
+    families.admissionRefused.at({"other"}); // names of queues come with the configuration
     for (const auto *it : orderResults) {
         families.orders.at({it});
     }
@@ -383,6 +385,11 @@
     m_families->lostWork.at({cause}).Increment(lostCoreSeconds);
 }
 
+auto Metrics::admissionRefused(const QueueId &queue) -> void
+{
+    m_families->admissionRefused.at({queue.str()}).Increment();
+}
+
 auto Metrics::setPlanningPass(const PlanningPass &pass) -> void
 {
     m_families->planSeconds.at({}).Set(seconds(pass.duration));
--- a/packages/daemon/metrics.h
+++ b/packages/daemon/metrics.h
@@ -13,6 +13,7 @@
 
 #include "daemon/listenerlimits.h"
 #include "policy/overloadorder.h"
+#include "policy/poolqueue.h"
 #include "util/ids.h"
 #include "util/units.h"
 
@@ -108,6 +109,8 @@
     /// @param cause why attempts were asked to stop
     /// @param lostCoreSeconds work that the stops lose; an accelerator counts as 8 cores
     auto attemptsStopped(const std::string &cause, std::size_t count, double lostCoreSeconds) -> void;
+    /// Counts a job that was refused because it could not start while its result has a value.
+    auto admissionRefused(const QueueId &queue) -> void;
     auto setPlanningPass(const PlanningPass &pass) -> void;
     auto setSlots(SlotState state, SlotCount slots) -> void;
     auto setLargestFreeBlock(SlotCount slots) -> void;
--- a/packages/daemon/poolfront.cpp
+++ b/packages/daemon/poolfront.cpp
@@ -25,6 +25,11 @@
 constexpr auto repeatPause = Millis{250};
 /// A first try has used less of the caller's time than this on its way; the far region is 20 ms away.
 constexpr auto firstTryDelay = Millis{100};
+/// The same for a refusal of a job that another instance may have stored: a try that was cut off fails sooner than one whose time is over. The
+/// far region is 20 ms away.
+constexpr auto hopelessTryDelay = Millis{30};
+/// Between two lines of the log about refused jobs of a queue.
+constexpr auto refusalLinePause = Millis{1'000};
 /// Another instance may reach the store: the caller can come back soon.
 constexpr auto retryElsewhere = Seconds{1};
 
@@ -37,6 +42,7 @@
     , m_clock(std::move(clock))
     , m_freshness(std::move(freshness))
     , m_metrics(metrics)
+    , m_random(static_cast<std::uint64_t>(m_clock.wall().time_since_epoch().count()) + options.homeLog)
     , m_preferredLog(options.homeLog)
 {
 }
@@ -136,6 +142,40 @@
     }
 }
 
+/// @param job that no try has stored
+/// @return the answer for a job whose result can have no value by the time it can start; nothing has been stored of it.
+auto PoolFront::refuseHopeless(const PoolJob &job) -> std::optional<SubmitAnswer>
+{
+    const auto refusal = m_view.refusalOf(job);
+    if (!refusal) {
+        return {};
+    }
+    const auto toMillis = [](Micros it) { return std::to_string(std::chrono::duration_cast<Millis>(it).count()); };
+    const auto now = m_clock.mono();
+    auto retryAfter = Seconds{0};
+    auto line = std::string{};
+    {
+        const auto lock = std::lock_guard{m_refusalMutex};
+        retryAfter = retrySeconds(refusal->untilInTime, m_random);
+        auto [it, isNew] = m_refusalLog.try_emplace(job.queue);
+        if (isNew || now - it->second.lastLine >= refusalLinePause) {
+            line = "admission_refused job=" + job.id.str() + " queue=" + job.queue.str() + " workspace=" + job.workspace.str()
+                   + " wait_ms=" + toMillis(refusal->wait) + " limit_ms=" + toMillis(refusal->limit) + " retry_s=" + std::to_string(retryAfter.count())
+                   + " others=" + std::to_string(std::exchange(it->second.heldBack, 0));
+            it->second.lastLine = now;
+        } else {
+            ++it->second.heldBack;
+        }
+    }
+    if (!line.empty()) {
+        logEvent(LogLevel::Warn, 6025, line);
+    }
+    m_metrics.admissionRefused(job.queue);
+    m_metrics.requestFinished(job.workspace, KindId{job.queue.str()}, MetricRequestResult::NotRun, Micros{0});
+    return SubmitAnswer{
+        .outcome = SubmitOutcome::Hopeless, .reason = "more urgent work waits for longer than the result would have a value", .retryAfter = retryAfter};
+}
+
 auto PoolFront::submit(const QueueAccess &access, PoolJob job, Millis limit) -> SubmitAnswer
 {
     job.queue = access.queue;
@@ -158,6 +198,12 @@
     if (const auto size = 1 + key.size() + value.size(); size > m_options.recordBytes) {
         return refuse("the job takes " + std::to_string(size) + " bytes as a record, and the store takes " + std::to_string(m_options.recordBytes));
     }
+    const auto isFirstTry = access.callTimeout > Millis{0} && limit + hopelessTryDelay >= access.callTimeout;
+    if (isFirstTry && !known && allJobsKnown()) {
+        if (const auto answer = refuseHopeless(job)) {
+            return *answer;
+        }
+    }
     const auto begin = m_clock.mono();
     const auto triedBefore = limit + firstTryDelay < access.callTimeout;
     const auto done = append({.key = key, .value = value}, limit, triedBefore);
--- a/packages/daemon/poolfront.h
+++ b/packages/daemon/poolfront.h
@@ -16,9 +16,13 @@
 #include "ports/recordstore.h"
 #include "util/clock.h"
 #include "util/outcome.h"
+#include "util/random.h"
 
 #include <atomic>
 #include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
 #include <string>
 
 namespace Catkin
@@ -36,7 +40,13 @@
     std::string rest; ///< of the path, after the queue's prefix: a job's id or empty
 };
 
-enum class SubmitOutcome { Accepted, NotRun, OutcomeUnknown, Malformed };
+enum class SubmitOutcome {
+    Accepted,
+    NotRun,
+    Hopeless, ///< not run: its result would have no value by the time it could start
+    OutcomeUnknown,
+    Malformed,
+};
 
 struct SubmitAnswer
 {
@@ -98,6 +108,14 @@
     auto isFresh(RecordLog log) const -> bool;
     auto allJobsKnown() const -> bool;
     auto append(const KeyedRecord &record, Millis limit, bool isRepeat) -> Result<LogOffset>;
+    auto refuseHopeless(const PoolJob &job) -> std::optional<SubmitAnswer>;
+
+    /// Lines that are held back, so that a queue has one in a second.
+    struct RefusalLog
+    {
+        MonoTime lastLine;
+        int heldBack = 0;
+    };
 
     PoolFrontOptions m_options;
     PoolView &m_view;
@@ -105,6 +123,9 @@
     Clock m_clock;
     PoolFreshness m_freshness;
     Metrics &m_metrics;
+    std::mutex m_refusalMutex; ///< guards the next two; a leaf
+    Random m_random;
+    std::map<QueueId, RefusalLog> m_refusalLog;
     std::atomic<std::size_t> m_preferredLog; ///< index in jobLogs: the last one that took a record
 };
 
--- a/packages/daemon/poolnode.cpp
+++ b/packages/daemon/poolnode.cpp
@@ -112,7 +112,7 @@
     PoolSettings settings;
     PoolPorts ports;
     Clock clock;
-    PoolView view;
+    PoolView view{clock};
 
     std::mutex mutex; ///< guards the leadership, statesEnd and leaseBounds; taken before the term's lock, never after
     Leadership leadership;
--- a/packages/daemon/poolview.cpp
+++ b/packages/daemon/poolview.cpp
@@ -5,6 +5,11 @@
 namespace Catkin
 {
 
+PoolView::PoolView(Clock clock)
+    : m_clock(std::move(clock))
+{
+}
+
 auto PoolView::applyConfig(const PoolConfig &config) -> bool
 {
     const auto lock = std::lock_guard{m_mutex};
@@ -63,7 +68,12 @@
             it.logs.erase(log);
         }
     }
-    std::erase_if(m_jobs, [](const auto &it) { return it.second.logs.empty(); });
+    std::erase_if(m_jobs, [&](const auto &it) {
+        if (it.second.logs.empty()) {
+            noteDropped(it.second);
+        }
+        return it.second.logs.empty();
+    });
     m_snapshots.erase(named);
 }
 
@@ -86,10 +96,51 @@
     it->second.logs.erase(log);
     // The states drop a job after the logs of jobs have dropped it.
     if (log == RecordLog::States || it->second.logs.empty()) {
+        noteDropped(it->second);
         m_jobs.erase(it);
     }
 }
 
+auto PoolView::noteArrived(JobSummary &summary, bool isFromSnapshot) -> void
+{
+    // A job of a snapshot may have waited for any time. Its start still counts towards the rate.
+    summary.waiting = m_admission.arrived(*summary.job, !isFromSnapshot, m_clock.mono());
+    noteProgress(summary);
+}
+
+auto PoolView::noteProgress(JobSummary &summary) -> void
+{
+    const auto started = summary.phase != PoolJobPhase::Queued && summary.phase != PoolJobPhase::Cancelled;
+    const auto isOver = started || summary.cancelled || summary.phase == PoolJobPhase::Cancelled;
+    if (!summary.waiting || (!isOver && summary.reason.empty())) {
+        return;
+    }
+    m_admission.left(*summary.waiting, started, m_clock.mono());
+    // Work that cannot go on delays nobody, but its start still counts towards the rate.
+    summary.waiting->counts = false;
+    if (isOver) {
+        summary.waiting.reset();
+    }
+}
+
+auto PoolView::noteDropped(const JobSummary &summary) -> void
+{
+    if (summary.waiting) {
+        m_admission.left(*summary.waiting, false, m_clock.mono());
+    }
+}
+
+auto PoolView::refusalOf(const PoolJob &job) -> std::optional<AdmissionRefusal>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    if (!m_config || m_jobs.contains(job.id)) {
+        return {};
+    }
+    const auto &guarantees = m_config->rules.guaranteedAccelerators;
+    const auto guarantee = guarantees.find(job.workspace);
+    return guarantee != guarantees.end() && guarantee->second > 0 ? std::nullopt : m_admission.refusal(job, m_clock.mono());
+}
+
 auto PoolView::apply(RecordLog log, const PoolRecord &record) -> bool
 {
     const auto lock = std::lock_guard{m_mutex};
@@ -98,16 +149,21 @@
         const auto isNew = !summary.job;
         if (isNew) {
             summary.job = std::make_shared<const PoolJob>(*job);
+            noteArrived(summary, m_snapshots.contains(log));
         }
         return isNew;
     }
     if (const auto *cancel = std::get_if<CancelRecord>(&record)) {
-        return !std::exchange(summaryOf(log, cancel->id).cancelled, true);
+        auto &summary = summaryOf(log, cancel->id);
+        const auto isNew = !std::exchange(summary.cancelled, true);
+        noteProgress(summary);
+        return isNew;
     }
     if (const auto *phase = std::get_if<PhaseRecord>(&record)) {
         auto &summary = summaryOf(log, phase->id);
         summary.phase = phase->phase;
         summary.reason = phase->reason;
+        noteProgress(summary);
     } else if (const auto *tombstone = std::get_if<TombstoneRecord>(&record)) {
         drop(log, tombstone->id);
     }
--- a/packages/daemon/poolview.h
+++ b/packages/daemon/poolview.h
@@ -11,9 +11,11 @@
 /// Thread-safe. Its mutex is a leaf: no other lock is taken while it is held.
 
 #include "policy/evacuation.h"
+#include "policy/jobadmission.h"
 #include "policy/poolfleet.h"
 #include "ports/recordstore.h"
 #include "state/poolrecords.h"
+#include "util/clock.h"
 
 #include <map>
 #include <memory>
@@ -32,11 +34,15 @@
     std::string reason; ///< why the job cannot go on; empty: none
     bool cancelled = false; ///< by the caller; final whatever the phase says
     std::set<RecordLog> logs; ///< that hold something of it
+    std::optional<WaitingTicket> waiting; ///< while it is counted as waiting for its start
 };
 
 class PoolView
 {
 public:
+    /// @param clock for the rates at which jobs arrive and start
+    explicit PoolView(Clock clock = bootClock());
+
     /// Takes a newer configuration; an older one is ignored.
     /// @return whether it was taken
     auto applyConfig(const PoolConfig &config) -> bool;
@@ -67,16 +73,24 @@
     /// @return accepted jobs of a queue of which nothing has started.
     [[nodiscard]] auto pendingOf(const QueueId &queue) const -> std::size_t;
     [[nodiscard]] auto jobs() const -> std::map<JobId, JobSummary>;
+    /// @return why a job that no log holds is refused, see JobAdmission::refusal(); nothing also for a job that the view knows, and for a
+    /// workspace with a guarantee.
+    auto refusalOf(const PoolJob &job) -> std::optional<AdmissionRefusal>;
     /// @return the phase to show to callers.
     [[nodiscard]] static auto shownPhase(const JobSummary &summary) -> PoolJobPhase;
 
 private:
     auto drop(RecordLog log, const JobId &id) -> void;
     auto summaryOf(RecordLog log, const JobId &id) -> JobSummary &;
+    auto noteArrived(JobSummary &summary, bool isFromSnapshot) -> void;
+    auto noteProgress(JobSummary &summary) -> void;
+    auto noteDropped(const JobSummary &summary) -> void;
 
     mutable std::mutex m_mutex;
     std::shared_ptr<const PoolConfig> m_config;
     EvacuationRecords m_evacuations;
+    Clock m_clock;
+    JobAdmission m_admission;
     std::map<JobId, JobSummary> m_jobs;
     std::map<RecordLog, std::set<JobId>> m_snapshots; ///< jobs named since beginSnapshot()
 };
