policy: cancelled work counts towards the rate at which waiting work drains

Cause: callers that cancel more urgent work shorten the wait behind it; a job could be refused for work that is about to be cancelled.

Change: JobAdmission keeps the core-seconds that were cancelled or dropped before their start, and adds them to the rate.

--- a/packages/policy/jobadmission.cpp
+++ b/packages/policy/jobadmission.cpp
@@ -108,7 +108,7 @@
         if (counts.jobsWaiting == 0) {
             counts.waiting = 0.0; // without the rounding errors
         }
-        entry = {.waiting = {}, .started = {}, .leastWaiting = counts.waiting, .fewestWaiting = counts.jobsWaiting};
+        entry = {.waiting = {}, .started = {}, .gone = 0.0, .leastWaiting = counts.waiting, .fewestWaiting = counts.jobsWaiting};
     }
     counts.newest = std::max(counts.newest, second);
 }
@@ -148,6 +148,7 @@
         of.at(ticket.second).waiting += {.sum = -ticket.work, .squares = -ticket.work * ticket.work, .jobs = -1};
         of.waiting -= ticket.work;
         --of.jobsWaiting;
+        of.at(of.newest).gone += started ? 0.0 : ticket.work;
         noteLeast(of);
     }
     if (started) {
@@ -194,6 +195,7 @@
     const auto second = secondOf(now);
     auto ahead = Amount{};
     auto started = std::array<Amount, memory>{}; // of the job's priority and more urgent ones, by second; the last whole second is the last entry
+    auto gone = std::array<double, memory>{}; // of more urgent priorities, likewise: callers that cancel shorten the wait as well
     auto leastWaiting = std::array<double, rateWindow>{}; // of more urgent priorities
     for (auto &[key, counts] : m_classes) {
         if (key.service != own.service) {
@@ -211,6 +213,7 @@
         }
         for (auto i = std::int64_t{0}; i < memory; ++i) {
             ahead += counts.at(second - i).waiting;
+            gone.at(static_cast<std::size_t>(memory - std::max(i, std::int64_t{1}))) += counts.at(second - i).gone;
         }
         for (auto i = std::int64_t{1}; i <= rateWindow; ++i) {
             leastWaiting.at(static_cast<std::size_t>(i - 1)) += counts.at(second - i).leastWaiting;
@@ -223,13 +226,15 @@
     auto highest = 0.0; // in any window that is remembered
     for (auto end = memory; end - rateWindow >= 1; --end) {
         auto window = Amount{};
+        auto drained = 0.0;
         for (auto i = end - rateWindow; i < end; ++i) {
             window += started.at(static_cast<std::size_t>(i));
+            drained += gone.at(static_cast<std::size_t>(i));
         }
         if (end == memory) {
             measured = window;
         }
-        highest = std::max(highest, window.sum);
+        highest = std::max(highest, window.sum + drained);
     }
     const auto rate = highest / static_cast<double>(rateWindow);
     if (measured.sum <= 0.0 || *std::min_element(leastWaiting.begin(), leastWaiting.end()) < backlogSeconds * rate) {
--- a/packages/policy/jobadmission.h
+++ b/packages/policy/jobadmission.h
@@ -87,6 +87,7 @@
     {
         Amount waiting; ///< arrived in this second and has not started
         Amount started; ///< started in this second, whenever it arrived
+        double gone = 0.0; ///< core-seconds that were cancelled or dropped in this second before their start
         double leastWaiting = 0.0; ///< least work that waited during this second, whenever it arrived
         int fewestWaiting = 0; ///< the same in jobs
     };
--- a/packages/policy/testing/jobadmission_test.cpp
+++ b/packages/policy/testing/jobadmission_test.cpp
@@ -205,6 +205,12 @@
     served.admission.left({.jobClass = {.service = ServiceId{"s"}, .priority = 2}, .second = 1, .work = 1.0, .counts = false}, true, served.now);
     CHECK_FALSE(served.batchRefusal());
 
+    auto cancelled = feed;
+    for (auto i = 0; i < 1'000; ++i) {
+        cancelled.admission.left(cancelled.urgent[cancelled.urgent.size() - 1 - static_cast<std::size_t>(i)], false, cancelled.now);
+    }
+    CHECK_FALSE(cancelled.batchRefusal()); // 2,000 more may be cancelled as fast
+
     auto job = jobOf("new", queueOf("batch", 2));
     const auto isRefused = [&] { return feed.admission.refusal(job, feed.now).has_value(); };
     job.steps.front().longRunning = true;
