pool_soak: evacuations of a failure domain, and executors that leave with notice

Rules: EVACUATED (no start order in the domain from 5 s after the record until the revocation), LEAVING (none from 1 s after the notice), GANG (no member runs without another one for more than 5 s, 8 s after a disturbance of the leader). Orders count by their arrival. Without the options the random choices are as before.

--- a/testing/soak/pool_soak.cpp
+++ b/testing/soak/pool_soak.cpp
@@ -30,6 +30,8 @@
 /// How long a day of trouble is followed until every job has ended.
 constexpr auto quietLimit = std::chrono::seconds{60};
 constexpr auto submitPeriod = std::chrono::milliseconds{700};
+/// With evacuations or departures: the times in which starts are judged are short, and some have to fall into them.
+constexpr auto denseSubmitPeriod = std::chrono::milliseconds{350};
 constexpr auto statePeriod = std::chrono::milliseconds{1'000};
 /// A quiet time is watched at least this long, even if all jobs have ended: work that runs at its begin may still be stopped.
 constexpr auto quietLeast = std::chrono::seconds{8};
@@ -54,12 +56,32 @@
 /// Executors of which at most half vanish for good.
 constexpr auto vanishShare = std::size_t{2};
 
+/// Failure domains of the executors when some are evacuated.
+constexpr auto domains = 3;
+/// An evacuation lasts for the first time, of which it is in force from 5 s on, and for up to the second one more.
+constexpr auto evacuationLeast = Millis{7'000};
+constexpr auto evacuationRange = std::uint32_t{2'000};
+constexpr auto firstEvacuation = Millis{2'500};
+/// Between a revocation and the next evacuation, so that the domain has work again.
+constexpr auto evacuationGap = Millis{1'000};
+/// The first notices of departures, and the time between those and the next ones.
+constexpr auto firstDepartures = Millis{4'000};
+constexpr auto departurePeriod = Millis{5'000};
+/// From the notice of a departure to the departure.
+constexpr auto noticeSpan = Millis{2'000};
+/// Gangs run for at least this, and for up to the next one more, when executors leave: a member that runs on alone is reported after 5 s, or 8 s after a
+/// disturbance of the leader.
+constexpr auto gangLeast = 11'000;
+constexpr auto gangRange = std::uint32_t{3'000};
+
 struct TroubleOptions
 {
     std::chrono::seconds duration{20};
     Millis restartPeriod{0}; ///< between restarts of executors on average; 0: none restart
     int cutRestarts = 0; ///< percentage of the executors to restart that are cut off for a while and restart meanwhile
     std::optional<std::size_t> mostVanished; ///< executors that may vanish; nothing: up to half of them
+    int evacuations = 0; ///< most evacuations, one after the other
+    int leaving = 0; ///< percentage of the executors that leave at once; 0: none leave
 };
 
 struct Play
@@ -91,6 +113,9 @@
         play.lastingJobs.insert(job.id);
     } else if (shape < 4) {
         job.steps = {{.tasks = 2, .isGang = true}, {.tasks = 1, .dependsOn = 0}};
+        if (play.options.leaving > 0) {
+            job.spec = "ms=" + std::to_string(gangLeast + play.random(gangRange));
+        }
     } else if (shape < 7) {
         job.steps = {{.tasks = 1 + static_cast<int>(play.random(3))}, {.tasks = 2, .dependsOn = 0}};
         job.spec += play.random(3) == 0 ? " fail=1" : "";
@@ -252,6 +277,49 @@
     return period / 2 + Millis{play.random(static_cast<std::uint32_t>(period.count()))};
 }
 
+/// Evacuates a failure domain for a while. In a third of the cases the leader is killed just before the record, in another third just after it.
+/// @return how long to wait for the next one.
+auto evacuate(Play &play) -> Millis
+{
+    const auto domain = "z" + std::to_string(1 + play.random(domains));
+    const auto span = evacuationLeast + Millis{play.random(evacuationRange)};
+    const auto kill = play.random(3);
+    if (kill == 0) {
+        endLeader(play, SIGKILL);
+    }
+    std::printf("  evacuation of %s for %lld ms\n", domain.c_str(), static_cast<long long>(span.count()));
+    play.world.evacuate(domain);
+    if (kill == 1) {
+        endLeader(play, SIGKILL);
+    }
+    inBackground(play, [&world = play.world, domain, span] {
+        std::this_thread::sleep_for(span);
+        world.revokeEvacuation(domain);
+    });
+    return span + evacuationGap;
+}
+
+/// Lets a part of the executors announce that they leave, and leave; a new executor joins for each.
+auto leaveWithNotice(Play &play) -> void
+{
+    auto left = (play.world.liveWorkers() * static_cast<std::size_t>(play.options.leaving) + wholeShare - 1) / wholeShare;
+    const auto workers = play.world.workers();
+    const auto first = play.random(static_cast<std::uint32_t>(workers));
+    for (auto i = std::size_t{0}; i < workers && left > 0; ++i) {
+        const auto index = (first + i) % workers;
+        if (!play.world.announceDeparture(index, noticeSpan)) {
+            continue;
+        }
+        --left;
+        std::printf("  executor %zu leaves in %lld ms\n", index + 1, static_cast<long long>(noticeSpan.count()));
+        inBackground(play, [&world = play.world, index] {
+            std::this_thread::sleep_for(noticeSpan);
+            world.leave(index);
+            world.addWorker();
+        });
+    }
+}
+
 /// @return how long to wait for the next one.
 auto disturb(Play &play) -> Millis
 {
@@ -313,11 +381,14 @@
     auto nextState = nextSubmit + statePeriod;
     auto nextDisturbance = nextSubmit + (play.isSeries ? seriesBegin : std::chrono::seconds{3});
     auto nextRestart = nextSubmit + play.options.restartPeriod;
+    auto nextEvacuation = nextSubmit + firstEvacuation;
+    auto evacuationsLeft = play.options.evacuations;
+    auto nextDepartures = nextSubmit + firstDepartures;
     while (std::chrono::steady_clock::now() < end && (isTrouble || std::chrono::steady_clock::now() < least || !play.judge.allEnded())) {
         const auto now = std::chrono::steady_clock::now();
         if (isTrouble && now >= nextSubmit) {
             submit(play);
-            nextSubmit = now + submitPeriod;
+            nextSubmit = now + (play.options.evacuations + play.options.leaving > 0 ? denseSubmitPeriod : submitPeriod);
         }
         if (isTrouble && now >= nextDisturbance) {
             nextDisturbance = now + disturb(play);
@@ -325,6 +396,14 @@
         if (isTrouble && play.options.restartPeriod.count() > 0 && now >= nextRestart) {
             nextRestart = now + restartWorkers(play);
         }
+        if (isTrouble && evacuationsLeft > 0 && now >= nextEvacuation && now + evacuationLeast <= end) {
+            nextEvacuation = now + evacuate(play);
+            --evacuationsLeft;
+        }
+        if (isTrouble && play.options.leaving > 0 && now >= nextDepartures && now + noticeSpan <= end) {
+            leaveWithNotice(play);
+            nextDepartures = now + departurePeriod;
+        }
         if (!isTrouble && now >= nextState) {
             readStates(play);
             nextState = now + statePeriod;
@@ -345,6 +424,10 @@
         options.transitSeed = seed;
     }
     options.seed = seed;
+    if (trouble.evacuations > 0) {
+        options.domains = domains;
+        options.boundsEvacuations = true;
+    }
     std::printf("seed %llu: %s, %d instances, %d executors, lease %lld ms\n",
                 static_cast<unsigned long long>(seed),
                 isSeries ? "series" : "mixed",
@@ -369,6 +452,11 @@
     for (const auto &text : it.judge.violations()) {
         std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), text.c_str());
     }
+    std::printf("seed %llu: %zu start orders, %zu evacuations, %zu executors left with notice\n",
+                static_cast<unsigned long long>(seed),
+                world.startOrders().size(),
+                world.evacuations().size(),
+                world.departures().size());
     std::printf("seed %llu: %zu jobs accepted, %zu attempts, longest stand %lld ms, %zu violations%s\n",
                 static_cast<unsigned long long>(seed),
                 it.judge.acceptedJobs(),
@@ -414,11 +502,16 @@
             options.forgetsWhileWaiting = value == "yes";
         } else if (name == "--most-vanished") {
             trouble.mostVanished = std::stoul(value);
+        } else if (name == "--evacuations") {
+            trouble.evacuations = std::stoi(value);
+        } else if (name == "--leaving") {
+            trouble.leaving = std::stoi(value);
         } else if (name == "--daemon") {
             options.daemon = value;
         } else {
             std::cerr << "usage: pool_soak --seed N [--seed N ...] [--seconds S] [--lease-ms N] [--instances N] [--workers N] [--restart-ms N] "
-                         "[--late-orders PERCENT] [--cut-restarts PERCENT] [--most-vanished N] [--forget-while-waiting yes] [--daemon PATH]\n";
+                         "[--late-orders PERCENT] [--cut-restarts PERCENT] [--most-vanished N] [--forget-while-waiting yes] [--evacuations N] [--leaving "
+                         "PERCENT] [--daemon PATH]\n";
             return 2;
         }
         ++i;
--- a/testing/soak/soakexecutor.cpp
+++ b/testing/soak/soakexecutor.cpp
@@ -144,7 +144,7 @@
         const auto isLate = !m_goneAt && m_options.lateOrders > 0 && static_cast<int>(m_late(wholeShare)) < m_options.lateOrders;
         if (isLate) {
             const auto at = std::chrono::steady_clock::now() + std::chrono::milliseconds{leastLateness + m_late(latenessRange)};
-            m_lateOrders.push_back({.at = at, .execute = execute, .body = body});
+            m_lateOrders.push_back({.at = at, .arrivedAt = std::chrono::steady_clock::now(), .execute = execute, .body = body});
         }
         isBroken = isLate || m_isCutOff || isOver(lifetime);
         if (!isBroken) {
@@ -173,14 +173,14 @@
         }
         return it.at <= now;
     });
-    m_executesLate = true;
     for (const auto &it : due) {
         if (!m_goneAt) {
+            m_lateArrival = it.arrivedAt;
             auto unread = httplib::Response{};
             (this->*it.execute)(it.body, unread);
         }
     }
-    m_executesLate = false;
+    m_lateArrival.reset();
 }
 
 auto SoakExecutor::endLateness() -> void
@@ -271,21 +271,37 @@
     return m_lifetime == 0 ? std::nullopt : std::optional{m_bornAt};
 }
 
-auto SoakExecutor::entry(const std::string &state) -> std::string
+auto SoakExecutor::announceDeparture(Millis remaining) -> void
 {
     const auto lock = std::lock_guard{m_mutex};
-    return json{{"service", "svc"},
-                {"address", std::string(address) + ":" + std::to_string(m_port)},
-                {"zone", "z1"},
-                {"version", "v1"},
-                {"slots", 8},
-                {"state", state},
-                {"capacity", {{"cpu", 32'000}, {"mem_mb", 128'000}, {"gpu", 8}}},
-                {"labels", {"a", "r1"}},
-                {"clock_ms", clock()},
-                {"born", m_bornMs},
-                {"seq", ++m_sequence}}
-        .dump();
+    m_leavesAt = std::chrono::steady_clock::now() + remaining;
+}
+
+auto SoakExecutor::isLeaving() -> bool
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_leavesAt.has_value();
+}
+
+auto SoakExecutor::entry() -> std::string
+{
+    const auto lock = std::lock_guard{m_mutex};
+    auto out = json{{"service", "svc"},
+                    {"address", std::string(address) + ":" + std::to_string(m_port)},
+                    {"zone", m_options.domain},
+                    {"version", "v1"},
+                    {"slots", 8},
+                    {"state", m_leavesAt ? "draining" : "ready"},
+                    {"capacity", {{"cpu", 32'000}, {"mem_mb", 128'000}, {"gpu", 8}}},
+                    {"labels", {"a", "r1"}},
+                    {"clock_ms", clock()},
+                    {"born", m_bornMs},
+                    {"seq", ++m_sequence}};
+    if (m_leavesAt) {
+        const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(*m_leavesAt - std::chrono::steady_clock::now());
+        out["remaining_ms"] = std::max<std::int64_t>(0, remaining.count());
+    }
+    return out.dump();
 }
 
 auto SoakExecutor::runs() -> std::vector<Run>
@@ -297,6 +313,12 @@
     return m_runs;
 }
 
+auto SoakExecutor::startOrders() -> std::vector<StartOrder>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_startOrders;
+}
+
 auto SoakExecutor::unansweredStartAt(const std::string &task) -> std::optional<SteadyTime>
 {
     const auto lock = std::lock_guard{m_mutex};
@@ -364,6 +386,8 @@
     const auto task = body.at("task").get<std::string>();
     const auto attempt = body.at("run").get<int>();
     const auto untilMs = body.at("until_ms").get<std::int64_t>();
+    m_startOrders.push_back(
+        {.task = task, .attempt = attempt, .worker = m_id, .domain = m_options.domain, .at = m_lateArrival.value_or(std::chrono::steady_clock::now())});
     if (const auto it = m_active.find(task); it != m_active.end() && m_runs[it->second.run].attempt == attempt) {
         response.set_content(json{{"clock_ms", clock()}}.dump(), "application/json");
         return;
@@ -384,8 +408,12 @@
                       .fails = attempt <= numberIn(spec, "fail", 0),
                       .beginMs = clock(),
                       .lengthMs = std::max<std::int64_t>(length, 1)};
-    m_runs.push_back(
-        {.task = task, .attempt = attempt, .worker = m_id, .begin = std::chrono::steady_clock::now(), .isLate = m_executesLate, .lifetime = m_lifetime});
+    m_runs.push_back({.task = task,
+                      .attempt = attempt,
+                      .worker = m_id,
+                      .begin = std::chrono::steady_clock::now(),
+                      .isLate = m_lateArrival.has_value(),
+                      .lifetime = m_lifetime});
     response.set_content(json{{"clock_ms", clock()}}.dump(), "application/json");
 }
 
--- a/testing/soak/soakexecutor.h
+++ b/testing/soak/soakexecutor.h
@@ -4,10 +4,11 @@
 ///
 /// @code
 ///   auto executor = Catkin::Soak::SoakExecutor{"i-1", lease};
-///   store.put("keyed.servers", executor.id(), executor.entry("ready"));
+///   store.put("keyed.servers", executor.id(), executor.entry());
 ///   executor.restart();                      // begins a new lifetime under its id and at its address, which knows nothing of the earlier one
 ///   executor.setCutOff(true);                // what it runs goes on; calls get no answer
 ///   executor.executeLateOrders();            // those that are due; to be called every few milliseconds
+///   executor.announceDeparture(remaining);   // its entries show from now on that it is draining, and for how long it stays
 ///   executor.vanish();                       // refuses connections; what it ran has ended
 ///   for (const auto &it : executor.runs()) { ... }
 /// @endcode
@@ -50,8 +51,19 @@
     int lifetime = 0; ///< of its executor, numbered from 0
 };
 
+/// A start order that an executor received from a planner that it takes orders from.
+struct StartOrder
+{
+    std::string task; ///< JOB.OCCURRENCE.STEP.INDEX
+    int attempt = 0;
+    std::string worker;
+    std::string domain; ///< failure domain of the executor
+    SteadyTime at; ///< when it arrived, also if it was carried out later
+};
+
 struct SoakExecutorOptions
 {
+    std::string domain = "z1"; ///< failure domain
     Millis lease{10'000}; ///< the longest one; longer ones are shortened
     /// Draws how long answers are under way, so that answers on different connections overtake each other; nothing: no time.
     std::optional<std::uint64_t> transitSeed;
@@ -70,9 +82,12 @@
     auto operator=(const SoakExecutor &) -> SoakExecutor & = delete;
 
     [[nodiscard]] auto id() const -> const std::string &;
-    /// @param state "ready" or "draining"
     /// @return the entry that the executor writes to the store now.
-    [[nodiscard]] auto entry(const std::string &state) -> std::string;
+    [[nodiscard]] auto entry() -> std::string;
+    /// Lets its entries show from now on that it is draining and stays for @p remaining. Calling vanish() then is left to the caller.
+    auto announceDeparture(Millis remaining) -> void;
+    /// @return whether it has announced its departure.
+    auto isLeaving() -> bool;
     /// Ends the present lifetime without a word and begins the next one. Answers of the ended lifetime that are under way still arrive.
     auto restart() -> void;
     /// Cuts the executor off from its callers: calls are broken off, and what it runs goes on until its lease ends.
@@ -89,6 +104,8 @@
     auto restartedAt() -> std::optional<SteadyTime>;
     /// @return all attempts so far.
     auto runs() -> std::vector<Run>;
+    /// @return the start orders so far, but those of planners that have been replaced.
+    auto startOrders() -> std::vector<StartOrder>;
     /// @return when the last try of a start order for the task arrived that got no answer, or none in time; nothing if there was none. It may have
     /// been carried out, or may still be.
     auto unansweredStartAt(const std::string &task) -> std::optional<SteadyTime>;
@@ -117,6 +134,7 @@
     struct LateOrder
     {
         SteadyTime at;
+        SteadyTime arrivedAt;
         Answer execute = nullptr;
         std::string body;
     };
@@ -159,7 +177,9 @@
     Random m_late;
     std::int64_t m_firstReading = 0; ///< of the clock of this lifetime
     bool m_isCutOff = false;
-    bool m_executesLate = false; ///< whether the order that is being carried out is late
+    std::optional<SteadyTime> m_lateArrival; ///< of the order that is being carried out; nothing if it is not late
+    std::optional<SteadyTime> m_leavesAt; ///< as announced
+    std::vector<StartOrder> m_startOrders;
     std::vector<LateOrder> m_lateOrders;
     std::map<std::string, SteadyTime> m_unansweredStarts; ///< by task
     int m_lifetime = 0;
--- a/testing/soak/soakjudge.cpp
+++ b/testing/soak/soakjudge.cpp
@@ -1,5 +1,7 @@
 #include "soak/soakjudge.h"
 
+#include "soak/soakstarts.h"
+
 #include <algorithm>
 
 namespace Catkin::Soak
@@ -24,6 +26,11 @@
 constexpr auto lateCallTime = std::chrono::milliseconds{13'000};
 /// The leader's last call for an earlier lifetime is over by then after a restart: a poll that waits, and its time for the answer.
 constexpr auto lastCallTime = std::chrono::milliseconds{3'000};
+/// A gang whose members have not all begun after `bounds.gang_timeout_ms`, 3 s, is stopped: a planning pass, the order and the grace of 200 ms fit into the
+/// rest.
+constexpr auto aloneLimit = std::chrono::milliseconds{5'000};
+/// From a disturbance of the leader until the next one, in office after 3 s, has stopped such a gang; it counts the time-out anew.
+constexpr auto aloneTakeoverTime = std::chrono::milliseconds{8'000};
 constexpr auto tasksPerWorker = std::size_t{8};
 constexpr auto notFound = 410;
 
@@ -278,6 +285,53 @@
     }
 }
 
+/// @return when the leader can know that an attempt was lost with its executor; when it ended if the executor is there.
+auto SoakJudge::lossKnownAt(SoakWorld &world, const Run &run, const std::map<std::string, SteadyTime> &departures) const -> SteadyTime
+{
+    const auto goneAt = run.how == "gone" ? world.goneAt(run.worker) : std::nullopt;
+    if (!goneAt || departures.contains(run.worker)) {
+        return *run.end;
+    }
+    return std::max(*run.end, leaseEnd(*goneAt, *goneAt));
+}
+
+/// @return until when a member of a gang may run on that is alone from the given time on.
+auto SoakJudge::aloneUntil(SteadyTime since) const -> SteadyTime
+{
+    auto until = since + aloneLimit;
+    for (const auto it : m_disturbances) {
+        if (it + aloneTakeoverTime >= since && it <= until) {
+            until = std::max(until, it + aloneTakeoverTime);
+        }
+    }
+    return until;
+}
+
+auto SoakJudge::checkGangs(SoakWorld &world, const Runs &runs) -> void
+{
+    const auto departures = world.departures();
+    for (const auto &[id, state] : m_jobs) {
+        for (auto s = std::size_t{0}; s < state.job.steps.size(); ++s) {
+            const auto &step = state.job.steps[s];
+            for (auto i = 0; step.isGang && i < step.tasks * step.tasks; ++i) {
+                const auto member = taskName(state.job, s, i / step.tasks);
+                const auto &others = runsOf(runs, taskName(state.job, s, i % step.tasks));
+                auto seen = others;
+                for (auto &it : seen) {
+                    it.end = it.end ? std::optional{lossKnownAt(world, it, departures)} : std::nullopt;
+                }
+                for (const auto &it : runsOf(runs, member)) {
+                    if (const auto since = aloneSince(it, seen, [this](SteadyTime at) { return aloneUntil(at); })) {
+                        report("GANG: " + member + " attempt " + describe(it) + " ran without member " + std::to_string(i % step.tasks) + " from "
+                               + std::to_string(toMillis(*since - it.begin)) + " ms after its start to its end after "
+                               + std::to_string(toMillis(it.end.value_or(std::chrono::steady_clock::now()) - it.begin)) + " ms");
+                    }
+                }
+            }
+        }
+    }
+}
+
 auto SoakJudge::finish(SoakWorld &world) -> void
 {
     auto runs = Runs{};
@@ -288,6 +342,15 @@
         std::sort(all.begin(), all.end(), [](const Run &a, const Run &b) { return a.begin < b.begin; });
     }
     checkRuns(runs);
+    checkGangs(world, runs);
+    const auto orders = world.startOrders();
+    const auto frozen = world.frozenSpans();
+    for (const auto &it : evacuationViolations(orders, world.evacuations(), frozen)) {
+        report(it);
+    }
+    for (const auto &it : departureViolations(orders, world.departures(), frozen)) {
+        report(it);
+    }
     for (const auto &[id, state] : m_jobs) {
         if (!state.isEnded && !state.job.steps.front().isLasting) {
             report("LOST: job " + id + " has not ended");
--- a/testing/soak/soakjudge.h
+++ b/testing/soak/soakjudge.h
@@ -16,7 +16,10 @@
 /// - a task that runs twice at the same time, or starts after a planner has noted that it was done;
 /// - an accepted job that is answered 410, or is shown as failed without enough failures of a task, or does not end;
 /// - in quiet time, while under half of the executors' capacity is in use, for 3 s: a job that has nothing running though the turn of a task
-///   has come, and a task that lasts and does not run from 6 s after its last run.
+///   has come, and a task that lasts and does not run from 6 s after its last run;
+/// - a start order in a failure domain while its evacuation is in force, or on an executor that leaves, see soak/soakstarts.h;
+/// - a member of a gang that runs for more than 5 s without another member, counted anew when the leader is disturbed. Where the other member ran on an
+///   executor that left, or vanished, the time counts from when the leader can know that.
 ///
 /// Work of an executor that vanished may wait for the end of its leases: those that were granted before it vanished, or that late calls for an earlier
 /// lifetime may have granted to its last one, or that a start order of the same task that it left unanswered may still grant, or, if the leader was disturbed
@@ -92,6 +95,9 @@
     auto lookAt(SoakWorld &world, JobState &state, const Runs &runs, SteadyTime now) -> void;
     auto stood(JobState &state, const std::string &what, SteadyTime since, SteadyTime now) -> void;
     auto checkRuns(const Runs &runs) -> void;
+    auto checkGangs(SoakWorld &world, const Runs &runs) -> void;
+    auto lossKnownAt(SoakWorld &world, const Run &run, const std::map<std::string, SteadyTime> &departures) const -> SteadyTime;
+    auto aloneUntil(SteadyTime since) const -> SteadyTime;
     auto report(const std::string &text) -> void;
 
     Millis m_lease;
--- a/testing/soak/soakworld.cpp
+++ b/testing/soak/soakworld.cpp
@@ -20,6 +20,8 @@
 constexpr auto graceTime = Millis{8'000};
 constexpr auto restartDelay = std::chrono::milliseconds{300};
 constexpr auto callTimeout = Millis{3'000};
+constexpr auto operatorsLog = "keyed.op";
+constexpr auto evacuationKey = "evacuate/";
 /// An order without an answer is carried out up to 12 s after it has arrived; its sender counts from when it gave the order up, within 1 s.
 constexpr auto unansweredTime = Millis{13'000};
 
@@ -28,6 +30,7 @@
     return "node = \"" + name + "\"\nzone = \"z1\"\nip = \"" + ip
            + "\"\ninternal_ports = [7000, 7015]\nheartbeat_ms = 1500\norders = \"request\"\n[listen]\nfront = \"" + ip + ":8521\"\nreadiness = \"" + ip
            + ":8523\"\n[limits]\ncpu_share = 1.0\ncores = 1\n[bounds]\nmax_hold_ms = " + std::to_string(options.lease.count())
+           + (options.boundsEvacuations ? "\nevacuate_ms = 5000" : "")
            + "\nstop_grace_ms = 200\ngang_timeout_ms = 3000\ngrace_s = 6\nvisible_ms = 3000\nstatus_s = 600\n[platform]\naddress = \"" + store
            + "\"\nrecord_bytes = 262144\n";
 }
@@ -117,9 +120,12 @@
     if (!lock) {
         return false;
     }
+    const auto begin = std::chrono::steady_clock::now();
     instance.process->signal(SIGSTOP);
     std::this_thread::sleep_for(span);
     instance.process->signal(SIGCONT);
+    const auto guard = std::lock_guard{m_mutex};
+    m_frozenSpans.push_back({.begin = begin, .end = std::chrono::steady_clock::now()});
     return true;
 }
 
@@ -139,9 +145,11 @@
 {
     const auto lock = std::lock_guard{m_mutex};
     const auto number = m_executors.size() + 1;
+    const auto domain = "z" + std::to_string(1 + (number - 1) % static_cast<std::size_t>(m_options.domains));
     const auto transitSeed = m_options.transitSeed ? std::optional{*m_options.transitSeed + number} : std::nullopt;
     m_executors.push_back(std::make_unique<SoakExecutor>("i-" + std::to_string(number),
-                                                         SoakExecutorOptions{.lease = m_options.lease,
+                                                         SoakExecutorOptions{.domain = domain,
+                                                                             .lease = m_options.lease,
                                                                              .transitSeed = transitSeed,
                                                                              .forgetsWhileWaiting = m_options.forgetsWhileWaiting,
                                                                              .clockSeed = m_options.seed + number,
@@ -154,7 +162,7 @@
 auto SoakWorld::writeEntry(SoakExecutor &executor) -> void
 {
     if (!executor.goneAt() && !m_removals.contains(executor.id()) && !m_unwritten.contains(executor.id())) {
-        m_store.put("keyed.servers", executor.id(), executor.entry("ready"));
+        m_store.put("keyed.servers", executor.id(), executor.entry());
     }
 }
 
@@ -197,6 +205,33 @@
 }
 
 auto SoakWorld::vanish(std::size_t index) -> void
+{
+    auto *executor = static_cast<SoakExecutor *>(nullptr);
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        executor = m_executors.at(index).get();
+        if (executor->goneAt()) {
+            return;
+        }
+        m_removals[executor->id()] = std::chrono::steady_clock::now() + heartbeat * entryHeartbeats;
+    }
+    executor->vanish();
+}
+
+auto SoakWorld::announceDeparture(std::size_t index, Millis remaining) -> bool
+{
+    const auto lock = std::lock_guard{m_mutex};
+    auto &executor = *m_executors.at(index);
+    if (executor.goneAt() || executor.isLeaving() || m_removals.contains(executor.id()) || m_unwritten.contains(executor.id())) {
+        return false;
+    }
+    executor.announceDeparture(remaining);
+    writeEntry(executor);
+    m_departures[executor.id()] = std::chrono::steady_clock::now();
+    return true;
+}
+
+auto SoakWorld::leave(std::size_t index) -> void
 {
     auto *executor = static_cast<SoakExecutor *>(nullptr);
     {
@@ -205,6 +240,28 @@
         m_removals[executor->id()] = std::chrono::steady_clock::now() + heartbeat * entryHeartbeats;
     }
     executor->vanish();
+    const auto lock = std::lock_guard{m_mutex};
+    m_removals[executor->id()] = std::chrono::steady_clock::now();
+}
+
+auto SoakWorld::evacuate(const std::string &domain) -> void
+{
+    m_store.put(operatorsLog, evacuationKey + domain, "{}");
+    const auto lock = std::lock_guard{m_mutex};
+    m_evacuations.push_back({.domain = domain, .acknowledgedAt = std::chrono::steady_clock::now()});
+}
+
+auto SoakWorld::revokeEvacuation(const std::string &domain) -> void
+{
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        for (auto &it : m_evacuations) {
+            if (it.domain == domain && !it.revokedAt) {
+                it.revokedAt = std::chrono::steady_clock::now();
+            }
+        }
+    }
+    m_store.put(operatorsLog, evacuationKey + domain, "");
 }
 
 auto SoakWorld::restartWorker(std::size_t index, bool isWritten) -> void
@@ -262,7 +319,7 @@
                                      {"routes", {route("urgent", 0), route("normal", 1), route("batch", 2)}},
                                      {"tenants", {{{"name", "t"}, {"api_keys", {"k"}}, {"guaranteed", {{"gpu", 8}}}}}}}
                           .dump();
-    m_store.put("keyed.op", "config", text);
+    m_store.put(operatorsLog, "config", text);
 }
 
 auto SoakWorld::call(std::size_t instance, const std::string &method, const std::string &path, const std::string &body, std::string &answer) -> int
@@ -284,6 +341,35 @@
     return out;
 }
 
+auto SoakWorld::startOrders() -> std::vector<StartOrder>
+{
+    auto out = std::vector<StartOrder>{};
+    const auto lock = std::lock_guard{m_mutex};
+    for (const auto &it : m_executors) {
+        const auto orders = it->startOrders();
+        out.insert(out.end(), orders.begin(), orders.end());
+    }
+    return out;
+}
+
+auto SoakWorld::evacuations() -> std::vector<Evacuation>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_evacuations;
+}
+
+auto SoakWorld::departures() -> std::map<std::string, SteadyTime>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_departures;
+}
+
+auto SoakWorld::frozenSpans() -> std::vector<FrozenSpan>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    return m_frozenSpans;
+}
+
 /// The caller holds m_mutex.
 auto SoakWorld::find(const std::string &worker) -> SoakExecutor *
 {
--- a/testing/soak/soakworld.h
+++ b/testing/soak/soakworld.h
@@ -42,6 +42,23 @@
     bool forgetsWhileWaiting = false; ///< see SoakExecutorOptions
     std::uint64_t seed = 0; ///< draws the first readings of the executors' clocks, and which orders are late
     int lateOrders = 0; ///< see SoakExecutorOptions
+    int domains = 1; ///< failure domains of the executors, named z1, z2 and so on
+    bool boundsEvacuations = false; ///< whether the instances have the setting `bounds.evacuate_ms`
+};
+
+/// From when the store has acknowledged a record until the next one.
+struct Evacuation
+{
+    std::string domain;
+    SteadyTime acknowledgedAt;
+    std::optional<SteadyTime> revokedAt; ///< when the revocation was sent; nothing if none was
+};
+
+/// A time in which an instance was frozen.
+struct FrozenSpan
+{
+    SteadyTime begin;
+    SteadyTime end;
 };
 
 class SoakWorld
@@ -63,6 +80,15 @@
     auto freezeInstance(std::size_t index, Millis span) -> bool;
     /// Ends an executor without a word; its entry is removed after three heartbeats.
     auto vanish(std::size_t index) -> void;
+    /// Lets an executor write that it is draining and for how long it stays, unless it has vanished, is cut off or has written so before.
+    /// @return whether it was done.
+    auto announceDeparture(std::size_t index, Millis remaining) -> bool;
+    /// Ends an executor that has announced it, and removes its entry at once.
+    auto leave(std::size_t index) -> void;
+    /// Writes the operators' record that evacuates a failure domain, and returns when it is in the store.
+    auto evacuate(const std::string &domain) -> void;
+    /// Revokes the evacuation of a failure domain.
+    auto revokeEvacuation(const std::string &domain) -> void;
     /// Lets an executor begin a new lifetime under its id, unless it has vanished.
     /// @param isWritten whether it writes its entry at once, not only with its next heartbeat
     auto restartWorker(std::size_t index, bool isWritten) -> void;
@@ -83,6 +109,13 @@
 
     /// @return all attempts on all executors.
     auto history() -> std::vector<Run>;
+    /// @return all start orders that executors took.
+    auto startOrders() -> std::vector<StartOrder>;
+    auto evacuations() -> std::vector<Evacuation>;
+    /// @return when the entries of the executors that announced their departure were in the store, by executor.
+    auto departures() -> std::map<std::string, SteadyTime>;
+    /// @return when instances were frozen, once they have gone on.
+    auto frozenSpans() -> std::vector<FrozenSpan>;
     /// @return when the executor vanished; nothing if it has not.
     auto goneAt(const std::string &worker) -> std::optional<SteadyTime>;
     /// @return when the executor's last lifetime began; nothing if it is the first.
@@ -122,6 +155,9 @@
     std::vector<std::unique_ptr<SoakExecutor>> m_executors;
     std::map<std::string, SteadyTime> m_removals; ///< when the entries of executors that write none any more are removed
     std::set<std::string> m_unwritten; ///< executors that are cut off from the store
+    std::vector<Evacuation> m_evacuations;
+    std::map<std::string, SteadyTime> m_departures;
+    std::vector<FrozenSpan> m_frozenSpans;
     bool m_isLatenessOver = false;
     std::atomic<int> m_version{0};
     std::atomic<bool> m_stopping{false};
