--- a/testing/soak/soakworld.cpp
+++ b/testing/soak/soakworld.cpp
@@ -20,6 +20,8 @@
 constexpr auto graceTime = Millis{8'000};
 constexpr auto restartDelay = std::chrono::milliseconds{300};
 constexpr auto callTimeout = Millis{3'000};
+/// Connections of an instance to the store: each log that it follows keeps one that waits for records, and appends must not wait behind those.
+constexpr auto storeThreads = std::size_t{16};
 constexpr auto operatorsLog = "keyed.op";
 constexpr auto evacuationKey = "evacuate/";
 /// An order without an answer is carried out up to 12 s after it has arrived; its sender counts from when it gave the order up, within 1 s.
@@ -39,6 +41,7 @@
 
 SoakWorld::SoakWorld(const SoakOptions &options)
     : m_options(options)
+    , m_store(std::max(Platform::Testing::StoreStandin::defaultThreads, static_cast<std::size_t>(options.instances) * storeThreads))
 {
     std::filesystem::create_directories(m_options.folder);
     writeConfig();
