Log when a worker's entry is gone and when another worker takes its address

worker_unlisted and address_taken have the lifetimes, the attempts that wait, the end of the lease, the latest end of the wait and the time in which a start order without an answer may still arrive. Both are written for workers that may still run or begin something, and change no decision.

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -199,6 +199,8 @@
             worker.answeredAt = now;
         }
     }
+    noteSuccessors(now);
+    noteUnlisted(now);
     countIdleCapacity();
     dropUnlisted(now);
 }
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -254,6 +254,8 @@
     {
         PoolWorkerInfo info;
         bool listed = false;
+        MonoTime unlistedAt; ///< since when it has no entry; MonoTime{} while it is listed
+        WorkerId successor; ///< the worker that has taken its address, as far as logged
         std::optional<DepartureNotice> notice; ///< of the entry of a worker that leaves; see stopLeaving()
         bool answered = false; ///< a poll has been answered in this planner's term
         Incarnation listedBorn; ///< incarnation in the worker's entry
@@ -419,6 +421,9 @@
     auto stopHung(MonoTime now) -> void;
     auto expireJobs(MonoTime now) -> void;
     auto dropUnlisted(MonoTime now) -> void;
+    static auto isAwaited(const Worker &worker, MonoTime now) -> bool;
+    auto noteUnlisted(MonoTime now) -> void;
+    auto noteSuccessors(MonoTime now) -> void;
     static auto isWatched(const Worker &worker, MonoTime now) -> bool;
     static auto watchUntil(Worker &worker, MonoTime until) -> void;
     static auto noteStartInDoubt(Worker &worker, MonoTime sentAt) -> void;
