Place work again once another worker is at the address of its worker

Cause: one bound, the longest, stood for each kind of evidence. An attempt whose start order had no answer waited for the lease and 13 s more, since a later lifetime of its worker could carry the order out, also when another worker was known to be at the worker's address. Nobody could answer any more, and the gang waited with its one member.

Change: when the entry of a worker with a later lifetime names the address of another one, or a poll that was sent after the last list of a worker is answered by another one, the process of the earlier worker has ended. Its attempts are placed again at once, those with late start orders too, for as long as the successor is listed; its lists and entry count no more. Start orders without an answer are remembered, so that a worker that comes back is watched and gets stop orders for them. Entries whose service no queue has may come from another writer and show nothing.

--- a/packages/daemon/poolcalls.cpp
+++ b/packages/daemon/poolcalls.cpp
@@ -118,6 +118,10 @@
             address = worker->second.info.address;
         }
         m_core.pollFailed(id);
+        if (reply.error().code == ErrorCode::NotFound && m_core.otherWorkerAnswered(id, sentAt, m_clock.mono())) {
+            m_dirty = true;
+            m_wake.notify_all();
+        }
     }
     if (!address.empty()) {
         logEvent(LogLevel::Warn, 6011, "worker=" + id.str() + " address=" + address + " does not answer: " + reply.error().message);
--- a/packages/daemon/workercaller.cpp
+++ b/packages/daemon/workercaller.cpp
@@ -203,7 +203,8 @@
     auto &poller = m_pollers.at(poll.id);
     if (!reply) {
         closeLate(poller);
-        if (reply.error().code == ErrorCode::StaleGeneration && !isOvertaken(poll, reply)) {
+        const auto showsOther = reply.error().code == ErrorCode::StaleGeneration || reply.error().code == ErrorCode::NotFound;
+        if (showsOther && !isOvertaken(poll, reply)) {
             m_handlers.pollEnded(poll.id, reply, poll.sentAt);
         }
         return;
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -168,6 +168,9 @@
         worker.listed = false;
     }
     for (const auto &it : listed) {
+        if (isSucceeded(it)) {
+            continue;
+        }
         const auto [known, isNew] = m_workers.try_emplace(it.id);
         auto &worker = known->second;
         if (isNew) {
@@ -182,6 +185,9 @@
                         "worker=" + it.id.str() + " listed_born=" + std::to_string(it.born.value) + " before=" + std::to_string(worker.listedBorn.value)
                             + " answered_born=" + (worker.answered ? std::to_string(born.value) : std::string("none")) + " " + describeLateStarts(worker, now));
         }
+        if (isNew || worker.listedBorn != it.born) {
+            worker.shownAt = now;
+        }
         worker.info = it;
         worker.listedBorn = it.born;
         worker.listed = true;
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -20,7 +20,8 @@
 /// - the worker reports the attempt's completion,
 /// - the reply to a poll that was sent after every open order had been answered does not list the attempt,
 /// - the worker has restarted, and a list of the new lifetime that is later than the answer to the start order does not name the attempt,
-/// - the worker's process has shut down by itself, or
+/// - the worker's process has shut down by itself,
+/// - another worker is at its address, or
 /// - every lease that any planner can have granted has expired, and the worker is not known to run. What earlier planners granted is known
 ///   from bounds that they have stored, see leasebounds.h, and otherwise taken to be the longest lease at the end of their term.
 ///
@@ -160,6 +161,10 @@
     /// @return whether the reply may change the next decisions, so that plan() should be called
     auto applyPollReply(const WorkerId &id, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> bool;
     auto pollFailed(const WorkerId &id) -> void;
+    /// Reports that another worker has answered a poll of this one, so that its process has ended.
+    /// @param sentAt time at which the poll was sent
+    /// @return whether that changes the next decisions; it does not if the poll was sent before the worker was last known to be there.
+    auto otherWorkerAnswered(const WorkerId &id, MonoTime sentAt, MonoTime now) -> bool;
     auto applyOrder(const PoolOrder &order, const OrderAnswer &answer, MonoTime now) -> void;
     /// @}
 
@@ -255,7 +260,7 @@
         PoolWorkerInfo info;
         bool listed = false;
         MonoTime unlistedAt; ///< since when it has no entry; MonoTime{} while it is listed
-        WorkerId successor; ///< the worker that has taken its address, as far as logged
+        MonoTime shownAt; ///< when its entry first named the present lifetime
         std::optional<DepartureNotice> notice; ///< of the entry of a worker that leaves; see stopLeaving()
         bool answered = false; ///< a poll has been answered in this planner's term
         Incarnation listedBorn; ///< incarnation in the worker's entry
@@ -307,6 +312,14 @@
         std::map<AttemptKey, MonoTime> releasedStarts; ///< see Worker::releasedStarts
     };
 
+    /// The worker that has taken the address of one whose process has ended.
+    struct Successor
+    {
+        WorkerId id; ///< empty: not known
+        Incarnation endedBorn; ///< last lifetime of the worker whose process has ended
+        MonoTime seenAt;
+    };
+
     /// Groups of one priority, within a guarantee or not.
     using PriorityClass = std::pair<int, bool>;
     /// Place of a group of tasks among those of its class; earlier ones are placed first.
@@ -423,7 +436,12 @@
     auto dropUnlisted(MonoTime now) -> void;
     static auto isAwaited(const Worker &worker, MonoTime now) -> bool;
     auto noteUnlisted(MonoTime now) -> void;
+    auto describeWaits(const Worker &worker, MonoTime now) const -> std::string;
+    auto isOfQueue(const PoolWorkerInfo &info) const -> bool;
     auto noteSuccessors(MonoTime now) -> void;
+    auto succeed(const WorkerId &id, const Successor &successor, MonoTime now) -> void;
+    auto isSucceeded(const PoolWorkerInfo &info) -> bool;
+    auto hasSuccessor(const WorkerId &id) const -> bool;
     static auto isWatched(const Worker &worker, MonoTime now) -> bool;
     static auto watchUntil(Worker &worker, MonoTime until) -> void;
     static auto noteStartInDoubt(Worker &worker, MonoTime sentAt) -> void;
@@ -451,6 +469,7 @@
     std::set<JobId> m_active; ///< jobs that are not final
     std::map<WorkerId, Worker> m_workers;
     std::map<WorkerId, LateCalls> m_lateCalls; ///< of workers that are not in m_workers
+    std::map<WorkerId, Successor> m_successors; ///< of workers that are not in m_workers, for as long as start orders to these may arrive
     std::map<WorkerId, MonoTime> m_adoptedLateStarts; ///< of workers that this planner has not seen yet
     MonoTime m_earlierStartsEnd; ///< no start order of an earlier planner is carried out after that, as far as it has been stored
     MonoTime m_entriesReadAt;
--- a/packages/policy/poollatestarts.cpp
+++ b/packages/policy/poollatestarts.cpp
@@ -10,6 +10,7 @@
 /// until a call with a higher token has reached it (callfence.h). So such a task is placed on the same worker again: a lifetime that could carry the order
 /// out has ended the present attempt. It is placed elsewhere
 /// - when the order cannot arrive any more,
+/// - when another worker is at the address of the worker, which refuses the order, see poolsuccessors.cpp,
 /// - while the worker answers and has no room, or has answered no try of the start order, so that another one would hardly be answered, or
 /// - not at all while the worker does not answer: a lifetime may have begun that no call has reached.
 ///
@@ -21,7 +22,7 @@
 /// @param task that waits
 auto PoolCore::placeOf(const TaskKey &key, const TaskState &task, MonoTime now) const -> TaskPlace
 {
-    if (now >= task.startsArriveUntil) {
+    if (now >= task.startsArriveUntil || hasSuccessor(task.worker)) {
         return TaskPlace::Any;
     }
     const auto worker = m_workers.find(task.worker);
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -69,8 +69,9 @@
 /// Remembers the calls to a worker that is dropped. Its poll is dropped as well, so that the last grant counts as unanswered.
 auto PoolCore::keepLateCalls(const Worker &worker) -> void
 {
-    if (worker.grantedAt != MonoTime{}) {
-        m_lateCalls[worker.info.id] = {.grantedAt = std::max(worker.grantedAt, worker.unansweredGrantAt),
+    const auto grantedAt = std::max(worker.grantedAt, worker.unansweredGrantAt);
+    if (grantedAt != MonoTime{}) {
+        m_lateCalls[worker.info.id] = {.grantedAt = grantedAt,
                                        .startsArriveUntil = worker.startsArriveUntil,
                                        .releasedStarts = worker.releasedStarts};
     }
--- a/packages/policy/poolsuccessors.cpp
+++ b/packages/policy/poolsuccessors.cpp
@@ -4,8 +4,15 @@
 #include <chrono>
 #include <map>
 #include <string>
+#include <utility>
 
 /// Workers whose entry has been removed, and those whose address another worker has taken.
+///
+/// Only one process can listen at an address. When another worker is at the address of one, the process of the earlier one has ended, with its leases. A
+/// start order for it that arrives late names a worker that is not there, and is refused for as long as its successor is at the address.
+///
+/// It shows in two ways: the entry of a worker of a later lifetime names the address, or a poll that was sent after the last list is answered by another
+/// worker.
 
 namespace Catkin
 {
@@ -27,6 +34,14 @@
     return !worker.allocations.empty() || isWatched(worker, now);
 }
 
+/// @return what waits for the worker and until when, as fields of a line.
+auto PoolCore::describeWaits(const Worker &worker, MonoTime now) const -> std::string
+{
+    return "lifetime=" + std::to_string(worker.info.born.value) + " attempts=" + std::to_string(worker.allocations.size())
+           + " answers=" + (isAnswering(worker) ? "yes" : "no") + " lease_end_ms=" + millisUntil(worker.leaseEnd, now)
+           + " latest_end_ms=" + millisUntil(lastLeaseEnd(worker), now) + " late_calls_ms=" + millisUntil(std::max(worker.startsArriveUntil, now), now);
+}
+
 /// Notes which workers have no entry any more.
 auto PoolCore::noteUnlisted(MonoTime now) -> void
 {
@@ -36,42 +51,97 @@
         } else if (worker.unlistedAt == MonoTime{}) {
             worker.unlistedAt = now;
             if (isAwaited(worker, now)) {
-                logDecision("worker_unlisted",
-                            "worker=" + id.str() + " lifetime=" + std::to_string(worker.info.born.value)
-                                + " attempts=" + std::to_string(worker.allocations.size()) + " answers=" + (isAnswering(worker) ? "yes" : "no")
-                                + " lease_end_ms=" + millisUntil(worker.leaseEnd, now) + " latest_end_ms=" + millisUntil(lastLeaseEnd(worker), now)
-                                + " late_calls_ms=" + millisUntil(std::max(worker.startsArriveUntil, now), now));
+                logDecision("worker_unlisted", "worker=" + id.str() + " " + describeWaits(worker, now));
             }
         }
     }
 }
 
-/// Finds the workers whose address the entry of another one names. Only one process can listen at an address, so that the one whose lifetime began
-/// earlier has ended.
+/// @return whether the entry names a service of a queue; otherwise it may come from another writer, and shows nothing.
+auto PoolCore::isOfQueue(const PoolWorkerInfo &info) const -> bool
+{
+    return std::any_of(m_rules.queues.begin(), m_rules.queues.end(), [&](const auto &it) { return it.second.service == info.service; });
+}
+
+/// Finds the workers whose address the entry of another one names. The one whose lifetime began earlier has ended.
 auto PoolCore::noteSuccessors(MonoTime now) -> void
 {
+    std::erase_if(m_successors, [&](const auto &it) { return it.second.seenAt + lateCallLimit <= now; });
     auto holders = std::map<std::string, const Worker *>{};
     for (const auto &[id, worker] : m_workers) {
-        if (worker.listed && !worker.info.address.empty()) {
+        if (worker.listed && isOfQueue(worker.info)) {
             auto &holder = holders[worker.info.address];
             holder = holder == nullptr || holder->listedBorn < worker.listedBorn ? &worker : holder;
         }
     }
-    for (auto &[id, worker] : m_workers) {
+    auto successors = std::map<WorkerId, Successor>{};
+    for (const auto &[id, worker] : m_workers) {
         const auto holder = holders.find(worker.info.address);
-        if (holder == holders.end() || holder->second->info.id == id || !isAwaited(worker, now)) {
-            continue;
+        const auto born = std::max(worker.info.born, worker.listedBorn);
+        if (holder != holders.end() && born < holder->second->listedBorn) {
+            successors[id] = {.id = holder->second->info.id, .endedBorn = born, .seenAt = now};
         }
-        const auto &successor = *holder->second;
-        if (std::max(worker.info.born, worker.listedBorn) < successor.listedBorn && worker.successor != successor.info.id) {
-            worker.successor = successor.info.id;
-            logDecision("address_taken",
-                        "worker=" + id.str() + " lifetime=" + std::to_string(worker.info.born.value) + " by=" + successor.info.id.str()
-                            + " by_lifetime=" + std::to_string(successor.listedBorn.value) + " address=" + worker.info.address + " attempts="
-                            + std::to_string(worker.allocations.size()) + " lease_end_ms=" + millisUntil(worker.leaseEnd, now) + " latest_end_ms="
-                            + millisUntil(lastLeaseEnd(worker), now) + " late_calls_ms=" + millisUntil(std::max(worker.startsArriveUntil, now), now));
+    }
+    for (const auto &[id, successor] : successors) {
+        succeed(id, successor, now);
+    }
+}
+
+auto PoolCore::otherWorkerAnswered(const WorkerId &id, MonoTime sentAt, MonoTime now) -> bool
+{
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end() || sentAt < std::max(it->second.answeredAt, it->second.shownAt)) {
+        return false; // a worker that was there before this one may have answered
+    }
+    const auto born = std::max(it->second.info.born, it->second.listedBorn);
+    succeed(id, {.endedBorn = born, .seenAt = now}, now);
+    return true;
+}
+
+/// Gives up all attempts of a worker that has ended, and forgets it. Its start orders without an answer are remembered, in case it comes back.
+auto PoolCore::succeed(const WorkerId &id, const Successor &successor, MonoTime now) -> void
+{
+    auto &worker = m_workers.at(id);
+    if (isAwaited(worker, now)) {
+        logDecision("address_taken",
+                    "worker=" + id.str() + " by=" + (successor.id.empty() ? std::string("unknown") : successor.id.str()) + " address=" + worker.info.address
+                        + " " + describeWaits(worker, now));
+    }
+    for (auto &[key, it] : worker.allocations) {
+        if (it.orderOpen) {
+            it.startArrivesUntil = now + lateCallLimit;
+            noteStartInDoubt(worker, now);
         }
     }
+    m_successors[id] = successor;
+    loseAllAttempts(worker, "another worker is at its address");
+    keepLateCalls(worker);
+    m_workers.erase(id);
+}
+
+/// @return whether the entry is of a lifetime that is over although it has not been removed yet.
+auto PoolCore::isSucceeded(const PoolWorkerInfo &info) -> bool
+{
+    const auto it = m_successors.find(info.id);
+    if (it == m_successors.end()) {
+        return false;
+    }
+    if (info.born <= it->second.endedBorn) {
+        return true;
+    }
+    m_successors.erase(it); // the worker has come back
+    return false;
+}
+
+/// @return whether another worker is at the address of this one, so that no start order can begin anything there.
+auto PoolCore::hasSuccessor(const WorkerId &id) const -> bool
+{
+    const auto it = m_successors.find(id);
+    if (it == m_successors.end() || it->second.id.empty()) {
+        return it != m_successors.end();
+    }
+    const auto successor = m_workers.find(it->second.id);
+    return successor != m_workers.end() && successor->second.listed;
 }
 
 }
--- a/packages/ports/workerorders.h
+++ b/packages/ports/workerorders.h
@@ -53,6 +53,7 @@
 /// A kept connection to one worker, for one call at a time. A callback is called once, unless close() or WorkerCalls::stop() comes before.
 struct WorkerChannel
 {
+    /// Fails with ErrorCode::NotFound if another worker answered at the address.
     std::function<void(const WorkerPollRequest &request, Millis timeout, std::function<void(Result<WorkerPollReply>)> done)> poll;
     std::function<void(const StartOrder &order, Millis timeout, std::function<void(OrderAnswer)> done)> start;
     std::function<void(const StopOrder &order, Millis timeout, std::function<void(OrderAnswer)> done)> stop;
