Grant no lease on a list that answers a failed poll

Cause: a list that arrives after its poll has failed counted as a sign of life. The worker was reachable again, the next poll granted it a lease, and the work waited for that lease, although the worker had crashed behind the cut after it had made the list.

Change: what such a list says counts, as before, but the worker stays unreachable until it answers a later poll or has written its entry since the first poll after the failure. Line list_overdue.

Test: poolcore_leases_test, "a list that answers a failed poll brings no lease ..."; with isOverdue() taken out it fails at :409 to :411.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -259,9 +259,16 @@
     }
     worker.info.born = reply.born;
     worker.answered = true;
-    worker.reachable = true;
     worker.reportAwaited = false;
-    worker.leaseWaitLogged = false;
+    if (isOverdue(worker, reply, sentAt)) {
+        logDecision("list_overdue",
+                    "worker=" + id.str() + " born=" + std::to_string(reply.born.value) + " asked_ms_ago="
+                        + std::to_string(std::chrono::duration_cast<Millis>(now - sentAt).count()) + " listed=" + (worker.listed ? "yes" : "no"));
+    } else {
+        worker.reachable = true;
+        worker.retriedAt = MonoTime{};
+        worker.leaseWaitLogged = false;
+    }
     worker.answeredAt = now;
     // A late answer has an old reading; the clock has gone on since, at least as fast as the slowest clock.
     const auto elapsed = std::chrono::duration_cast<Millis>(now - worker.clockAt);
@@ -295,6 +302,7 @@
     const auto it = m_workers.find(id);
     if (it != m_workers.end()) {
         it->second.reachable = false;
+        it->second.failedPollAt = it->second.polledAt;
         it->second.unansweredGrantAt = std::max(it->second.unansweredGrantAt, it->second.grantedAt);
     }
 }
@@ -568,6 +576,10 @@
         const auto *task = findTask(entry.first.first);
         return entry.second.stopping || (task != nullptr && task->attemptPhase == AttemptPhase::Unknown);
     });
+    worker.polledAt = now;
+    if (!worker.reachable && worker.retriedAt == MonoTime{}) {
+        worker.retriedAt = now;
+    }
     auto poll = WorkerPoll{.worker = id, .address = worker.info.address};
     // An unreachable worker gets no new lease: its lease would never expire, and its tasks could never be placed elsewhere.
     poll.request.leaseUntil = worker.reachable ? leaseFor(id, now) : WorkerTime{};
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -287,6 +287,9 @@
         bool reportAwaited = false; ///< its leases have expired, and it may list completions of attempts
         bool leaseWaitLogged = false; ///< whether the log has that its attempts wait for the end of its leases
         bool reachable = true; ///< the last poll was answered
+        MonoTime polledAt; ///< when the last poll was sent
+        MonoTime failedPollAt; ///< when the last poll that failed was sent
+        MonoTime retriedAt; ///< when the first poll after that was sent; MonoTime{} while the worker is reachable
         std::int64_t processedCompletions = 0;
         std::int64_t recordedCompletions = 0;
         std::int64_t acknowledgedCompletions = 0; ///< highest number that an answered poll has carried
@@ -414,6 +417,7 @@
     static auto needsOpenPoll(const Worker &worker) -> bool;
     static auto isReborn(const Worker &worker) -> bool;
     static auto mayGetLateLease(const Worker &worker, const Allocation &allocation) -> bool;
+    static auto isOverdue(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt) -> bool;
     static auto isOutdated(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt) -> bool;
     auto loseAllAttempts(Worker &worker, const char *reason) -> void;
     auto mayReport(const Worker &worker, MonoTime leaseEnd, MonoTime now) const -> bool;
--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -65,6 +65,14 @@
     return isReborn(worker) || worker.listAskedAt < worker.startsArriveUntil;
 }
 
+/// @return whether the list answers a poll that has failed since, from a worker that has not written its entry after that. Such a worker was there, and
+/// may have ended before its answer arrived: a lease that is granted on it would only be waited for.
+auto PoolCore::isOverdue(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt) -> bool
+{
+    const auto hasWritten = worker.listed && worker.listedBorn == reply.born && worker.retriedAt != MonoTime{} && worker.wroteAt > worker.retriedAt;
+    return !worker.reachable && sentAt <= worker.failedPollAt && !hasWritten;
+}
+
 /// @return whether a list of a later lifetime has overtaken this one. A poll that is sent after that list cannot reach the earlier lifetime.
 auto PoolCore::isOutdated(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt) -> bool
 {
--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -1,5 +1,6 @@
 #include "policy/testing/idlefleet.h"
 #include "policy/testing/poolsimulation.h"
+#include "policy/testing/restartplanner.h"
 
 #include <doctest/doctest.h>
 
@@ -377,3 +378,40 @@
         CHECK(stopped);
     }
 }
+
+// Guards against work that waits for a lease which its worker got after it had ended, because an answer of before arrived late.
+TEST_CASE("a list that answers a failed poll brings no lease before the worker answers again or writes its entry")
+{
+    enum class Then { Answers, Writes };
+    for (const auto then : {Then::Answers, Then::Writes}) {
+        CAPTURE(static_cast<int>(then));
+        auto planner = Planner{};
+        const auto order = planner.place();
+        planner.accept(order, planner.firstClockNow());
+        const auto reply = [&] {
+            auto out = WorkerPollReply{.clock = planner.firstClockNow(), .born = firstBorn};
+            out.running.push_back({.task = order.task, .attempt = order.attempt, .percent = 1});
+            return out;
+        };
+        const auto sentAt = planner.now;
+        planner.core.nextPoll(workerId, sentAt);
+        planner.now += Millis{2'900};
+        planner.core.pollFailed(workerId);
+        planner.now += Millis{200};
+        CHECK(planner.core.nextPoll(workerId, planner.now).request.leaseUntil.value == 0);
+        const auto leaseEnd = planner.core.workers().at(workerId).leaseEnd;
+        planner.now += Millis{100};
+        if (then == Then::Writes) {
+            planner.core.workerWrote(workerId, planner.now);
+        }
+        planner.core.applyPollReply(workerId, reply(), sentAt, planner.now);
+        planner.plan();
+        CHECK(planner.hasLine("list_overdue", "worker=w1 born=1000 asked_ms_ago=3200 listed=yes") == (then == Then::Answers));
+        CHECK((planner.core.nextPoll(workerId, planner.now).request.leaseUntil.value != 0) == (then == Then::Writes));
+        CHECK((planner.core.workers().at(workerId).leaseEnd == leaseEnd) == (then == Then::Answers));
+        planner.now += Millis{10};
+        planner.core.applyPollReply(workerId, reply(), planner.now - Millis{5}, planner.now);
+        CHECK(planner.core.nextPoll(workerId, planner.now).request.leaseUntil.value != 0);
+        CHECK(planner.isPlaced());
+    }
+}
