Wait for the lease and for late start orders side by side once a worker's entry is gone

Cause: the same bound, 13 s and then a lease, stood for a worker that has no entry any more. It is for a later lifetime that carries the order out unseen. What remains is a worker that is cut off and runs on: its own lease bounds that, and no order arrives after 13 s.

Change: when the entry has been gone for 2 s, with the entries read meanwhile, work with late start orders waits for the lease and the 13 s side by side, not one after the other. The worker is polled meanwhile, so that one that comes back keeps its work. A worker whose entry had shown a later lifetime keeps the longer bound.

Test: poolcore_leases_test, "work of a worker without an entry waits ..."; with isGone() taken out it fails at :448 and :465.

--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -221,6 +221,9 @@
 
 auto PoolCore::entriesRead(MonoTime sentAt) -> void
 {
+    if (sentAt - m_entriesReadAt > m_options.heartbeat * entryHeartbeats) {
+        m_entriesReadSince = sentAt;
+    }
     m_entriesReadAt = sentAt;
 }
 
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -410,6 +410,7 @@
     static auto lateStarts(const Worker &worker) -> int;
     [[nodiscard]] auto describeLateStarts(const Worker &worker, MonoTime now) const -> std::string;
     [[nodiscard]] auto longestLease() const -> Millis;
+    [[nodiscard]] auto isGone(const Worker &worker) const -> bool;
     [[nodiscard]] auto lateLeaseEnd(const Worker &worker) const -> MonoTime;
     [[nodiscard]] auto leaseEndOf(const Worker &worker, const Allocation &allocation) const -> MonoTime;
     [[nodiscard]] auto lastLeaseEnd(const Worker &worker) const -> MonoTime;
@@ -477,6 +478,7 @@
     std::map<WorkerId, MonoTime> m_adoptedLateStarts; ///< of workers that this planner has not seen yet
     MonoTime m_earlierStartsEnd; ///< no start order of an earlier planner is carried out after that, as far as it has been stored
     MonoTime m_entriesReadAt;
+    MonoTime m_entriesReadSince; ///< begin of the time in which the entries have been read without a longer pause
     std::map<WorkerId, MonoTime> m_withheld; ///< workers that get no lease because a stored record names them, with the end of their leases
     MonoTime m_tookOverAt; ///< MonoTime{} until the records of earlier planners have been taken over
     std::set<JobId> m_changed;
--- a/packages/policy/poolfleet.h
+++ b/packages/policy/poolfleet.h
@@ -22,6 +22,9 @@
 /// A call to a worker without an answer arrives within 1 s, and is carried out up to 12 s later.
 constexpr auto lateCallLimit = Millis{13'000};
 
+/// Silence after which a worker's entry is dropped, in heartbeats.
+constexpr auto entryHeartbeats = 3;
+
 /// The scheduling part of a configuration.
 struct PoolRules
 {
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -17,8 +17,8 @@
 /// the error of the clock estimate.
 constexpr auto leaseStretch = 1.03;
 constexpr auto leaseSlack = Millis{500};
-/// Silence after which a worker's entry is dropped, in heartbeats.
-constexpr auto entryHeartbeats = 3;
+/// An entry that was dropped while the store was away is back within this time after the store's return, if its worker reaches the store.
+constexpr auto entryReturnTime = Millis{2'000};
 /// A worker that has not answered a new planner by then counts as silent: several round trips between regions.
 constexpr auto firstAnswerLimit = Millis{300};
 /// Attempts that a line about a silent worker names.
@@ -177,10 +177,21 @@
         std::count_if(worker.allocations.begin(), worker.allocations.end(), [&](const auto &it) { return mayStartLate(it.second, worker.listAskedAt); }));
 }
 
+/// @return whether the worker has ended, or is cut off since before its entry was dropped. No later lifetime of it has reached the store.
+auto PoolCore::isGone(const Worker &worker) const -> bool
+{
+    return worker.unlistedAt != MonoTime{} && !isReborn(worker) && !isAnswering(worker)
+           && m_entriesReadAt >= std::max(worker.unlistedAt, m_entriesReadSince) + entryReturnTime;
+}
+
 /// @return the end of the leases of calls that a later lifetime of the worker carries out. The end that such a call names is a reading of another clock,
-/// so that the worker may grant the longest lease, counted from when it carries the call out.
+/// so that the worker may grant the longest lease, counted from when it carries the call out. A worker that is gone has no later lifetime yet; one that
+/// begins before the calls have arrived is found by its entry or by the polls, which go on.
 auto PoolCore::lateLeaseEnd(const Worker &worker) const -> MonoTime
 {
+    if (isGone(worker)) {
+        return std::max(worker.leaseEnd, worker.startsArriveUntil);
+    }
     const auto sentAt = std::max(worker.grantedAt, worker.unansweredGrantAt);
     return sentAt == MonoTime{} ? worker.leaseEnd : std::max(worker.leaseEnd, sentAt + lateCallLimit + longestLease());
 }
--- a/packages/policy/testing/poolcore_leases_test.cpp
+++ b/packages/policy/testing/poolcore_leases_test.cpp
@@ -415,3 +415,52 @@
         CHECK(planner.isPlaced());
     }
 }
+
+// Guards against work that waits for a lease of a later lifetime although its worker has no entry any more, and against work that is placed again before
+// the lease of a worker that is cut off has ended, or while its start order may still arrive.
+TEST_CASE("work of a worker without an entry waits for its lease and for its late start order, one beside the other")
+{
+    constexpr auto returnTime = Millis{2'000};
+    for (const auto isAnswered : {true, false}) {
+        for (const auto isListed : {false, true}) {
+            CAPTURE(isAnswered);
+            CAPTURE(isListed);
+            auto planner = Planner{};
+            const auto order = planner.place();
+            const auto begin = planner.now;
+            planner.core.applyOrder(order, {.outcome = isAnswered ? OrderOutcome::Accepted : OrderOutcome::OutcomeUnknown}, planner.now);
+            planner.core.pollFailed(workerId);
+            const auto step = [&](Millis passed) {
+                planner.now = begin + passed;
+                planner.core.entriesRead(planner.now);
+                planner.core.applyPollReply(planner.ids[1], {.clock = planner.firstClockNow(), .born = firstBorn}, planner.now, planner.now);
+                return planner.plan().starts;
+            };
+            auto passed = Millis{0};
+            for (; passed < Millis{60'000} && step(passed).empty(); passed += Millis{100}) {
+                if (passed == Millis{4'500} && !isListed) {
+                    planner.listWorkers({{}, firstBorn});
+                }
+            }
+            constexpr auto lateCalls = Millis{13'000};
+            const auto expected = isAnswered ? longestLease : isListed ? lateCalls + longestLease : lateCalls;
+            CHECK(passed >= expected);
+            CHECK(passed <= expected + Millis{200});
+        }
+    }
+    // An entry that was dropped while the store was away may be back.
+    auto planner = Planner{};
+    const auto order = planner.place();
+    planner.core.applyOrder(order, {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+    planner.core.pollFailed(workerId);
+    planner.now += Millis{13'000};
+    planner.listWorkers({{}, firstBorn});
+    planner.core.entriesRead(planner.now);
+    CHECK(planner.plan().starts.empty());
+    planner.now += returnTime - Millis{1};
+    planner.core.entriesRead(planner.now);
+    CHECK(planner.plan().starts.empty());
+    planner.now += Millis{1};
+    planner.core.entriesRead(planner.now);
+    CHECK(planner.plan().starts.size() == 1);
+}
