Recall the last entries of workers at a takeover

A new planner knows from the records which workers have attempts or late start orders, but not the address of those whose entry has gone.

Change: the log of entries that a new planner reads anyway, for workers that left around the takeover, also tells the last address and lifetime of those without an entry. They are polled, so that one that is cut off from the store keeps its work, and another worker at the address ends the wait, whether it came before the takeover, after it, or while nobody led.

--- a/packages/daemon/poolterm.cpp
+++ b/packages/daemon/poolterm.cpp
@@ -209,7 +209,7 @@
     }
     const auto lock = std::lock_guard{m_mutex};
     const auto &info = entry.value();
-    noteWrite({.id = id, .draining = info.draining, .born = info.born, .clock = info.clock});
+    noteWrite({.id = id, .draining = info.draining, .born = info.born, .clock = info.clock, .address = info.address});
     m_core.workerWrote(info.id, m_clock.mono());
     m_core.workerCold(info.id, info.coldLeft, m_clock.mono());
     // The entries of a snapshot are listed when all of them have been read.
@@ -369,7 +369,8 @@
     }
 }
 
-/// Finds workers that left shortly before the term or after its begin; without this, what ran there would wait for its lease.
+/// Finds workers that left shortly before the term or after its begin, and the addresses of those that have no entry any more; without this, what ran
+/// there would wait for its lease.
 /// The caller holds m_mutex.
 auto PoolTerm::findEarlierDepartures(MonoTime now) -> void
 {
@@ -391,6 +392,9 @@
             m_core.workerLeft(id);
         }
     }
+    for (const auto &[id, it] : lastWritesIn(history)) {
+        m_workersDirty = m_core.recallEntry(id, it.address, it.born) || m_workersDirty;
+    }
 }
 
 auto PoolTerm::readEarlierWrites(LogOffset from, LogOffset end) -> void
@@ -416,7 +420,12 @@
                 ++unreadable;
             } else if (it.offset < end) {
                 const auto &info = entry.value();
-                writes.push_back({.id = WorkerId{it.key}, .removal = it.value.empty(), .draining = info.draining, .born = info.born, .clock = info.clock});
+                writes.push_back({.id = WorkerId{it.key},
+                                  .removal = it.value.empty(),
+                                  .draining = info.draining,
+                                  .born = info.born,
+                                  .clock = info.clock,
+                                  .address = info.address});
             }
         }
         from = page.value().end;
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -482,7 +482,9 @@
 
 auto PoolCore::hasUnlistedWork() const -> bool
 {
-    return std::any_of(m_workers.begin(), m_workers.end(), [](const auto &it) { return !it.second.listed && !it.second.allocations.empty(); });
+    return std::any_of(m_workers.begin(), m_workers.end(), [](const auto &it) {
+        return !it.second.listed && (!it.second.allocations.empty() || !it.second.releasedStarts.empty());
+    });
 }
 
 auto PoolCore::find(const JobId &id) const -> const PoolJobState *
--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -153,6 +153,9 @@
     auto workerWrote(const WorkerId &id, MonoTime now) -> void;
     /// Reports for how long the worker will be slow, as its entry says; 0: it is not.
     auto workerCold(const WorkerId &id, Millis left, MonoTime now) -> void;
+    /// Tells the last entry of a worker that has had none since this planner took over, so that it can be polled, and another worker at its address shows.
+    /// @return whether the worker may run something, and its address was not known
+    auto recallEntry(const WorkerId &id, const std::string &address, Incarnation born) -> bool;
     /// Reports that the workers' entries have been read up to what was stored at @p sentAt.
     auto entriesRead(MonoTime sentAt) -> void;
     /// Reports that the worker's process has certainly ended, so that none of its attempts can be running.
@@ -204,7 +207,7 @@
     auto adoptLateStarts(const std::map<WorkerId, MonoTime> &until) -> void;
     /// @}
 
-    /// @return whether attempts may still run on a worker that is no longer listed.
+    /// @return whether attempts may still run or begin on a worker that is no longer listed.
     [[nodiscard]] auto hasUnlistedWork() const -> bool;
     /// @return id and address of the workers to poll: those listed and those with allocations.
     [[nodiscard]] auto pollTargets() const -> std::vector<std::pair<WorkerId, std::string>>;
@@ -241,6 +244,7 @@
         /// Until when a try of the start order that was not answered may still be carried out, also after the answer to a repeat; MonoTime{}: no
         /// try can be. Before that time, only a list that names the attempt after a single try shows that none is under way.
         MonoTime startArrivesUntil;
+        Incarnation listedIn; ///< lifetime whose list has last named the attempt; Incarnation{}: none has
         bool lifetimeInDoubt = false; ///< the worker has restarted, and no list has shown whether the attempt belongs to the present lifetime
         bool stopOpen = false; ///< a stop order has been issued, and has neither been answered nor counts as unanswered
         bool stopAnswered = false;
@@ -384,6 +388,7 @@
     auto allocate(Worker &worker, const PoolJobState &state, const AttemptKey &key) -> Allocation &;
     auto applyRestart(Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     auto logRestart(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now, Millis lateCalls) -> void;
+    auto loseListedEarlier(Worker &worker) -> void;
     auto loseEarlier(Worker &worker, const AttemptKey &key, const WorkerPollReply &reply, MonoTime sentAt, MonoTime now) -> void;
     auto addForeign(Worker &worker, const AttemptKey &key, MonoTime now) -> Allocation &;
     auto stopReleasedStarts(Worker &worker, MonoTime askedAt, MonoTime now) -> void;
--- a/packages/policy/poolsuccessors.cpp
+++ b/packages/policy/poolsuccessors.cpp
@@ -42,6 +42,22 @@
            + " latest_end_ms=" + millisUntil(lastLeaseEnd(worker), now) + " late_calls_ms=" + millisUntil(std::max(worker.startsArriveUntil, now), now);
 }
 
+auto PoolCore::recallEntry(const WorkerId &id, const std::string &address, Incarnation born) -> bool
+{
+    const auto it = m_workers.find(id);
+    if (it == m_workers.end() || it->second.listed || !it->second.info.address.empty()) {
+        return false;
+    }
+    auto &worker = it->second;
+    if (worker.listedBorn.value != 0 && worker.listedBorn != born) {
+        doubtAdoptedStarts(worker); // it has restarted since its attempts were recorded
+    }
+    worker.info.address = address;
+    worker.info.born = born;
+    worker.listedBorn = born;
+    return true;
+}
+
 /// Notes which workers have no entry any more.
 auto PoolCore::noteUnlisted(MonoTime now) -> void
 {
--- a/packages/policy/testing/poolcore_successors_test.cpp
+++ b/packages/policy/testing/poolcore_successors_test.cpp
@@ -1,3 +1,4 @@
+#include "policy/leasebounds.h"
 #include "policy/testing/restartplanner.h"
 
 #include <doctest/doctest.h>
@@ -163,3 +164,36 @@
     planner.core.applyPollReply(planner.ids[1], {.clock = planner.firstClockNow(), .born = firstBorn}, planner.now, planner.now);
     CHECK(startedOn(planner) == other.id);
 }
+
+// Guards against a new planner that waits for the lease of a worker whose entry had gone before its term, although another one is at the address.
+TEST_CASE("a new planner places work again whose worker had lost its address before the takeover")
+{
+    for (const auto isLate : {true, false}) {
+        CAPTURE(isLate);
+        auto planner = Planner{};
+        const auto order = planner.place();
+        if (isLate) {
+            planner.beforePlacing = [&] { planner.core.pollFailed(workerId); };
+            CHECK(planner.loseStart(order).starts.empty());
+        } else {
+            planner.accept(order, planner.firstClockNow());
+        }
+        auto state = *planner.core.find(JobId{"a"});
+        auto known = KnownLeaseBounds{};
+        noteLeaseBounds(known, {.lateStarts = planner.core.composeLateStarts(planner.now)}, planner.now);
+        planner.core = PoolCore{PoolOptions{}};
+        planner.core.adoptLateStarts(known.lateStarts);
+        planner.core.setRules({.version = {1}, .queues = {{QueueId{"q"}, *state.job.rules}}});
+        planner.core.addJob(state.job, planner.now);
+        planner.core.adoptRecord(JobId{"a"}, state, planner.now + Millis{10'000}, planner.now);
+        planner.core.tookOver(planner.now);
+        listEntries(planner, {other, successor});
+        planner.core.applyPollReply(other.id, {.clock = planner.firstClockNow(), .born = firstBorn}, planner.now, planner.now);
+        CHECK(startedOn(planner).empty());
+        CHECK(planner.core.hasUnlistedWork());
+        CHECK(planner.core.recallEntry(workerId, own.address, firstBorn));
+        CHECK_FALSE(planner.core.recallEntry(workerId, own.address, firstBorn));
+        listEntries(planner, {other, successor});
+        CHECK(startedOn(planner) == other.id);
+    }
+}
--- a/packages/policy/testing/workerhistory_test.cpp
+++ b/packages/policy/testing/workerhistory_test.cpp
@@ -102,3 +102,16 @@
     again.born = Incarnation{2};
     CHECK(departuresIn({write("w", heartbeat), write("leaving", Millis{1}, true), removal(leaving), again, again}, heartbeat).empty());
 }
+
+// Guards against a planner that does not know where a worker was whose entry was removed before its term.
+TEST_CASE("the last write of each worker is found beside its removal")
+{
+    const auto last = lastWritesIn({{.id = WorkerId{"a"}, .born = Incarnation{1}, .address = "10.0.0.1:1"},
+                                    {.id = WorkerId{"b"}, .born = Incarnation{1}, .address = "10.0.0.2:1"},
+                                    {.id = WorkerId{"a"}, .born = Incarnation{2}, .address = "10.0.0.3:1"},
+                                    {.id = WorkerId{"a"}, .removal = true}});
+    REQUIRE(last.size() == 2);
+    CHECK(last.at(WorkerId{"a"}).address == "10.0.0.3:1");
+    CHECK(last.at(WorkerId{"a"}).born == Incarnation{2});
+    CHECK(last.at(WorkerId{"b"}).address == "10.0.0.2:1");
+}
--- a/packages/policy/workerhistory.cpp
+++ b/packages/policy/workerhistory.cpp
@@ -87,4 +87,15 @@
     return out;
 }
 
+auto lastWritesIn(const std::vector<WorkerWrite> &history) -> std::map<WorkerId, WorkerWrite>
+{
+    auto out = std::map<WorkerId, WorkerWrite>{};
+    for (const auto &it : history) {
+        if (!it.removal) {
+            out[it.id] = it;
+        }
+    }
+    return out;
+}
+
 }
--- a/packages/policy/workerhistory.h
+++ b/packages/policy/workerhistory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Finds the workers that have certainly shut down, from a section of the log of workers' entries.
+/// Finds the workers that have certainly shut down, and the last entry of each, from a section of the log of workers' entries.
 ///
 /// Used by a planner at the start of its term. It has not observed when the entries were written, which workerentries.h
 /// relies on.
@@ -20,6 +20,8 @@
 
 #include "policy/poolfleet.h"
 
+#include <map>
+#include <string>
 #include <vector>
 
 namespace Catkin
@@ -33,6 +35,7 @@
     bool draining = false;
     Incarnation born;
     WorkerTime clock; ///< the worker's own clock, read before the write
+    std::string address; ///< empty in a removal
 };
 
 /// @param history in the order of the log, without gaps
@@ -40,4 +43,8 @@
 /// @return the workers whose last record in @p history is a removal and whose processes have certainly ended.
 auto departuresIn(const std::vector<WorkerWrite> &history, Millis heartbeat) -> std::vector<WorkerId>;
 
+/// @param history in the order of the log
+/// @return the last write of each worker that is no removal.
+auto lastWritesIn(const std::vector<WorkerWrite> &history) -> std::map<WorkerId, WorkerWrite>;
+
 }
