Place work again when the entry of its worker shows a restart

What the earlier lifetime ran is over, but was waited for until its lease had ended.

Change: an attempt that a list of an earlier lifetime has named ended with it, once the entry names a later one. Attempts that may begin in the later lifetime stay in doubt as before: those with a try of their start order that may arrive, those that no list has named, and those of an earlier planner while its start orders may arrive.

Test: poolcore_restarts_test, "work that an earlier list has named is placed again ..."; with loseListedEarlier() taken out it fails at :647 and :648.

--- a/packages/policy/poolattempts.cpp
+++ b/packages/policy/poolattempts.cpp
@@ -168,6 +168,7 @@
         }
     }
     allocation->second.lifetimeInDoubt = false;
+    allocation->second.listedIn = worker.info.born;
     repeatStop(allocation->second, now);
     if (!current) {
         requestStop(allocation->second, StopReason::NotRecorded);
--- a/packages/policy/poolcore.cpp
+++ b/packages/policy/poolcore.cpp
@@ -191,6 +191,7 @@
         worker.info = it;
         worker.listedBorn = it.born;
         worker.listed = true;
+        loseListedEarlier(worker);
         noteDeparture(worker, now);
         if (worker.answered) {
             worker.info.born = born; // the list may lag behind the worker's own replies
--- a/packages/policy/poolrestarts.cpp
+++ b/packages/policy/poolrestarts.cpp
@@ -73,6 +73,24 @@
     return !worker.reachable && sentAt <= worker.failedPollAt && !hasWritten;
 }
 
+/// Gives up the attempts that a list of an earlier lifetime has named, once the worker's entry shows a later one, unless a try of their start orders may
+/// still arrive: the later lifetime would carry it out.
+auto PoolCore::loseListedEarlier(Worker &worker) -> void
+{
+    const auto mayBegin
+        = [&](const Allocation &it) { return mayStartLate(it, worker.listAskedAt) || (it.startTries == 0 && worker.startsArriveUntil > worker.listAskedAt); };
+    auto over = std::vector<AttemptKey>{};
+    for (const auto &[key, it] : worker.allocations) {
+        if (it.listedIn.value != 0 && it.listedIn < worker.listedBorn && !mayBegin(it)) {
+            over.push_back(key);
+        }
+    }
+    for (const auto &it : over) {
+        const auto listedIn = worker.allocations.at(it).listedIn;
+        loseAttempt(worker, it, "worker restarted entry_born=" + std::to_string(worker.listedBorn.value) + " list_born=" + std::to_string(listedIn.value));
+    }
+}
+
 /// @return whether a list of a later lifetime has overtaken this one. A poll that is sent after that list cannot reach the earlier lifetime.
 auto PoolCore::isOutdated(const Worker &worker, const WorkerPollReply &reply, MonoTime sentAt) -> bool
 {
--- a/packages/policy/testing/poolcore_restarts_test.cpp
+++ b/packages/policy/testing/poolcore_restarts_test.cpp
@@ -619,3 +619,32 @@
         CHECK(planner.plan().starts.size() == (isListed ? 0 : 1));
     }
 }
+
+// Guards against work that waits for a lease of its worker although the worker's entry shows that it has restarted, out of reach.
+TEST_CASE("work that an earlier list has named is placed again when the entry of its worker shows a restart, unless a start order may arrive")
+{
+    enum class Case { Listed, Accepted, Repeated };
+    for (const auto how : {Case::Listed, Case::Accepted, Case::Repeated}) {
+        CAPTURE(static_cast<int>(how));
+        auto planner = Planner{};
+        auto order = planner.place();
+        if (how == Case::Repeated) {
+            planner.core.applyOrder(order, {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
+            planner.now += Millis{300};
+            order = planner.plan().starts.at(0);
+        }
+        planner.accept(order, planner.firstClockNow());
+        planner.now += Millis{20};
+        if (how != Case::Accepted) {
+            auto reply = WorkerPollReply{.clock = planner.firstClockNow(), .born = firstBorn};
+            reply.running.push_back({.task = order.task, .attempt = order.attempt, .percent = 1});
+            planner.core.applyPollReply(workerId, reply, planner.now, planner.now);
+        }
+        planner.core.pollFailed(workerId);
+        planner.now += Millis{2'000};
+        planner.listWorkers({secondBorn, firstBorn});
+        const auto starts = planner.plan().starts;
+        CHECK(starts.size() == (how == Case::Listed ? 1 : 0));
+        CHECK(planner.hasLine("attempt_lost", "reason=worker restarted entry_born=2000 list_born=1000") == (how == Case::Listed));
+    }
+}
