Look up workers by address without a copy of each address

noteSuccessors() runs with each change of an entry, over all workers: on a fleet of 1,100 it copied each address and compared each service with those of all queues. Addresses are views now, and services are compared only where two workers name one address. poolcore_successors_test passes as before.

--- a/packages/policy/poolsuccessors.cpp
+++ b/packages/policy/poolsuccessors.cpp
@@ -4,7 +4,8 @@
 #include <chrono>
 #include <map>
 #include <string>
-#include <utility>
+#include <string_view>
+#include <unordered_map>
 
 /// Workers whose entry has been removed, and those whose address another worker has taken.
 ///
@@ -83,18 +84,20 @@
 auto PoolCore::noteSuccessors(MonoTime now) -> void
 {
     std::erase_if(m_successors, [&](const auto &it) { return it.second.seenAt + lateCallLimit <= now; });
-    auto holders = std::map<std::string, const Worker *>{};
+    auto holders = std::unordered_map<std::string_view, const Worker *>{};
     for (const auto &[id, worker] : m_workers) {
-        if (worker.listed && isOfQueue(worker.info)) {
-            auto &holder = holders[worker.info.address];
-            holder = holder == nullptr || holder->listedBorn < worker.listedBorn ? &worker : holder;
+        if (worker.listed) {
+            const auto [holder, isFirst] = holders.try_emplace(worker.info.address, &worker);
+            if (!isFirst && isOfQueue(worker.info) && (holder->second->listedBorn < worker.listedBorn || !isOfQueue(holder->second->info))) {
+                holder->second = &worker;
+            }
         }
     }
     auto successors = std::map<WorkerId, Successor>{};
     for (const auto &[id, worker] : m_workers) {
         const auto holder = holders.find(worker.info.address);
         const auto born = std::max(worker.info.born, worker.listedBorn);
-        if (holder != holders.end() && born < holder->second->listedBorn) {
+        if (holder != holders.end() && born < holder->second->listedBorn && isOfQueue(holder->second->info)) {
             successors[id] = {.id = holder->second->info.id, .endedBorn = born, .seenAt = now};
         }
     }
