Do not wait for late start orders to a worker that has left and whose address another one has

The same cause on the path of a release: a worker that drains and removes its entry is forgotten with its attempts, which are placed again at once, but a task whose start order had no answer waited for the rest of the 13 s, although a new version was at the worker's address and refuses the order.

Change: what is remembered of a worker that is no longer known has its address and last lifetime, so that its successor is found as well.

--- a/packages/policy/poolcore.h
+++ b/packages/policy/poolcore.h
@@ -317,6 +317,8 @@
         MonoTime grantedAt; ///< last grant of a lease
         MonoTime startsArriveUntil; ///< see Worker::startsArriveUntil
         std::map<AttemptKey, MonoTime> releasedStarts; ///< see Worker::releasedStarts
+        std::string address; ///< the last one; empty: not known
+        Incarnation born; ///< last lifetime
     };
 
     /// The worker that has taken the address of one whose process has ended.
--- a/packages/policy/poolleases.cpp
+++ b/packages/policy/poolleases.cpp
@@ -71,7 +71,11 @@
 {
     const auto grantedAt = std::max(worker.grantedAt, worker.unansweredGrantAt);
     if (grantedAt != MonoTime{}) {
-        m_lateCalls[worker.info.id] = {.grantedAt = grantedAt, .startsArriveUntil = worker.startsArriveUntil, .releasedStarts = worker.releasedStarts};
+        m_lateCalls[worker.info.id] = {.grantedAt = grantedAt,
+                                       .startsArriveUntil = worker.startsArriveUntil,
+                                       .releasedStarts = worker.releasedStarts,
+                                       .address = worker.info.address,
+                                       .born = std::max(worker.info.born, worker.listedBorn)};
     }
 }
 
--- a/packages/policy/poolsuccessors.cpp
+++ b/packages/policy/poolsuccessors.cpp
@@ -93,12 +93,21 @@
             }
         }
     }
+    const auto successorOf = [&](const std::string &address, Incarnation born) -> const Worker * {
+        const auto holder = holders.find(address);
+        return holder != holders.end() && born < holder->second->listedBorn && isOfQueue(holder->second->info) ? holder->second : nullptr;
+    };
+    // Workers that have left.
+    for (const auto &[id, calls] : m_lateCalls) {
+        if (const auto *worker = calls.startsArriveUntil > now ? successorOf(calls.address, calls.born) : nullptr) {
+            m_successors[id] = {.id = worker->info.id, .endedBorn = calls.born, .seenAt = now};
+        }
+    }
     auto successors = std::map<WorkerId, Successor>{};
     for (const auto &[id, worker] : m_workers) {
-        const auto holder = holders.find(worker.info.address);
         const auto born = std::max(worker.info.born, worker.listedBorn);
-        if (holder != holders.end() && born < holder->second->listedBorn && isOfQueue(holder->second->info)) {
-            successors[id] = {.id = holder->second->info.id, .endedBorn = born, .seenAt = now};
+        if (const auto *it = successorOf(worker.info.address, born)) {
+            successors[id] = {.id = it->info.id, .endedBorn = born, .seenAt = now};
         }
     }
     for (const auto &[id, successor] : successors) {
--- a/packages/policy/testing/poolcore_successors_test.cpp
+++ b/packages/policy/testing/poolcore_successors_test.cpp
@@ -197,3 +197,16 @@
         CHECK(startedOn(planner) == other.id);
     }
 }
+
+// Guards against a task with a late start order that waits for a worker which has left, although its successor, such as a new version, is at the address.
+TEST_CASE("a task with a late start order is placed again when its worker has left and another one is at the address")
+{
+    for (const auto hasSuccessor : {true, false}) {
+        CAPTURE(hasSuccessor);
+        auto planner = Planner{};
+        startTask(planner, Start::Unanswered);
+        planner.core.workerLeft(workerId);
+        listEntries(planner, hasSuccessor ? std::vector{other, successor} : std::vector{other});
+        CHECK(startedOn(planner) == (hasSuccessor ? other.id : WorkerId{}));
+    }
+}
