Do not prolong a wait because the last entry of a worker is recalled

Cause: the recalled entry named a later lifetime than the record, so that all start orders of the earlier planner counted as late. Which of its orders had no answer is on record (`late` in `leases`), and without the recalled entry no other orders counted.

Change: the recalled entry gives address and lifetime, for polls and for another worker at the address. The recorded lifetime stays, so that a restart shows when the worker is listed again, as before. Times that have passed show as 0 in worker_unlisted and address_taken.

Test: poolcore_successors_test, "the last entry of a worker without one ends no attempt and prolongs no wait"; it guards the other side as well.

--- a/packages/policy/poolsuccessors.cpp
+++ b/packages/policy/poolsuccessors.cpp
@@ -21,10 +21,10 @@
 namespace
 {
 
-/// @return the time until @p end in whole milliseconds; negative if it has passed.
+/// @return the time until @p end in whole milliseconds; 0 if it has passed.
 auto millisUntil(MonoTime end, MonoTime now) -> std::string
 {
-    return std::to_string(std::chrono::ceil<Millis>(end - now).count());
+    return std::to_string(std::chrono::ceil<Millis>(std::max(end, now) - now).count());
 }
 
 }
@@ -40,7 +40,7 @@
 {
     return "lifetime=" + std::to_string(worker.info.born.value) + " attempts=" + std::to_string(worker.allocations.size())
            + " answers=" + (isAnswering(worker) ? "yes" : "no") + " lease_end_ms=" + millisUntil(worker.leaseEnd, now)
-           + " latest_end_ms=" + millisUntil(lastLeaseEnd(worker), now) + " late_calls_ms=" + millisUntil(std::max(worker.startsArriveUntil, now), now);
+           + " latest_end_ms=" + millisUntil(lastLeaseEnd(worker), now) + " late_calls_ms=" + millisUntil(worker.startsArriveUntil, now);
 }
 
 auto PoolCore::recallEntry(const WorkerId &id, const std::string &address, Incarnation born) -> bool
@@ -49,13 +49,9 @@
     if (it == m_workers.end() || it->second.listed || !it->second.info.address.empty()) {
         return false;
     }
-    auto &worker = it->second;
-    if (worker.listedBorn.value != 0 && worker.listedBorn != born) {
-        doubtAdoptedStarts(worker); // it has restarted since its attempts were recorded
-    }
-    worker.info.address = address;
-    worker.info.born = born;
-    worker.listedBorn = born;
+    // Worker::listedBorn stays that of the record, so that a restart since then shows when the worker is listed again.
+    it->second.info.address = address;
+    it->second.info.born = born;
     return true;
 }
 
--- a/packages/policy/testing/poolcore_successors_test.cpp
+++ b/packages/policy/testing/poolcore_successors_test.cpp
@@ -43,7 +43,7 @@
 
 auto startTask(Planner &planner, Start how) -> PoolOrder
 {
-    const auto order = planner.place();
+    auto order = planner.place();
     if (how == Start::Unanswered) {
         planner.core.applyOrder(order, {.outcome = OrderOutcome::OutcomeUnknown}, planner.now);
     } else if (how != Start::Open) {
@@ -210,3 +210,30 @@
         CHECK(startedOn(planner) == (hasSuccessor ? other.id : WorkerId{}));
     }
 }
+
+// Guards against a wait that becomes longer because the last entry of a worker is known, and against a restart that is not noticed for the same reason.
+TEST_CASE("the last entry of a worker without one ends no attempt and prolongs no wait")
+{
+    for (const auto isBack : {false, true}) {
+        CAPTURE(isBack);
+        auto planner = Planner{};
+        planner.accept(planner.place(), planner.firstClockNow());
+        const auto state = *planner.core.find(JobId{"a"});
+        planner.core = PoolCore{PoolOptions{}};
+        planner.core.setRules({.version = {1}, .queues = {{QueueId{"q"}, *state.job.rules}}});
+        planner.core.addJob(state.job, planner.now);
+        planner.core.adoptRecord(JobId{"a"}, state, planner.now + Millis{10'000}, planner.now);
+        planner.core.tookOver(planner.now);
+        listEntries(planner, {other});
+        CHECK(planner.core.recallEntry(workerId, own.address, secondBorn));
+        CHECK(startedOn(planner).empty());
+        if (isBack) {
+            listEntries(planner, {{.id = workerId, .address = own.address, .born = secondBorn}, other});
+        }
+        planner.now += Millis{10'001};
+        planner.core.applyPollReply(other.id, {.clock = planner.firstClockNow(), .born = firstBorn}, planner.now, planner.now);
+        // A start order of the earlier planner may reach the lifetime that is back.
+        CHECK(startedOn(planner) == (isBack ? WorkerId{} : other.id));
+        CHECK(planner.hasLine("worker_reborn", "worker=w1 listed_born=2000 before=1000") == isBack);
+    }
+}
