pool_soak: executors that crash behind cuts and are followed by others at their address

The soak let executors vanish while they were in reach, or restart under their ids.

--crash-ms cuts up to three executors off at a time and ends them meanwhile; half never come back, the others are followed at once by an executor with another id at the same address, whose entry is written before or after the cut ends. The stand-in answers 421 to calls that are for another executor.

In one place it was wrong: a step that follows was taken for ready although the end before it had been lost with its executor. Such a step is judged from the end of that wait on.

--- a/testing/soak/pool_soak.cpp
+++ b/testing/soak/pool_soak.cpp
@@ -52,6 +52,10 @@
 /// is longer than the shorter lease, and than the time after which an entry is removed.
 constexpr auto cutBeforeRestart = std::uint32_t{2'000};
 constexpr auto cutAfterRestart = std::uint32_t{8'000};
+/// An executor that crashes while it is cut off does so after at most the first time; the cut lasts for at most the second one more.
+constexpr auto cutBeforeCrash = std::uint32_t{3'000};
+constexpr auto cutAfterCrash = std::uint32_t{6'000};
+constexpr auto maxCrashes = std::uint32_t{3};
 constexpr auto wholeShare = std::uint32_t{100};
 /// Executors of which at most half vanish for good.
 constexpr auto vanishShare = std::size_t{2};
@@ -79,6 +83,7 @@
     std::chrono::seconds duration{20};
     Millis restartPeriod{0}; ///< between restarts of executors on average; 0: none restart
     int cutRestarts = 0; ///< percentage of the executors to restart that are cut off for a while and restart meanwhile
+    Millis crashPeriod{0}; ///< between crashes of executors behind cuts on average; 0: none crash
     std::optional<std::size_t> mostVanished; ///< executors that may vanish; nothing: up to half of them
     int evacuations = 0; ///< most evacuations, one after the other
     int leaving = 0; ///< percentage of the executors that leave at once; 0: none leave
@@ -277,6 +282,43 @@
     return period / 2 + Millis{play.random(static_cast<std::uint32_t>(period.count()))};
 }
 
+/// Lets executors crash while they are cut off: half of them come back under another id at the same address, before or after their cut is over, the others
+/// never. A third of the time the leader is killed, before the cut or within it.
+/// @return how long to wait for the next ones.
+auto crashWorkers(Play &play) -> Millis
+{
+    const auto kill = play.random(6);
+    if (kill == 0) {
+        endLeader(play, SIGKILL);
+    }
+    for (auto n = 1 + play.random(maxCrashes); n > 0; --n) {
+        const auto workers = static_cast<std::uint32_t>(play.world.workers());
+        auto index = play.random(workers);
+        for (auto tried = std::uint32_t{0}; tried < workers && !play.world.isCalm(index); ++tried) {
+            index = (index + 1) % workers;
+        }
+        const auto crashAfter = Millis{play.random(cutBeforeCrash)};
+        const auto span = crashAfter + Millis{play.random(cutAfterCrash)};
+        const auto draw = play.random(4);
+        if (draw < 2 && play.vanished >= play.options.mostVanished.value_or(play.world.workers() / vanishShare)) {
+            continue;
+        }
+        const auto successor = draw < 2 ? Successor::None : draw == 2 ? Successor::Shown : Successor::Unshown;
+        play.vanished += successor == Successor::None ? 1 : 0;
+        std::printf("  executor %u is cut off for %lld ms, and crashes after %lld ms%s\n",
+                    index + 1,
+                    static_cast<long long>(span.count()),
+                    static_cast<long long>(crashAfter.count()),
+                    successor == Successor::None ? "" : ", another one comes up at its address");
+        inBackground(play, [&world = play.world, index, crashAfter, span, successor] { world.cutAndCrash(index, crashAfter, span, successor); });
+    }
+    if (kill == 1) {
+        endLeader(play, SIGKILL);
+    }
+    const auto period = play.options.crashPeriod;
+    return period / 2 + Millis{play.random(static_cast<std::uint32_t>(period.count()))};
+}
+
 /// Evacuates a failure domain for a while. In a third of the cases the leader is killed just before the record, in another third just after it.
 /// @return how long to wait for the next one.
 auto evacuate(Play &play) -> Millis
@@ -381,6 +423,7 @@
     auto nextState = nextSubmit + statePeriod;
     auto nextDisturbance = nextSubmit + (play.isSeries ? seriesBegin : std::chrono::seconds{3});
     auto nextRestart = nextSubmit + play.options.restartPeriod;
+    auto nextCrash = nextSubmit + play.options.crashPeriod;
     auto nextEvacuation = nextSubmit + firstEvacuation;
     auto evacuationsLeft = play.options.evacuations;
     auto nextDepartures = nextSubmit + firstDepartures;
@@ -396,6 +439,9 @@
         if (isTrouble && play.options.restartPeriod.count() > 0 && now >= nextRestart) {
             nextRestart = now + restartWorkers(play);
         }
+        if (isTrouble && play.options.crashPeriod.count() > 0 && now >= nextCrash) {
+            nextCrash = now + crashWorkers(play);
+        }
         if (isTrouble && evacuationsLeft > 0 && now >= nextEvacuation && now + evacuationLeast <= end) {
             nextEvacuation = now + evacuate(play);
             --evacuationsLeft;
@@ -420,7 +466,7 @@
     if (options.lease.count() == 0) {
         options.lease = isSeries ? seriesLease : mixedLease;
     }
-    if (trouble.restartPeriod.count() > 0) {
+    if (trouble.restartPeriod.count() > 0 || trouble.crashPeriod.count() > 0) {
         options.transitSeed = seed;
     }
     options.seed = seed;
@@ -494,6 +540,8 @@
             options.workers = std::stoi(value);
         } else if (name == "--restart-ms") {
             trouble.restartPeriod = Millis{std::stoi(value)};
+        } else if (name == "--crash-ms") {
+            trouble.crashPeriod = Millis{std::stoi(value)};
         } else if (name == "--late-orders") {
             options.lateOrders = std::stoi(value);
         } else if (name == "--cut-restarts") {
@@ -509,7 +557,7 @@
         } else if (name == "--daemon") {
             options.daemon = value;
         } else {
-            std::cerr << "usage: pool_soak --seed N [--seed N ...] [--seconds S] [--lease-ms N] [--instances N] [--workers N] [--restart-ms N] "
+            std::cerr << "usage: pool_soak --seed N [--seed N ...] [--seconds S] [--lease-ms N] [--instances N] [--workers N] [--restart-ms N] [--crash-ms N] "
                          "[--late-orders PERCENT] [--cut-restarts PERCENT] [--most-vanished N] [--forget-while-waiting yes] [--evacuations N] [--leaving "
                          "PERCENT] [--daemon PATH]\n";
             return 2;
--- a/testing/soak/soakexecutor.cpp
+++ b/testing/soak/soakexecutor.cpp
@@ -19,6 +19,7 @@
 constexpr auto pollPeriod = std::chrono::milliseconds{5};
 constexpr auto wholePercent = std::int64_t{99};
 constexpr auto conflict = 409;
+constexpr auto otherInstance = 421;
 constexpr auto address = "127.0.0.1";
 /// Kept connections without a call are closed after this time, so that few of them outlast a lifetime.
 constexpr auto keepAliveSeconds = 1;
@@ -56,6 +57,8 @@
     , m_options(options)
     , m_bornMs(0)
     , m_late(options.lateSeed)
+    , m_isCutOff(options.isCutOff)
+    , m_port(options.port)
 {
     if (m_options.transitSeed) {
         m_transit.emplace(*m_options.transitSeed);
@@ -79,8 +82,7 @@
     auto &server = listener.server;
     const auto lifetime = m_lifetime;
     const auto serve = [this, lifetime](Answer execute) {
-        return
-            [this, lifetime, execute](const httplib::Request &request, httplib::Response &response) { answerOrder(lifetime, execute, request.body, response); };
+        return [this, lifetime, execute](const httplib::Request &request, httplib::Response &response) { answerOrder(lifetime, execute, request, response); };
     };
     server.new_task_queue = [] { return new httplib::ThreadPool(serverThreads); };
     server.set_keep_alive_timeout(keepAliveSeconds);
@@ -134,13 +136,27 @@
     }
 }
 
+/// @return whether the call is for another executor, which was at this address before; it is refused then.
+auto SoakExecutor::isForOther(const httplib::Request &request, httplib::Response &response) const -> bool
+{
+    if (request.get_header_value("Expected-Instance") == m_id) {
+        return false;
+    }
+    response.status = otherInstance;
+    return true;
+}
+
 /// Carries an order out and answers it, breaks it off, or leaves it for later without an answer.
-auto SoakExecutor::answerOrder(int lifetime, Answer execute, const std::string &body, httplib::Response &response) -> void
+auto SoakExecutor::answerOrder(int lifetime, Answer execute, const httplib::Request &request, httplib::Response &response) -> void
 {
+    const auto &body = request.body;
     auto delay = std::chrono::milliseconds{0};
     auto isBroken = false;
     {
         const auto lock = std::lock_guard{m_mutex};
+        if (!m_isCutOff && !isOver(lifetime) && isForOther(request, response)) {
+            return;
+        }
         const auto isLate = !m_goneAt && m_options.lateOrders > 0 && static_cast<int>(m_late(wholeShare)) < m_options.lateOrders;
         if (isLate) {
             const auto at = std::chrono::steady_clock::now() + std::chrono::milliseconds{leastLateness + m_late(latenessRange)};
@@ -259,6 +275,11 @@
     return m_id;
 }
 
+auto SoakExecutor::port() const -> int
+{
+    return m_port;
+}
+
 auto SoakExecutor::goneAt() -> std::optional<SteadyTime>
 {
     const auto lock = std::lock_guard{m_mutex};
@@ -472,6 +493,9 @@
                 breakOff(response);
                 return;
             }
+            if (isForOther(request, response)) {
+                return;
+            }
             if (isFenced(body.at("fencing_token"), response)) {
                 return;
             }
--- a/testing/soak/soakexecutor.h
+++ b/testing/soak/soakexecutor.h
@@ -9,6 +9,7 @@
 ///   executor.setCutOff(true);                // what it runs goes on; calls get no answer
 ///   executor.executeLateOrders();            // those that are due; to be called every few milliseconds
 ///   executor.announceDeparture(remaining);   // its entries show from now on that it is draining, and for how long it stays
+///   auto next = Catkin::Soak::SoakExecutor{"i-2", {.port = executor.port()}};   // after vanish(): another executor at its address
 ///   executor.vanish();                       // refuses connections; what it ran has ended
 ///   for (const auto &it : executor.runs()) { ... }
 /// @endcode
@@ -65,6 +66,8 @@
 {
     std::string domain = "z1"; ///< failure domain
     Millis lease{10'000}; ///< the longest one; longer ones are shortened
+    int port = 0; ///< of its address; 0: any
+    bool isCutOff = false; ///< whether it begins cut off, see SoakExecutor::setCutOff()
     /// Draws how long answers are under way, so that answers on different connections overtake each other; nothing: no time.
     std::optional<std::uint64_t> transitSeed;
     bool forgetsWhileWaiting = false; ///< whether a poll forgets the ends up to its number until it is answered, not only when it arrives
@@ -82,6 +85,7 @@
     auto operator=(const SoakExecutor &) -> SoakExecutor & = delete;
 
     [[nodiscard]] auto id() const -> const std::string &;
+    [[nodiscard]] auto port() const -> int;
     /// @return the entry that the executor writes to the store now.
     [[nodiscard]] auto entry() -> std::string;
     /// Lets its entries show from now on that it is draining and stays for @p remaining. Calling vanish() then is left to the caller.
@@ -152,7 +156,8 @@
     auto endRuns() -> void;
     [[nodiscard]] auto isOver(int lifetime) const -> bool;
     [[nodiscard]] auto drawTransit(std::uint32_t longestMs) -> std::chrono::milliseconds;
-    auto answerOrder(int lifetime, Answer execute, const std::string &body, httplib::Response &response) -> void;
+    auto answerOrder(int lifetime, Answer execute, const httplib::Request &request, httplib::Response &response) -> void;
+    [[nodiscard]] auto isForOther(const httplib::Request &request, httplib::Response &response) const -> bool;
     auto noteUnanswered(Answer execute, const std::string &body) -> void;
     auto beginLifetime() -> void;
     auto start(const std::string &text, httplib::Response &response) -> void;
--- a/testing/soak/soakjudge.cpp
+++ b/testing/soak/soakjudge.cpp
@@ -61,18 +61,18 @@
     return it == runs.end() ? none : it->second;
 }
 
-/// @return when a task of a step was done; nothing if it has not been.
-auto doneAt(const SoakJob &job, std::size_t step, int index, const std::map<std::string, std::vector<Run>> &runs) -> std::optional<SteadyTime>
+/// @return the run in which a task of a step was done; null if there is none.
+auto doneRun(const SoakJob &job, std::size_t step, int index, const std::map<std::string, std::vector<Run>> &runs) -> const Run *
 {
     const auto &spec = job.steps[step];
     for (auto i = spec.isGang ? 0 : index; i < (spec.isGang ? spec.tasks : index + 1); ++i) {
         const auto &all = runsOf(runs, taskName(job, step, i));
         const auto it = std::find_if(all.begin(), all.end(), isDone);
         if (it != all.end()) {
-            return it->end;
+            return &*it;
         }
     }
-    return std::nullopt;
+    return nullptr;
 }
 
 auto toMillis(std::chrono::steady_clock::duration span) -> long long
@@ -126,7 +126,7 @@
 }
 
 /// @return when the turn of a step came; nothing if it has not.
-auto SoakJudge::readyAt(const SoakJob &job, std::size_t step, const Runs &runs) const -> std::optional<SteadyTime>
+auto SoakJudge::readyAt(SoakWorld &world, const SoakJob &job, std::size_t step, const Runs &runs) const -> std::optional<SteadyTime>
 {
     const auto before = job.steps[step].dependsOn;
     if (before < 0) {
@@ -136,9 +136,12 @@
     auto at = job.acceptedAt;
     auto done = 0;
     for (auto i = 0; i < needed.tasks; ++i) {
-        if (const auto end = doneAt(job, static_cast<std::size_t>(before), i, runs)) {
+        if (const auto *run = doneRun(job, static_cast<std::size_t>(before), i, runs)) {
             ++done;
-            at = std::max(at, *end);
+            at = std::max(at, *run->end);
+            if (!run->isNoted && world.goneAt(run->worker)) {
+                at = std::max(at, waitsUntil(world, job, static_cast<std::size_t>(before), i, runs));
+            }
         }
     }
     return done == needed.tasks ? std::optional{at} : std::nullopt;
@@ -149,18 +152,46 @@
 auto SoakJudge::leaseEnd(SteadyTime goneAt, SteadyTime lastGrant) const -> SteadyTime
 {
     const auto longest = std::chrono::milliseconds{static_cast<std::int64_t>(static_cast<double>(m_lease.count()) * leaseStretch)} + leaseSlack;
+    return lastCallEnd(goneAt, lastGrant, longest);
+}
+
+/// @param lastCall when the last call to an executor that vanished may have been sent, if the leader has noticed
+/// @param effect for how long after it a call counts
+/// @return when no call has an effect any more, as far as a leader can know.
+auto SoakJudge::lastCallEnd(SteadyTime goneAt, SteadyTime lastCall, std::chrono::milliseconds effect) const -> SteadyTime
+{
     // A leader that is disturbed before it has noticed leaves it to the next one, which may be disturbed as well.
     auto unnoticedUntil = goneAt + noticeTime;
-    auto end = lastGrant + longest;
+    auto end = lastCall + effect;
     for (const auto it : m_disturbances) {
         if (it + noticeTime >= goneAt && it <= unnoticedUntil) {
             unnoticedUntil = it + takeoverTime;
-            end = std::max(end, it + takeoverTime + longest);
+            end = std::max(end, it + takeoverTime + effect);
         }
     }
     return end;
 }
 
+/// @return when a leader in office knows of an entry that was stored at @p shownAt.
+auto SoakJudge::successionKnownAt(SteadyTime shownAt) const -> SteadyTime
+{
+    auto known = shownAt;
+    for (const auto it : m_disturbances) {
+        if (it + takeoverTime >= shownAt && it <= known) {
+            known = std::max(known, it + takeoverTime);
+        }
+    }
+    return known;
+}
+
+/// @param until end of the wait for an executor that vanished, as far as its leases and the calls to it tell
+/// @return the same, or when another executor at its address is known, whichever is earlier.
+auto SoakJudge::vanishedUntil(SoakWorld &world, const std::string &worker, SteadyTime until) const -> SteadyTime
+{
+    const auto shownAt = world.successorShownAt(worker);
+    return shownAt ? std::min(until, successionKnownAt(*shownAt)) : until;
+}
+
 /// @return until when a task may wait because of the executors that it, or another member of its gang, ran on.
 auto SoakJudge::waitsUntil(SoakWorld &world, const SoakJob &job, std::size_t step, int index, const Runs &runs) const -> SteadyTime
 {
@@ -179,12 +210,12 @@
         if (const auto goneAt = world.goneAt(it.worker)) {
             const auto restartedAt = world.restartedAt(it.worker);
             const auto lateCallsEnd = restartedAt ? std::min(*goneAt, *restartedAt + lastCallTime) + lateCallTime : *goneAt;
-            until = std::max(until, leaseEnd(*goneAt, std::max(*goneAt, lateCallsEnd)));
+            until = std::max(until, vanishedUntil(world, it.worker, leaseEnd(*goneAt, std::max(*goneAt, lateCallsEnd))));
         }
     }
     for (const auto &it : world.vanishedWithUnanswered(task)) {
         const auto goneAt = *world.goneAt(it);
-        until = std::max(until, leaseEnd(goneAt, goneAt + lateCallTime));
+        until = std::max(until, vanishedUntil(world, it, std::max(leaseEnd(goneAt, goneAt), lastCallEnd(goneAt, goneAt, lateCallTime))));
     }
     return until;
 }
@@ -205,7 +236,7 @@
     auto firstCould = std::optional<SteadyTime>{};
     auto which = std::string{};
     for (auto s = std::size_t{0}; s < job.steps.size(); ++s) {
-        const auto ready = readyAt(job, s, runs);
+        const auto ready = readyAt(world, job, s, runs);
         for (auto i = 0; ready && i < job.steps[s].tasks; ++i) {
             const auto task = taskName(job, s, i);
             const auto &all = runsOf(runs, task);
@@ -213,7 +244,7 @@
                 anyRuns = true;
                 continue;
             }
-            if (doneAt(job, s, i, runs)) {
+            if (doneRun(job, s, i, runs) != nullptr) {
                 continue;
             }
             auto could = std::max({*ready, waitsUntil(world, job, s, i, runs), *m_quietFrom + calmAfter});
--- a/testing/soak/soakjudge.h
+++ b/testing/soak/soakjudge.h
@@ -22,8 +22,11 @@
 ///   executor that left, or vanished, the time counts from when the leader can know that.
 ///
 /// Work of an executor that vanished may wait for the end of its leases: those that were granted before it vanished, or that late calls for an earlier
-/// lifetime may have granted to its last one, or that a start order of the same task that it left unanswered may still grant, or, if the leader was disturbed
-/// before it can have noticed that, those that it may have granted until the next leader was in office.
+/// lifetime may have granted to its last one, or, if the leader was disturbed before it can have noticed that, those that it may have granted until the next
+/// leader was in office; and until a start order of the same task that it left unanswered cannot arrive any more. It may not wait longer than until the
+/// entry of another executor at its address is in the store and a leader in office.
+///
+/// An end that nobody had noted is lost with its executor: the steps that follow wait for the task to run again.
 ///
 /// The members of a gang succeed together, so that one that is done stands for all of them.
 
@@ -88,8 +91,11 @@
         bool isReported = false;
     };
 
-    auto readyAt(const SoakJob &job, std::size_t step, const Runs &runs) const -> std::optional<SteadyTime>;
+    auto readyAt(SoakWorld &world, const SoakJob &job, std::size_t step, const Runs &runs) const -> std::optional<SteadyTime>;
     auto leaseEnd(SteadyTime goneAt, SteadyTime lastGrant) const -> SteadyTime;
+    auto lastCallEnd(SteadyTime goneAt, SteadyTime lastCall, std::chrono::milliseconds effect) const -> SteadyTime;
+    auto successionKnownAt(SteadyTime shownAt) const -> SteadyTime;
+    auto vanishedUntil(SoakWorld &world, const std::string &worker, SteadyTime until) const -> SteadyTime;
     auto waitsUntil(SoakWorld &world, const SoakJob &job, std::size_t step, int index, const Runs &runs) const -> SteadyTime;
     auto waitsUntil(SoakWorld &world, const std::string &task, const Runs &runs) const -> SteadyTime;
     auto lookAt(SoakWorld &world, JobState &state, const Runs &runs, SteadyTime now) -> void;
--- a/testing/soak/soakworld.cpp
+++ b/testing/soak/soakworld.cpp
@@ -144,21 +144,29 @@
     return 0;
 }
 
-auto SoakWorld::addWorker() -> void
+/// The caller holds m_mutex.
+auto SoakWorld::makeExecutor(int port, bool isCutOff) -> SoakExecutor &
 {
-    const auto lock = std::lock_guard{m_mutex};
     const auto number = m_executors.size() + 1;
     const auto domain = "z" + std::to_string(1 + (number - 1) % static_cast<std::size_t>(m_options.domains));
     const auto transitSeed = m_options.transitSeed ? std::optional{*m_options.transitSeed + number} : std::nullopt;
     m_executors.push_back(std::make_unique<SoakExecutor>("i-" + std::to_string(number),
                                                          SoakExecutorOptions{.domain = domain,
                                                                              .lease = m_options.lease,
+                                                                             .port = port,
+                                                                             .isCutOff = isCutOff,
                                                                              .transitSeed = transitSeed,
                                                                              .forgetsWhileWaiting = m_options.forgetsWhileWaiting,
                                                                              .clockSeed = m_options.seed + number,
                                                                              .lateOrders = m_isLatenessOver ? 0 : m_options.lateOrders,
                                                                              .lateSeed = m_options.seed + number}));
-    writeEntry(*m_executors.back());
+    return *m_executors.back();
+}
+
+auto SoakWorld::addWorker() -> void
+{
+    const auto lock = std::lock_guard{m_mutex};
+    writeEntry(makeExecutor(0, false));
 }
 
 /// The caller holds m_mutex.
@@ -198,6 +206,52 @@
     }
 }
 
+auto SoakWorld::isCalm(std::size_t index) -> bool
+{
+    const auto lock = std::lock_guard{m_mutex};
+    auto &executor = *m_executors.at(index);
+    return !executor.goneAt() && !executor.isLeaving() && !m_unwritten.contains(executor.id());
+}
+
+auto SoakWorld::cutAndCrash(std::size_t index, Millis crashAfter, Millis span, Successor successor) -> void
+{
+    auto *executor = static_cast<SoakExecutor *>(nullptr);
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        executor = m_executors.at(index).get();
+        if (executor->goneAt() || executor->isLeaving() || m_unwritten.contains(executor->id())) {
+            return;
+        }
+        executor->setCutOff(true);
+        m_unwritten.insert(executor->id());
+        m_removals[executor->id()] = std::chrono::steady_clock::now() + heartbeat * entryHeartbeats;
+    }
+    std::this_thread::sleep_for(crashAfter);
+    executor->vanish();
+    if (successor == Successor::None) {
+        return;
+    }
+    auto *next = static_cast<SoakExecutor *>(nullptr);
+    const auto show = [&] {
+        writeEntry(*next);
+        m_successorsShown.try_emplace(executor->id(), std::chrono::steady_clock::now());
+    };
+    {
+        const auto lock = std::lock_guard{m_mutex};
+        next = &makeExecutor(executor->port(), true);
+        if (successor == Successor::Shown) {
+            show();
+        } else {
+            m_unwritten.insert(next->id());
+        }
+    }
+    std::this_thread::sleep_for(span - crashAfter);
+    const auto lock = std::lock_guard{m_mutex};
+    next->setCutOff(false);
+    m_unwritten.erase(next->id());
+    show();
+}
+
 auto SoakWorld::endLateness() -> void
 {
     const auto lock = std::lock_guard{m_mutex};
@@ -380,6 +434,13 @@
     return it == m_executors.end() ? nullptr : it->get();
 }
 
+auto SoakWorld::successorShownAt(const std::string &worker) -> std::optional<SteadyTime>
+{
+    const auto lock = std::lock_guard{m_mutex};
+    const auto it = m_successorsShown.find(worker);
+    return it == m_successorsShown.end() ? std::nullopt : std::optional{it->second};
+}
+
 auto SoakWorld::goneAt(const std::string &worker) -> std::optional<SteadyTime>
 {
     const auto lock = std::lock_guard{m_mutex};
--- a/testing/soak/soakworld.h
+++ b/testing/soak/soakworld.h
@@ -61,6 +61,13 @@
     SteadyTime end;
 };
 
+/// What comes up at the address of an executor that has crashed.
+enum class Successor {
+    None,
+    Shown, ///< another executor, which writes its entry although it is cut off from its callers
+    Unshown, ///< another executor, which writes its entry when the cut is over
+};
+
 class SoakWorld
 {
 public:
@@ -97,6 +104,13 @@
     /// @param span the whole time, more than @p restartAfter
     /// @param isListed whether it still writes its entry; otherwise the entry is removed after three heartbeats
     auto cutAndRestart(std::size_t index, Millis restartAfter, Millis span, bool isListed) -> void;
+    /// @return whether the executor is there, neither cut off from the store nor leaving.
+    auto isCalm(std::size_t index) -> bool;
+    /// Cuts an executor off for a while, in which it writes no entry, and ends it meanwhile without a word.
+    /// @param crashAfter the time for which it goes on before that
+    /// @param span the whole time, more than @p crashAfter
+    /// @param successor whether another executor comes up at its address at once, cut off as well, and when its entry is written
+    auto cutAndCrash(std::size_t index, Millis crashAfter, Millis span, Successor successor) -> void;
     /// Lets the executors answer all orders in time from now on.
     auto endLateness() -> void;
     /// Lets a new executor join.
@@ -118,6 +132,8 @@
     auto frozenSpans() -> std::vector<FrozenSpan>;
     /// @return when the executor vanished; nothing if it has not.
     auto goneAt(const std::string &worker) -> std::optional<SteadyTime>;
+    /// @return when the entry of the executor that took the address of this one was in the store; nothing if there is none.
+    auto successorShownAt(const std::string &worker) -> std::optional<SteadyTime>;
     /// @return when the executor's last lifetime began; nothing if it is the first.
     auto restartedAt(const std::string &worker) -> std::optional<SteadyTime>;
     /// @return the executors that have vanished and left a start order for the task without an answer, in the time in which it may still have been
@@ -141,6 +157,7 @@
         int lives = 0;
     };
 
+    auto makeExecutor(int port, bool isCutOff) -> SoakExecutor &;
     auto startInstance(Instance &instance) -> void;
     auto endInstance(Instance &instance, int signal) -> void;
     auto writeEntries() -> void;
@@ -157,6 +174,7 @@
     std::set<std::string> m_unwritten; ///< executors that are cut off from the store
     std::vector<Evacuation> m_evacuations;
     std::map<std::string, SteadyTime> m_departures;
+    std::map<std::string, SteadyTime> m_successorsShown; ///< by the executor that was at the address before
     std::vector<FrozenSpan> m_frozenSpans;
     bool m_isLatenessOver = false;
     std::atomic<int> m_version{0};
